--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,92 @@
+//! Calls the admin interface of a node.
+
+use std::{fmt, time::Duration};
+
+use awc::Client;
+use daisysill_core::result_code::ResultCode;
+use daisysill_wire::border::{ConflictReply, ErrorBody};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::exit_code::ExitCode;
+
+/// Time in which a node must answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Bytes of an answer at most.
+const MAX_ANSWER_BYTES: usize = 67_108_864;
+
+/// Why a call has no answer.
+#[derive(Clone, Debug)]
+pub(crate) enum CallError {
+    /// The node could not be reached or did not answer; the call may have taken effect.
+    Unreachable(String),
+    /// The node refused.
+    Refused(Box<ErrorBody>),
+    /// Another change was accepted on the same base.
+    Conflict(Box<ConflictReply>),
+    /// The answer makes no sense.
+    Unexpected(String),
+}
+
+impl CallError {
+    /// Returns the exit code that tells this error.
+    pub(crate) fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::Conflict(_) => ExitCode::Conflict,
+            Self::Refused(body) if body.error.code == u32::from(ResultCode::RulesInvalid.number()) => {
+                ExitCode::Invalid
+            }
+            Self::Refused(body) if body.error.code == u32::from(ResultCode::ChangeUncertain.number()) => {
+                ExitCode::Uncertain
+            }
+            Self::Unreachable(_) | Self::Refused(_) | Self::Unexpected(_) => ExitCode::Failure,
+        }
+    }
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreachable(message) => write!(f, "the node does not answer: {message}"),
+            Self::Refused(body) => write!(f, "refused ({}): {}", body.error.code, body.error.message),
+            Self::Conflict(reply) => {
+                write!(f, "conflict: version {} is in force", reply.current_version)?;
+                reply.difference.iter().try_for_each(|line| write!(f, "\n  {line}"))
+            }
+            Self::Unexpected(message) => write!(f, "unexpected answer: {message}"),
+        }
+    }
+}
+
+/// Reads JSON with GET.
+pub(crate) async fn get<T: DeserializeOwned>(url: &str) -> Result<T, CallError> {
+    let mut response = client().get(url).send().await.map_err(|e| CallError::Unreachable(e.to_string()))?;
+    let status = response.status();
+    let body = response.body().limit(MAX_ANSWER_BYTES).await;
+    decode(status.as_u16(), &body.map_err(|e| CallError::Unreachable(e.to_string()))?)
+}
+
+/// Sends JSON with POST and reads JSON.
+pub(crate) async fn post<B: Serialize, T: DeserializeOwned>(url: &str, request: &B) -> Result<T, CallError> {
+    let sent = client().post(url).send_json(request).await;
+    let mut response = sent.map_err(|e| CallError::Unreachable(e.to_string()))?;
+    let status = response.status();
+    let body = response.body().limit(MAX_ANSWER_BYTES).await;
+    decode(status.as_u16(), &body.map_err(|e| CallError::Unreachable(e.to_string()))?)
+}
+
+fn client() -> Client {
+    Client::builder().timeout(CALL_TIMEOUT).finish()
+}
+
+fn decode<T: DeserializeOwned>(status: u16, body: &[u8]) -> Result<T, CallError> {
+    if status == 200 {
+        return serde_json::from_slice(body).map_err(|e| CallError::Unexpected(e.to_string()));
+    }
+    if let Ok(conflict) = serde_json::from_slice::<ConflictReply>(body) {
+        return Err(CallError::Conflict(Box::new(conflict)));
+    }
+    match serde_json::from_slice::<ErrorBody>(body) {
+        Ok(error) => Err(CallError::Refused(Box::new(error))),
+        Err(_) => Err(CallError::Unexpected(format!("status {status}"))),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/options.rs
@@ -0,0 +1,146 @@
+//! The command line of daisysill.
+
+use std::path::PathBuf;
+
+/// Address of the admin listener when none is given.
+const DEFAULT_NODE: &str = "http://127.0.0.1:8081";
+
+const ACTIONS: &str = "\
+Usage: daisysill [OPTIONS] COMMAND
+
+Commands:
+  check DIR                 check the rule files in DIR
+  publish DIR               put the rule files in DIR in force everywhere
+  status                    show a node, its cluster and its upstreams
+  explain [REQUEST]         show why requests were served as they were
+  drain UPSTREAM            give an upstream no new work
+  undrain UPSTREAM          clear the drain mark
+  weights SERVICE OLD NEW   roll out a weight version";
+
+/// The command line as parsed.
+#[derive(Clone, Debug)]
+pub(crate) struct Options {
+    /// Base URL of a node's admin listener.
+    pub(crate) node: String,
+    /// Whether to print JSON.
+    pub(crate) json: bool,
+    /// Identifies the change when it is resent.
+    pub(crate) change_id: Option<String>,
+    /// What to do.
+    pub(crate) action: Action,
+}
+
+/// What to do.
+#[derive(Clone, Debug)]
+pub(crate) enum Action {
+    /// Print a text.
+    Print(String),
+    /// Check rule files.
+    Check {
+        /// Where they lie.
+        directory: PathBuf,
+    },
+    /// Publish rule files.
+    Publish(Publish),
+    /// Show a node.
+    Status,
+    /// Show why requests were served as they were.
+    Explain {
+        /// One request, or the latest.
+        request_id: Option<String>,
+    },
+    /// Mark an upstream.
+    Drain {
+        /// The upstream.
+        upstream: String,
+        /// Whether it drains.
+        draining: bool,
+    },
+    /// Roll out a weight version.
+    Weights {
+        /// The model service.
+        service: String,
+        /// The version in force.
+        base: u64,
+        /// The new version.
+        version: u64,
+    },
+}
+
+/// How to publish.
+#[derive(Clone, Debug)]
+pub(crate) struct Publish {
+    /// Where the rule files lie.
+    pub(crate) directory: PathBuf,
+    /// The version that the files are based on; the one in force when absent.
+    pub(crate) base: Option<u64>,
+    /// Whether to wait until every live node has the files in force.
+    pub(crate) wait: bool,
+    /// Seconds to wait at most.
+    pub(crate) timeout_s: u64,
+}
+
+impl Options {
+    /// Parses the arguments that follow the program's name.
+    pub(crate) fn parse<I: IntoIterator<Item = String>>(arguments: I) -> Result<Self, String> {
+        let parser = parser();
+        let matches = parser.parse(arguments).map_err(|error| error.to_string())?;
+        let action = if matches.opt_present("help") {
+            Action::Print(parser.usage(ACTIONS))
+        } else if matches.opt_present("version") {
+            Action::Print(format!("daisysill {}\n", env!("CARGO_PKG_VERSION")))
+        } else {
+            parse_action(&matches)?
+        };
+        Ok(Self {
+            node: matches.opt_str("node").unwrap_or_else(|| DEFAULT_NODE.to_owned()),
+            json: matches.opt_present("json"),
+            change_id: matches.opt_str("change-id"),
+            action,
+        })
+    }
+}
+
+fn parser() -> getopts::Options {
+    let mut parser = getopts::Options::new();
+    parser.optopt("n", "node", "admin URL of a node (default http://127.0.0.1:8081)", "URL");
+    parser.optflag("j", "json", "print JSON");
+    parser.optopt("", "change-id", "identify the change, so that it can be resent safely", "ID");
+    parser.optopt("", "base", "publish on top of this version of the rules", "VERSION");
+    parser.optflag("w", "wait", "return when every live node has the rules in force");
+    parser.optopt("", "timeout", "seconds to wait (default 11)", "SECONDS");
+    parser.optflag("h", "help", "print this text");
+    parser.optflag("V", "version", "print the version");
+    parser
+}
+
+fn parse_action(matches: &getopts::Matches) -> Result<Action, String> {
+    let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["check", directory] => Ok(Action::Check { directory: PathBuf::from(directory) }),
+        ["publish", directory] => Ok(Action::Publish(Publish {
+            directory: PathBuf::from(directory),
+            base: matches.opt_get("base").map_err(|_| "--base takes a number".to_owned())?,
+            wait: matches.opt_present("wait"),
+            timeout_s: matches
+                .opt_get_default("timeout", 11)
+                .map_err(|_| "--timeout takes a number of seconds".to_owned())?,
+        })),
+        ["status"] => Ok(Action::Status),
+        ["explain"] => Ok(Action::Explain { request_id: None }),
+        ["explain", id] => Ok(Action::Explain { request_id: Some((*id).to_owned()) }),
+        ["drain", upstream] => Ok(Action::Drain { upstream: (*upstream).to_owned(), draining: true }),
+        ["undrain", upstream] => Ok(Action::Drain { upstream: (*upstream).to_owned(), draining: false }),
+        ["weights", service, base, version] => Ok(Action::Weights {
+            service: (*service).to_owned(),
+            base: number(base)?,
+            version: number(version)?,
+        }),
+        [] => Err("no command given; see daisysill --help".to_owned()),
+        words => Err(format!("cannot understand {:?}; see daisysill --help", words.join(" "))),
+    }
+}
+
+fn number(text: &str) -> Result<u64, String> {
+    text.parse().map_err(|_| format!("{text:?} is not a number"))
+}
--- /dev/null
+++ b/crates/cli/src/report.rs
@@ -0,0 +1,101 @@
+//! Shows and changes single things through the admin interface.
+
+use daisysill_wire::border::{ChangeReply, DrainRequest, ExplainReply, NodeStatus, WeightsRequest};
+use serde::Serialize;
+
+use crate::{
+    client::{self, CallError},
+    exit_code::ExitCode,
+    options::Options,
+    publish::new_change_id,
+};
+
+/// Shows a node, its cluster and its upstreams.
+pub(crate) async fn status(options: &Options) -> Result<ExitCode, CallError> {
+    let status: NodeStatus = client::get(&format!("{}/admin/v1/status", options.node)).await?;
+    if print_json(options, &status) {
+        return Ok(ExitCode::Success);
+    }
+    println!("node {} in {}: {}", status.name, status.availability_zone, status.life_cycle);
+    println!("log: {}, term {}, leader {}", status.role, status.term, or_none(&status.leader));
+    println!("log: committed {}, applied {}", status.commit_index, status.applied_index);
+    println!("configuration {}, rules {}", status.config_version, status.rules_version);
+    for member in &status.members {
+        let alive = if member.alive { "alive" } else { "not heard" };
+        let (name, zone, version) = (&member.name, &member.availability_zone, member.config_version);
+        println!("member {name} in {zone}: {alive}, configuration {version}, heard {} ms ago", member.age_ms);
+    }
+    for upstream in &status.upstreams {
+        let (id, service, zone) = (&upstream.id, &upstream.service, &upstream.availability_zone);
+        println!(
+            "upstream {id} of {service} in {zone}: {}, {} in flight",
+            upstream.state, upstream.in_flight
+        );
+    }
+    Ok(ExitCode::Success)
+}
+
+/// Shows why requests were served as they were.
+pub(crate) async fn explain(options: &Options, request_id: Option<&str>) -> Result<ExitCode, CallError> {
+    let query = request_id.map(|id| format!("?request_id={id}")).unwrap_or_default();
+    let reply: ExplainReply = client::get(&format!("{}/admin/v1/explain{query}", options.node)).await?;
+    if print_json(options, &reply) {
+        return Ok(ExitCode::Success);
+    }
+    for request in &reply.requests {
+        let (id, customer, service) = (&request.request_id, &request.customer, &request.service);
+        println!("{id} of {customer} for {service}: result {}", request.result_code);
+        println!("  {}", request.states.join(" > "));
+        for decision in &request.decisions {
+            println!("  {decision}");
+        }
+    }
+    Ok(if request_id.is_some() && reply.requests.is_empty() { ExitCode::Failure } else { ExitCode::Success })
+}
+
+/// Marks an upstream as draining or clears the mark.
+pub(crate) async fn drain(options: &Options, upstream: &str, draining: bool) -> Result<ExitCode, CallError> {
+    let request = DrainRequest { change_id: change_id(options), upstream: upstream.to_owned(), draining };
+    let reply = client::post(&format!("{}/admin/v1/drains", options.node), &request).await?;
+    print_change(options, &reply);
+    Ok(ExitCode::Success)
+}
+
+/// Rolls out a weight version.
+pub(crate) async fn weights(
+    options: &Options,
+    service: &str,
+    base: u64,
+    version: u64,
+) -> Result<ExitCode, CallError> {
+    let request = WeightsRequest {
+        change_id: change_id(options),
+        service: service.to_owned(),
+        base_version: base,
+        version,
+    };
+    let reply = client::post(&format!("{}/admin/v1/weights", options.node), &request).await?;
+    print_change(options, &reply);
+    Ok(ExitCode::Success)
+}
+
+fn change_id(options: &Options) -> String {
+    options.change_id.clone().unwrap_or_else(new_change_id)
+}
+
+fn print_change(options: &Options, reply: &ChangeReply) {
+    if !print_json(options, reply) {
+        println!("version {} is accepted", reply.version);
+    }
+}
+
+fn print_json<T: Serialize>(options: &Options, value: &T) -> bool {
+    if options.json {
+        println!("{}", serde_json::to_string(value).unwrap_or_default());
+    }
+    options.json
+}
+
+fn or_none(text: &str) -> &str {
+    if text.is_empty() { "none" } else { text }
+}
--- /dev/null
+++ b/crates/cli/tests/command_line.rs
@@ -0,0 +1,20 @@
+//! The command line of daisysill, through the real binary.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::fs;
+
+use assert_cmd::Command;
+use tempfile::TempDir;
+
+/// Guards against rule errors without file and line, and against a wrong exit code.
+#[test]
+fn check_reports_file_and_line() {
+    let folder = TempDir::new().unwrap();
+    fs::write(folder.path().join("booth.ini"), "[service]\nname = booth-app\n[rest]\nmemory_s = long\n")
+        .unwrap();
+    let output = Command::cargo_bin("daisysill").unwrap().arg("check").arg(folder.path()).output().unwrap();
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(3), "{text}");
+    assert!(text.starts_with("booth.ini:4: [rest] memory_s = \"long\": a whole number"), "{text}");
+}
--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,333 @@
+//! The agreed state and how commands change it. Deterministic: equal logs give equal states.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+};
+
+use daisysill_core::{
+    ids::{ChangeId, ConfigVersion, FencingNumber, InstanceId, ServiceName, WeightVersion},
+    rules::{RuleFile, RuleSet},
+    value_types,
+};
+
+use crate::command::{
+    AcquireLease, Claim, ClaimKey, ClaimOutcome, ClaimState, Command, Conflict, FinishClaim, PublishRules,
+    Reply, ReportCrash, SetDrain, SetWeights,
+};
+
+/// Claims kept at most; each may hold a stored answer.
+pub const MAX_CLAIMS: usize = 200_000;
+/// Change ids remembered, so that a resent change is recognised.
+const REMEMBERED_CHANGES: usize = 10_000;
+/// Crashes after which a fingerprint that was present at each is blocked.
+const CRASHES_TO_BLOCK: usize = 2;
+
+value_types! {
+    /// What every node follows: everything agreed except claims and leases.
+    #[derive(Default)]
+    pub struct ConfigView {
+        /// The log index of the last change.
+        pub version: ConfigVersion,
+        /// The version of the rule files: the log index of their publication.
+        pub rules_version: ConfigVersion,
+        /// The rule files in force.
+        pub rules: Vec<RuleFile>,
+        /// Upstreams with a drain mark.
+        pub draining: BTreeSet<InstanceId>,
+        /// The weight version that new requests use, by service.
+        pub weights: BTreeMap<ServiceName, WeightVersion>,
+        /// Blocked request fingerprints and when the block ends, in log time.
+        pub blocked: BTreeMap<String, u64>,
+    }
+
+    /// A claim as kept.
+    pub struct ClaimRecord {
+        /// Digest of method, path and body.
+        pub body_digest: String,
+        /// The attempt that holds it.
+        pub attempt: daisysill_core::ids::AttemptId,
+        /// The instance that holds it.
+        pub holder: InstanceId,
+        /// Its state.
+        pub state: ClaimState,
+        /// When it is dropped, in log time.
+        pub expires_ms: u64,
+    }
+
+    /// A lease as granted.
+    pub struct LeaseRecord {
+        /// The holder.
+        pub holder: InstanceId,
+        /// The number its orders carry.
+        pub fencing: FencingNumber,
+        /// When it ends, in log time.
+        pub expires_ms: u64,
+    }
+
+    /// An accepted change, kept so that a resend gets the same reply.
+    pub struct AcceptedChange {
+        /// Its id.
+        pub change: ChangeId,
+        /// Digest of its content.
+        pub digest: String,
+        /// The version it created.
+        pub version: ConfigVersion,
+    }
+
+    /// Everything that a majority has agreed on.
+    #[derive(Default)]
+    pub struct AgreedState {
+        /// Index of the last applied entry.
+        pub applied_index: u64,
+        /// Log time: the leader's clock at the last applied entry; it never goes back.
+        pub now_ms: u64,
+        /// What every node follows.
+        pub config: Arc<ConfigView>,
+        /// Claims by key.
+        #[serde(with = "claim_list")]
+        pub claims: BTreeMap<ClaimKey, ClaimRecord>,
+        /// Leases by role.
+        pub leases: BTreeMap<String, LeaseRecord>,
+        /// Accepted changes, oldest first.
+        pub changes: VecDeque<AcceptedChange>,
+        /// Crashed upstream incarnations by fingerprint.
+        pub crashes: BTreeMap<String, BTreeSet<String>>,
+    }
+}
+
+/// Serialises the claims as a list, since their keys are not strings.
+mod claim_list {
+    use std::collections::BTreeMap;
+
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    use super::{ClaimKey, ClaimRecord};
+
+    pub(super) fn serialize<S: Serializer>(
+        claims: &BTreeMap<ClaimKey, ClaimRecord>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        claims.iter().collect::<Vec<_>>().serialize(serializer)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<BTreeMap<ClaimKey, ClaimRecord>, D::Error> {
+        Vec::<(ClaimKey, ClaimRecord)>::deserialize(deserializer).map(|pairs| pairs.into_iter().collect())
+    }
+}
+
+impl AgreedState {
+    /// Applies the command of the log entry at `index`, which its leader stamped with `now_ms`.
+    ///
+    /// ```
+    /// use daisysill_control::{command::{Command, Reply, SetDrain}, state::AgreedState};
+    /// use daisysill_core::ids::ConfigVersion;
+    /// let mut state = AgreedState::default();
+    /// let drain = SetDrain { change: "c1".into(), upstream: "lyric-1".into(), draining: true };
+    /// let reply = state.apply(1, 10, &Command::SetDrain(drain));
+    /// assert_eq!(reply, Reply::Accepted(ConfigVersion(1)));
+    /// assert!(state.config.draining.contains(&"lyric-1".into()));
+    /// ```
+    pub fn apply(&mut self, index: u64, now_ms: u64, command: &Command) -> Reply {
+        self.applied_index = index;
+        self.now_ms = self.now_ms.max(now_ms);
+        match command {
+            Command::Noop => Reply::Done,
+            Command::PublishRules(publish) => self.publish(publish),
+            Command::SetDrain(drain) => self.set_drain(drain),
+            Command::SetWeights(weights) => self.set_weights(weights),
+            Command::AcquireLease(request) => self.acquire_lease(request),
+            Command::Claim(claim) => self.claim(claim),
+            Command::FinishClaim(finish) => self.finish_claim(finish),
+            Command::ReportCrash(report) => self.report_crash(report),
+        }
+    }
+
+    fn publish(&mut self, publish: &PublishRules) -> Reply {
+        let digest = digest_of(publish.files.iter().flat_map(|f| [f.name.as_str(), f.text.as_str()]));
+        if let Some(reply) = self.repeated(&publish.change, &digest) {
+            return reply;
+        }
+        if publish.base != self.config.rules_version {
+            return Reply::Conflict(Conflict {
+                current: self.config.rules_version,
+                difference: difference(&self.config.rules, &publish.files),
+            });
+        }
+        if let Err(errors) = RuleSet::parse(&publish.files) {
+            return Reply::RulesInvalid(errors.iter().map(ToString::to_string).collect());
+        }
+        let version = ConfigVersion(self.applied_index);
+        let config = Arc::make_mut(&mut self.config);
+        config.rules.clone_from(&publish.files);
+        config.rules_version = version;
+        self.accept(&publish.change, digest)
+    }
+
+    fn set_drain(&mut self, drain: &SetDrain) -> Reply {
+        let digest = digest_of([drain.upstream.as_str(), if drain.draining { "1" } else { "0" }]);
+        if let Some(reply) = self.repeated(&drain.change, &digest) {
+            return reply;
+        }
+        let config = Arc::make_mut(&mut self.config);
+        if drain.draining {
+            config.draining.insert(drain.upstream.clone());
+        } else {
+            config.draining.remove(&drain.upstream);
+        }
+        self.accept(&drain.change, digest)
+    }
+
+    fn set_weights(&mut self, weights: &SetWeights) -> Reply {
+        let version = weights.version.to_string();
+        let digest = digest_of([weights.service.as_str(), &version]);
+        if let Some(reply) = self.repeated(&weights.change, &digest) {
+            return reply;
+        }
+        let current = self.config.weights.get(&weights.service).copied().unwrap_or_default();
+        if weights.base != current {
+            let line = format!("{}: weight version {current} is in force", weights.service);
+            return Reply::Conflict(Conflict { current: self.config.version, difference: vec![line] });
+        }
+        let config = Arc::make_mut(&mut self.config);
+        config.weights.insert(weights.service.clone(), weights.version);
+        self.accept(&weights.change, digest)
+    }
+
+    fn acquire_lease(&mut self, request: &AcquireLease) -> Reply {
+        let held = self.leases.get(&request.role);
+        let expires_ms = self.now_ms + request.duration_ms;
+        if let Some(lease) = held.filter(|lease| lease.expires_ms > self.now_ms)
+            && lease.holder != request.holder
+        {
+            return Reply::LeaseHeld(lease.holder.clone());
+        }
+        // A renewal keeps its number; any other grant, also to the same holder after expiry, gets a new one.
+        let renewed = held.filter(|l| l.holder == request.holder && l.expires_ms > self.now_ms);
+        let fencing = match (renewed, held) {
+            (Some(lease), _) => lease.fencing,
+            (None, Some(lease)) => lease.fencing.next(),
+            (None, None) => FencingNumber(1),
+        };
+        let lease = LeaseRecord { holder: request.holder.clone(), fencing, expires_ms };
+        self.leases.insert(request.role.clone(), lease);
+        Reply::LeaseGranted(fencing)
+    }
+
+    fn claim(&mut self, claim: &Claim) -> Reply {
+        let now_ms = self.now_ms;
+        let existing = self.claims.get(&claim.key).filter(|record| record.expires_ms > now_ms);
+        if let Some(record) = existing {
+            return match () {
+                () if record.body_digest != claim.body_digest => Reply::KeyReused,
+                // The claim command itself was resent after a lost reply.
+                () if record.attempt == claim.attempt && record.state == ClaimState::InProgress => {
+                    Reply::Claimed
+                }
+                () => Reply::ClaimExists(record.state.clone()),
+            };
+        }
+        if self.claims.len() >= MAX_CLAIMS {
+            self.claims.retain(|_, record| record.expires_ms > now_ms);
+        }
+        if self.claims.len() >= MAX_CLAIMS {
+            return Reply::ClaimsFull;
+        }
+        let record = ClaimRecord {
+            body_digest: claim.body_digest.clone(),
+            attempt: claim.attempt.clone(),
+            holder: claim.holder.clone(),
+            state: ClaimState::InProgress,
+            expires_ms: now_ms + claim.keep_ms,
+        };
+        self.claims.insert(claim.key.clone(), record);
+        Reply::Claimed
+    }
+
+    fn finish_claim(&mut self, finish: &FinishClaim) -> Reply {
+        let Some(record) = self.claims.get_mut(&finish.key) else { return Reply::Done };
+        if record.attempt != finish.attempt || record.state != ClaimState::InProgress {
+            return Reply::Done;
+        }
+        match &finish.outcome {
+            ClaimOutcome::Answered(answer) => record.state = ClaimState::Answered(answer.clone()),
+            ClaimOutcome::Unknown => record.state = ClaimState::Unknown,
+            ClaimOutcome::NotRun => {
+                self.claims.remove(&finish.key);
+            }
+        }
+        Reply::Done
+    }
+
+    fn report_crash(&mut self, report: &ReportCrash) -> Reply {
+        let crash = format!("{}#{}", report.upstream, report.incarnation);
+        let until_ms = self.now_ms + report.block_ms;
+        let mut newly_blocked = Vec::new();
+        for fingerprint in &report.fingerprints {
+            let crashes = self.crashes.entry(fingerprint.clone()).or_default();
+            crashes.insert(crash.clone());
+            if crashes.len() >= CRASHES_TO_BLOCK {
+                newly_blocked.push(fingerprint.clone());
+            }
+        }
+        if newly_blocked.is_empty() {
+            return Reply::Done;
+        }
+        let now_ms = self.now_ms;
+        let version = ConfigVersion(self.applied_index);
+        let config = Arc::make_mut(&mut self.config);
+        config.blocked.retain(|_, until| *until > now_ms);
+        config.blocked.extend(newly_blocked.into_iter().map(|f| (f, until_ms)));
+        config.version = version;
+        Reply::Accepted(version)
+    }
+
+    fn repeated(&self, change: &ChangeId, digest: &str) -> Option<Reply> {
+        let accepted = self.changes.iter().rev().find(|accepted| accepted.change == *change)?;
+        if accepted.digest == digest {
+            Some(Reply::Accepted(accepted.version))
+        } else {
+            Some(Reply::ChangeIdReused)
+        }
+    }
+
+    fn accept(&mut self, change: &ChangeId, digest: String) -> Reply {
+        let version = ConfigVersion(self.applied_index);
+        Arc::make_mut(&mut self.config).version = version;
+        self.changes.push_back(AcceptedChange { change: change.clone(), digest, version });
+        while self.changes.len() > REMEMBERED_CHANGES {
+            self.changes.pop_front();
+        }
+        Reply::Accepted(version)
+    }
+}
+
+fn digest_of<'a>(parts: impl IntoIterator<Item = &'a str>) -> String {
+    let mut hasher = blake3::Hasher::new();
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    hasher.finalize().to_hex().to_string()
+}
+
+/// Lists the files that differ between two sets of rule files, with the lines that differ.
+fn difference(in_force: &[RuleFile], refused: &[RuleFile]) -> Vec<String> {
+    let by_name = |files: &[RuleFile]| -> BTreeMap<String, String> {
+        files.iter().map(|file| (file.name.clone(), file.text.clone())).collect()
+    };
+    let (old, new) = (by_name(in_force), by_name(refused));
+    let names: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+    let mut lines = Vec::new();
+    for name in names {
+        let old_lines: Vec<&str> = old.get(name).map_or("", String::as_str).lines().collect();
+        let new_lines: Vec<&str> = new.get(name).map_or("", String::as_str).lines().collect();
+        let only_old = old_lines.iter().filter(|line| !new_lines.contains(line));
+        lines.extend(only_old.map(|line| format!("{name}: in force: {line}")));
+        let only_new = new_lines.iter().filter(|line| !old_lines.contains(line));
+        lines.extend(only_new.map(|line| format!("{name}: refused: {line}")));
+    }
+    lines
+}
--- /dev/null
+++ b/crates/node/src/admin_api.rs
@@ -0,0 +1,173 @@
+//! The HTTP interface for operators, the balancer and metrics.
+
+use actix_web::{
+    HttpResponse,
+    web::{self, Data, Json, Query, ServiceConfig as Routes},
+};
+use daisysill_cluster::ProposeError;
+use daisysill_control::command::{Command, Conflict, PublishRules, Reply, SetDrain, SetWeights};
+use daisysill_core::{
+    ids::{ChangeId, ConfigVersion, InstanceId, ServiceName, WeightVersion},
+    result_code::ResultCode,
+    rules::RuleFile,
+};
+use daisysill_wire::border::{
+    ChangeReply, ConflictReply, DrainRequest, ExplainReply, MemberStatus, NodeStatus, PublishRequest,
+    RuleFileBody, RulesReply, WeightsRequest,
+};
+use serde::Deserialize;
+
+use crate::{refusal::Refusal, shared::Shared};
+
+/// When to come back while no majority is in reach.
+const NO_QUORUM_RETRY_MS: u64 = 2_000;
+/// Explanations returned when no number is asked for.
+const DEFAULT_EXPLANATIONS: usize = 20;
+/// Bytes of an administrative request at most.
+const MAX_BODY_BYTES: usize = 16_777_216;
+
+/// Adds the routes for operators.
+pub fn routes(routes: &mut Routes) {
+    routes
+        .app_data(web::JsonConfig::default().limit(MAX_BODY_BYTES))
+        .route("/healthz", web::get().to(healthz))
+        .route("/readyz", web::get().to(readyz))
+        .route("/metrics", web::get().to(metrics))
+        .route("/admin/v1/status", web::get().to(status))
+        .route("/admin/v1/rules", web::get().to(rules))
+        .route("/admin/v1/rules", web::post().to(publish))
+        .route("/admin/v1/drains", web::post().to(drain))
+        .route("/admin/v1/weights", web::post().to(weights))
+        .route("/admin/v1/explain", web::get().to(explain));
+}
+
+async fn healthz() -> HttpResponse {
+    HttpResponse::Ok().body("ok\n")
+}
+
+async fn readyz(shared: Data<Shared>) -> HttpResponse {
+    let role = shared.role();
+    match role.as_str() {
+        // An isolated node goes on serving what it can.
+        "ready" | "isolated" => HttpResponse::Ok().body(format!("{role}\n")),
+        _ => HttpResponse::ServiceUnavailable().body(format!("{role}\n")),
+    }
+}
+
+async fn metrics(shared: Data<Shared>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
+        .body(shared.metrics.encode())
+}
+
+async fn status(shared: Data<Shared>) -> HttpResponse {
+    let cluster = shared.cluster.status();
+    let view = shared.cluster.view().borrow().clone();
+    let member = |member: &daisysill_cluster::MemberState| MemberStatus {
+        name: member.name.to_string(),
+        availability_zone: member.zone.to_string(),
+        alive: member.alive,
+        config_version: member.config_version.0,
+        age_ms: member
+            .last_heard
+            .map_or(0, |heard| u64::try_from(heard.elapsed().as_millis()).unwrap_or(u64::MAX)),
+    };
+    HttpResponse::Ok().json(NodeStatus {
+        name: shared.config.node.name.to_string(),
+        availability_zone: shared.config.node.zone.to_string(),
+        life_cycle: shared.role(),
+        role: cluster.role.name().to_owned(),
+        term: cluster.term,
+        leader: cluster.leader.as_ref().map(ToString::to_string).unwrap_or_default(),
+        commit_index: cluster.commit_index,
+        applied_index: cluster.applied_index,
+        config_version: view.version.0,
+        rules_version: view.rules_version.0,
+        members: cluster.members.iter().map(member).collect(),
+        upstreams: shared.upstreams.status(),
+    })
+}
+
+async fn rules(shared: Data<Shared>) -> HttpResponse {
+    let view = shared.cluster.view().borrow().clone();
+    let body = |file: &RuleFile| RuleFileBody { name: file.name.clone(), text: file.text.clone() };
+    let files = view.rules.iter().map(body).collect();
+    HttpResponse::Ok().json(RulesReply { version: view.rules_version.0, files })
+}
+
+async fn publish(shared: Data<Shared>, request: Json<PublishRequest>) -> HttpResponse {
+    let request = request.into_inner();
+    let files = request.files.into_iter().map(|file| RuleFile { name: file.name, text: file.text });
+    let publish = PublishRules {
+        change: ChangeId::from(request.change_id),
+        base: ConfigVersion(request.base_version),
+        files: files.collect(),
+    };
+    change(&shared, Command::PublishRules(publish)).await
+}
+
+async fn drain(shared: Data<Shared>, request: Json<DrainRequest>) -> HttpResponse {
+    let request = request.into_inner();
+    let drain = SetDrain {
+        change: ChangeId::from(request.change_id),
+        upstream: InstanceId::from(request.upstream),
+        draining: request.draining,
+    };
+    change(&shared, Command::SetDrain(drain)).await
+}
+
+async fn weights(shared: Data<Shared>, request: Json<WeightsRequest>) -> HttpResponse {
+    let request = request.into_inner();
+    let weights = SetWeights {
+        change: ChangeId::from(request.change_id),
+        base: WeightVersion(request.base_version),
+        service: ServiceName::from(request.service),
+        version: WeightVersion(request.version),
+    };
+    change(&shared, Command::SetWeights(weights)).await
+}
+
+async fn change(shared: &Shared, command: Command) -> HttpResponse {
+    match shared.cluster.propose(command).await {
+        Ok(Reply::Accepted(version)) => HttpResponse::Ok().json(ChangeReply { version: version.0 }),
+        Ok(Reply::Conflict(conflict)) => conflict_response(conflict),
+        Ok(Reply::ChangeIdReused) => {
+            Refusal::new(ResultCode::ChangeIdReused, "the change id was used with other content").response()
+        }
+        Ok(Reply::RulesInvalid(errors)) => {
+            Refusal::new(ResultCode::RulesInvalid, errors.join("\n")).response()
+        }
+        Ok(_) => Refusal::new(ResultCode::Internal, "unexpected reply to a change").response(),
+        Err(ProposeError::NotCommitted) => {
+            Refusal::new(ResultCode::NoQuorum, ProposeError::NotCommitted.to_string())
+                .retry_after_ms(NO_QUORUM_RETRY_MS)
+                .response()
+        }
+        Err(ProposeError::Uncertain) => {
+            let message = "the change may have been accepted; resend it with the same change id";
+            Refusal::new(ResultCode::ChangeUncertain, message).retry_after_ms(NO_QUORUM_RETRY_MS).response()
+        }
+    }
+}
+
+fn conflict_response(conflict: Conflict) -> HttpResponse {
+    let refusal = Refusal::new(ResultCode::ChangeConflict, "another change was accepted on the same base");
+    HttpResponse::Conflict().json(ConflictReply {
+        error: refusal.body().error,
+        current_version: conflict.current.0,
+        difference: conflict.difference,
+    })
+}
+
+/// What to explain.
+#[derive(Debug, Deserialize)]
+struct ExplainQuery {
+    request_id: Option<String>,
+    limit: Option<usize>,
+}
+
+async fn explain(shared: Data<Shared>, query: Query<ExplainQuery>) -> HttpResponse {
+    let limit = query.limit.unwrap_or(DEFAULT_EXPLANATIONS);
+    let requests = shared.explain.find(query.request_id.as_deref(), limit);
+    HttpResponse::Ok().json(ExplainReply { requests })
+}
--- /dev/null
+++ b/crates/node/src/app.rs
@@ -0,0 +1,190 @@
+//! Starts a node, serves until it is told to stop, and stops without cutting requests.
+
+use std::{fs, net::SocketAddr, path::Path, rc::Rc, sync::Arc, time::Duration};
+
+use actix::Actor;
+use actix_web::{App, HttpServer, dev::ServerHandle, web::Data};
+use daisysill_cluster::Cluster;
+use eyre::WrapErr;
+use serde::Serialize;
+
+use crate::{
+    admin_api,
+    caller_api::{self, Adapters},
+    config::Config,
+    engine_client::HttpEngine,
+    exit_code::ExitCode,
+    http,
+    options::Options,
+    plain_client::HttpPlainService,
+    platform_client::HttpPlatform,
+    shared::Shared,
+    upstreams::UpstreamMonitor,
+};
+
+/// Time between failing `/readyz` and closing the listener, in which the balancer takes notice.
+const BALANCER_NOTICE: Duration = Duration::from_millis(500);
+/// Threads that serve callers.
+const CALLER_THREADS: usize = 1;
+
+/// Runs the process as the command line asks.
+pub fn run(options: &Options) -> ExitCode {
+    if let Some(text) = &options.print {
+        print!("{text}");
+        return ExitCode::Success;
+    }
+    let Some(path) = &options.settings_path else { return ExitCode::Usage };
+    let config = match Config::load(path) {
+        Ok(config) => config,
+        Err(errors) => {
+            for error in &errors {
+                eprintln!("{error}");
+            }
+            return ExitCode::Settings;
+        }
+    };
+    if options.check_only {
+        println!("{}: settings are valid", path.display());
+        return ExitCode::Success;
+    }
+    match actix::System::new().block_on(serve(config)) {
+        Ok(()) => ExitCode::Success,
+        Err(error) => {
+            log::error!("{error:#}");
+            ExitCode::Failure
+        }
+    }
+}
+
+/// Addresses a node listens on.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct BoundAddresses {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+    /// For other nodes.
+    pub peer: SocketAddr,
+}
+
+/// A running node.
+#[derive(Debug)]
+pub struct RunningNode {
+    /// Where it listens.
+    pub addresses: BoundAddresses,
+    shared: Arc<Shared>,
+    callers: ServerHandle,
+    admin: ServerHandle,
+}
+
+/// Starts all listeners and actors of a node.
+///
+/// # Errors
+/// Fails if an address cannot be bound or the durable state is damaged.
+pub async fn start(config: Config) -> eyre::Result<RunningNode> {
+    let (cluster, peer) =
+        Cluster::start(config.cluster.clone()).await.wrap_err("the cluster does not start")?;
+    let shared = Arc::new(Shared::new(config, cluster)?);
+    shared.role_event("settings_checked");
+    actix_rt::spawn(Arc::clone(&shared).follow_rules());
+    let client = http::client();
+    let engine = Rc::new(HttpEngine::new(client.clone()));
+    UpstreamMonitor::new(Arc::clone(&shared), engine, Rc::new(HttpPlatform::new(client))).start();
+
+    let data = Data::from(Arc::clone(&shared));
+    let admin_data = data.clone();
+    let admin = HttpServer::new(move || App::new().app_data(admin_data.clone()).configure(admin_api::routes))
+        .workers(1)
+        .disable_signals()
+        .bind(shared.config.node.admin_listen)
+        .wrap_err("the admin address cannot be bound")?;
+    let limits = &shared.config.limits;
+    let callers = HttpServer::new(move || {
+        let client = http::client();
+        let adapters = Adapters {
+            engine: Rc::new(HttpEngine::new(client.clone())),
+            plain: Rc::new(HttpPlainService::new(client)),
+        };
+        App::new().app_data(data.clone()).app_data(Data::new(adapters)).configure(caller_api::routes)
+    })
+    .workers(CALLER_THREADS)
+    .client_request_timeout(Duration::from_millis(limits.header_timeout_ms))
+    .shutdown_timeout(shared.config.node.stop_timeout_s)
+    .disable_signals()
+    .bind(shared.config.node.caller_listen)
+    .wrap_err("the caller address cannot be bound")?;
+
+    let addresses = BoundAddresses { caller: first(&callers.addrs())?, admin: first(&admin.addrs())?, peer };
+    let (callers, admin) = (callers.run(), admin.run());
+    let node = RunningNode { addresses, shared, callers: callers.handle(), admin: admin.handle() };
+    actix_rt::spawn(callers);
+    actix_rt::spawn(admin);
+    actix_rt::spawn(watch_cluster(Arc::clone(&node.shared)));
+    if let Some(path) = &node.shared.config.node.ready_file {
+        write_ready_file(path, &addresses)?;
+    }
+    log::info!("node {} listens for callers on {}", node.shared.config.node.name, addresses.caller);
+    Ok(node)
+}
+
+async fn serve(config: Config) -> eyre::Result<()> {
+    let node = start(config).await?;
+    wait_for_stop().await?;
+    node.stop().await;
+    Ok(())
+}
+
+impl RunningNode {
+    /// Stops without cutting requests.
+    pub async fn stop(self) {
+        self.shared.role_event("stop");
+        tokio::time::sleep(BALANCER_NOTICE).await;
+        // Graceful: waits for requests in progress, up to the configured time.
+        self.callers.stop(true).await;
+        self.shared.cluster.leave().await;
+        self.admin.stop(false).await;
+        self.shared.role_event("finished");
+    }
+
+    /// Returns what the node's parts share.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+}
+
+/// Time between two looks at the cluster's state.
+const CLUSTER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+async fn watch_cluster(shared: Arc<Shared>) {
+    loop {
+        let current = shared.cluster.status().current;
+        match (shared.role().as_str(), current) {
+            ("joining" | "isolated", true) => shared.role_event("view_current"),
+            ("ready", false) => shared.role_event("view_lost"),
+            _ => {}
+        }
+        tokio::time::sleep(CLUSTER_CHECK_INTERVAL).await;
+    }
+}
+
+async fn wait_for_stop() -> eyre::Result<()> {
+    use tokio::signal::unix::{SignalKind, signal};
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("signals cannot be received")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("signals cannot be received")?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+fn first(addresses: &[SocketAddr]) -> eyre::Result<SocketAddr> {
+    addresses.first().copied().ok_or_else(|| eyre::eyre!("no address was bound"))
+}
+
+/// Writes the addresses aside and renames, so that a reader never sees half a file.
+fn write_ready_file(path: &Path, addresses: &BoundAddresses) -> eyre::Result<()> {
+    let partial = path.with_extension("partial");
+    fs::write(&partial, serde_json::to_string(addresses)?).wrap_err("the ready file cannot be written")?;
+    fs::rename(&partial, path).wrap_err("the ready file cannot be renamed")
+}
--- /dev/null
+++ b/crates/node/src/http.rs
@@ -0,0 +1,101 @@
+//! The HTTP client that all upstream adapters share.
+
+use std::time::Duration;
+
+use actix_web::web::Bytes;
+use awc::{
+    Client, ClientResponse,
+    error::{PayloadError, SendRequestError},
+    http::StatusCode,
+};
+use futures::Stream;
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::upstream_edge::{AttemptError, AttemptResult};
+
+/// Header by which an upstream states that it executed nothing.
+pub const NOT_RUN_HEADER: &str = "x-not-run";
+/// Header by which an upstream states that it refuses because it is leaving.
+pub const LEAVING_HEADER: &str = "x-leaving";
+/// Time in which a connection must be open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time in which a control call (load, events, list) must be answered.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bytes of a control answer at most.
+const CONTROL_BODY_BYTES: usize = 16_777_216;
+
+/// Creates a client; it belongs to the thread that created it.
+pub fn client() -> Client {
+    let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT).limit(0);
+    Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
+}
+
+/// Sorts a send error by whether a byte was sent.
+pub fn sort_send_error(error: &SendRequestError) -> AttemptError {
+    match error {
+        SendRequestError::Url(_) | SendRequestError::Connect(_) => AttemptError::NotSent(error.to_string()),
+        _ => AttemptError::Failed(error.to_string()),
+    }
+}
+
+/// Reads a refusal out of an upstream's error answer.
+pub fn sort_error_status<S>(response: &ClientResponse<S>) -> AttemptError {
+    let status = response.status();
+    let message = format!("status {}", status.as_u16());
+    let headers = response.headers();
+    if !headers.contains_key(NOT_RUN_HEADER) {
+        return AttemptError::Failed(message);
+    }
+    let retry_after_s =
+        headers.get("retry-after").and_then(|v| v.to_str().ok()).and_then(|v| v.parse::<u64>().ok());
+    AttemptError::Refused {
+        message,
+        leaving: headers.contains_key(LEAVING_HEADER),
+        retry_after_ms: retry_after_s.map(|s| s * 1_000),
+    }
+}
+
+/// Reads JSON with GET.
+///
+/// # Errors
+/// Sorts failures by whether the upstream may have executed the call.
+pub async fn get_json<T: DeserializeOwned>(client: &Client, url: &str) -> AttemptResult<T> {
+    let response = client.get(url).timeout(CONTROL_TIMEOUT).send().await;
+    read_json(response.map_err(|e| sort_send_error(&e))?).await
+}
+
+/// Sends JSON with POST and reads JSON.
+///
+/// # Errors
+/// Sorts failures by whether the upstream may have executed the call.
+pub async fn post_json<B: Serialize, T: DeserializeOwned>(
+    client: &Client,
+    url: &str,
+    body: &B,
+    timeout: Duration,
+) -> AttemptResult<T> {
+    let response = client.post(url).timeout(timeout).send_json(body).await;
+    read_json(response.map_err(|e| sort_send_error(&e))?).await
+}
+
+/// Sends DELETE and ignores the answer's body.
+///
+/// # Errors
+/// Sorts failures by whether the upstream may have executed the call.
+pub async fn delete(client: &Client, url: &str) -> AttemptResult<()> {
+    let response = client.delete(url).timeout(CONTROL_TIMEOUT).send().await;
+    let response = response.map_err(|e| sort_send_error(&e))?;
+    if response.status().is_success() { Ok(()) } else { Err(sort_error_status(&response)) }
+}
+
+async fn read_json<T, S>(mut response: ClientResponse<S>) -> AttemptResult<T>
+where
+    T: DeserializeOwned,
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+{
+    if response.status() == StatusCode::NO_CONTENT || !response.status().is_success() {
+        return Err(sort_error_status(&response));
+    }
+    let body = response.json::<T>().limit(CONTROL_BODY_BYTES);
+    body.await.map_err(|error| AttemptError::Failed(format!("answer is not the expected JSON: {error}")))
+}
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,120 @@
+//! Counters and histograms of one node.
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::{Registry, Unit},
+};
+
+/// Labels of a finished request.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct ResultLabels {
+    /// The service.
+    pub service: String,
+    /// The result code's name.
+    pub result: String,
+}
+
+/// Labels that name a service only.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct ServiceLabels {
+    /// The service.
+    pub service: String,
+}
+
+/// Counters and histograms of one node.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests finished, by service and result.
+    pub requests: Family<ResultLabels, Counter>,
+    /// Attempts sent to upstreams.
+    pub attempts: Family<ServiceLabels, Counter>,
+    /// Attempts that failed after they were sent.
+    pub failed_attempts: Family<ServiceLabels, Counter>,
+    /// Prompt tokens that were found in a cache or restored.
+    pub reused_tokens: Family<ServiceLabels, Counter>,
+    /// Prompt tokens that were computed.
+    pub computed_tokens: Family<ServiceLabels, Counter>,
+    /// Time from arrival to the first token.
+    pub first_token_seconds: Histogram,
+    /// Events of a stream that did not belong to its attempt.
+    pub stray_events: Counter,
+    /// Events that a state chart does not declare for the current state.
+    pub undeclared_events: Counter,
+    /// Requests in progress.
+    pub in_flight: Gauge,
+    /// Bytes restored from stores.
+    pub restored_bytes: Counter,
+}
+
+/// Shortest time to first token that has a bucket of its own, in seconds.
+const FIRST_BUCKET_S: f64 = 0.001;
+const BUCKETS: u16 = 16;
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("daisysill"),
+            requests: Family::default(),
+            attempts: Family::default(),
+            failed_attempts: Family::default(),
+            reused_tokens: Family::default(),
+            computed_tokens: Family::default(),
+            first_token_seconds: Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS)),
+            stray_events: Counter::default(),
+            undeclared_events: Counter::default(),
+            in_flight: Gauge::default(),
+            restored_bytes: Counter::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    /// Returns all metrics in the `OpenMetrics` text format.
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests finished", self.requests.clone());
+        registry.register("attempts", "Attempts sent to upstreams", self.attempts.clone());
+        registry.register(
+            "failed_attempts",
+            "Attempts that failed after sending",
+            self.failed_attempts.clone(),
+        );
+        registry.register("reused_tokens", "Prompt tokens not computed again", self.reused_tokens.clone());
+        registry.register("computed_tokens", "Prompt tokens computed", self.computed_tokens.clone());
+        registry.register_with_unit(
+            "first_token",
+            "Time from arrival to the first token",
+            Unit::Seconds,
+            self.first_token_seconds.clone(),
+        );
+        registry.register("stray_events", "Stream events of another attempt", self.stray_events.clone());
+        registry.register(
+            "undeclared_events",
+            "Events a state does not declare",
+            self.undeclared_events.clone(),
+        );
+        registry.register("in_flight_requests", "Requests in progress", self.in_flight.clone());
+        registry.register_with_unit(
+            "restored",
+            "Bytes restored from stores",
+            Unit::Bytes,
+            self.restored_bytes.clone(),
+        );
+    }
+}
--- /dev/null
+++ b/crates/node/src/options.rs
@@ -0,0 +1,49 @@
+//! The command line of daisysilld.
+
+use std::path::PathBuf;
+
+/// The command line as parsed.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The settings file.
+    pub settings_path: Option<PathBuf>,
+    /// Whether to check the settings and exit.
+    pub check_only: bool,
+    /// Text to print instead of running.
+    pub print: Option<String>,
+}
+
+impl Options {
+    /// Parses the arguments that follow the program's name.
+    ///
+    /// # Errors
+    /// Returns a sentence for the user when the arguments are wrong.
+    pub fn parse<I: IntoIterator<Item = String>>(arguments: I) -> Result<Self, String> {
+        let mut parser = getopts::Options::new();
+        parser.optopt("c", "config", "serve with the settings in FILE", "FILE");
+        parser.optopt("", "check-settings", "check the settings in FILE and exit", "FILE");
+        parser.optflag("h", "help", "print this text");
+        parser.optflag("V", "version", "print the version");
+        let matches = parser.parse(arguments).map_err(|error| error.to_string())?;
+        if let Some(unexpected) = matches.free.first() {
+            return Err(format!("unexpected argument {unexpected:?}; see daisysilld --help"));
+        }
+        let print = if matches.opt_present("help") {
+            Some(parser.usage("Usage: daisysilld --config FILE"))
+        } else if matches.opt_present("version") {
+            Some(format!("daisysilld {}\n", env!("CARGO_PKG_VERSION")))
+        } else {
+            None
+        };
+        let check = matches.opt_str("check-settings");
+        let options = Self {
+            check_only: check.is_some(),
+            settings_path: check.or_else(|| matches.opt_str("config")).map(PathBuf::from),
+            print,
+        };
+        if options.print.is_none() && options.settings_path.is_none() {
+            return Err("no settings file given; use --config FILE".to_owned());
+        }
+        Ok(options)
+    }
+}
--- /dev/null
+++ b/crates/node/src/plain_client.rs
@@ -0,0 +1,82 @@
+//! Reaches plain services over HTTP.
+
+use awc::{Client, http::Method};
+use futures::{FutureExt, future::LocalBoxFuture};
+
+use crate::{
+    http,
+    upstream_edge::{AttemptError, AttemptResult, PlainRequest, PlainResponse, PlainService},
+};
+
+/// Headers that concern one connection only and are not passed on.
+const HOP_HEADERS: &[&str] = &[
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "content-length",
+    "authorization",
+    "traceparent",
+];
+/// Bytes of an answer at most.
+const MAX_ANSWER_BYTES: usize = 16_777_216;
+
+/// Returns whether a header passes from one end to the other.
+pub fn is_end_to_end(name: &str) -> bool {
+    !HOP_HEADERS.contains(&name.to_ascii_lowercase().as_str())
+}
+
+/// Reaches plain services over HTTP.
+#[derive(Clone)]
+pub struct HttpPlainService {
+    client: Client,
+}
+
+impl HttpPlainService {
+    /// Creates an adapter over a client.
+    pub fn new(client: Client) -> Self {
+        Self { client }
+    }
+
+    async fn send(
+        &self,
+        url: &str,
+        request: &PlainRequest,
+        traceparent: &str,
+    ) -> AttemptResult<PlainResponse> {
+        let method = Method::from_bytes(request.method.as_bytes())
+            .map_err(|_| AttemptError::NotSent(format!("method {:?} is not valid", request.method)))?;
+        let mut out = self.client.request(method, format!("{url}{}", request.path)).no_decompress();
+        for (name, value) in &request.headers {
+            out = out.insert_header((name.as_str(), value.as_str()));
+        }
+        let out = out.insert_header(("traceparent", traceparent));
+        let mut response =
+            out.send_body(request.body.clone()).await.map_err(|e| http::sort_send_error(&e))?;
+        if response.headers().contains_key(http::NOT_RUN_HEADER) {
+            return Err(http::sort_error_status(&response));
+        }
+        let body = response.body().limit(MAX_ANSWER_BYTES).await;
+        let body = body.map_err(|error| AttemptError::Failed(error.to_string()))?;
+        let headers = response.headers().iter();
+        let headers = headers.filter(|(name, _)| is_end_to_end(name.as_str()));
+        let headers = headers.filter_map(|(n, v)| Some((n.as_str().to_owned(), v.to_str().ok()?.to_owned())));
+        Ok(PlainResponse { status: response.status().as_u16(), headers: headers.collect(), body })
+    }
+}
+
+impl PlainService for HttpPlainService {
+    fn call<'a>(
+        &'a self,
+        url: &'a str,
+        request: &'a PlainRequest,
+        traceparent: &'a str,
+    ) -> LocalBoxFuture<'a, AttemptResult<PlainResponse>> {
+        self.send(url, request, traceparent).boxed_local()
+    }
+}
--- /dev/null
+++ b/crates/node/src/refusal.rs
@@ -0,0 +1,79 @@
+//! Refusals and how callers see them.
+
+use actix_web::{HttpResponse, http::StatusCode};
+use daisysill_core::result_code::{ResultCode, RunState};
+use daisysill_wire::border::{ErrorBody, ErrorDetail};
+
+/// Header that repeats the result code.
+pub const RESULT_CODE_HEADER: &str = "x-daisysill-result-code";
+
+/// Why a call is not answered by its upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The result code.
+    pub code: ResultCode,
+    /// One sentence for a person.
+    pub message: String,
+    /// When to come back, where that makes sense.
+    pub retry_after_ms: Option<u64>,
+    /// Whether the call may have been executed; the code's own statement unless more is known.
+    pub run_state: RunState,
+}
+
+impl Refusal {
+    /// Creates a refusal that offers no time to come back.
+    pub fn new(code: ResultCode, message: impl Into<String>) -> Self {
+        Self { code, message: message.into(), retry_after_ms: None, run_state: code.run_state() }
+    }
+
+    /// Adds the time after which a new try makes sense.
+    #[must_use]
+    pub fn retry_after_ms(mut self, retry_after_ms: u64) -> Self {
+        self.retry_after_ms = Some(retry_after_ms);
+        self
+    }
+
+    /// Returns the JSON body.
+    pub fn body(&self) -> ErrorBody {
+        ErrorBody {
+            error: ErrorDetail {
+                code: u32::from(self.code.number()),
+                name: self.code.name().to_owned(),
+                message: self.message.clone(),
+                type_: error_type(self.code).to_owned(),
+                run_state: run_state_name(self.run_state).to_owned(),
+                retry_after_ms: self.retry_after_ms,
+            },
+        }
+    }
+
+    /// Returns the HTTP response.
+    pub fn response(&self) -> HttpResponse {
+        let status =
+            StatusCode::from_u16(self.code.http_status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let mut builder = HttpResponse::build(status);
+        builder.insert_header((RESULT_CODE_HEADER, self.code.number().to_string()));
+        if let Some(retry_after_ms) = self.retry_after_ms {
+            builder.insert_header(("retry-after", retry_after_ms.div_ceil(1_000).to_string()));
+        }
+        builder.json(self.body())
+    }
+}
+
+fn error_type(code: ResultCode) -> &'static str {
+    match code.http_status() {
+        401 => "authentication_error",
+        403 => "permission_error",
+        429 => "rate_limit_error",
+        status if status < 500 => "invalid_request_error",
+        _ => "server_error",
+    }
+}
+
+const fn run_state_name(state: RunState) -> &'static str {
+    match state {
+        RunState::NotRun => "not_run",
+        RunState::MayHaveRun => "may_have_run",
+        RunState::Run => "run",
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/environment.rs
@@ -0,0 +1,171 @@
+//! Real processes in a temporary folder.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Output, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde::Deserialize;
+use tempfile::TempDir;
+
+/// Time in which a process must listen.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A folder that holds the settings and files of real processes.
+#[derive(Debug)]
+pub struct Environment {
+    folder: TempDir,
+}
+
+/// Addresses a node listens on.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct NodeAddresses {
+    /// For callers.
+    pub caller: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+    /// For other nodes.
+    pub peer: SocketAddr,
+}
+
+/// A running daisysilld process; killed when dropped.
+#[derive(Debug)]
+pub struct NodeProcess {
+    child: Child,
+    /// Where it listens.
+    pub addresses: NodeAddresses,
+}
+
+impl Default for Environment {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Environment {
+    /// Creates the folder.
+    ///
+    /// # Panics
+    /// Panics if no folder can be created.
+    pub fn new() -> Self {
+        Self { folder: TempDir::new().unwrap() }
+    }
+
+    /// Returns the folder.
+    pub fn path(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Writes a file and returns its path.
+    ///
+    /// # Panics
+    /// Panics if the file cannot be written.
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.path().join(name);
+        fs::create_dir_all(path.parent().unwrap()).unwrap();
+        fs::write(&path, text).unwrap();
+        path
+    }
+
+    /// Starts daisysilld with the given settings and waits until it listens.
+    ///
+    /// # Panics
+    /// Panics if it does not listen in time.
+    pub fn start_node(&self, name: &str, settings: &str) -> NodeProcess {
+        let ready = self.path().join(format!("{name}.ready"));
+        let _ = fs::remove_file(&ready);
+        let settings = settings.replace("READY_FILE", &ready.display().to_string());
+        let path = self.write(&format!("{name}.ini"), &settings);
+        let log = fs::File::options().create(true).append(true).open(self.path().join(format!("{name}.log")));
+        let child = Command::new(binary("daisysilld"))
+            .arg("--config")
+            .arg(path)
+            .stdin(Stdio::null())
+            .stderr(log.unwrap())
+            .spawn()
+            .unwrap();
+        let mut process = NodeProcess {
+            child,
+            addresses: NodeAddresses {
+                caller: SocketAddr::from(([127, 0, 0, 1], 0)),
+                admin: SocketAddr::from(([127, 0, 0, 1], 0)),
+                peer: SocketAddr::from(([127, 0, 0, 1], 0)),
+            },
+        };
+        let end = Instant::now() + START_TIMEOUT;
+        loop {
+            if let Some(addresses) = fs::read(&ready).ok().and_then(|text| serde_json::from_slice(&text).ok())
+            {
+                process.addresses = addresses;
+                return process;
+            }
+            let exited = process.child.try_wait().unwrap();
+            assert!(exited.is_none(), "{name} exited: {exited:?}\n{}", self.log(name));
+            assert!(Instant::now() < end, "{name} does not listen\n{}", self.log(name));
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Returns what a node wrote to its log.
+    pub fn log(&self, name: &str) -> String {
+        fs::read_to_string(self.path().join(format!("{name}.log"))).unwrap_or_default()
+    }
+
+    /// Runs the operators' command against a node.
+    ///
+    /// # Panics
+    /// Panics if the command cannot be run.
+    pub fn cli(&self, node: &NodeProcess, arguments: &[&str]) -> Output {
+        let url = format!("http://{}", node.addresses.admin);
+        Command::new(binary("daisysill")).arg("--node").arg(url).args(arguments).output().unwrap()
+    }
+}
+
+impl NodeProcess {
+    /// Sends a signal by its name, for example `TERM`.
+    ///
+    /// # Panics
+    /// Panics if the signal cannot be sent.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        assert!(status.unwrap().success());
+    }
+
+    /// Waits for the end and returns the exit code.
+    ///
+    /// # Panics
+    /// Panics if the process does not end in time.
+    pub fn wait(&mut self, timeout: Duration) -> Option<i32> {
+        let end = Instant::now() + timeout;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            assert!(Instant::now() < end, "the process does not end");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns the path of a binary of this workspace, which lies beside the folder of the running test.
+fn binary(name: &str) -> PathBuf {
+    let test = std::env::current_exe().unwrap();
+    let folder = test.ancestors().skip(1).find(|folder| folder.join(name).is_file());
+    folder.unwrap_or_else(|| panic!("{name} is not built; run cargo build --workspace first")).join(name)
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,10 @@
+//! Border types and the tarpc service between daisysill processes.
+
+pub mod peer;
+
+/// Types of the HTTP interfaces, generated from `schema/border.json` with
+/// `cargo typify schema/border.json --no-builder --additional-derive PartialEq -o src/generated/border.rs`.
+#[rustfmt::skip]
+#[allow(clippy::all, clippy::pedantic, missing_docs)]
+#[path = "generated/border.rs"]
+pub mod border;
