Connect nodes over authenticated tarpc and drive the replica

Cause: the handle applied commands in memory. Change: handshake and sealed frames, links with bounded calls, driver and storage thread, proposals through the leader, followers, heartbeats and leases.

--- a/crates/cluster/src/handle.rs
+++ b/crates/cluster/src/handle.rs
@@ -1,109 +1,54 @@
 //! The handle through which the rest of a node uses the cluster.
 
 use std::{
-    fmt,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use daisysill_control::{
+    Recovered, Replica, ReplicaConfig,
     command::{Command, Reply},
-    state::{AgreedState, ConfigView},
+    state::ConfigView,
+    storage,
 };
-use daisysill_core::ids::{ConfigVersion, InstanceId, ZoneName};
+use daisysill_core::ids::{ConfigVersion, InstanceId};
 use daisysill_wire::peer::SoftReport;
-use tokio::{sync::watch, time::Instant};
-
-use crate::config::ClusterConfig;
-
-/// Why a command has no reply.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ProposeError {
-    /// No majority is in reach; the command was not appended and will not take effect.
-    NotCommitted,
-    /// The command may or may not take effect.
-    Uncertain,
-}
-
-impl fmt::Display for ProposeError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::NotCommitted => "no majority of voters is in reach; the command was not committed",
-            Self::Uncertain => "the connection to the leader was lost; the command may have been committed",
-        })
-    }
-}
-
-impl std::error::Error for ProposeError {}
-
-/// The role of this node in the replicated log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Role {
-    /// Replicates commands to the other voters.
-    Leader,
-    /// A voter that follows the leader.
-    Follower,
-    /// A voter that seeks votes.
-    Candidate,
-    /// Receives the log but does not vote yet.
-    Learner,
-    /// Has no disk and follows the configuration only.
-    Observer,
-    /// Stepped down after a storage fault.
-    Halted,
-}
-
-impl Role {
-    /// Returns the name used in status reports.
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Leader => "leader",
-            Self::Follower => "follower",
-            Self::Candidate => "candidate",
-            Self::Learner => "learner",
-            Self::Observer => "observer",
-            Self::Halted => "halted",
-        }
-    }
-}
+use eyre::WrapErr;
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot, watch},
+    task::JoinHandle,
+    time::{Instant, sleep, timeout},
+};
 
-/// What this node knows of another.
-#[derive(Clone, Debug)]
-pub struct MemberState {
-    /// The node.
-    pub name: InstanceId,
-    /// Its availability zone.
-    pub zone: ZoneName,
-    /// Whether heartbeats arrive.
-    pub alive: bool,
-    /// Whether it is shutting down.
-    pub leaving: bool,
-    /// The configuration version it follows.
-    pub config_version: ConfigVersion,
-    /// When its last heartbeat arrived.
-    pub last_heard: Option<Instant>,
-    /// What it has in flight.
-    pub soft: SoftReport,
-}
+pub use crate::status::{ClusterStatus, MemberState, PeerReport, ProposeError, Role};
+use crate::{
+    config::ClusterConfig,
+    driver::{Driver, DriverInput, INPUT_QUEUE, ReplicaView},
+    follow::Follower,
+    formation,
+    gossip::Gossip,
+    handshake::SharedKey,
+    link::Links,
+    members::Members,
+    metrics::ClusterMetrics,
+    outbox::Outbox,
+    propose::{LeaderHint, Proposer},
+    server::{self, ServerState},
+    status::STALE_AFTER,
+    storage_thread::{StorageThread, WriteDone},
+    view_store::ViewStore,
+};
 
-/// The state of this node's part of the cluster.
-#[derive(Clone, Debug)]
-pub struct ClusterStatus {
-    /// The role of this node.
-    pub role: Role,
-    /// The term.
-    pub term: u64,
-    /// The leader, if known.
-    pub leader: Option<InstanceId>,
-    /// Last committed log index known.
-    pub commit_index: u64,
-    /// Last applied log index.
-    pub applied_index: u64,
-    /// Whether the configuration is at least as new as any in reach.
-    pub current: bool,
-    /// The other nodes.
-    pub members: Vec<MemberState>,
-}
+/// Time between heartbeats of a leader.
+const HEARTBEAT_MS: u64 = 100;
+/// Shortest election timeout; with the longest of twice that, a new leader is there within about a second.
+const ELECTION_TIMEOUT_MS: u64 = 400;
+/// A leader that leaves waits this long until another node leads.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(3);
+/// Time between two looks at who leads.
+const HAND_OVER_CHECK: Duration = Duration::from_millis(20);
 
 /// Starts this node's part of the cluster.
 #[derive(Debug)]
@@ -114,27 +59,135 @@
     ///
     /// # Errors
     /// Fails if the address cannot be bound or the durable state is damaged.
-    #[allow(clippy::unused_async)]
     pub async fn start(config: ClusterConfig) -> eyre::Result<(ClusterHandle, SocketAddr)> {
-        let (view_sender, view) = watch::channel(Arc::default());
-        let inner = Inner { state: Mutex::default(), view_sender, soft: Mutex::default() };
-        let address = config.peer_listen;
-        Ok((ClusterHandle { inner: Arc::new(inner), view }, address))
+        let listener =
+            TcpListener::bind(config.peer_listen).await.wrap_err("the peer address cannot be bound")?;
+        let address = listener.local_addr()?;
+        let metrics = ClusterMetrics::default();
+        let key = SharedKey::new(&config.secret);
+        let links = Links::new(&config.name, key, &config.peers, &metrics);
+        let members = Arc::new(Members::new(&config, now_since_epoch_ms()));
+        let views = Arc::new(ViewStore::new());
+        let leader = LeaderHint::default();
+        let (status, replica) = watch::channel(ReplicaView::default());
+        let parts = start_driver(&config, &links, &views, &metrics, status)?;
+        let driver = parts.as_ref().map(|parts| parts.inputs.clone());
+        let proposer = Proposer {
+            name: config.name.clone(),
+            driver: driver.clone(),
+            replica: replica.clone(),
+            links: links.clone(),
+            leader: leader.clone(),
+            first_voters: config.bootstrap_voters.clone(),
+        };
+        let state = ServerState {
+            name: config.name.clone(),
+            key,
+            members: Arc::clone(&members),
+            views: Arc::clone(&views),
+            proposer: proposer.clone(),
+            metrics: metrics.clone(),
+        };
+        let gossip = Gossip {
+            name: config.name.clone(),
+            zone: config.zone.clone(),
+            links: links.clone(),
+            members: Arc::clone(&members),
+            views: Arc::clone(&views),
+            metrics: metrics.clone(),
+        };
+        let caught_up = Arc::new(watch::channel(None).0);
+        let follower = Follower {
+            name: config.name.clone(),
+            zone: config.zone.clone(),
+            first_voters: config.bootstrap_voters.clone(),
+            links: links.clone(),
+            members: Arc::clone(&members),
+            views: Arc::clone(&views),
+            leader: leader.clone(),
+            replica: replica.clone(),
+            caught_up: Arc::clone(&caught_up),
+        };
+        let mut tasks = vec![
+            tokio::spawn(server::serve(listener, Arc::new(state))),
+            tokio::spawn(gossip.clone().run()),
+            tokio::spawn(follower.run()),
+        ];
+        if let Some(parts) = parts {
+            tasks.push(tokio::spawn(parts.driver.run(parts.receiver, parts.writes)));
+            let voters = config.bootstrap_voters.clone();
+            let form = formation::form(config.name, voters, links.clone(), replica.clone(), parts.inputs);
+            tasks.push(tokio::spawn(form));
+        }
+        let inner = Inner { proposer, gossip, leader, replica, caught_up, metrics, tasks: Mutex::new(tasks) };
+        Ok((ClusterHandle { inner: Arc::new(inner) }, address))
     }
 }
 
+struct DriverParts {
+    driver: Driver,
+    inputs: mpsc::Sender<DriverInput>,
+    receiver: mpsc::Receiver<DriverInput>,
+    writes: mpsc::UnboundedReceiver<WriteDone>,
+}
+
+fn start_driver(
+    config: &ClusterConfig,
+    links: &Links,
+    views: &Arc<ViewStore>,
+    metrics: &ClusterMetrics,
+    status: watch::Sender<ReplicaView>,
+) -> eyre::Result<Option<DriverParts>> {
+    let alone = config.peers.is_empty() && config.bootstrap_voters == [config.name.clone()];
+    let (storage, recovered) = match &config.data_dir {
+        Some(folder) => {
+            let (storage, recovered) = storage::open(folder).wrap_err("the data folder cannot be used")?;
+            (Some(storage), recovered)
+        }
+        None if alone => {
+            log::warn!("the only node has no data folder: its state is lost when it stops");
+            (None, Recovered::default())
+        }
+        None if config.bootstrap_voters.contains(&config.name) => {
+            eyre::bail!("{} is a first voter but has no data folder", config.name);
+        }
+        None => return Ok(None),
+    };
+    let replica_config = ReplicaConfig {
+        heartbeat_ms: HEARTBEAT_MS,
+        election_timeout_ms: ELECTION_TIMEOUT_MS,
+        ..ReplicaConfig::new(config.name.clone())
+    };
+    let replica = Replica::new(replica_config, recovered, 0, rand::random());
+    let (storage, writes) = StorageThread::start(storage, metrics.clone())?;
+    let outbox = Outbox::new(links.clone(), metrics.clone());
+    let (inputs, receiver) = mpsc::channel(INPUT_QUEUE);
+    let views = Arc::clone(views);
+    let driver = Driver::new(replica, Instant::now(), storage, outbox, views, metrics.clone(), status);
+    Ok(Some(DriverParts { driver, inputs, receiver, writes }))
+}
+
+/// Distinguishes successive starts of this process.
+fn now_since_epoch_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Access to the cluster; cheap to clone.
 #[derive(Clone, Debug)]
 pub struct ClusterHandle {
     inner: Arc<Inner>,
-    view: watch::Receiver<Arc<ConfigView>>,
 }
 
 #[derive(Debug)]
 struct Inner {
-    state: Mutex<AgreedState>,
-    view_sender: watch::Sender<Arc<ConfigView>>,
-    soft: Mutex<SoftReport>,
+    proposer: Proposer,
+    gossip: Gossip,
+    leader: LeaderHint,
+    replica: watch::Receiver<ReplicaView>,
+    caught_up: Arc<watch::Sender<Option<Instant>>>,
+    metrics: ClusterMetrics,
+    tasks: Mutex<Vec<JoinHandle<()>>>,
 }
 
 impl ClusterHandle {
@@ -142,40 +195,102 @@
     ///
     /// # Errors
     /// Says whether the command may have been committed.
-    #[allow(clippy::unused_async)]
     pub async fn propose(&self, command: Command) -> Result<Reply, ProposeError> {
-        let mut state = self.inner.state.lock().unwrap_or_else(PoisonError::into_inner);
-        let index = state.applied_index + 1;
-        let reply = state.apply(index, 0, &command);
-        self.inner.view_sender.send_replace(Arc::clone(&state.config));
-        Ok(reply)
+        self.inner.proposer.propose(command).await
     }
 
     /// Returns the configuration in force on this node, and its changes.
     pub fn view(&self) -> watch::Receiver<Arc<ConfigView>> {
-        self.view.clone()
+        self.inner.gossip.views.subscribe()
     }
 
     /// Returns the state of this node's part of the cluster.
     pub fn status(&self) -> ClusterStatus {
-        let applied_index = self.inner.state.lock().unwrap_or_else(PoisonError::into_inner).applied_index;
+        let replica = self.inner.replica.borrow().status.clone();
+        let members = self.inner.gossip.members.list().into_iter().map(|member| MemberState {
+            name: member.name,
+            zone: member.zone,
+            alive: member.alive,
+            leaving: member.leaving,
+            config_version: member.config_version,
+            last_heard: member.heard,
+            soft: member.soft,
+        });
+        let known_leader = replica.as_ref().and_then(|status| status.leader.clone());
         ClusterStatus {
-            role: Role::Leader,
-            term: 1,
-            leader: None,
-            commit_index: applied_index,
-            applied_index,
-            current: true,
-            members: Vec::new(),
+            role: replica.as_ref().map_or(Role::Observer, |status| status.role.into()),
+            term: replica.as_ref().map_or(0, |status| status.term),
+            leader: known_leader.or_else(|| self.inner.leader.get()),
+            commit_index: replica.as_ref().map_or(0, |status| status.commit_index),
+            applied_index: replica.as_ref().map_or(0, |status| status.applied_index),
+            current: self.is_current(),
+            members: members.collect(),
         }
     }
 
+    fn is_current(&self) -> bool {
+        let views = &self.inner.gossip.views;
+        // A node that started where no voter is in reach serves what its zone has, and turns not current
+        // after the same time as one that is cut off later. Without any configuration it is never current.
+        let started = (*self.inner.caught_up.borrow()).filter(|_| views.version() > ConfigVersion(0));
+        self.inner.caught_up.borrow().is_some()
+            && views.confirmed_at().max(started).is_some_and(|at| at.elapsed() < STALE_AFTER)
+    }
+
     /// Replaces what this node tells the others about its work in flight.
     pub fn set_soft(&self, soft: SoftReport) {
-        *self.inner.soft.lock().unwrap_or_else(PoisonError::into_inner) = soft;
+        self.inner.gossip.members.set_soft(soft);
+    }
+
+    /// Returns the soft reports of the other live nodes with their age.
+    pub fn soft_reports(&self) -> Vec<PeerReport> {
+        let live = self.inner.gossip.members.list().into_iter().filter(|member| member.alive);
+        let report = |member: crate::members::Member| {
+            let age = member.soft_at?.elapsed();
+            Some(PeerReport { name: member.name, age, soft: member.soft })
+        };
+        live.filter_map(report).collect()
+    }
+
+    /// Returns the counters.
+    pub fn metrics(&self) -> &ClusterMetrics {
+        &self.inner.metrics
     }
 
     /// Tells the others that this node is shutting down, and hands over what it owns.
-    #[allow(clippy::unused_async)]
-    pub async fn leave(&self) {}
+    pub async fn leave(&self) {
+        self.inner.gossip.members.set_leaving();
+        let led = self.status().role == Role::Leader;
+        if let Some(driver) = &self.inner.proposer.driver {
+            let (stopped, has_stopped) = oneshot::channel();
+            self.inner.leader.set(None);
+            if driver.send(DriverInput::Leave { stopped }).await.is_ok() {
+                let _ = timeout(HAND_OVER_LIMIT, has_stopped).await;
+            }
+        }
+        self.inner.gossip.tell_partners().await;
+        let others = !self.inner.gossip.members.list().is_empty();
+        if led && others {
+            let _ = timeout(HAND_OVER_LIMIT, self.another_leads()).await;
+        }
+    }
+
+    async fn another_leads(&self) {
+        let own: &InstanceId = &self.inner.proposer.name;
+        while self.inner.leader.get().is_none_or(|leader| leader == *own) {
+            sleep(HAND_OVER_CHECK).await;
+        }
+    }
+
+    /// Stops all tasks at once and closes the data folder, as the end of the process would.
+    pub async fn stop(&self) {
+        let tasks = std::mem::take(&mut *self.inner.tasks.lock().unwrap_or_else(PoisonError::into_inner));
+        for task in &tasks {
+            task.abort();
+        }
+        for task in tasks {
+            let _ = task.await;
+        }
+        self.inner.proposer.links.shut_down().await;
+    }
 }
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -1,7 +1,27 @@
-//! Runs this node's part of the cluster: the replicated log, followers, heartbeats.
+//! Runs this node's part of the cluster: the replicated log, followers, heartbeats, leases.
 
 pub mod config;
+mod delta;
+mod driver;
+mod follow;
+mod formation;
+mod framing;
+mod gossip;
 pub mod handle;
+mod handshake;
+pub mod lease;
+mod link;
+mod members;
+pub mod metrics;
+mod outbox;
+mod propose;
+mod server;
+pub mod status;
+mod storage_thread;
+mod view_store;
 
 pub use config::{ClusterConfig, PeerAddress};
-pub use handle::{Cluster, ClusterHandle, ClusterStatus, MemberState, ProposeError, Role};
+pub use handle::{Cluster, ClusterHandle};
+pub use lease::{LeaseKeeper, LeaseTerms};
+pub use metrics::ClusterMetrics;
+pub use status::{ClusterStatus, MemberState, PeerReport, ProposeError, Role};
--- /dev/null
+++ b/crates/cluster/src/server.rs
@@ -0,0 +1,195 @@
+//! Serves other nodes on connections that passed the handshake.
+
+use std::{
+    io,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use daisysill_control::command::{Command, Reply};
+use daisysill_core::ids::{ConfigVersion, InstanceId};
+use daisysill_wire::peer::{
+    FolderState, FollowReply, ForwardError, Heartbeat, Peer, PeerRequest, PeerResponse,
+};
+use futures::{FutureExt, StreamExt};
+use tarpc::{
+    ClientMessage, Response,
+    context::Context,
+    server::{BaseChannel, Channel, Config},
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+    task::JoinSet,
+    time::{Instant, sleep, timeout},
+};
+
+use crate::{
+    driver::{DriverInput, ReplicaView},
+    framing::SealedTransport,
+    handshake::{self, SharedKey},
+    link::{CallError, set_options},
+    members::Members,
+    metrics::ClusterMetrics,
+    propose::Proposer,
+    view_store::ViewStore,
+};
+
+/// Time for a handshake; a stranger cannot hold a connection for longer.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Handshakes in progress at most.
+const MAX_HANDSHAKES: usize = 64;
+/// Requests in progress on one connection at most; further ones are refused.
+const MAX_REQUESTS: usize = 1_024;
+/// A connection on which nothing has arrived for this time is closed; its client closes it earlier.
+const SILENCE_LIMIT: Duration = Duration::from_secs(60);
+/// Longest time that a poll is held.
+const MAX_POLL_MS: u64 = 5_000;
+/// Time for a forwarded command; the node that forwards it waits a little less.
+const PROPOSE_LIMIT: Duration = Duration::from_secs(3);
+
+/// What the server needs of the node.
+#[derive(Debug)]
+pub(crate) struct ServerState {
+    /// This node.
+    pub(crate) name: InstanceId,
+    /// The key of the shared secret.
+    pub(crate) key: SharedKey,
+    /// The table of members.
+    pub(crate) members: Arc<Members>,
+    /// The configuration in force.
+    pub(crate) views: Arc<ViewStore>,
+    /// Hands commands to this node's replica.
+    pub(crate) proposer: Proposer,
+    /// Counters.
+    pub(crate) metrics: ClusterMetrics,
+}
+
+/// Accepts connections until it is aborted, which also closes them.
+pub(crate) async fn serve(listener: TcpListener, state: Arc<ServerState>) {
+    let handshakes = Arc::new(Semaphore::new(MAX_HANDSHAKES));
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = listener.accept().await;
+        while connections.try_join_next().is_some() {}
+        match accepted {
+            Ok((stream, _)) => {
+                let Ok(permit) = Arc::clone(&handshakes).try_acquire_owned() else { continue };
+                let state = Arc::clone(&state);
+                connections.spawn(async move {
+                    let session = shake_hands(stream, &state).await;
+                    drop(permit);
+                    match session {
+                        Ok(session) => serve_connection(session, state).await,
+                        Err(_) => drop(state.metrics.refused_connections.inc()),
+                    }
+                });
+            }
+            // For example out of file descriptors; accepting again at once would spin.
+            Err(_) => sleep(Duration::from_millis(100)).await,
+        }
+    }
+}
+
+async fn shake_hands(stream: TcpStream, state: &ServerState) -> io::Result<handshake::Session> {
+    set_options(&stream)?;
+    timeout(HANDSHAKE_TIMEOUT, handshake::accept(stream, state.key, &state.name)).await?
+}
+
+async fn serve_connection(session: handshake::Session, state: Arc<ServerState>) {
+    let peer = session.peer.clone();
+    let transport: SealedTransport<ClientMessage<PeerRequest>, Response<PeerResponse>> =
+        SealedTransport::new(session, state.metrics.clone());
+    let frames_in = transport.frames_in();
+    let channel = BaseChannel::new(Config::default(), transport).max_concurrent_requests(MAX_REQUESTS);
+    let mut requests = JoinSet::new();
+    let server = PeerServer { peer, state };
+    let mut execute = std::pin::pin!(channel.execute(server.serve()));
+    let mut seen = 0;
+    loop {
+        tokio::select! {
+            request = execute.next() => {
+                let Some(request) = request else { return };
+                while requests.try_join_next().is_some() {}
+                requests.spawn(request);
+            }
+            () = sleep(SILENCE_LIMIT) => {
+                let now = frames_in.load(Ordering::Relaxed);
+                if now == seen {
+                    return;
+                }
+                seen = now;
+            }
+        }
+    }
+}
+
+#[derive(Clone)]
+struct PeerServer {
+    peer: InstanceId,
+    state: Arc<ServerState>,
+}
+
+impl Peer for PeerServer {
+    async fn replicate(self, _: Context, messages: Vec<Vec<u8>>) {
+        let Some(driver) = &self.state.proposer.driver else { return };
+        // The sender is the node that passed the handshake, whatever a message may say.
+        if driver.try_send(DriverInput::Receive { from: self.peer, messages }).is_err() {
+            self.state.metrics.dropped_messages.inc();
+        }
+    }
+
+    async fn propose(self, _: Context, command: Command) -> Result<Reply, ForwardError> {
+        let limit = Instant::now() + PROPOSE_LIMIT;
+        match self.state.proposer.locally(command, limit).await {
+            Ok(result) => result,
+            Err(CallError::NotSent) => Err(ForwardError::NotAppended),
+            Err(CallError::Uncertain) => Err(ForwardError::Uncertain),
+        }
+    }
+
+    async fn follow(self, _: Context, after: ConfigVersion, wait_ms: u64) -> FollowReply {
+        let state = &self.state;
+        let mut changes = state.views.subscribe();
+        if wait_ms > 0 {
+            let _follower = FollowerCount::new(&state.metrics);
+            let newer = changes.wait_for(|view| view.version > after).map(|_| ());
+            let _ = timeout(Duration::from_millis(wait_ms.min(MAX_POLL_MS)), newer).await;
+        }
+        let update = state.views.update_since(after);
+        let age = state.views.confirmed_at().map(|at| at.elapsed());
+        let replica: ReplicaView = state.proposer.replica.borrow().clone();
+        FollowReply {
+            update,
+            age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            leader: replica.status.and_then(|status| status.leader).or_else(|| state.proposer.leader.get()),
+        }
+    }
+
+    async fn heartbeat(self, _: Context, heartbeat: Heartbeat) -> Heartbeat {
+        if heartbeat.from == self.peer {
+            self.state.members.receive(heartbeat);
+        }
+        self.state.members.heartbeat_for(&self.peer)
+    }
+
+    async fn folder_state(self, _: Context) -> FolderState {
+        self.state.proposer.replica.borrow().folder_state()
+    }
+}
+
+/// Counts a follower while its poll is held.
+struct FollowerCount<'a>(&'a ClusterMetrics);
+
+impl<'a> FollowerCount<'a> {
+    fn new(metrics: &'a ClusterMetrics) -> Self {
+        metrics.followers.inc();
+        Self(metrics)
+    }
+}
+
+impl Drop for FollowerCount<'_> {
+    fn drop(&mut self) {
+        self.0.followers.dec();
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/storage_thread.rs
@@ -0,0 +1,75 @@
+//! The thread that writes and syncs the batches of the replica.
+
+use std::{
+    sync::mpsc as blocking,
+    thread::{self, JoinHandle},
+    time::Instant,
+};
+
+use daisysill_control::{Storage, WriteBatch};
+use tokio::sync::mpsc;
+
+use crate::metrics::ClusterMetrics;
+
+/// The outcome of a write batch.
+#[derive(Debug)]
+pub(crate) struct WriteDone {
+    /// The number of the batch.
+    pub(crate) write: u64,
+    /// Why it failed, if it did.
+    pub(crate) error: Option<String>,
+}
+
+/// Where write batches go.
+#[derive(Debug)]
+pub(crate) struct StorageThread {
+    batches: Option<blocking::Sender<WriteBatch>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl StorageThread {
+    /// Starts the thread. Without a storage each batch is reported at once: the log is in memory only.
+    pub(crate) fn start(
+        storage: Option<Storage>,
+        metrics: ClusterMetrics,
+    ) -> std::io::Result<(Self, mpsc::UnboundedReceiver<WriteDone>)> {
+        let (batches, receiver) = blocking::channel::<WriteBatch>();
+        // Unbounded, but the replica issues a batch only after the one before it is reported.
+        let (done, outcomes) = mpsc::unbounded_channel();
+        let run = move || write_all(storage, &receiver, &done, &metrics);
+        let thread = thread::Builder::new().name("daisysill-storage".to_owned()).spawn(run)?;
+        Ok((Self { batches: Some(batches), thread: Some(thread) }, outcomes))
+    }
+
+    /// Hands over a batch; `false` if the thread is gone.
+    pub(crate) fn write(&self, batch: WriteBatch) -> bool {
+        self.batches.as_ref().is_some_and(|batches| batches.send(batch).is_ok())
+    }
+}
+
+impl Drop for StorageThread {
+    /// Waits for the write in progress, so that the folder can be opened again afterwards.
+    fn drop(&mut self) {
+        self.batches = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+fn write_all(
+    mut storage: Option<Storage>,
+    batches: &blocking::Receiver<WriteBatch>,
+    done: &mpsc::UnboundedSender<WriteDone>,
+    metrics: &ClusterMetrics,
+) {
+    while let Ok(batch) = batches.recv() {
+        let start = Instant::now();
+        let result = storage.as_mut().map_or(Ok(()), |storage| storage.write(&batch));
+        metrics.sync_seconds.observe(start.elapsed().as_secs_f64());
+        let error = result.err().map(|error| error.to_string());
+        if done.send(WriteDone { write: batch.write, error }).is_err() {
+            return;
+        }
+    }
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,31 +1,49 @@
 //! The tarpc service between daisysill processes and its messages.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use daisysill_control::{
     command::{Command, Reply},
     state::ConfigView,
 };
 use daisysill_core::{
-    ids::{ConfigVersion, InstanceId, ZoneName},
+    ids::{ConfigVersion, InstanceId, ServiceName, WeightVersion, ZoneName},
+    rules::RuleFile,
     value_types,
 };
 
 value_types! {
-    /// What a node tells the others about itself, several times a second.
+    /// What nodes tell each other about themselves and about others, within a byte budget.
     pub struct Heartbeat {
-        /// The node.
+        /// The node that sends.
         pub from: InstanceId,
+        /// Changes when an exchange with the receiver failed or the process restarted; the receiver then
+        /// forgets what it has sent to it.
+        pub session: u64,
+        /// What is newer than the last exchange with the receiver, the sender's own entry first.
+        pub entries: Vec<MemberEntry>,
+    }
+
+    /// The state of one node, as it described itself.
+    pub struct MemberEntry {
+        /// The node.
+        pub name: InstanceId,
         /// Its availability zone.
         pub zone: ZoneName,
-        /// Changes when the process restarts.
+        /// Grows when the process restarts.
         pub incarnation: u64,
+        /// Counts the node's own heartbeats.
+        pub beat: u64,
         /// The configuration version it follows.
         pub config_version: ConfigVersion,
         /// Whether it is shutting down.
         pub leaving: bool,
-        /// What it has in flight.
-        pub soft: SoftReport,
+        /// Whether it holds a replica of the log.
+        pub replica: bool,
+        /// Grows when `soft` changes.
+        pub soft_version: u64,
+        /// What it has in flight; left out if the receiver has this version.
+        pub soft: Option<SoftReport>,
     }
 
     /// Soft state that nodes share; a hint, never a promise.
@@ -51,12 +69,49 @@
         pub block: daisysill_core::block::BlockDescriptor,
     }
 
+    /// The answer to a node that follows.
+    pub struct FollowReply {
+        /// What is newer than the follower's configuration.
+        pub update: ConfigUpdate,
+        /// Time since the source's configuration was known to be the newest that a majority agreed on;
+        /// `None` if it never was.
+        pub age_ms: Option<u64>,
+        /// The leader, if the source knows it.
+        pub leader: Option<InstanceId>,
+    }
+
     /// What a follower gets when the configuration is newer than its own.
     pub enum ConfigUpdate {
-        /// Nothing is newer than what the follower has.
+        /// Nothing is newer than what the follower has; the source's version.
         Unchanged(ConfigVersion),
+        /// What changed since the version that the follower has.
+        Delta(Box<ConfigDelta>),
         /// The whole configuration.
         Snapshot(Box<ConfigView>),
+        /// A newer configuration exists; the source sends too many snapshots at the moment.
+        Later(ConfigVersion),
+    }
+
+    /// The difference between two configurations.
+    pub struct ConfigDelta {
+        /// The version that the difference starts from.
+        pub base: ConfigVersion,
+        /// The version that it leads to.
+        pub version: ConfigVersion,
+        /// The version of the rule files after it.
+        pub rules_version: ConfigVersion,
+        /// The names of all rule files after it, in order.
+        pub rule_names: Vec<String>,
+        /// Rule files that are new or changed.
+        pub rules: Vec<RuleFile>,
+        /// All drain marks after it; `None` if unchanged.
+        pub draining: Option<BTreeSet<InstanceId>>,
+        /// All weight versions after it; `None` if unchanged.
+        pub weights: Option<BTreeMap<ServiceName, WeightVersion>>,
+        /// Block marks that are new or changed.
+        pub blocked: BTreeMap<String, u64>,
+        /// Block marks that are gone.
+        pub unblocked: Vec<String>,
     }
 
     /// Why a forwarded proposal has no reply.
@@ -68,17 +123,29 @@
         /// It was appended; whether it commits is unknown.
         Uncertain,
     }
+
+    /// Whether a node may take part in the forming of a new cluster.
+    pub enum FolderState {
+        /// It has no data folder.
+        NoFolder,
+        /// Its data folder holds nothing.
+        Empty,
+        /// Its data folder holds a log.
+        Used,
+    }
 }
 
 /// Calls between daisysill processes.
 #[tarpc::service]
 pub trait Peer {
     /// Delivers protocol messages of the replicated log, encoded by their package.
-    async fn replicate(from: InstanceId, messages: Vec<Vec<u8>>);
+    async fn replicate(messages: Vec<Vec<u8>>);
     /// Asks the leader to commit a command.
     async fn propose(command: Command) -> Result<Reply, ForwardError>;
-    /// Asks for the configuration once it is newer than `after`; answers `Unchanged` after a while.
-    async fn follow(from: InstanceId, after: ConfigVersion) -> ConfigUpdate;
+    /// Asks for the configuration once it is newer than `after`; answers `Unchanged` after `wait_ms`.
+    async fn follow(after: ConfigVersion, wait_ms: u64) -> FollowReply;
     /// Exchanges heartbeats.
     async fn heartbeat(heartbeat: Heartbeat) -> Heartbeat;
+    /// Asks whether the node's data folder is empty.
+    async fn folder_state() -> FolderState;
 }
