--- /dev/null
+++ b/crates/control/src/api.rs
@@ -0,0 +1,179 @@
+//! The inputs, outputs and status of a replica.
+
+use std::sync::Arc;
+
+use daisysill_core::{ids::InstanceId, value_types};
+
+use crate::{
+    command::{Command, Reply},
+    entry::{VoterSet, WriteBatch},
+    state::ConfigView,
+};
+
+/// Settings of a replica.
+#[derive(Clone, Debug)]
+pub struct ReplicaConfig {
+    /// This instance.
+    pub name: InstanceId,
+    /// Time between heartbeats of a leader.
+    pub heartbeat_ms: u64,
+    /// Shortest election timeout; the longest is twice as long.
+    pub election_timeout_ms: u64,
+    /// Applied entries after which a snapshot is taken.
+    pub snapshot_entries: u64,
+    /// Entries kept before a snapshot, so that a follower slightly behind needs no snapshot.
+    pub retained_entries: u64,
+    /// Largest payload of one message.
+    pub message_bytes: usize,
+    /// The operator states that the folder is the newest copy, so the voter asks no peers when it starts.
+    pub trust_disk: bool,
+}
+
+impl ReplicaConfig {
+    /// Returns the default settings of the replica `name`.
+    ///
+    /// ```
+    /// let config = daisysill_control::api::ReplicaConfig::new("node-1".into());
+    /// assert!(config.heartbeat_ms < config.election_timeout_ms);
+    /// ```
+    pub fn new(name: InstanceId) -> Self {
+        Self {
+            name,
+            heartbeat_ms: 50,
+            election_timeout_ms: 300,
+            snapshot_entries: 10_000,
+            retained_entries: 1_000,
+            message_bytes: 256 * 1024,
+            trust_disk: false,
+        }
+    }
+}
+
+/// What a replica is told.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Time has passed.
+    Tick,
+    /// A message of a peer arrived.
+    Receive {
+        /// The peer.
+        from: InstanceId,
+        /// The message as encoded by this package.
+        message: Vec<u8>,
+    },
+    /// A command is to be committed.
+    Propose {
+        /// Names the proposal in the reply.
+        ticket: u64,
+        /// The command.
+        command: Command,
+    },
+    /// The voter set is to be changed.
+    ChangeVoters {
+        /// Names the proposal in the reply.
+        ticket: u64,
+        /// The change.
+        change: VoterChange,
+    },
+    /// Forms a new cluster of these voters; ignored unless the folder is empty.
+    Bootstrap {
+        /// The initial voters.
+        voters: Vec<InstanceId>,
+    },
+    /// A write batch is synced.
+    Written {
+        /// Its number.
+        write: u64,
+    },
+    /// A write batch failed; the replica halts.
+    WriteFailed {
+        /// Its number.
+        write: u64,
+    },
+}
+
+/// What a replica asks for.
+#[derive(Clone, Debug)]
+pub enum Output {
+    /// A message for a peer; it may be lost, duplicated or reordered.
+    Send {
+        /// The peer.
+        to: InstanceId,
+        /// The encoded message.
+        message: Vec<u8>,
+    },
+    /// A batch to write and sync. The next one is issued only after this one is reported.
+    Write(WriteBatch),
+    /// The answer to a proposal.
+    Reply {
+        /// The proposal.
+        ticket: u64,
+        /// The reply of the agreed state, or why there is none.
+        result: Result<Reply, ProposalFailure>,
+    },
+    /// The configuration that nodes follow has changed.
+    ConfigChanged(Arc<ConfigView>),
+}
+
+value_types! {
+    /// Why a proposal has no reply.
+    pub enum ProposalFailure {
+        /// This replica does not lead; perhaps the named one does.
+        NotLeader(Option<InstanceId>),
+        /// Nothing was appended to the log.
+        NotAppended,
+        /// It was appended; whether it commits is unknown.
+        Uncertain,
+    }
+
+    /// A change of the voter set.
+    pub enum VoterChange {
+        /// Starts to send the log to an instance that does not vote.
+        AddLearner(InstanceId),
+        /// Makes a learner that holds the log a voter, with the disk that it reports.
+        Promote(InstanceId),
+        /// Removes a learner or a voter.
+        Remove(InstanceId),
+    }
+}
+
+/// The role of a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Replicates commands to the others.
+    Leader,
+    /// A voter that follows.
+    Follower,
+    /// A voter that seeks votes.
+    Candidate,
+    /// Receives the log but does not vote: not admitted, another disk, or not yet checked with its peers.
+    Learner,
+    /// Stopped after a failed write.
+    Halted,
+}
+
+/// The state of a replica.
+#[derive(Clone, Debug)]
+pub struct ReplicaStatus {
+    /// Its role.
+    pub role: Role,
+    /// Its term.
+    pub term: u64,
+    /// The leader of the term, if known.
+    pub leader: Option<InstanceId>,
+    /// Until when this replica can prove that it leads, on its own clock. Present only on a leader that has
+    /// applied every entry of earlier terms; reads of its state before that time are current.
+    pub leader_until_ms: Option<u64>,
+    /// Index of the last log entry.
+    pub last_index: u64,
+    /// Index of the last synced log entry.
+    pub synced_index: u64,
+    /// Index of the last committed entry known.
+    pub commit_index: u64,
+    /// Index of the last applied entry.
+    pub applied_index: u64,
+    /// The voters and learners of the newest entry that sets them.
+    pub voters: VoterSet,
+    /// Whether the disk was found to be older than what the voter has acknowledged.
+    pub disk_outdated: bool,
+}
--- /dev/null
+++ b/crates/control/src/election.rs
@@ -0,0 +1,132 @@
+//! Elections with a pre-vote.
+
+use std::collections::BTreeMap;
+
+use daisysill_core::ids::InstanceId;
+
+use crate::{
+    entry::{DiskId, Position},
+    message::Message,
+    replica::{Replica, Stand},
+};
+
+impl Replica {
+    pub(crate) fn tick_election(&mut self) {
+        if self.now_ms < self.election_due_ms {
+            return;
+        }
+        self.reset_election_timer();
+        if !self.may_vote() || self.log.last() < self.start_check.floor {
+            return;
+        }
+        self.leader = None;
+        self.stand = Stand::Candidate { votes: BTreeMap::new(), pre: true };
+        let (term, last) = (self.term + 1, self.log.last());
+        for peer in self.other_voters() {
+            self.send(&peer, Message::PreVote { term, last });
+        }
+        self.count_vote(self.config.name.clone(), self.disk);
+    }
+
+    /// Moves to a higher term as a follower.
+    pub(crate) fn enter_term(&mut self, term: u64) {
+        if term <= self.term {
+            return;
+        }
+        self.become_follower();
+        self.term = term;
+        self.voted_for = None;
+        self.leader = None;
+        self.verified_index = 0;
+        self.writes.hard_state_changed();
+    }
+
+    pub(crate) fn become_follower(&mut self) {
+        self.give_up_leadership();
+        self.stand = Stand::Follower;
+        self.reset_election_timer();
+    }
+
+    /// Returns whether a leader was heard so recently that its lease may still hold.
+    fn leader_is_recent(&self) -> bool {
+        matches!(self.stand, Stand::Leader(_))
+            || self.now_ms < self.leader_heard_ms + self.config.election_timeout_ms
+    }
+
+    fn accepts(&self, last: Position) -> bool {
+        self.may_vote() && last >= self.log.last().max(self.start_check.floor)
+    }
+
+    pub(crate) fn on_pre_vote(&mut self, from: &InstanceId, term: u64, last: Position) {
+        let granted = term > self.term && self.accepts(last) && !self.leader_is_recent();
+        self.send(from, Message::PreVoteReply { term, granted });
+    }
+
+    pub(crate) fn on_pre_vote_reply(
+        &mut self,
+        from: &InstanceId,
+        disk: DiskId,
+        term: u64,
+        asked: u64,
+        granted: bool,
+    ) {
+        if term > self.term {
+            self.enter_term(term);
+            return;
+        }
+        let waiting = matches!(self.stand, Stand::Candidate { pre: true, .. });
+        if granted && waiting && asked == self.term + 1 {
+            self.count_vote(from.clone(), disk);
+        }
+    }
+
+    pub(crate) fn on_vote(&mut self, from: &InstanceId, term: u64, last: Position) {
+        // A resent request of the term is answered again; any other must not end a lease.
+        let resent = term == self.term && self.voted_for.as_ref() == Some(from);
+        if self.leader_is_recent() && !resent {
+            return;
+        }
+        self.enter_term(term);
+        let free = self.voted_for.as_ref().is_none_or(|name| name == from);
+        let granted = term == self.term && free && self.accepts(last);
+        if granted && self.voted_for.is_none() {
+            self.voted_for = Some(from.clone());
+            self.writes.hard_state_changed();
+            self.reset_election_timer();
+        }
+        self.send_synced(from, Message::VoteReply { granted });
+    }
+
+    pub(crate) fn on_vote_reply(&mut self, from: &InstanceId, disk: DiskId, term: u64, granted: bool) {
+        if term > self.term {
+            self.enter_term(term);
+            return;
+        }
+        let waiting = matches!(self.stand, Stand::Candidate { pre: false, .. });
+        if granted && waiting && term == self.term {
+            self.count_vote(from.clone(), disk);
+        }
+    }
+
+    /// Counts a vote and moves on once a majority has granted it.
+    pub(crate) fn count_vote(&mut self, from: InstanceId, disk: DiskId) {
+        let Stand::Candidate { votes, pre } = &mut self.stand else { return };
+        votes.insert(from, disk);
+        let counted = votes.iter().filter(|(name, disk)| self.voters.counts(name, **disk)).count();
+        if counted < self.voters.majority() {
+            return;
+        }
+        if *pre { self.ask_votes() } else { self.become_leader() }
+    }
+
+    fn ask_votes(&mut self) {
+        self.enter_term(self.term + 1);
+        self.voted_for = Some(self.config.name.clone());
+        self.stand = Stand::Candidate { votes: BTreeMap::new(), pre: false };
+        let last = self.log.last();
+        for peer in self.other_voters() {
+            self.send_synced(&peer, Message::Vote { last });
+        }
+        self.vote_for_self_synced();
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,4 +1,23 @@
 //! The replicated log of daisysill: agreed state, protocol and storage.
 
+pub mod api;
 pub mod command;
+mod election;
+pub mod entry;
+mod log;
+mod log_files;
+mod membership;
+mod message;
+mod progress;
+pub mod replica;
+mod replication;
+mod snapshots;
+mod start_check;
 pub mod state;
+pub mod storage;
+mod writes;
+
+pub use api::{Input, Output, ProposalFailure, ReplicaConfig, ReplicaStatus, Role, VoterChange};
+pub use entry::{DiskId, Position, Recovered, VoterSet, WriteBatch};
+pub use replica::Replica;
+pub use storage::{Storage, StorageError};
--- /dev/null
+++ b/crates/control/src/log_files.rs
@@ -0,0 +1,259 @@
+//! Log files: records with length and checksum, one file per span between snapshots.
+
+use std::{
+    fs::{self, File, OpenOptions},
+    io::{Seek, SeekFrom, Write},
+    path::{Path, PathBuf},
+    sync::Arc,
+};
+
+use daisysill_core::value_types;
+
+use crate::{
+    entry::{Entry, Recovered},
+    storage::{StorageError, at, sync_folder},
+};
+
+/// Marks the start of a record, so that intact records can be found behind a damaged one.
+const MAGIC: [u8; 4] = *b"dslr";
+/// Magic, length, checksum and batch start.
+const HEADER_BYTES: usize = 20;
+/// Size from which the next batch starts a new file, so that old files can be deleted after a snapshot.
+const FILE_BYTES: u64 = 4 * 1024 * 1024;
+
+value_types! {
+    /// The payload of a record.
+    struct Record {
+        /// The commit index known when the batch was formed.
+        commit_index: u64,
+        /// The entry.
+        entry: Entry,
+    }
+}
+
+/// The files of the log, oldest first.
+#[derive(Debug)]
+pub(crate) struct LogFiles {
+    folder: PathBuf,
+    files: Vec<LogFile>,
+}
+
+#[derive(Debug)]
+struct LogFile {
+    path: PathBuf,
+    first_index: u64,
+    /// Offset of each entry's record.
+    offsets: Vec<u64>,
+    bytes: u64,
+    /// Open for appending; only the last file has it.
+    file: Option<File>,
+}
+
+impl LogFiles {
+    /// Reads every file of the log and cuts a torn tail.
+    pub(crate) fn open(folder: &Path) -> Result<(Self, Recovered), StorageError> {
+        let mut paths = Vec::new();
+        for item in at(folder, fs::read_dir(folder))? {
+            let path = at(folder, item)?.path();
+            if let Some(first_index) = first_index_of(&path) {
+                paths.push((first_index, path));
+            }
+        }
+        paths.sort();
+        let mut recovered = Recovered::default();
+        let mut files = Vec::new();
+        let count = paths.len();
+        for (number, (first_index, path)) in paths.into_iter().enumerate() {
+            let next = recovered.entries.last().map_or(first_index, |entry| entry.position.index + 1);
+            if next != first_index {
+                let reason = "entries between this file and the one before are missing";
+                return Err(StorageError::Damaged { path, offset: 0, reason });
+            }
+            files.push(read_file(path, first_index, number + 1 == count, &mut recovered)?);
+        }
+        Ok((Self { folder: folder.to_owned(), files }, recovered))
+    }
+
+    /// Appends entries and syncs the file.
+    pub(crate) fn append(&mut self, entries: &[Arc<Entry>], commit_index: u64) -> Result<(), StorageError> {
+        let Some(first) = entries.first() else { return Ok(()) };
+        if self.files.last().is_none_or(|file| file.bytes >= FILE_BYTES) {
+            self.start_file(first.position.index)?;
+        }
+        let Some(last) = self.files.last_mut() else { return Ok(()) };
+        last.append(entries, commit_index)
+    }
+
+    fn start_file(&mut self, first_index: u64) -> Result<(), StorageError> {
+        let path = self.folder.join(format!("log-{first_index:020}"));
+        let file = at(&path, File::create(&path))?;
+        sync_folder(&self.folder)?;
+        if let Some(previous) = self.files.last_mut() {
+            previous.file = None;
+        }
+        self.files.push(LogFile { path, first_index, offsets: Vec::new(), bytes: 0, file: Some(file) });
+        Ok(())
+    }
+
+    /// Removes the entries from `index` on. Synced before anything is appended, so that a crash cannot mix
+    /// removed and new records.
+    pub(crate) fn truncate_from(&mut self, index: u64) -> Result<(), StorageError> {
+        while let Some(last) = self.files.pop_if(|file| file.first_index >= index) {
+            at(&last.path, fs::remove_file(&last.path))?;
+            sync_folder(&self.folder)?;
+        }
+        let Some(last) = self.files.last_mut() else { return Ok(()) };
+        let keep = usize::try_from(index - last.first_index).unwrap_or(usize::MAX);
+        if let Some(offset) = last.offsets.get(keep).copied() {
+            last.cut(offset)?;
+            last.offsets.truncate(keep);
+        }
+        Ok(())
+    }
+
+    /// Deletes the files whose entries all precede `index`.
+    pub(crate) fn drop_before(&mut self, index: u64) -> Result<(), StorageError> {
+        while self.files.get(1).is_some_and(|next| next.first_index <= index) {
+            let file = self.files.remove(0);
+            at(&file.path, fs::remove_file(&file.path))?;
+            // Oldest first and synced one by one, so that a crash leaves no gap.
+            sync_folder(&self.folder)?;
+        }
+        Ok(())
+    }
+
+    /// Deletes the whole log.
+    pub(crate) fn reset(&mut self) -> Result<(), StorageError> {
+        self.truncate_from(0)
+    }
+}
+
+impl LogFile {
+    fn append(&mut self, entries: &[Arc<Entry>], commit_index: u64) -> Result<(), StorageError> {
+        let mut bytes = Vec::new();
+        for entry in entries {
+            self.offsets.push(self.bytes + bytes.len() as u64);
+            encode(entry, commit_index, self.bytes, &mut bytes).map_err(|reason| StorageError::Damaged {
+                path: self.path.clone(),
+                offset: self.bytes,
+                reason,
+            })?;
+        }
+        let file = self.open()?;
+        let result = file.write_all(&bytes).and_then(|()| file.sync_data());
+        at(&self.path, result)?;
+        self.bytes += bytes.len() as u64;
+        Ok(())
+    }
+
+    fn open(&mut self) -> Result<&mut File, StorageError> {
+        let file = match self.file.take() {
+            Some(file) => file,
+            None => {
+                let mut file = at(&self.path, OpenOptions::new().write(true).open(&self.path))?;
+                at(&self.path, file.seek(SeekFrom::Start(self.bytes)))?;
+                file
+            }
+        };
+        Ok(self.file.insert(file))
+    }
+
+    fn cut(&mut self, offset: u64) -> Result<(), StorageError> {
+        self.bytes = offset;
+        self.file = None;
+        let file = self.open()?;
+        let result = file.set_len(offset).and_then(|()| file.sync_all());
+        at(&self.path, result)
+    }
+}
+
+fn encode(
+    entry: &Arc<Entry>,
+    commit_index: u64,
+    batch_start: u64,
+    out: &mut Vec<u8>,
+) -> Result<(), &'static str> {
+    let record = Record { commit_index, entry: Entry::clone(entry) };
+    let body = postcard::to_stdvec(&record).map_err(|_| "the entry cannot be encoded")?;
+    let length = u32::try_from(body.len()).map_err(|_| "the entry is too large")?;
+    out.extend_from_slice(&MAGIC);
+    out.extend_from_slice(&length.to_le_bytes());
+    out.extend_from_slice(&checksum(batch_start, &body).to_le_bytes());
+    out.extend_from_slice(&batch_start.to_le_bytes());
+    out.extend_from_slice(&body);
+    Ok(())
+}
+
+fn checksum(batch_start: u64, body: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&batch_start.to_le_bytes());
+    hasher.update(body);
+    hasher.finalize()
+}
+
+struct Decoded {
+    record: Record,
+    batch_start: u64,
+    bytes: usize,
+}
+
+fn decode(bytes: &[u8]) -> Result<Decoded, &'static str> {
+    let (header, rest) = bytes.split_first_chunk::<HEADER_BYTES>().ok_or("the record header is cut short")?;
+    let field = |at: usize| u32::from_le_bytes([header[at], header[at + 1], header[at + 2], header[at + 3]]);
+    if header[..4] != MAGIC {
+        return Err("no record starts here");
+    }
+    let length = field(4) as usize;
+    let batch_start = u64::from(field(12)) | u64::from(field(16)) << 32;
+    let body = rest.get(..length).ok_or("the record is cut short")?;
+    if checksum(batch_start, body) != field(8) {
+        return Err("the checksum does not match");
+    }
+    let record = postcard::from_bytes(body).map_err(|_| "the content cannot be decoded")?;
+    Ok(Decoded { record, batch_start, bytes: HEADER_BYTES + length })
+}
+
+fn first_index_of(path: &Path) -> Option<u64> {
+    path.file_name()?.to_str()?.strip_prefix("log-")?.parse().ok()
+}
+
+fn read_file(
+    path: PathBuf,
+    first_index: u64,
+    is_last: bool,
+    recovered: &mut Recovered,
+) -> Result<LogFile, StorageError> {
+    let bytes = at(&path, fs::read(&path))?;
+    let mut log_file = LogFile { path, first_index, offsets: Vec::new(), bytes: 0, file: None };
+    let mut offset = 0;
+    while offset < bytes.len() {
+        let reason = match decode(&bytes[offset..]) {
+            Ok(decoded)
+                if decoded.record.entry.position.index == first_index + log_file.offsets.len() as u64 =>
+            {
+                log_file.offsets.push(offset as u64);
+                recovered.commit_index = recovered.commit_index.max(decoded.record.commit_index);
+                recovered.entries.push(Arc::new(decoded.record.entry));
+                offset += decoded.bytes;
+                continue;
+            }
+            Ok(_) => "the entry has an unexpected index",
+            Err(reason) => reason,
+        };
+        if !is_last || !is_torn(&bytes, offset) {
+            return Err(StorageError::Damaged { path: log_file.path, offset: offset as u64, reason });
+        }
+        recovered.cut_bytes = (bytes.len() - offset) as u64;
+        log_file.cut(offset as u64)?;
+        break;
+    }
+    log_file.bytes = offset as u64;
+    Ok(log_file)
+}
+
+/// Returns whether an interrupted write explains the bytes from `offset` on. Pages of one unsynced batch may
+/// reach the disk in any order, so intact records may follow the damage, but only records of the same batch.
+fn is_torn(bytes: &[u8], offset: usize) -> bool {
+    let after = (offset + 1..bytes.len()).filter(|at| bytes[*at..].starts_with(&MAGIC));
+    after.filter_map(|at| decode(&bytes[at..]).ok()).all(|later| later.batch_start <= offset as u64)
+}
--- /dev/null
+++ b/crates/control/src/replication.rs
@@ -0,0 +1,299 @@
+//! Replication: proposals, appends, acknowledgements and the commit index.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
+
+use daisysill_core::ids::InstanceId;
+
+use crate::{
+    api::{Output, ProposalFailure},
+    command::{Command, Reply},
+    entry::{DiskId, Entry, Payload, Position},
+    message::Message,
+    progress::Progress,
+    replica::{Replica, Stand},
+};
+
+/// Entries that a leader holds uncommitted; further proposals wait.
+const MAX_UNCOMMITTED: u64 = 4_096;
+/// Proposals that wait; further ones are refused.
+const MAX_WAITING: usize = 16_384;
+
+/// What a leader keeps for its term.
+#[derive(Debug)]
+pub(crate) struct Leadership {
+    pub(crate) peers: BTreeMap<InstanceId, Progress>,
+    /// Tickets of appended proposals by index.
+    open: BTreeMap<u64, u64>,
+    /// Proposals that are not appended yet.
+    waiting: VecDeque<(u64, Command)>,
+    pub(crate) heartbeat_due_ms: u64,
+    /// Index of the entry that the leader appended first in its term.
+    first_index: u64,
+    since_ms: u64,
+    log_time_ms: u64,
+}
+
+impl Replica {
+    pub(crate) fn become_leader(&mut self) {
+        let log_time_ms = self.log.last_time_ms().max(self.state.now_ms);
+        self.stand = Stand::Leader(Box::new(Leadership {
+            peers: BTreeMap::new(),
+            open: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            heartbeat_due_ms: self.now_ms,
+            first_index: self.log.last().index + 1,
+            since_ms: self.now_ms,
+            log_time_ms,
+        }));
+        self.leader = Some(self.config.name.clone());
+        self.refresh_peers();
+        self.append(Payload::Command(Command::Noop));
+        self.tick_leader();
+    }
+
+    /// Answers every open proposal and forgets the leadership.
+    pub(crate) fn give_up_leadership(&mut self) {
+        let Stand::Leader(leadership) = std::mem::replace(&mut self.stand, Stand::Follower) else { return };
+        self.leader = None;
+        for ticket in leadership.open.into_values() {
+            self.fail(ticket, ProposalFailure::Uncertain);
+        }
+        for (ticket, _) in leadership.waiting {
+            self.fail(ticket, ProposalFailure::NotAppended);
+        }
+    }
+
+    /// Keeps one progress record for each member of the voter set.
+    pub(crate) fn refresh_peers(&mut self) {
+        let Stand::Leader(leadership) = &mut self.stand else { return };
+        let (voters, name, now_ms) = (&self.voters, &self.config.name, self.now_ms);
+        leadership.peers.retain(|peer, _| voters.members().any(|member| member == peer));
+        for member in voters.members().filter(|member| *member != name) {
+            let next = self.log.last().index + 1;
+            leadership.peers.entry(member.clone()).or_insert_with(|| Progress::new(next, now_ms));
+        }
+    }
+
+    pub(crate) fn propose(&mut self, ticket: u64, command: Command) {
+        let Stand::Leader(leadership) = &mut self.stand else {
+            return self.fail(ticket, ProposalFailure::NotLeader(self.leader.clone()));
+        };
+        if leadership.waiting.len() >= MAX_WAITING {
+            return self.fail(ticket, ProposalFailure::NotAppended);
+        }
+        leadership.waiting.push_back((ticket, command));
+        self.append_waiting();
+    }
+
+    fn append_waiting(&mut self) {
+        while self.log.last().index < self.commit_index + MAX_UNCOMMITTED {
+            let Stand::Leader(leadership) = &mut self.stand else { return };
+            let Some((ticket, command)) = leadership.waiting.pop_front() else { return };
+            let index = self.append(Payload::Command(command));
+            self.expect(index, ticket);
+        }
+    }
+
+    /// Notes that the entry at `index` answers `ticket`.
+    pub(crate) fn expect(&mut self, index: u64, ticket: u64) {
+        if let Stand::Leader(leadership) = &mut self.stand {
+            leadership.open.insert(index, ticket);
+        }
+    }
+
+    /// Answers the proposal at `index`, if it was made here.
+    pub(crate) fn answer(&mut self, index: u64, reply: Reply) {
+        let Stand::Leader(leadership) = &mut self.stand else { return };
+        if let Some(ticket) = leadership.open.remove(&index) {
+            self.outputs.push(Output::Reply { ticket, result: Ok(reply) });
+        }
+    }
+
+    /// Appends an entry of the own term and returns its index.
+    pub(crate) fn append(&mut self, payload: Payload) -> u64 {
+        let position = Position { term: self.term, index: self.log.last().index + 1 };
+        let time_ms = match &self.stand {
+            Stand::Leader(leadership) => leadership.log_time_ms + (self.now_ms - leadership.since_ms),
+            _ => 0,
+        };
+        let sets_voters = matches!(payload, Payload::Voters(_));
+        self.log.push(Arc::new(Entry { position, time_ms, payload }));
+        if sets_voters {
+            self.reload_voters();
+            self.refresh_peers();
+        }
+        position.index
+    }
+
+    pub(crate) fn tick_leader(&mut self) {
+        let quorum_ms = self.quorum_heard_ms();
+        let longest_ms = 2 * self.config.election_timeout_ms;
+        let Stand::Leader(leadership) = &mut self.stand else { return };
+        if self.now_ms > quorum_ms.max(leadership.since_ms) + longest_ms {
+            return self.become_follower();
+        }
+        if self.now_ms < leadership.heartbeat_due_ms {
+            return;
+        }
+        leadership.heartbeat_due_ms = self.now_ms + self.config.heartbeat_ms;
+        let peers: Vec<_> = leadership.peers.keys().cloned().collect();
+        for peer in peers {
+            self.heartbeat(&peer);
+        }
+    }
+
+    /// Returns the latest time at which a majority still accepted this leader.
+    fn quorum_heard_ms(&self) -> u64 {
+        self.majority_value(self.now_ms, |progress| progress.echo_ms)
+    }
+
+    /// Returns the highest value that a majority of the voters has reached; `own` is this replica's.
+    fn majority_value(&self, own: u64, of_peer: impl Fn(&Progress) -> u64) -> u64 {
+        let Stand::Leader(leadership) = &self.stand else { return 0 };
+        let value = |(name, disk): (&InstanceId, &DiskId)| {
+            if *name == self.config.name {
+                return if *disk == self.disk { own } else { 0 };
+            }
+            let progress = leadership.peers.get(name).filter(|progress| progress.disk == Some(*disk));
+            progress.map_or(0, &of_peer)
+        };
+        let mut values: Vec<u64> = self.voters.voters.iter().map(value).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.get(self.voters.majority() - 1).copied().unwrap_or(0)
+    }
+
+    /// Returns until when no other replica can lead, if this one leads and has applied all earlier terms.
+    pub(crate) fn leader_until_ms(&self) -> Option<u64> {
+        let Stand::Leader(leadership) = &self.stand else { return None };
+        if self.state.applied_index < leadership.first_index {
+            return None;
+        }
+        // A tenth is left for clocks that run at different rates.
+        Some(self.quorum_heard_ms() + self.config.election_timeout_ms * 9 / 10)
+    }
+
+    pub(crate) fn advance_commit(&mut self) {
+        if !matches!(self.stand, Stand::Leader(_)) {
+            return;
+        }
+        let index = self.majority_value(self.writes.synced_index, |progress| progress.matched);
+        if index > self.commit_index && self.log.term_at(index) == Some(self.term) {
+            self.commit_index = index;
+            self.announce_commit();
+        }
+        self.append_waiting();
+    }
+
+    /// A leader may change the voters once an entry of its own term is committed.
+    pub(crate) fn has_committed_in_term(&self) -> bool {
+        match &self.stand {
+            Stand::Leader(leadership) => self.commit_index >= leadership.first_index,
+            _ => false,
+        }
+    }
+
+    /// Gives up the leadership once the removal of this replica is committed.
+    pub(crate) fn leave_if_removed(&mut self) {
+        let removed = !self.is_voter() && self.voters_index <= self.commit_index;
+        if removed && matches!(self.stand, Stand::Leader(_)) {
+            self.become_follower();
+        }
+    }
+
+    /// Handles a message that only the leader of `term` sends. Returns whether it is to be processed.
+    pub(crate) fn follow(&mut self, from: &InstanceId, term: u64) -> bool {
+        if term < self.term || matches!(self.stand, Stand::Leader(_)) && term == self.term {
+            // The reply carries the newer term.
+            self.send(from, Message::AppendReply { matched: None, hint: 0, echo_ms: 0 });
+            return false;
+        }
+        self.enter_term(term);
+        self.stand = Stand::Follower;
+        self.leader = Some(from.clone());
+        self.leader_heard_ms = self.now_ms;
+        self.bootstrap = None;
+        self.reset_election_timer();
+        self.start_check.passed
+    }
+
+    pub(crate) fn on_append(
+        &mut self,
+        from: &InstanceId,
+        term: u64,
+        previous: Position,
+        entries: Vec<Entry>,
+        commit_index: u64,
+        echo_ms: u64,
+    ) {
+        if !self.follow(from, term) {
+            return;
+        }
+        let last_index = previous.index + entries.len() as u64;
+        if !self.holds(previous) {
+            let hint = self.log.last().index.min(previous.index.saturating_sub(1));
+            return self.send(from, Message::AppendReply { matched: None, hint, echo_ms });
+        }
+        for entry in entries {
+            self.accept(entry);
+        }
+        self.verified_index = self.verified_index.max(last_index);
+        self.commit_index = self.commit_index.max(commit_index.min(self.verified_index));
+        let matched = Some(self.verified_index.min(self.writes.synced_index));
+        self.send(from, Message::AppendReply { matched, hint: 0, echo_ms });
+    }
+
+    /// Returns whether the log agrees with the leader's up to `previous`.
+    fn holds(&self, previous: Position) -> bool {
+        // Committed entries agree with every leader's.
+        previous.index <= self.commit_index || self.log.term_at(previous.index) == Some(previous.term)
+    }
+
+    fn accept(&mut self, entry: Entry) {
+        let index = entry.position.index;
+        if index <= self.commit_index || self.log.term_at(index) == Some(entry.position.term) {
+            return;
+        }
+        if index <= self.log.last().index {
+            self.log.truncate_from(index);
+            self.writes.truncated(index);
+        }
+        self.log.push(Arc::new(entry));
+        self.reload_voters();
+    }
+
+    /// Tells the leader how far the log is durable.
+    pub(crate) fn acknowledge(&mut self) {
+        let Some(leader) = self.leader.clone().filter(|leader| *leader != self.config.name) else { return };
+        if self.start_check.passed {
+            let matched = Some(self.verified_index.min(self.writes.synced_index));
+            self.send(&leader, Message::AppendReply { matched, hint: 0, echo_ms: 0 });
+        }
+    }
+
+    pub(crate) fn on_append_reply(
+        &mut self,
+        from: &InstanceId,
+        disk: DiskId,
+        term: u64,
+        matched: Option<u64>,
+        hint: u64,
+        echo_ms: u64,
+    ) {
+        if term > self.term {
+            return self.enter_term(term);
+        }
+        let Stand::Leader(leadership) = &mut self.stand else { return };
+        let Some(progress) = leadership.peers.get_mut(from).filter(|_| term == self.term) else { return };
+        progress.heard(disk, echo_ms);
+        let Some(matched) = matched else { return progress.rejected(hint) };
+        progress.accepted(matched);
+        if let Some(term) = self.log.term_at(matched) {
+            let position = Position { term, index: matched };
+            let known = self.acknowledged.entry(from.clone()).or_insert((disk, position));
+            *known = if known.0 == disk { (disk, known.1.max(position)) } else { (disk, position) };
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/snapshots.rs
@@ -0,0 +1,147 @@
+//! Snapshots: taking them, sending them in chunks, installing them.
+
+use std::sync::Arc;
+
+use daisysill_core::ids::InstanceId;
+
+use crate::{
+    entry::{Position, Snapshot},
+    log::Log,
+    message::{Message, SnapshotChunk},
+    replica::{Replica, Stand},
+    state::AgreedState,
+};
+
+/// A snapshot on its way to a peer.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    pub(crate) snapshot: Arc<Snapshot>,
+    checksum: u32,
+    offset: u64,
+}
+
+/// A snapshot that is arriving.
+#[derive(Debug)]
+pub(crate) struct Incoming {
+    term: u64,
+    position: Position,
+    checksum: u32,
+    data: Vec<u8>,
+}
+
+impl Replica {
+    /// Takes a snapshot once enough entries were applied since the last one, and forgets older entries.
+    pub(crate) fn take_snapshot_if_due(&mut self) {
+        let applied_index = self.state.applied_index;
+        let previous = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.position.index);
+        if applied_index < previous + self.config.snapshot_entries || self.writes.snapshot_pending() {
+            return;
+        }
+        let Some(term) = self.log.term_at(applied_index) else { return };
+        let Ok(state) = postcard::to_stdvec(&self.state) else { return };
+        let in_log = self.log.voters_until(applied_index).map(|(_, voters)| voters.clone());
+        let voters = in_log.or_else(|| self.snapshot.as_ref().map(|snapshot| snapshot.voters.clone()));
+        let position = Position { term, index: applied_index };
+        let snapshot = Arc::new(Snapshot { position, voters: voters.unwrap_or_default(), state });
+        self.snapshot = Some(Arc::clone(&snapshot));
+        self.writes.snapshot_taken(snapshot);
+        self.log.drop_before((applied_index + 1).saturating_sub(self.config.retained_entries));
+    }
+
+    pub(crate) fn start_snapshot(&mut self, peer: &InstanceId) {
+        let Some(snapshot) = self.snapshot.clone() else { return };
+        let checksum = crc32fast::hash(&snapshot.state);
+        let Stand::Leader(leadership) = &mut self.stand else { return };
+        if let Some(progress) = leadership.peers.get_mut(peer) {
+            progress.outgoing = Some(Outgoing { snapshot, checksum, offset: 0 });
+        }
+        self.send_chunk(peer);
+    }
+
+    /// Sends the chunk that the peer lacks next.
+    pub(crate) fn send_chunk(&mut self, peer: &InstanceId) {
+        let Stand::Leader(leadership) = &self.stand else { return };
+        let Some(outgoing) = leadership.peers.get(peer).and_then(|progress| progress.outgoing.as_ref())
+        else {
+            return;
+        };
+        let state = &outgoing.snapshot.state;
+        let start = usize::try_from(outgoing.offset).unwrap_or(usize::MAX).min(state.len());
+        let end = start.saturating_add(self.config.message_bytes).min(state.len());
+        let chunk = SnapshotChunk {
+            position: outgoing.snapshot.position,
+            voters: outgoing.snapshot.voters.clone(),
+            total_bytes: state.len() as u64,
+            checksum: outgoing.checksum,
+            offset: start as u64,
+            data: state[start..end].to_vec(),
+            echo_ms: self.now_ms,
+        };
+        self.send(peer, Message::SnapshotChunk(chunk));
+    }
+
+    pub(crate) fn on_chunk(&mut self, from: &InstanceId, term: u64, chunk: SnapshotChunk) {
+        if !self.follow(from, term) {
+            return;
+        }
+        let SnapshotChunk { position, voters, total_bytes, checksum, offset, data, echo_ms } = chunk;
+        if position.index <= self.commit_index {
+            // Committed entries agree with the leader's.
+            self.verified_index = self.verified_index.max(position.index);
+            return self.acknowledge();
+        }
+        let incoming = self.incoming.take().filter(|incoming| {
+            incoming.term == term && incoming.position == position && incoming.checksum == checksum
+        });
+        let mut incoming = incoming.unwrap_or(Incoming { term, position, checksum, data: Vec::new() });
+        if offset == incoming.data.len() as u64 {
+            incoming.data.extend_from_slice(&data);
+        }
+        let received = incoming.data.len() as u64;
+        if received < total_bytes {
+            self.incoming = Some(incoming);
+            return self.send(from, Message::SnapshotReply { position, received, echo_ms });
+        }
+        let valid = crc32fast::hash(&incoming.data) == checksum;
+        let state = postcard::from_bytes(&incoming.data).ok().filter(|_| valid);
+        let Some(state) = state else {
+            return self.send(from, Message::SnapshotReply { position, received: 0, echo_ms });
+        };
+        self.install(Arc::new(Snapshot { position, voters, state: incoming.data }), state);
+    }
+
+    /// Replaces the log and the state by a snapshot of the leader.
+    fn install(&mut self, snapshot: Arc<Snapshot>, state: AgreedState) {
+        let position = snapshot.position;
+        self.log = Log::new(position, Vec::new());
+        self.commit_index = position.index;
+        self.verified_index = self.verified_index.max(position.index);
+        self.state = state;
+        self.snapshot = Some(Arc::clone(&snapshot));
+        self.writes.snapshot_installed(snapshot);
+        self.reload_voters();
+        self.show_config();
+    }
+
+    pub(crate) fn on_chunk_reply(
+        &mut self,
+        from: &InstanceId,
+        term: u64,
+        position: Position,
+        received: u64,
+        echo_ms: u64,
+    ) {
+        if term > self.term {
+            return self.enter_term(term);
+        }
+        let Stand::Leader(leadership) = &mut self.stand else { return };
+        let Some(progress) = leadership.peers.get_mut(from).filter(|_| term == self.term) else { return };
+        let Some(outgoing) = progress.outgoing.as_mut() else { return };
+        if outgoing.snapshot.position != position || (received != 0 && received <= outgoing.offset) {
+            return;
+        }
+        outgoing.offset = received;
+        progress.echo_ms = progress.echo_ms.max(echo_ms);
+        self.send_chunk(from);
+    }
+}
--- /dev/null
+++ b/crates/control/src/storage.rs
@@ -0,0 +1,183 @@
+//! The data folder: log files, hard state and snapshots.
+
+use std::{
+    fmt, fs, io,
+    path::{Path, PathBuf},
+    sync::Arc,
+};
+
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{
+    entry::{HardState, Recovered, Snapshot, WriteBatch},
+    log_files::LogFiles,
+};
+
+const HARD_STATE_FILE: &str = "hard-state";
+const SNAPSHOT_FILE: &str = "snapshot";
+
+/// Why the data folder cannot be used.
+#[derive(Debug)]
+pub enum StorageError {
+    /// The operating system reported an error, for example a full disk.
+    Io {
+        /// The file or folder.
+        path: PathBuf,
+        /// The error.
+        source: io::Error,
+    },
+    /// A file is damaged in a place that no interrupted write explains.
+    Damaged {
+        /// The file.
+        path: PathBuf,
+        /// Offset of the first byte that cannot be used.
+        offset: u64,
+        /// What is wrong there.
+        reason: &'static str,
+    },
+    /// An earlier write failed, so what is on disk is unknown until the folder is opened again.
+    Failed,
+}
+
+impl fmt::Display for StorageError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Io { path, source } => write!(f, "{}: {source}", path.display()),
+            Self::Damaged { path, offset, reason } => {
+                write!(f, "{} is damaged at offset {offset}: {reason}", path.display())
+            }
+            Self::Failed => f.write_str("an earlier write to the data folder failed; open the folder again"),
+        }
+    }
+}
+
+impl std::error::Error for StorageError {}
+
+/// Attaches the path to an error of the operating system.
+pub(crate) fn at<T>(path: &Path, result: io::Result<T>) -> Result<T, StorageError> {
+    result.map_err(|source| StorageError::Io { path: path.to_owned(), source })
+}
+
+/// Syncs a folder, so that created, renamed and deleted names are durable.
+pub(crate) fn sync_folder(folder: &Path) -> Result<(), StorageError> {
+    at(folder, fs::File::open(folder).and_then(|file| file.sync_all()))
+}
+
+/// An open data folder.
+#[derive(Debug)]
+pub struct Storage {
+    folder: PathBuf,
+    log: LogFiles,
+    failed: bool,
+}
+
+/// Opens a data folder, creating it if it is missing.
+///
+/// # Errors
+/// Fails if a file cannot be read or is damaged other than by an interrupted write.
+///
+/// ```
+/// # fn main() -> Result<(), Box<dyn std::error::Error>> {
+/// let folder = tempfile::tempdir()?;
+/// let (_storage, recovered) = daisysill_control::storage::open(folder.path())?;
+/// assert!(recovered.hard_state.is_none());
+/// # Ok(())
+/// # }
+/// ```
+pub fn open(folder: impl AsRef<Path>) -> Result<(Storage, Recovered), StorageError> {
+    let folder = folder.as_ref().to_owned();
+    at(&folder, fs::create_dir_all(&folder))?;
+    let hard_state: Option<HardState> = read_checked(&folder.join(HARD_STATE_FILE))?;
+    let snapshot: Option<Snapshot> = read_checked(&folder.join(SNAPSHOT_FILE))?;
+    let (mut log, mut recovered) = LogFiles::open(&folder)?;
+    if let Some(snapshot) = &snapshot {
+        let index = snapshot.position.index;
+        let first = recovered.entries.first().map_or(index + 1, |entry| entry.position.index);
+        let covered = recovered.entries.iter().find(|entry| entry.position.index == index);
+        // A snapshot from the leader replaces the log; a crash may come between the two steps.
+        if first <= index && covered.is_none_or(|entry| entry.position != snapshot.position) {
+            log.reset()?;
+            recovered.entries.clear();
+            recovered.commit_index = index;
+        }
+        recovered.commit_index = recovered.commit_index.max(index);
+    }
+    let expected = snapshot.as_ref().map_or(1, |snapshot| snapshot.position.index + 1);
+    let first = recovered.entries.first().map_or(expected, |entry| entry.position.index);
+    if first > expected {
+        let reason = "entries between the snapshot and the log are missing";
+        return Err(StorageError::Damaged { path: folder, offset: 0, reason });
+    }
+    if hard_state.is_none() && (snapshot.is_some() || !recovered.entries.is_empty()) {
+        let path = folder.join(HARD_STATE_FILE);
+        return Err(StorageError::Damaged { path, offset: 0, reason: "the file is missing beside a log" });
+    }
+    recovered.hard_state = hard_state;
+    recovered.snapshot = snapshot.map(Arc::new);
+    Ok((Storage { folder, log, failed: false }, recovered))
+}
+
+impl Storage {
+    /// Writes a batch; returns once it is synced.
+    ///
+    /// # Errors
+    /// After the first error every further write fails: what is on disk is known only after opening it again.
+    pub fn write(&mut self, batch: &WriteBatch) -> Result<(), StorageError> {
+        if self.failed {
+            return Err(StorageError::Failed);
+        }
+        self.failed = true;
+        self.write_parts(batch)?;
+        self.failed = false;
+        Ok(())
+    }
+
+    fn write_parts(&mut self, batch: &WriteBatch) -> Result<(), StorageError> {
+        if let Some(hard_state) = &batch.hard_state {
+            write_checked(&self.folder, HARD_STATE_FILE, hard_state)?;
+        }
+        if let Some(snapshot) = &batch.snapshot {
+            write_checked(&self.folder, SNAPSHOT_FILE, snapshot.as_ref())?;
+        }
+        if batch.reset_log {
+            self.log.reset()?;
+        }
+        if let Some(index) = batch.truncate_from {
+            self.log.truncate_from(index)?;
+        }
+        if !batch.entries.is_empty() {
+            self.log.append(&batch.entries, batch.commit_index)?;
+        }
+        if batch.snapshot.is_some() {
+            self.log.drop_before(batch.first_index)?;
+        }
+        Ok(())
+    }
+}
+
+/// Writes a value with its checksum aside, syncs it, renames it and syncs the folder.
+fn write_checked<T: Serialize>(folder: &Path, name: &str, value: &T) -> Result<(), StorageError> {
+    let path = folder.join(name);
+    let aside = folder.join(format!("{name}.new"));
+    let encode_error = |error| at(&path, Err(io::Error::other(error)));
+    let body = postcard::to_stdvec(value).or_else(encode_error)?;
+    let mut bytes = crc32fast::hash(&body).to_le_bytes().to_vec();
+    bytes.extend_from_slice(&body);
+    at(&aside, fs::write(&aside, &bytes))?;
+    at(&aside, fs::File::open(&aside).and_then(|file| file.sync_all()))?;
+    at(&path, fs::rename(&aside, &path))?;
+    sync_folder(folder)
+}
+
+fn read_checked<T: DeserializeOwned>(path: &Path) -> Result<Option<T>, StorageError> {
+    let damaged = |reason| StorageError::Damaged { path: path.to_owned(), offset: 0, reason };
+    let bytes = match fs::read(path) {
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+        result => at(path, result)?,
+    };
+    let (checksum, body) = bytes.split_first_chunk::<4>().ok_or_else(|| damaged("the file is cut short"))?;
+    if crc32fast::hash(body) != u32::from_le_bytes(*checksum) {
+        return Err(damaged("the checksum does not match"));
+    }
+    postcard::from_bytes(body).map(Some).map_err(|_| damaged("the content cannot be decoded"))
+}
--- /dev/null
+++ b/crates/control/src/writes.rs
@@ -0,0 +1,193 @@
+//! Write batches: one in flight, the next one gathers everything that arrives meanwhile.
+
+use std::{mem, sync::Arc};
+
+use daisysill_core::ids::InstanceId;
+
+use crate::{
+    api::Output,
+    entry::{HardState, Payload, Snapshot, WriteBatch},
+    message::{Envelope, Message},
+    replica::{Replica, Stand},
+};
+
+/// What must be durable before a message may be sent or a vote counted.
+#[derive(Debug, Default)]
+struct Waiting {
+    messages: Vec<(InstanceId, Envelope)>,
+    own_vote_term: Option<u64>,
+}
+
+#[derive(Debug)]
+struct InFlight {
+    write: u64,
+    /// The last entry that is durable once the batch is synced.
+    last_index: u64,
+    waiting: Waiting,
+}
+
+/// The state of writing.
+#[derive(Debug)]
+pub(crate) struct Writes {
+    /// Whether the disk id is durable.
+    pub(crate) formatted: bool,
+    /// The last entry that is durable.
+    pub(crate) synced_index: u64,
+    next_write: u64,
+    /// The last entry that is part of an issued batch.
+    issued_index: u64,
+    hard_state_changed: bool,
+    truncate_from: Option<u64>,
+    snapshot: Option<Arc<Snapshot>>,
+    reset_log: bool,
+    waiting: Waiting,
+    in_flight: Option<InFlight>,
+}
+
+impl Writes {
+    pub(crate) fn new(last_index: u64, format: bool) -> Self {
+        Self {
+            formatted: !format,
+            synced_index: last_index,
+            next_write: 1,
+            issued_index: last_index,
+            hard_state_changed: format,
+            truncate_from: None,
+            snapshot: None,
+            reset_log: false,
+            waiting: Waiting::default(),
+            in_flight: None,
+        }
+    }
+
+    pub(crate) fn hard_state_changed(&mut self) {
+        self.hard_state_changed = true;
+    }
+
+    /// Notes that the entries from `index` on are gone.
+    pub(crate) fn truncated(&mut self, index: u64) {
+        if self.issued_index >= index {
+            self.truncate_from = Some(self.truncate_from.map_or(index, |earlier| earlier.min(index)));
+        }
+        self.issued_index = self.issued_index.min(index - 1);
+        self.synced_index = self.synced_index.min(index - 1);
+        if let Some(in_flight) = &mut self.in_flight {
+            in_flight.last_index = in_flight.last_index.min(index - 1);
+        }
+    }
+
+    /// Notes a snapshot of this replica's own log.
+    pub(crate) fn snapshot_taken(&mut self, snapshot: Arc<Snapshot>) {
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Notes a snapshot that replaces the log.
+    pub(crate) fn snapshot_installed(&mut self, snapshot: Arc<Snapshot>) {
+        self.issued_index = snapshot.position.index;
+        self.synced_index = 0;
+        if let Some(in_flight) = &mut self.in_flight {
+            in_flight.last_index = 0;
+        }
+        self.truncate_from = None;
+        self.reset_log = true;
+        self.snapshot = Some(snapshot);
+    }
+
+    pub(crate) fn snapshot_pending(&self) -> bool {
+        self.snapshot.is_some()
+    }
+}
+
+impl Replica {
+    /// Sends a message once everything that has changed so far is durable.
+    pub(crate) fn send_synced(&mut self, to: &InstanceId, message: Message) {
+        let envelope = Envelope { disk: self.disk, term: self.term, message };
+        self.writes.waiting.messages.push((to.clone(), envelope));
+    }
+
+    /// Counts this replica's vote for itself once it is durable.
+    pub(crate) fn vote_for_self_synced(&mut self) {
+        self.writes.waiting.own_vote_term = Some(self.term);
+    }
+
+    /// Issues a batch with everything that is not durable yet, unless one is in flight.
+    pub(crate) fn issue_write(&mut self) {
+        let last_index = self.log.last().index;
+        let writes = &mut self.writes;
+        let dirty = writes.hard_state_changed
+            || writes.truncate_from.is_some()
+            || writes.snapshot.is_some()
+            || writes.issued_index < last_index;
+        let waiting = !writes.waiting.messages.is_empty() || writes.waiting.own_vote_term.is_some();
+        if writes.in_flight.is_some() || !(dirty || waiting) {
+            return;
+        }
+        let hard_state = HardState { disk: self.disk, term: self.term, voted_for: self.voted_for.clone() };
+        let batch = WriteBatch {
+            write: writes.next_write,
+            hard_state: mem::take(&mut writes.hard_state_changed).then_some(hard_state),
+            snapshot: writes.snapshot.take(),
+            reset_log: mem::take(&mut writes.reset_log),
+            truncate_from: writes.truncate_from.take(),
+            entries: self.log.after(writes.issued_index).cloned().collect(),
+            commit_index: self.commit_index,
+            first_index: self.log.first_index(),
+        };
+        writes.in_flight =
+            Some(InFlight { write: batch.write, last_index, waiting: mem::take(&mut writes.waiting) });
+        writes.next_write += 1;
+        writes.issued_index = last_index;
+        self.outputs.push(Output::Write(batch));
+    }
+
+    pub(crate) fn written(&mut self, write: u64) {
+        let Some(in_flight) = self.writes.in_flight.take_if(|batch| batch.write == write) else { return };
+        self.writes.formatted = true;
+        let before = self.writes.synced_index;
+        self.writes.synced_index = before.max(in_flight.last_index);
+        for (to, envelope) in &in_flight.waiting.messages {
+            self.send_envelope(to, envelope);
+        }
+        if in_flight.waiting.own_vote_term == Some(self.term) {
+            self.count_vote(self.config.name.clone(), self.disk);
+        }
+        if self.writes.synced_index > before {
+            self.acknowledge();
+        }
+    }
+
+    /// Halts: what is on disk is unknown, so nothing may be acknowledged any more.
+    pub(crate) fn write_failed(&mut self, write: u64) {
+        if self.writes.in_flight.as_ref().is_none_or(|batch| batch.write != write) {
+            return;
+        }
+        self.give_up_leadership();
+        self.stand = Stand::Halted;
+        self.leader = None;
+    }
+
+    /// Applies what is committed and durable here.
+    pub(crate) fn apply_committed(&mut self) {
+        let target = self.commit_index.min(self.writes.synced_index);
+        while self.state.applied_index < target {
+            let index = self.state.applied_index + 1;
+            let Some(entry) = self.log.get(index).cloned() else { return };
+            let reply = match &entry.payload {
+                Payload::Command(command) => self.state.apply(index, entry.time_ms, command),
+                Payload::Voters(_) => self.state.apply(index, entry.time_ms, &crate::command::Command::Noop),
+            };
+            self.answer(index, reply);
+        }
+        self.show_config();
+        self.leave_if_removed();
+    }
+
+    /// Reports the configuration if it is newer than the one reported last.
+    pub(crate) fn show_config(&mut self) {
+        let version = self.state.config.version;
+        if version > self.shown_version {
+            self.shown_version = version;
+            self.outputs.push(Output::ConfigChanged(Arc::clone(&self.state.config)));
+        }
+    }
+}
