--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -7,7 +7,7 @@
     command::{Command, Reply},
 };
 use daisysill_core::ids::InstanceId;
-use daisysill_wire::peer::{FolderState, ForwardError};
+use daisysill_wire::peer::ForwardError;
 use tokio::{
     sync::{mpsc, oneshot, watch},
     time::{Instant, sleep_until},
@@ -47,11 +47,6 @@
         /// Gets the answer; dropped unanswered if the outcome is uncertain.
         answer: oneshot::Sender<ProposalResult>,
     },
-    /// Forms a new cluster.
-    Bootstrap {
-        /// The initial voters.
-        voters: Vec<InstanceId>,
-    },
     /// The node leaves: the replica stops once its proposals are settled.
     Leave {
         /// Told when the replica has stopped.
@@ -71,15 +66,6 @@
     pub(crate) fn has_leader(&self) -> bool {
         self.status.as_ref().is_some_and(|s| s.leader.is_some() && s.role != Role::Halted)
     }
-
-    /// Returns whether the data folder may take part in the forming of a new cluster.
-    pub(crate) fn folder_state(&self) -> FolderState {
-        match &self.status {
-            None => FolderState::NoFolder,
-            Some(status) if status.last_index == 0 && status.voters.voters.is_empty() => FolderState::Empty,
-            Some(_) => FolderState::Used,
-        }
-    }
 }
 
 /// Runs a replica.
@@ -126,13 +112,18 @@
         }
     }
 
-    /// Runs until it is aborted or the node has left.
+    /// Runs until it is aborted or the node has left. `first_voters` are given only to the first of them.
     pub(crate) async fn run(
         mut self,
+        first_voters: Vec<InstanceId>,
         mut inputs: mpsc::Receiver<DriverInput>,
         mut writes: mpsc::UnboundedReceiver<WriteDone>,
     ) {
         self.views.install(&Arc::clone(&self.replica.state().config));
+        if !first_voters.is_empty() {
+            // The replica ignores this unless its folder is empty, and asks the others for theirs.
+            self.step(Input::Bootstrap { voters: first_voters });
+        }
         loop {
             self.flush();
             if self.has_settled() {
@@ -175,7 +166,6 @@
                 }
             }
             DriverInput::Propose { command, answer } => self.propose(command, answer),
-            DriverInput::Bootstrap { voters } => self.step(Input::Bootstrap { voters }),
             DriverInput::Leave { stopped } => self.leaving = Some((stopped, Instant::now() + SETTLE_LIMIT)),
         }
     }
--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -176,8 +176,9 @@
             return any.get(rand::random_range(0..any.len().max(1))).map(|link| Arc::clone(link));
         }
         let relays = self.relays(&voters);
-        let is_relay = relays.contains(&self.name);
-        if is_relay || failures > 0 {
+        // A voter that has halted or lost its leader follows another voter itself.
+        let follows_voter = relays.contains(&self.name) || voters.contains(&self.name);
+        if follows_voter || failures > 0 {
             return self.pick(&voters, failures);
         }
         self.pick(&relays, failures)
--- a/crates/cluster/src/handle.rs
+++ b/crates/cluster/src/handle.rs
@@ -17,6 +17,7 @@
 use eyre::WrapErr;
 use tokio::{
     net::TcpListener,
+    runtime::Handle,
     sync::{mpsc, oneshot, watch},
     task::JoinHandle,
     time::{Instant, sleep, timeout},
@@ -27,7 +28,6 @@
     config::ClusterConfig,
     driver::{Driver, DriverInput, INPUT_QUEUE, ReplicaView},
     follow::Follower,
-    formation,
     gossip::Gossip,
     handshake::SharedKey,
     link::Links,
@@ -47,6 +47,8 @@
 const ELECTION_TIMEOUT_MS: u64 = 400;
 /// A leader that leaves waits this long until another node leads.
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(3);
+/// Time for a proposal where even the cluster's own limits do not end it.
+const PROPOSE_LIMIT: Duration = Duration::from_secs(5);
 /// Time between two looks at who leads.
 const HAND_OVER_CHECK: Duration = Duration::from_millis(20);
 
@@ -114,12 +116,21 @@
             tokio::spawn(follower.run()),
         ];
         if let Some(parts) = parts {
-            tasks.push(tokio::spawn(parts.driver.run(parts.receiver, parts.writes)));
-            let voters = config.bootstrap_voters.clone();
-            let form = formation::form(config.name, voters, links.clone(), replica.clone(), parts.inputs);
-            tasks.push(tokio::spawn(form));
+            let first = config.bootstrap_voters.iter().min() == Some(&config.name);
+            let voters = if first { config.bootstrap_voters } else { Vec::new() };
+            tasks.push(tokio::spawn(parts.driver.run(voters, parts.receiver, parts.writes)));
         }
-        let inner = Inner { proposer, gossip, leader, replica, caught_up, metrics, tasks: Mutex::new(tasks) };
+        let runtime = Handle::current();
+        let inner = Inner {
+            runtime,
+            proposer,
+            gossip,
+            leader,
+            replica,
+            caught_up,
+            metrics,
+            tasks: Mutex::new(tasks),
+        };
         Ok((ClusterHandle { inner: Arc::new(inner) }, address))
     }
 }
@@ -181,6 +192,7 @@
 
 #[derive(Debug)]
 struct Inner {
+    runtime: Handle,
     proposer: Proposer,
     gossip: Gossip,
     leader: LeaderHint,
@@ -196,7 +208,14 @@
     /// # Errors
     /// Says whether the command may have been committed.
     pub async fn propose(&self, command: Command) -> Result<Reply, ProposeError> {
-        self.inner.proposer.propose(command).await
+        let proposer = self.inner.proposer.clone();
+        // On the runtime of the cluster: the connections must outlive the caller's thread, and a caller that
+        // gives up must not leave its proposal half done.
+        let proposal = self.inner.runtime.spawn(async move { proposer.propose(command).await });
+        match timeout(PROPOSE_LIMIT, proposal).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) | Err(_) => Err(ProposeError::Uncertain),
+        }
     }
 
     /// Returns the configuration in force on this node, and its changes.
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -4,7 +4,6 @@
 mod delta;
 mod driver;
 mod follow;
-mod formation;
 mod framing;
 mod gossip;
 pub mod handle;
--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -19,7 +19,7 @@
     Follow,
     /// Heartbeats and soft state.
     Heartbeat,
-    /// Handshakes, cancellations and the forming of a new cluster.
+    /// Handshakes, cancellations and refusals.
     Connection,
 }
 
@@ -44,7 +44,6 @@
             PeerRequest::Propose { .. } => Purpose::Propose,
             PeerRequest::Follow { .. } => Purpose::Follow,
             PeerRequest::Heartbeat { .. } => Purpose::Heartbeat,
-            PeerRequest::FolderState { .. } => Purpose::Connection,
         }
     }
 }
@@ -56,7 +55,7 @@
             Ok(PeerResponse::Propose(..)) => Purpose::Propose,
             Ok(PeerResponse::Follow(..)) => Purpose::Follow,
             Ok(PeerResponse::Heartbeat(..)) => Purpose::Heartbeat,
-            Ok(PeerResponse::FolderState(..)) | Err(_) => Purpose::Connection,
+            Err(_) => Purpose::Connection,
         }
     }
 }
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -8,9 +8,7 @@
 
 use daisysill_control::command::{Command, Reply};
 use daisysill_core::ids::{ConfigVersion, InstanceId};
-use daisysill_wire::peer::{
-    FolderState, FollowReply, ForwardError, Heartbeat, Peer, PeerRequest, PeerResponse,
-};
+use daisysill_wire::peer::{FollowReply, ForwardError, Heartbeat, Peer, PeerRequest, PeerResponse};
 use futures::{FutureExt, StreamExt};
 use tarpc::{
     ClientMessage, Response,
@@ -42,9 +40,9 @@
 /// Requests in progress on one connection at most; further ones are refused.
 const MAX_REQUESTS: usize = 1_024;
 /// A connection on which nothing has arrived for this time is closed; its client closes it earlier.
-const SILENCE_LIMIT: Duration = Duration::from_secs(60);
+const SILENCE_LIMIT: Duration = Duration::from_mins(1);
 /// Longest time that a poll is held.
-const MAX_POLL_MS: u64 = 5_000;
+const MAX_POLL_MS: u64 = 2_000;
 /// Time for a forwarded command; the node that forwards it waits a little less.
 const PROPOSE_LIMIT: Duration = Duration::from_secs(3);
 
@@ -172,10 +170,6 @@
         }
         self.state.members.heartbeat_for(&self.peer)
     }
-
-    async fn folder_state(self, _: Context) -> FolderState {
-        self.state.proposer.replica.borrow().folder_state()
-    }
 }
 
 /// Counts a follower while its poll is held.
--- /dev/null
+++ b/crates/cluster/tests/common/mod.rs
@@ -0,0 +1,376 @@
+//! Nodes on threads of their own, connected through forwarders that can be cut, silenced and restored.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU8, AtomicU64, Ordering},
+        mpsc as blocking,
+    },
+    thread::JoinHandle,
+    time::Duration,
+};
+
+use daisysill_cluster::{Cluster, ClusterConfig, ClusterHandle, PeerAddress, ProposeError, Role};
+use daisysill_control::command::{Command, Reply, SetDrain};
+use daisysill_core::ids::{ConfigVersion, InstanceId};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    runtime::Builder,
+    sync::mpsc,
+    time::{Instant, sleep},
+};
+
+/// Bound for what takes a second or two; the machine may be busy.
+pub const SOON: Duration = Duration::from_secs(15);
+
+const OPEN: u8 = 0;
+const CUT: u8 = 1;
+const SILENT: u8 = 2;
+
+/// A fault in one chunk of bytes on its way from the node that connected.
+#[derive(Clone, Copy)]
+pub enum Fault {
+    /// The last bit of the chunk is flipped.
+    Flip,
+    /// The chunk is sent twice.
+    Repeat,
+}
+
+/// One direction of connections between two nodes.
+pub struct Forwarder {
+    mode: AtomicU8,
+    next: AtomicU64,
+    stalled_below: AtomicU64,
+    target: Mutex<Option<SocketAddr>>,
+    fault: Mutex<Option<Fault>>,
+}
+
+impl Forwarder {
+    async fn run(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(Arc::clone(&self).forward(stream));
+        }
+    }
+
+    async fn forward(self: Arc<Self>, near: TcpStream) {
+        let number = self.next.fetch_add(1, Ordering::SeqCst);
+        let target = *self.target.lock().unwrap();
+        let (Some(target), false) = (target, self.mode.load(Ordering::SeqCst) == CUT) else { return };
+        let Ok(far) = TcpStream::connect(target).await else { return };
+        near.set_nodelay(true).unwrap();
+        far.set_nodelay(true).unwrap();
+        let (near_read, near_write) = near.into_split();
+        let (far_read, far_write) = far.into_split();
+        let there = self.pump(number, true, near_read, far_write);
+        let back = self.pump(number, false, far_read, near_write);
+        tokio::select! {
+            () = there => {}
+            () = back => {}
+            () = self.is_cut() => {}
+        }
+    }
+
+    async fn is_cut(&self) {
+        while self.mode.load(Ordering::SeqCst) != CUT {
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn pump(
+        &self,
+        number: u64,
+        faulty: bool,
+        mut from: tokio::net::tcp::OwnedReadHalf,
+        mut to: tokio::net::tcp::OwnedWriteHalf,
+    ) {
+        let mut buffer = vec![0; 65_536];
+        while let Ok(mut count) = from.read(&mut buffer[..32_768]).await {
+            let silent = self.mode.load(Ordering::SeqCst) == SILENT
+                || number < self.stalled_below.load(Ordering::SeqCst);
+            if let Some(fault) = self.fault.lock().unwrap().take_if(|_| faulty && count > 0) {
+                match fault {
+                    Fault::Flip => buffer[count - 1] ^= 1,
+                    Fault::Repeat => {
+                        buffer.copy_within(0..count, count);
+                        count *= 2;
+                    }
+                }
+            }
+            if count == 0 || (!silent && to.write_all(&buffer[..count]).await.is_err()) {
+                return;
+            }
+        }
+    }
+}
+
+enum Order {
+    Freeze(Duration),
+    Stop,
+}
+
+struct Running {
+    handle: ClusterHandle,
+    orders: mpsc::UnboundedSender<Order>,
+    thread: JoinHandle<()>,
+}
+
+/// A cluster of nodes in this process.
+pub struct TestCluster {
+    configs: BTreeMap<String, ClusterConfig>,
+    forwarders: BTreeMap<(String, String), Arc<Forwarder>>,
+    running: BTreeMap<String, Running>,
+    folder: tempfile::TempDir,
+}
+
+impl TestCluster {
+    /// Prepares `voters` and `observers`, each given as `name/zone`; none is started.
+    pub fn new(voters: &[&str], observers: &[&str]) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        let split = |text: &&str| {
+            let (name, zone) = text.split_once('/').unwrap();
+            (name.to_owned(), zone.to_owned())
+        };
+        let voters: Vec<(String, String)> = voters.iter().map(split).collect();
+        let all: Vec<_> = voters.iter().cloned().chain(observers.iter().map(split)).collect();
+        let mut forwarders = BTreeMap::new();
+        let mut configs = BTreeMap::new();
+        for (name, zone) in &all {
+            let mut peers = Vec::new();
+            for (other, other_zone) in all.iter().filter(|(other, _)| other != name) {
+                let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+                listener.set_nonblocking(true).unwrap();
+                let listener = TcpListener::from_std(listener).unwrap();
+                let address = listener.local_addr().unwrap();
+                let forwarder = Arc::new(Forwarder {
+                    mode: AtomicU8::new(OPEN),
+                    next: AtomicU64::new(0),
+                    stalled_below: AtomicU64::new(0),
+                    target: Mutex::new(None),
+                    fault: Mutex::new(None),
+                });
+                tokio::spawn(Arc::clone(&forwarder).run(listener));
+                forwarders.insert((name.clone(), other.clone()), forwarder);
+                let zone = other_zone.as_str().into();
+                peers.push(PeerAddress { name: other.as_str().into(), zone, address });
+            }
+            let votes = voters.iter().any(|(voter, _)| voter == name);
+            let config = ClusterConfig {
+                name: name.as_str().into(),
+                zone: zone.as_str().into(),
+                data_dir: votes.then(|| folder.path().join(name)),
+                peer_listen: "127.0.0.1:0".parse().unwrap(),
+                peers,
+                bootstrap_voters: voters.iter().map(|(voter, _)| voter.as_str().into()).collect(),
+                secret: "a shared secret".to_owned(),
+            };
+            configs.insert(name.clone(), config);
+        }
+        Self { configs, forwarders, running: BTreeMap::new(), folder }
+    }
+
+    /// Prepares and starts all nodes, and waits until a leader is known to all.
+    pub async fn started(voters: &[&str], observers: &[&str]) -> Self {
+        let mut cluster = Self::new(voters, observers);
+        let names: Vec<String> = cluster.configs.keys().cloned().collect();
+        for name in &names {
+            cluster.start(name);
+        }
+        let all_current = |cluster: &Self| cluster.running.values().all(|n| n.handle.status().current);
+        cluster.wait("all nodes current", all_current).await;
+        cluster
+    }
+
+    /// Changes the settings of a node that is not running.
+    pub fn config(&mut self, name: &str) -> &mut ClusterConfig {
+        self.configs.get_mut(name).unwrap()
+    }
+
+    /// Returns the folder of a voter.
+    pub fn data_dir(&self, name: &str) -> PathBuf {
+        self.folder.path().join(name)
+    }
+
+    /// Starts a node on a thread of its own.
+    pub fn start(&mut self, name: &str) {
+        let config = self.configs[name].clone();
+        let (ready, started) = blocking::channel();
+        let (orders, mut inbox) = mpsc::unbounded_channel();
+        let thread = std::thread::spawn(move || {
+            let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+            runtime.block_on(async move {
+                let (handle, address) = Cluster::start(config).await.unwrap();
+                ready.send((handle.clone(), address)).unwrap();
+                while let Some(Order::Freeze(time)) = inbox.recv().await {
+                    // Blocks the only thread of the node, so that none of its tasks is polled.
+                    std::thread::sleep(time);
+                }
+                handle.stop().await;
+            });
+        });
+        let (handle, address) = started.recv().unwrap();
+        self.running.insert(name.to_owned(), Running { handle, orders, thread });
+        for ((_, to), forwarder) in &self.forwarders {
+            if to == name {
+                *forwarder.target.lock().unwrap() = Some(address);
+            }
+        }
+    }
+
+    /// Stops a node without notice.
+    pub fn stop(&mut self, name: &str) {
+        let node = self.running.remove(name).unwrap();
+        let _ = node.orders.send(Order::Stop);
+        node.thread.join().unwrap();
+    }
+
+    /// Does not poll any task of a node for `time`.
+    pub fn freeze(&self, name: &str, time: Duration) {
+        self.running[name].orders.send(Order::Freeze(time)).unwrap();
+    }
+
+    /// Returns the handle of a running node.
+    pub fn node(&self, name: &str) -> &ClusterHandle {
+        &self.running[name].handle
+    }
+
+    fn set_mode(&self, name: &str, others: &[&str], mode: u8) {
+        for ((from, to), forwarder) in &self.forwarders {
+            let between = (from == name && others.contains(&to.as_str()))
+                || (to == name && others.contains(&from.as_str()));
+            if between {
+                forwarder.mode.store(mode, Ordering::SeqCst);
+            }
+        }
+    }
+
+    /// Returns the names of all nodes but one.
+    pub fn others(&self, name: &str) -> Vec<&str> {
+        self.configs.keys().map(String::as_str).filter(|other| *other != name).collect()
+    }
+
+    /// Resets the connections between a node and others, and refuses new ones.
+    pub fn cut(&self, name: &str, others: &[&str]) {
+        self.set_mode(name, others, CUT);
+    }
+
+    /// Resets the connections that one node opened to another, and refuses new ones.
+    pub fn cut_direction(&self, from: &str, to: &str) {
+        self.forwarders[&(from.to_owned(), to.to_owned())].mode.store(CUT, Ordering::SeqCst);
+    }
+
+    /// Swallows what is sent between a node and others, on present and new connections.
+    pub fn silence(&self, name: &str, others: &[&str]) {
+        self.set_mode(name, others, SILENT);
+    }
+
+    /// Undoes `cut` and `silence`.
+    pub fn restore(&self, name: &str, others: &[&str]) {
+        self.set_mode(name, others, OPEN);
+    }
+
+    /// Swallows what is sent on the present connections of a node for ever; new ones work.
+    pub fn stall_present_connections(&self, name: &str) {
+        for ((from, to), forwarder) in &self.forwarders {
+            if from == name || to == name {
+                let next = forwarder.next.load(Ordering::SeqCst);
+                forwarder.stalled_below.store(next, Ordering::SeqCst);
+            }
+        }
+    }
+
+    /// Applies a fault to the next bytes that one node sends on a connection that it opened to another.
+    pub fn inject(&self, from: &str, to: &str, fault: Fault) {
+        *self.forwarders[&(from.to_owned(), to.to_owned())].fault.lock().unwrap() = Some(fault);
+    }
+
+    /// Returns how many connections were opened from one node to another.
+    pub fn connections(&self, from: &str, to: &str) -> u64 {
+        self.forwarders[&(from.to_owned(), to.to_owned())].next.load(Ordering::SeqCst)
+    }
+
+    /// Returns the leader that a majority would accept: the running leader of the highest term.
+    pub fn leader(&self) -> Option<String> {
+        let leaders = self.running.iter().filter(|(_, n)| n.handle.status().role == Role::Leader);
+        leaders.max_by_key(|(_, node)| node.handle.status().term).map(|(name, _)| name.clone())
+    }
+
+    /// Waits until `condition` holds; fails after a generous time.
+    pub async fn wait(&self, what: &str, condition: impl Fn(&Self) -> bool) {
+        self.wait_up_to(SOON, what, condition).await;
+    }
+
+    /// Waits until `condition` holds; fails after `limit`.
+    pub async fn wait_up_to(&self, limit: Duration, what: &str, condition: impl Fn(&Self) -> bool) {
+        let start = Instant::now();
+        while !condition(self) {
+            assert!(start.elapsed() < limit, "not reached in {limit:?}: {what}; {:#?}", self.summary());
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    fn summary(&self) -> Vec<String> {
+        let line = |(name, node): (&String, &Running)| {
+            let status = node.handle.status();
+            let version = self.version(name);
+            let alive = status.members.iter().filter(|m| m.alive).count();
+            format!(
+                "{name}: {} term {} leader {:?} applied {} version {version} current {} alive {alive}",
+                status.role.name(),
+                status.term,
+                status.leader.map(|l| l.to_string()),
+                status.applied_index,
+                status.current,
+            )
+        };
+        self.running.iter().map(line).collect()
+    }
+
+    /// Returns the configuration version of a node.
+    pub fn version(&self, name: &str) -> ConfigVersion {
+        self.node(name).view().borrow().version
+    }
+
+    /// Marks an upstream as draining through a node, resending until the outcome is clear.
+    pub async fn drain(&self, through: &str, upstream: &str) -> ConfigVersion {
+        let start = Instant::now();
+        loop {
+            match self.try_drain(through, upstream).await {
+                Ok(Reply::Accepted(version)) => return version,
+                other => assert!(start.elapsed() < SOON, "{other:?}; {:#?}", self.summary()),
+            }
+        }
+    }
+
+    /// Marks an upstream as draining through a node, once.
+    pub async fn try_drain(&self, through: &str, upstream: &str) -> Result<Reply, ProposeError> {
+        self.node(through).propose(drain_command(upstream)).await
+    }
+
+    /// Waits until the nodes have a version or a newer one.
+    pub async fn wait_version(&self, names: &[&str], version: ConfigVersion) {
+        let reached = |cluster: &Self| names.iter().all(|name| cluster.version(name) >= version);
+        self.wait(&format!("version {version} on {names:?}"), reached).await;
+    }
+}
+
+impl Drop for TestCluster {
+    fn drop(&mut self) {
+        let names: Vec<String> = self.running.keys().cloned().collect();
+        for name in names {
+            let node = self.running.remove(&name).unwrap();
+            let _ = node.orders.send(Order::Stop);
+            let _ = node.thread.join();
+        }
+    }
+}
+
+/// Returns the command that marks an upstream as draining; equal names give equal change ids.
+pub fn drain_command(upstream: &str) -> Command {
+    let upstream = InstanceId::from(upstream);
+    Command::SetDrain(SetDrain { change: format!("drain {upstream}").into(), upstream, draining: true })
+}
--- /dev/null
+++ b/crates/cluster/tests/followers.rs
@@ -0,0 +1,190 @@
+//! Nodes without disks: relays, versions that never go back, partitions, heartbeats, leaving.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+#![allow(missing_docs, unreachable_pub)]
+
+#[allow(dead_code)]
+mod common;
+
+use std::time::Duration;
+
+use common::{TestCluster, drain_command};
+use daisysill_cluster::Role;
+use daisysill_core::ids::ConfigVersion;
+use daisysill_wire::peer::SoftReport;
+use tokio::time::{Instant, sleep};
+
+const THREE: &[&str] = &["a/z1", "b/z2", "c/z3"];
+const ZONE: &[&str] = &["o1/z1", "o2/z1", "o3/z1", "o4/z1", "o5/z1"];
+
+/// Guards against followers that stay behind when the node that they follow dies.
+#[tokio::test]
+async fn followers_survive_the_loss_of_their_relays() {
+    let mut cluster = TestCluster::started(THREE, ZONE).await;
+    let version = cluster.drain("o5", "before").await;
+    cluster.wait_version(&["o3", "o4", "o5"], version).await;
+    cluster.stop("o1");
+    let version = cluster.drain("o5", "one relay left").await;
+    cluster.wait_version(&["o2", "o3", "o4", "o5"], version).await;
+    cluster.stop("o2");
+    let version = cluster.drain("o5", "both relays lost").await;
+    cluster.wait_version(&["o3", "o4", "o5"], version).await;
+}
+
+/// Guards against voters that serve every node of a large zone: only the relays follow a voter.
+#[tokio::test]
+async fn only_the_relays_follow_a_voter() {
+    let cluster = TestCluster::started(THREE, ZONE).await;
+    let alive = |cluster: &TestCluster| {
+        ["o1", "o2", "o3", "o4", "o5"]
+            .iter()
+            .all(|name| cluster.node(name).status().members.iter().all(|member| member.alive))
+    };
+    cluster.wait("all nodes know all others", alive).await;
+    // Polls that began before the relays were known last up to a second.
+    sleep(Duration::from_millis(2_500)).await;
+    for _ in 0..20 {
+        let at_voters: i64 = ["a", "b", "c"].iter().map(|n| cluster.node(n).metrics().followers.get()).sum();
+        assert!(at_voters <= 2, "{at_voters} followers at the voters");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against a node that goes back to an older configuration when only an older one is in reach.
+#[tokio::test]
+async fn a_follower_never_goes_back_to_an_older_version() {
+    let mut cluster = TestCluster::started(THREE, &["o1/z1"]).await;
+    let version = cluster.drain("o1", "old").await;
+    cluster.wait_version(&["a", "b", "c", "o1"], version).await;
+    let leader = cluster.leader().unwrap();
+    let behind = cluster.others(&leader).into_iter().find(|name| *name != "o1").unwrap().to_owned();
+    let rest: Vec<&str> = cluster.others(&behind).into_iter().filter(|name| *name != "o1").collect();
+    cluster.cut(&behind, &rest);
+    // It cannot ask the follower either, but the follower can ask it.
+    cluster.cut_direction(&behind, "o1");
+    let newer = cluster.drain(&leader, "new").await;
+    cluster.wait_version(&["o1"], newer).await;
+    let watcher = cluster.node("o1").view();
+    let seen = tokio::spawn(lowest_version(watcher, newer));
+    for name in ["a", "b", "c"] {
+        if name != behind {
+            cluster.stop(name);
+        }
+    }
+    assert!(cluster.version(&behind) < newer);
+    // Asked again and again by the follower, the voter that is behind has only the older version.
+    sleep(Duration::from_secs(4)).await;
+    assert!(cluster.version(&behind) < newer);
+    assert_eq!(cluster.version("o1"), newer);
+    seen.abort();
+    assert!(seen.await.unwrap_err().is_cancelled());
+}
+
+/// Panics as soon as a version below `newest` is put in force.
+async fn lowest_version(
+    mut watcher: tokio::sync::watch::Receiver<std::sync::Arc<daisysill_control::state::ConfigView>>,
+    newest: ConfigVersion,
+) {
+    while watcher.changed().await.is_ok() {
+        assert!(watcher.borrow_and_update().version >= newest);
+    }
+}
+
+/// Guards against an isolated zone that takes its configuration for current, and against a node that starts
+/// there and stays without one although its neighbours have it.
+#[tokio::test]
+async fn an_isolated_zone_keeps_its_configuration_and_shares_it() {
+    let mut cluster = TestCluster::started(THREE, &["o1/z4", "o2/z4"]).await;
+    let version = cluster.drain("o1", "worker-1").await;
+    cluster.wait_version(&["o1", "o2"], version).await;
+    let voters = ["a", "b", "c"];
+    cluster.silence("o1", &voters);
+    cluster.silence("o2", &voters);
+    cluster.stop("o2");
+    let stale = |cluster: &TestCluster| !cluster.node("o1").status().current;
+    cluster.wait("o1 reports that it is cut off", stale).await;
+    assert_eq!(cluster.version("o1"), version);
+    cluster.start("o2");
+    assert!(!cluster.node("o2").status().current, "current before anyone was asked");
+    cluster.wait_version(&["o2"], version).await;
+    cluster.restore("o1", &voters);
+    cluster.restore("o2", &voters);
+    let current = |cluster: &TestCluster| ["o1", "o2"].iter().all(|n| cluster.node(n).status().current);
+    cluster.wait("both are current again", current).await;
+}
+
+/// Guards against a started node that reports itself current before it has the newest version in its zone.
+#[tokio::test]
+async fn a_restarted_follower_is_current_only_with_the_newest_version() {
+    let mut cluster = TestCluster::started(THREE, &["o1/z1", "o2/z1"]).await;
+    for round in 0..5 {
+        cluster.stop("o2");
+        let version = cluster.drain("o1", &format!("worker-{round}")).await;
+        cluster.wait_version(&["o1"], version).await;
+        cluster.start("o2");
+        let start = Instant::now();
+        while !cluster.node("o2").status().current {
+            assert!(start.elapsed() < common::SOON);
+            sleep(Duration::from_millis(1)).await;
+        }
+        assert!(cluster.version("o2") >= version);
+    }
+}
+
+/// Guards against soft reports that do not reach every node, or reach it only whole and once.
+#[tokio::test]
+async fn soft_reports_and_liveness_reach_every_node() {
+    let mut cluster = TestCluster::started(THREE, &["o1/z1", "o2/z2", "o3/z3", "o4/z4"]).await;
+    for tokens in [7, 11] {
+        let mut soft = SoftReport::default();
+        soft.in_flight_tokens.insert("worker-1".into(), tokens);
+        cluster.node("o4").set_soft(soft.clone());
+        let arrived = |cluster: &TestCluster| {
+            cluster.others("o4").iter().all(|name| {
+                let reports = cluster.node(name).soft_reports();
+                reports
+                    .iter()
+                    .any(|r| r.name.as_str() == "o4" && r.soft == soft && r.age < Duration::from_secs(5))
+            })
+        };
+        cluster.wait("the report of o4 is everywhere", arrived).await;
+    }
+    cluster.stop("o4");
+    let dead = |cluster: &TestCluster| {
+        ["a", "b", "c", "o1", "o2", "o3"].iter().all(|name| {
+            let members = cluster.node(name).status().members;
+            members.iter().all(|member| member.alive == (member.name.as_str() != "o4"))
+        })
+    };
+    cluster.wait("o4 alone is taken for dead", dead).await;
+}
+
+/// Guards against a planned stop of the leader that loses proposals or tells nobody.
+#[tokio::test]
+async fn a_leader_that_leaves_hands_over() {
+    let cluster = TestCluster::started(THREE, &["o1/z1"]).await;
+    let leader = cluster.leader().unwrap();
+    let others: Vec<&str> = cluster.others(&leader);
+    let proposals = (0..20).map(|index| {
+        let handle = cluster.node("o1").clone();
+        async move {
+            sleep(Duration::from_millis(50 * index)).await;
+            handle.propose(drain_command(&format!("worker-{index}"))).await
+        }
+    });
+    let proposals = tokio::spawn(futures::future::join_all(proposals.collect::<Vec<_>>()));
+    sleep(Duration::from_millis(300)).await;
+    cluster.node(&leader).leave().await;
+    assert_ne!(cluster.node(&leader).status().role, Role::Leader);
+    let new_leader = cluster.node(&leader).status().leader.map(|name| name.to_string());
+    assert!(new_leader.is_some_and(|name| name != leader && cluster.leader() == Some(name)));
+    let told = |cluster: &TestCluster| {
+        others.iter().all(|name| {
+            let members = cluster.node(name).status().members;
+            members.iter().any(|member| member.name.as_str() == leader && member.leaving)
+        })
+    };
+    cluster.wait("all know that it leaves", told).await;
+    for result in proposals.await.unwrap() {
+        assert!(matches!(result, Ok(daisysill_control::command::Reply::Accepted(_))), "{result:?}");
+    }
+}
--- /dev/null
+++ b/crates/cluster/tests/leases.rs
@@ -0,0 +1,98 @@
+//! Leases: one holder at a time, also when the holder is cut off or suspended.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+#![allow(missing_docs, unreachable_pub)]
+
+#[allow(dead_code)]
+mod common;
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use common::TestCluster;
+use daisysill_cluster::{LeaseKeeper, LeaseTerms};
+use tokio::time::sleep;
+
+const THREE: &[&str] = &["a/z1", "b/z2", "c/z3"];
+const LONGEST_ORDER: Duration = Duration::from_millis(500);
+
+fn keeper(cluster: &TestCluster, name: &str) -> Arc<LeaseKeeper> {
+    let terms = LeaseTerms {
+        role: "weights".to_owned(),
+        duration: Duration::from_secs(2),
+        longest_order: LONGEST_ORDER,
+    };
+    Arc::new(LeaseKeeper::start(cluster.node(name).clone(), name.into(), terms))
+}
+
+async fn wait_held(keeper: &LeaseKeeper, cluster: &TestCluster) {
+    cluster.wait("the lease is held", |_| keeper.fencing().is_some()).await;
+}
+
+/// Guards against two holders at once, and against a new holder that does not wait for orders in flight.
+#[tokio::test]
+async fn a_holder_cut_off_stops_before_the_next_one_starts() {
+    let cluster = TestCluster::started(THREE, &["o1/z1", "o2/z2"]).await;
+    let first = keeper(&cluster, "o1");
+    wait_held(&first, &cluster).await;
+    let second = keeper(&cluster, "o2");
+    sleep(Duration::from_secs(3)).await;
+    assert!(first.fencing().is_some(), "the lease is renewed");
+    assert_eq!(second.fencing(), None);
+
+    let mut changes = first.held();
+    cluster.silence("o1", &cluster.others("o1"));
+    let start = Instant::now();
+    let mut last_first = None;
+    while second.fencing().is_none() {
+        if first.fencing().is_some() {
+            last_first = Some(Instant::now());
+        }
+        assert!(start.elapsed() < common::SOON);
+        sleep(Duration::from_millis(1)).await;
+    }
+    assert_eq!(first.fencing(), None);
+    let gap = last_first.unwrap().elapsed();
+    assert!(gap >= LONGEST_ORDER, "the new holder started after {gap:?}");
+    assert!(changes.has_changed().unwrap() && changes.borrow_and_update().is_none(), "told to stop");
+}
+
+/// Guards against a process that was suspended and sends an order under a lease that has passed on.
+#[tokio::test]
+async fn a_suspended_holder_has_no_lease_when_it_resumes() {
+    let cluster = TestCluster::started(THREE, &["o1/z1", "o2/z2"]).await;
+    // Runs on the thread of the node, which is what a suspended process stops.
+    let first = keeper(&cluster, "o1");
+    wait_held(&first, &cluster).await;
+    let number = first.fencing().unwrap();
+    let second = keeper(&cluster, "o2");
+    cluster.freeze("o1", Duration::from_secs(5));
+    sleep(Duration::from_millis(4_800)).await;
+    assert_eq!(first.fencing(), None);
+    wait_held(&second, &cluster).await;
+    assert!(second.fencing().unwrap() > number);
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(first.fencing(), None);
+    assert!(second.fencing().is_some());
+}
+
+/// Guards against a lease that is lost, or handed out twice, when the leader is suspended and resumes.
+#[tokio::test]
+async fn a_lease_outlives_a_suspended_leader() {
+    let cluster = TestCluster::started(THREE, &["o1/z1"]).await;
+    let keeper = keeper(&cluster, "o1");
+    wait_held(&keeper, &cluster).await;
+    let number = keeper.fencing().unwrap();
+    let leader = cluster.leader().unwrap();
+    cluster.freeze(&leader, Duration::from_secs(3));
+    let elected = |cluster: &TestCluster| cluster.leader().is_some_and(|name| name != leader);
+    cluster.wait("another leader", elected).await;
+    wait_held(&keeper, &cluster).await;
+    sleep(Duration::from_secs(4)).await;
+    assert!(keeper.fencing().is_some_and(|fencing| fencing >= number));
+    let leaders = ["a", "b", "c"]
+        .iter()
+        .filter(|name| cluster.node(name).status().role == daisysill_cluster::Role::Leader);
+    assert_eq!(leaders.count(), 1);
+}
--- /dev/null
+++ b/crates/cluster/tests/replicas.rs
@@ -0,0 +1,191 @@
+//! Voters over real TCP: forming, failing over, cutting off, restarting.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+#![allow(missing_docs, unreachable_pub)]
+
+#[allow(dead_code)]
+mod common;
+
+use std::{collections::BTreeSet, time::Duration};
+
+use common::{TestCluster, drain_command};
+use daisysill_cluster::{ProposeError, Role};
+use daisysill_control::command::Reply;
+use tokio::time::Instant;
+
+const THREE: &[&str] = &["a/z1", "b/z2", "c/z3"];
+
+/// Guards against clusters of any usual size that do not form, or whose nodes differ.
+#[tokio::test]
+async fn clusters_of_1_3_and_5_voters_form_and_agree() {
+    for voters in [&["a/z1"][..], THREE, &["a/z1", "b/z2", "c/z3", "d/z1", "e/z2"]] {
+        let cluster = TestCluster::started(voters, &["o1/z1", "o2/z2"]).await;
+        let version = cluster.drain("o1", "worker-1").await;
+        let names: Vec<&str> = cluster.others("");
+        cluster.wait_version(&names, version).await;
+        for name in names {
+            assert!(cluster.node(name).view().borrow().draining.contains(&"worker-1".into()), "{name}");
+        }
+    }
+}
+
+/// Guards against a cluster that stays without a leader after one stops, and against lost commits.
+#[tokio::test]
+async fn a_stopped_leader_is_replaced_and_nothing_is_lost() {
+    let mut cluster = TestCluster::started(THREE, &["o1/z1"]).await;
+    cluster.drain("o1", "before").await;
+    let leader = cluster.leader().unwrap();
+    cluster.stop(&leader);
+    let version = cluster.drain("o1", "after").await;
+    let rest: Vec<&str> = cluster.others(&leader);
+    cluster.wait_version(&rest, version).await;
+    for name in rest {
+        let view = cluster.node(name).view().borrow().clone();
+        assert_eq!(view.draining, BTreeSet::from(["before".into(), "after".into()]), "{name}");
+    }
+}
+
+/// Guards against a leader that accepts commands, or takes its configuration for current, while it is cut
+/// off without noticing.
+#[tokio::test]
+async fn a_leader_cut_off_silently_accepts_nothing() {
+    let cluster = TestCluster::started(THREE, &["o1/z1"]).await;
+    cluster.drain("o1", "before").await;
+    let old = cluster.leader().unwrap();
+    let others: Vec<&str> = cluster.others(&old);
+    cluster.silence(&old, &others);
+    let start = Instant::now();
+    let lost = cluster.try_drain(&old, "lost").await;
+    assert!(lost.is_err(), "{lost:?}");
+    assert!(start.elapsed() < Duration::from_secs(6), "{:?}", start.elapsed());
+    let version = cluster.drain("o1", "after").await;
+    assert!(cluster.version(&old) < version);
+    let is_stale = |cluster: &TestCluster| {
+        let status = cluster.node(&old).status();
+        !status.current && status.role != Role::Leader
+    };
+    cluster.wait("the old leader knows that it is cut off", is_stale).await;
+    cluster.restore(&old, &others);
+    cluster.wait_version(&[old.as_str()], version).await;
+    cluster.wait("the old leader is current again", |cluster| cluster.node(&old).status().current).await;
+}
+
+/// Guards against a follower that disturbs the others when it returns, or does not catch up.
+#[tokio::test]
+async fn a_follower_cut_off_catches_up_when_it_is_back() {
+    let cluster = TestCluster::started(THREE, &[]).await;
+    let leader = cluster.leader().unwrap();
+    let follower = cluster.others(&leader)[0].to_owned();
+    let others: Vec<&str> = cluster.others(&follower);
+    cluster.cut(&follower, &others);
+    let term = cluster.node(&leader).status().term;
+    let mut version = cluster.version(&leader);
+    for number in 0..20 {
+        version = cluster.drain(&leader, &format!("worker-{number}")).await;
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    cluster.restore(&follower, &others);
+    cluster.wait_version(&[follower.as_str()], version).await;
+    assert_eq!(cluster.leader(), Some(leader.clone()));
+    assert_eq!(cluster.node(&leader).status().term, term);
+}
+
+/// Guards against accepted commands that vanish and refused ones that take effect, while leaders change.
+#[tokio::test]
+async fn proposals_during_elections_keep_their_word() {
+    let mut cluster = TestCluster::started(THREE, &["o1/z1", "o2/z2"]).await;
+    let mut accepted = BTreeSet::new();
+    let mut refused = BTreeSet::new();
+    for round in 0..4 {
+        let leader = cluster.leader().unwrap();
+        let through = |index: usize| if index.is_multiple_of(2) { "o1" } else { "o2" };
+        let proposals = (0..24).map(|index| {
+            let name = format!("worker-{round}-{index}");
+            let handle = cluster.node(through(index)).clone();
+            async move {
+                tokio::time::sleep(Duration::from_millis(40 * index as u64)).await;
+                let result = handle.propose(drain_command(&name)).await;
+                (name, result)
+            }
+        });
+        let proposals = tokio::spawn(futures::future::join_all(proposals.collect::<Vec<_>>()));
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        if round % 2 == 0 {
+            cluster.stop(&leader);
+        } else {
+            cluster.silence(&leader, &cluster.others(&leader));
+        }
+        for (name, result) in proposals.await.unwrap() {
+            match result {
+                Ok(Reply::Accepted(_)) => drop(accepted.insert(name)),
+                Err(ProposeError::NotCommitted) => drop(refused.insert(name)),
+                Err(ProposeError::Uncertain) => {}
+                Ok(other) => panic!("{other:?}"),
+            }
+        }
+        if round % 2 == 0 {
+            cluster.start(&leader);
+        } else {
+            cluster.restore(&leader, &cluster.others(&leader));
+        }
+        let has_leader = |cluster: &TestCluster| {
+            ["a", "b", "c"].iter().all(|name| cluster.node(name).status().leader.is_some())
+        };
+        cluster.wait("a leader is known to all", has_leader).await;
+    }
+    let version = cluster.drain("o1", "last").await;
+    cluster.wait_version(&["a", "b", "c", "o2"], version).await;
+    assert!(accepted.len() > 40, "{}", accepted.len());
+    for name in ["a", "b", "c", "o1", "o2"] {
+        let draining = cluster.node(name).view().borrow().draining.clone();
+        let draining: BTreeSet<String> = draining.iter().map(ToString::to_string).collect();
+        assert!(accepted.is_subset(&draining), "lost on {name}: {:?}", accepted.difference(&draining));
+        assert!(refused.is_disjoint(&draining), "on {name}: {:?}", refused.intersection(&draining));
+    }
+}
+
+/// Guards against callers that hang, or are told that a command may have run, while no leader exists.
+#[tokio::test]
+async fn without_a_majority_a_proposal_is_refused_in_time() {
+    let mut cluster = TestCluster::started(THREE, &["o1/z1"]).await;
+    cluster.stop("b");
+    cluster.stop("c");
+    let no_leader = |cluster: &TestCluster| cluster.node("a").status().role != Role::Leader;
+    cluster.wait("the last voter does not lead", no_leader).await;
+    for name in ["a", "o1"] {
+        let start = Instant::now();
+        assert_eq!(cluster.try_drain(name, "worker-1").await, Err(ProposeError::NotCommitted), "{name}");
+        assert!(start.elapsed() < Duration::from_secs(3), "{name}: {:?}", start.elapsed());
+    }
+}
+
+/// Guards against a state that does not survive a restart of all voters.
+#[tokio::test]
+async fn voters_restart_with_their_folders() {
+    let mut cluster = TestCluster::started(THREE, &[]).await;
+    let version = cluster.drain("a", "worker-1").await;
+    for name in ["a", "b", "c"] {
+        cluster.stop(name);
+    }
+    for name in ["a", "b", "c"] {
+        cluster.start(name);
+    }
+    cluster.wait_version(&["a", "b", "c"], version).await;
+    cluster.wait("all current", |c| ["a", "b", "c"].iter().all(|n| c.node(n).status().current)).await;
+    assert!(cluster.drain("b", "worker-2").await > version);
+    assert_eq!(cluster.drain("c", "worker-1").await, version);
+}
+
+/// Guards against a voter that goes on after its disk has failed.
+#[tokio::test]
+async fn a_voter_whose_folder_fails_halts_and_the_others_go_on() {
+    let cluster = TestCluster::started(THREE, &[]).await;
+    let leader = cluster.leader().unwrap();
+    let follower = cluster.others(&leader)[0].to_owned();
+    std::fs::remove_dir_all(cluster.data_dir(&follower)).unwrap();
+    // An election makes each voter store its vote, which fails here.
+    cluster.freeze(&leader, Duration::from_secs(3));
+    let halted = |cluster: &TestCluster| cluster.node(&follower).status().role == Role::Halted;
+    cluster.wait("the voter has halted", halted).await;
+    let version = cluster.drain(&leader, "worker-1").await;
+    cluster.wait_version(&["a", "b", "c"], version).await;
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -124,15 +124,6 @@
         Uncertain,
     }
 
-    /// Whether a node may take part in the forming of a new cluster.
-    pub enum FolderState {
-        /// It has no data folder.
-        NoFolder,
-        /// Its data folder holds nothing.
-        Empty,
-        /// Its data folder holds a log.
-        Used,
-    }
 }
 
 /// Calls between daisysill processes.
@@ -146,6 +137,4 @@
     async fn follow(after: ConfigVersion, wait_ms: u64) -> FollowReply;
     /// Exchanges heartbeats.
     async fn heartbeat(heartbeat: Heartbeat) -> Heartbeat;
-    /// Asks whether the node's data folder is empty.
-    async fn folder_state() -> FolderState;
 }
