--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod client;
+mod digest;
 mod exit_code;
 mod options;
 mod publish;
@@ -32,6 +33,7 @@
             print!("{text}");
             return ExitCode::Success;
         }
+        Action::Digest => return digest::run(),
         Action::Check { directory } => return check::run(directory, options.json),
         Action::Publish(publish) => actix_rt::System::new().block_on(publish::run(options, publish)),
         Action::Status => actix_rt::System::new().block_on(report::status(options)),
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -15,7 +15,8 @@
   explain [REQUEST]         show why requests were served as they were
   drain UPSTREAM            give an upstream no new work
   undrain UPSTREAM          clear the drain mark
-  weights SERVICE OLD NEW   roll out a weight version";
+  weights SERVICE OLD NEW   roll out a weight version
+  digest                    print the digest of the bearer token on standard input";
 
 /// The command line as parsed.
 #[derive(Clone, Debug)]
@@ -56,6 +57,8 @@
         /// Whether it drains.
         draining: bool,
     },
+    /// Print the digest of a token.
+    Digest,
     /// Roll out a weight version.
     Weights {
         /// The model service.
@@ -127,6 +130,7 @@
                 .map_err(|_| "--timeout takes a number of seconds".to_owned())?,
         })),
         ["status"] => Ok(Action::Status),
+        ["digest"] => Ok(Action::Digest),
         ["explain"] => Ok(Action::Explain { request_id: None }),
         ["explain", id] => Ok(Action::Explain { request_id: Some((*id).to_owned()) }),
         ["drain", upstream] => Ok(Action::Drain { upstream: (*upstream).to_owned(), draining: true }),
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -18,3 +18,12 @@
     assert_eq!(output.status.code(), Some(3), "{text}");
     assert!(text.starts_with("booth.ini:4: [rest] memory_s = \"long\": a whole number"), "{text}");
 }
+
+/// Guards against a digest that differs from the one a node computes, for instance by a trailing newline.
+#[test]
+fn digest_leaves_out_the_newline() {
+    let output =
+        Command::cargo_bin("daisysill").unwrap().arg("digest").write_stdin("secret\n").output().unwrap();
+    let expected = format!("{}\n", blake3::hash(b"secret").to_hex());
+    assert_eq!(String::from_utf8(output.stdout).unwrap(), expected);
+}
