Hand leadership over on a planned stop

Cause: after leave() the others waited for an election timeout and sometimes a split vote; one of 20 proposals got NotCommitted in one of two runs of a_leader_that_leaves_hands_over. Change: the leader that has stopped tells the voters, which set their replica clock forward; a slow answer no longer closes a connection on which other frames arrive; commands that may be resent wait one second per attempt.

--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -47,6 +47,13 @@
         /// Gets the answer; dropped unanswered if the outcome is uncertain.
         answer: oneshot::Sender<ProposalResult>,
     },
+    /// The leader has stopped.
+    TakeOver {
+        /// The node that says so; ignored unless it is the leader.
+        from: InstanceId,
+        /// Whether this voter campaigns at once.
+        campaign: bool,
+    },
     /// The node leaves: the replica stops once its proposals are settled.
     Leave {
         /// Told when the replica has stopped.
@@ -73,6 +80,9 @@
 pub(crate) struct Driver {
     replica: Replica,
     start: Instant,
+    /// Time by which the replica's clock is ahead, see `take_over`.
+    ahead_ms: u64,
+    election_timeout_ms: u64,
     storage: StorageThread,
     outbox: Outbox,
     views: Arc<ViewStore>,
@@ -86,10 +96,10 @@
 }
 
 impl Driver {
-    /// Prepares a driver whose clock starts at `start`.
+    /// Prepares a driver; the replica's clock starts now.
     pub(crate) fn new(
         replica: Replica,
-        start: Instant,
+        election_timeout_ms: u64,
         storage: StorageThread,
         outbox: Outbox,
         views: Arc<ViewStore>,
@@ -98,7 +108,9 @@
     ) -> Self {
         Self {
             replica,
-            start,
+            start: Instant::now(),
+            ahead_ms: 0,
+            election_timeout_ms,
             storage,
             outbox,
             views,
@@ -130,7 +142,8 @@
                 self.stop();
                 return;
             }
-            let timer = self.start + Duration::from_millis(self.replica.next_timer_ms());
+            let timer_ms = self.replica.next_timer_ms().saturating_sub(self.ahead_ms);
+            let timer = self.start + Duration::from_millis(timer_ms);
             let timer = self.leaving.as_ref().map_or(timer, |(_, limit)| timer.min(*limit));
             tokio::select! {
                 biased;
@@ -150,7 +163,7 @@
     }
 
     fn now_ms(&self) -> u64 {
-        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX).saturating_add(self.ahead_ms)
     }
 
     fn step(&mut self, input: Input) {
@@ -166,6 +179,7 @@
                 }
             }
             DriverInput::Propose { command, answer } => self.propose(command, answer),
+            DriverInput::TakeOver { from, campaign } => self.take_over(&from, campaign),
             DriverInput::Leave { stopped } => self.leaving = Some((stopped, Instant::now() + SETTLE_LIMIT)),
         }
     }
@@ -184,6 +198,16 @@
         self.step(Input::Propose { ticket: self.next_ticket, command });
     }
 
+    /// Sets the replica's clock forward, so that it acts as if the leader had been silent for that long. Only
+    /// the pace of this clock matters to the protocol, and the leader that says so has stopped for good.
+    fn take_over(&mut self, from: &InstanceId, campaign: bool) {
+        if self.replica.status().leader.as_ref() != Some(from) {
+            return;
+        }
+        // After one timeout a voter grants votes; after two, the longest there is, it campaigns.
+        self.ahead_ms += if campaign { 2 * self.election_timeout_ms } else { self.election_timeout_ms };
+    }
+
     fn written(&mut self, done: Option<WriteDone>) {
         let Some(done) = done else { return };
         let Some(error) = done.error else { return self.step(Input::Written { write: done.write }) };
--- a/crates/cluster/src/handle.rs
+++ b/crates/cluster/src/handle.rs
@@ -7,14 +7,15 @@
 };
 
 use daisysill_control::{
-    Recovered, Replica, ReplicaConfig,
+    Recovered, Replica, ReplicaConfig, ReplicaStatus, Role as ReplicaRole,
     command::{Command, Reply},
     state::ConfigView,
     storage,
 };
 use daisysill_core::ids::{ConfigVersion, InstanceId};
-use daisysill_wire::peer::SoftReport;
+use daisysill_wire::peer::{PeerClient, SoftReport};
 use eyre::WrapErr;
+use futures::{FutureExt, future::join_all};
 use tokio::{
     net::TcpListener,
     runtime::Handle,
@@ -30,7 +31,7 @@
     follow::Follower,
     gossip::Gossip,
     handshake::SharedKey,
-    link::Links,
+    link::{Link, Links},
     members::Members,
     metrics::ClusterMetrics,
     outbox::Outbox,
@@ -49,6 +50,8 @@
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(3);
 /// Time for a proposal where even the cluster's own limits do not end it.
 const PROPOSE_LIMIT: Duration = Duration::from_secs(5);
+/// Time for a voter to take note that the leader has stopped.
+const HAND_OVER_CALL: Duration = Duration::from_millis(300);
 /// Time between two looks at who leads.
 const HAND_OVER_CHECK: Duration = Duration::from_millis(20);
 
@@ -174,7 +177,7 @@
     let outbox = Outbox::new(links.clone(), metrics.clone());
     let (inputs, receiver) = mpsc::channel(INPUT_QUEUE);
     let views = Arc::clone(views);
-    let driver = Driver::new(replica, Instant::now(), storage, outbox, views, metrics.clone(), status);
+    let driver = Driver::new(replica, ELECTION_TIMEOUT_MS, storage, outbox, views, metrics.clone(), status);
     Ok(Some(DriverParts { driver, inputs, receiver, writes }))
 }
 
@@ -279,7 +282,8 @@
     /// Tells the others that this node is shutting down, and hands over what it owns.
     pub async fn leave(&self) {
         self.inner.gossip.members.set_leaving();
-        let led = self.status().role == Role::Leader;
+        let replica = self.inner.replica.borrow().status.clone();
+        let led = replica.as_ref().filter(|status| status.role == ReplicaRole::Leader);
         if let Some(driver) = &self.inner.proposer.driver {
             let (stopped, has_stopped) = oneshot::channel();
             self.inner.leader.set(None);
@@ -287,11 +291,29 @@
                 let _ = timeout(HAND_OVER_LIMIT, has_stopped).await;
             }
         }
-        self.inner.gossip.tell_partners().await;
-        let others = !self.inner.gossip.members.list().is_empty();
-        if led && others {
-            let _ = timeout(HAND_OVER_LIMIT, self.another_leads()).await;
+        if let Some(status) = led.filter(|status| status.voters.voters.len() > 1) {
+            self.hand_over(status).await;
         }
+        self.inner.gossip.tell_partners().await;
+    }
+
+    /// Tells the other voters that the leader has stopped, and waits until another node leads.
+    async fn hand_over(&self, status: &ReplicaStatus) {
+        let links = &self.inner.proposer.links;
+        let voters = status.voters.voters.keys().filter_map(|name| links.get(name));
+        let (alive, _): (Vec<_>, Vec<_>) =
+            voters.partition(|link| self.inner.gossip.members.is_alive(&link.name));
+        let Some((successor, others)) = alive.split_first() else { return };
+        let tell = |link: &Arc<Link>, campaign| {
+            let link = Arc::clone(link);
+            let call = move |client: PeerClient, context| {
+                async move { client.take_over(context, campaign).await }.boxed()
+            };
+            async move { link.call(HAND_OVER_CALL, call).await }
+        };
+        join_all(others.iter().map(|link| tell(link, false))).await;
+        let _ = tell(successor, true).await;
+        let _ = timeout(HAND_OVER_LIMIT, self.another_leads()).await;
     }
 
     async fn another_leads(&self) {
--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -68,6 +68,8 @@
 struct Connection {
     client: PeerClient,
     closed: Arc<AtomicBool>,
+    /// Frames received, by which a slow answer is told from a silent connection.
+    frames_in: Arc<AtomicU64>,
     dispatch: AbortHandle,
 }
 
@@ -102,8 +104,8 @@
 }
 
 impl Link {
-    /// Calls the node and waits for at most `limit` for its answer. A call that gets no answer in time
-    /// closes the connection, since an established connection may go silent while new ones work.
+    /// Calls the node and waits for at most `limit` for its answer. If nothing at all arrives in that time,
+    /// the connection is closed, since an established connection may go silent while new ones work.
     pub(crate) async fn call<T, F>(&self, limit: Duration, request: F) -> Result<T, CallError>
     where
         F: FnOnce(PeerClient, Context) -> BoxFuture<'static, Result<T, RpcError>>,
@@ -111,6 +113,7 @@
         let Ok(_permit) = self.calls.try_acquire() else { return Err(CallError::NotSent) };
         let connection = self.connection().await?;
         *self.last_use.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+        let seen = connection.frames_in.load(Ordering::Relaxed);
         let mut context = context::current();
         // The outer timeout decides, since it follows the runtime's clock.
         context.deadline = std::time::Instant::now() + limit * 2;
@@ -118,10 +121,16 @@
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(RpcError::Send(_))) => Err(CallError::NotSent),
             Ok(Err(RpcError::Server(_))) => Err(CallError::Uncertain),
-            Ok(Err(_)) | Err(_) => {
+            Ok(Err(_)) => {
                 connection.close();
                 Err(CallError::Uncertain)
             }
+            Err(_) => {
+                if connection.frames_in.load(Ordering::Relaxed) == seen {
+                    connection.close();
+                }
+                Err(CallError::Uncertain)
+            }
         }
     }
 
@@ -166,11 +175,12 @@
         set_options(&stream)?;
         let session = handshake::connect(stream, self.key, &self.own, &self.name).await?;
         let transport = SealedTransport::new(session, self.metrics.clone());
+        let frames_in = transport.frames_in();
         let client::NewClient { client, dispatch } = PeerClient::new(client::Config::default(), transport);
         let dispatch = tokio::spawn(async move {
             let _ = dispatch.await;
         });
-        Ok(Connection { client, closed: Arc::default(), dispatch: dispatch.abort_handle() })
+        Ok(Connection { client, closed: Arc::default(), frames_in, dispatch: dispatch.abort_handle() })
     }
 
     async fn shut_down(&self) {
--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -40,7 +40,7 @@
     fn purpose(&self) -> Purpose {
         let Self::Request(request) = self else { return Purpose::Connection };
         match request.message {
-            PeerRequest::Replicate { .. } => Purpose::Replicate,
+            PeerRequest::Replicate { .. } | PeerRequest::TakeOver { .. } => Purpose::Replicate,
             PeerRequest::Propose { .. } => Purpose::Propose,
             PeerRequest::Follow { .. } => Purpose::Follow,
             PeerRequest::Heartbeat { .. } => Purpose::Heartbeat,
@@ -51,7 +51,7 @@
 impl HasPurpose for Response<PeerResponse> {
     fn purpose(&self) -> Purpose {
         match self.message {
-            Ok(PeerResponse::Replicate(..)) => Purpose::Replicate,
+            Ok(PeerResponse::Replicate(..) | PeerResponse::TakeOver(..)) => Purpose::Replicate,
             Ok(PeerResponse::Propose(..)) => Purpose::Propose,
             Ok(PeerResponse::Follow(..)) => Purpose::Follow,
             Ok(PeerResponse::Heartbeat(..)) => Purpose::Heartbeat,
--- a/crates/cluster/src/propose.rs
+++ b/crates/cluster/src/propose.rs
@@ -24,6 +24,8 @@
 const FIND_LEADER_LIMIT: Duration = Duration::from_secs(1);
 /// Time for the answer to a command that was sent; afterwards its outcome is uncertain.
 const ANSWER_LIMIT: Duration = Duration::from_millis(2_500);
+/// Time for the answer to one attempt at a command that may be sent again: an election takes about as long.
+const ATTEMPT_LIMIT: Duration = Duration::from_secs(1);
 /// Delay before the next attempt while no leader is known.
 const RETRY_MS: u64 = 40;
 
@@ -164,9 +166,10 @@
         limit: Instant,
     ) -> Result<Result<Reply, ForwardError>, CallError> {
         let Some(link) = self.links.get(target) else { return Err(CallError::NotSent) };
+        let most = if may_be_resent(&command) { ATTEMPT_LIMIT } else { ANSWER_LIMIT };
+        let limit = limit.saturating_duration_since(Instant::now()).min(most);
         let call =
             move |client: PeerClient, context| async move { client.propose(context, command).await }.boxed();
-        let limit = limit.saturating_duration_since(Instant::now()).min(ANSWER_LIMIT);
         link.call(limit, call).await
     }
 }
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -164,6 +164,11 @@
         }
     }
 
+    async fn take_over(self, _: Context, campaign: bool) {
+        let Some(driver) = &self.state.proposer.driver else { return };
+        let _ = driver.try_send(DriverInput::TakeOver { from: self.peer, campaign });
+    }
+
     async fn heartbeat(self, _: Context, heartbeat: Heartbeat) -> Heartbeat {
         if heartbeat.from == self.peer {
             self.state.members.receive(heartbeat);
--- a/crates/cluster/tests/common/mod.rs
+++ b/crates/cluster/tests/common/mod.rs
@@ -132,8 +132,8 @@
     pub fn new(voters: &[&str], observers: &[&str]) -> Self {
         let folder = tempfile::tempdir().unwrap();
         let split = |text: &&str| {
-            let (name, zone) = text.split_once('/').unwrap();
-            (name.to_owned(), zone.to_owned())
+            let (node, its_zone) = text.split_once('/').unwrap();
+            (node.to_owned(), its_zone.to_owned())
         };
         let voters: Vec<(String, String)> = voters.iter().map(split).collect();
         let all: Vec<_> = voters.iter().cloned().chain(observers.iter().map(split)).collect();
