--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -8,6 +8,10 @@
 };
 use tarpc::{ClientMessage, Response};
 
+/// Every purpose.
+const PURPOSES: [Purpose; 5] =
+    [Purpose::Replicate, Purpose::Propose, Purpose::Follow, Purpose::Heartbeat, Purpose::Connection];
+
 /// What the bytes of a frame are for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Purpose {
@@ -124,6 +128,16 @@
         cluster.register("dropped_messages", "Protocol messages dropped from full queues", dropped);
     }
 
+    /// Returns the bytes received for all purposes.
+    pub fn total_bytes_in(&self) -> u64 {
+        total(&self.bytes_in)
+    }
+
+    /// Returns the bytes sent for all purposes.
+    pub fn total_bytes_out(&self) -> u64 {
+        total(&self.bytes_out)
+    }
+
     pub(crate) fn count_in(&self, purpose: Purpose, bytes: usize) {
         self.bytes_in.get_or_create(&PurposeLabel { purpose }).inc_by(bytes as u64);
     }
@@ -132,3 +146,7 @@
         self.bytes_out.get_or_create(&PurposeLabel { purpose }).inc_by(bytes as u64);
     }
 }
+
+fn total(family: &Family<PurposeLabel, Counter>) -> u64 {
+    PURPOSES.into_iter().map(|purpose| family.get_or_create(&PurposeLabel { purpose }).get()).sum()
+}
--- a/crates/cluster/tests/common/mod.rs
+++ b/crates/cluster/tests/common/mod.rs
@@ -158,11 +158,11 @@
                 let zone = other_zone.as_str().into();
                 peers.push(PeerAddress { name: other.as_str().into(), zone, address });
             }
-            let votes = voters.iter().any(|(voter, _)| voter == name);
+            let has_disk = voters.iter().any(|(voter, _)| voter == name);
             let config = ClusterConfig {
                 name: name.as_str().into(),
                 zone: zone.as_str().into(),
-                data_dir: votes.then(|| folder.path().join(name)),
+                data_dir: has_disk.then(|| folder.path().join(name)),
                 peer_listen: "127.0.0.1:0".parse().unwrap(),
                 peers,
                 bootstrap_voters: voters.iter().map(|(voter, _)| voter.as_str().into()).collect(),
