Measure idle cost with full soft reports

Cause: the example measured nodes without soft reports only. Change: node counts as an argument, and reports of nearly full size that change four times a second.

--- a/crates/cluster/examples/commit_speed.rs
+++ b/crates/cluster/examples/commit_speed.rs
@@ -1,7 +1,8 @@
 //! Measures commits, elections, publishing and idle cost of a cluster in one process.
 //!
-//! `cargo run --release -p daisysill-cluster --example commit_speed [FOLDER]`; the folder, the current one by
-//! default, says which disk is measured.
+//! `cargo run --release -p daisysill-cluster --example commit_speed [FOLDER [COUNTS]]`; the folder, the current
+//! one by default, says which disk is measured. With node counts, such as `28,56`, only the idle cost is
+//! measured, then the cost with soft reports of full size that change all the time.
 
 use std::{
     fs,
@@ -16,6 +17,7 @@
 use daisysill_cluster::{Cluster, ClusterConfig, ClusterHandle, PeerAddress, Role};
 use daisysill_control::command::{Claim, ClaimKey, Command, Reply, SetDrain};
 use daisysill_core::ids::ConfigVersion;
+use daisysill_wire::peer::SoftReport;
 use eyre::{WrapErr, eyre};
 use hdrhistogram::Histogram;
 use tokio::{runtime::Builder, sync::oneshot, time::sleep};
@@ -279,12 +281,16 @@
     rss_mb: f64,
 }
 
-async fn idle(folder: &Path, count: usize) -> eyre::Result<IdleCost> {
+async fn idle(folder: &Path, count: usize, busy: bool) -> eyre::Result<IdleCost> {
     let mut nodes = started(folder, count).await?;
-    sleep(SETTLE_TIME).await;
+    change_reports(&nodes, SETTLE_TIME, busy).await?;
     let before = usage(&nodes)?;
-    sleep(IDLE_TIME).await;
+    change_reports(&nodes, IDLE_TIME, busy).await?;
     let after = usage(&nodes)?;
+    let mut dead = 0;
+    for node in &nodes {
+        dead += node.handle()?.status().members.iter().filter(|member| !member.alive).count();
+    }
     let per_node: Vec<f64> = (0..count)
         .map(|n| after.sent[n] - before.sent[n] + after.received[n] - before.received[n])
         .map(|bytes| bytes / IDLE_TIME.as_secs_f64())
@@ -298,16 +304,39 @@
     };
     nodes.iter_mut().try_for_each(Node::stop)?;
     println!(
-        "{count} nodes without load: {:.0} bytes/s a node in and out (most: {:.0}), {:.2}% of a core a node, \
-         {:.1} MB resident for the process",
+        "{count} nodes, {}: {:.0} bytes/s a node in and out (most: {:.0}), {:.2}% of a core a node, \
+         {:.1} MB resident for the process, {dead} of {} taken for dead",
+        if busy { "full soft reports" } else { "without load" },
         cost.bytes_per_s,
         cost.most_bytes_per_s,
         100.0 * cost.cpu_share,
         cost.rss_mb,
+        count * (count - 1),
     );
     Ok(cost)
 }
 
+/// Waits; a busy node changes its soft report, which has nearly its full size, four times a second.
+async fn change_reports(nodes: &[Node], time: Duration, busy: bool) -> eyre::Result<()> {
+    let start = Instant::now();
+    while busy && start.elapsed() < time {
+        for node in nodes {
+            let report = |worker: u64| {
+                (format!("worker-{worker:04}").into(), u64::try_from(start.elapsed().as_micros()))
+            };
+            let mut soft = SoftReport::default();
+            for worker in 0..60 {
+                let (name, tokens) = report(worker);
+                soft.in_flight_tokens.insert(name, tokens?);
+            }
+            node.handle()?.set_soft(soft);
+        }
+        sleep(Duration::from_millis(250)).await;
+    }
+    sleep(time.saturating_sub(start.elapsed())).await;
+    Ok(())
+}
+
 /// Least squares: the growth of `value` per node, and its value at no nodes.
 fn slope(costs: &[IdleCost], value: impl Fn(&IdleCost) -> f64) -> (f64, f64) {
     let count = costs.len() as f64;
@@ -322,7 +351,7 @@
 async fn run(folder: &Path) -> eyre::Result<()> {
     let mut costs = Vec::new();
     for count in [3, 7, 14, 28] {
-        costs.push(idle(folder, count).await?);
+        costs.push(idle(folder, count, false).await?);
     }
     let (bytes, base) = slope(&costs, |cost| cost.bytes_per_s);
     println!("bytes/s a node: {base:.0} + {bytes:.1} per node of the cluster");
@@ -350,6 +379,17 @@
 
 fn main() -> eyre::Result<()> {
     let parent = std::env::args().nth(1).map_or_else(|| PathBuf::from("."), PathBuf::from);
+    let counts = std::env::args().nth(2).unwrap_or_default();
+    let counts: Vec<usize> = counts.split(',').filter_map(|count| count.parse().ok()).collect();
     let folder = tempfile::tempdir_in(parent)?;
-    Builder::new_current_thread().enable_all().build()?.block_on(run(folder.path()))
+    Builder::new_current_thread().enable_all().build()?.block_on(async {
+        if counts.is_empty() {
+            return run(folder.path()).await;
+        }
+        for count in counts {
+            idle(&folder.path().join("idle"), count, false).await?;
+            idle(&folder.path().join("busy"), count, true).await?;
+        }
+        Ok(())
+    })
 }
