Give heartbeats and soft reports separate byte budgets

Cause: soft reports of full size crowded heartbeats out of the budget, and live nodes were taken for dead. Change: beats and reports travel apart, each within its own budget; a beat tells which report its sender holds, so it is not sent again.

--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -18,7 +18,7 @@
 };
 
 /// Time between the exchanges that a node starts.
-pub(crate) const ROUND: Duration = Duration::from_millis(400);
+pub(crate) const ROUND: Duration = Duration::from_millis(500);
 /// An exchange without an answer in this time is lost and closes its connection.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Every so many rounds the partner is in another zone.
--- a/crates/cluster/src/members.rs
+++ b/crates/cluster/src/members.rs
@@ -7,16 +7,22 @@
 };
 
 use daisysill_core::ids::{ConfigVersion, InstanceId, ZoneName};
-use daisysill_wire::peer::{Heartbeat, MemberEntry, SoftReport};
+use daisysill_wire::peer::{Beat, Heartbeat, ReportOf, SoftReport};
 use tokio::time::Instant;
 
 use crate::config::ClusterConfig;
 
-/// Bytes of the entries of one heartbeat at most. With two exchanges started and two answered a second, and
-/// both directions counted, this keeps a node under half of the target of 28 KB/s.
-const HEARTBEAT_BYTES: usize = 1_500;
+/// Bytes of the heartbeats and of the soft reports in one message at most. They have separate budgets, since
+/// reports of full size would otherwise crowd out the heartbeats and live nodes be taken for dead. With two
+/// exchanges started and two answered a second, and both directions counted, a node stays under 20 KB/s.
+const BEAT_BYTES: usize = 1_000;
+const REPORT_BYTES: usize = 1_200;
 /// Bytes of one node's soft report at most; above it the lists of blocks are left out, then the whole.
 const SOFT_REPORT_BYTES: usize = 1_024;
+/// How much sooner a report goes to a partner in the zone of the node that made it.
+const OWN_ZONE_WEIGHT: u64 = 4;
+/// Versions that a report of a restarted node counts as behind, whatever its number.
+const RESTARTED_BEHIND: u64 = 1_000_000;
 /// A node is alive if a new heartbeat of it was seen in this time in a small cluster.
 const ALIVE_BASE: Duration = Duration::from_secs(3);
 /// Added per node of the cluster, since entries take turns under the byte budget.
@@ -24,25 +30,28 @@
 
 #[derive(Clone, Debug)]
 struct Known {
-    entry: MemberEntry,
+    beat: Beat,
+    heard: Instant,
     soft: SoftReport,
+    /// Incarnation and version of `soft`.
+    soft_version: (u64, u64),
     soft_at: Instant,
-    heard: Instant,
 }
 
-/// What a partner of this node is known to have: incarnation, beat and soft version of each entry.
+/// What a partner of this node is known to have, as incarnation and count or version.
 #[derive(Debug)]
 struct Partner {
     /// Sent with each heartbeat.
     own_session: u64,
     /// Last received from the partner.
     their_session: Option<u64>,
-    sent: BTreeMap<InstanceId, (u64, u64, u64)>,
+    beats: BTreeMap<InstanceId, (u64, u64)>,
+    reports: BTreeMap<InstanceId, (u64, u64)>,
 }
 
 #[derive(Debug)]
 struct Inner {
-    own: MemberEntry,
+    own: Beat,
     own_soft: SoftReport,
     known: BTreeMap<InstanceId, Known>,
     partners: BTreeMap<InstanceId, Partner>,
@@ -81,7 +90,12 @@
 
 impl Default for Partner {
     fn default() -> Self {
-        Self { own_session: rand::random(), their_session: None, sent: BTreeMap::new() }
+        Self {
+            own_session: rand::random(),
+            their_session: None,
+            beats: BTreeMap::new(),
+            reports: BTreeMap::new(),
+        }
     }
 }
 
@@ -91,16 +105,15 @@
         let zones = config.peers.iter().filter(|peer| peer.name != config.name);
         let zones: BTreeMap<_, _> = zones.map(|peer| (peer.name.clone(), peer.zone.clone())).collect();
         let count = u32::try_from(zones.len()).unwrap_or(u32::MAX);
-        let own = MemberEntry {
+        let own = Beat {
             name: config.name.clone(),
-            zone: config.zone.clone(),
             incarnation,
             beat: 0,
             config_version: ConfigVersion(0),
             leaving: false,
             replica: config.data_dir.is_some(),
-            soft_version: 0,
-            soft: None,
+            report_version: 0,
+            held_version: 0,
         };
         let inner =
             Inner { own, own_soft: SoftReport::default(), known: BTreeMap::new(), partners: BTreeMap::new() };
@@ -116,7 +129,8 @@
         let soft = limited(soft);
         let mut inner = self.lock();
         if inner.own_soft != soft {
-            inner.own.soft_version += 1;
+            inner.own.report_version += 1;
+            inner.own.held_version += 1;
             inner.own_soft = soft;
         }
     }
@@ -133,38 +147,58 @@
         inner.own.config_version = config_version;
     }
 
-    /// Returns what `partner` lacks, within the byte budget: this node's own entry, then the entries it
-    /// has waited for longest.
+    /// Returns what `partner` lacks, within the byte budgets: this node's own heartbeat and report, then what
+    /// the partner has waited for longest.
     pub(crate) fn heartbeat_for(&self, partner: &InstanceId) -> Heartbeat {
         let mut guard = self.lock();
-        let inner = &mut *guard;
-        let state = inner.partners.entry(partner.clone()).or_default();
-        let mut entries = vec![with_soft(&inner.own, &inner.own_soft, state)];
-        let mut bytes = encoded_bytes(&entries[0]);
-        let lacking = inner.known.values().filter(|known| {
-            let sent = state.sent.get(&known.entry.name);
-            known.entry.name != *partner
-                && sent.is_none_or(|sent| *sent < (known.entry.incarnation, known.entry.beat, 0))
-        });
-        let mut lacking: Vec<&Known> = lacking.collect();
-        lacking.sort_by_key(|known| {
-            let sent = state.sent.get(&known.entry.name);
-            let behind = sent.map_or(u64::MAX, |sent| known.entry.beat.saturating_sub(sent.1));
-            // A node that leaves goes first: the others must learn of it within seconds.
-            (!known.entry.leaving, std::cmp::Reverse(behind))
+        let Inner { own, own_soft, known, partners } = &mut *guard;
+        let state = partners.entry(partner.clone()).or_default();
+        let beats = lacking_beats(own, known, partner, state);
+        for beat in &beats {
+            state.beats.insert(beat.name.clone(), (beat.incarnation, beat.beat));
+        }
+        let mut reports = Vec::new();
+        if state.reports.get(&own.name).is_none_or(|has| *has < (own.incarnation, own.report_version)) {
+            reports.push(report_of(&own.name, (own.incarnation, own.report_version), own_soft));
+        }
+        self.add_lacking_reports(known, partner, state, &mut reports);
+        for report in &reports {
+            state.reports.insert(report.name.clone(), (report.incarnation, report.version));
+        }
+        Heartbeat { from: own.name.clone(), session: state.own_session, beats, reports }
+    }
+
+    fn add_lacking_reports(
+        &self,
+        known: &BTreeMap<InstanceId, Known>,
+        partner: &InstanceId,
+        state: &Partner,
+        reports: &mut Vec<ReportOf>,
+    ) {
+        let lacking = known.iter().filter_map(|(name, known)| {
+            let has = state.reports.get(name).copied().unwrap_or_default();
+            if name == partner || has >= known.soft_version || known.soft_version.1 == 0 {
+                return None;
+            }
+            // A report is of use only to a partner that has a heartbeat of the same incarnation.
+            state.beats.get(name).filter(|beat| beat.0 == known.soft_version.0)?;
+            let restarted = has.0 != known.soft_version.0;
+            let behind = if restarted { RESTARTED_BEHIND } else { known.soft_version.1 - has.1 };
+            let same_zone = self.zones.get(name) == self.zones.get(partner);
+            let weight = if same_zone { OWN_ZONE_WEIGHT } else { 1 };
+            Some((std::cmp::Reverse(behind * weight), name, known))
         });
-        for known in lacking {
-            let entry = with_soft(&known.entry, &known.soft, state);
-            bytes += encoded_bytes(&entry);
-            if bytes > HEARTBEAT_BYTES {
+        let mut lacking: Vec<_> = lacking.collect();
+        lacking.sort_by_key(|(order, ..)| *order);
+        let mut bytes: usize = reports.iter().map(encoded_bytes).sum();
+        for (_, name, known) in lacking {
+            let report = report_of(name, known.soft_version, &known.soft);
+            bytes += encoded_bytes(&report);
+            if bytes > REPORT_BYTES {
                 break;
             }
-            entries.push(entry);
-        }
-        for entry in &entries {
-            state.sent.insert(entry.name.clone(), (entry.incarnation, entry.beat, entry.soft_version));
+            reports.push(report);
         }
-        Heartbeat { from: inner.own.name.clone(), session: state.own_session, entries }
     }
 
     /// Forgets what was sent to `partner`, since the last heartbeat may not have arrived.
@@ -179,16 +213,20 @@
         let partner = inner.partners.entry(heartbeat.from).or_default();
         if partner.their_session != Some(heartbeat.session) {
             partner.their_session = Some(heartbeat.session);
-            partner.sent.clear();
+            partner.beats.clear();
+            partner.reports.clear();
         }
-        for entry in heartbeat.entries {
-            if !self.zones.contains_key(&entry.name) {
+        for beat in heartbeat.beats {
+            if !self.zones.contains_key(&beat.name) {
                 continue;
             }
-            let newest = (entry.incarnation, entry.beat, entry.soft_version);
-            let sent = partner.sent.entry(entry.name.clone()).or_default();
-            *sent = newest.max(*sent);
-            merge(&mut inner.known, entry);
+            raise(&mut partner.beats, &beat.name, (beat.incarnation, beat.beat));
+            raise(&mut partner.reports, &beat.name, (beat.incarnation, beat.held_version));
+            merge_beat(&mut inner.known, beat);
+        }
+        for report in heartbeat.reports {
+            raise(&mut partner.reports, &report.name, (report.incarnation, report.version));
+            merge_report(&mut inner.known, report);
         }
     }
 
@@ -201,9 +239,9 @@
                 name: name.clone(),
                 zone: zone.clone(),
                 alive: known.is_some_and(|known| known.heard.elapsed() < self.alive_after),
-                leaving: known.is_some_and(|known| known.entry.leaving),
-                replica: known.is_some_and(|known| known.entry.replica),
-                config_version: known.map_or(ConfigVersion(0), |known| known.entry.config_version),
+                leaving: known.is_some_and(|known| known.beat.leaving),
+                replica: known.is_some_and(|known| known.beat.replica),
+                config_version: known.map_or(ConfigVersion(0), |known| known.beat.config_version),
                 heard: known.map(|known| known.heard),
                 soft_at: known.map(|known| known.soft_at),
                 soft: known.map(|known| known.soft.clone()).unwrap_or_default(),
@@ -218,38 +256,70 @@
     }
 }
 
-fn merge(known: &mut BTreeMap<InstanceId, Known>, mut entry: MemberEntry) {
+fn lacking_beats(
+    own: &Beat,
+    known: &BTreeMap<InstanceId, Known>,
+    partner: &InstanceId,
+    state: &Partner,
+) -> Vec<Beat> {
+    let lacking = known.iter().filter_map(|(name, known)| {
+        let has = state.beats.get(name).copied().unwrap_or_default();
+        let newest = (known.beat.incarnation, known.beat.beat);
+        let behind = if has.0 == newest.0 { newest.1 - has.1.min(newest.1) } else { u64::MAX };
+        // A node that leaves goes first: the others must learn of it within seconds.
+        let order = (!known.beat.leaving, std::cmp::Reverse(behind));
+        (name != partner && has < newest).then_some((order, known))
+    });
+    let mut lacking: Vec<_> = lacking.collect();
+    lacking.sort_by_key(|(order, _)| *order);
+    let mut beats = vec![own.clone()];
+    let mut bytes = encoded_bytes(own);
+    for (_, known) in lacking {
+        let has_report = known.soft_version.0 == known.beat.incarnation;
+        let held_version = if has_report { known.soft_version.1 } else { 0 };
+        let beat = Beat { held_version, ..known.beat.clone() };
+        bytes += encoded_bytes(&beat);
+        if bytes > BEAT_BYTES {
+            break;
+        }
+        beats.push(beat);
+    }
+    beats
+}
+
+fn report_of(name: &InstanceId, (incarnation, version): (u64, u64), soft: &SoftReport) -> ReportOf {
+    ReportOf { name: name.clone(), incarnation, version, soft: soft.clone() }
+}
+
+fn raise(map: &mut BTreeMap<InstanceId, (u64, u64)>, name: &InstanceId, value: (u64, u64)) {
+    let present = map.entry(name.clone()).or_default();
+    *present = value.max(*present);
+}
+
+fn merge_beat(known: &mut BTreeMap<InstanceId, Known>, beat: Beat) {
     let now = Instant::now();
-    let soft = entry.soft.take();
-    let Some(present) = known.get_mut(&entry.name) else {
-        let name = entry.name.clone();
-        let soft = soft.unwrap_or_default();
-        known.insert(name, Known { entry, soft, soft_at: now, heard: now });
+    let Some(present) = known.get_mut(&beat.name) else {
+        let (soft, soft_version) = (SoftReport::default(), (beat.incarnation, 0));
+        known.insert(beat.name.clone(), Known { beat, heard: now, soft, soft_version, soft_at: now });
         return;
     };
-    let older = (entry.incarnation, entry.beat) <= (present.entry.incarnation, present.entry.beat);
-    if older {
+    if (beat.incarnation, beat.beat) <= (present.beat.incarnation, present.beat.beat) {
         return;
     }
-    let soft_changed =
-        (entry.incarnation, entry.soft_version) != (present.entry.incarnation, present.entry.soft_version);
-    if let Some(soft) = soft {
-        present.soft = soft;
+    if (beat.incarnation, beat.report_version) == present.soft_version {
         present.soft_at = now;
-    } else if !soft_changed {
-        present.soft_at = now;
-    } else {
-        // The report itself comes with a later heartbeat; until then the old version number stays.
-        entry.soft_version = present.entry.soft_version;
     }
-    present.entry = entry;
+    present.beat = beat;
     present.heard = now;
 }
 
-fn with_soft(entry: &MemberEntry, soft: &SoftReport, partner: &Partner) -> MemberEntry {
-    let sent = partner.sent.get(&entry.name);
-    let has = sent.is_some_and(|sent| sent.0 == entry.incarnation && sent.2 >= entry.soft_version);
-    MemberEntry { soft: (!has).then(|| soft.clone()), ..entry.clone() }
+fn merge_report(known: &mut BTreeMap<InstanceId, Known>, report: ReportOf) {
+    let Some(present) = known.get_mut(&report.name) else { return };
+    if (report.incarnation, report.version) > present.soft_version {
+        present.soft = report.soft;
+        present.soft_version = (report.incarnation, report.version);
+        present.soft_at = Instant::now();
+    }
 }
 
 fn encoded_bytes<T: serde::Serialize>(value: &T) -> usize {
--- a/crates/cluster/tests/common/mod.rs
+++ b/crates/cluster/tests/common/mod.rs
@@ -90,7 +90,7 @@
     ) {
         let mut buffer = vec![0; 65_536];
         while let Ok(mut count) = from.read(&mut buffer[..32_768]).await {
-            let silent = self.mode.load(Ordering::SeqCst) == SILENT
+            let silent = self.mode.load(Ordering::SeqCst) != OPEN
                 || number < self.stalled_below.load(Ordering::SeqCst);
             if let Some(fault) = self.fault.lock().unwrap().take_if(|_| faulty && count > 0) {
                 match fault {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -7,7 +7,7 @@
     state::ConfigView,
 };
 use daisysill_core::{
-    ids::{ConfigVersion, InstanceId, ServiceName, WeightVersion, ZoneName},
+    ids::{ConfigVersion, InstanceId, ServiceName, WeightVersion},
     rules::RuleFile,
     value_types,
 };
@@ -20,19 +20,19 @@
         /// Changes when an exchange with the receiver failed or the process restarted; the receiver then
         /// forgets what it has sent to it.
         pub session: u64,
-        /// What is newer than the last exchange with the receiver, the sender's own entry first.
-        pub entries: Vec<MemberEntry>,
+        /// Newer heartbeats than those of the last exchange, the sender's own first.
+        pub beats: Vec<Beat>,
+        /// Newer soft reports than those that the receiver is known to have.
+        pub reports: Vec<ReportOf>,
     }
 
-    /// The state of one node, as it described itself.
-    pub struct MemberEntry {
+    /// A heartbeat of one node, as passed on by others.
+    pub struct Beat {
         /// The node.
         pub name: InstanceId,
-        /// Its availability zone.
-        pub zone: ZoneName,
-        /// Grows when the process restarts.
+        /// Grows when its process restarts.
         pub incarnation: u64,
-        /// Counts the node's own heartbeats.
+        /// Counts its heartbeats.
         pub beat: u64,
         /// The configuration version it follows.
         pub config_version: ConfigVersion,
@@ -40,10 +40,22 @@
         pub leaving: bool,
         /// Whether it holds a replica of the log.
         pub replica: bool,
-        /// Grows when `soft` changes.
-        pub soft_version: u64,
-        /// What it has in flight; left out if the receiver has this version.
-        pub soft: Option<SoftReport>,
+        /// The version of its soft report.
+        pub report_version: u64,
+        /// The version of its soft report that the sender of this message has, so that it is not sent again.
+        pub held_version: u64,
+    }
+
+    /// The soft report of one node, as passed on by others.
+    pub struct ReportOf {
+        /// The node.
+        pub name: InstanceId,
+        /// The incarnation that made the report.
+        pub incarnation: u64,
+        /// The version of the report.
+        pub version: u64,
+        /// What the node has in flight.
+        pub soft: SoftReport,
     }
 
     /// Soft state that nodes share; a hint, never a promise.
