--- a/crates/control/src/log_files.rs
+++ b/crates/control/src/log_files.rs
@@ -147,13 +147,12 @@
     }
 
     fn open(&mut self) -> Result<&mut File, StorageError> {
-        let file = match self.file.take() {
-            Some(file) => file,
-            None => {
-                let mut file = at(&self.path, OpenOptions::new().write(true).open(&self.path))?;
-                at(&self.path, file.seek(SeekFrom::Start(self.bytes)))?;
-                file
-            }
+        let file = if let Some(file) = self.file.take() {
+            file
+        } else {
+            let mut file = at(&self.path, OpenOptions::new().write(true).open(&self.path))?;
+            at(&self.path, file.seek(SeekFrom::Start(self.bytes)))?;
+            file
         };
         Ok(self.file.insert(file))
     }
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -219,7 +219,7 @@
             }
             Message::SnapshotChunk(chunk) => self.on_chunk(from, term, chunk),
             Message::SnapshotReply { position, received, echo_ms } => {
-                self.on_chunk_reply(from, term, position, received, echo_ms);
+                self.on_chunk_reply(from, disk, term, position, received, echo_ms);
             }
             Message::AskPosition { check } => self.on_ask_position(from, disk, check),
             Message::PositionReply { check, last, acknowledged } => {
@@ -262,9 +262,21 @@
         self.voters.voters.keys().filter(|name| **name != self.config.name).cloned().collect()
     }
 
+    /// Returns the voter set by which this replica and its disk vote. That may be the committed set while the
+    /// newest one, which removes this replica, is not committed: otherwise nobody could be elected if only
+    /// this replica holds the removal and the others wait for a candidate that holds as much.
+    pub(crate) fn own_voter_set(&self) -> Option<&VoterSet> {
+        let counts = |voters: &&VoterSet| voters.counts(&self.config.name, self.disk);
+        let committed = || {
+            let in_log = self.log.voters_until(self.commit_index).map(|(_, voters)| voters);
+            in_log.or_else(|| self.snapshot.as_ref().map(|snapshot| &snapshot.voters))
+        };
+        Some(&self.voters).filter(counts).or_else(|| committed().filter(counts))
+    }
+
     /// Returns whether this replica and its disk are among the voters.
     pub(crate) fn is_voter(&self) -> bool {
-        self.voters.counts(&self.config.name, self.disk)
+        self.own_voter_set().is_some()
     }
 
     /// Takes the voter set from the newest entry that has one, or from the snapshot.
--- a/crates/control/src/replication.rs
+++ b/crates/control/src/replication.rs
@@ -197,7 +197,8 @@
 
     /// Gives up the leadership once the removal of this replica is committed.
     pub(crate) fn leave_if_removed(&mut self) {
-        let removed = !self.is_voter() && self.voters_index <= self.commit_index;
+        let removed =
+            !self.voters.counts(&self.config.name, self.disk) && self.voters_index <= self.commit_index;
         if removed && matches!(self.stand, Stand::Leader(_)) {
             self.become_follower();
         }
@@ -256,12 +257,16 @@
         if index <= self.commit_index || self.log.term_at(index) == Some(entry.position.term) {
             return;
         }
-        if index <= self.log.last().index {
+        let conflicts = index <= self.log.last().index;
+        if conflicts {
             self.log.truncate_from(index);
             self.writes.truncated(index);
         }
+        let sets_voters = matches!(entry.payload, Payload::Voters(_));
         self.log.push(Arc::new(entry));
-        self.reload_voters();
+        if conflicts || sets_voters {
+            self.reload_voters();
+        }
     }
 
     /// Tells the leader how far the log is durable.
--- a/crates/control/src/snapshots.rs
+++ b/crates/control/src/snapshots.rs
@@ -5,7 +5,7 @@
 use daisysill_core::ids::InstanceId;
 
 use crate::{
-    entry::{Position, Snapshot},
+    entry::{DiskId, Position, Snapshot},
     log::Log,
     message::{Message, SnapshotChunk},
     replica::{Replica, Stand},
@@ -85,9 +85,10 @@
             return;
         }
         let SnapshotChunk { position, voters, total_bytes, checksum, offset, data, echo_ms } = chunk;
-        if position.index <= self.commit_index {
-            // Committed entries agree with the leader's.
+        // A late chunk must not replace a log that holds the position: entries behind it may be acknowledged.
+        if position.index <= self.commit_index || self.log.term_at(position.index) == Some(position.term) {
             self.verified_index = self.verified_index.max(position.index);
+            self.commit_index = self.commit_index.max(position.index);
             return self.acknowledge();
         }
         let incoming = self.incoming.take().filter(|incoming| {
@@ -126,6 +127,7 @@
     pub(crate) fn on_chunk_reply(
         &mut self,
         from: &InstanceId,
+        disk: DiskId,
         term: u64,
         position: Position,
         received: u64,
@@ -141,7 +143,7 @@
             return;
         }
         outgoing.offset = received;
-        progress.echo_ms = progress.echo_ms.max(echo_ms);
+        progress.heard(disk, echo_ms);
         self.send_chunk(from);
     }
 }
--- a/crates/control/src/start_check.rs
+++ b/crates/control/src/start_check.rs
@@ -32,11 +32,9 @@
     /// Returns how many peers must answer. An entry that this disk may have acknowledged was committed by a
     /// majority; leaving this voter out, so many of the others include at least one that holds it.
     fn peers_to_ask(&self) -> usize {
-        if !self.is_voter() {
-            return 0;
-        }
-        let voters = self.voters.voters.len();
-        (voters + 1 - self.voters.majority()).min(voters - 1)
+        let Some(set) = self.own_voter_set() else { return 0 };
+        let voters = set.voters.len();
+        (voters + 1 - set.majority()).min(voters - 1)
     }
 
     pub(crate) fn tick_start_check(&mut self) {
@@ -48,8 +46,12 @@
             self.start_check.passed = true;
             return;
         }
-        for peer in self.other_voters() {
-            self.send(&peer, Message::AskPosition { check: self.start_check.check });
+        let peers: Vec<_> =
+            self.own_voter_set().map_or_else(Vec::new, |set| set.voters.keys().cloned().collect());
+        for peer in peers {
+            if peer != self.config.name {
+                self.send(&peer, Message::AskPosition { check: self.start_check.check });
+            }
         }
     }
 
@@ -70,7 +72,8 @@
         last: Position,
         acknowledged: Position,
     ) {
-        if self.start_check.passed || check != self.start_check.check || !self.voters.counts(from, disk) {
+        let asked = self.own_voter_set().is_some_and(|set| set.counts(from, disk));
+        if self.start_check.passed || check != self.start_check.check || !asked {
             return;
         }
         if term > self.term {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -13,11 +13,16 @@
 
 use crate::command::{
     AcquireLease, Claim, ClaimKey, ClaimOutcome, ClaimState, Command, Conflict, FinishClaim, PublishRules,
-    Reply, ReportCrash, SetDrain, SetWeights,
+    Reply, ReportCrash, SetDrain, SetWeights, StoredAnswer,
 };
 
 /// Claims kept at most; each may hold a stored answer.
 pub const MAX_CLAIMS: usize = 200_000;
+/// Bytes of stored answers kept at most, so that a replica stays within the memory of a small instance.
+pub const MAX_ANSWER_BYTES: u64 = 32 * 1024 * 1024;
+/// Expired claims dropped by one entry at most, so that no entry takes long to apply. More than one, so that
+/// the claims are dropped faster than they are made.
+pub const MAX_DROPPED_CLAIMS: usize = 8;
 /// Change ids remembered, so that a resent change is recognised.
 const REMEMBERED_CHANGES: usize = 10_000;
 /// Crashes after which a fingerprint that was present at each is blocked.
@@ -87,6 +92,10 @@
         /// Claims by key.
         #[serde(with = "claim_list")]
         pub claims: BTreeMap<ClaimKey, ClaimRecord>,
+        /// The claims by the time at which they are dropped, in log time.
+        pub claim_expiries: BTreeSet<(u64, ClaimKey)>,
+        /// Bytes of the stored answers.
+        pub answer_bytes: u64,
         /// Leases by role.
         pub leases: BTreeMap<String, LeaseRecord>,
         /// Accepted changes, oldest first.
@@ -133,6 +142,7 @@
     pub fn apply(&mut self, index: u64, now_ms: u64, command: &Command) -> Reply {
         self.applied_index = index;
         self.now_ms = self.now_ms.max(now_ms);
+        self.drop_expired_claims();
         match command {
             Command::Noop => Reply::Done,
             Command::PublishRules(publish) => self.publish(publish),
@@ -198,7 +208,7 @@
 
     fn acquire_lease(&mut self, request: &AcquireLease) -> Reply {
         let held = self.leases.get(&request.role);
-        let expires_ms = self.now_ms + request.duration_ms;
+        let expires_ms = self.now_ms.saturating_add(request.duration_ms);
         if let Some(lease) = held.filter(|lease| lease.expires_ms > self.now_ms)
             && lease.holder != request.holder
         {
@@ -229,19 +239,20 @@
                 () => Reply::ClaimExists(record.state.clone()),
             };
         }
-        if self.claims.len() >= MAX_CLAIMS {
-            self.claims.retain(|_, record| record.expires_ms > now_ms);
-        }
-        if self.claims.len() >= MAX_CLAIMS {
+        // An expired claim that is not dropped yet makes room for its own successor.
+        self.remove_claim(&claim.key);
+        if self.claims.len() >= MAX_CLAIMS || self.answer_bytes >= MAX_ANSWER_BYTES {
             return Reply::ClaimsFull;
         }
+        let expires_ms = now_ms.saturating_add(claim.keep_ms);
         let record = ClaimRecord {
             body_digest: claim.body_digest.clone(),
             attempt: claim.attempt.clone(),
             holder: claim.holder.clone(),
             state: ClaimState::InProgress,
-            expires_ms: now_ms + claim.keep_ms,
+            expires_ms,
         };
+        self.claim_expiries.insert((expires_ms, claim.key.clone()));
         self.claims.insert(claim.key.clone(), record);
         Reply::Claimed
     }
@@ -252,18 +263,46 @@
             return Reply::Done;
         }
         match &finish.outcome {
-            ClaimOutcome::Answered(answer) => record.state = ClaimState::Answered(answer.clone()),
+            ClaimOutcome::Answered(answer) if self.answer_bytes + stored_bytes(answer) > MAX_ANSWER_BYTES => {
+                // The call ran and must not run again, but its answer cannot be kept.
+                record.state = ClaimState::Unknown;
+                return Reply::ClaimsFull;
+            }
+            ClaimOutcome::Answered(answer) => {
+                self.answer_bytes += stored_bytes(answer);
+                record.state = ClaimState::Answered(answer.clone());
+            }
             ClaimOutcome::Unknown => record.state = ClaimState::Unknown,
             ClaimOutcome::NotRun => {
-                self.claims.remove(&finish.key);
+                self.remove_claim(&finish.key);
             }
         }
         Reply::Done
     }
 
+    /// Drops a bounded number of claims whose time is over.
+    fn drop_expired_claims(&mut self) {
+        for _ in 0..MAX_DROPPED_CLAIMS {
+            let Some((_, key)) = self.claim_expiries.first().filter(|(until, _)| *until <= self.now_ms)
+            else {
+                return;
+            };
+            let key = key.clone();
+            self.remove_claim(&key);
+        }
+    }
+
+    fn remove_claim(&mut self, key: &ClaimKey) {
+        let Some(record) = self.claims.remove(key) else { return };
+        self.claim_expiries.remove(&(record.expires_ms, key.clone()));
+        if let ClaimState::Answered(answer) = &record.state {
+            self.answer_bytes -= stored_bytes(answer);
+        }
+    }
+
     fn report_crash(&mut self, report: &ReportCrash) -> Reply {
         let crash = format!("{}#{}", report.upstream, report.incarnation);
-        let until_ms = self.now_ms + report.block_ms;
+        let until_ms = self.now_ms.saturating_add(report.block_ms);
         let mut newly_blocked = Vec::new();
         for fingerprint in &report.fingerprints {
             let crashes = self.crashes.entry(fingerprint.clone()).or_default();
@@ -304,6 +343,12 @@
     }
 }
 
+/// Returns how many bytes an answer takes, and a fixed part for the record.
+fn stored_bytes(answer: &StoredAnswer) -> u64 {
+    const FIXED_BYTES: usize = 64;
+    (FIXED_BYTES + answer.content_type.len() + answer.body.len()) as u64
+}
+
 fn digest_of<'a>(parts: impl IntoIterator<Item = &'a str>) -> String {
     let mut hasher = blake3::Hasher::new();
     for part in parts {
--- a/crates/control/src/writes.rs
+++ b/crates/control/src/writes.rs
@@ -185,7 +185,8 @@
     /// Reports the configuration if it is newer than the one reported last.
     pub(crate) fn show_config(&mut self) {
         let version = self.state.config.version;
-        if version > self.shown_version {
+        let durable = self.state.applied_index <= self.writes.synced_index;
+        if durable && version > self.shown_version {
             self.shown_version = version;
             self.outputs.push(Output::ConfigChanged(Arc::clone(&self.state.config)));
         }
--- /dev/null
+++ b/crates/control/tests/agreed_state.rs
@@ -0,0 +1,163 @@
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+//! The agreed state: changes sent twice, races on one base, claims, leases and their bounds.
+
+use daisysill_control::{
+    command::{
+        AcquireLease, Claim, ClaimKey, ClaimOutcome, ClaimState, Command, FinishClaim, PublishRules, Reply,
+        SetDrain, SetWeights, StoredAnswer,
+    },
+    state::{AgreedState, MAX_ANSWER_BYTES, MAX_DROPPED_CLAIMS},
+};
+use daisysill_core::ids::{ConfigVersion, FencingNumber, WeightVersion};
+
+struct Log {
+    state: AgreedState,
+    index: u64,
+}
+
+impl Log {
+    fn new() -> Self {
+        Self { state: AgreedState::default(), index: 0 }
+    }
+
+    fn apply(&mut self, now_ms: u64, command: &Command) -> Reply {
+        self.index += 1;
+        self.state.apply(self.index, now_ms, command)
+    }
+}
+
+fn key(name: &str) -> ClaimKey {
+    ClaimKey { customer: "c".into(), service: "s".into(), key: name.into() }
+}
+
+fn claim(name: &str, attempt: &str, digest: &str) -> Command {
+    Command::Claim(Claim {
+        key: key(name),
+        body_digest: digest.into(),
+        attempt: attempt.into(),
+        holder: "n".into(),
+        keep_ms: 100,
+    })
+}
+
+fn finish(name: &str, attempt: &str, outcome: ClaimOutcome) -> Command {
+    Command::FinishClaim(FinishClaim { key: key(name), attempt: attempt.into(), outcome })
+}
+
+fn answer(bytes: usize) -> StoredAnswer {
+    StoredAnswer { status: 200, content_type: String::new(), body: vec![0; bytes] }
+}
+
+fn weights(change: &str, base: u64, version: u64) -> Command {
+    Command::SetWeights(SetWeights {
+        change: change.into(),
+        base: WeightVersion(base),
+        service: "s".into(),
+        version: WeightVersion(version),
+    })
+}
+
+/// Guards against a resent change that takes effect twice, also after other changes, and a reused change id.
+#[test]
+fn a_change_sent_twice_is_one_change() {
+    let mut log = Log::new();
+    let drain = |draining| Command::SetDrain(SetDrain { change: "1".into(), upstream: "u".into(), draining });
+    let first = log.apply(0, &drain(true));
+    assert_eq!(first, Reply::Accepted(ConfigVersion(1)));
+    log.apply(0, &weights("2", 0, 5));
+    let config = log.state.config.clone();
+    assert_eq!(log.apply(0, &drain(true)), first);
+    assert_eq!(log.apply(0, &drain(false)), Reply::ChangeIdReused);
+    assert_eq!(log.apply(0, &weights("2", 0, 5)), Reply::Accepted(ConfigVersion(2)));
+    assert_eq!(log.state.config, config);
+}
+
+/// Guards against two different changes on one base that are both accepted.
+#[test]
+fn of_two_changes_on_one_base_one_is_accepted() {
+    let mut log = Log::new();
+    assert_eq!(log.apply(0, &weights("1", 0, 5)), Reply::Accepted(ConfigVersion(1)));
+    assert!(matches!(log.apply(0, &weights("2", 0, 6)), Reply::Conflict(_)));
+    let publish = |change: &str| {
+        Command::PublishRules(PublishRules {
+            change: change.into(),
+            base: ConfigVersion(0),
+            files: Vec::new(),
+        })
+    };
+    assert!(matches!(log.apply(0, &publish("3")), Reply::Accepted(_)));
+    assert!(matches!(log.apply(0, &publish("4")), Reply::Conflict(_)));
+}
+
+/// Guards against a call that is sent by two attempts or after its outcome is known.
+#[test]
+fn a_claim_belongs_to_one_attempt() {
+    let mut log = Log::new();
+    assert_eq!(log.apply(0, &claim("k", "1", "d")), Reply::Claimed);
+    assert_eq!(log.apply(1, &claim("k", "1", "d")), Reply::Claimed);
+    assert_eq!(log.apply(2, &claim("k", "2", "d")), Reply::ClaimExists(ClaimState::InProgress));
+    assert_eq!(log.apply(2, &claim("k", "2", "e")), Reply::KeyReused);
+    log.apply(3, &finish("k", "2", ClaimOutcome::NotRun));
+    assert_eq!(log.apply(4, &claim("k", "3", "d")), Reply::ClaimExists(ClaimState::InProgress));
+    log.apply(5, &finish("k", "1", ClaimOutcome::Answered(answer(3))));
+    log.apply(5, &finish("k", "1", ClaimOutcome::NotRun));
+    assert_eq!(log.apply(6, &claim("k", "1", "d")), Reply::ClaimExists(ClaimState::Answered(answer(3))));
+    log.apply(7, &claim("l", "1", "d"));
+    log.apply(8, &finish("l", "1", ClaimOutcome::NotRun));
+    assert_eq!(log.apply(9, &claim("l", "2", "d")), Reply::Claimed);
+}
+
+/// Guards against claims that are kept for ever, or dropped early, and an entry that takes long to apply.
+#[test]
+fn expired_claims_are_dropped_a_few_at_a_time() {
+    let mut log = Log::new();
+    for number in 0..50 {
+        log.apply(number, &claim(&number.to_string(), "1", "d"));
+    }
+    log.apply(99, &Command::Noop);
+    assert_eq!(log.state.claims.len(), 50);
+    let mut left = 50;
+    while left > 0 {
+        log.apply(1_000, &Command::Noop);
+        let now_left = log.state.claims.len();
+        assert!(now_left < left && left - now_left <= MAX_DROPPED_CLAIMS, "{left} to {now_left}");
+        left = now_left;
+    }
+    assert!(log.state.claim_expiries.is_empty());
+    assert_eq!(log.state.answer_bytes, 0);
+}
+
+/// Guards against stored answers that use up the memory of a replica.
+#[test]
+fn stored_answers_are_bounded() {
+    let mut log = Log::new();
+    let large = usize::try_from(MAX_ANSWER_BYTES).unwrap() / 2;
+    for name in ["a", "b", "c"] {
+        assert_eq!(log.apply(0, &claim(name, "1", "d")), Reply::Claimed);
+    }
+    assert_eq!(log.apply(0, &finish("a", "1", ClaimOutcome::Answered(answer(large)))), Reply::Done);
+    assert_eq!(log.apply(0, &finish("b", "1", ClaimOutcome::Answered(answer(large)))), Reply::ClaimsFull);
+    assert_eq!(log.apply(0, &claim("b", "2", "d")), Reply::ClaimExists(ClaimState::Unknown));
+    let rest = large - 2 * 64;
+    assert_eq!(log.apply(0, &finish("c", "1", ClaimOutcome::Answered(answer(rest)))), Reply::Done);
+    assert_eq!(log.state.answer_bytes, MAX_ANSWER_BYTES);
+    assert_eq!(log.apply(0, &claim("e", "1", "d")), Reply::ClaimsFull);
+    log.apply(100, &Command::Noop);
+    assert_eq!(log.apply(100, &claim("e", "1", "d")), Reply::Claimed);
+    assert_eq!(log.state.answer_bytes, 0);
+}
+
+/// Guards against two holders of a lease at a time and against a fencing number that is used twice.
+#[test]
+fn leases_have_one_holder_and_growing_numbers() {
+    let mut log = Log::new();
+    let acquire = |holder: &str| {
+        Command::AcquireLease(AcquireLease { role: "r".into(), holder: holder.into(), duration_ms: 10 })
+    };
+    assert_eq!(log.apply(0, &acquire("a")), Reply::LeaseGranted(FencingNumber(1)));
+    assert_eq!(log.apply(5, &acquire("a")), Reply::LeaseGranted(FencingNumber(1)));
+    assert_eq!(log.apply(14, &acquire("b")), Reply::LeaseHeld("a".into()));
+    assert_eq!(log.apply(15, &acquire("b")), Reply::LeaseGranted(FencingNumber(2)));
+    assert_eq!(log.apply(3, &acquire("a")), Reply::LeaseHeld("b".into()), "log time went back");
+    assert_eq!(log.apply(25, &acquire("b")), Reply::LeaseGranted(FencingNumber(3)));
+}
--- /dev/null
+++ b/crates/control/tests/sim/mod.rs
@@ -0,0 +1,398 @@
+//! Replicas with simulated disks and a simulated network, and the checks that hold at every moment.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use daisysill_control::{
+    Input, Output, ProposalFailure, Recovered, Replica, ReplicaConfig, Role, VoterChange, WriteBatch,
+    command::{Claim, ClaimKey, Command, Reply, SetDrain},
+    entry::Entry,
+};
+use daisysill_core::ids::InstanceId;
+
+/// What a simulated disk holds, synced.
+#[derive(Clone, Default)]
+pub struct Disk {
+    pub recovered: Recovered,
+}
+
+impl Disk {
+    pub fn write(&mut self, batch: &WriteBatch) {
+        let disk = &mut self.recovered;
+        if let Some(hard_state) = &batch.hard_state {
+            disk.hard_state = Some(hard_state.clone());
+        }
+        if let Some(snapshot) = &batch.snapshot {
+            disk.snapshot = Some(Arc::clone(snapshot));
+        }
+        if batch.reset_log {
+            disk.entries.clear();
+        }
+        let truncate_from = batch.truncate_from.unwrap_or(u64::MAX);
+        disk.entries.retain(|entry| entry.position.index < truncate_from);
+        disk.entries.extend(batch.entries.iter().cloned());
+        if batch.snapshot.is_some() {
+            disk.entries.retain(|entry| entry.position.index >= batch.first_index);
+        }
+        if !batch.entries.is_empty() {
+            disk.commit_index = disk.commit_index.max(batch.commit_index);
+        }
+        if let Some(snapshot) = &disk.snapshot {
+            disk.commit_index = disk.commit_index.max(snapshot.position.index);
+        }
+    }
+}
+
+pub struct Node {
+    pub replica: Option<Replica>,
+    pub disk: Disk,
+    /// An earlier copy of the disk.
+    pub backup: Option<Disk>,
+    pub pending: Option<WriteBatch>,
+    commit_index: u64,
+    config_version: u64,
+}
+
+/// A simulated cluster; every random choice comes from its own generator.
+pub struct Sim {
+    pub nodes: BTreeMap<InstanceId, Node>,
+    pub now_ms: u64,
+    pub network: Vec<(InstanceId, InstanceId, Vec<u8>)>,
+    /// Directions in which messages are lost.
+    pub blocked: BTreeSet<(InstanceId, InstanceId)>,
+    pub loss_percent: u64,
+    pub replies: BTreeMap<u64, Result<Reply, ProposalFailure>>,
+    random: u64,
+    next_ticket: u64,
+    /// Every committed entry that was seen, by index.
+    committed: BTreeMap<u64, Arc<Entry>>,
+    leaders: BTreeMap<u64, InstanceId>,
+    /// Changes that were acknowledged, with their index.
+    acknowledged: BTreeMap<String, u64>,
+    proposed: BTreeMap<u64, String>,
+    /// Attempts that were granted a claim, by key.
+    granted: BTreeMap<String, BTreeSet<String>>,
+    claims: BTreeMap<u64, (String, String)>,
+    pub snapshot_entries: u64,
+    /// Nodes whose disk the operator vouches for.
+    trusted: BTreeSet<InstanceId>,
+}
+
+impl Sim {
+    pub fn new(names: &[&str], seed: u64) -> Self {
+        let mut sim = Self {
+            nodes: BTreeMap::new(),
+            now_ms: 0,
+            network: Vec::new(),
+            blocked: BTreeSet::new(),
+            loss_percent: 0,
+            replies: BTreeMap::new(),
+            random: seed,
+            next_ticket: 1,
+            committed: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            acknowledged: BTreeMap::new(),
+            proposed: BTreeMap::new(),
+            granted: BTreeMap::new(),
+            claims: BTreeMap::new(),
+            snapshot_entries: 20,
+            trusted: BTreeSet::new(),
+        };
+        for name in names {
+            sim.add(name);
+        }
+        sim
+    }
+
+    /// Returns a number below `bound`.
+    pub fn draw(&mut self, bound: u64) -> u64 {
+        self.random =
+            self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.random >> 33) % bound
+    }
+
+    pub fn add(&mut self, name: &str) {
+        let node = Node {
+            replica: None,
+            disk: Disk::default(),
+            backup: None,
+            pending: None,
+            commit_index: 0,
+            config_version: 0,
+        };
+        self.nodes.insert(name.into(), node);
+        self.start(&name.into());
+    }
+
+    pub fn start(&mut self, name: &InstanceId) {
+        let seed = self.draw(1 << 31) << 31 | self.draw(1 << 31);
+        let (now_ms, snapshot_entries) = (self.now_ms, self.snapshot_entries);
+        let node = self.nodes.get_mut(name).unwrap();
+        let mut config = ReplicaConfig::new(name.clone());
+        config.trust_disk = self.trusted.contains(name);
+        config.snapshot_entries = snapshot_entries;
+        config.retained_entries = 5;
+        config.message_bytes = 700;
+        node.replica = Some(Replica::new(config, node.disk.recovered.clone(), now_ms, seed));
+        node.commit_index = 0;
+        node.config_version = 0;
+        self.step(name, Input::Tick);
+    }
+
+    /// Stops a node; what it has not synced is lost, or part of it survives.
+    pub fn crash(&mut self, name: &InstanceId) {
+        let survives = self.draw(2) == 0;
+        let node = self.nodes.get_mut(name).unwrap();
+        node.replica = None;
+        if let Some(batch) = node.pending.take().filter(|_| survives) {
+            node.disk.write(&batch);
+        }
+    }
+
+    pub fn sync(&mut self, name: &InstanceId) {
+        let node = self.nodes.get_mut(name).unwrap();
+        if let Some(batch) = node.pending.take() {
+            node.disk.write(&batch);
+            self.step(name, Input::Written { write: batch.write });
+        }
+    }
+
+    pub fn step(&mut self, name: &InstanceId, input: Input) {
+        let now_ms = self.now_ms;
+        let node = self.nodes.get_mut(name).unwrap();
+        let Some(replica) = &mut node.replica else { return };
+        let mut outputs = Vec::new();
+        replica.step(now_ms, input, &mut outputs);
+        for output in outputs {
+            self.take(name, output);
+        }
+        self.check(name);
+    }
+
+    fn take(&mut self, name: &InstanceId, output: Output) {
+        match output {
+            Output::Send { to, message } => self.network.push((name.clone(), to, message)),
+            Output::Write(batch) => {
+                let pending = &mut self.nodes.get_mut(name).unwrap().pending;
+                assert!(pending.is_none(), "two batches in flight");
+                *pending = Some(batch);
+            }
+            Output::Reply { ticket, result } => self.answered(ticket, result),
+            Output::ConfigChanged(view) => {
+                let shown = &mut self.nodes.get_mut(name).unwrap().config_version;
+                assert!(view.version.0 > *shown, "configuration version went back at {name}");
+                *shown = view.version.0;
+            }
+        }
+    }
+
+    fn answered(&mut self, ticket: u64, result: Result<Reply, ProposalFailure>) {
+        if let (Ok(Reply::Accepted(version)), Some(change)) = (&result, self.proposed.get(&ticket)) {
+            let first = self.acknowledged.entry(change.clone()).or_insert(version.0);
+            assert_eq!(*first, version.0, "one change took effect twice");
+        }
+        if let (Ok(Reply::Claimed), Some((key, attempt))) = (&result, self.claims.get(&ticket)) {
+            let attempts = self.granted.entry(key.clone()).or_default();
+            attempts.insert(attempt.clone());
+            assert_eq!(attempts.len(), 1, "claim {key} granted to two attempts");
+        }
+        assert!(self.replies.insert(ticket, result).is_none(), "ticket {ticket} answered twice");
+    }
+
+    /// Checks one leader a term, agreement of committed entries, and that the commit index never goes back.
+    fn check(&mut self, name: &InstanceId) {
+        let node = self.nodes.get_mut(name).unwrap();
+        let replica = node.replica.as_ref().unwrap();
+        let status = replica.status();
+        assert!(status.commit_index >= node.commit_index, "commit index went back at {name}");
+        node.commit_index = status.commit_index;
+        if status.role == Role::Leader {
+            let leader = self.leaders.entry(status.term).or_insert_with(|| name.clone());
+            assert_eq!(leader, name, "two leaders in term {}", status.term);
+        }
+        let durable = node.disk.recovered.entries.iter();
+        for entry in durable.filter(|entry| entry.position.index <= status.applied_index) {
+            let first = self.committed.entry(entry.position.index).or_insert_with(|| Arc::clone(entry));
+            assert_eq!(first, entry, "{name} applied another entry at {}", entry.position.index);
+        }
+    }
+
+    /// Checks that no two replicas that can prove their leadership do so at the same time.
+    pub fn check_leases(&self) {
+        let proven = self.nodes.values().filter_map(|node| node.replica.as_ref()?.status().leader_until_ms);
+        assert!(proven.filter(|until| *until > self.now_ms).count() <= 1, "two proven leaders");
+    }
+
+    /// Advances time by one step and ticks what is due.
+    pub fn pass_time(&mut self, ms: u64) {
+        self.now_ms += ms;
+        let names: Vec<_> = self.nodes.keys().cloned().collect();
+        for name in names {
+            let due = self.nodes[&name].replica.as_ref().is_some_and(|r| r.next_timer_ms() <= self.now_ms);
+            if due {
+                self.step(&name, Input::Tick);
+            }
+        }
+        self.check_leases();
+    }
+
+    /// Delivers one message chosen at random; it may be lost or duplicated.
+    pub fn deliver(&mut self) {
+        if self.network.is_empty() {
+            return;
+        }
+        let at = usize::try_from(self.draw(self.network.len() as u64)).unwrap();
+        let fate = self.draw(100);
+        let (from, to, message) =
+            if fate < self.loss_percent { self.network[at].clone() } else { self.network.swap_remove(at) };
+        if self.blocked.contains(&(from.clone(), to.clone())) || !self.nodes.contains_key(&to) {
+            return;
+        }
+        if fate >= self.loss_percent && fate < 2 * self.loss_percent {
+            return;
+        }
+        self.step(&to, Input::Receive { from, message });
+    }
+
+    /// Runs without faults: delivers in order, syncs at once.
+    pub fn run_calm(&mut self, ms: u64) {
+        let end_ms = self.now_ms + ms;
+        while self.now_ms < end_ms {
+            self.pass_time(10);
+            for _ in 0..6 {
+                for (from, to, message) in std::mem::take(&mut self.network) {
+                    if !self.blocked.contains(&(from.clone(), to.clone())) && self.nodes.contains_key(&to) {
+                        self.step(&to, Input::Receive { from, message });
+                    }
+                }
+                let names: Vec<_> = self.nodes.keys().cloned().collect();
+                names.iter().for_each(|name| self.sync(name));
+            }
+        }
+    }
+
+    pub fn bootstrap(&mut self, voters: &[&str]) {
+        let voters: Vec<InstanceId> = voters.iter().map(|name| (*name).into()).collect();
+        for name in &voters {
+            self.step(name, Input::Bootstrap { voters: voters.clone() });
+        }
+        self.run_calm(1_000);
+        assert!(self.leader().is_some(), "no leader after bootstrap");
+    }
+
+    pub fn leader(&self) -> Option<InstanceId> {
+        let leads = |node: &Node| {
+            let status = node.replica.as_ref()?.status();
+            (status.role == Role::Leader).then_some(status.term)
+        };
+        let leaders = self.nodes.iter().filter_map(|(name, node)| Some((leads(node)?, name.clone())));
+        leaders.max().map(|(_, name)| name)
+    }
+
+    pub fn propose_drain(&mut self, to: &InstanceId, change: &str) -> u64 {
+        let ticket = self.ticket();
+        self.proposed.insert(ticket, change.to_owned());
+        let drain = SetDrain { change: change.into(), upstream: change.into(), draining: true };
+        self.step(to, Input::Propose { ticket, command: Command::SetDrain(drain) });
+        ticket
+    }
+
+    pub fn propose_claim(&mut self, to: &InstanceId, key: &str) -> u64 {
+        let ticket = self.ticket();
+        let attempt = format!("attempt-{ticket}");
+        self.claims.insert(ticket, (key.to_owned(), attempt.clone()));
+        let claim = Claim {
+            key: ClaimKey { customer: "c".into(), service: "s".into(), key: key.into() },
+            body_digest: "d".into(),
+            attempt: attempt.as_str().into(),
+            holder: to.clone(),
+            keep_ms: u64::MAX,
+        };
+        self.step(to, Input::Propose { ticket, command: Command::Claim(claim) });
+        ticket
+    }
+
+    pub fn change_voters(&mut self, to: &InstanceId, change: VoterChange) -> u64 {
+        let ticket = self.ticket();
+        self.step(to, Input::ChangeVoters { ticket, change });
+        ticket
+    }
+
+    fn ticket(&mut self) -> u64 {
+        self.next_ticket += 1;
+        self.next_ticket
+    }
+
+    fn run_until_leader(&mut self) {
+        let end_ms = self.now_ms + 6_000;
+        self.run_calm(300);
+        while self.leader().is_none() && self.now_ms < end_ms {
+            self.run_calm(100);
+        }
+        self.run_calm(300);
+    }
+
+    /// Does what an operator does when too few peers can answer the check of a started voter: restarts the
+    /// voters whose disks were not replaced and vouches for them.
+    pub fn vouch_for_all_but(&mut self, victim: &InstanceId) {
+        self.blocked.clear();
+        self.loss_percent = 0;
+        let names: Vec<_> = self.nodes.keys().filter(|name| *name != victim).cloned().collect();
+        for name in names.iter().filter(|name| self.nodes[*name].replica.is_none()).collect::<Vec<_>>() {
+            self.start(name);
+        }
+        self.run_until_leader();
+        if self.leader().is_some() {
+            return;
+        }
+        for name in &names {
+            self.crash(name);
+            self.trusted.insert(name.clone());
+            self.start(name);
+        }
+    }
+
+    fn describe(&self) -> String {
+        let statuses = self.nodes.values().filter_map(|node| Some(node.replica.as_ref()?.status()));
+        statuses.map(|status| format!("\n{status:?}")).collect()
+    }
+
+    /// Heals everything and checks that a leader emerges, nothing acknowledged is lost and states agree.
+    pub fn settle_and_check(&mut self) {
+        self.blocked.clear();
+        self.loss_percent = 0;
+        let names: Vec<_> = self.nodes.keys().cloned().collect();
+        for name in &names {
+            if self.nodes[name].replica.is_none() {
+                self.start(name);
+            }
+        }
+        self.run_until_leader();
+        let leader =
+            self.leader().unwrap_or_else(|| panic!("no leader after all faults ended: {}", self.describe()));
+        self.propose_drain(&leader, "final");
+        self.run_calm(400);
+        let replica = self.nodes[&leader].replica.as_ref().unwrap();
+        let state = replica.state();
+        assert!(state.config.draining.contains(&"final".into()), "no progress after all faults ended");
+        for (change, version) in &self.acknowledged {
+            let kept = state.changes.iter().find(|kept| kept.change.as_str() == change);
+            assert_eq!(
+                kept.map(|kept| kept.version.0),
+                Some(*version),
+                "acknowledged change {change} is lost"
+            );
+        }
+        for (key, attempts) in &self.granted {
+            let kept = state.claims.iter().find(|(claim, _)| claim.key == *key).map(|(_, record)| record);
+            let attempt = kept.map(|record| record.attempt.as_str());
+            assert_eq!(attempt, attempts.first().map(String::as_str), "acknowledged claim {key} is lost");
+        }
+        for member in replica.status().voters.members() {
+            let Some(other) = self.nodes[member].replica.as_ref() else { continue };
+            assert_eq!(other.state(), state, "{member} differs from {leader}");
+        }
+    }
+}
