--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -72,8 +72,6 @@
 
     /// An accepted change, kept so that a resend gets the same reply.
     pub struct AcceptedChange {
-        /// Its id.
-        pub change: ChangeId,
         /// Digest of its content.
         pub digest: String,
         /// The version it created.
@@ -98,8 +96,10 @@
         pub answer_bytes: u64,
         /// Leases by role.
         pub leases: BTreeMap<String, LeaseRecord>,
-        /// Accepted changes, oldest first.
-        pub changes: VecDeque<AcceptedChange>,
+        /// Accepted changes by id.
+        pub changes: BTreeMap<ChangeId, AcceptedChange>,
+        /// The ids of the accepted changes, oldest first.
+        pub change_order: VecDeque<ChangeId>,
         /// Crashed upstream incarnations by fingerprint.
         pub crashes: BTreeMap<String, BTreeSet<String>>,
     }
@@ -324,7 +324,7 @@
     }
 
     fn repeated(&self, change: &ChangeId, digest: &str) -> Option<Reply> {
-        let accepted = self.changes.iter().rev().find(|accepted| accepted.change == *change)?;
+        let accepted = self.changes.get(change)?;
         if accepted.digest == digest {
             Some(Reply::Accepted(accepted.version))
         } else {
@@ -335,9 +335,12 @@
     fn accept(&mut self, change: &ChangeId, digest: String) -> Reply {
         let version = ConfigVersion(self.applied_index);
         Arc::make_mut(&mut self.config).version = version;
-        self.changes.push_back(AcceptedChange { change: change.clone(), digest, version });
-        while self.changes.len() > REMEMBERED_CHANGES {
-            self.changes.pop_front();
+        self.changes.insert(change.clone(), AcceptedChange { digest, version });
+        self.change_order.push_back(change.clone());
+        while self.change_order.len() > REMEMBERED_CHANGES
+            && let Some(oldest) = self.change_order.pop_front()
+        {
+            self.changes.remove(&oldest);
         }
         Reply::Accepted(version)
     }
--- a/crates/control/tests/sim/mod.rs
+++ b/crates/control/tests/sim/mod.rs
@@ -389,7 +389,7 @@
         let state = replica.state();
         assert!(state.config.draining.contains(&"final".into()), "no progress after all faults ended");
         for (change, version) in &self.acknowledged {
-            let kept = state.changes.iter().find(|kept| kept.change.as_str() == change);
+            let kept = state.changes.get(&change.as_str().into());
             assert_eq!(
                 kept.map(|kept| kept.version.0),
                 Some(*version),
