Complete the stand-ins and add the fault-injecting proxy

A TCP proxy cuts, resets, silences, delays and slows down each direction and can be pointed at another target. The crate noxious was looked at first: it limits and resets connections, but has no way to silence existing connections while new ones work, so the proxy is own code of about 350 lines on tokio.

--- /dev/null
+++ b/crates/testkit/src/engine_cache.rs
@@ -0,0 +1,146 @@
+//! The prefix cache of a stand-in engine and the events it publishes.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use daisysill_wire::border::{CacheEvent, CacheEventKind, CacheEvents};
+
+use crate::engine::EngineConfig;
+
+/// A piece in the cache.
+#[derive(Clone, Debug)]
+pub(crate) struct CachedPiece {
+    pub(crate) weight_version: u64,
+    pub(crate) last_use: u64,
+    /// Bytes that were moved to import the piece and have not been used yet.
+    pub(crate) unused_import_bytes: u64,
+}
+
+/// A bounded cache, keyed by salt and piece name, that evicts the least recently used piece.
+#[derive(Debug)]
+pub(crate) struct Cache {
+    limit: usize,
+    pieces: BTreeMap<(String, String), CachedPiece>,
+    uses: u64,
+    events: Vec<(Instant, CacheEvent)>,
+    delay: Duration,
+    burst: Duration,
+    gap_every: u64,
+    started: Instant,
+    vain_bytes: u64,
+}
+
+/// What a lookup of a prompt's pieces found.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Lookup {
+    pub(crate) cached_pieces: usize,
+    pub(crate) foreign_salt: bool,
+    pub(crate) foreign_version: bool,
+}
+
+impl Cache {
+    pub(crate) fn new(config: &EngineConfig) -> Self {
+        Self {
+            limit: config.cache_pieces,
+            pieces: BTreeMap::new(),
+            uses: 0,
+            events: Vec::new(),
+            delay: Duration::from_millis(config.event_delay_ms),
+            burst: Duration::from_millis(config.event_burst_ms),
+            gap_every: config.event_gap_every,
+            started: Instant::now(),
+            vain_bytes: 0,
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.pieces.len()
+    }
+
+    /// Finds the longest cached prefix of one customer and weight version, and marks it as used.
+    pub(crate) fn look_up(&mut self, salt: &str, names: &[String], weight_version: u64) -> Lookup {
+        let mut lookup = Lookup {
+            foreign_salt: names.iter().any(|name| self.is_held_for_another(salt, name)),
+            ..Lookup::default()
+        };
+        for name in names {
+            self.uses += 1;
+            let Some(piece) = self.pieces.get_mut(&(salt.to_owned(), name.clone())) else { break };
+            if piece.weight_version != weight_version {
+                lookup.foreign_version = true;
+                break;
+            }
+            piece.last_use = self.uses;
+            piece.unused_import_bytes = 0;
+            lookup.cached_pieces += 1;
+        }
+        lookup
+    }
+
+    fn is_held_for_another(&self, salt: &str, name: &str) -> bool {
+        self.pieces.keys().any(|(held_salt, held)| held == name && held_salt != salt)
+    }
+
+    pub(crate) fn insert(&mut self, salt: &str, name: &str, weight_version: u64, import_bytes: u64) {
+        self.uses += 1;
+        let piece = CachedPiece { weight_version, last_use: self.uses, unused_import_bytes: import_bytes };
+        if self.pieces.insert((salt.to_owned(), name.to_owned()), piece).is_none() {
+            self.publish(CacheEventKind::Stored, name.to_owned());
+        }
+        while self.pieces.len() > self.limit {
+            let oldest = self.pieces.iter().min_by_key(|(_, piece)| piece.last_use);
+            let Some(key) = oldest.map(|(key, _)| key.clone()) else { return };
+            self.evict(&key);
+        }
+    }
+
+    /// Returns salt and weight version of a piece.
+    pub(crate) fn find(&self, name: &str) -> Option<(String, u64)> {
+        let mut found = self.pieces.iter().filter(|((_, held), _)| held == name);
+        found.next().map(|((salt, _), piece)| (salt.clone(), piece.weight_version))
+    }
+
+    pub(crate) fn evict_all(&mut self) {
+        let keys: Vec<_> = self.pieces.keys().cloned().collect();
+        for key in keys {
+            self.evict(&key);
+        }
+    }
+
+    /// Takes the bytes of imported pieces that were evicted before use.
+    pub(crate) fn take_vain_bytes(&mut self) -> u64 {
+        std::mem::take(&mut self.vain_bytes)
+    }
+
+    fn evict(&mut self, key: &(String, String)) {
+        if let Some(piece) = self.pieces.remove(key) {
+            self.vain_bytes += piece.unused_import_bytes;
+            self.publish(CacheEventKind::Evicted, key.1.clone());
+        }
+    }
+
+    fn publish(&mut self, kind: CacheEventKind, piece: String) {
+        let seq = self.events.len() as u64 + 1;
+        self.events.push((Instant::now(), CacheEvent { seq, kind, piece }));
+    }
+
+    /// Returns the events that can be read by now.
+    pub(crate) fn events_after(&self, after: u64, incarnation: u64) -> CacheEvents {
+        let now = Instant::now();
+        let readable_until = if self.burst.is_zero() {
+            now
+        } else {
+            let bursts = now.duration_since(self.started).as_nanos() / self.burst.as_nanos();
+            self.started + self.burst * u32::try_from(bursts).unwrap_or(u32::MAX)
+        };
+        let readable = self.events.iter().take_while(|(at, _)| *at + self.delay <= readable_until);
+        let next_seq = readable.clone().last().map_or(0, |(_, event)| event.seq);
+        let is_kept = |event: &&CacheEvent| {
+            event.seq > after && (self.gap_every == 0 || !event.seq.is_multiple_of(self.gap_every))
+        };
+        let events = readable.map(|(_, event)| event).filter(is_kept).cloned().collect();
+        CacheEvents { events, next_seq, incarnation }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/engine_run.rs
@@ -0,0 +1,294 @@
+//! How a stand-in engine runs a prompt: batch, prefill, decoding, and faults of its stream.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use actix_web::{
+    HttpResponse,
+    web::{Bytes, Data, Json},
+};
+use daisysill_wire::border::{EngineEvent, EngineRequest, Usage};
+use futures::{Stream, stream};
+
+use crate::{
+    engine::{EngineState, StreamFaults},
+    slots::Slot,
+    util::lock,
+};
+
+/// Time between two looks at whether a prefill was cancelled.
+const CANCEL_CHECK: Duration = Duration::from_millis(20);
+
+/// An attempt that an engine started.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunRecord {
+    /// The attempt.
+    pub attempt_id: String,
+    /// The customer's salt.
+    pub cache_salt: String,
+    /// Digest of the prompt, in hexadecimal.
+    pub prompt_digest: String,
+    /// The weight version that ran.
+    pub weight_version: u64,
+    /// The first token that was asked for.
+    pub resume_from_token: u64,
+    /// Prompt tokens that were computed.
+    pub computed_tokens: u64,
+    /// Prompt tokens that were found in the cache.
+    pub cached_tokens: u64,
+    /// Whether the stream was sent to its end.
+    pub finished: bool,
+}
+
+/// Returns the text that every engine generates for a prompt, so that a test can check an answer.
+pub fn expected_text(prompt: &str, tokens: u64) -> String {
+    expected_text_of(prompt, tokens, 1)
+}
+
+/// Returns the text that one weight version generates for a prompt.
+pub fn expected_text_of(prompt: &str, tokens: u64, weight_version: u64) -> String {
+    let digest = blake3::hash(prompt.as_bytes()).to_hex();
+    (0..tokens).map(|index| token_text(&digest, weight_version, index)).collect()
+}
+
+fn token_text(prompt_digest: &str, weight_version: u64, index: u64) -> String {
+    let version = if weight_version == 1 { String::new() } else { format!("v{weight_version}.") };
+    format!("{}{version}{index} ", &prompt_digest[..4])
+}
+
+/// An attempt in the batch.
+struct Run {
+    state: Arc<EngineState>,
+    request: EngineRequest,
+    /// Its place in the batch, free again when the run ends in any way.
+    _slot: Slot,
+    weight_version: u64,
+    prompt_digest: String,
+    /// Its index in the records.
+    record: usize,
+    usage: Usage,
+}
+
+pub(crate) async fn complete(request: Json<EngineRequest>, state: Data<EngineState>) -> HttpResponse {
+    let (state, request) = (state.into_inner(), request.into_inner());
+    let weight_version = match may_run(&state, &request) {
+        Ok(version) => version,
+        Err((status, reason)) => return state.refuse(status, reason),
+    };
+    let slot = state.batch.take(request.priority).await;
+    let Some(run) = start(&state, request, slot, weight_version).await else {
+        return HttpResponse::Gone().body("cancelled\n");
+    };
+    let marker = &state.config.crash_marker;
+    if !marker.is_empty() && run.request.prompt.contains(marker) {
+        crash_and_return(&state);
+        return HttpResponse::InternalServerError().finish();
+    }
+    let events = Events { faults: take_faults(&state), next: run.request.resume_from_token, late: None, run };
+    HttpResponse::Ok().content_type("text/event-stream").streaming(Box::pin(events.stream()))
+}
+
+/// Looks up the prompt's prefix, computes the rest and records the attempt.
+async fn start(
+    state: &Arc<EngineState>,
+    request: EngineRequest,
+    slot: Slot,
+    weight_version: u64,
+) -> Option<Run> {
+    let config = &state.config;
+    let prompt_tokens = (request.prompt.len() as u64).div_ceil(config.bytes_per_token);
+    let lookup = lock(&state.cache).look_up(&request.cache_salt, &request.kv_pieces, weight_version);
+    let cached_tokens = (lookup.cached_pieces as u64 * config.piece_tokens).min(prompt_tokens);
+    let prompt_digest = blake3::hash(request.prompt.as_bytes()).to_hex().to_string();
+    let record = {
+        let mut records = lock(&state.records);
+        records.foreign_salts += u64::from(lookup.foreign_salt);
+        records.foreign_versions += u64::from(lookup.foreign_version);
+        records.computed_tokens += prompt_tokens - cached_tokens;
+        records.cached_tokens += cached_tokens;
+        records.runs.push(RunRecord {
+            attempt_id: request.attempt_id.clone(),
+            cache_salt: request.cache_salt.clone(),
+            prompt_digest: prompt_digest.clone(),
+            weight_version,
+            resume_from_token: request.resume_from_token,
+            computed_tokens: prompt_tokens - cached_tokens,
+            cached_tokens,
+            finished: false,
+        });
+        records.runs.len() - 1
+    };
+    prefill(state, &request, prompt_tokens - cached_tokens).await?;
+    let mut cache = lock(&state.cache);
+    for name in &request.kv_pieces {
+        cache.insert(&request.cache_salt, name, weight_version, 0);
+    }
+    lock(&state.records).vain_bytes += cache.take_vain_bytes();
+    drop(cache);
+    let usage = Usage {
+        prompt_tokens,
+        completion_tokens: u64::from(request.max_tokens),
+        total_tokens: prompt_tokens + u64::from(request.max_tokens),
+        cached_tokens: Some(cached_tokens),
+    };
+    Some(Run { state: Arc::clone(state), request, _slot: slot, weight_version, prompt_digest, record, usage })
+}
+
+/// Computes tokens of the prompt in turn with other prompts; `None` once the attempt is cancelled.
+async fn prefill(state: &Arc<EngineState>, request: &EngineRequest, tokens: u64) -> Option<()> {
+    let queued = QueuedTokens::new(state, tokens);
+    let turn = state.prefill.take(request.priority).await;
+    let mut left = Duration::from_micros(tokens * 1_000_000 / state.config.prefill_tokens_per_s.max(1));
+    while !left.is_zero() {
+        if state.is_cancelled(&request.attempt_id) {
+            return None;
+        }
+        let step = left.min(CANCEL_CHECK);
+        actix_rt::time::sleep(step).await;
+        left -= step;
+    }
+    drop(turn);
+    drop(queued);
+    (!state.is_cancelled(&request.attempt_id)).then_some(())
+}
+
+/// Counts tokens as waiting for prefill until dropped.
+struct QueuedTokens {
+    state: Arc<EngineState>,
+    tokens: u64,
+}
+
+impl QueuedTokens {
+    fn new(state: &Arc<EngineState>, tokens: u64) -> Self {
+        state.queue_tokens.fetch_add(tokens, Ordering::Relaxed);
+        Self { state: Arc::clone(state), tokens }
+    }
+}
+
+impl Drop for QueuedTokens {
+    fn drop(&mut self) {
+        self.state.queue_tokens.fetch_sub(self.tokens, Ordering::Relaxed);
+    }
+}
+
+/// The stream of one attempt.
+struct Events {
+    run: Run,
+    faults: StreamFaults,
+    next: u64,
+    /// The event that is sent again, late.
+    late: Option<String>,
+}
+
+impl Events {
+    fn stream(self) -> impl Stream<Item = Result<Bytes, std::io::Error>> {
+        stream::unfold(Some(self), |events| async move {
+            let mut events = events?;
+            let chunk = events.next_chunk().await?;
+            let has_ended = chunk.is_err();
+            Some((chunk, (!has_ended).then_some(events)))
+        })
+    }
+
+    async fn next_chunk(&mut self) -> Option<Result<Bytes, std::io::Error>> {
+        let (end, index) = (u64::from(self.run.request.max_tokens), self.next);
+        let sent = index - self.run.request.resume_from_token.min(index);
+        self.next += 1;
+        if index > end || self.run.state.is_cancelled(&self.run.request.attempt_id) {
+            return None;
+        }
+        if self.faults.cut_after_tokens == Some(sent) {
+            return Some(Err(std::io::Error::other("cut on demand")));
+        }
+        if self.faults.hang_after_tokens == Some(sent) {
+            return std::future::pending().await;
+        }
+        if index == end {
+            lock(&self.run.state.records).runs[self.run.record].finished = true;
+            return Some(Ok(Bytes::from_static(b"data: [DONE]\n\n")));
+        }
+        actix_rt::time::sleep(self.run.token_time()).await;
+        Some(Ok(Bytes::from(self.event_text(index, index + 1 == end))))
+    }
+
+    /// Returns the event of one token with those that the faults add.
+    fn event_text(&mut self, index: u64, last: bool) -> String {
+        let event = self.run.event(index, last);
+        let line = format!("data: {}\n\n", serde_json::to_string(&event).unwrap());
+        let mut text = String::new();
+        if self.faults.crossed {
+            let other = EngineEvent {
+                attempt_id: format!("{}-other", event.attempt_id),
+                text: "wrong ".to_owned(),
+                finish_reason: Some("stop".to_owned()),
+                ..event
+            };
+            text = format!("data: {}\n\n", serde_json::to_string(&other).unwrap());
+        }
+        text.push_str(&line);
+        if self.faults.doubled {
+            text.push_str(&line);
+        }
+        if self.faults.late {
+            text.push_str(&self.late.replace(line).unwrap_or_default());
+        }
+        text
+    }
+}
+
+impl Run {
+    /// Returns the time for the next token, which grows with the batch.
+    fn token_time(&self) -> Duration {
+        let config = &self.state.config;
+        let others = self.state.batch.taken().saturating_sub(1) as f64;
+        let full = config.batch_limit.saturating_sub(1).max(1) as f64;
+        let slowdown = config.full_batch_slowdown_percent as f64 / 100.0 * others / full;
+        Duration::from_millis(config.token_ms).mul_f64(1.0 + slowdown)
+    }
+
+    fn event(&self, index: u64, last: bool) -> EngineEvent {
+        EngineEvent {
+            attempt_id: self.request.attempt_id.clone(),
+            token_index: index,
+            text: token_text(&self.prompt_digest, self.weight_version, index),
+            finish_reason: last.then(|| "length".to_owned()),
+            usage: last.then(|| self.usage.clone()),
+        }
+    }
+}
+
+fn may_run(state: &EngineState, request: &EngineRequest) -> Result<u64, (u16, &'static str)> {
+    if state.leaving.load(Ordering::Relaxed) {
+        return Err((503, "leaving"));
+    }
+    let weights = lock(&state.weights);
+    if weights.loading {
+        return Err((503, "loading weights"));
+    }
+    if request.weight_version != 0 && request.weight_version != weights.version {
+        return Err((409, "another weight version"));
+    }
+    Ok(weights.version)
+}
+
+fn crash_and_return(state: &Arc<EngineState>) {
+    state.crash();
+    let (state, down) = (Arc::clone(state), Duration::from_millis(state.config.crash_down_ms));
+    actix_rt::spawn(async move {
+        actix_rt::time::sleep(down).await;
+        state.connection.reopen();
+    });
+}
+
+/// Takes the faults for one stream; breaking ones are used up.
+fn take_faults(state: &EngineState) -> StreamFaults {
+    let mut faults = lock(&state.faults);
+    let mut taken = *faults;
+    if faults.broken_streams == 0 {
+        (taken.cut_after_tokens, taken.hang_after_tokens) = (None, None);
+    }
+    faults.broken_streams = faults.broken_streams.saturating_sub(1);
+    taken
+}
--- a/crates/testkit/src/paths.rs
+++ b/crates/testkit/src/paths.rs
@@ -22,3 +22,7 @@
 pub const BLOCK_SEAL: &str = "/v1/blocks/{name}/{generation}/seal";
 /// How full a store is.
 pub const USAGE: &str = "/v1/usage";
+/// The platform's list as one reader sees it.
+pub const INSTANCES_FOR: &str = "/for/{reader}/v1/instances";
+/// Weights of one version in the weight store.
+pub const WEIGHTS: &str = "/v1/weights/{version}";
--- /dev/null
+++ b/crates/testkit/src/proxy.rs
@@ -0,0 +1,363 @@
+//! A TCP proxy that cuts, silences, delays and slows down what passes through it.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, OnceLock,
+        atomic::{AtomicUsize, Ordering},
+        mpsc as std_mpsc,
+    },
+    thread,
+    time::Duration,
+};
+
+use socket2::SockRef;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    runtime::{Builder, Handle},
+    sync::{broadcast, mpsc, watch},
+    task::AbortHandle,
+    time::{Instant, sleep_until},
+};
+
+use crate::util::{CHUNK_BYTES, Rate, lock};
+
+/// Threads that all proxies of a process share.
+const PROXY_THREADS: usize = 2;
+/// Chunks under way in one direction of one connection; bounds what a delayed link holds.
+const CHUNKS_UNDER_WAY: usize = 256;
+
+/// One direction of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// From the side that connects to the side that listens.
+    Forward,
+    /// From the side that listens to the side that connects.
+    Backward,
+}
+
+/// How one direction behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Behaviour {
+    /// Whether bytes are held back; they go on when this ends, as after a network partition.
+    pub silent: bool,
+    /// Added to the way of every byte.
+    pub delay: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct LinkState {
+    target: Option<SocketAddr>,
+    forward: Behaviour,
+    backward: Behaviour,
+    /// Connections with a lower number stay silent for ever.
+    silent_below: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Cut {
+    /// Whether the connecting side sees the connection end.
+    client: bool,
+    /// Whether the listening side sees it.
+    server: bool,
+    reset: bool,
+}
+
+/// A TCP proxy with faults on demand; it stops when dropped.
+#[derive(Debug)]
+pub struct Proxy {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    listener: Mutex<Option<AbortHandle>>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: watch::Sender<LinkState>,
+    cuts: broadcast::Sender<Cut>,
+    forward_rate: Rate,
+    backward_rate: Rate,
+    accepted: Mutex<u64>,
+    runtime: Handle,
+}
+
+impl Proxy {
+    /// Starts a proxy to a target that may be set later.
+    ///
+    /// # Panics
+    /// Panics if no port can be bound.
+    pub fn start(target: Option<SocketAddr>) -> Self {
+        let state = LinkState {
+            target,
+            forward: Behaviour::default(),
+            backward: Behaviour::default(),
+            silent_below: 0,
+        };
+        let shared = Arc::new(Shared {
+            state: watch::Sender::new(state),
+            cuts: broadcast::Sender::new(16),
+            forward_rate: Rate::new(0),
+            backward_rate: Rate::new(0),
+            accepted: Mutex::new(0),
+            runtime: runtime(),
+        });
+        let (address, listener) = listen(&shared, SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        Self { address, shared, listener: Mutex::new(Some(listener)) }
+    }
+
+    /// Returns where the proxy listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the base URL of an HTTP target.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Sends new connections to another target, for a process that restarted on another port.
+    pub fn set_target(&self, target: SocketAddr) {
+        self.shared.state.send_modify(|state| state.target = Some(target));
+    }
+
+    /// Sets how one direction behaves, for existing and new connections.
+    pub fn set(&self, direction: Direction, behaviour: Behaviour) {
+        self.shared.state.send_modify(|state| match direction {
+            Direction::Forward => state.forward = behaviour,
+            Direction::Backward => state.backward = behaviour,
+        });
+    }
+
+    /// Holds back both directions or lets them go on.
+    pub fn set_silent(&self, silent: bool) {
+        self.shared.state.send_modify(|state| {
+            state.forward.silent = silent;
+            state.backward.silent = silent;
+        });
+    }
+
+    /// Limits one direction, all connections together; 0 means no limit.
+    pub fn set_rate(&self, direction: Direction, bytes_per_s: u64) {
+        self.shared.rate(direction).set(bytes_per_s);
+    }
+
+    /// Returns the bytes that passed in one direction.
+    pub fn passed_bytes(&self, direction: Direction) -> u64 {
+        self.shared.rate(direction).passed_bytes()
+    }
+
+    /// Returns how many connections were accepted.
+    pub fn accepted(&self) -> u64 {
+        *lock(&self.shared.accepted)
+    }
+
+    /// Makes existing connections silent for ever without a reset, while new ones work.
+    pub fn silence_existing(&self) {
+        let accepted = self.accepted();
+        self.shared.state.send_modify(|state| state.silent_below = accepted);
+    }
+
+    /// Ends existing connections at both sides, by a reset or by an orderly close.
+    pub fn cut(&self, reset: bool) {
+        // An error means that there is no connection to cut.
+        let _ = self.shared.cuts.send(Cut { client: true, server: true, reset });
+    }
+
+    /// Ends existing connections for the receiver of one direction only; the other side hears nothing.
+    pub fn cut_direction(&self, direction: Direction, reset: bool) {
+        let client = direction == Direction::Backward;
+        let _ = self.shared.cuts.send(Cut { client, server: !client, reset });
+    }
+
+    /// Refuses new connections and resets existing ones, as when the target's machine is gone.
+    pub fn close(&self) {
+        if let Some(listener) = lock(&self.listener).take() {
+            listener.abort();
+        }
+        self.cut(true);
+    }
+
+    /// Listens again on the same port after `close`.
+    ///
+    /// # Panics
+    /// Panics if another process has taken the port.
+    pub fn reopen(&self) {
+        let mut listener = lock(&self.listener);
+        if listener.is_none() {
+            *listener = Some(listen(&self.shared, self.address).unwrap().1);
+        }
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.close();
+    }
+}
+
+impl Shared {
+    fn rate(&self, direction: Direction) -> &Rate {
+        match direction {
+            Direction::Forward => &self.forward_rate,
+            Direction::Backward => &self.backward_rate,
+        }
+    }
+
+    fn behaviour(&self, direction: Direction) -> Behaviour {
+        let state = self.state.borrow();
+        match direction {
+            Direction::Forward => state.forward,
+            Direction::Backward => state.backward,
+        }
+    }
+
+    /// Waits until a connection's bytes may pass.
+    async fn passable(&self, direction: Direction, number: u64) {
+        let mut state = self.state.subscribe();
+        let open = state.wait_for(|state| {
+            let behaviour = if direction == Direction::Forward { state.forward } else { state.backward };
+            !behaviour.silent && number >= state.silent_below
+        });
+        // An error means that the proxy is gone; its connections end with it.
+        let _ = open.await;
+    }
+}
+
+/// Binds without a race against the abort of an earlier listener, which frees the port a little later.
+fn listen(shared: &Arc<Shared>, address: SocketAddr) -> std::io::Result<(SocketAddr, AbortHandle)> {
+    const BIND_ATTEMPTS: usize = 200;
+    let mut bound = std::net::TcpListener::bind(address);
+    for _ in 0..BIND_ATTEMPTS {
+        if bound.is_ok() {
+            break;
+        }
+        thread::sleep(Duration::from_millis(10));
+        bound = std::net::TcpListener::bind(address);
+    }
+    let listener = bound?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    let serving = Arc::clone(shared);
+    let task = shared.runtime.spawn(async move {
+        let Ok(listener) = TcpListener::from_std(listener) else { return };
+        while let Ok((client, _)) = listener.accept().await {
+            let number = {
+                let mut accepted = lock(&serving.accepted);
+                *accepted += 1;
+                *accepted - 1
+            };
+            tokio::spawn(serve(Arc::clone(&serving), client, number, serving.cuts.subscribe()));
+        }
+    });
+    Ok((address, task.abort_handle()))
+}
+
+async fn serve(shared: Arc<Shared>, client: TcpStream, number: u64, mut cuts: broadcast::Receiver<Cut>) {
+    let target = shared.state.borrow().target;
+    shared.passable(Direction::Forward, number).await;
+    let Some(target) = target else { return };
+    let Ok(server) = TcpStream::connect(target).await else {
+        // The connecting side sees a reset, as close to a refusal as an accepted connection can get.
+        end(client, true);
+        return;
+    };
+    let _ = (client.set_nodelay(true), server.set_nodelay(true));
+    let forward = pump(&shared, Direction::Forward, number, &client, &server);
+    let backward = pump(&shared, Direction::Backward, number, &server, &client);
+    let cut = tokio::select! {
+        _ = async { tokio::join!(forward, backward) } => return,
+        cut = cuts.recv() => cut.unwrap_or(Cut { client: true, server: true, reset: true }),
+    };
+    let mut held = Vec::new();
+    for (stream, ends) in [(client, cut.client), (server, cut.server)] {
+        if ends { end(stream, cut.reset) } else { held.push(stream) }
+    }
+    if !held.is_empty() {
+        // The side that hears nothing keeps its connection until a full cut.
+        while cuts.recv().await.is_ok_and(|cut| !(cut.client && cut.server)) {}
+    }
+}
+
+fn end(stream: TcpStream, reset: bool) {
+    if reset {
+        let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    }
+    drop(stream);
+}
+
+/// Moves one direction until its end, which is passed on as a half-close.
+async fn pump(shared: &Shared, direction: Direction, number: u64, from: &TcpStream, to: &TcpStream) {
+    let (sender, mut receiver) = mpsc::channel::<(Instant, Vec<u8>)>(CHUNKS_UNDER_WAY);
+    let reading = async {
+        let sender = sender;
+        while let Some(chunk) = read(from).await {
+            let due = Instant::now() + shared.behaviour(direction).delay;
+            if sender.send((due, chunk)).await.is_err() {
+                return;
+            }
+        }
+    };
+    let writing = async {
+        while let Some((due, chunk)) = receiver.recv().await {
+            if due > Instant::now() {
+                sleep_until(due).await;
+            }
+            shared.rate(direction).pass(chunk.len()).await;
+            shared.passable(direction, number).await;
+            if !write(to, &chunk).await {
+                return;
+            }
+        }
+        shared.passable(direction, number).await;
+        let _ = SockRef::from(to).shutdown(std::net::Shutdown::Write);
+    };
+    tokio::join!(reading, writing);
+}
+
+async fn read(from: &TcpStream) -> Option<Vec<u8>> {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    loop {
+        from.readable().await.ok()?;
+        match from.try_read(&mut chunk) {
+            Ok(0) => return None,
+            Ok(length) => {
+                chunk.truncate(length);
+                return Some(chunk);
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(_) => return None,
+        }
+    }
+}
+
+async fn write(to: &TcpStream, mut chunk: &[u8]) -> bool {
+    while !chunk.is_empty() {
+        if to.writable().await.is_err() {
+            return false;
+        }
+        match to.try_write(chunk) {
+            Ok(length) => chunk = &chunk[length..],
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+            Err(_) => return false,
+        }
+    }
+    true
+}
+
+/// Returns one of the threads that all proxies share.
+fn runtime() -> Handle {
+    static HANDLES: OnceLock<Vec<Handle>> = OnceLock::new();
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let handles = HANDLES.get_or_init(|| (0..PROXY_THREADS).map(|_| start_runtime()).collect());
+    handles[NEXT.fetch_add(1, Ordering::Relaxed) % handles.len()].clone()
+}
+
+fn start_runtime() -> Handle {
+    let (sender, receiver) = std_mpsc::channel();
+    thread::spawn(move || {
+        let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+        sender.send(runtime.handle().clone()).unwrap();
+        runtime.block_on(std::future::pending::<()>());
+    });
+    receiver.recv().unwrap()
+}
--- /dev/null
+++ b/crates/testkit/src/weight_store.rs
@@ -0,0 +1,94 @@
+//! A stand-in for the rate-limited weight store.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use actix_web::{
+    HttpResponse,
+    web::{self, Data, Path},
+};
+
+use crate::{paths, server::StandInServer};
+
+/// Time between two looks at how many transfers share the store.
+const STEP: Duration = Duration::from_millis(5);
+
+/// A stand-in for the weight store: up to `full_speed` loads take `load_ms` each, more share that rate.
+#[derive(Debug)]
+pub struct WeightStore {
+    server: StandInServer,
+    state: Arc<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    load: Duration,
+    full_speed: u64,
+    loading: AtomicU64,
+    most_loading: AtomicU64,
+    loads: AtomicU64,
+}
+
+/// Counts a load until dropped.
+struct Loading(Arc<State>);
+
+impl WeightStore {
+    /// Starts the store.
+    pub fn start(load_ms: u64, full_speed: u64) -> Self {
+        let state = Arc::new(State {
+            load: Duration::from_millis(load_ms),
+            full_speed: full_speed.max(1),
+            loading: AtomicU64::new(0),
+            most_loading: AtomicU64::new(0),
+            loads: AtomicU64::new(0),
+        });
+        let data = Data::from(Arc::clone(&state));
+        let server = StandInServer::start(move |routes| {
+            routes.app_data(data.clone()).route(paths::WEIGHTS, web::get().to(load));
+        });
+        Self { server, state }
+    }
+
+    /// Returns the base URL.
+    pub fn url(&self) -> String {
+        self.server.url()
+    }
+
+    /// Returns the highest number of loads at once.
+    pub fn most_loading(&self) -> u64 {
+        self.state.most_loading.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many loads ended.
+    pub fn loads(&self) -> u64 {
+        self.state.loads.load(Ordering::Relaxed)
+    }
+}
+
+async fn load(_version: Path<u64>, state: Data<State>) -> HttpResponse {
+    let state = state.into_inner();
+    let loading = state.loading.fetch_add(1, Ordering::Relaxed) + 1;
+    state.most_loading.fetch_max(loading, Ordering::Relaxed);
+    let loading = Loading(Arc::clone(&state));
+    let mut left_s = state.load.as_secs_f64();
+    while left_s > 0.0 {
+        let began = Instant::now();
+        actix_rt::time::sleep(STEP).await;
+        let sharing = state.loading.load(Ordering::Relaxed).max(state.full_speed);
+        left_s -= began.elapsed().as_secs_f64() * state.full_speed as f64 / sharing as f64;
+    }
+    drop(loading);
+    state.loads.fetch_add(1, Ordering::Relaxed);
+    HttpResponse::Ok().body("loaded\n")
+}
+
+impl Drop for Loading {
+    fn drop(&mut self) {
+        self.0.loading.fetch_sub(1, Ordering::Relaxed);
+    }
+}
