--- a/crates/testkit/src/engine_run.rs
+++ b/crates/testkit/src/engine_run.rs
@@ -21,6 +21,9 @@
 /// Time between two looks at whether a prefill was cancelled.
 const CANCEL_CHECK: Duration = Duration::from_millis(20);
 
+/// Time in which written events leave before a stream is cut.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
+
 /// An attempt that an engine started.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunRecord {
@@ -200,6 +203,8 @@
             return None;
         }
         if self.faults.cut_after_tokens == Some(sent) {
+            // An error drops what is not flushed yet, so the tokens before it get time to leave.
+            actix_rt::time::sleep(FLUSH_TIME).await;
             return Some(Err(std::io::Error::other("cut on demand")));
         }
         if self.faults.hang_after_tokens == Some(sent) {
