Add the deployment builder, the quick start and the measuring program

Cause: tests of several nodes and figures need more than one node behind links that can fail. The quick start serves a prompt twice, and says whether the return was restored. The measuring program drives short questions, long contexts that return, cues with resends and look-ups. The measuring program has not run yet.

--- a/crates/testkit/src/engine_run.rs
+++ b/crates/testkit/src/engine_run.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{Arc, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use actix_web::{
@@ -27,6 +27,8 @@
 /// An attempt that an engine started.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunRecord {
+    /// When it arrived.
+    pub arrived: Instant,
     /// The attempt.
     pub attempt_id: String,
     /// The customer's salt.
@@ -112,6 +114,7 @@
         records.computed_tokens += prompt_tokens - cached_tokens;
         records.cached_tokens += cached_tokens;
         records.runs.push(RunRecord {
+            arrived: Instant::now(),
             attempt_id: request.attempt_id.clone(),
             cache_salt: request.cache_salt.clone(),
             prompt_digest: prompt_digest.clone(),
--- a/crates/testkit/src/environment.rs
+++ b/crates/testkit/src/environment.rs
@@ -110,6 +110,17 @@
         }
     }
 
+    /// Asks daisysilld to check settings; returns what it says against them, or `None`.
+    ///
+    /// # Panics
+    /// Panics if the program cannot be run.
+    pub fn check_settings(&self, settings: &str) -> Option<String> {
+        let path = self.write("checked.ini", settings);
+        let output = Command::new(binary("daisysilld")).arg("--check-settings").arg(path).output().unwrap();
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        (!output.status.success()).then_some(said)
+    }
+
     /// Returns what a node wrote to its log.
     pub fn log(&self, name: &str) -> String {
         fs::read_to_string(self.path().join(format!("{name}.log"))).unwrap_or_default()
@@ -120,8 +131,14 @@
     /// # Panics
     /// Panics if the command cannot be run.
     pub fn cli(&self, node: &NodeProcess, arguments: &[&str]) -> Output {
-        let url = format!("http://{}", node.addresses.admin);
-        Command::new(binary("daisysill")).arg("--node").arg(url).args(arguments).output().unwrap()
+        self.cli_command(node, arguments).output().unwrap()
+    }
+
+    /// Prepares the operators' command against a node.
+    pub fn cli_command(&self, node: &NodeProcess, arguments: &[&str]) -> Command {
+        let mut command = Command::new(binary("daisysill"));
+        command.arg("--node").arg(format!("http://{}", node.addresses.admin)).args(arguments);
+        command
     }
 }
 
@@ -150,6 +167,14 @@
         }
     }
 
+    /// Returns whether the process has ended.
+    ///
+    /// # Panics
+    /// Panics if the process cannot be asked for.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_some()
+    }
+
     /// Returns the process id.
     pub fn id(&self) -> u32 {
         self.child.id()
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -3,12 +3,21 @@
 // Test support ends a test by panicking; it is never part of the product.
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+pub mod caller;
+pub mod deployment;
+pub mod deployment_config;
 pub mod engine;
 mod engine_cache;
 pub mod engine_orders;
 pub mod engine_run;
 pub mod engine_transfer;
 pub mod environment;
+pub mod measure_checks;
+pub mod measure_config;
+pub mod measure_load;
+pub mod measure_plain;
+pub mod measure_report;
+pub mod measure_run;
 pub mod paths;
 pub mod plain;
 pub mod platform;
@@ -16,5 +25,6 @@
 pub mod server;
 pub mod slots;
 pub mod store;
+pub mod upstreams;
 pub mod util;
 pub mod weight_store;
--- a/crates/testkit/src/plain.rs
+++ b/crates/testkit/src/plain.rs
@@ -13,6 +13,7 @@
     HttpRequest, HttpResponse,
     web::{self, Bytes, Data},
 };
+use futures::{StreamExt, stream};
 use tokio::sync::oneshot;
 
 use crate::{proxy::Proxy, server::StandInServer, util::lock};
@@ -20,6 +21,9 @@
 /// How long an answer waits for another one to be crossed with.
 const CROSSING_WAIT: Duration = Duration::from_millis(500);
 
+/// Time in which written bytes leave before an answer is cut.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
+
 /// A stand-in for a plain service.
 #[derive(Debug)]
 pub struct PlainService {
@@ -42,6 +46,8 @@
     HangBeforeRunning,
     /// Runs the call and never answers.
     HangAfterRunning,
+    /// Runs the call and closes the connection in the middle of the answer.
+    CutAnswer,
     /// Exchanges the answers of two calls in progress.
     Crossed,
 }
@@ -141,10 +147,23 @@
     }
     sleep_ms(&state.delay_after_ms).await;
     let own = format!("{} {} {body}", request.method(), request.uri());
+    if fault == PlainFault::CutAnswer {
+        return cut_answer(own);
+    }
     let answer = if fault == PlainFault::Crossed { crossed(&state, own).await } else { own };
     HttpResponse::Ok().content_type("text/plain").body(answer)
 }
 
+/// Announces the whole length and sends its first byte only.
+fn cut_answer(answer: String) -> HttpResponse {
+    let (length, first) = (answer.len() as u64, Bytes::from(answer).slice(..1));
+    let body = stream::once(async { Ok(first) }).chain(stream::once(async {
+        actix_rt::time::sleep(FLUSH_TIME).await;
+        Err(std::io::Error::other("cut on demand"))
+    }));
+    HttpResponse::Ok().content_type("text/plain").no_chunking(length).streaming(Box::pin(body))
+}
+
 async fn sleep_ms(delay_ms: &AtomicU64) {
     actix_rt::time::sleep(Duration::from_millis(delay_ms.load(Ordering::Relaxed))).await;
 }
--- /dev/null
+++ b/crates/testkit/src/upstreams.rs
@@ -0,0 +1,88 @@
+//! All upstream stand-ins of a deployment.
+
+use std::collections::BTreeMap;
+
+use daisysill_wire::border::InstanceKind;
+
+use crate::{
+    deployment::is_worker,
+    deployment_config::{DeploymentConfig, UpstreamPlan},
+    engine::{Engine, EngineConfig},
+    plain::PlainService,
+    store::Store,
+    weight_store::WeightStore,
+};
+
+/// All upstream stand-ins of a deployment, by name.
+#[derive(Debug)]
+pub struct Upstreams {
+    /// Engines.
+    pub engines: BTreeMap<String, Engine>,
+    /// Plain services.
+    pub plain: BTreeMap<String, PlainService>,
+    /// Stores.
+    pub stores: BTreeMap<String, Store>,
+    /// The weight store.
+    pub weights: WeightStore,
+    plans: Vec<UpstreamPlan>,
+}
+
+impl Upstreams {
+    /// Starts the stand-ins of a deployment.
+    pub fn start(config: &DeploymentConfig) -> Self {
+        let weights = WeightStore::start(config.weight_load_ms, config.weight_loads);
+        let engine = EngineConfig { weight_store_url: weights.url(), ..config.engine.clone() };
+        let mut upstreams = Self {
+            engines: BTreeMap::new(),
+            plain: BTreeMap::new(),
+            stores: BTreeMap::new(),
+            weights,
+            plans: config.upstreams.clone(),
+        };
+        for plan in &config.upstreams {
+            let id = plan.id.clone();
+            match plan.kind {
+                InstanceKind::Engine => drop(upstreams.engines.insert(id, Engine::start(engine.clone()))),
+                InstanceKind::Plain => drop(upstreams.plain.insert(id, PlainService::start())),
+                InstanceKind::Store => {
+                    drop(upstreams.stores.insert(id, Store::start(config.store.clone())));
+                }
+            }
+        }
+        upstreams
+    }
+
+    /// Returns the zone of an upstream.
+    pub fn zone(&self, id: &str) -> Option<&str> {
+        self.plans.iter().find(|plan| plan.id == id).map(|plan| plan.zone.as_str())
+    }
+
+    /// Returns every upstream with its base URL.
+    pub fn listed(&self) -> Vec<(UpstreamPlan, String)> {
+        self.plans.iter().map(|plan| (plan.clone(), self.url(plan))).collect()
+    }
+
+    /// Returns the number of engines and plain services.
+    pub fn workers(&self) -> usize {
+        self.plans.iter().filter(|plan| is_worker(plan.kind)).count()
+    }
+
+    /// Returns how often a plain call ran anywhere, by idempotency key and body.
+    pub fn plain_runs(&self) -> BTreeMap<(String, String), u64> {
+        let mut runs: BTreeMap<(String, String), u64> = BTreeMap::new();
+        for service in self.plain.values() {
+            for (call, count) in service.runs_by_key() {
+                *runs.entry(call).or_default() += count;
+            }
+        }
+        runs
+    }
+
+    fn url(&self, plan: &UpstreamPlan) -> String {
+        match plan.kind {
+            InstanceKind::Engine => self.engines[&plan.id].url(),
+            InstanceKind::Plain => self.plain[&plan.id].url(),
+            InstanceKind::Store => self.stores[&plan.id].url(),
+        }
+    }
+}
