--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -51,6 +51,8 @@
     TakeOver {
         /// The node that says so; ignored unless it is the leader.
         from: InstanceId,
+        /// The term that it led; a late message about an earlier one is ignored.
+        term: u64,
         /// Whether this voter campaigns at once.
         campaign: bool,
     },
@@ -179,7 +181,7 @@
                 }
             }
             DriverInput::Propose { command, answer } => self.propose(command, answer),
-            DriverInput::TakeOver { from, campaign } => self.take_over(&from, campaign),
+            DriverInput::TakeOver { from, term, campaign } => self.take_over(&from, term, campaign),
             DriverInput::Leave { stopped } => self.leaving = Some((stopped, Instant::now() + SETTLE_LIMIT)),
         }
     }
@@ -200,8 +202,9 @@
 
     /// Sets the replica's clock forward, so that it acts as if the leader had been silent for that long. Only
     /// the pace of this clock matters to the protocol, and the leader that says so has stopped for good.
-    fn take_over(&mut self, from: &InstanceId, campaign: bool) {
-        if self.replica.status().leader.as_ref() != Some(from) {
+    fn take_over(&mut self, from: &InstanceId, term: u64, campaign: bool) {
+        let status = self.replica.status();
+        if status.leader.as_ref() != Some(from) || status.term != term {
             return;
         }
         // After one timeout a voter grants votes; after two, the longest there is, it campaigns.
--- a/crates/cluster/src/handle.rs
+++ b/crates/cluster/src/handle.rs
@@ -299,6 +299,7 @@
 
     /// Tells the other voters that the leader has stopped, and waits until another node leads.
     async fn hand_over(&self, status: &ReplicaStatus) {
+        let term = status.term;
         let links = &self.inner.proposer.links;
         let voters = status.voters.voters.keys().filter_map(|name| links.get(name));
         let (alive, _): (Vec<_>, Vec<_>) =
@@ -307,7 +308,7 @@
         let tell = |link: &Arc<Link>, campaign| {
             let link = Arc::clone(link);
             let call = move |client: PeerClient, context| {
-                async move { client.take_over(context, campaign).await }.boxed()
+                async move { client.take_over(context, term, campaign).await }.boxed()
             };
             async move { link.call(HAND_OVER_CALL, call).await }
         };
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -164,9 +164,9 @@
         }
     }
 
-    async fn take_over(self, _: Context, campaign: bool) {
+    async fn take_over(self, _: Context, term: u64, campaign: bool) {
         let Some(driver) = &self.state.proposer.driver else { return };
-        let _ = driver.try_send(DriverInput::TakeOver { from: self.peer, campaign });
+        let _ = driver.try_send(DriverInput::TakeOver { from: self.peer, term, campaign });
     }
 
     async fn heartbeat(self, _: Context, heartbeat: Heartbeat) -> Heartbeat {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -147,9 +147,9 @@
     async fn propose(command: Command) -> Result<Reply, ForwardError>;
     /// Asks for the configuration once it is newer than `after`; answers `Unchanged` after `wait_ms`.
     async fn follow(after: ConfigVersion, wait_ms: u64) -> FollowReply;
-    /// Tells a voter that the leader, which calls, has stopped: it need not wait until it misses heartbeats.
+    /// Tells a voter that the leader of `term`, which calls, has stopped: it need not wait until it misses heartbeats.
     /// One voter is told to campaign, after the others.
-    async fn take_over(campaign: bool);
+    async fn take_over(term: u64, campaign: bool);
     /// Exchanges heartbeats.
     async fn heartbeat(heartbeat: Heartbeat) -> Heartbeat;
 }
