--- a/crates/control/tests/protocol.rs
+++ b/crates/control/tests/protocol/faults.rs
@@ -1,16 +1,13 @@
-#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 //! The whole protocol under random faults: loss, duplication, reordering, partitions in one direction,
 //! crashes that lose unsynced writes, restarts, voter changes and replaced disks.
 
-mod sim;
-
+use crate::sim::{Disk, Sim};
 use daisysill_control::{Input, VoterChange};
 use proptest::{
     collection,
     prelude::*,
     test_runner::{Config, RngAlgorithm, TestError, TestRng, TestRunner},
 };
-use sim::{Disk, Sim};
 
 const NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
 
--- /dev/null
+++ b/crates/control/tests/protocol/leadership.rs
@@ -0,0 +1,182 @@
+//! What a leader answers when it loses its majority, and how disks and learners count.
+
+use daisysill_core::ids::InstanceId;
+
+use crate::sim::{Disk, Sim};
+use daisysill_control::{
+    Input, ProposalFailure, Role, VoterChange,
+    command::{Command, Reply},
+};
+
+fn isolate(sim: &mut Sim, name: &str) {
+    for other in ["a", "b", "c", "d"] {
+        sim.blocked.insert((name.into(), other.into()));
+        sim.blocked.insert((other.into(), name.into()));
+    }
+}
+
+fn role(sim: &Sim, name: &str) -> Role {
+    sim.nodes[&name.into()].replica.as_ref().unwrap().status().role
+}
+
+/// Guards against a proposal whose failure is reported wrongly: `NotAppended` after it was appended, or no
+/// answer at all, and against reads of an isolated leader.
+#[test]
+fn isolated_leader_proves_nothing_and_answers_its_proposals() {
+    let mut sim = Sim::new(&["a", "b", "c"], 3);
+    sim.bootstrap(&["a", "b", "c"]);
+    let (a, b) = ("a".into(), "b".into());
+    let refused = sim.propose_drain(&b, "refused");
+    assert_eq!(sim.replies[&refused], Err(ProposalFailure::NotLeader(Some("a".into()))));
+    let until_ms = sim.nodes[&a].replica.as_ref().unwrap().status().leader_until_ms.unwrap();
+    assert!(until_ms > sim.now_ms);
+    isolate(&mut sim, "a");
+    let appended = sim.propose_drain(&a, "appended");
+    let mut waiting = 0;
+    for number in 0..5_000 {
+        waiting = sim.propose_drain(&a, &number.to_string());
+    }
+    sim.run_calm(290);
+    let until_ms = sim.nodes[&a].replica.as_ref().unwrap().status().leader_until_ms.unwrap();
+    assert!(until_ms <= sim.now_ms, "an isolated leader still proves its leadership");
+    sim.run_calm(500);
+    assert_ne!(role(&sim, "a"), Role::Leader, "an isolated leader did not step down");
+    assert_eq!(sim.replies[&appended], Err(ProposalFailure::Uncertain));
+    assert_eq!(sim.replies[&waiting], Err(ProposalFailure::NotAppended));
+    sim.run_calm(1_000);
+    assert_ne!(sim.leader(), Some(a));
+    sim.settle_and_check();
+}
+
+/// Guards against an answer, a message or a vote of a replica whose disk failed.
+#[test]
+fn a_replica_halts_after_a_failed_write() {
+    let mut sim = Sim::new(&["a", "b", "c"], 4);
+    sim.bootstrap(&["a", "b", "c"]);
+    let a = "a".into();
+    let ticket = sim.propose_drain(&a, "lost");
+    let write = sim.nodes[&a].pending.as_ref().unwrap().write;
+    sim.step(&a, Input::WriteFailed { write });
+    assert_eq!(sim.replies[&ticket], Err(ProposalFailure::Uncertain));
+    assert_eq!(role(&sim, "a"), Role::Halted);
+    sim.network.retain(|(from, ..)| *from != a);
+    sim.step(&a, Input::Tick);
+    sim.step(&a, Input::Written { write });
+    let after = sim.propose_drain(&a, "after");
+    assert_eq!(sim.replies[&after], Err(ProposalFailure::NotLeader(None)));
+    assert!(sim.network.iter().all(|(from, ..)| *from != a), "a halted replica sent a message");
+    sim.run_calm(1_500);
+    assert!(sim.leader().is_some_and(|leader| leader != a));
+}
+
+/// Guards against a vote or an acknowledgement of an empty disk under a voter's name.
+#[test]
+fn an_empty_disk_does_not_count() {
+    let mut sim = Sim::new(&["a", "b", "c"], 5);
+    sim.bootstrap(&["a", "b", "c"]);
+    let b = "b".into();
+    sim.crash(&b);
+    sim.nodes.get_mut(&b).unwrap().disk = Disk::default();
+    sim.start(&b);
+    isolate(&mut sim, "c");
+    let ticket = sim.propose_drain(&"a".into(), "change");
+    sim.run_calm(3_000);
+    assert_eq!(sim.replies[&ticket], Err(ProposalFailure::Uncertain));
+    assert_eq!(sim.leader(), None, "a leader was elected by an empty disk");
+    assert_eq!(role(&sim, "b"), Role::Learner);
+}
+
+/// Guards against an entry lost to an older disk when the leader that committed it is gone.
+#[test]
+fn an_older_disk_does_not_vote_without_its_peers() {
+    let mut sim = Sim::new(&["a", "b", "c"], 6);
+    sim.bootstrap(&["a", "b", "c"]);
+    let (a, b) = ("a".into(), "b".into());
+    let older = sim.nodes[&b].disk.clone();
+    isolate(&mut sim, "c");
+    let ticket = sim.propose_drain(&a, "change");
+    sim.run_calm(100);
+    assert!(matches!(sim.replies[&ticket], Ok(Reply::Accepted(_))));
+    sim.crash(&a);
+    sim.crash(&b);
+    sim.nodes.get_mut(&b).unwrap().disk = older;
+    sim.blocked.clear();
+    sim.start(&b);
+    sim.run_calm(3_000);
+    assert_eq!(sim.leader(), None, "an older disk voted");
+    sim.settle_and_check();
+}
+
+/// Guards against a learner that never gets the log, counts too early, or cannot replace a lost voter.
+#[test]
+fn a_lost_voter_is_replaced_by_a_learner_that_gets_a_snapshot() {
+    let mut sim = Sim::new(&["a", "b", "c", "d"], 7);
+    sim.bootstrap(&["a", "b", "c"]);
+    let a = "a".into();
+    for number in 0..100 {
+        sim.propose_drain(&a, &format!("change-{number}"));
+        sim.run_calm(10);
+    }
+    sim.crash(&"c".into());
+    isolate(&mut sim, "d");
+    let learner = sim.change_voters(&a, VoterChange::AddLearner("d".into()));
+    sim.run_calm(300);
+    assert_eq!(sim.replies[&learner], Ok(Reply::Done));
+    let early = sim.change_voters(&a, VoterChange::Promote("d".into()));
+    assert_eq!(sim.replies[&early], Err(ProposalFailure::NotAppended), "d holds nothing");
+    sim.blocked.clear();
+    for change in [
+        VoterChange::Remove("c".into()),
+        VoterChange::AddLearner("d".into()),
+        VoterChange::Promote("d".into()),
+        VoterChange::Promote("d".into()),
+    ] {
+        let ticket = sim.change_voters(&a, change);
+        sim.run_calm(500);
+        assert_eq!(sim.replies[&ticket], Ok(Reply::Done));
+    }
+    assert_eq!(role(&sim, "d"), Role::Follower);
+    isolate(&mut sim, "b");
+    sim.step(&a, Input::Propose { ticket: 0, command: Command::Noop });
+    sim.run_calm(200);
+    assert_eq!(sim.replies.get(&0), Some(&Ok(Reply::Done)), "the admitted voter does not count");
+}
+
+/// Guards against a vote that is sent before it is durable: the voter could crash, forget it and vote again.
+#[test]
+fn a_vote_counts_only_once_it_is_synced() {
+    let mut sim = Sim::new(&["a", "b", "c"], 8);
+    sim.bootstrap(&["a", "b", "c"]);
+    sim.crash(&"a".into());
+    let names = ["b".into(), "c".into()];
+    let votes_for_other = |sim: &Sim, name: &InstanceId| {
+        let hard_state = sim.nodes[name].pending.as_ref().and_then(|batch| batch.hard_state.as_ref());
+        hard_state.and_then(|hard| hard.voted_for.as_ref()).is_some_and(|voted| voted != name)
+    };
+    let mut voter = None;
+    for _ in 0..200 {
+        sim.pass_time(10);
+        while !sim.network.is_empty() {
+            sim.deliver();
+        }
+        voter = names.iter().find(|name| votes_for_other(&sim, name));
+        if voter.is_some() {
+            break;
+        }
+        for name in &names {
+            sim.sync(name);
+        }
+    }
+    let voter = voter.expect("nobody was asked for a vote");
+    for _ in 0..10 {
+        for name in names.iter().filter(|name| *name != voter) {
+            sim.sync(name);
+        }
+        while !sim.network.is_empty() {
+            sim.deliver();
+        }
+    }
+    assert_eq!(sim.leader(), None, "a vote that is not durable was counted");
+    sim.run_calm(2_000);
+    assert!(sim.leader().is_some());
+}
--- /dev/null
+++ b/crates/control/tests/protocol/main.rs
@@ -0,0 +1,6 @@
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+//! The protocol on simulated disks and a simulated network.
+
+mod faults;
+mod leadership;
+mod sim;
--- a/crates/control/tests/sim/mod.rs
+++ b/crates/control/tests/protocol/sim.rs
@@ -134,7 +134,8 @@
         config.trust_disk = self.trusted.contains(name);
         config.snapshot_entries = snapshot_entries;
         config.retained_entries = 5;
-        config.message_bytes = 700;
+        // One entry a message, so that a message boundary falls between any two entries.
+        config.message_bytes = 300;
         node.replica = Some(Replica::new(config, node.disk.recovered.clone(), now_ms, seed));
         node.commit_index = 0;
         node.config_version = 0;
