--- a/crates/control/tests/protocol/leadership.rs
+++ b/crates/control/tests/protocol/leadership.rs
@@ -118,12 +118,14 @@
         sim.run_calm(10);
     }
     sim.crash(&"c".into());
-    isolate(&mut sim, "d");
     let learner = sim.change_voters(&a, VoterChange::AddLearner("d".into()));
     sim.run_calm(300);
     assert_eq!(sim.replies[&learner], Ok(Reply::Done));
+    isolate(&mut sim, "d");
+    sim.propose_drain(&a, "not at d");
+    sim.run_calm(100);
     let early = sim.change_voters(&a, VoterChange::Promote("d".into()));
-    assert_eq!(sim.replies[&early], Err(ProposalFailure::NotAppended), "d holds nothing");
+    assert_eq!(sim.replies[&early], Err(ProposalFailure::NotAppended), "d lacks an entry");
     sim.blocked.clear();
     for change in [
         VoterChange::Remove("c".into()),
@@ -180,3 +182,79 @@
     sim.run_calm(2_000);
     assert!(sim.leader().is_some());
 }
+
+/// Guards against a snapshot that replaces a log which reaches beyond it: entries that were acknowledged would
+/// be lost. Found by `replaced_disks_lose_nothing`.
+#[test]
+fn a_snapshot_does_not_shorten_a_longer_log() {
+    let mut sim = Sim::new(&[], 9);
+    // The snapshot fits into one message.
+    sim.message_bytes = 8_000;
+    for name in ["a", "b", "c"] {
+        sim.add(name);
+    }
+    sim.bootstrap(&["a", "b", "c"]);
+    let (a, b, c): (InstanceId, InstanceId, InstanceId) = ("a".into(), "b".into(), "c".into());
+    for number in 0..11 {
+        sim.propose_drain(&a, &format!("early-{number}"));
+        sim.run_calm(10);
+    }
+    sim.run_calm(100);
+    let synced =
+        |sim: &Sim, name: &InstanceId| sim.nodes[name].replica.as_ref().unwrap().status().synced_index;
+    let before = synced(&sim, &c);
+    for number in 0..8 {
+        sim.propose_drain(&a, &format!("late-{number}"));
+    }
+    let (appends, to_b): (Vec<_>, Vec<_>) =
+        std::mem::take(&mut sim.network).into_iter().partition(|(_, to, _)| *to == c);
+    sim.network = to_b;
+    // a and b commit them one by one, so that a takes a snapshot before the last of them.
+    sim.sync(&a);
+    sim.sync(&a);
+    for _ in 0..20 {
+        sim.pass_time(10);
+        while !sim.network.is_empty() {
+            let (from, to, message) = sim.network.remove(0);
+            if from != c && to != c {
+                sim.step(&to, Input::Receive { from, message });
+                sim.sync(&a);
+                sim.sync(&b);
+            }
+        }
+    }
+    let disk = &sim.nodes[&a].disk.recovered;
+    let position = disk.snapshot.as_ref().unwrap().position;
+    assert!(
+        position.index < before + 8,
+        "the snapshot at {} does not precede c's last entry",
+        position.index
+    );
+    assert!(disk.entries[0].position.index > before + 1, "c needs no snapshot");
+    // c refuses a heartbeat, since it lacks the entries, and a sends its snapshot.
+    sim.pass_time(60);
+    for (from, to, message) in std::mem::take(&mut sim.network) {
+        if to == c {
+            sim.step(&to, Input::Receive { from, message });
+        }
+    }
+    for (from, to, message) in std::mem::take(&mut sim.network) {
+        if from == c {
+            sim.step(&to, Input::Receive { from, message });
+        }
+    }
+    let snapshot = std::mem::take(&mut sim.network);
+    // The entries arrive late, but before the snapshot.
+    for (from, _, message) in appends {
+        sim.step(&c, Input::Receive { from, message });
+    }
+    sim.sync(&c);
+    sim.sync(&c);
+    assert_eq!(synced(&sim, &c), before + 8);
+    for (from, to, message) in snapshot.into_iter().filter(|(_, to, _)| *to == c) {
+        sim.step(&to, Input::Receive { from, message });
+    }
+    let last_index = sim.nodes[&c].replica.as_ref().unwrap().status().last_index;
+    assert_eq!(last_index, before + 8, "acknowledged entries are gone");
+    sim.settle_and_check();
+}
--- a/crates/control/tests/protocol/sim.rs
+++ b/crates/control/tests/protocol/sim.rs
@@ -76,6 +76,7 @@
     granted: BTreeMap<String, BTreeSet<String>>,
     claims: BTreeMap<u64, (String, String)>,
     pub(crate) snapshot_entries: u64,
+    pub(crate) message_bytes: usize,
     /// Nodes whose disk the operator vouches for.
     trusted: BTreeSet<InstanceId>,
 }
@@ -98,6 +99,8 @@
             granted: BTreeMap::new(),
             claims: BTreeMap::new(),
             snapshot_entries: 20,
+            // One entry a message, so that a message boundary falls between any two entries.
+            message_bytes: 300,
             trusted: BTreeSet::new(),
         };
         for name in names {
@@ -129,13 +132,13 @@
     pub(crate) fn start(&mut self, name: &InstanceId) {
         let seed = self.draw(1 << 31) << 31 | self.draw(1 << 31);
         let (now_ms, snapshot_entries) = (self.now_ms, self.snapshot_entries);
+        let message_bytes = self.message_bytes;
         let node = self.nodes.get_mut(name).unwrap();
         let mut config = ReplicaConfig::new(name.clone());
         config.trust_disk = self.trusted.contains(name);
         config.snapshot_entries = snapshot_entries;
         config.retained_entries = 5;
-        // One entry a message, so that a message boundary falls between any two entries.
-        config.message_bytes = 300;
+        config.message_bytes = message_bytes;
         node.replica = Some(Replica::new(config, node.disk.recovered.clone(), now_ms, seed));
         node.commit_index = 0;
         node.config_version = 0;
