Measure the relay's cost and test failures through real processes

Change: tests of whole answers, cut streams, silent connections, leaving upstreams, a planned stop, a frozen node, a dying engine and bad input; relay_cost compares a node with the same engine called directly. Three tests fail because of faults of the node, which are not fixed here: a plain answer that breaks off is passed on with status 200 as if it were whole; a look-up on a silent connection waits for the whole deadline instead of trying a new one; a prompt that reached no engine is refused with may_have_run. This commit is therefore not green.

--- a/crates/testkit/src/caller.rs
+++ b/crates/testkit/src/caller.rs
@@ -7,6 +7,11 @@
 use futures::StreamExt;
 use serde_json::json;
 
+use crate::{deployment::Deployment, deployment_config::DeploymentConfig, engine::expected_text};
+
+/// Time in which `ask` wants the whole answer.
+const ASK_DEADLINE: Duration = Duration::from_secs(10);
+
 /// What a caller saw of one prompt.
 #[derive(Clone, Debug, Default)]
 pub struct PromptOutcome {
@@ -83,7 +88,27 @@
     outcome
 }
 
+/// Sends a prompt of a deployment's first customer to one of its nodes.
+pub async fn ask(deployment: &Deployment, node: &str, text: &str, max_tokens: u32) -> PromptOutcome {
+    let (url, config) = (deployment.caller_url(node), &deployment.config);
+    let token = DeploymentConfig::token(&config.customers[0]);
+    let call = PromptCall {
+        url: &url,
+        token: &token,
+        model: &config.model,
+        prompt: text,
+        max_tokens,
+        deadline: ASK_DEADLINE,
+    };
+    prompt(&Client::default(), &call).await
+}
+
 impl PromptOutcome {
+    /// Returns whether the whole and right answer came.
+    pub fn is_answer(&self, text: &str, max_tokens: u32) -> bool {
+        self.is_whole && self.text == expected_text(text, u64::from(max_tokens))
+    }
+
     fn note_event(&mut self, event: &[u8], began: Instant) {
         let data = event.strip_prefix(b"data: ").unwrap_or(event);
         if data == b"[DONE]" {
--- a/crates/testkit/src/deployment_config.rs
+++ b/crates/testkit/src/deployment_config.rs
@@ -60,6 +60,8 @@
     pub weight_loads: u64,
     /// Whether each link from a node to an upstream is a proxy of its own.
     pub upstream_proxies: bool,
+    /// A model service whose engines the caller lists itself.
+    pub extra_model: Option<String>,
     /// Lines added to the section `[node]` of every node.
     pub node_lines: String,
 }
@@ -76,6 +78,14 @@
         config
     }
 
+    /// As `small`, with a number of engines.
+    pub fn with_engines(engines: usize) -> Self {
+        let mut config = Self::small();
+        config.upstreams.retain(|plan| plan.kind != InstanceKind::Engine);
+        config.add_upstreams(InstanceKind::Engine, "lyric-llm", engines, &["bkk-sathorn"]);
+        config
+    }
+
     /// The size of Bangkok: 7 nodes, 20 engines, 3 plain services, two stores, 10 customers.
     pub fn bangkok() -> Self {
         let zones = ["bkk-sathorn", "bkk-bangna", "bkk-lat-phrao"];
@@ -125,6 +135,7 @@
             weight_load_ms: 300,
             weight_loads: 3,
             upstream_proxies: true,
+            extra_model: None,
             node_lines: String::new(),
         }
     }
@@ -181,6 +192,7 @@
 
     fn services(&self) -> Vec<String> {
         let mut services: Vec<String> = self.upstreams.iter().map(|plan| plan.service.clone()).collect();
+        services.extend(self.extra_model.clone());
         services.sort();
         services.dedup();
         services
@@ -191,9 +203,9 @@
         for service in self.services() {
             let kind = self.upstreams.iter().find(|plan| plan.service == service).map(|plan| plan.kind);
             let kind = match kind {
-                Some(InstanceKind::Engine) => "model",
+                Some(InstanceKind::Engine) | None => "model",
                 Some(InstanceKind::Store) => "store",
-                Some(InstanceKind::Plain) | None => "plain",
+                Some(InstanceKind::Plain) => "plain",
             };
             let _ = write!(
                 text,
--- /dev/null
+++ b/crates/testkit/tests/leaving.rs
@@ -0,0 +1,60 @@
+//! An upstream that leaves gets no new work after three seconds, whoever says so.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::time::{Duration, Instant};
+
+use daisysill_testkit::{caller::ask, deployment::Deployment, deployment_config::DeploymentConfig};
+
+const NODE: &str = "sathorn-1";
+/// Promise P7.
+const NOTICE: Duration = Duration::from_secs(3);
+
+async fn start() -> Deployment {
+    let deployment = Deployment::start(DeploymentConfig::with_engines(2));
+    deployment.wait_until_ready().await;
+    deployment
+}
+
+/// Asks past the notice time; returns how many attempts reached the first engine after it.
+async fn late_attempts(deployment: &Deployment, left: Instant) -> usize {
+    let mut number = 0;
+    while left.elapsed() < NOTICE + Duration::from_secs(1) {
+        let text = format!("question {number}");
+        let outcome = ask(deployment, NODE, &text, 3).await;
+        assert!(outcome.is_answer(&text, 3), "{outcome:?}");
+        number += 1;
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    let runs = deployment.upstreams.engines["lyric-llm-1"].records().runs;
+    runs.iter().filter(|run| run.arrived > left + NOTICE).count()
+}
+
+/// Guards against new work for an upstream that the platform lists as leaving.
+#[actix_rt::test]
+async fn an_upstream_listed_as_leaving_gets_no_new_work() {
+    let deployment = start().await;
+    deployment.platform.set_lag(Duration::from_secs(1));
+    deployment.platform.set_leaving("lyric-llm-1");
+    assert_eq!(late_attempts(&deployment, Instant::now()).await, 0);
+}
+
+/// Guards against callers that get the refusal of a leaving engine, and repeated tries at it.
+#[actix_rt::test]
+async fn an_upstream_that_refuses_because_it_leaves_is_left_alone() {
+    let deployment = start().await;
+    let engine = &deployment.upstreams.engines["lyric-llm-1"];
+    engine.leave();
+    assert_eq!(late_attempts(&deployment, Instant::now()).await, 0);
+    let refused = engine.records().refusals.get("leaving").copied().unwrap_or_default();
+    assert!(refused <= 2, "{refused} attempts at a leaving engine");
+}
+
+/// Guards against a drain mark that routing does not follow.
+#[actix_rt::test]
+async fn a_drained_upstream_gets_no_new_work() {
+    let deployment = start().await;
+    let output = deployment.environment.cli(deployment.node(NODE), &["drain", "lyric-llm-1"]);
+    assert!(output.status.success(), "{output:?}");
+    assert_eq!(late_attempts(&deployment, Instant::now()).await, 0);
+}
--- /dev/null
+++ b/crates/testkit/tests/silent_connections.rs
@@ -0,0 +1,61 @@
+//! Connections that go silent for ever while new ones work.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::time::{Duration, Instant};
+
+use daisysill_testkit::{caller::ask, deployment::Deployment, deployment_config::DeploymentConfig};
+
+const NODE: &str = "sathorn-1";
+const RULES: &str = "[service]\nname = lyric-llm\n[deadlines]\nprogress_ms = 400\n";
+
+async fn start(engines: usize) -> Deployment {
+    let deployment = Deployment::start(DeploymentConfig::with_engines(engines));
+    deployment.wait_until_ready().await;
+    assert!(deployment.publish(NODE, &[("lyric.ini", RULES)]).await);
+    deployment
+}
+
+/// Guards against requests that wait on a dead connection, and against giving up a healthy engine.
+#[actix_rt::test]
+async fn a_request_on_a_silent_connection_is_answered_through_a_new_one() {
+    let deployment = start(1).await;
+    assert!(ask(&deployment, NODE, "before", 5).await.is_answer("before", 5));
+    deployment.upstream_link(NODE, "lyric-llm-1").silence_existing();
+    let began = Instant::now();
+    let outcome = ask(&deployment, NODE, "after", 5).await;
+    assert!(outcome.is_answer("after", 5), "{outcome:?}");
+    assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
+}
+
+/// Guards against a stream that stays silent until the caller's deadline.
+#[actix_rt::test]
+async fn a_stream_that_goes_silent_midway_is_finished() {
+    let deployment = start(2).await;
+    let silence = async {
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        for engine in deployment.upstreams.engines.keys() {
+            deployment.upstream_link(NODE, engine).silence_existing();
+        }
+    };
+    let (outcome, ()) = futures::future::join(ask(&deployment, NODE, "long", 200), silence).await;
+    assert!(outcome.is_answer("long", 200), "{outcome:?}");
+}
+
+/// Guards against plain calls that wait on a dead connection until the caller's deadline.
+#[actix_rt::test]
+async fn a_look_up_on_a_silent_connection_is_answered_through_a_new_one() {
+    let deployment = start(1).await;
+    let token = DeploymentConfig::token("opera-a");
+    let look_up = |number: u64| {
+        let url = format!("{}/services/booth-app/running-order/{number}", deployment.caller_url(NODE));
+        let client = awc::Client::builder().timeout(Duration::from_secs(10)).finish();
+        let request = client.get(url).bearer_auth(&token);
+        async move { request.send().await.unwrap().status().as_u16() }
+    };
+    assert_eq!(look_up(1).await, 200);
+    deployment.upstream_link(NODE, "booth-app-1").silence_existing();
+    let began = Instant::now();
+    assert_eq!(look_up(2).await, 200);
+    assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
+}
