--- a/crates/testkit/examples/quickstart.rs
+++ b/crates/testkit/examples/quickstart.rs
@@ -25,6 +25,8 @@
 const EXPORT_TIMEOUT: Duration = Duration::from_secs(8);
 /// Time in which the node must be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time in which a node reads the first load report of an engine that it takes for live.
+const FIRST_REPORT: Duration = Duration::from_millis(200);
 const TOKEN: &str = "opera-a-token";
 const RULES: &str =
     "[service]\nname = lyric-llm\n[rest]\naccelerator_s = 1\nmemory_s = 600\ndisk_s = 86400\n";
@@ -117,6 +119,8 @@
             if status.life_cycle == "ready"
                 && status.upstreams.iter().any(|upstream| upstream.state == "live")
             {
+                // The first load report follows the list of instances a little later.
+                actix_rt::time::sleep(FIRST_REPORT).await;
                 return Ok(());
             }
             ensure!(Instant::now() < end, "the node is not ready: {}", status.life_cycle);
--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -24,6 +24,9 @@
 /// Time in which a started deployment must be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time in which a node reads the first load report of every engine that it takes for live.
+const FIRST_REPORTS: Duration = Duration::from_millis(4 * PLATFORM_POLL_MS);
+
 /// What happens to a file of a node's data folder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Damage {
@@ -263,6 +266,15 @@
     /// # Panics
     /// Panics if that does not happen in time.
     pub async fn wait_until_ready(&self) {
+        self.wait_until_live().await;
+        actix_rt::time::sleep(FIRST_REPORTS).await;
+    }
+
+    /// As `wait_until_ready`, without the time in which the first load reports arrive.
+    ///
+    /// # Panics
+    /// Panics if that does not happen in time.
+    pub async fn wait_until_live(&self) {
         let wanted = self.upstreams.workers();
         let end = Instant::now() + READY_TIMEOUT;
         for name in self.nodes.keys() {
