Let an engine be down before it is used again, and silence a request before its first byte

Cause: two tests passed with the fault they guard against. With revival left out of the node, the test of an engine that comes back passed, because the engine was away for 5 ms only; and a connection that had answered before was never used again, so its silence hit nothing. Change: the engine stays away until the node says it is down; the silence hits a request during prefill. Result: the first fails with revival left out and passes without that fault.

--- a/crates/testkit/tests/engine_death.rs
+++ b/crates/testkit/tests/engine_death.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use daisysill_testkit::{caller::ask, deployment::Deployment, deployment_config::DeploymentConfig};
 
@@ -43,12 +43,27 @@
     engine.kill();
     let refused = ask(&deployment, NODE, "while dead", 5).await;
     assert!(refused.status >= 500 && refused.result_code.is_some(), "{refused:?}");
+    wait_for_state(&deployment, "down").await;
     engine.revive();
-    actix_rt::time::sleep(Duration::from_secs(3)).await;
+    wait_for_state(&deployment, "live").await;
     let after = ask(&deployment, NODE, "after", 5).await;
     assert!(after.is_answer("after", 5), "{after:?}");
 }
 
+/// Waits until the node says that the first engine is in a state.
+async fn wait_for_state(deployment: &Deployment, state: &str) {
+    let end = Instant::now() + Duration::from_secs(10);
+    loop {
+        let status = deployment.status(NODE).await.unwrap();
+        let engine = status.upstreams.into_iter().find(|upstream| upstream.id == "lyric-llm-1").unwrap();
+        if engine.state == state {
+            return;
+        }
+        assert!(Instant::now() < end, "the engine is {}", engine.state);
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 /// Guards against a refusal that says `may_have_run` although no connection to an engine could be opened.
 #[actix_rt::test]
 async fn a_prompt_that_reached_no_engine_is_refused_as_not_run() {
--- a/crates/testkit/tests/silent_connections.rs
+++ b/crates/testkit/tests/silent_connections.rs
@@ -18,13 +18,17 @@
 
 /// Guards against requests that wait on a dead connection, and against giving up a healthy engine.
 #[actix_rt::test]
-async fn a_request_on_a_silent_connection_is_answered_through_a_new_one() {
+async fn a_request_whose_connection_goes_silent_is_answered_through_a_new_one() {
     let deployment = start(1).await;
-    assert!(ask(&deployment, NODE, "before", 5).await.is_answer("before", 5));
-    deployment.upstream_link(NODE, "lyric-llm-1").silence_existing();
+    // Half a second of prefill, so that the connection goes silent before the first byte.
+    let text = "la ".repeat(13_333);
+    let silence = async {
+        actix_rt::time::sleep(Duration::from_millis(200)).await;
+        deployment.upstream_link(NODE, "lyric-llm-1").silence_existing();
+    };
     let began = Instant::now();
-    let outcome = ask(&deployment, NODE, "after", 5).await;
-    assert!(outcome.is_answer("after", 5), "{outcome:?}");
+    let (outcome, ()) = futures::future::join(ask(&deployment, NODE, &text, 5), silence).await;
+    assert!(outcome.is_answer(&text, 5), "{outcome:?}");
     assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
 }
 
