Wait for both observers before their configurations are compared

Cause: `proposals_during_elections_keep_their_word` compared the configuration of the observer o1 right after it had proposed the last change. A reply to a proposal does not mean that the proposing node follows that version already, so on a busy machine the test saw an older, shorter configuration and reported a loss. Change: the test waits until o1 follows the last version too. The check itself is unchanged: an entry that is really lost never appears, and the wait or the comparison fails.

--- a/crates/cluster/tests/replicas.rs
+++ b/crates/cluster/tests/replicas.rs
@@ -133,7 +133,7 @@
         cluster.wait("a leader is known to all", has_leader).await;
     }
     let version = cluster.drain("o1", "last").await;
-    cluster.wait_version(&["a", "b", "c", "o2"], version).await;
+    cluster.wait_version(&["a", "b", "c", "o1", "o2"], version).await;
     assert!(accepted.len() > 40, "{}", accepted.len());
     for name in ["a", "b", "c", "o1", "o2"] {
         let draining = cluster.node(name).view().borrow().draining.clone();
