--- /dev/null
+++ b/crates/cluster/tests/cluster/main.rs
@@ -0,0 +1,10 @@
+//! Nodes in one process over real TCP, in one binary so that their waits overlap.
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+#![allow(missing_docs, unreachable_pub)]
+
+mod common;
+mod followers;
+mod heartbeats;
+mod leases;
+mod replicas;
+mod transport;
