Test deployments; let go of connections that are given up while a link is silent

Cause: with a zone cut off, nodes poll silent links every 50 ms and give each connection up after 2 s; the proxy held every one of them until the process had 20,000 descriptors open, and then reset healthy ones. Change: a connection whose client closes it before the link lets it through is dropped; what the client sent meanwhile is kept for the server. Tests of this, of a zone cut in a deployment of Bangkok's size, and of restarts.

--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -254,7 +254,12 @@
 
 async fn serve(shared: Arc<Shared>, client: TcpStream, number: u64, mut cuts: broadcast::Receiver<Cut>) {
     let target = shared.state.borrow().target;
-    shared.passable(Direction::Forward, number).await;
+    // A connection that its client gives up while the link is silent must not hold a descriptor.
+    let mut early = Vec::new();
+    tokio::select! {
+        () = shared.passable(Direction::Forward, number) => {}
+        () = read_to_end(&client, &mut early) => return,
+    }
     let Some(target) = target else { return };
     let Ok(server) = TcpStream::connect(target).await else {
         // The connecting side sees a reset, as close to a refusal as an accepted connection can get.
@@ -262,6 +267,9 @@
         return;
     };
     let _ = (client.set_nodelay(true), server.set_nodelay(true));
+    if !write(&server, &early).await {
+        return end(client, true);
+    }
     let forward = pump(&shared, Direction::Forward, number, &client, &server);
     let backward = pump(&shared, Direction::Backward, number, &server, &client);
     let cut = tokio::select! {
@@ -314,6 +322,12 @@
     tokio::join!(reading, writing);
 }
 
+async fn read_to_end(from: &TcpStream, bytes: &mut Vec<u8>) {
+    while let Some(chunk) = read(from).await {
+        bytes.extend_from_slice(&chunk);
+    }
+}
+
 async fn read(from: &TcpStream) -> Option<Vec<u8>> {
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
--- /dev/null
+++ b/crates/testkit/tests/deployments.rs
@@ -0,0 +1,60 @@
+//! Several real nodes in zones that can be cut off, killed and restarted.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::{fs, time::Duration};
+
+use daisysill_testkit::{
+    caller::ask,
+    deployment::{Damage, Deployment},
+    deployment_config::DeploymentConfig,
+};
+
+/// Guards against a zone cut that leaves links open or also cuts the zone's own upstreams.
+#[actix_rt::test]
+async fn a_zone_that_is_cut_off_serves_with_its_own_upstreams() {
+    let deployment = Deployment::start(DeploymentConfig::bangkok());
+    deployment.wait_until_ready().await;
+    deployment.set_zone_cut("bkk-bangna", true);
+    actix_rt::time::sleep(Duration::from_secs(6)).await;
+    let inside = ask(&deployment, "bangna-1", "inside", 3).await;
+    assert!(inside.is_answer("inside", 3), "{inside:?}\n{}", explained(&deployment, "bangna-1"));
+    let outside = ask(&deployment, "sathorn-1", "outside", 3).await;
+    assert!(outside.is_answer("outside", 3), "{outside:?}\n{}", explained(&deployment, "sathorn-1"));
+    let zones = |text: &str| {
+        let digest = blake3::hash(text.as_bytes()).to_hex().to_string();
+        let engines = deployment.upstreams.engines.iter();
+        let ran =
+            engines.filter(|(_, engine)| engine.records().runs.iter().any(|run| run.prompt_digest == digest));
+        ran.filter_map(|(id, _)| deployment.upstreams.zone(id)).map(str::to_owned).collect::<Vec<_>>()
+    };
+    assert_eq!(zones("inside"), ["bkk-bangna"]);
+    assert!(zones("outside").iter().all(|zone| zone != "bkk-bangna"), "{:?}", zones("outside"));
+}
+
+fn explained(deployment: &Deployment, node: &str) -> String {
+    let output = deployment.environment.cli(deployment.node(node), &["explain"]);
+    String::from_utf8(output.stdout).unwrap()
+}
+
+/// Guards against a restarted node that callers or other nodes cannot reach, and data that stays behind.
+#[actix_rt::test]
+async fn a_node_is_killed_and_restarted_with_and_without_its_data() {
+    let mut deployment = Deployment::start(DeploymentConfig::small());
+    deployment.wait_until_ready().await;
+    let folder = deployment.data_dir("sathorn-1");
+    fs::create_dir_all(&folder).unwrap();
+    fs::write(folder.join("test.bin"), [0, 0, 0]).unwrap();
+    deployment.kill("sathorn-1");
+    assert!(deployment.status("sathorn-1").await.is_none());
+    deployment.damage("sathorn-1", "test.bin", Damage::FlipBit(1));
+    deployment.damage("sathorn-1", "test.bin", Damage::Truncate(2));
+    assert_eq!(fs::read(folder.join("test.bin")).unwrap(), [0, 1]);
+    deployment.start_node("sathorn-1");
+    deployment.wait_until_ready().await;
+    assert!(ask(&deployment, "sathorn-1", "again", 3).await.is_answer("again", 3));
+    deployment.restart_empty("sathorn-1");
+    assert!(!folder.join("test.bin").exists());
+    deployment.wait_until_ready().await;
+    assert!(ask(&deployment, "sathorn-1", "empty", 3).await.is_answer("empty", 3));
+}
--- a/crates/testkit/tests/proxy.rs
+++ b/crates/testkit/tests/proxy.rs
@@ -72,6 +72,34 @@
     assert_eq!(stream.read(&mut [0]).unwrap(), 1);
 }
 
+/// Guards against given-up connections to a silent link that use up the descriptors of the process.
+#[test]
+fn connections_given_up_while_silent_are_let_go() {
+    let proxy = Proxy::start(Some(echo()));
+    proxy.set_silent(true);
+    for _ in 0..100 {
+        connect(&proxy).write_all(b"x").unwrap();
+    }
+    let end = Instant::now() + LONG;
+    let open = || {
+        let sockets = std::fs::read_to_string("/proc/self/net/tcp").unwrap();
+        let local = format!("0100007F:{:04X} ", proxy.address().port());
+        // State 0A is listening; everything else is a connection that the proxy holds.
+        sockets
+            .lines()
+            .filter(|line| line.split_once(": ").is_some_and(|(_, rest)| rest.starts_with(&local)))
+            .filter(|line| !line.contains(" 0A "))
+            .filter(|line| !line.contains(" 06 "))
+            .count()
+    };
+    while open() > 0 {
+        assert!(Instant::now() < end, "{} connections are held", open());
+        thread::sleep(Duration::from_millis(20));
+    }
+    proxy.set_silent(false);
+    assert!(echoes(&mut connect(&proxy), LONG));
+}
+
 /// Guards against a cut that looks like a reset, and a reset that looks like an orderly end.
 #[test]
 fn a_cut_ends_connections_with_or_without_a_reset() {
