Send a claimed call on a connection of its own, and record its outcome in every case

Cause: the HTTP client reports a connection that the upstream closes after the call arrived as a connect error, which was sorted as not sent; a claimed call was then sent again or refused with not_run. A caller that disconnected dropped the call in its middle and left its claim without an outcome. The dispatch deadline was checked before connecting, so a process suspended while connecting could send late. Another spelling of a path (//cues/7/fire) escaped the rule.

Change: claimed calls use a connection of their own, whose first byte passes a gate that checks the dispatch deadline and counts bytes; not_run needs a count of zero. They run in a task of their own and the outcome is recorded again until it is committed. A second caller on the same node gets the answer of the call in progress. Rules are matched against a canonical path, and parsed where they are used. Upstream connections have keepalive and TCP_USER_TIMEOUT. Commands go through a trait, so that tests can lose replies.

--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -7,6 +7,7 @@
 use daisysill_cluster::Cluster;
 use eyre::WrapErr;
 use serde::Serialize;
+use tokio::time::Instant;
 
 use crate::{
     admin_api,
@@ -24,6 +25,8 @@
 
 /// Time between failing `/readyz` and closing the listener, in which the balancer takes notice.
 const BALANCER_NOTICE: Duration = Duration::from_millis(500);
+/// Time between two looks at the claimed calls in progress during a stop.
+const CLAIMED_CALL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Threads that serve callers.
 const CALLER_THREADS: usize = 1;
 
@@ -68,7 +71,6 @@
 }
 
 /// A running node.
-#[derive(Debug)]
 pub struct RunningNode {
     /// Where it listens.
     pub addresses: BoundAddresses,
@@ -86,7 +88,6 @@
         Cluster::start(config.cluster.clone()).await.wrap_err("the cluster does not start")?;
     let shared = Arc::new(Shared::new(config, cluster)?);
     shared.role_event("settings_checked");
-    actix_rt::spawn(Arc::clone(&shared).follow_rules());
     let client = http::client();
     let engine = Rc::new(HttpEngine::new(client.clone()));
     UpstreamMonitor::new(Arc::clone(&shared), engine, Rc::new(HttpPlatform::new(client))).start();
@@ -139,6 +140,8 @@
     pub async fn stop(self) {
         self.shared.role_event("stop");
         tokio::time::sleep(BALANCER_NOTICE).await;
+        self.callers.pause().await;
+        self.wait_for_claimed_calls().await;
         // Graceful: waits for requests in progress, up to the configured time.
         self.callers.stop(true).await;
         self.shared.cluster.leave().await;
@@ -146,6 +149,14 @@
         self.shared.role_event("finished");
     }
 
+    /// Waits for calls whose callers may have gone, since stopping the worker threads would cut them.
+    async fn wait_for_claimed_calls(&self) {
+        let end = Instant::now() + Duration::from_secs(self.shared.config.node.stop_timeout_s);
+        while self.shared.claimed_calls.count() > 0 && Instant::now() < end {
+            tokio::time::sleep(CLAIMED_CALL_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Returns what the node's parts share.
     pub fn shared(&self) -> &Arc<Shared> {
         &self.shared
--- /dev/null
+++ b/crates/node/src/connection.rs
@@ -0,0 +1,160 @@
+//! TCP connections to upstreams: options that reveal silent ones, and a gate before the first byte.
+
+use std::{
+    cell::Cell,
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use actix_service::Service;
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection, ConnectorService};
+use awc::http::Uri;
+use futures::{FutureExt, future::LocalBoxFuture};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    time::Instant,
+};
+
+use crate::upstream_edge::AttemptError;
+
+/// Time for which sent bytes may stay unacknowledged before the kernel closes the connection.
+const USER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Idle time before the kernel probes a connection, and time between two probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
+/// Unanswered probes after which the kernel closes the connection.
+const KEEPALIVE_PROBES: u32 = 3;
+
+/// Lets the first byte of a call pass only before a deadline, and counts the bytes that passed.
+///
+/// The check sits in front of the socket, so it also holds if the process was suspended while it connected.
+#[derive(Debug)]
+pub struct SendGate {
+    deadline: Instant,
+    late: Cell<bool>,
+    written: Cell<usize>,
+}
+
+impl SendGate {
+    /// Creates a gate that closes at `deadline`.
+    pub fn new(deadline: Instant) -> Rc<Self> {
+        Rc::new(Self { deadline, late: Cell::new(false), written: Cell::new(0) })
+    }
+
+    /// Corrects the sorting of an error by what passed the gate.
+    pub fn sort(&self, error: AttemptError) -> AttemptError {
+        match error {
+            _ if self.late.get() => AttemptError::TooLate,
+            AttemptError::NotSent(message) if self.written.get() > 0 => AttemptError::Failed(message),
+            AttemptError::Failed(message) if self.written.get() == 0 => AttemptError::NotSent(message),
+            other => other,
+        }
+    }
+
+    fn check(&self) -> io::Result<()> {
+        if self.written.get() == 0 && Instant::now() >= self.deadline {
+            self.late.set(true);
+            return Err(io::Error::new(io::ErrorKind::TimedOut, "the dispatch deadline passed"));
+        }
+        Ok(())
+    }
+}
+
+/// Opens connections to upstreams.
+#[derive(Clone)]
+pub struct UpstreamConnector {
+    inner: ConnectorService,
+    gate: Option<Rc<SendGate>>,
+}
+
+impl UpstreamConnector {
+    /// Creates a connector; with a gate, it guards every byte of the connections opened.
+    pub fn new(gate: Option<Rc<SendGate>>) -> Self {
+        Self { inner: ConnectorService::default(), gate }
+    }
+}
+
+impl Service<ConnectInfo<Uri>> for UpstreamConnector {
+    type Response = Connection<Uri, UpstreamStream>;
+    type Error = ConnectError;
+    type Future = LocalBoxFuture<'static, Result<Self::Response, Self::Error>>;
+
+    actix_service::always_ready!();
+
+    fn call(&self, request: ConnectInfo<Uri>) -> Self::Future {
+        let connect = self.inner.call(request);
+        let gate = self.gate.clone();
+        async move {
+            let connection = connect.await?;
+            set_options(connection.io_ref()).map_err(ConnectError::Io)?;
+            let (stream, uri) = connection.into_parts();
+            Ok(Connection::new(uri, UpstreamStream { stream, gate }))
+        }
+        .boxed_local()
+    }
+}
+
+fn set_options(stream: &TcpStream) -> io::Result<()> {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
+    socket.set_tcp_keepalive(&keepalive.with_retries(KEEPALIVE_PROBES))?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    socket.set_tcp_nodelay(true)
+}
+
+/// A connection to an upstream.
+#[derive(Debug)]
+pub struct UpstreamStream {
+    stream: TcpStream,
+    gate: Option<Rc<SendGate>>,
+}
+
+impl AsyncRead for UpstreamStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for UpstreamStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let gate = self.gate.clone();
+        if let Some(gate) = &gate {
+            gate.check()?;
+        }
+        let result = Pin::new(&mut self.stream).poll_write(context, bytes);
+        if let (Some(gate), Poll::Ready(Ok(count))) = (gate, &result) {
+            gate.written.set(gate.written.get() + count);
+        }
+        result
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+impl ActixStream for UpstreamStream {
+    fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        self.stream.poll_read_ready(context).map_ok(|()| Ready::READABLE)
+    }
+
+    fn poll_write_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        self.stream.poll_write_ready(context).map_ok(|()| Ready::WRITABLE)
+    }
+}
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -1,17 +1,20 @@
 //! The HTTP client that all upstream adapters share.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use actix_web::web::Bytes;
 use awc::{
     Client, ClientResponse,
-    error::{PayloadError, SendRequestError},
+    error::{ConnectError, PayloadError, SendRequestError},
     http::StatusCode,
 };
 use futures::Stream;
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::upstream_edge::{AttemptError, AttemptResult};
+use crate::{
+    connection::{SendGate, UpstreamConnector},
+    upstream_edge::{AttemptError, AttemptResult},
+};
 
 /// Header by which an upstream states that it executed nothing.
 pub const NOT_RUN_HEADER: &str = "x-not-run";
@@ -19,6 +22,8 @@
 pub const LEAVING_HEADER: &str = "x-leaving";
 /// Time in which a connection must be open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Idle time after which a pooled connection is not used again.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time in which a control call (load, events, list) must be answered.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Bytes of a control answer at most.
@@ -26,13 +31,23 @@
 
 /// Creates a client; it belongs to the thread that created it.
 pub fn client() -> Client {
-    let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT).limit(0);
+    client_through(None)
+}
+
+/// Creates a client whose connections pass their bytes through a gate.
+pub fn client_through(gate: Option<Rc<SendGate>>) -> Client {
+    let connector = awc::Connector::new().connector(UpstreamConnector::new(gate));
+    let connector = connector.timeout(CONNECT_TIMEOUT).limit(0).conn_keep_alive(IDLE_TIMEOUT);
     Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
 }
 
 /// Sorts a send error by whether a byte was sent.
 pub fn sort_send_error(error: &SendRequestError) -> AttemptError {
     match error {
+        // The client also reports `Disconnected` when the upstream closes after the call was sent.
+        SendRequestError::Connect(ConnectError::Disconnected | ConnectError::H2(_)) => {
+            AttemptError::Failed("the upstream closed the connection without an answer".to_owned())
+        }
         SendRequestError::Url(_) | SendRequestError::Connect(_) => AttemptError::NotSent(error.to_string()),
         _ => AttemptError::Failed(error.to_string()),
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,10 +1,14 @@
 //! The daisysilld process as a library, so that examples can run it in their own process.
 
 pub mod admin_api;
+pub mod agreement;
 pub mod app;
 pub mod auth;
 pub mod caller_api;
+pub mod claim;
+pub mod claimed_calls;
 pub mod config;
+pub mod connection;
 pub mod dispatch;
 pub mod engine_client;
 pub mod exit_code;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -51,6 +51,12 @@
     pub in_flight: Gauge,
     /// Bytes restored from stores.
     pub restored_bytes: Counter,
+    /// Callers that joined a call in progress on this node.
+    pub joined_calls: Counter,
+    /// Tries to record the outcome of a claimed call that failed and were repeated.
+    pub outcome_retries: Counter,
+    /// Answers of claimed calls that were too large to be kept.
+    pub answers_not_kept: Counter,
 }
 
 /// Shortest time to first token that has a bucket of its own, in seconds.
@@ -71,6 +77,9 @@
             undeclared_events: Counter::default(),
             in_flight: Gauge::default(),
             restored_bytes: Counter::default(),
+            joined_calls: Counter::default(),
+            outcome_retries: Counter::default(),
+            answers_not_kept: Counter::default(),
         };
         metrics.register();
         metrics
@@ -116,5 +125,20 @@
             Unit::Bytes,
             self.restored_bytes.clone(),
         );
+        registry.register(
+            "joined_calls",
+            "Callers that joined a call in progress",
+            self.joined_calls.clone(),
+        );
+        registry.register(
+            "outcome_retries",
+            "Repeated tries to record an outcome",
+            self.outcome_retries.clone(),
+        );
+        registry.register(
+            "answers_not_kept",
+            "Answers too large to be kept for resends",
+            self.answers_not_kept.clone(),
+        );
     }
 }
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -7,13 +7,9 @@
     http::StatusCode,
     web::{Data, Path, Payload},
 };
-use daisysill_cluster::ProposeError;
-use daisysill_control::command::{
-    Claim, ClaimKey, ClaimOutcome, ClaimState, Command, FinishClaim, Reply, StoredAnswer,
-};
 use daisysill_core::{
-    ids::{AttemptId, InstanceId, ServiceName},
-    result_code::{ResultCode, RunState},
+    ids::{InstanceId, ServiceName},
+    result_code::ResultCode,
     rules::ServiceRules,
     view::UpstreamState,
 };
@@ -22,22 +18,19 @@
 
 use crate::{
     caller_api::{Adapters, read_body, traceparent},
+    claim,
     config::ServiceKind,
     plain_client::is_end_to_end,
     refusal::Refusal,
-    request::{RequestLife, new_id},
+    request::RequestLife,
     shared::Shared,
     upstream_edge::{AttemptError, PlainRequest, PlainResponse, PlainService},
 };
 
-/// Time between asking for a claim and the last moment at which its call may be sent.
-const DISPATCH_WINDOW: Duration = Duration::from_secs(2);
-/// When to come back while no majority is in reach.
-const NO_QUORUM_RETRY_MS: u64 = 2_000;
 /// When to come back if no upstream is available.
 const NO_UPSTREAM_RETRY_MS: u64 = 1_000;
-/// When to ask again for a call that is in progress.
-const IN_PROGRESS_RETRY_MS: u64 = 500;
+/// When to come back while the rules are not known yet.
+const NO_RULES_RETRY_MS: u64 = 500;
 
 /// Serves one call to a plain service.
 pub async fn handle(
@@ -68,8 +61,10 @@
         return Err(Refusal::new(ResultCode::RouteUnknown, format!("no plain service {service}")));
     }
     customer.check_service(&service)?;
-    if shared.role() == "draining" {
-        return Err(Refusal::new(ResultCode::ShuttingDown, "this node is shutting down").retry_after_ms(0));
+    if matches!(shared.role().as_str(), "starting" | "joining") {
+        // Without the rules in force, a call that must run once would pass as one that may be repeated.
+        return Err(Refusal::new(ResultCode::NoQuorum, "the rules in force are not known yet")
+            .retry_after_ms(NO_RULES_RETRY_MS));
     }
     let body = read_body(payload, shared.config.limits.body_bytes).await?;
     let rules = shared.rules_of(&service);
@@ -82,26 +77,29 @@
         traceparent: traceparent(request),
         request: PlainRequest {
             method: request.method().to_string(),
-            path: path_and_query(path, request.query_string()),
+            path: path_as_received(request),
             headers: passed_headers(request),
             body,
         },
     };
     let key = request.headers().get(&call.rules.never_twice.key_header).and_then(|v| v.to_str().ok());
-    let covered = call.rules.never_twice.covers(request.method().as_str(), &format!("/{path}"));
-    let result = if covered { call.run_once(key).await } else { call.run_repeatable().await };
+    if call.rules.never_twice.covers(request.method().as_str(), &canonical_path(path)) {
+        let key = key.map(str::to_owned);
+        return claim::run(call, key).await;
+    }
+    let result = call.run_repeatable().await;
     call.finish(result)
 }
 
 /// One call to a plain service in progress.
-struct PlainCall {
-    life: RequestLife,
-    shared: Arc<Shared>,
-    plain: Rc<dyn PlainService>,
-    rules: ServiceRules,
-    deadline: Instant,
-    traceparent: String,
-    request: PlainRequest,
+pub(crate) struct PlainCall {
+    pub(crate) life: RequestLife,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) plain: Rc<dyn PlainService>,
+    pub(crate) rules: ServiceRules,
+    pub(crate) deadline: Instant,
+    pub(crate) traceparent: String,
+    pub(crate) request: PlainRequest,
 }
 
 impl PlainCall {
@@ -112,7 +110,7 @@
         let mut last_error = None;
         for _ in 0..self.rules.retries.max_attempts {
             let Some(upstream) = self.choose(&excluded) else { break };
-            match self.send(&upstream).await {
+            match self.send(&upstream, None).await {
                 Ok(answer) => return Ok(answer),
                 Err(error) => {
                     self.life.decision(&format!("{upstream}: {error}"));
@@ -125,97 +123,8 @@
         Err(last_error.map_or_else(no_upstream, |error| failure(&error)))
     }
 
-    /// Serves a call that may not be repeated.
-    async fn run_once(&mut self, key: Option<&str>) -> Result<PlainResponse, Refusal> {
-        let Some(key) = key.filter(|key| !key.is_empty()) else {
-            let header = &self.rules.never_twice.key_header;
-            let message = format!("this call runs at most once and needs the header {header}");
-            return Err(Refusal::new(ResultCode::KeyMissing, message));
-        };
-        self.life.event("claim_needed");
-        let key = ClaimKey {
-            customer: self.life.customer.clone(),
-            service: self.life.service.clone(),
-            key: key.to_owned(),
-        };
-        let attempt = AttemptId::from(new_id("att"));
-        let dispatch_deadline = Instant::now() + DISPATCH_WINDOW;
-        if let Some(answer) = self.claim(&key, &attempt).await? {
-            self.life.event("stored_answer");
-            return Ok(answer);
-        }
-        self.life.event("claimed");
-        let result = self.send_claimed(dispatch_deadline).await;
-        let outcome = match &result {
-            Ok(answer) => ClaimOutcome::Answered(stored(answer)),
-            Err(refusal) if refusal.run_state == RunState::NotRun => ClaimOutcome::NotRun,
-            Err(_) => ClaimOutcome::Unknown,
-        };
-        let finish = Command::FinishClaim(FinishClaim { key, attempt, outcome });
-        if let Err(error) = self.shared.cluster.propose(finish).await {
-            // The claim stays in progress: resends are told so, and the call never runs again.
-            self.life.decision(&format!("the outcome of the claim was not recorded: {error}"));
-        }
-        result
-    }
-
-    /// Claims the call; returns the stored answer if there is one.
-    async fn claim(&mut self, key: &ClaimKey, attempt: &AttemptId) -> Result<Option<PlainResponse>, Refusal> {
-        let claim = Claim {
-            key: key.clone(),
-            body_digest: call_digest(&self.request),
-            attempt: attempt.clone(),
-            holder: self.shared.config.node.name.clone(),
-            keep_ms: self.rules.never_twice.keep_s * 1_000,
-        };
-        match self.shared.cluster.propose(Command::Claim(claim)).await {
-            Ok(Reply::Claimed) => Ok(None),
-            Ok(Reply::ClaimExists(ClaimState::Answered(answer))) => Ok(Some(restored(answer))),
-            Ok(Reply::ClaimExists(ClaimState::InProgress)) => {
-                Err(Refusal::new(ResultCode::InProgress, "the same call is in progress")
-                    .retry_after_ms(IN_PROGRESS_RETRY_MS))
-            }
-            Ok(Reply::ClaimExists(ClaimState::Unknown)) => Err(Refusal::new(
-                ResultCode::OutcomeUnknown,
-                "an earlier send of this call has an unknown outcome; it is not sent again",
-            )),
-            Ok(Reply::KeyReused) => {
-                Err(Refusal::new(ResultCode::KeyReused, "the idempotency key was used with another call"))
-            }
-            Ok(Reply::ClaimsFull) => Err(Refusal::new(ResultCode::ClaimsFull, "the table of claims is full")
-                .retry_after_ms(NO_QUORUM_RETRY_MS)),
-            Ok(_) => Err(Refusal::new(ResultCode::Internal, "unexpected reply to a claim")),
-            // Not a byte has gone to the upstream, whatever became of the claim itself.
-            Err(ProposeError::NotCommitted | ProposeError::Uncertain) => {
-                Err(Refusal::new(ResultCode::NoQuorum, "no majority of voters is in reach")
-                    .retry_after_ms(NO_QUORUM_RETRY_MS))
-            }
-        }
-    }
-
-    /// Sends a claimed call at most once; tries another upstream only while no byte was sent.
-    async fn send_claimed(&mut self, dispatch_deadline: Instant) -> Result<PlainResponse, Refusal> {
-        let mut excluded = Vec::new();
-        loop {
-            let Some(upstream) = self.choose(&excluded) else { return Err(no_upstream()) };
-            // A process that was frozen since it asked for the claim must not send late.
-            if Instant::now() >= dispatch_deadline {
-                return Err(Refusal::new(ResultCode::DispatchTooLate, "the call could not be sent in time")
-                    .retry_after_ms(0));
-            }
-            match self.send(&upstream).await {
-                Ok(answer) => return Ok(answer),
-                Err(error) if error.is_not_run() => {
-                    self.life.decision(&format!("{upstream}: {error}"));
-                    self.life.event("failed");
-                    excluded.push(upstream);
-                }
-                Err(error) => return Err(failure(&error)),
-            }
-        }
-    }
-
-    fn choose(&mut self, excluded: &[InstanceId]) -> Option<InstanceId> {
+    /// Chooses a live upstream, one in this zone if there is any.
+    pub(crate) fn choose(&mut self, excluded: &[InstanceId]) -> Option<InstanceId> {
         let view = self.shared.upstreams.view();
         let usable = |u: &&daisysill_core::view::UpstreamView| {
             u.service == self.life.service && u.state == UpstreamState::Live && !excluded.contains(&u.id)
@@ -231,18 +140,27 @@
         Some(chosen.id.clone())
     }
 
-    async fn send(&mut self, upstream: &InstanceId) -> Result<PlainResponse, AttemptError> {
+    /// Sends the call once; with a dispatch deadline, only if its first byte leaves before it.
+    pub(crate) async fn send(
+        &mut self,
+        upstream: &InstanceId,
+        dispatch_deadline: Option<Instant>,
+    ) -> Result<PlainResponse, AttemptError> {
         let Some(url) = self.shared.upstreams.url(upstream) else {
             return Err(AttemptError::NotSent("the upstream is gone".to_owned()));
         };
         let _guard = self.shared.upstreams.dispatch(upstream, 0);
-        let call = self.plain.call(&url, &self.request, &self.traceparent);
+        let call = match dispatch_deadline {
+            Some(deadline) => self.plain.call_once(&url, &self.request, &self.traceparent, deadline),
+            None => self.plain.call(&url, &self.request, &self.traceparent),
+        };
         let answer = timeout_at(self.deadline, call).await.map_err(|_| AttemptError::Silent)??;
         self.life.event("first_byte");
         Ok(answer)
     }
 
-    fn finish(mut self, result: Result<PlainResponse, Refusal>) -> Result<PlainResponse, Refusal> {
+    /// Records the result and returns it.
+    pub(crate) fn finish(mut self, result: Result<PlainResponse, Refusal>) -> Result<PlainResponse, Refusal> {
         match &result {
             Ok(_) => {
                 self.life.event("finished");
@@ -257,12 +175,14 @@
     }
 }
 
-fn no_upstream() -> Refusal {
+/// Returns the refusal for a call that no upstream could take.
+pub(crate) fn no_upstream() -> Refusal {
     Refusal::new(ResultCode::NoUpstream, "no upstream of the service is available")
         .retry_after_ms(NO_UPSTREAM_RETRY_MS)
 }
 
-fn failure(error: &AttemptError) -> Refusal {
+/// Returns the refusal that tells the caller of a failed attempt.
+pub(crate) fn failure(error: &AttemptError) -> Refusal {
     match error {
         AttemptError::NotSent(_) => no_upstream(),
         AttemptError::Refused { message, retry_after_ms, .. } => {
@@ -272,36 +192,13 @@
         AttemptError::Silent => {
             Refusal::new(ResultCode::DeadlineExceeded, "the upstream did not answer in time")
         }
+        AttemptError::TooLate => {
+            Refusal::new(ResultCode::DispatchTooLate, "the call could not be sent in time").retry_after_ms(0)
+        }
         AttemptError::Failed(message) => Refusal::new(ResultCode::UpstreamFailed, message.as_str()),
     }
 }
 
-fn call_digest(request: &PlainRequest) -> String {
-    let mut hasher = blake3::Hasher::new();
-    for part in [request.method.as_bytes(), request.path.as_bytes(), &request.body] {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    hasher.finalize().to_hex().to_string()
-}
-
-fn stored(answer: &PlainResponse) -> StoredAnswer {
-    let content_type = answer.headers.iter().find(|(name, _)| name.eq_ignore_ascii_case("content-type"));
-    StoredAnswer {
-        status: answer.status,
-        content_type: content_type.map(|(_, value)| value.clone()).unwrap_or_default(),
-        body: answer.body.to_vec(),
-    }
-}
-
-fn restored(answer: StoredAnswer) -> PlainResponse {
-    PlainResponse {
-        status: answer.status,
-        headers: vec![("content-type".to_owned(), answer.content_type)],
-        body: answer.body.into(),
-    }
-}
-
 fn to_http(answer: &PlainResponse) -> HttpResponse {
     let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = HttpResponse::build(status);
@@ -311,8 +208,34 @@
     builder.body(answer.body.clone())
 }
 
-fn path_and_query(path: &str, query: &str) -> String {
-    if query.is_empty() { format!("/{path}") } else { format!("/{path}?{query}") }
+/// Returns path and query as the caller sent them, without `/services/{service}`.
+fn path_as_received(request: &HttpRequest) -> String {
+    let uri = request.uri();
+    let rest = uri.path().splitn(4, '/').nth(3).unwrap_or_default();
+    uri.query().map_or_else(|| format!("/{rest}"), |query| format!("/{rest}?{query}"))
+}
+
+/// Returns the path to compare with the rules: an upstream may take `/cues//7/./fire/` for `/cues/7/fire`,
+/// so other spellings of a path that runs at most once are covered too.
+///
+/// ```
+/// use daisysill_node::plain_call::canonical_path;
+/// assert_eq!(canonical_path("cues//7/./fire/"), "/cues/7/fire");
+/// assert_eq!(canonical_path("x/../cues%2F7/fire"), "/cues/7/fire");
+/// ```
+pub fn canonical_path(path: &str) -> String {
+    let path = path.replace("%2F", "/").replace("%2f", "/");
+    let mut segments = Vec::new();
+    for segment in path.split('/') {
+        match segment {
+            "" | "." => {}
+            ".." => {
+                segments.pop();
+            }
+            segment => segments.push(segment),
+        }
+    }
+    format!("/{}", segments.join("/"))
 }
 
 fn passed_headers(request: &HttpRequest) -> Vec<(String, String)> {
--- a/crates/node/src/plain_client.rs
+++ b/crates/node/src/plain_client.rs
@@ -1,9 +1,13 @@
 //! Reaches plain services over HTTP.
 
+use std::rc::Rc;
+
 use awc::{Client, http::Method};
 use futures::{FutureExt, future::LocalBoxFuture};
+use tokio::time::Instant;
 
 use crate::{
+    connection::SendGate,
     http,
     upstream_edge::{AttemptError, AttemptResult, PlainRequest, PlainResponse, PlainService},
 };
@@ -18,6 +22,8 @@
     "trailer",
     "transfer-encoding",
     "upgrade",
+    // The client answers it itself, and reports a body-less call that carries it as a connect error.
+    "expect",
     "host",
     "content-length",
     "authorization",
@@ -44,18 +50,24 @@
     }
 
     async fn send(
-        &self,
+        client: &Client,
+        fresh: bool,
         url: &str,
         request: &PlainRequest,
         traceparent: &str,
     ) -> AttemptResult<PlainResponse> {
         let method = Method::from_bytes(request.method.as_bytes())
             .map_err(|_| AttemptError::NotSent(format!("method {:?} is not valid", request.method)))?;
-        let mut out = self.client.request(method, format!("{url}{}", request.path)).no_decompress();
+        let mut out = client.request(method, format!("{url}{}", request.path)).no_decompress();
         for (name, value) in &request.headers {
             out = out.insert_header((name.as_str(), value.as_str()));
         }
-        let out = out.insert_header(("traceparent", traceparent));
+        if !traceparent.is_empty() {
+            out = out.insert_header(("traceparent", traceparent));
+        }
+        if fresh {
+            out = out.force_close();
+        }
         let mut response =
             out.send_body(request.body.clone()).await.map_err(|e| http::sort_send_error(&e))?;
         if response.headers().contains_key(http::NOT_RUN_HEADER) {
@@ -77,6 +89,23 @@
         request: &'a PlainRequest,
         traceparent: &'a str,
     ) -> LocalBoxFuture<'a, AttemptResult<PlainResponse>> {
-        self.send(url, request, traceparent).boxed_local()
+        Self::send(&self.client, false, url, request, traceparent).boxed_local()
+    }
+
+    fn call_once<'a>(
+        &'a self,
+        url: &'a str,
+        request: &'a PlainRequest,
+        traceparent: &'a str,
+        dispatch_deadline: Instant,
+    ) -> LocalBoxFuture<'a, AttemptResult<PlainResponse>> {
+        async move {
+            let gate = SendGate::new(dispatch_deadline);
+            // A client of its own has an empty pool: the call never meets a connection closed while idle.
+            let client = http::client_through(Some(Rc::clone(&gate)));
+            let result = Self::send(&client, true, url, request, traceparent).await;
+            result.map_err(|error| gate.sort(error))
+        }
+        .boxed_local()
     }
 }
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -13,7 +13,6 @@
 use crate::{metrics::ResultLabels, shared::Shared};
 
 /// The life cycle of one request; finished exactly once, when dropped at the latest.
-#[derive(Debug)]
 pub struct RequestLife {
     shared: Arc<Shared>,
     /// The request's id.
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -5,16 +5,16 @@
 use daisysill_cluster::ClusterHandle;
 use daisysill_core::{
     chart::{Chart, ChartError, REQUEST_CHART, ROLE_CHART, UPSTREAM_CHART},
-    ids::ServiceName,
+    ids::{ConfigVersion, ServiceName},
     rules::{RuleSet, ServiceRules},
 };
 
 use crate::{
-    auth::Authenticator, config::Config, explain::ExplainLog, metrics::Metrics, upstreams::UpstreamTable,
+    agreement::Agreement, auth::Authenticator, claimed_calls::ClaimedCalls, config::Config,
+    explain::ExplainLog, metrics::Metrics, upstreams::UpstreamTable,
 };
 
 /// What all listeners and actors of one node share.
-#[derive(Debug)]
 pub struct Shared {
     /// The settings.
     pub config: Config,
@@ -22,6 +22,10 @@
     pub authenticator: Authenticator,
     /// Access to the cluster.
     pub cluster: ClusterHandle,
+    /// Commits commands; the cluster outside tests.
+    pub agreement: Arc<dyn Agreement>,
+    /// Calls that run at most once and are in progress here.
+    pub claimed_calls: Arc<ClaimedCalls>,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
     /// Why the latest requests were served as they were.
@@ -32,7 +36,7 @@
     pub request_chart: Chart,
     role_chart: Chart,
     role: Mutex<String>,
-    rules: Mutex<Arc<RuleSet>>,
+    rules: Mutex<ParsedRules>,
 }
 
 impl Shared {
@@ -41,12 +45,27 @@
     /// # Errors
     /// Fails if a state chart file is not valid.
     pub fn new(config: Config, cluster: ClusterHandle) -> Result<Self, ChartError> {
+        let agreement = Arc::new(cluster.clone());
+        Self::with_agreement(config, cluster, agreement)
+    }
+
+    /// Builds the shared state with another way to commit commands.
+    ///
+    /// # Errors
+    /// Fails if a state chart file is not valid.
+    pub fn with_agreement(
+        config: Config,
+        cluster: ClusterHandle,
+        agreement: Arc<dyn Agreement>,
+    ) -> Result<Self, ChartError> {
         let metrics = Arc::new(Metrics::default());
         let upstreams = UpstreamTable::new(Chart::parse(UPSTREAM_CHART)?, Arc::clone(&metrics));
         Ok(Self {
             authenticator: Authenticator::new(&config),
             config,
             cluster,
+            agreement,
+            claimed_calls: Arc::default(),
             metrics,
             explain: ExplainLog::default(),
             upstreams: Arc::new(upstreams),
@@ -79,22 +98,24 @@
 
     /// Returns the rules in force for a service.
     pub fn rules_of(&self, service: &ServiceName) -> ServiceRules {
-        self.rules.lock().unwrap_or_else(PoisonError::into_inner).of(service)
-    }
-
-    /// Follows the configuration and parses each new set of rule files once.
-    pub async fn follow_rules(self: Arc<Self>) {
-        let mut view = self.cluster.view();
-        loop {
-            let files = view.borrow_and_update().rules.clone();
-            // The agreed state refuses files with errors, so a failure here means an older program version.
-            match RuleSet::parse(&files) {
-                Ok(rules) => *self.rules.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(rules),
+        let view = Arc::clone(&self.cluster.view().borrow());
+        let mut parsed = self.rules.lock().unwrap_or_else(PoisonError::into_inner);
+        // Parsed where they are used, so that no call is judged by rules older than the view.
+        if parsed.version != Some(view.rules_version) {
+            parsed.version = Some(view.rules_version);
+            match RuleSet::parse(&view.rules) {
+                Ok(rules) => parsed.rules = rules,
+                // The agreed state refuses files with errors, so this means an older program version.
                 Err(errors) => log::error!("rule files in force are not understood: {} errors", errors.len()),
             }
-            if view.changed().await.is_err() {
-                return;
-            }
         }
+        parsed.rules.of(service)
     }
 }
+
+/// The rules in force, parsed once for each version.
+#[derive(Debug, Default)]
+struct ParsedRules {
+    version: Option<ConfigVersion>,
+    rules: RuleSet,
+}
--- a/crates/node/src/upstream_edge.rs
+++ b/crates/node/src/upstream_edge.rs
@@ -8,6 +8,7 @@
     ImportReply, ImportRequest, PlatformList, StoreUsage,
 };
 use futures::{future::LocalBoxFuture, stream::LocalBoxStream};
+use tokio::time::Instant;
 
 /// Why an attempt has no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,12 +28,14 @@
     Failed(String),
     /// Nothing arrived for the progress deadline.
     Silent,
+    /// No byte was sent, since the dispatch deadline had passed.
+    TooLate,
 }
 
 impl AttemptError {
     /// Returns whether the call certainly was not executed.
     pub const fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::Refused { .. })
+        matches!(self, Self::NotSent(_) | Self::Refused { .. } | Self::TooLate)
     }
 }
 
@@ -42,6 +45,7 @@
             Self::NotSent(message) => write!(f, "not sent: {message}"),
             Self::Refused { message, .. } => write!(f, "refused by the upstream: {message}"),
             Self::Failed(message) => write!(f, "failed after sending: {message}"),
+            Self::TooLate => f.write_str("not sent: the dispatch deadline passed"),
             Self::Silent => f.write_str("no progress before the deadline"),
         }
     }
@@ -133,6 +137,17 @@
         request: &'a PlainRequest,
         traceparent: &'a str,
     ) -> LocalBoxFuture<'a, AttemptResult<PlainResponse>>;
+
+    /// Sends a call on a new connection, with its first byte before `dispatch_deadline` or not at all.
+    ///
+    /// The errors `NotSent` and `TooLate` state that not a single byte reached the connection.
+    fn call_once<'a>(
+        &'a self,
+        url: &'a str,
+        request: &'a PlainRequest,
+        traceparent: &'a str,
+        dispatch_deadline: Instant,
+    ) -> LocalBoxFuture<'a, AttemptResult<PlainResponse>>;
 }
 
 /// The platform's list of instances.
--- /dev/null
+++ b/crates/node/tests/upstream_errors.rs
@@ -0,0 +1,80 @@
+//! What the HTTP adapter says about calls that got no answer.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::{
+    io::Read,
+    net::TcpListener,
+    sync::mpsc::{Receiver, channel},
+    thread,
+    time::Duration,
+};
+
+use actix_web::web::Bytes;
+use daisysill_node::{
+    http,
+    plain_client::HttpPlainService,
+    upstream_edge::{AttemptError, PlainRequest, PlainService},
+};
+use tokio::time::Instant;
+
+/// Accepts one connection, reads what is there, closes, and reports the bytes read.
+fn closing_upstream() -> (String, Receiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    let (sender, receiver) = channel();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buffer = [0; 4_096];
+        sender.send(stream.read(&mut buffer).unwrap_or(0)).unwrap();
+    });
+    (url, receiver)
+}
+
+fn request() -> PlainRequest {
+    PlainRequest {
+        method: "POST".to_owned(),
+        path: "/cues/7/fire".to_owned(),
+        headers: Vec::new(),
+        body: Bytes::from_static(b"go"),
+    }
+}
+
+/// Guards against `not_run` for a call whose bytes arrived: the client reports the closed connection as a
+/// connect error.
+#[actix_rt::test]
+async fn a_connection_closed_after_the_call_arrived_may_have_run_it() {
+    let service = HttpPlainService::new(http::client());
+    let (url, bytes) = closing_upstream();
+    let error = service.call(&url, &request(), "").await.unwrap_err();
+    assert!(bytes.recv().unwrap() > 0);
+    assert!(!error.is_not_run(), "{error}");
+
+    let (url, bytes) = closing_upstream();
+    let deadline = Instant::now() + Duration::from_secs(2);
+    let error = service.call_once(&url, &request(), "", deadline).await.unwrap_err();
+    assert!(bytes.recv().unwrap() > 0);
+    assert!(!error.is_not_run(), "{error}");
+}
+
+/// Guards against a first byte after the dispatch deadline, when the time passed while connecting.
+#[actix_rt::test]
+async fn no_byte_leaves_after_the_dispatch_deadline() {
+    let service = HttpPlainService::new(http::client());
+    let (url, bytes) = closing_upstream();
+    let error = service.call_once(&url, &request(), "", Instant::now()).await.unwrap_err();
+    assert_eq!(error, AttemptError::TooLate);
+    assert_eq!(bytes.recv().unwrap(), 0);
+}
+
+/// Guards against `may_have_run` where the connection was refused.
+#[actix_rt::test]
+async fn a_refused_connection_did_not_run_the_call() {
+    let service = HttpPlainService::new(http::client());
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    drop(listener);
+    let deadline = Instant::now() + Duration::from_secs(2);
+    let error = service.call_once(&url, &request(), "", deadline).await.unwrap_err();
+    assert!(error.is_not_run(), "{error}");
+}
