--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -15,12 +15,13 @@
     config::Config,
     engine_client::HttpEngine,
     exit_code::ExitCode,
+    exporter::Exporter,
     http,
+    monitor::UpstreamMonitor,
     options::Options,
     plain_client::HttpPlainService,
     platform_client::HttpPlatform,
     shared::Shared,
-    upstreams::UpstreamMonitor,
 };
 
 /// Time between failing `/readyz` and closing the listener, in which the balancer takes notice.
@@ -90,7 +91,9 @@
     shared.role_event("settings_checked");
     let client = http::client();
     let engine = Rc::new(HttpEngine::new(client.clone()));
-    UpstreamMonitor::new(Arc::clone(&shared), engine, Rc::new(HttpPlatform::new(client))).start();
+    let platform = Rc::new(HttpPlatform::new(client));
+    UpstreamMonitor::new(Arc::clone(&shared), engine.clone(), engine.clone(), platform).start();
+    Exporter::new(Arc::clone(&shared), engine.clone(), engine).start();
 
     let data = Data::from(Arc::clone(&shared));
     let admin_data = data.clone();
@@ -111,6 +114,8 @@
     .workers(CALLER_THREADS)
     .client_request_timeout(Duration::from_millis(limits.header_timeout_ms))
     .shutdown_timeout(shared.config.node.stop_timeout_s)
+    // A caller that disconnects while it waits is noticed at once, and its upstream work cancelled.
+    .h1_allow_half_closed(false)
     .disable_signals()
     .bind(shared.config.node.caller_listen)
     .wrap_err("the caller address cannot be bound")?;
--- /dev/null
+++ b/crates/node/src/attempt.rs
@@ -0,0 +1,225 @@
+//! One attempt of a prompt at one upstream: restore, send, relay.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use daisysill_core::{block::BlockName, ids::InstanceId, route::Decision};
+use daisysill_wire::border::{EngineEvent, EngineRequest};
+use futures::StreamExt;
+use tokio::time::{Instant, timeout, timeout_at};
+
+use crate::{
+    crash::CrashSuspicion,
+    dispatch::{Attempt, Delivery, Dispatch},
+    metrics::ServiceLabels,
+    request::new_id,
+    restore::{CancelOnDrop, Restore},
+    upstream_edge::{AttemptError, AttemptResult, EngineStream},
+};
+
+/// Time in which an upstream must answer on a new connection after one went silent.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+impl Dispatch {
+    /// Makes one attempt; the caller may disconnect in any phase.
+    pub(crate) async fn attempt(&mut self, decision: &Decision) -> Attempt {
+        let Some(url) = self.shared.upstreams.url(&decision.upstream) else {
+            self.life.event("restored");
+            return Attempt::Failed(AttemptError::NotSent("the upstream is gone".to_owned()));
+        };
+        let labels = ServiceLabels { service: self.life.service.to_string() };
+        self.shared.metrics.attempts.get_or_create(&labels).inc();
+        // Taken before the attempt: after a crash, the load report may already be the new process's.
+        self.incarnation = self.shared.upstreams.incarnation(&decision.upstream);
+        let _guard = self.shared.upstreams.dispatch(&decision.upstream, decision.recomputed_tokens);
+        let names = self.piece_names(decision);
+        if !self.restore(&url, decision, &names).await {
+            return Attempt::CallerGone;
+        }
+        let request = self.engine_request(decision, &names);
+        let span = self.life.span.child("attempt");
+        span.set("upstream", decision.upstream.as_str());
+        span.set("attempt_id", request.attempt_id.as_str());
+        let id = Some(request.attempt_id.clone());
+        let mut cancel = CancelOnDrop { engine: Rc::clone(&self.engine), url: url.clone(), id };
+        let result = self.relay(&url, &request, decision, span.traceparent()).await;
+        match result {
+            Ok(true) => {
+                cancel.id = None;
+                self.shared.resting.touch(&decision.upstream, &self.life.service, &names);
+                Attempt::Finished
+            }
+            Ok(false) => Attempt::CallerGone,
+            Err(error) => {
+                span.set("error", error.to_string());
+                if error.is_not_run() {
+                    cancel.id = None;
+                }
+                Attempt::Failed(error)
+            }
+        }
+    }
+
+    fn piece_names(&self, decision: &Decision) -> Vec<BlockName> {
+        let mut pieces = self.pieces_by_version(&self.shared.upstreams.view());
+        pieces.remove(&decision.weight_version).unwrap_or_default()
+    }
+
+    /// Restores what the decision plans; returns whether the caller is still there.
+    async fn restore(&mut self, url: &str, decision: &Decision, names: &[BlockName]) -> bool {
+        if decision.restore.is_some() {
+            let span = self.life.span.child("restore");
+            let restore = Restore {
+                shared: Arc::clone(&self.shared),
+                engine: Rc::clone(&self.engine),
+                engine_url: url.to_owned(),
+                deadline: self.request.deadline,
+            };
+            let outcome = tokio::select! {
+                outcome = restore.run(decision, names) => outcome,
+                () = self.sender.closed() => return false,
+            };
+            if let Some(line) = outcome {
+                span.set("reason", line.as_str());
+                self.life.decision(&line);
+            }
+        }
+        self.life.event("restored");
+        true
+    }
+
+    fn engine_request(&self, decision: &Decision, names: &[BlockName]) -> EngineRequest {
+        EngineRequest {
+            attempt_id: new_id("att"),
+            model: self.life.service.to_string(),
+            adapter: Some(self.request.adapter.clone()).filter(|adapter| !adapter.is_empty()),
+            prompt: self.request.prompt.clone(),
+            max_tokens: self.request.max_tokens,
+            priority: 0,
+            cache_salt: self.life.customer.to_string(),
+            kv_pieces: names.iter().map(|name| name.as_str().to_owned()).collect(),
+            resume_from_token: self.delivered_tokens,
+            resume_text: Some(self.delivered_text.clone()).filter(|text| !text.is_empty()),
+            weight_version: decision.weight_version.0,
+        }
+    }
+
+    /// Relays one attempt; `Ok(false)` means that the caller has gone.
+    async fn relay(
+        &mut self,
+        url: &str,
+        request: &EngineRequest,
+        decision: &Decision,
+        traceparent: &str,
+    ) -> AttemptResult<bool> {
+        let progress = Duration::from_millis(self.rules.deadlines.progress_ms);
+        // Prefill may take as long as was estimated, and only then is silence suspicious.
+        let first_wait = progress + Duration::from_micros(decision.estimate_us);
+        let mut limit = (Instant::now() + first_wait).min(self.request.deadline);
+        let mut events = tokio::select! {
+            events = timeout_at(limit, self.engine.generate(url, request, traceparent)) => {
+                events.map_err(|_| AttemptError::Silent)??
+            }
+            () = self.sender.closed() => return Ok(false),
+        };
+        loop {
+            let Some(event) = self.next_event(&mut events, request, limit).await? else { return Ok(false) };
+            if !self.deliver(&event, decision).await {
+                return Ok(false);
+            }
+            if let (Some(finish_reason), Some(usage)) = (event.finish_reason, event.usage) {
+                self.life.event("finished");
+                return Ok(self.send(Delivery::Finished { finish_reason, usage }).await);
+            }
+            // Set only after the caller took the token, so that a slow caller is not the upstream's silence.
+            limit = (Instant::now() + progress).min(self.request.deadline);
+        }
+    }
+
+    /// Returns the event that carries the next token; `None` if the caller has gone.
+    ///
+    /// Events of other attempts and of tokens already delivered are dropped, and count as no progress.
+    async fn next_event(
+        &self,
+        events: &mut EngineStream,
+        request: &EngineRequest,
+        limit: Instant,
+    ) -> AttemptResult<Option<EngineEvent>> {
+        loop {
+            let event = tokio::select! {
+                event = timeout_at(limit, events.next()) => event.map_err(|_| AttemptError::Silent)?,
+                () = self.sender.closed() => return Ok(None),
+            };
+            let ended = || Err(AttemptError::Failed("the stream ended early".to_owned()));
+            let event = event.unwrap_or_else(ended)?;
+            if event.attempt_id != request.attempt_id || event.token_index < self.delivered_tokens {
+                self.shared.metrics.stray_events.inc();
+                continue;
+            }
+            if event.token_index > self.delivered_tokens {
+                return Err(AttemptError::Failed("the stream skipped a token".to_owned()));
+            }
+            return Ok(Some(event));
+        }
+    }
+
+    async fn deliver(&mut self, event: &EngineEvent, decision: &Decision) -> bool {
+        if self.delivered_tokens == 0 {
+            self.note_first_token(decision);
+        }
+        self.life.event(if self.life.is_relaying() { "progress" } else { "first_byte" });
+        self.pinned_version = Some(decision.weight_version);
+        self.delivered_tokens += 1;
+        self.delivered_text.push_str(&event.text);
+        self.send(Delivery::Token(event.text.clone())).await
+    }
+
+    /// Sends to the caller; returns whether it is still there. A caller that takes nothing until the
+    /// request's deadline is given up.
+    async fn send(&self, delivery: Delivery) -> bool {
+        matches!(timeout_at(self.request.deadline, self.sender.send(delivery)).await, Ok(Ok(())))
+    }
+
+    fn note_first_token(&self, decision: &Decision) {
+        let metrics = &self.shared.metrics;
+        let labels = ServiceLabels { service: self.life.service.to_string() };
+        metrics.first_token_seconds.observe(self.life.arrived.elapsed().as_secs_f64());
+        metrics.computed_tokens.get_or_create(&labels).inc_by(decision.recomputed_tokens);
+        metrics.reused_tokens.get_or_create(&labels).inc_by(decision.cached_tokens);
+    }
+
+    /// Draws the consequences of a failed attempt, for the upstream and for this request.
+    pub(crate) async fn note_failure(&mut self, upstream: &InstanceId, error: &AttemptError) {
+        let labels = ServiceLabels { service: self.life.service.to_string() };
+        self.shared.metrics.failed_attempts.get_or_create(&labels).inc();
+        self.life.decision(&format!("{upstream}: {error}"));
+        self.life.event(if self.life.is_relaying() { "cut" } else { "failed" });
+        if !error.is_not_run() {
+            self.may_have_run = true;
+            let run = CrashSuspicion {
+                upstream,
+                incarnation: self.incarnation,
+                fingerprint: &self.fingerprint,
+                rules: &self.rules,
+            };
+            run.report_if_crashed(&self.shared, self.engine.as_ref()).await;
+        }
+        match error {
+            AttemptError::Refused { leaving: true, .. } => self.shared.upstreams.event(upstream, "refused"),
+            AttemptError::Refused { .. } | AttemptError::TooLate => {}
+            AttemptError::Silent if self.is_only_the_connection(upstream).await => return,
+            _ => self.shared.upstreams.event(upstream, "ping_failed"),
+        }
+        self.excluded.push(upstream.clone());
+    }
+
+    /// Returns whether silence lies in one connection: the upstream answers on a new one, for the first time.
+    async fn is_only_the_connection(&mut self, upstream: &InstanceId) -> bool {
+        if self.silent_once.contains(upstream) {
+            return false;
+        }
+        self.silent_once.push(upstream.clone());
+        self.shared.metrics.silent_connections.inc();
+        let Some(url) = self.shared.upstreams.url(upstream) else { return false };
+        matches!(timeout(PROBE_TIMEOUT, self.engine.load(&url)).await, Ok(Ok(_)))
+    }
+}
--- a/crates/node/src/caller_api.rs
+++ b/crates/node/src/caller_api.rs
@@ -140,9 +140,6 @@
     shared: &Shared,
 ) -> Result<(Customer, T), Refusal> {
     let customer = shared.authenticator.authenticate(request)?.clone();
-    if shared.role() == "draining" {
-        return Err(Refusal::new(ResultCode::ShuttingDown, "this node is shutting down").retry_after_ms(0));
-    }
     let body = read_body(payload, shared.config.limits.body_bytes).await?;
     let parsed = serde_json::from_slice(&body).map_err(|error| {
         Refusal::new(ResultCode::BodyMalformed, format!("the body is not valid: {error}"))
@@ -186,7 +183,7 @@
         Ok(config) => config,
         Err(refusal) => return refusal.response(),
     };
-    let life = RequestLife::new(shared, &customer.id, &service);
+    let life = RequestLife::new(shared, &customer.id, &service, traceparent(request));
     let writer = AnswerWriter::new(call.kind, &life.id, &call.model);
     let deadline_ms = call.deadline_ms.unwrap_or(shared.rules_of(&service).deadlines.request_ms);
     let prompt = PromptRequest {
@@ -194,7 +191,6 @@
         max_tokens: call.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
         adapter: call.adapter.unwrap_or_default(),
         deadline: Instant::now() + Duration::from_millis(deadline_ms),
-        traceparent: traceparent(request),
     };
     let (sender, receiver) = channel(RELAY_BUFFER_TOKENS);
     let dispatch = Dispatch::new(shared, Rc::clone(&adapters.engine), life, prompt, config, sender);
@@ -217,9 +213,8 @@
 }
 
 /// Returns the caller's trace context, or an empty one.
-pub fn traceparent(request: &HttpRequest) -> String {
-    let value = request.headers().get("traceparent").and_then(|v| v.to_str().ok());
-    value.unwrap_or_default().to_owned()
+pub fn traceparent(request: &HttpRequest) -> &str {
+    request.headers().get("traceparent").and_then(|v| v.to_str().ok()).unwrap_or_default()
 }
 
 async fn whole_answer(writer: &AnswerWriter, mut receiver: Receiver<Delivery>) -> HttpResponse {
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -125,9 +125,11 @@
             holder: self.shared.config.node.name.clone(),
             keep_ms: self.rules.never_twice.keep_s * 1_000,
         };
+        let span = self.life.span.child("claim");
         let proposed = self.shared.agreement.propose(Command::Claim(claim));
         // Past the dispatch window a granted claim is of no use.
         let reply = timeout(DISPATCH_WINDOW, proposed).await.unwrap_or(Err(ProposeError::Uncertain));
+        drop(span);
         match reply {
             Ok(Reply::Claimed) => Claimed::Granted,
             Ok(Reply::ClaimExists(ClaimState::Answered(answer))) => Claimed::Stored(restored(answer)),
--- /dev/null
+++ b/crates/node/src/directory.rs
@@ -0,0 +1,284 @@
+//! Which sealed blocks lie in which store. Soft state: a hint that every reader verifies.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use daisysill_core::{
+    block::{BlockDescriptor, BlockName},
+    ids::InstanceId,
+};
+use daisysill_wire::peer::SealedBlock;
+use tokio::time::Instant;
+
+/// Time for which a sealed or unlisted block stays in this node's reports to the others.
+const REPORT_TIME: Duration = Duration::from_secs(10);
+/// Blocks in one report at most.
+const MAX_REPORTED_BLOCKS: usize = 1_000;
+/// Blocks listed for one store at most.
+const MAX_LISTED_BLOCKS: usize = 1_000_000;
+/// Time between unlisting a block and freeing it: the longest lease of a reader on another node that had
+/// not heard of the unlisting yet.
+pub const UNLIST_TO_FREE: Duration = Duration::from_secs(30);
+/// Longest time for which a reader may hold a block.
+pub const MAX_LEASE: Duration = Duration::from_secs(20);
+
+/// Which sealed blocks lie in which store.
+#[derive(Debug, Default)]
+pub struct BlockDirectory {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    stores: BTreeMap<InstanceId, BTreeMap<BlockName, Listed>>,
+    /// Blocks that no new reader gets, and when each may be freed.
+    unlisted: Vec<Unlisted>,
+    leases: BTreeMap<u64, Lease>,
+    next_lease: u64,
+    sealed: Vec<(Instant, SealedBlock)>,
+    freed: Vec<(Instant, SealedBlock)>,
+    booked_bytes: BTreeMap<InstanceId, u64>,
+}
+
+#[derive(Clone, Debug)]
+struct Listed {
+    block: BlockDescriptor,
+    /// Set on the node that exported the block and will free it.
+    own: Option<OwnExport>,
+}
+
+#[derive(Clone, Debug)]
+struct OwnExport {
+    last_used: Instant,
+    keep: Duration,
+}
+
+#[derive(Debug)]
+struct Unlisted {
+    block: SealedBlock,
+    free_at: Instant,
+}
+
+#[derive(Debug)]
+struct Lease {
+    store: InstanceId,
+    blocks: Vec<(BlockName, u64)>,
+    bytes: u64,
+    expires: Instant,
+}
+
+impl BlockDirectory {
+    /// Lists a block that this node had exported; it is unlisted after `keep` without use.
+    pub fn list_own(&self, sealed: SealedBlock, keep: Duration) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        inner.sealed.push((now, sealed.clone()));
+        inner.list(sealed, Some(OwnExport { last_used: now, keep }));
+    }
+
+    /// Applies another node's report.
+    pub fn apply_report(&self, sealed: &[SealedBlock], freed: &[SealedBlock]) {
+        let mut inner = self.lock();
+        for block in sealed.iter().filter(|sealed| !freed.contains(sealed)) {
+            inner.list(block.clone(), None);
+        }
+        for block in freed {
+            inner.remove(block);
+        }
+    }
+
+    /// Returns which of `names` a store has listed.
+    pub fn held<'a, I>(&self, store: &InstanceId, names: I) -> BTreeSet<BlockName>
+    where
+        I: IntoIterator<Item = &'a BlockName>,
+    {
+        let inner = self.lock();
+        let Some(listed) = inner.stores.get(store) else { return BTreeSet::new() };
+        names.into_iter().filter(|name| listed.contains_key(*name)).cloned().collect()
+    }
+
+    /// Returns whether any store has a block listed under this name.
+    pub fn holds(&self, name: &BlockName) -> bool {
+        self.lock().stores.values().any(|blocks| blocks.contains_key(name))
+    }
+
+    /// Returns the bytes of running transfers over the link of a store.
+    pub fn booked_bytes(&self, store: &InstanceId) -> u64 {
+        self.lock().booked_bytes.get(store).copied().unwrap_or(0)
+    }
+
+    /// Takes a lease on the longest run of `names` that a store has listed; `None` if that run is empty.
+    pub fn lease(
+        self: &Arc<Self>,
+        store: &InstanceId,
+        names: &[BlockName],
+        time: Duration,
+    ) -> Option<BlockLease> {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        let listed = inner.stores.get_mut(store)?;
+        let mut blocks = Vec::new();
+        for name in names {
+            let Some(entry) = listed.get_mut(name) else { break };
+            if let Some(own) = &mut entry.own {
+                own.last_used = now;
+            }
+            blocks.push(entry.block.clone());
+        }
+        if blocks.is_empty() {
+            return None;
+        }
+        let bytes = blocks.iter().map(|block| block.length_bytes).sum();
+        let id = inner.next_lease;
+        inner.next_lease += 1;
+        let held = blocks.iter().map(|block| (block.name.clone(), block.generation)).collect();
+        let lease = Lease { store: store.clone(), blocks: held, bytes, expires: now + time.min(MAX_LEASE) };
+        inner.leases.insert(id, lease);
+        *inner.booked_bytes.entry(store.clone()).or_default() += bytes;
+        Some(BlockLease { directory: Arc::clone(self), id, blocks })
+    }
+
+    /// Takes a block off the list, so that no new reader gets it; it is freed later if it is this node's.
+    pub fn unlist(&self, store: &InstanceId, name: &BlockName, generation: u64) {
+        self.lock().unlist(store, name, generation);
+    }
+
+    /// Takes every block of a store off the list, since the store is gone.
+    pub fn drop_store(&self, store: &InstanceId) {
+        let mut inner = self.lock();
+        inner.stores.remove(store);
+        inner.unlisted.retain(|unlisted| unlisted.block.store != *store);
+    }
+
+    /// Unlists own blocks that rested beyond their time, and returns the unlisted blocks that no reader can
+    /// still hold. Each is returned once.
+    pub fn expire(&self) -> Vec<SealedBlock> {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        for (store, name, generation) in inner.rested(now) {
+            inner.unlist(&store, &name, generation);
+        }
+        let expired = inner.leases.iter().filter(|(_, lease)| lease.expires <= now);
+        for id in expired.map(|(id, _)| *id).collect::<Vec<_>>() {
+            inner.end_lease(id);
+        }
+        let unlisted = std::mem::take(&mut inner.unlisted);
+        let (due, waiting): (Vec<_>, Vec<_>) =
+            unlisted.into_iter().partition(|u| u.free_at <= now && !inner.is_leased(&u.block));
+        inner.unlisted = waiting;
+        due.into_iter().map(|unlisted| unlisted.block).collect()
+    }
+
+    /// Keeps a block whose store did not free it, to be returned again later.
+    pub fn free_again(&self, block: SealedBlock) {
+        let free_at = Instant::now() + UNLIST_TO_FREE;
+        self.lock().unlisted.push(Unlisted { block, free_at });
+    }
+
+    /// Returns the blocks sealed and unlisted lately, for the report to the other nodes.
+    pub fn report(&self) -> (Vec<SealedBlock>, Vec<SealedBlock>) {
+        let now = Instant::now();
+        let mut inner = self.lock();
+        inner.sealed.retain(|(at, _)| now - *at < REPORT_TIME);
+        inner.freed.retain(|(at, _)| now - *at < REPORT_TIME);
+        let latest = |list: &[(Instant, SealedBlock)]| {
+            list.iter().rev().take(MAX_REPORTED_BLOCKS).map(|(_, block)| block.clone()).collect()
+        };
+        (latest(&inner.sealed), latest(&inner.freed))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn list(&mut self, sealed: SealedBlock, own: Option<OwnExport>) {
+        let blocks = self.stores.entry(sealed.store.clone()).or_default();
+        let known = blocks.get(&sealed.block.name);
+        if known.is_some_and(|known| known.block.generation >= sealed.block.generation) {
+            return;
+        }
+        if known.is_none() && blocks.len() >= MAX_LISTED_BLOCKS {
+            return;
+        }
+        let replaced = blocks.insert(sealed.block.name.clone(), Listed { block: sealed.block, own });
+        // An own block under the same name would otherwise never be freed.
+        if let Some(Listed { block, own: Some(_) }) = replaced {
+            self.free_later(SealedBlock { store: sealed.store, block });
+        }
+    }
+
+    fn remove(&mut self, sealed: &SealedBlock) -> Option<Listed> {
+        let blocks = self.stores.get_mut(&sealed.store)?;
+        let listed = blocks.get(&sealed.block.name)?;
+        // A later write under the same name stays.
+        if listed.block.generation != sealed.block.generation {
+            return None;
+        }
+        blocks.remove(&sealed.block.name)
+    }
+
+    fn unlist(&mut self, store: &InstanceId, name: &BlockName, generation: u64) {
+        let listed = self.stores.get(store).and_then(|blocks| blocks.get(name));
+        let Some(block) = listed.map(|listed| listed.block.clone()) else { return };
+        if block.generation != generation {
+            return;
+        }
+        let sealed = SealedBlock { store: store.clone(), block };
+        if self.remove(&sealed).is_some_and(|listed| listed.own.is_some()) {
+            self.free_later(sealed);
+        }
+    }
+
+    fn free_later(&mut self, block: SealedBlock) {
+        let now = Instant::now();
+        self.freed.push((now, block.clone()));
+        self.unlisted.push(Unlisted { block, free_at: now + UNLIST_TO_FREE });
+    }
+
+    fn rested(&self, now: Instant) -> Vec<(InstanceId, BlockName, u64)> {
+        let mut rested = Vec::new();
+        for (store, blocks) in &self.stores {
+            for listed in blocks.values() {
+                if listed.own.as_ref().is_some_and(|own| now - own.last_used >= own.keep) {
+                    rested.push((store.clone(), listed.block.name.clone(), listed.block.generation));
+                }
+            }
+        }
+        rested
+    }
+
+    fn end_lease(&mut self, id: u64) {
+        let Some(lease) = self.leases.remove(&id) else { return };
+        if let Some(booked) = self.booked_bytes.get_mut(&lease.store) {
+            *booked = booked.saturating_sub(lease.bytes);
+        }
+    }
+
+    fn is_leased(&self, block: &SealedBlock) -> bool {
+        let held = |lease: &Lease| {
+            lease.store == block.store
+                && lease.blocks.iter().any(|(n, g)| *n == block.block.name && *g == block.block.generation)
+        };
+        self.leases.values().any(held)
+    }
+}
+
+/// The right to read blocks until it expires; given back when dropped.
+#[derive(Debug)]
+pub struct BlockLease {
+    directory: Arc<BlockDirectory>,
+    id: u64,
+    /// The blocks, first to last.
+    pub blocks: Vec<BlockDescriptor>,
+}
+
+impl Drop for BlockLease {
+    fn drop(&mut self) {
+        self.directory.lock().end_lease(self.id);
+    }
+}
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -1,30 +1,26 @@
 //! Serves a prompt: chooses an upstream, attempts, relays, and goes on elsewhere when a stream is cut.
 
-use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, sync::Arc};
 
 use daisysill_core::{
     block::{BlockName, BlockScope, piece_names},
     ids::{InstanceId, WeightVersion},
-    result_code::ResultCode,
+    result_code::{ResultCode, RunState},
     route::{self, Decision, RoutePolicy, RouteRequest},
     rules::ServiceRules,
     view::ClusterView,
 };
-use daisysill_wire::border::{EngineEvent, EngineRequest, Usage};
-use futures::StreamExt;
+use daisysill_wire::border::Usage;
 use rand::RngExt;
-use tokio::{
-    sync::mpsc::Sender,
-    time::{Instant, timeout, timeout_at},
-};
+use tokio::{sync::mpsc::Sender, time::Instant};
 
 use crate::{
     config::ServiceConfig,
-    metrics::ServiceLabels,
+    crash::fingerprint,
     refusal::Refusal,
-    request::{RequestLife, new_id},
+    request::RequestLife,
     shared::Shared,
-    upstream_edge::{AttemptError, AttemptResult, Engine},
+    upstream_edge::{AttemptError, Engine},
 };
 
 /// Cost of sending a request to another availability zone, in microseconds.
@@ -45,8 +41,6 @@
     pub adapter: String,
     /// When the whole answer must be there.
     pub deadline: Instant,
-    /// The caller's trace context, passed on to the upstream.
-    pub traceparent: String,
 }
 
 /// What the caller's side gets while a prompt is served.
@@ -66,7 +60,7 @@
 }
 
 /// How an attempt ended.
-enum Attempt {
+pub(crate) enum Attempt {
     Finished,
     CallerGone,
     Failed(AttemptError),
@@ -74,17 +68,24 @@
 
 /// Serves one prompt; owns the request's life cycle until the caller has its answer.
 pub struct Dispatch {
-    shared: Arc<Shared>,
-    engine: Rc<dyn Engine>,
-    life: RequestLife,
-    request: PromptRequest,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) engine: Rc<dyn Engine>,
+    pub(crate) life: RequestLife,
+    pub(crate) request: PromptRequest,
     service: ServiceConfig,
-    rules: ServiceRules,
-    sender: Sender<Delivery>,
-    delivered_tokens: u64,
-    delivered_text: String,
-    pinned_version: Option<WeightVersion>,
-    excluded: Vec<InstanceId>,
+    pub(crate) rules: ServiceRules,
+    pub(crate) sender: Sender<Delivery>,
+    pub(crate) delivered_tokens: u64,
+    pub(crate) delivered_text: String,
+    pub(crate) pinned_version: Option<WeightVersion>,
+    pub(crate) excluded: Vec<InstanceId>,
+    /// Upstreams at which a connection went silent once.
+    pub(crate) silent_once: Vec<InstanceId>,
+    pub(crate) fingerprint: String,
+    /// Incarnation of the upstream of the current attempt when the attempt began.
+    pub(crate) incarnation: u64,
+    /// Whether an attempt failed after it was sent.
+    pub(crate) may_have_run: bool,
 }
 
 impl Dispatch {
@@ -97,7 +98,12 @@
         service: ServiceConfig,
         sender: Sender<Delivery>,
     ) -> Self {
+        let fingerprint = fingerprint(&life.customer, &life.service, &request.adapter, &request.prompt);
         Self {
+            fingerprint,
+            silent_once: Vec::new(),
+            incarnation: 0,
+            may_have_run: false,
             rules: shared.rules_of(&life.service),
             shared: Arc::clone(shared),
             engine,
@@ -117,25 +123,38 @@
         self.life.event("admitted");
         let mut last_error = None;
         for _ in 0..self.rules.retries.max_attempts {
+            // Asked before each attempt: the request may have taken down the upstream of the last one.
+            if self.is_blocked() {
+                return self.refuse(blocked()).await;
+            }
             let Some(decision) = self.choose() else { break };
             match self.attempt(&decision).await {
                 Attempt::Finished => return self.life.result(ResultCode::Ok),
                 Attempt::CallerGone => return self.life.event("disconnected"),
                 Attempt::Failed(error) => {
-                    self.note_failure(&decision.upstream, &error);
+                    self.note_failure(&decision.upstream, &error).await;
                     last_error = Some(error);
                 }
             }
-            if Instant::now() >= self.request.deadline {
+            if Instant::now() >= self.request.deadline || self.sender.is_closed() {
                 break;
             }
         }
-        self.refuse(last_error).await;
+        let refusal = self.refusal(last_error);
+        self.refuse(refusal).await;
+    }
+
+    fn is_blocked(&self) -> bool {
+        let view = Arc::clone(&self.shared.cluster.view().borrow());
+        self.shared.blocked_requests.contains(&view.blocked, &self.fingerprint, &self.rules)
     }
 
     fn choose(&mut self) -> Option<Decision> {
-        let view = self.shared.upstreams.view();
+        let mut view = self.shared.upstreams.view();
         let pieces = self.pieces_by_version(&view);
+        for store in &mut view.stores {
+            store.pieces = self.shared.directory.held(&store.id, pieces.values().flatten());
+        }
         let prompt_bytes = self.request.prompt.len() as u64;
         let request = RouteRequest {
             service: &self.life.service,
@@ -154,10 +173,13 @@
         let decision = route::choose(&view, &request, &policy, rand::rng().random::<f64>())?;
         self.life.decision(&decision.reason);
         self.life.event("chosen");
+        let span = self.life.span.child("decision");
+        span.set("reason", decision.reason.as_str());
         Some(decision)
     }
 
-    fn pieces_by_version(&self, view: &ClusterView) -> BTreeMap<WeightVersion, Vec<BlockName>> {
+    /// Names the whole pieces of the prompt for each weight version in service, in the scope of this request.
+    pub(crate) fn pieces_by_version(&self, view: &ClusterView) -> BTreeMap<WeightVersion, Vec<BlockName>> {
         let piece_bytes = self.service.piece_tokens * self.service.bytes_per_token;
         let piece_bytes = usize::try_from(piece_bytes).unwrap_or(usize::MAX);
         let mut pieces = BTreeMap::new();
@@ -175,140 +197,17 @@
         pieces
     }
 
-    async fn attempt(&mut self, decision: &Decision) -> Attempt {
-        self.life.event("restored");
-        let Some(url) = self.shared.upstreams.url(&decision.upstream) else {
-            return Attempt::Failed(AttemptError::NotSent("the upstream is gone".to_owned()));
-        };
-        let labels = ServiceLabels { service: self.life.service.to_string() };
-        self.shared.metrics.attempts.get_or_create(&labels).inc();
-        let _guard = self.shared.upstreams.dispatch(&decision.upstream, decision.recomputed_tokens);
-        let request = self.engine_request(decision);
-        match self.relay(&url, &request, decision).await {
-            Ok(true) => Attempt::Finished,
-            Ok(false) => {
-                self.cancel(&url, &request.attempt_id);
-                Attempt::CallerGone
-            }
-            Err(error) => {
-                if !error.is_not_run() {
-                    self.cancel(&url, &request.attempt_id);
-                }
-                Attempt::Failed(error)
-            }
-        }
-    }
-
-    fn engine_request(&self, decision: &Decision) -> EngineRequest {
-        let view = self.shared.upstreams.view();
-        let mut pieces = self.pieces_by_version(&view);
-        let names = pieces.remove(&decision.weight_version).unwrap_or_default();
-        EngineRequest {
-            attempt_id: new_id("att"),
-            model: self.life.service.to_string(),
-            adapter: Some(self.request.adapter.clone()).filter(|adapter| !adapter.is_empty()),
-            prompt: self.request.prompt.clone(),
-            max_tokens: self.request.max_tokens,
-            priority: 0,
-            cache_salt: self.life.customer.to_string(),
-            kv_pieces: names.iter().map(|name| name.as_str().to_owned()).collect(),
-            resume_from_token: self.delivered_tokens,
-            resume_text: Some(self.delivered_text.clone()).filter(|text| !text.is_empty()),
-            weight_version: decision.weight_version.0,
-        }
-    }
-
-    /// Relays one attempt; `Ok(false)` means that the caller has gone.
-    async fn relay(
-        &mut self,
-        url: &str,
-        request: &EngineRequest,
-        decision: &Decision,
-    ) -> AttemptResult<bool> {
-        let progress = Duration::from_millis(self.rules.deadlines.progress_ms);
-        let first_byte = self.engine.generate(url, request, &self.request.traceparent);
-        // Prefill may take as long as was estimated, and only then is silence suspicious.
-        let first_wait = progress + Duration::from_micros(decision.estimate_us);
-        let mut events = timeout(first_wait, first_byte).await.map_err(|_| AttemptError::Silent)??;
-        let mut wait = first_wait;
-        loop {
-            let limit = (Instant::now() + wait).min(self.request.deadline);
-            let event = tokio::select! {
-                event = timeout_at(limit, events.next()) => event.map_err(|_| AttemptError::Silent)?,
-                () = self.sender.closed() => return Ok(false),
-            };
-            let event =
-                event.unwrap_or_else(|| Err(AttemptError::Failed("the stream ended early".to_owned())))?;
-            wait = progress;
-            if event.attempt_id != request.attempt_id {
-                self.shared.metrics.stray_events.inc();
-                continue;
-            }
-            if event.token_index < self.delivered_tokens {
-                continue;
-            }
-            if event.token_index > self.delivered_tokens {
-                return Err(AttemptError::Failed("the stream skipped a token".to_owned()));
-            }
-            if !self.deliver(&event, decision).await {
-                return Ok(false);
-            }
-            if let (Some(finish_reason), Some(usage)) = (event.finish_reason, event.usage) {
-                self.life.event("finished");
-                return Ok(self.sender.send(Delivery::Finished { finish_reason, usage }).await.is_ok());
-            }
-        }
-    }
-
-    async fn deliver(&mut self, event: &EngineEvent, decision: &Decision) -> bool {
-        if self.delivered_tokens == 0 {
-            self.note_first_token(decision);
-        }
-        self.life.event(if self.delivered_tokens == 0 { "first_byte" } else { "progress" });
-        self.pinned_version = Some(decision.weight_version);
-        self.delivered_tokens += 1;
-        self.delivered_text.push_str(&event.text);
-        self.sender.send(Delivery::Token(event.text.clone())).await.is_ok()
-    }
-
-    fn note_first_token(&self, decision: &Decision) {
-        let metrics = &self.shared.metrics;
-        let labels = ServiceLabels { service: self.life.service.to_string() };
-        metrics.first_token_seconds.observe(self.life.arrived.elapsed().as_secs_f64());
-        metrics.computed_tokens.get_or_create(&labels).inc_by(decision.recomputed_tokens);
-        metrics.reused_tokens.get_or_create(&labels).inc_by(decision.cached_tokens);
-    }
-
-    fn cancel(&self, url: &str, attempt_id: &str) {
-        let (engine, url, id) = (Rc::clone(&self.engine), url.to_owned(), attempt_id.to_owned());
-        actix_rt::spawn(async move {
-            // The upstream may be gone; then nothing is left to cancel.
-            let _ = engine.cancel(&url, &id).await;
-        });
-    }
-
-    fn note_failure(&mut self, upstream: &InstanceId, error: &AttemptError) {
-        let labels = ServiceLabels { service: self.life.service.to_string() };
-        self.shared.metrics.failed_attempts.get_or_create(&labels).inc();
-        self.life.decision(&format!("{upstream}: {error}"));
-        self.life.event(if self.delivered_tokens > 0 { "cut" } else { "failed" });
-        match error {
-            AttemptError::Refused { leaving: true, .. } => self.shared.upstreams.event(upstream, "refused"),
-            AttemptError::Refused { .. } => {}
-            _ => self.shared.upstreams.event(upstream, "ping_failed"),
-        }
-        self.excluded.push(upstream.clone());
-    }
-
-    async fn refuse(mut self, last_error: Option<AttemptError>) {
+    fn refusal(&self, last_error: Option<AttemptError>) -> Refusal {
         let past_deadline = Instant::now() >= self.request.deadline;
-        let refusal = match last_error {
-            Some(_) if past_deadline => Refusal::new(
+        match last_error {
+            Some(error) if past_deadline && !error.is_not_run() => Refusal::new(
                 ResultCode::DeadlineExceeded,
                 "the deadline passed before the answer was complete",
             ),
-            None => Refusal::new(ResultCode::NoUpstream, "no upstream of the service is available")
-                .retry_after_ms(NO_UPSTREAM_RETRY_MS),
+            None | Some(AttemptError::NotSent(_) | AttemptError::TooLate) => {
+                Refusal::new(ResultCode::NoUpstream, "no upstream of the service is available")
+                    .retry_after_ms(NO_UPSTREAM_RETRY_MS)
+            }
             Some(AttemptError::Refused { message, retry_after_ms, .. }) => {
                 Refusal::new(ResultCode::UpstreamRefused, message)
                     .retry_after_ms(retry_after_ms.unwrap_or(NO_UPSTREAM_RETRY_MS))
@@ -316,10 +215,21 @@
             Some(error) => {
                 Refusal::new(ResultCode::UpstreamFailed, error.to_string()).retry_after_ms(FAILED_RETRY_MS)
             }
-        };
+        }
+    }
+
+    async fn refuse(mut self, mut refusal: Refusal) {
+        if self.may_have_run && refusal.run_state == RunState::NotRun {
+            // An earlier attempt got further than the last one.
+            refusal.run_state = RunState::MayHaveRun;
+        }
         self.life.event("refused");
         self.life.result(refusal.code);
         // A caller that has gone needs no refusal.
         let _ = self.sender.send(Delivery::Refused(refusal)).await;
     }
 }
+
+fn blocked() -> Refusal {
+    Refusal::new(ResultCode::RequestBlocked, "the request is blocked because it took down upstreams")
+}
--- a/crates/node/src/engine_client.rs
+++ b/crates/node/src/engine_client.rs
@@ -24,12 +24,14 @@
 #[derive(Clone)]
 pub struct HttpEngine {
     client: Client,
+    /// Opens a connection for each call, so that none meets a pooled connection that went silent.
+    unpooled: Client,
 }
 
 impl HttpEngine {
     /// Creates an adapter over a client.
     pub fn new(client: Client) -> Self {
-        Self { client }
+        Self { client, unpooled: http::client() }
     }
 
     async fn start(
@@ -38,8 +40,10 @@
         request: &EngineRequest,
         traceparent: &str,
     ) -> AttemptResult<EngineStream> {
-        let post =
-            self.client.post(format!("{url}/v1/completions")).insert_header(("traceparent", traceparent));
+        let mut post = self.unpooled.post(format!("{url}/v1/completions")).force_close();
+        if !traceparent.is_empty() {
+            post = post.insert_header(("traceparent", traceparent));
+        }
         let response = post.send_json(request).await.map_err(|e| http::sort_send_error(&e))?;
         if !response.status().is_success() {
             return Err(http::sort_error_status(&response));
@@ -63,7 +67,17 @@
     }
 
     fn load<'a>(&'a self, url: &'a str) -> LocalBoxFuture<'a, AttemptResult<EngineLoad>> {
-        async move { http::get_json(&self.client, &format!("{url}/v1/load")).await }.boxed_local()
+        async move {
+            let url = format!("{url}/v1/load");
+            match http::get_json(&self.client, &url).await {
+                // The pooled connection may have gone silent; only a new one tells of the engine.
+                Err(AttemptError::Failed(_) | AttemptError::Silent) => {
+                    http::get_json(&self.unpooled, &url).await
+                }
+                other => other,
+            }
+        }
+        .boxed_local()
     }
 
     fn cache_events<'a>(
--- /dev/null
+++ b/crates/node/src/exporter.rs
@@ -0,0 +1,165 @@
+//! Exports context that rests, frees blocks that rested too long, and tells the other nodes.
+
+use std::{
+    collections::BTreeMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use actix::{Actor, AsyncContext, Context, WrapFuture};
+use daisysill_core::{
+    block::{BlockDescriptor, BlockName},
+    ids::{InstanceId, ServiceName},
+};
+use daisysill_wire::{
+    border::{ExportReply, ExportRequest},
+    peer::{SealedBlock, SoftReport},
+};
+
+use crate::{
+    resting::DueExport,
+    shared::Shared,
+    upstream_edge::{AttemptError, AttemptResult, Engine, Store},
+};
+
+/// Time between two looks at resting context.
+const EXPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two reports to the other nodes.
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// Context is exported after this part of its time in accelerator memory, so that it is in a store before
+/// the engine evicts it.
+const EXPORT_AFTER_DIVISOR: u32 = 4;
+
+/// Exports context that rests and frees blocks that rested too long.
+pub struct Exporter {
+    shared: Arc<Shared>,
+    engine: Rc<dyn Engine>,
+    store: Rc<dyn Store>,
+    running: Rc<std::cell::Cell<bool>>,
+}
+
+impl Exporter {
+    /// Creates the actor; `start` runs it.
+    pub fn new(shared: Arc<Shared>, engine: Rc<dyn Engine>, store: Rc<dyn Store>) -> Self {
+        Self { shared, engine, store, running: Rc::default() }
+    }
+
+    fn tick(&mut self, context: &mut Context<Self>) {
+        // One round at a time: background transfers must not pile up when a link is slow.
+        if self.running.replace(true) {
+            return;
+        }
+        let (shared, engine, store) =
+            (Arc::clone(&self.shared), Rc::clone(&self.engine), Rc::clone(&self.store));
+        let running = Rc::clone(&self.running);
+        let round = async move {
+            let export_after = |service: &ServiceName| {
+                Duration::from_secs(shared.rules_of(service).rest.accelerator_s) / EXPORT_AFTER_DIVISOR
+            };
+            for due in shared.resting.take_due(export_after) {
+                export(&shared, engine.as_ref(), &due).await;
+            }
+            free_unlisted(&shared, store.as_ref()).await;
+            running.set(false);
+        };
+        context.spawn(round.into_actor(self));
+    }
+
+    fn report(&mut self, _: &mut Context<Self>) {
+        let (sealed_blocks, freed_blocks) = self.shared.directory.report();
+        let stores = self.shared.upstreams.store_ids();
+        let booked = |store: InstanceId| {
+            let bytes = self.shared.directory.booked_bytes(&store);
+            (store, bytes)
+        };
+        self.shared.cluster.set_soft(SoftReport {
+            in_flight_tokens: self.shared.upstreams.in_flight_tokens(),
+            booked_bytes: stores.into_iter().map(booked).collect::<BTreeMap<_, _>>(),
+            leaving_upstreams: self.shared.upstreams.refused_here(),
+            sealed_blocks,
+            freed_blocks,
+        });
+        let members = self.shared.cluster.status().members;
+        for member in &members {
+            self.shared.directory.apply_report(&member.soft.sealed_blocks, &member.soft.freed_blocks);
+        }
+        let leaving = members.iter().flat_map(|member| member.soft.leaving_upstreams.iter().cloned());
+        self.shared.upstreams.apply_reported_leaving(&leaving.collect());
+        self.shared.upstreams.set_node_count(members.iter().filter(|m| m.alive).count() + 1);
+    }
+}
+
+impl Actor for Exporter {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Context<Self>) {
+        context.run_interval(EXPORT_INTERVAL, Self::tick);
+        context.run_interval(REPORT_INTERVAL, Self::report);
+    }
+}
+
+async fn export(shared: &Shared, engine: &dyn Engine, due: &DueExport) {
+    let missing: Vec<&BlockName> = due.pieces.iter().filter(|name| !shared.directory.holds(name)).collect();
+    let (Some(engine_url), Some((store, store_url))) =
+        (shared.upstreams.url(&due.engine), shared.upstreams.store_for(&due.engine))
+    else {
+        return shared.resting.export_failed(due);
+    };
+    if missing.is_empty() {
+        return;
+    }
+    let request = ExportRequest {
+        generation: new_generation(),
+        pieces: missing.iter().map(|name| name.as_str().to_owned()).collect(),
+        store_url,
+    };
+    let Ok(blocks) = check_export(&request, engine.export(&engine_url, &request).await) else {
+        shared.metrics.failed_exports.inc();
+        return shared.resting.export_failed(due);
+    };
+    let keep = Duration::from_secs(shared.rules_of(&due.service).rest.disk_s);
+    shared.metrics.exported_blocks.inc_by(blocks.len() as u64);
+    for block in blocks {
+        shared.directory.list_own(SealedBlock { store: store.clone(), block }, keep);
+    }
+}
+
+/// Returns the blocks of a reply; one with a block that was not asked for is not believed at all.
+fn check_export(
+    request: &ExportRequest,
+    reply: AttemptResult<ExportReply>,
+) -> AttemptResult<Vec<BlockDescriptor>> {
+    let reply = reply?;
+    let expected = |block: &daisysill_wire::border::StoredBlock| {
+        block.generation == request.generation && request.pieces.contains(&block.name)
+    };
+    if !reply.blocks.iter().all(expected) {
+        return Err(AttemptError::Failed("the engine reports blocks that were not asked for".to_owned()));
+    }
+    let descriptor = |block: daisysill_wire::border::StoredBlock| BlockDescriptor {
+        name: BlockName::from(block.name.as_str()),
+        length_bytes: block.length_bytes,
+        checksum: block.checksum,
+        generation: block.generation,
+    };
+    Ok(reply.blocks.into_iter().map(descriptor).collect())
+}
+
+async fn free_unlisted(shared: &Shared, store: &dyn Store) {
+    for block in shared.directory.expire() {
+        let Some(url) = shared.upstreams.url(&block.store) else { continue };
+        match store.free(&url, block.block.name.as_str(), block.block.generation).await {
+            Ok(()) => {
+                shared.metrics.freed_blocks.inc();
+            }
+            Err(_) => shared.directory.free_again(block),
+        }
+    }
+}
+
+/// Later writes have higher generations, also those of another node or after a restart.
+fn new_generation() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -25,7 +25,7 @@
 /// Idle time after which a pooled connection is not used again.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time in which a control call (load, events, list) must be answered.
-const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Bytes of a control answer at most.
 const CONTROL_BODY_BYTES: usize = 16_777_216;
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -57,6 +57,24 @@
     pub outcome_retries: Counter,
     /// Answers of claimed calls that were too large to be kept.
     pub answers_not_kept: Counter,
+    /// Connections to upstreams that went silent.
+    pub silent_connections: Counter,
+    /// Polls skipped because the one before was still running.
+    pub skipped_polls: Counter,
+    /// Crashes of upstreams seen under a request.
+    pub crashes: Counter,
+    /// Restores that failed as a whole.
+    pub failed_restores: Counter,
+    /// Restores that stopped at a missing or unverifiable block.
+    pub partial_restores: Counter,
+    /// Blocks exported to stores.
+    pub exported_blocks: Counter,
+    /// Exports that failed.
+    pub failed_exports: Counter,
+    /// Blocks freed in stores.
+    pub freed_blocks: Counter,
+    /// Spans dropped because the writer's queue was full.
+    pub dropped_spans: Counter,
 }
 
 /// Shortest time to first token that has a bucket of its own, in seconds.
@@ -80,6 +98,15 @@
             joined_calls: Counter::default(),
             outcome_retries: Counter::default(),
             answers_not_kept: Counter::default(),
+            silent_connections: Counter::default(),
+            skipped_polls: Counter::default(),
+            crashes: Counter::default(),
+            failed_restores: Counter::default(),
+            partial_restores: Counter::default(),
+            exported_blocks: Counter::default(),
+            failed_exports: Counter::default(),
+            freed_blocks: Counter::default(),
+            dropped_spans: Counter::default(),
         };
         metrics.register();
         metrics
@@ -140,5 +167,23 @@
             "Answers too large to be kept for resends",
             self.answers_not_kept.clone(),
         );
+        self.register_counters();
+    }
+
+    fn register_counters(&mut self) {
+        let counters = [
+            ("silent_connections", "Connections that went silent", &self.silent_connections),
+            ("skipped_polls", "Polls skipped because the one before was running", &self.skipped_polls),
+            ("crashes", "Crashes of upstreams seen under a request", &self.crashes),
+            ("failed_restores", "Restores that brought nothing", &self.failed_restores),
+            ("partial_restores", "Restores that stopped at a missing block", &self.partial_restores),
+            ("exported_blocks", "Blocks exported to stores", &self.exported_blocks),
+            ("failed_exports", "Exports that failed", &self.failed_exports),
+            ("freed_blocks", "Blocks freed in stores", &self.freed_blocks),
+            ("dropped_spans", "Spans dropped because the queue was full", &self.dropped_spans),
+        ];
+        for (name, help, counter) in counters {
+            self.registry.register(name, help, counter.clone());
+        }
     }
 }
--- /dev/null
+++ b/crates/node/src/monitor.rs
@@ -0,0 +1,129 @@
+//! Polls the platform's list, the engines and the stores, and follows drain marks.
+
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
+
+use actix::{Actor, AsyncContext, Context, WrapFuture};
+use daisysill_core::ids::InstanceId;
+use daisysill_wire::border::InstanceKind;
+
+use crate::{
+    shared::Shared,
+    upstream_edge::{Engine, Platform, Store},
+};
+
+/// Time between two looks at the drain marks.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Polls the platform's list, each engine's load and cache events, and each store's usage.
+pub struct UpstreamMonitor {
+    shared: Arc<Shared>,
+    engine: Rc<dyn Engine>,
+    store: Rc<dyn Store>,
+    platform: Rc<dyn Platform>,
+    /// Upstreams with a poll in progress; the platform has the empty name.
+    polling: Rc<RefCell<BTreeSet<InstanceId>>>,
+}
+
+impl UpstreamMonitor {
+    /// Creates the actor; `start` runs it.
+    pub fn new(
+        shared: Arc<Shared>,
+        engine: Rc<dyn Engine>,
+        store: Rc<dyn Store>,
+        platform: Rc<dyn Platform>,
+    ) -> Self {
+        Self { shared, engine, store, platform, polling: Rc::default() }
+    }
+
+    /// Runs a poll unless the one before it is still in progress.
+    fn poll<F>(&self, id: &InstanceId, poll: F, context: &mut Context<Self>)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        if !self.polling.borrow_mut().insert(id.clone()) {
+            self.shared.metrics.skipped_polls.inc();
+            return;
+        }
+        let (polling, id) = (Rc::clone(&self.polling), id.clone());
+        let poll = async move {
+            poll.await;
+            polling.borrow_mut().remove(&id);
+        };
+        context.spawn(poll.into_actor(self));
+    }
+
+    fn poll_list(&mut self, context: &mut Context<Self>) {
+        let (shared, platform) = (Arc::clone(&self.shared), Rc::clone(&self.platform));
+        let poll = async move {
+            if let Ok(list) = platform.instances(&shared.config.platform.url).await {
+                for gone in shared.upstreams.apply_list(list.instances) {
+                    shared.directory.drop_store(&gone);
+                    shared.resting.forget_engine(&gone);
+                }
+            }
+            apply_drains(&shared);
+        };
+        self.poll(&InstanceId::from(""), poll, context);
+    }
+
+    fn poll_drains(&mut self, _: &mut Context<Self>) {
+        apply_drains(&self.shared);
+    }
+
+    fn poll_upstreams(&mut self, context: &mut Context<Self>) {
+        for (id, url, after) in self.shared.upstreams.of_kind(InstanceKind::Engine) {
+            let (shared, engine) = (Arc::clone(&self.shared), Rc::clone(&self.engine));
+            let poll = {
+                let id = id.clone();
+                async move {
+                    match engine.load(&url).await {
+                        Ok(load) => {
+                            if shared.upstreams.apply_load(&id, load) {
+                                shared.resting.forget_engine(&id);
+                            }
+                        }
+                        Err(_) => return shared.upstreams.event(&id, "ping_failed"),
+                    }
+                    if let Ok(events) = engine.cache_events(&url, after).await {
+                        for evicted in shared.upstreams.apply_cache_events(&id, events) {
+                            shared.resting.forget(&id, &evicted);
+                        }
+                    }
+                }
+            };
+            self.poll(&id, poll, context);
+        }
+        for (id, url, _) in self.shared.upstreams.of_kind(InstanceKind::Store) {
+            let (shared, store) = (Arc::clone(&self.shared), Rc::clone(&self.store));
+            let poll = {
+                let id = id.clone();
+                async move {
+                    match store.usage(&url).await {
+                        Ok(usage) => shared.upstreams.apply_usage(&id, usage),
+                        Err(_) => shared.upstreams.event(&id, "ping_failed"),
+                    }
+                }
+            };
+            self.poll(&id, poll, context);
+        }
+    }
+}
+
+fn apply_drains(shared: &Shared) {
+    let view = Arc::clone(&shared.cluster.view().borrow());
+    shared.upstreams.apply_drains(&view.draining);
+}
+
+impl Actor for UpstreamMonitor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Context<Self>) {
+        let services = self.shared.config.services.values();
+        let poll_ms = services.map(|service| service.poll_ms).min().unwrap_or(500);
+        self.poll_list(context);
+        let list_interval = Duration::from_millis(self.shared.config.platform.poll_ms);
+        context.run_interval(list_interval, Self::poll_list);
+        context.run_interval(Duration::from_millis(poll_ms), Self::poll_upstreams);
+        context.run_interval(DRAIN_INTERVAL, Self::poll_drains);
+    }
+}
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -69,12 +69,11 @@
     let body = read_body(payload, shared.config.limits.body_bytes).await?;
     let rules = shared.rules_of(&service);
     let mut call = PlainCall {
-        life: RequestLife::new(shared, &customer.id, &service),
+        life: RequestLife::new(shared, &customer.id, &service, traceparent(request)),
         deadline: Instant::now() + Duration::from_millis(rules.deadlines.request_ms),
         shared: Arc::clone(shared),
         plain: Rc::clone(&adapters.plain),
         rules,
-        traceparent: traceparent(request),
         request: PlainRequest {
             method: request.method().to_string(),
             path: path_as_received(request),
@@ -98,7 +97,6 @@
     pub(crate) plain: Rc<dyn PlainService>,
     pub(crate) rules: ServiceRules,
     pub(crate) deadline: Instant,
-    pub(crate) traceparent: String,
     pub(crate) request: PlainRequest,
 }
 
@@ -150,11 +148,20 @@
             return Err(AttemptError::NotSent("the upstream is gone".to_owned()));
         };
         let _guard = self.shared.upstreams.dispatch(upstream, 0);
+        let span = self.life.span.child("attempt");
+        span.set("upstream", upstream.as_str());
         let call = match dispatch_deadline {
-            Some(deadline) => self.plain.call_once(&url, &self.request, &self.traceparent, deadline),
-            None => self.plain.call(&url, &self.request, &self.traceparent),
+            Some(deadline) => self.plain.call_once(&url, &self.request, span.traceparent(), deadline),
+            None => self.plain.call(&url, &self.request, span.traceparent()),
         };
-        let answer = timeout_at(self.deadline, call).await.map_err(|_| AttemptError::Silent)??;
+        let result = timeout_at(self.deadline, call).await.unwrap_or(Err(AttemptError::Silent));
+        if let Err(error) = &result {
+            span.set("error", error.to_string());
+        }
+        if let Err(AttemptError::Refused { leaving: true, .. }) = &result {
+            self.shared.upstreams.event(upstream, "refused");
+        }
+        let answer = result?;
         self.life.event("first_byte");
         Ok(answer)
     }
--- a/crates/node/src/plain_client.rs
+++ b/crates/node/src/plain_client.rs
@@ -51,7 +51,6 @@
 
     async fn send(
         client: &Client,
-        fresh: bool,
         url: &str,
         request: &PlainRequest,
         traceparent: &str,
@@ -59,15 +58,14 @@
         let method = Method::from_bytes(request.method.as_bytes())
             .map_err(|_| AttemptError::NotSent(format!("method {:?} is not valid", request.method)))?;
         let mut out = client.request(method, format!("{url}{}", request.path)).no_decompress();
+        // Each call has a connection of its own: a pooled one may have gone silent.
+        out = out.force_close();
         for (name, value) in &request.headers {
             out = out.insert_header((name.as_str(), value.as_str()));
         }
         if !traceparent.is_empty() {
             out = out.insert_header(("traceparent", traceparent));
         }
-        if fresh {
-            out = out.force_close();
-        }
         let mut response =
             out.send_body(request.body.clone()).await.map_err(|e| http::sort_send_error(&e))?;
         if response.headers().contains_key(http::NOT_RUN_HEADER) {
@@ -89,7 +87,7 @@
         request: &'a PlainRequest,
         traceparent: &'a str,
     ) -> LocalBoxFuture<'a, AttemptResult<PlainResponse>> {
-        Self::send(&self.client, false, url, request, traceparent).boxed_local()
+        Self::send(&self.client, url, request, traceparent).boxed_local()
     }
 
     fn call_once<'a>(
@@ -103,7 +101,7 @@
             let gate = SendGate::new(dispatch_deadline);
             // A client of its own has an empty pool: the call never meets a connection closed while idle.
             let client = http::client_through(Some(Rc::clone(&gate)));
-            let result = Self::send(&client, true, url, request, traceparent).await;
+            let result = Self::send(&client, url, request, traceparent).await;
             result.map_err(|error| gate.sort(error))
         }
         .boxed_local()
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -10,7 +10,7 @@
 use rand::RngExt;
 use tokio::time::Instant;
 
-use crate::{metrics::ResultLabels, shared::Shared};
+use crate::{metrics::ResultLabels, shared::Shared, trace::TraceSpan};
 
 /// The life cycle of one request; finished exactly once, when dropped at the latest.
 pub struct RequestLife {
@@ -23,6 +23,8 @@
     pub service: ServiceName,
     /// When the request arrived.
     pub arrived: Instant,
+    /// The span that covers the request on this node.
+    pub span: TraceSpan,
     state: String,
     states: Vec<String>,
     decisions: Vec<String>,
@@ -31,7 +33,12 @@
 
 impl RequestLife {
     /// Starts the life cycle of an authenticated request.
-    pub fn new(shared: &Arc<Shared>, customer: &CustomerId, service: &ServiceName) -> Self {
+    pub fn new(
+        shared: &Arc<Shared>,
+        customer: &CustomerId,
+        service: &ServiceName,
+        traceparent: &str,
+    ) -> Self {
         shared.metrics.in_flight.inc();
         let mut life = Self {
             shared: Arc::clone(shared),
@@ -39,11 +46,15 @@
             customer: customer.clone(),
             service: service.clone(),
             arrived: Instant::now(),
+            span: shared.tracing.span_from("request", traceparent),
             state: "received".to_owned(),
             states: vec!["received".to_owned()],
             decisions: Vec::new(),
             result: ResultCode::Internal,
         };
+        life.span.set("request_id", life.id.as_str());
+        life.span.set("customer", customer.as_str());
+        life.span.set("service", service.as_str());
         life.event("authenticated");
         life
     }
@@ -62,6 +73,11 @@
         }
     }
 
+    /// Returns whether part of the answer has arrived in the current attempt.
+    pub fn is_relaying(&self) -> bool {
+        self.state == "relaying"
+    }
+
     /// Records the reason of a decision.
     pub fn decision(&mut self, reason: &str) {
         self.decisions.push(reason.to_owned());
@@ -76,6 +92,7 @@
 impl Drop for RequestLife {
     fn drop(&mut self) {
         self.shared.metrics.in_flight.dec();
+        self.span.set("result", self.result.name());
         let labels =
             ResultLabels { service: self.service.to_string(), result: self.result.name().to_owned() };
         self.shared.metrics.requests.get_or_create(&labels).inc();
--- /dev/null
+++ b/crates/node/src/restore.rs
@@ -0,0 +1,142 @@
+//! Imports blocks from a store into an engine before an attempt.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use daisysill_core::{
+    block::{BlockDescriptor, BlockName},
+    ids::InstanceId,
+    route::Decision,
+};
+use daisysill_wire::border::{ImportRequest, StoredBlock};
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    directory::{BlockLease, MAX_LEASE},
+    request::new_id,
+    shared::Shared,
+    upstream_edge::{AttemptResult, Engine},
+};
+
+/// A transfer may take this many times what the speed of its link suggests.
+const TRANSFER_PATIENCE: u64 = 3;
+/// Shortest time given to a transfer.
+const MIN_TRANSFER: Duration = Duration::from_millis(200);
+const US_PER_S: u64 = 1_000_000;
+
+/// One restore.
+pub struct Restore {
+    /// What the node's parts share.
+    pub shared: Arc<Shared>,
+    /// Reaches the engine that imports.
+    pub engine: Rc<dyn Engine>,
+    /// Base URL of the engine.
+    pub engine_url: String,
+    /// When the caller's answer must be complete.
+    pub deadline: Instant,
+}
+
+impl Restore {
+    /// Carries out the plan of a decision and returns one line on what came of it.
+    ///
+    /// A restore that fails costs time only: the engine computes what it did not import. Dropping the future
+    /// cancels the transfer.
+    pub async fn run(&self, decision: &Decision, names: &[BlockName]) -> Option<String> {
+        let plan = decision.restore.as_ref()?;
+        let wanted = names.iter().skip(plan.first_piece).take(plan.piece_count).cloned();
+        let wanted: Vec<BlockName> = wanted.collect();
+        let Some(store_url) = self.shared.upstreams.url(&plan.store) else {
+            return Some(format!("nothing restored: store {} is gone", plan.store));
+        };
+        let Some(lease) = self.shared.directory.lease(&plan.store, &wanted, MAX_LEASE) else {
+            return Some(format!("nothing restored: store {} no longer lists the blocks", plan.store));
+        };
+        let end = self.end(&plan.store, &lease);
+        let request = ImportRequest {
+            blocks: lease.blocks.iter().map(stored_block).collect(),
+            store_url,
+            transfer_id: new_id("xfer"),
+        };
+        let mut cancel = CancelOnDrop {
+            engine: Rc::clone(&self.engine),
+            url: self.engine_url.clone(),
+            id: Some(request.transfer_id.clone()),
+        };
+        let imported = timeout_at(end, self.engine.import(&self.engine_url, &request)).await;
+        if matches!(imported, Ok(Ok(_))) {
+            cancel.id = None;
+        }
+        Some(self.conclude(&plan.store, &lease, imported.ok()))
+    }
+
+    fn end(&self, store: &InstanceId, lease: &BlockLease) -> Instant {
+        let bytes: u64 = lease.blocks.iter().map(|block| block.length_bytes).sum();
+        let queued = self.shared.directory.booked_bytes(store).max(bytes);
+        let speed = self.shared.upstreams.link_bytes_per_s(store);
+        let expected_us = queued.saturating_mul(US_PER_S) / speed.max(1);
+        let time = Duration::from_micros(expected_us.saturating_mul(TRANSFER_PATIENCE)).max(MIN_TRANSFER);
+        // Half of the remaining time is left for computing what the transfer does not bring.
+        let half = self.deadline.saturating_duration_since(Instant::now()) / 2;
+        Instant::now() + time.min(MAX_LEASE).min(half)
+    }
+
+    fn conclude(
+        &self,
+        store: &InstanceId,
+        lease: &BlockLease,
+        imported: Option<AttemptResult<daisysill_wire::border::ImportReply>>,
+    ) -> String {
+        let metrics = &self.shared.metrics;
+        let wanted = lease.blocks.len();
+        let reply = match imported {
+            Some(Ok(reply)) => reply,
+            Some(Err(error)) => {
+                metrics.failed_restores.inc();
+                return format!("nothing restored from {store}: {error}");
+            }
+            None => {
+                metrics.failed_restores.inc();
+                return format!(
+                    "nothing restored from {store}: the transfer took too long and was cancelled"
+                );
+            }
+        };
+        metrics.restored_bytes.inc_by(reply.bytes);
+        let imported = usize::try_from(reply.imported).unwrap_or(usize::MAX).min(wanted);
+        if let Some(missing) = lease.blocks.get(imported) {
+            // The engine stopped at a block that was missing or failed verification.
+            metrics.partial_restores.inc();
+            self.shared.directory.unlist(store, &missing.name, missing.generation);
+        }
+        format!("{imported} of {wanted} pieces restored from {store}")
+    }
+}
+
+fn stored_block(block: &BlockDescriptor) -> StoredBlock {
+    StoredBlock {
+        name: block.name.as_str().to_owned(),
+        generation: block.generation,
+        length_bytes: block.length_bytes,
+        checksum: block.checksum,
+    }
+}
+
+/// Cancels an attempt or a transfer at its engine unless the id was taken out before.
+pub struct CancelOnDrop {
+    /// Reaches the engine.
+    pub engine: Rc<dyn Engine>,
+    /// Base URL of the engine.
+    pub url: String,
+    /// What to cancel.
+    pub id: Option<String>,
+}
+
+impl Drop for CancelOnDrop {
+    fn drop(&mut self) {
+        let Some(id) = self.id.take() else { return };
+        let (engine, url) = (Rc::clone(&self.engine), std::mem::take(&mut self.url));
+        actix_rt::spawn(async move {
+            // The upstream may be gone; then nothing is left to cancel.
+            let _ = engine.cancel(&url, &id).await;
+        });
+    }
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -4,16 +4,17 @@
 
 use daisysill_cluster::ClusterHandle;
 use daisysill_core::{
-    chart::{Chart, ChartError, REQUEST_CHART, ROLE_CHART, UPSTREAM_CHART},
+    chart::{Chart, REQUEST_CHART, ROLE_CHART, UPSTREAM_CHART},
     ids::{ConfigVersion, ServiceName},
     rules::{RuleSet, ServiceRules},
 };
+use eyre::WrapErr;
 
 use crate::{
     agreement::Agreement, auth::Authenticator, claimed_calls::ClaimedCalls, config::Config,
-    explain::ExplainLog, metrics::Metrics, upstreams::UpstreamTable,
+    crash::BlockedRequests, directory::BlockDirectory, explain::ExplainLog, metrics::Metrics,
+    resting::RestingContext, trace::Tracing, upstreams::UpstreamTable,
 };
-
 /// What all listeners and actors of one node share.
 pub struct Shared {
     /// The settings.
@@ -32,6 +33,14 @@
     pub explain: ExplainLog,
     /// Upstreams and stores.
     pub upstreams: Arc<UpstreamTable>,
+    /// Sealed blocks in stores.
+    pub directory: Arc<BlockDirectory>,
+    /// Context that rests in engines.
+    pub resting: RestingContext,
+    /// Requests blocked because they took down upstreams.
+    pub blocked_requests: BlockedRequests,
+    /// Starts spans.
+    pub tracing: Tracing,
     /// The life cycle of a request.
     pub request_chart: Chart,
     role_chart: Chart,
@@ -43,8 +52,8 @@
     /// Builds the shared state.
     ///
     /// # Errors
-    /// Fails if a state chart file is not valid.
-    pub fn new(config: Config, cluster: ClusterHandle) -> Result<Self, ChartError> {
+    /// Fails if a state chart file is not valid or the trace file cannot be opened.
+    pub fn new(config: Config, cluster: ClusterHandle) -> eyre::Result<Self> {
         let agreement = Arc::new(cluster.clone());
         Self::with_agreement(config, cluster, agreement)
     }
@@ -52,14 +61,19 @@
     /// Builds the shared state with another way to commit commands.
     ///
     /// # Errors
-    /// Fails if a state chart file is not valid.
+    /// Fails if a state chart file is not valid or the trace file cannot be opened.
     pub fn with_agreement(
         config: Config,
         cluster: ClusterHandle,
         agreement: Arc<dyn Agreement>,
-    ) -> Result<Self, ChartError> {
+    ) -> eyre::Result<Self> {
         let metrics = Arc::new(Metrics::default());
-        let upstreams = UpstreamTable::new(Chart::parse(UPSTREAM_CHART)?, Arc::clone(&metrics));
+        let directory = Arc::<BlockDirectory>::default();
+        let chart = Chart::parse(UPSTREAM_CHART)?;
+        let upstreams = UpstreamTable::new(chart, Arc::clone(&metrics), Arc::clone(&directory));
+        let dropped = metrics.dropped_spans.clone();
+        let tracing = config.node.trace_file.as_ref().map(|path| Tracing::to_file(path, dropped));
+        let tracing = tracing.transpose().wrap_err("the trace file cannot be written")?.unwrap_or_default();
         Ok(Self {
             authenticator: Authenticator::new(&config),
             config,
@@ -69,6 +83,10 @@
             metrics,
             explain: ExplainLog::default(),
             upstreams: Arc::new(upstreams),
+            directory,
+            resting: RestingContext::default(),
+            blocked_requests: BlockedRequests::default(),
+            tracing,
             request_chart: Chart::parse(REQUEST_CHART)?,
             role_chart: Chart::parse(ROLE_CHART)?,
             role: Mutex::new("starting".to_owned()),
--- /dev/null
+++ b/crates/node/src/trace.rs
@@ -0,0 +1,184 @@
+//! Spans of each hop, with W3C trace context, written to a file as JSON lines.
+
+use std::{
+    fs::{File, OpenOptions},
+    io::{BufWriter, Write},
+    path::Path,
+    sync::{
+        Arc,
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+    thread,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use opentelemetry::{
+    Context, KeyValue,
+    propagation::{Extractor, Injector, TextMapPropagator},
+    trace::{Status, TraceContextExt, Tracer, TracerProvider},
+};
+use opentelemetry_sdk::{
+    error::OTelSdkResult,
+    propagation::TraceContextPropagator,
+    trace::{SdkTracer, SdkTracerProvider, Span, SpanData, SpanProcessor},
+};
+use prometheus_client::metrics::counter::Counter;
+use serde_json::{Map, Value, json};
+
+/// Spans that wait for the writer; further ones are dropped and counted.
+const QUEUE_SPANS: usize = 4_096;
+
+/// Starts spans; without a trace file, trace context is passed on and nothing is recorded.
+#[derive(Clone, Debug, Default)]
+pub struct Tracing {
+    tracer: Option<Arc<SdkTracer>>,
+}
+
+impl Tracing {
+    /// Starts a writer that appends to `path`.
+    ///
+    /// # Errors
+    /// Fails if the file cannot be opened or the writer's thread cannot be started.
+    pub fn to_file(path: &Path, dropped: Counter) -> eyre::Result<Self> {
+        let file = OpenOptions::new().create(true).append(true).open(path)?;
+        let (sender, receiver) = sync_channel(QUEUE_SPANS);
+        thread::Builder::new().name("traces".to_owned()).spawn(move || write_spans(&receiver, file))?;
+        let provider =
+            SdkTracerProvider::builder().with_span_processor(QueueProcessor { sender, dropped }).build();
+        Ok(Self { tracer: Some(Arc::new(provider.tracer("daisysill"))) })
+    }
+
+    /// Starts a span under the trace context that came with a request.
+    pub fn span_from(&self, name: &'static str, traceparent: &str) -> TraceSpan {
+        let parent =
+            TraceContextPropagator::new().extract_with_context(&Context::new(), &Header(traceparent));
+        self.span(name, &parent, traceparent)
+    }
+
+    fn span(&self, name: &'static str, parent: &Context, traceparent: &str) -> TraceSpan {
+        let Some(tracer) = &self.tracer else {
+            return TraceSpan {
+                tracing: self.clone(),
+                context: parent.clone(),
+                traceparent: traceparent.to_owned(),
+            };
+        };
+        let context = parent.with_span(tracer.start_with_context(name, parent));
+        let mut header = HeaderSlot(String::new());
+        TraceContextPropagator::new().inject_context(&context, &mut header);
+        TraceSpan { tracing: self.clone(), context, traceparent: header.0 }
+    }
+}
+
+/// A span; it ends when dropped.
+#[derive(Clone, Debug)]
+pub struct TraceSpan {
+    tracing: Tracing,
+    context: Context,
+    traceparent: String,
+}
+
+impl TraceSpan {
+    /// Starts a span under this one.
+    #[must_use]
+    pub fn child(&self, name: &'static str) -> Self {
+        self.tracing.span(name, &self.context, &self.traceparent)
+    }
+
+    /// Returns the header value that continues the trace at the next hop; empty without a trace.
+    pub fn traceparent(&self) -> &str {
+        &self.traceparent
+    }
+
+    /// Sets an attribute.
+    pub fn set(&self, key: &'static str, value: impl Into<String>) {
+        if self.tracing.tracer.is_some() {
+            self.context.span().set_attribute(KeyValue::new(key, value.into()));
+        }
+    }
+}
+
+/// The `traceparent` header of an incoming request.
+struct Header<'a>(&'a str);
+
+impl Extractor for Header<'_> {
+    fn get(&self, key: &str) -> Option<&str> {
+        (key == "traceparent" && !self.0.is_empty()).then_some(self.0)
+    }
+
+    fn keys(&self) -> Vec<&str> {
+        vec!["traceparent"]
+    }
+}
+
+/// The `traceparent` header of an outgoing request.
+struct HeaderSlot(String);
+
+impl Injector for HeaderSlot {
+    fn set(&mut self, key: &str, value: String) {
+        if key == "traceparent" {
+            self.0 = value;
+        }
+    }
+}
+
+/// Hands finished spans to the writer without waiting for it.
+#[derive(Debug)]
+struct QueueProcessor {
+    sender: SyncSender<SpanData>,
+    dropped: Counter,
+}
+
+impl SpanProcessor for QueueProcessor {
+    fn on_start(&self, _: &mut Span, _: &Context) {}
+
+    fn on_end(&self, span: SpanData) {
+        if self.sender.try_send(span).is_err() {
+            self.dropped.inc();
+        }
+    }
+
+    fn force_flush(&self) -> OTelSdkResult {
+        Ok(())
+    }
+
+    fn shutdown_with_timeout(&self, _: Duration) -> OTelSdkResult {
+        Ok(())
+    }
+}
+
+fn write_spans(receiver: &Receiver<SpanData>, file: File) {
+    let mut out = BufWriter::new(file);
+    while let Ok(span) = receiver.recv() {
+        let mut written = write_span(&mut out, &span);
+        // Flushed only once the queue is empty, so that a burst costs few writes.
+        while let (Ok(()), Ok(span)) = (&written, receiver.try_recv()) {
+            written = write_span(&mut out, &span);
+        }
+        if let Err(error) = written.and_then(|()| out.flush()) {
+            log::error!("traces are no longer written: {error}");
+            return;
+        }
+    }
+}
+
+fn write_span(out: &mut impl Write, span: &SpanData) -> std::io::Result<()> {
+    let attributes: Map<String, Value> =
+        span.attributes.iter().map(|a| (a.key.to_string(), Value::from(a.value.to_string()))).collect();
+    let line = json!({
+        "trace_id": span.span_context.trace_id().to_string(),
+        "span_id": span.span_context.span_id().to_string(),
+        "parent_span_id": span.parent_span_id.to_string(),
+        "name": span.name,
+        "start_unix_us": unix_us(span.start_time),
+        "end_unix_us": unix_us(span.end_time),
+        "error": matches!(span.status, Status::Error { .. }),
+        "attributes": attributes,
+    });
+    writeln!(out, "{line}")
+}
+
+fn unix_us(time: SystemTime) -> u64 {
+    let elapsed = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -1,13 +1,14 @@
-//! What this node believes about upstreams and stores, kept up to date by polling.
+//! What this node believes about upstreams and stores.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    rc::Rc,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
-use actix::{Actor, AsyncContext, Context, WrapFuture};
 use daisysill_core::{
     block::BlockName,
     chart::Chart,
@@ -15,17 +16,19 @@
     view::{ClusterView, StoreView, UpstreamState, UpstreamView},
 };
 use daisysill_wire::border::{
-    CacheEventKind, CacheEvents, EngineLoad, InstanceKind, InstanceState, PlatformInstance, UpstreamStatus,
+    CacheEventKind, CacheEvents, EngineLoad, InstanceKind, InstanceState, PlatformInstance, StoreUsage,
+    UpstreamStatus,
 };
+use tokio::time::Instant;
 
-use crate::{
-    metrics::Metrics,
-    shared::Shared,
-    upstream_edge::{Engine, Platform},
-};
+use crate::{directory::BlockDirectory, metrics::Metrics};
 
 /// Prefill speed assumed until an engine reports its own.
 const ASSUMED_PREFILL_TOKENS_PER_S: u64 = 10_000;
+/// Link speed assumed until a store reports its own, in bytes per second.
+const ASSUMED_LINK_BYTES_PER_S: u64 = 10_000_000;
+/// Dispatches older than this are in every load report, or their engine does not report at all.
+const DISPATCH_MEMORY: Duration = Duration::from_mins(1);
 
 /// One upstream as this node sees it.
 #[derive(Clone, Debug)]
@@ -33,12 +36,29 @@
     listed: PlatformInstance,
     /// State of the upstream chart.
     state: String,
+    leaving: BTreeSet<LeavingCause>,
     load: Option<EngineLoad>,
+    usage: Option<StoreUsage>,
     pieces: BTreeSet<BlockName>,
     next_event: u64,
     incarnation: u64,
-    dispatched_tokens: u64,
+    /// Tokens of dispatches that the last load report did not cover, and when they were made.
+    dispatches: Vec<(Instant, u64)>,
     in_flight: u64,
+    in_flight_tokens: u64,
+}
+
+/// Who says that an upstream is leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum LeavingCause {
+    /// The platform's list.
+    Listed,
+    /// A drain mark.
+    Drained,
+    /// The upstream itself, to this node.
+    RefusedHere,
+    /// The upstream itself, to another node.
+    RefusedElsewhere,
 }
 
 /// All upstreams and stores that this node knows.
@@ -46,23 +66,25 @@
 pub struct UpstreamTable {
     chart: Chart,
     metrics: Arc<Metrics>,
+    directory: Arc<BlockDirectory>,
+    node_count: AtomicUsize,
     entries: Mutex<BTreeMap<InstanceId, Entry>>,
 }
 
 impl UpstreamTable {
     /// Creates an empty table.
-    pub fn new(chart: Chart, metrics: Arc<Metrics>) -> Self {
-        Self { chart, metrics, entries: Mutex::default() }
+    pub fn new(chart: Chart, metrics: Arc<Metrics>, directory: Arc<BlockDirectory>) -> Self {
+        Self { chart, metrics, directory, node_count: AtomicUsize::new(1), entries: Mutex::default() }
     }
 
-    /// Returns the engines and stores as the decisions see them.
+    /// Returns the engines and stores as the decisions see them; the pieces in stores are left out.
     pub fn view(&self) -> ClusterView {
         let entries = self.lock();
         let mut view = ClusterView::default();
         for (id, entry) in entries.iter() {
             match entry.listed.kind {
                 InstanceKind::Engine | InstanceKind::Plain => view.upstreams.push(upstream_view(id, entry)),
-                InstanceKind::Store => view.stores.push(store_view(id, entry)),
+                InstanceKind::Store => view.stores.push(self.store_view(id, entry)),
             }
         }
         view
@@ -76,19 +98,88 @@
     /// Counts a dispatch until the returned guard is dropped.
     pub fn dispatch(self: &Arc<Self>, id: &InstanceId, tokens: u64) -> DispatchGuard {
         if let Some(entry) = self.lock().get_mut(id) {
+            let now = Instant::now();
             entry.in_flight += 1;
-            entry.dispatched_tokens += tokens;
+            entry.in_flight_tokens += tokens;
+            entry.dispatches.retain(|(at, _)| now - *at < DISPATCH_MEMORY);
+            entry.dispatches.push((now, tokens));
         }
-        DispatchGuard { table: Arc::clone(self), id: id.clone() }
+        DispatchGuard { table: Arc::clone(self), id: id.clone(), tokens }
     }
 
     /// Feeds an event to the life cycle of one upstream.
     pub fn event(&self, id: &InstanceId, event: &str) {
         if let Some(entry) = self.lock().get_mut(id) {
+            entry.set_leaving(LeavingCause::RefusedHere, event == "refused" || entry.refused_here());
             self.advance(entry, event);
         }
     }
 
+    /// Returns the incarnation of an upstream as last reported; 0 if it never was.
+    pub fn incarnation(&self, id: &InstanceId) -> u64 {
+        self.lock().get(id).and_then(|entry| entry.load.as_ref()).map_or(0, |load| load.incarnation)
+    }
+
+    /// Returns the bytes per second of a store's link that this node may use.
+    pub fn link_bytes_per_s(&self, store: &InstanceId) -> u64 {
+        let usage = self.lock().get(store).and_then(|entry| entry.usage.clone());
+        self.link_share(usage.as_ref())
+    }
+
+    /// Sets the number of nodes that share each link.
+    pub fn set_node_count(&self, nodes: usize) {
+        self.node_count.store(nodes.max(1), Ordering::Relaxed);
+    }
+
+    /// Returns the stores.
+    pub fn store_ids(&self) -> Vec<InstanceId> {
+        let entries = self.lock();
+        let stores = entries.iter().filter(|(_, entry)| entry.listed.kind == InstanceKind::Store);
+        stores.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Returns the store that takes exports of an engine, with its URL: one in the engine's zone if there is
+    /// any, and of these the one with most space left.
+    pub fn store_for(&self, engine: &InstanceId) -> Option<(InstanceId, String)> {
+        let entries = self.lock();
+        let zone = entries.get(engine)?.listed.availability_zone.clone();
+        let stores =
+            entries.iter().filter(|(_, e)| e.listed.kind == InstanceKind::Store && e.state == "live");
+        let space = |entry: &Entry| {
+            let usage = entry.usage.as_ref();
+            usage.map_or(0, |u| u.disk_limit_bytes.saturating_sub(u.disk_bytes))
+        };
+        let stores = stores.filter(|(_, entry)| space(entry) > 0);
+        let best = stores.max_by_key(|(_, e)| (e.listed.availability_zone == zone, space(e)))?;
+        Some((best.0.clone(), best.1.listed.url.clone()))
+    }
+
+    /// Returns the prompt tokens in flight at each upstream.
+    pub fn in_flight_tokens(&self) -> BTreeMap<InstanceId, u64> {
+        let entries = self.lock();
+        let busy = entries.iter().filter(|(_, entry)| entry.in_flight_tokens > 0);
+        busy.map(|(id, entry)| (id.clone(), entry.in_flight_tokens)).collect()
+    }
+
+    /// Returns the upstreams that refused work from this node because they are leaving.
+    pub fn refused_here(&self) -> Vec<InstanceId> {
+        let entries = self.lock();
+        entries.iter().filter(|(_, entry)| entry.refused_here()).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Applies what other nodes report of upstreams that refused work because they are leaving.
+    pub fn apply_reported_leaving(&self, leaving: &BTreeSet<InstanceId>) {
+        for (id, entry) in self.lock().iter_mut() {
+            let is = leaving.contains(id);
+            let was = entry.set_leaving(LeavingCause::RefusedElsewhere, is);
+            match (was, is) {
+                (_, true) => self.advance(entry, "refused"),
+                (true, false) => self.stay(entry),
+                (false, false) => {}
+            }
+        }
+    }
+
     /// Returns the upstreams for the status report.
     pub fn status(&self) -> Vec<UpstreamStatus> {
         let entries = self.lock();
@@ -102,66 +193,127 @@
         status.collect()
     }
 
-    fn apply_list(&self, instances: Vec<PlatformInstance>) {
+    /// Applies the platform's list; returns the instances that are gone.
+    pub fn apply_list(&self, instances: Vec<PlatformInstance>) -> Vec<InstanceId> {
         let mut entries = self.lock();
         let listed: BTreeSet<InstanceId> =
             instances.iter().map(|i| InstanceId::from(i.id.as_str())).collect();
-        for (id, entry) in entries.iter_mut() {
-            if !listed.contains(id) {
-                self.advance(entry, "removed");
-            }
+        let mut gone = Vec::new();
+        for (id, entry) in entries.iter_mut().filter(|(id, _)| !listed.contains(*id)) {
+            self.advance(entry, "removed");
+            gone.push(id.clone());
         }
         entries.retain(|_, entry| entry.state != "gone" || entry.in_flight > 0);
         for instance in instances {
             let id = InstanceId::from(instance.id.as_str());
-            let event = match instance.state {
-                InstanceState::Live => "listed",
-                InstanceState::Leaving => "listed_leaving",
-            };
             let entry = entries.entry(id).or_insert_with(|| Entry::new(instance.clone()));
+            let is_leaving = instance.state == InstanceState::Leaving;
+            let was_leaving = entry.set_leaving(LeavingCause::Listed, is_leaving);
             entry.listed = instance;
-            self.advance(entry, event);
+            if is_leaving {
+                self.advance(entry, "listed_leaving");
+            } else if entry.is_known() {
+                self.advance(entry, "listed");
+            }
+            if was_leaving && !is_leaving {
+                self.stay(entry);
+            }
         }
+        gone
     }
 
-    fn apply_drains(&self, draining: &BTreeSet<InstanceId>) {
+    /// Applies the drain marks in force, those that were cleared included.
+    pub fn apply_drains(&self, draining: &BTreeSet<InstanceId>) {
         for (id, entry) in self.lock().iter_mut() {
-            if draining.contains(id) {
-                self.advance(entry, "drain_marked");
+            let is = draining.contains(id);
+            let was = entry.set_leaving(LeavingCause::Drained, is);
+            match (was, is) {
+                (false, true) => self.advance(entry, "drain_marked"),
+                (true, false) => self.stay(entry),
+                _ => {}
             }
         }
     }
 
-    fn apply_load(&self, id: &InstanceId, load: EngineLoad) {
+    /// Applies a load report; returns whether the engine restarted.
+    pub fn apply_load(&self, id: &InstanceId, load: EngineLoad) -> bool {
         let mut entries = self.lock();
-        let Some(entry) = entries.get_mut(id) else { return };
-        // The report covers what was dispatched before it; only later dispatches are still to be added.
-        entry.dispatched_tokens = 0;
+        let Some(entry) = entries.get_mut(id) else { return false };
+        // The report covers what was dispatched before it was made; only later dispatches are to be added.
+        let now = Instant::now();
+        let age = Duration::from_millis(load.report_age_ms);
+        entry.dispatches.retain(|(at, _)| now - *at < age);
+        let restarted = entry.load.as_ref().is_some_and(|known| known.incarnation != load.incarnation);
         entry.load = Some(load);
+        if restarted && entry.set_leaving(LeavingCause::RefusedHere, false) {
+            // The new process has refused nothing yet.
+            self.stay(entry);
+        }
         self.advance(entry, "ping_ok");
+        restarted
     }
 
-    fn apply_cache_events(&self, id: &InstanceId, events: CacheEvents) {
+    /// Applies a store's usage report.
+    pub fn apply_usage(&self, id: &InstanceId, usage: StoreUsage) {
+        if let Some(entry) = self.lock().get_mut(id) {
+            entry.usage = Some(usage);
+            self.advance(entry, "ping_ok");
+        }
+    }
+
+    /// Applies an engine's cache events; returns the pieces it evicted.
+    pub fn apply_cache_events(&self, id: &InstanceId, events: CacheEvents) -> Vec<BlockName> {
         let mut entries = self.lock();
-        let Some(entry) = entries.get_mut(id) else { return };
+        let Some(entry) = entries.get_mut(id) else { return Vec::new() };
         if entry.incarnation != events.incarnation {
             entry.incarnation = events.incarnation;
             entry.pieces.clear();
         }
         entry.next_event = events.next_seq;
+        let mut evicted = Vec::new();
         for event in events.events {
             let name = BlockName::from(event.piece.as_str());
             match event.kind {
-                CacheEventKind::Stored => entry.pieces.insert(name),
-                CacheEventKind::Evicted => entry.pieces.remove(&name),
-            };
+                CacheEventKind::Stored => {
+                    entry.pieces.insert(name);
+                }
+                CacheEventKind::Evicted => {
+                    entry.pieces.remove(&name);
+                    evicted.push(name);
+                }
+            }
         }
+        evicted
     }
 
-    fn engines(&self) -> Vec<(InstanceId, String, u64)> {
+    /// Returns id, URL and next cache event of each upstream of a kind.
+    pub fn of_kind(&self, kind: InstanceKind) -> Vec<(InstanceId, String, u64)> {
         let entries = self.lock();
-        let engines = entries.iter().filter(|(_, entry)| entry.listed.kind == InstanceKind::Engine);
-        engines.map(|(id, entry)| (id.clone(), entry.listed.url.clone(), entry.next_event)).collect()
+        let wanted = entries.iter().filter(|(_, entry)| entry.listed.kind == kind);
+        wanted.map(|(id, entry)| (id.clone(), entry.listed.url.clone(), entry.next_event)).collect()
+    }
+
+    fn link_share(&self, usage: Option<&StoreUsage>) -> u64 {
+        let link = usage.map_or(ASSUMED_LINK_BYTES_PER_S, |usage| usage.link_bytes_per_s);
+        link / self.node_count.load(Ordering::Relaxed).max(1) as u64
+    }
+
+    fn store_view(&self, id: &InstanceId, entry: &Entry) -> StoreView {
+        StoreView {
+            id: id.clone(),
+            zone: ZoneName::from(entry.listed.availability_zone.as_str()),
+            reachable: entry.state == "live",
+            link_bytes_per_s: self.link_share(entry.usage.as_ref()),
+            booked_bytes: self.directory.booked_bytes(id),
+            pieces: BTreeSet::new(),
+        }
+    }
+
+    /// Gives new work again to an upstream that nothing says is leaving any more.
+    fn stay(&self, entry: &mut Entry) {
+        if entry.leaving.is_empty() && entry.state == "leaving" {
+            self.advance(entry, "drain_cleared");
+        }
     }
 
     fn advance(&self, entry: &mut Entry, event: &str) {
@@ -187,27 +339,48 @@
         Self {
             listed,
             state: "unknown".to_owned(),
+            leaving: BTreeSet::new(),
             load: None,
+            usage: None,
             pieces: BTreeSet::new(),
             next_event: 0,
             incarnation: 0,
-            dispatched_tokens: 0,
+            dispatches: Vec::new(),
             in_flight: 0,
+            in_flight_tokens: 0,
         }
     }
 }
 
+impl Entry {
+    /// Returns whether the upstream can get work: an engine must have told which weight version it runs.
+    fn is_known(&self) -> bool {
+        self.listed.kind != InstanceKind::Engine || self.load.is_some()
+    }
+
+    fn refused_here(&self) -> bool {
+        self.leaving.contains(&LeavingCause::RefusedHere)
+    }
+
+    /// Sets whether a cause holds; returns whether it held before.
+    fn set_leaving(&mut self, cause: LeavingCause, holds: bool) -> bool {
+        if holds { !self.leaving.insert(cause) } else { self.leaving.remove(&cause) }
+    }
+}
+
 /// Ends the count of a dispatch when dropped.
 #[derive(Debug)]
 pub struct DispatchGuard {
     table: Arc<UpstreamTable>,
     id: InstanceId,
+    tokens: u64,
 }
 
 impl Drop for DispatchGuard {
     fn drop(&mut self) {
         if let Some(entry) = self.table.lock().get_mut(&self.id) {
             entry.in_flight = entry.in_flight.saturating_sub(1);
+            entry.in_flight_tokens = entry.in_flight_tokens.saturating_sub(self.tokens);
         }
     }
 }
@@ -219,6 +392,7 @@
         service: ServiceName::from(entry.listed.service.as_str()),
         zone: ZoneName::from(entry.listed.availability_zone.as_str()),
         state: match entry.state.as_str() {
+            _ if !entry.is_known() => UpstreamState::Down,
             "live" => UpstreamState::Live,
             "suspect" => UpstreamState::Suspect,
             "leaving" => UpstreamState::Leaving,
@@ -226,83 +400,8 @@
         },
         weight_version: WeightVersion(load.map_or(0, |l| l.weight_version)),
         reported_queue_tokens: load.map_or(0, |l| l.queue_tokens),
-        dispatched_tokens: entry.dispatched_tokens,
+        dispatched_tokens: entry.dispatches.iter().map(|(_, tokens)| tokens).sum(),
         prefill_tokens_per_s: load.map_or(ASSUMED_PREFILL_TOKENS_PER_S, |l| l.prefill_tokens_per_s),
         pieces: entry.pieces.clone(),
     }
 }
-
-fn store_view(id: &InstanceId, entry: &Entry) -> StoreView {
-    StoreView {
-        id: id.clone(),
-        zone: ZoneName::from(entry.listed.availability_zone.as_str()),
-        reachable: entry.state == "live",
-        link_bytes_per_s: 1,
-        booked_bytes: 0,
-        pieces: entry.pieces.clone(),
-    }
-}
-
-/// Polls the platform's list, and each engine's load and cache events.
-pub struct UpstreamMonitor {
-    shared: Arc<Shared>,
-    engine: Rc<dyn Engine>,
-    platform: Rc<dyn Platform>,
-}
-
-impl UpstreamMonitor {
-    /// Creates the actor; `start` runs it.
-    pub fn new(shared: Arc<Shared>, engine: Rc<dyn Engine>, platform: Rc<dyn Platform>) -> Self {
-        Self { shared, engine, platform }
-    }
-
-    fn poll_list(&self, context: &mut Context<Self>) {
-        let (shared, platform) = (Arc::clone(&self.shared), Rc::clone(&self.platform));
-        let poll = async move {
-            if let Ok(list) = platform.instances(&shared.config.platform.url).await {
-                shared.upstreams.apply_list(list.instances);
-            }
-            shared.upstreams.apply_drains(&shared.cluster.view().borrow().draining);
-        };
-        context.spawn(poll.into_actor(self));
-    }
-
-    fn poll_engines(&self, context: &mut Context<Self>) {
-        for (id, url, after) in self.shared.upstreams.engines() {
-            let (shared, engine) = (Arc::clone(&self.shared), Rc::clone(&self.engine));
-            let poll = async move {
-                match engine.load(&url).await {
-                    Ok(load) => shared.upstreams.apply_load(&id, load),
-                    Err(_) => shared.upstreams.event(&id, "ping_failed"),
-                }
-                if let Ok(events) = engine.cache_events(&url, after).await {
-                    shared.upstreams.apply_cache_events(&id, events);
-                }
-            };
-            context.spawn(poll.into_actor(self));
-        }
-    }
-}
-
-impl Actor for UpstreamMonitor {
-    type Context = Context<Self>;
-
-    fn started(&mut self, context: &mut Context<Self>) {
-        let services = self.shared.config.services.values();
-        let engine_poll_ms = services.map(|service| service.poll_ms).min().unwrap_or(500);
-        self.poll_list(context);
-        context
-            .run_interval(Duration::from_millis(self.shared.config.platform.poll_ms), Self::poll_list_tick);
-        context.run_interval(Duration::from_millis(engine_poll_ms), Self::poll_engines_tick);
-    }
-}
-
-impl UpstreamMonitor {
-    fn poll_list_tick(&mut self, context: &mut Context<Self>) {
-        self.poll_list(context);
-    }
-
-    fn poll_engines_tick(&mut self, context: &mut Context<Self>) {
-        self.poll_engines(context);
-    }
-}
--- /dev/null
+++ b/crates/node/tests/leaving.rs
@@ -0,0 +1,106 @@
+//! Upstreams that leave: drain marks, the platform's list, refusals, and polls of slow upstreams.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::{collections::BTreeSet, time::Duration};
+
+use daisysill_core::ids::InstanceId;
+use daisysill_node::upstream_edge::AttemptError;
+use daisysill_wire::border::InstanceState;
+use support::{Node, Step, answer};
+use tokio::time::{Instant, sleep};
+
+mod support;
+
+const RULES: &str = "[service]\nname = lyric-llm\n";
+/// The target: new work stops within this time on every node.
+const LEAVING_TIME: Duration = Duration::from_secs(3);
+
+async fn wait_for(node: &Node, id: &str, state: &str) {
+    let end = Instant::now() + LEAVING_TIME;
+    while node.state(id) != state {
+        assert!(Instant::now() < end, "{id} is {}", node.state(id));
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+async fn drain(node: &Node, change: &str, draining: bool) {
+    use daisysill_control::command::{Command, SetDrain};
+    let drain = SetDrain { change: change.into(), upstream: "lyric-1".into(), draining };
+    node.shared.cluster.propose(Command::SetDrain(drain)).await.unwrap();
+}
+
+/// Guards against work for a drained upstream, against a mark that stays after it was cleared, and against
+/// a cleared mark that brings back an upstream that leaves for another reason.
+#[actix_rt::test]
+async fn a_cleared_drain_mark_gives_work_again_unless_something_else_says_leaving() {
+    let node = Node::start(RULES).await;
+    drain(&node, "d1", true).await;
+    wait_for(&node, "lyric-1", "leaving").await;
+    for _ in 0..10 {
+        node.script(&[&[Step::Finish(0)]]);
+        answer(node.prompt("opera-a", "la la")).await;
+    }
+    assert!(node.engine.attempts.borrow().iter().all(|(url, _)| url == "http://lyric-2"));
+    drain(&node, "d2", false).await;
+    wait_for(&node, "lyric-1", "live").await;
+
+    drain(&node, "d3", true).await;
+    wait_for(&node, "lyric-1", "leaving").await;
+    node.platform.instances.borrow_mut()[0].state = InstanceState::Leaving;
+    sleep(Duration::from_millis(200)).await;
+    drain(&node, "d4", false).await;
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(node.state("lyric-1"), "leaving");
+}
+
+/// Guards against a second request for an upstream that refused one because it is leaving, here or on
+/// another node, and against its restarted process being taken for leaving.
+#[actix_rt::test]
+async fn a_refusal_counts_on_every_node_until_the_process_is_a_new_one() {
+    let node = Node::start(RULES).await;
+    node.shared.upstreams.event(&"lyric-1".into(), "refused");
+    assert_eq!(node.state("lyric-1"), "leaving");
+    assert_eq!(node.shared.upstreams.refused_here(), ["lyric-1".into()]);
+    node.engine.incarnation.set(2);
+    wait_for(&node, "lyric-1", "live").await;
+
+    let reported: BTreeSet<InstanceId> = ["lyric-2".into()].into();
+    node.shared.upstreams.apply_reported_leaving(&reported);
+    assert_eq!(node.state("lyric-2"), "leaving");
+    assert!(node.shared.upstreams.refused_here().is_empty());
+    node.shared.upstreams.apply_reported_leaving(&BTreeSet::new());
+    assert_eq!(node.state("lyric-2"), "live");
+}
+
+/// Guards against polls that pile up while an upstream is slow.
+#[actix_rt::test]
+async fn polls_of_a_slow_upstream_do_not_overlap() {
+    let node = Node::start(RULES).await;
+    node.engine.load_delay.set(Duration::from_secs(1));
+    sleep(Duration::from_millis(600)).await;
+    // Two engines, one poll each; the interval is 50 ms.
+    assert_eq!(node.engine.most_loads_running.get(), 2);
+    assert!(node.shared.metrics.skipped_polls.get() > 0);
+}
+
+/// Guards against work for an upstream that stopped answering.
+#[actix_rt::test]
+async fn an_unreachable_upstream_is_down_within_the_target() {
+    let node = Node::start(RULES).await;
+    node.engine.unreachable.set(true);
+    wait_for(&node, "lyric-1", "down").await;
+    wait_for(&node, "lyric-2", "down").await;
+    let refused = answer(node.prompt("opera-a", "la la")).await;
+    assert_eq!(refused, (String::new(), Some(1303)));
+}
+
+/// Guards against an upstream whose refusals go unnoticed because they concern a plain call.
+#[actix_rt::test]
+async fn an_attempt_error_says_whether_the_call_ran() {
+    let refused =
+        AttemptError::Refused { message: "leaving".to_owned(), leaving: true, retry_after_ms: None };
+    assert!(refused.is_not_run());
+    assert!(AttemptError::TooLate.is_not_run());
+    assert!(!AttemptError::Silent.is_not_run());
+}
--- /dev/null
+++ b/crates/node/tests/restores.rs
@@ -0,0 +1,163 @@
+//! Export of context that rests, and restore before an attempt.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::time::Duration;
+
+use daisysill_core::{
+    block::{BlockDescriptor, BlockName, BlockScope, piece_names},
+    ids::WeightVersion,
+};
+use daisysill_node::directory::{BlockDirectory, MAX_LEASE, UNLIST_TO_FREE};
+use daisysill_wire::{border::ImportReply, peer::SealedBlock};
+use support::{Node, Step, answer};
+use tokio::time::{Instant, sleep};
+
+mod support;
+
+const RULES: &str = "[service]\nname = lyric-llm\n[rest]\naccelerator_s = 4\ndisk_s = 60\n\
+     [costs]\nrecompute_weight_us = 100000\n";
+const PROMPT: &str = "0123456789012345678901234567890123456789";
+
+fn names(customer: &str) -> Vec<BlockName> {
+    let (customer, service) = (customer.into(), "lyric-llm".into());
+    let scope =
+        BlockScope { customer: &customer, service: &service, adapter: "", weight_version: WeightVersion(1) };
+    piece_names(&scope, PROMPT, 10)
+}
+
+fn sealed(name: &BlockName, generation: u64) -> SealedBlock {
+    let block = BlockDescriptor { name: name.clone(), length_bytes: 10, checksum: 7, generation };
+    SealedBlock { store: "score-1".into(), block }
+}
+
+fn list(node: &Node, customer: &str) {
+    let blocks: Vec<SealedBlock> = names(customer).iter().map(|name| sealed(name, 5)).collect();
+    node.shared.directory.apply_report(&blocks, &[]);
+}
+
+async fn served(node: &Node, customer: &str) {
+    node.script(&[&[Step::Finish(0)]]);
+    assert_eq!(answer(node.prompt(customer, PROMPT)).await, ("t0 ".to_owned(), None));
+}
+
+/// Guards against context that is computed again although a store holds it, and against descriptors that
+/// do not let the engine verify what it reads.
+#[actix_rt::test]
+async fn listed_blocks_are_imported_before_the_attempt() {
+    let node = Node::start(RULES).await;
+    list(&node, "opera-a");
+    node.engine.import_replies.borrow_mut().push_back(Ok(ImportReply { bytes: 40, imported: 4 }));
+    served(&node, "opera-a").await;
+    let imports = node.engine.imports.borrow();
+    let imported: Vec<&str> = imports[0].blocks.iter().map(|block| block.name.as_str()).collect();
+    assert_eq!(imported, names("opera-a").iter().map(BlockName::as_str).collect::<Vec<_>>());
+    assert!(imports[0].blocks.iter().all(|b| (b.checksum, b.length_bytes, b.generation) == (7, 10, 5)));
+    assert_eq!(node.shared.metrics.restored_bytes.get(), 40);
+}
+
+/// Guards against one customer's blocks in another customer's restore, for the same prompt.
+#[actix_rt::test]
+async fn blocks_of_another_customer_are_never_named() {
+    let node = Node::start(RULES).await;
+    list(&node, "opera-a");
+    served(&node, "opera-b").await;
+    assert!(node.engine.imports.borrow().is_empty());
+    let attempts = node.engine.attempts.borrow();
+    let named = &attempts[0].1.kv_pieces;
+    assert!(names("opera-a").iter().all(|name| !named.contains(&name.as_str().to_owned())));
+    assert_eq!(attempts[0].1.cache_salt, "opera-b");
+}
+
+/// Guards against a request that fails because its restore failed, and against a block that stays listed
+/// although an engine could not verify it.
+#[actix_rt::test]
+async fn a_failed_or_partial_restore_falls_back_to_computing() {
+    let node = Node::start(RULES).await;
+    list(&node, "opera-a");
+    served(&node, "opera-a").await;
+    assert_eq!(node.shared.metrics.failed_restores.get(), 1);
+    node.engine.import_replies.borrow_mut().push_back(Ok(ImportReply { bytes: 10, imported: 1 }));
+    served(&node, "opera-a").await;
+    assert_eq!(node.shared.metrics.partial_restores.get(), 1);
+    let held = node.shared.directory.held(&"score-1".into(), &names("opera-a"));
+    assert!(!held.contains(&names("opera-a")[1]));
+}
+
+/// Guards against a first token that waits for a transfer that hangs.
+#[actix_rt::test]
+async fn a_restore_that_hangs_is_cancelled_at_its_deadline() {
+    let node = Node::start(RULES).await;
+    list(&node, "opera-a");
+    tokio::time::pause();
+    node.engine.import_delay.set(Duration::from_hours(1));
+    let start = Instant::now();
+    served(&node, "opera-a").await;
+    assert!(start.elapsed() < Duration::from_secs(1), "{:?}", start.elapsed());
+    let transfer = node.engine.imports.borrow()[0].transfer_id.clone();
+    assert!(node.engine.cancelled.borrow().contains(&transfer));
+}
+
+/// Guards against a transfer that goes on for a caller who has gone.
+#[actix_rt::test]
+async fn a_restore_is_cancelled_when_its_caller_disconnects() {
+    let node = Node::start(RULES).await;
+    list(&node, "opera-a");
+    node.engine.import_delay.set(Duration::from_hours(1));
+    let receiver = node.prompt("opera-a", PROMPT);
+    sleep(Duration::from_millis(50)).await;
+    drop(receiver);
+    sleep(Duration::from_millis(50)).await;
+    let transfer = node.engine.imports.borrow()[0].transfer_id.clone();
+    assert!(node.engine.cancelled.borrow().contains(&transfer));
+    assert_eq!(node.shared.directory.booked_bytes(&"score-1".into()), 0);
+    assert!(node.engine.attempts.borrow().is_empty());
+}
+
+/// Guards against context that is lost with its eviction, or kept longer than its rule allows.
+#[actix_rt::test]
+async fn context_that_rests_is_exported_and_freed_after_its_time() {
+    let node = Node::start(RULES).await;
+    tokio::time::pause();
+    served(&node, "opera-a").await;
+    sleep(Duration::from_secs(3)).await;
+    let asked: Vec<String> = node.engine.exports.borrow().iter().flat_map(|e| e.pieces.clone()).collect();
+    assert_eq!(asked, names("opera-a").iter().map(|n| n.as_str().to_owned()).collect::<Vec<_>>());
+    let held = || node.shared.directory.held(&"score-1".into(), &names("opera-a")).len();
+    assert_eq!(held(), 4);
+    sleep(Duration::from_secs(62)).await;
+    assert_eq!((held(), node.store.freed.borrow().len()), (0, 0));
+    sleep(UNLIST_TO_FREE).await;
+    assert_eq!(node.store.freed.borrow().len(), 4);
+}
+
+/// Guards against a block that is freed under a reader, and against a lease that never ends.
+#[actix_rt::test]
+async fn a_block_is_not_freed_while_a_reader_may_hold_it() {
+    tokio::time::pause();
+    let directory = std::sync::Arc::new(BlockDirectory::default());
+    let name = BlockName::from("a");
+    directory.list_own(sealed(&name, 1), Duration::from_secs(1));
+    sleep(Duration::from_secs(1) + UNLIST_TO_FREE).await;
+    let lease = directory.lease(&"score-1".into(), std::slice::from_ref(&name), MAX_LEASE).unwrap();
+    // Listing again marks the block as used; the unlisting is forced here.
+    directory.unlist(&"score-1".into(), &name, 1);
+    assert!(directory.lease(&"score-1".into(), std::slice::from_ref(&name), MAX_LEASE).is_none());
+    assert!(directory.expire().is_empty());
+    sleep(UNLIST_TO_FREE).await;
+    assert_eq!(directory.expire(), [sealed(&name, 1)]);
+    drop(lease);
+    assert!(directory.expire().is_empty());
+    assert_eq!(directory.booked_bytes(&"score-1".into()), 0);
+}
+
+/// Guards against an old report that takes a newer write under the same name off the list.
+#[actix_rt::test]
+async fn a_newer_generation_survives_reports_of_an_older_one() {
+    let directory = std::sync::Arc::new(BlockDirectory::default());
+    let name = BlockName::from("a");
+    directory.apply_report(&[sealed(&name, 2)], &[]);
+    directory.apply_report(&[sealed(&name, 1)], &[sealed(&name, 1)]);
+    let lease = directory.lease(&"score-1".into(), &[name], MAX_LEASE).unwrap();
+    assert_eq!(lease.blocks[0].generation, 2);
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -21,17 +21,20 @@
     agreement::Agreement,
     caller_api::Adapters,
     config::Config,
+    dispatch::{Delivery, Dispatch, PromptRequest},
+    exporter::Exporter,
+    monitor::UpstreamMonitor,
+    request::RequestLife,
     shared::Shared,
     upstream_edge::{
         AttemptError, AttemptResult, Engine, EngineStream, PlainRequest, PlainResponse, PlainService,
-        Platform,
+        Platform, Store,
     },
-    upstreams::UpstreamMonitor,
 };
 use daisysill_wire::border::{
     CacheEvents, EngineEvent, EngineLoad, EngineOrder, EngineRequest, ExportReply, ExportRequest,
-    ImportReply, ImportRequest, InstanceKind, InstanceState, PlatformInstance, PlatformList, StoredBlock,
-    Usage,
+    ImportReply, ImportRequest, InstanceKind, InstanceState, PlatformInstance, PlatformList, StoreUsage,
+    StoredBlock, Usage,
 };
 use futures::{
     FutureExt, StreamExt,
@@ -39,7 +42,10 @@
     stream,
 };
 use tempfile::TempDir;
-use tokio::time::Instant;
+use tokio::{
+    sync::mpsc::{Receiver, channel},
+    time::Instant,
+};
 
 pub const TOKEN: &str = "opera-a-token";
 
@@ -267,7 +273,6 @@
         Step::Token(index, attempt) => Some(Ok(event(attempt.map_or(id, str::to_owned), index))),
         Step::Finish(tokens) => Some(Ok(EngineEvent {
             finish_reason: Some("stop".to_owned()),
-            text: String::new(),
             usage: Some(Usage {
                 prompt_tokens: 1,
                 completion_tokens: tokens,
@@ -310,6 +315,35 @@
     }
 }
 
+/// A store with space left; records what is freed.
+#[derive(Default)]
+pub struct FakeStore {
+    pub freed: RefCell<Vec<(String, u64)>>,
+}
+
+impl Store for FakeStore {
+    fn usage<'a>(&'a self, _: &'a str) -> LocalBoxFuture<'a, AttemptResult<StoreUsage>> {
+        let usage = StoreUsage {
+            disk_bytes: 0,
+            disk_limit_bytes: 1_000_000,
+            link_bytes_per_s: 1_000_000,
+            memory_bytes: 0,
+            memory_limit_bytes: 1_000_000,
+        };
+        futures::future::ready(Ok(usage)).boxed_local()
+    }
+
+    fn free<'a>(
+        &'a self,
+        _: &'a str,
+        name: &'a str,
+        generation: u64,
+    ) -> LocalBoxFuture<'a, AttemptResult<()>> {
+        self.freed.borrow_mut().push((name.to_owned(), generation));
+        futures::future::ready(Ok(())).boxed_local()
+    }
+}
+
 /// The parts of one node around fakes.
 pub struct Node {
     pub shared: Arc<Shared>,
@@ -318,6 +352,7 @@
     pub plain: Rc<FakePlain>,
     pub engine: Rc<FakeEngine>,
     pub platform: Rc<FakePlatform>,
+    pub store: Rc<FakeStore>,
     _folder: TempDir,
 }
 
@@ -344,6 +379,7 @@
         shared.role_event("view_current");
         let (plain, engine, platform) =
             (Rc::<FakePlain>::default(), Rc::<FakeEngine>::default(), Rc::<FakePlatform>::default());
+        engine.incarnation.set(1);
         for id in ["lyric-1", "lyric-2"] {
             platform.add(InstanceKind::Engine, "lyric-llm", id);
         }
@@ -351,7 +387,9 @@
             platform.add(InstanceKind::Plain, "booth-app", id);
         }
         platform.add(InstanceKind::Store, "score-cache", "score-1");
-        UpstreamMonitor::new(shared.clone(), engine.clone(), platform.clone()).start();
+        let store = Rc::<FakeStore>::default();
+        UpstreamMonitor::new(shared.clone(), engine.clone(), store.clone(), platform.clone()).start();
+        Exporter::new(shared.clone(), engine.clone(), store.clone()).start();
         let node = Self {
             adapters: Adapters { engine: engine.clone(), plain: plain.clone() },
             shared,
@@ -359,6 +397,7 @@
             plain,
             engine,
             platform,
+            store,
             _folder: folder,
         };
         while node.shared.upstreams.status().iter().filter(|u| u.state == "live").count() < 5 {
@@ -368,6 +407,50 @@
     }
 }
 
+impl Node {
+    /// Serves a prompt and returns what its caller gets.
+    pub fn prompt(&self, customer: &str, prompt: &str) -> Receiver<Delivery> {
+        let (sender, receiver) = channel(64);
+        let (customer, service) = (customer.into(), "lyric-llm".into());
+        let config = self.shared.config.services[&service].clone();
+        let life = RequestLife::new(&self.shared, &customer, &service, "");
+        let request = PromptRequest {
+            prompt: prompt.to_owned(),
+            max_tokens: 100,
+            adapter: String::new(),
+            deadline: Instant::now() + Duration::from_secs(30),
+        };
+        let dispatch =
+            Dispatch::new(&self.shared, Rc::clone(&self.adapters.engine), life, request, config, sender);
+        actix_rt::spawn(dispatch.run());
+        receiver
+    }
+
+    /// Sets the scripts of the next attempts.
+    pub fn script(&self, scripts: &[&[Step]]) {
+        *self.engine.scripts.borrow_mut() = scripts.iter().map(|script| script.to_vec()).collect();
+    }
+
+    /// Returns the states of the upstreams by name.
+    pub fn state(&self, id: &str) -> String {
+        let status = self.shared.upstreams.status();
+        status.iter().find(|upstream| upstream.id == id).unwrap().state.clone()
+    }
+}
+
+/// Returns the whole text, and the result code's number if the answer was refused.
+pub async fn answer(mut receiver: Receiver<Delivery>) -> (String, Option<u16>) {
+    let mut text = String::new();
+    while let Some(delivery) = receiver.recv().await {
+        match delivery {
+            Delivery::Token(token) => text.push_str(&token),
+            Delivery::Finished { .. } => return (text, None),
+            Delivery::Refused(refusal) => return (text, Some(refusal.code.number())),
+        }
+    }
+    (text, Some(0))
+}
+
 fn settings(folder: &TempDir) -> String {
     let digest = blake3::hash(TOKEN.as_bytes()).to_hex();
     format!(
@@ -375,7 +458,7 @@
          admin_listen = 127.0.0.1:0\n\
          [cluster]\npeer_listen = 127.0.0.1:0\nsecret = test\nbootstrap_voters = sathorn-1\ndata_dir = {}\n\
          [platform]\nurl = http://platform\npoll_ms = 50\n\
-         [service.lyric-llm]\nkind = model\npoll_ms = 50\npiece_tokens = 10\nbytes_per_token = 1\n\
+         [service.lyric-llm]\nkind = model\npoll_ms = 50\npiece_tokens = 10\npiece_bytes = 10\nbytes_per_token = 1\n\
          [service.booth-app]\nkind = plain\n[service.score-cache]\nkind = store\n\
          [customer.opera-a]\ntoken_digest = {digest}\nservices = lyric-llm, booth-app\n",
         folder.path().join("data").display()
