--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -3,7 +3,12 @@
 use std::{fs, net::SocketAddr, path::Path, rc::Rc, sync::Arc, time::Duration};
 
 use actix::Actor;
-use actix_web::{App, HttpServer, dev::ServerHandle, web::Data};
+use actix_web::{
+    App, HttpServer,
+    dev::{ServerHandle, Service},
+    http::ConnectionType,
+    web::Data,
+};
 use daisysill_cluster::Cluster;
 use eyre::WrapErr;
 use serde::Serialize;
@@ -24,8 +29,6 @@
     shared::Shared,
 };
 
-/// Time between failing `/readyz` and closing the listener, in which the balancer takes notice.
-const BALANCER_NOTICE: Duration = Duration::from_millis(500);
 /// Time between two looks at the claimed calls in progress during a stop.
 const CLAIMED_CALL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Threads that serve callers.
@@ -109,7 +112,20 @@
             engine: Rc::new(HttpEngine::new(client.clone())),
             plain: Rc::new(HttpPlainService::new(client)),
         };
-        App::new().app_data(data.clone()).app_data(Data::new(adapters)).configure(caller_api::routes)
+        let shared = Arc::clone(&data);
+        let app = App::new().app_data(data.clone()).app_data(Data::new(adapters));
+        app.wrap_fn(move |request, service| {
+            let (shared, response) = (Arc::clone(&shared), service.call(request));
+            async move {
+                let mut response = response.await?;
+                if shared.role() == "draining" {
+                    // The caller's next request goes to another node.
+                    response.response_mut().head_mut().set_connection_type(ConnectionType::Close);
+                }
+                Ok(response)
+            }
+        })
+        .configure(caller_api::routes)
     })
     .workers(CALLER_THREADS)
     .client_request_timeout(Duration::from_millis(limits.header_timeout_ms))
@@ -144,7 +160,9 @@
     /// Stops without cutting requests.
     pub async fn stop(self) {
         self.shared.role_event("stop");
-        tokio::time::sleep(BALANCER_NOTICE).await;
+        // Requests that arrive meanwhile are served: the balancer has not taken notice yet.
+        let notice = Duration::from_millis(self.shared.config.node.balancer_notice_ms);
+        tokio::time::sleep(notice).await;
         self.callers.pause().await;
         self.wait_for_claimed_calls().await;
         // Graceful: waits for requests in progress, up to the configured time.
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -44,6 +44,8 @@
     pub ready_file: Option<PathBuf>,
     /// File to which spans are appended as JSON lines.
     pub trace_file: Option<PathBuf>,
+    /// Milliseconds between failing `/readyz` and closing the listener, in which the balancer takes notice.
+    pub balancer_notice_ms: u64,
     /// Seconds that a planned stop waits for requests in progress.
     pub stop_timeout_s: u64,
 }
@@ -170,6 +172,7 @@
         "admin_listen",
         "ready_file",
         "trace_file",
+        "balancer_notice_ms",
         "stop_timeout_s",
     ];
     ini.check_keys("node", KEYS);
@@ -180,6 +183,7 @@
         admin_listen: address(ini, "node", "admin_listen"),
         ready_file: ini.raw("node", "ready_file").map(PathBuf::from),
         trace_file: ini.raw("node", "trace_file").map(PathBuf::from),
+        balancer_notice_ms: ini.number("node", "balancer_notice_ms", 2_000, 0, 600_000),
         stop_timeout_s: ini.number("node", "stop_timeout_s", 120, 1, 86_400),
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod request;
 pub mod resting;
 pub mod restore;
+pub mod rollout;
 pub mod shared;
 pub mod sse;
 pub mod trace;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -75,6 +75,10 @@
     pub freed_blocks: Counter,
     /// Spans dropped because the writer's queue was full.
     pub dropped_spans: Counter,
+    /// Orders given to engines.
+    pub orders: Counter,
+    /// Orders that engines did not take.
+    pub failed_orders: Counter,
 }
 
 /// Shortest time to first token that has a bucket of its own, in seconds.
@@ -107,6 +111,8 @@
             failed_exports: Counter::default(),
             freed_blocks: Counter::default(),
             dropped_spans: Counter::default(),
+            failed_orders: Counter::default(),
+            orders: Counter::default(),
         };
         metrics.register();
         metrics
@@ -180,6 +186,8 @@
             ("exported_blocks", "Blocks exported to stores", &self.exported_blocks),
             ("failed_exports", "Exports that failed", &self.failed_exports),
             ("freed_blocks", "Blocks freed in stores", &self.freed_blocks),
+            ("orders", "Orders given to engines", &self.orders),
+            ("failed_orders", "Orders that engines did not take", &self.failed_orders),
             ("dropped_spans", "Spans dropped because the queue was full", &self.dropped_spans),
         ];
         for (name, help, counter) in counters {
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -21,7 +21,7 @@
 };
 use tokio::time::Instant;
 
-use crate::{directory::BlockDirectory, metrics::Metrics};
+use crate::{directory::BlockDirectory, metrics::Metrics, rollout::EngineVersion};
 
 /// Prefill speed assumed until an engine reports its own.
 const ASSUMED_PREFILL_TOKENS_PER_S: u64 = 10_000;
@@ -154,6 +154,21 @@
         Some((best.0.clone(), best.1.listed.url.clone()))
     }
 
+    /// Returns the engines of a service for a rollout.
+    pub fn engine_versions(&self, service: &ServiceName) -> Vec<EngineVersion> {
+        let entries = self.lock();
+        let engines = entries.iter().filter(|(_, entry)| {
+            entry.listed.kind == InstanceKind::Engine && entry.listed.service == service.as_str()
+        });
+        let version = |(id, entry): (&InstanceId, &Entry)| EngineVersion {
+            id: id.clone(),
+            in_service: entry.is_known() && entry.state == "live",
+            version: WeightVersion(entry.load.as_ref().map_or(0, |load| load.weight_version)),
+            loading: false,
+        };
+        engines.map(version).collect()
+    }
+
     /// Returns the prompt tokens in flight at each upstream.
     pub fn in_flight_tokens(&self) -> BTreeMap<InstanceId, u64> {
         let entries = self.lock();
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -270,7 +270,10 @@
     };
     pulled.set(pulled.get() + 1);
     match step {
-        Step::Token(index, attempt) => Some(Ok(event(attempt.map_or(id, str::to_owned), index))),
+        Step::Token(index, None) => Some(Ok(event(id, index))),
+        Step::Token(index, Some(other)) => {
+            Some(Ok(EngineEvent { text: format!("x{index} "), ..event(other.to_owned(), index) }))
+        }
         Step::Finish(tokens) => Some(Ok(EngineEvent {
             finish_reason: Some("stop".to_owned()),
             usage: Some(Usage {
--- /dev/null
+++ b/crates/testkit/tests/planned_stop.rs
@@ -0,0 +1,72 @@
+//! A planned stop of a real daisysilld process.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::time::Duration;
+
+use awc::Client;
+use daisysill_testkit::{
+    engine::{Engine, EngineConfig},
+    environment::{Environment, NodeProcess},
+    platform::Platform,
+};
+use daisysill_wire::border::InstanceKind;
+use serde_json::{Value, json};
+
+const TOKEN: &str = "opera-a-token";
+
+async fn wait_until_live(environment: &Environment, node: &NodeProcess) {
+    let url = format!("http://{}/admin/v1/status", node.addresses.admin);
+    for _ in 0..500 {
+        let status: Value = Client::default().get(&url).send().await.unwrap().json().await.unwrap();
+        if status["upstreams"][0]["state"] == "live" && status["life_cycle"] == "ready" {
+            return;
+        }
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the engine is not live\n{}", environment.log("sathorn-1"));
+}
+
+async fn complete(node: &NodeProcess, tokens: u64, stream: bool) -> (u16, String) {
+    let url = format!("http://{}/v1/completions", node.addresses.caller);
+    let body = json!({"model": "lyric-llm", "prompt": "la", "max_tokens": tokens, "stream": stream});
+    let request = Client::default().post(url).bearer_auth(TOKEN).timeout(Duration::from_secs(30));
+    let mut response = request.send_json(&body).await.unwrap();
+    let text = response.body().await.unwrap();
+    (response.status().as_u16(), String::from_utf8(text.to_vec()).unwrap())
+}
+
+/// Guards against a stop that cuts a stream, refuses requests before the balancer took notice, or does not
+/// exit with success.
+#[actix_rt::test]
+async fn a_planned_stop_interrupts_no_request() {
+    let (environment, platform) = (Environment::new(), Platform::start());
+    let engine = Engine::start(EngineConfig { token_ms: 10, ..EngineConfig::default() });
+    platform.add(InstanceKind::Engine, "lyric-llm", "lyric-1", "bkk-sathorn", &engine.url());
+    let digest = blake3::hash(TOKEN.as_bytes()).to_hex();
+    let mut node = environment.start_node(
+        "sathorn-1",
+        &format!(
+            "[node]\nname = sathorn-1\navailability_zone = bkk-sathorn\ncaller_listen = 127.0.0.1:0\n\
+             admin_listen = 127.0.0.1:0\nready_file = READY_FILE\nbalancer_notice_ms = 500\n\
+             [cluster]\npeer_listen = 127.0.0.1:0\nsecret = test\nbootstrap_voters = sathorn-1\n\
+             [platform]\nurl = {}\npoll_ms = 50\n[service.lyric-llm]\nkind = model\npoll_ms = 50\n\
+             [customer.opera-a]\ntoken_digest = {digest}\nservices = lyric-llm\n",
+            platform.url()
+        ),
+    );
+    wait_until_live(&environment, &node).await;
+    let stop = async {
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+        node.signal("TERM");
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        let url = format!("http://{}/readyz", node.addresses.admin);
+        let ready = Client::default().get(url).send().await.unwrap().status().as_u16();
+        (ready, complete(&node, 3, false).await.0)
+    };
+    let (stream, (ready, late_request)) = futures::future::join(complete(&node, 200, true), stop).await;
+    assert_eq!((ready, late_request), (503, 200));
+    assert_eq!(stream.0, 200);
+    assert!(stream.1.ends_with("data: [DONE]\n\n"), "{}", stream.1);
+    assert_eq!(node.wait(Duration::from_secs(20)), Some(0));
+}
