Serve callers and operators over TLS, and ask operators for a token

Cause: both listeners were plain HTTP, and everyone who reached the admin address could publish rules.

A bearer token for /admin/v1 when its digest is set; health, readiness and metrics stay open. Errors on unknown keys hide the value.

The operators' command does not send the token yet.

--- a/crates/node/src/admin_api.rs
+++ b/crates/node/src/admin_api.rs
@@ -2,6 +2,9 @@
 
 use actix_web::{
     HttpResponse,
+    body::BoxBody,
+    dev::{ServiceRequest, ServiceResponse},
+    middleware::{Next, from_fn},
     web::{self, Data, Json, Query, ServiceConfig as Routes},
 };
 use daisysill_cluster::ProposeError;
@@ -17,7 +20,7 @@
 };
 use serde::Deserialize;
 
-use crate::{refusal::Refusal, shared::Shared};
+use crate::{auth::check_token, refusal::Refusal, shared::Shared};
 
 /// When to come back while no majority is in reach.
 const NO_QUORUM_RETRY_MS: u64 = 2_000;
@@ -33,12 +36,28 @@
         .route("/healthz", web::get().to(healthz))
         .route("/readyz", web::get().to(readyz))
         .route("/metrics", web::get().to(metrics))
-        .route("/admin/v1/status", web::get().to(status))
-        .route("/admin/v1/rules", web::get().to(rules))
-        .route("/admin/v1/rules", web::post().to(publish))
-        .route("/admin/v1/drains", web::post().to(drain))
-        .route("/admin/v1/weights", web::post().to(weights))
-        .route("/admin/v1/explain", web::get().to(explain));
+        .service(
+            web::scope("/admin/v1")
+                .wrap(from_fn(authenticate))
+                .route("/status", web::get().to(status))
+                .route("/rules", web::get().to(rules))
+                .route("/rules", web::post().to(publish))
+                .route("/drains", web::post().to(drain))
+                .route("/weights", web::post().to(weights))
+                .route("/explain", web::get().to(explain)),
+        );
+}
+
+/// Lets operators pass who carry the token whose digest is in the settings; everyone if there is none.
+async fn authenticate(
+    request: ServiceRequest,
+    next: Next<BoxBody>,
+) -> Result<ServiceResponse<BoxBody>, actix_web::Error> {
+    let expected = request.app_data::<Data<Shared>>().and_then(|s| s.config.node.admin_token_digest.clone());
+    match expected.map_or(Ok(()), |digest| check_token(request.request(), &digest)) {
+        Ok(()) => next.call(request).await,
+        Err(refusal) => Ok(request.into_response(refusal.response())),
+    }
 }
 
 async fn healthz() -> HttpResponse {
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -27,6 +27,7 @@
     plain_client::HttpPlainService,
     platform_client::HttpPlatform,
     shared::Shared,
+    tls::{self, ReloadingCertificate},
 };
 
 /// Time between two looks at the claimed calls in progress during a stop.
@@ -83,6 +84,20 @@
     admin: ServerHandle,
 }
 
+/// Binds a listener, with TLS if a certificate is set. The type of a server cannot be named in a function.
+macro_rules! bind {
+    ($server:expr, $address:expr, $tls:expr, $message:literal) => {
+        match $tls {
+            Some(files) => {
+                let certificate = ReloadingCertificate::load(files)?;
+                actix_rt::spawn(tls::follow(Arc::downgrade(&certificate)));
+                $server.bind_rustls_0_23($address, certificate.server_config()?).wrap_err($message)?
+            }
+            None => $server.bind($address).wrap_err($message)?,
+        }
+    };
+}
+
 /// Starts all listeners and actors of a node.
 ///
 /// # Errors
@@ -102,9 +117,9 @@
     let admin_data = data.clone();
     let admin = HttpServer::new(move || App::new().app_data(admin_data.clone()).configure(admin_api::routes))
         .workers(1)
-        .disable_signals()
-        .bind(shared.config.node.admin_listen)
-        .wrap_err("the admin address cannot be bound")?;
+        .disable_signals();
+    let node = &shared.config.node;
+    let admin = bind!(admin, node.admin_listen, &node.admin_tls, "the admin address cannot be bound");
     let limits = &shared.config.limits;
     let callers = HttpServer::new(move || {
         let client = http::client();
@@ -132,9 +147,8 @@
     .shutdown_timeout(shared.config.node.stop_timeout_s)
     // A caller that disconnects while it waits is noticed at once, and its upstream work cancelled.
     .h1_allow_half_closed(false)
-    .disable_signals()
-    .bind(shared.config.node.caller_listen)
-    .wrap_err("the caller address cannot be bound")?;
+    .disable_signals();
+    let callers = bind!(callers, node.caller_listen, &node.caller_tls, "the caller address cannot be bound");
 
     let addresses = BoundAddresses { caller: first(&callers.addrs())?, admin: first(&admin.addrs())?, peer };
     let (callers, admin) = (callers.run(), admin.run());
--- a/crates/node/src/auth.rs
+++ b/crates/node/src/auth.rs
@@ -42,15 +42,9 @@
     /// # Errors
     /// Refuses requests without a token or with an unknown one.
     pub fn authenticate(&self, request: &HttpRequest) -> Result<&Customer, Refusal> {
-        let value = request.headers().get(header::AUTHORIZATION).and_then(|v| v.to_str().ok());
-        let token = value.and_then(|v| v.strip_prefix("Bearer ")).map(str::trim);
-        let Some(token) = token.filter(|t| !t.is_empty()) else {
-            return Err(Refusal::new(ResultCode::TokenMissing, "the request carries no bearer token"));
-        };
-        // The lookup is by digest, so its timing says nothing about the tokens themselves.
-        let digest = blake3::hash(token.as_bytes()).to_hex();
+        let digest = token_digest(request)?;
         self.by_digest
-            .get(digest.as_str())
+            .get(&digest)
             .ok_or_else(|| Refusal::new(ResultCode::TokenUnknown, "the bearer token belongs to no customer"))
     }
 }
@@ -73,3 +67,22 @@
         &self.services
     }
 }
+
+/// Checks that a request carries the token with the given digest.
+///
+/// # Errors
+/// Refuses requests without a token or with another one.
+pub fn check_token(request: &HttpRequest, digest: &str) -> Result<(), Refusal> {
+    if token_digest(request)? == digest {
+        return Ok(());
+    }
+    Err(Refusal::new(ResultCode::TokenUnknown, "the bearer token is not the operators' token"))
+}
+
+/// Returns the digest of the token. Comparisons are by digest, so their timing says nothing about tokens.
+fn token_digest(request: &HttpRequest) -> Result<String, Refusal> {
+    let value = request.headers().get(header::AUTHORIZATION).and_then(|v| v.to_str().ok());
+    let token = value.and_then(|v| v.strip_prefix("Bearer ")).map(str::trim).filter(|t| !t.is_empty());
+    let missing = || Refusal::new(ResultCode::TokenMissing, "the request carries no bearer token");
+    token.map(|token| blake3::hash(token.as_bytes()).to_hex().to_string()).ok_or_else(missing)
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -12,6 +12,8 @@
     ini_check::{IniError, IniFile},
 };
 
+use crate::tls::TlsConfig;
+
 /// Settings of one node.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -40,6 +42,12 @@
     pub caller_listen: SocketAddr,
     /// Address for operators and the balancer.
     pub admin_listen: SocketAddr,
+    /// Certificate of the callers' listener; without one it is plain HTTP.
+    pub caller_tls: Option<TlsConfig>,
+    /// Certificate of the admin listener; without one it is plain HTTP.
+    pub admin_tls: Option<TlsConfig>,
+    /// blake3 digest of the bearer token that operators need; without one they need none.
+    pub admin_token_digest: Option<String>,
     /// File to which the bound addresses are written once the node listens.
     pub ready_file: Option<PathBuf>,
     /// File to which spans are appended as JSON lines.
@@ -155,7 +163,11 @@
             node,
         };
         check_service_names(&mut ini, &config);
-        let errors = ini.into_errors();
+        let mut errors = ini.into_errors();
+        for error in errors.iter_mut().filter(|error| error.allowed.starts_with("unknown key")) {
+            // It may be the value of a secret whose key is misspelled.
+            HIDDEN.clone_into(&mut error.value);
+        }
         if errors.is_empty() { Ok(config) } else { Err(errors) }
     }
 }
@@ -176,6 +188,11 @@
         "availability_zone",
         "caller_listen",
         "admin_listen",
+        "caller_certificate",
+        "caller_key",
+        "admin_certificate",
+        "admin_key",
+        "admin_token_digest",
         "ready_file",
         "trace_file",
         "balancer_notice_ms",
@@ -187,6 +204,9 @@
         zone: ZoneName::from(ini.required("node", "availability_zone", "the zone of this node")),
         caller_listen: address(ini, "node", "caller_listen"),
         admin_listen: address(ini, "node", "admin_listen"),
+        caller_tls: tls(ini, "caller_certificate", "caller_key"),
+        admin_tls: tls(ini, "admin_certificate", "admin_key"),
+        admin_token_digest: admin_token_digest(ini),
         ready_file: ini.raw("node", "ready_file").map(PathBuf::from),
         trace_file: ini.raw("node", "trace_file").map(PathBuf::from),
         balancer_notice_ms: ini.number("node", "balancer_notice_ms", 2_000, 0, 600_000),
@@ -194,6 +214,36 @@
     }
 }
 
+/// Reads a certificate and a key; either needs the other.
+fn tls(ini: &mut IniFile<'_>, certificate: &str, key: &str) -> Option<TlsConfig> {
+    let path = |ini: &IniFile<'_>, name: &str| ini.raw("node", name).map(PathBuf::from);
+    match (path(ini, certificate), path(ini, key)) {
+        (Some(certificate), Some(key)) => Some(TlsConfig { certificate, key }),
+        (None, None) => None,
+        (Some(_), None) => {
+            ini.report("node", key, "", "the file of the private key, as a certificate is set");
+            None
+        }
+        (None, Some(_)) => {
+            ini.report("node", certificate, "", "the file of the certificate, as a private key is set");
+            None
+        }
+    }
+}
+
+fn admin_token_digest(ini: &mut IniFile<'_>) -> Option<String> {
+    let digest = ini.raw("node", "admin_token_digest")?.to_ascii_lowercase();
+    check_digest(ini, "node", "admin_token_digest", &digest);
+    Some(digest)
+}
+
+fn check_digest(ini: &mut IniFile<'_>, section: &str, key: &str, digest: &str) {
+    if digest.len() != DIGEST_HEX_DIGITS || !digest.bytes().all(|b| b.is_ascii_hexdigit()) {
+        // The value is left out of the message, since it may be a token pasted by mistake.
+        ini.report(section, key, HIDDEN, DIGEST_ALLOWED);
+    }
+}
+
 fn parse_limits(ini: &mut IniFile<'_>) -> LimitConfig {
     ini.check_keys("limits", &["body_bytes", "header_timeout_ms", "body_timeout_ms", "in_flight_requests"]);
     let body_bytes = ini.number("limits", "body_bytes", 8_388_608, 1_024, 1_073_741_824);
@@ -246,10 +296,7 @@
     for (section, name) in family(ini, "customer") {
         ini.check_keys(&section, &["token_digest", "services"]);
         let token_digest = ini.required(&section, "token_digest", DIGEST_ALLOWED).to_ascii_lowercase();
-        if token_digest.len() != DIGEST_HEX_DIGITS || !token_digest.bytes().all(|b| b.is_ascii_hexdigit()) {
-            // The value is left out of the message, since it may be a token pasted by mistake.
-            ini.report(&section, "token_digest", "(hidden)", DIGEST_ALLOWED);
-        }
+        check_digest(ini, &section, "token_digest", &token_digest);
         let services = names(ini.raw(&section, "services"));
         let services = services.into_iter().map(ServiceName::from).collect();
         customers.insert(CustomerId::from(name), CustomerConfig { token_digest, services });
@@ -257,6 +304,8 @@
     customers
 }
 
+/// What an error shows in place of a value that may be secret.
+const HIDDEN: &str = "(hidden)";
 const DIGEST_HEX_DIGITS: usize = 64;
 const DIGEST_ALLOWED: &str = "64 hexadecimal digits: the blake3 digest of the bearer token";
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod rollout;
 pub mod shared;
 pub mod sse;
+pub mod tls;
 pub mod trace;
 pub mod upstream_edge;
 pub mod upstreams;
