--- a/crates/node/src/caller_api.rs
+++ b/crates/node/src/caller_api.rs
@@ -31,6 +31,8 @@
 
 /// Tokens generated when the caller names no limit.
 const DEFAULT_MAX_TOKENS: u32 = 256;
+/// Longest time that a caller may give a request; rule files allow no more either.
+const MAX_DEADLINE_MS: u64 = 3_600_000;
 /// Tokens that wait for a slow caller before its upstream is held back.
 const RELAY_BUFFER_TOKENS: usize = 64;
 
@@ -195,6 +197,7 @@
     let life = RequestLife::new(shared, &customer.id, &service, traceparent(request));
     let writer = AnswerWriter::new(call.kind, &life.id, &call.model);
     let deadline_ms = call.deadline_ms.unwrap_or(shared.rules_of(&service).deadlines.request_ms);
+    let deadline_ms = deadline_ms.min(MAX_DEADLINE_MS);
     let prompt = PromptRequest {
         prompt: call.prompt,
         max_tokens: call.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS),
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -100,7 +100,9 @@
 pub async fn delete(client: &Client, url: &str) -> AttemptResult<()> {
     let response = client.delete(url).timeout(CONTROL_TIMEOUT).send().await;
     let response = response.map_err(|e| sort_send_error(&e))?;
-    if response.status().is_success() { Ok(()) } else { Err(sort_error_status(&response)) }
+    // What is not there needs no deletion, for instance after the upstream restarted.
+    let done = response.status().is_success() || response.status() == StatusCode::NOT_FOUND;
+    if done { Ok(()) } else { Err(sort_error_status(&response)) }
 }
 
 async fn read_json<T, S>(mut response: ClientResponse<S>) -> AttemptResult<T>
--- a/crates/testkit/tests/bad_input.rs
+++ b/crates/testkit/tests/bad_input.rs
@@ -176,3 +176,14 @@
     let answer = deployment.raw(&post(body.len(), &body));
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
+
+/// Guards against a deadline so far away that adding it to the clock fails.
+#[actix_rt::test]
+async fn an_absurd_deadline_is_limited() {
+    let deployment = Deployment::start().await;
+    let body = json!({"model": "lyric-llm", "prompt": "la", "max_tokens": 2, "deadline_ms": u64::MAX});
+    let body = body.to_string();
+    let answer = deployment.raw(&post(body.len(), &body));
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    deployment.assert_nothing_left().await;
+}
