Ping plain upstreams, and repeat older blocks to nodes that start late

Cause: plain upstreams were never pinged, so one that hung cost each call its connect timeout, and one that refused as leaving stayed leaving after its restart. A node that started after a block was sealed never heard of it, and reports had no bound that fits their byte budget.

Change: a ping opens a connection. At most 32 new and 4 older own blocks in a report. Plain calls fall back to upstreams that missed one ping. upstreams.rs is split (upstream_entry.rs).

--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -109,8 +109,9 @@
     shared.role_event("settings_checked");
     let client = http::client();
     let engine = Rc::new(HttpEngine::new(client.clone()));
+    let plain = Rc::new(HttpPlainService::new(client.clone()));
     let platform = Rc::new(HttpPlatform::new(client));
-    UpstreamMonitor::new(Arc::clone(&shared), engine.clone(), engine.clone(), platform).start();
+    UpstreamMonitor::new(Arc::clone(&shared), engine.clone(), engine.clone(), plain, platform).start();
     Exporter::new(Arc::clone(&shared), engine.clone(), engine).start();
 
     let data = Data::from(Arc::clone(&shared));
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -14,9 +14,11 @@
 use tokio::time::Instant;
 
 /// Time for which a sealed or unlisted block stays in this node's reports to the others.
-const REPORT_TIME: Duration = Duration::from_secs(10);
-/// Blocks in one report at most.
-const MAX_REPORTED_BLOCKS: usize = 1_000;
+const REPORT_TIME: Duration = Duration::from_secs(2);
+/// New blocks in one report at most; a report goes out several times a second to each peer.
+const MAX_REPORTED_BLOCKS: usize = 32;
+/// Older own blocks in one report, in turn, so that a node that started later learns of them.
+const REPEATED_BLOCKS: usize = 4;
 /// Blocks listed for one store at most.
 const MAX_LISTED_BLOCKS: usize = 1_000_000;
 /// Time between unlisting a block and freeing it. It is longer than any lease, so no reader holds the block
@@ -44,6 +46,8 @@
     sealed: Vec<(Instant, SealedBlock)>,
     freed: Vec<(Instant, SealedBlock)>,
     booked_bytes: BTreeMap<InstanceId, u64>,
+    /// The own block that was repeated last.
+    last_repeated: Option<(InstanceId, BlockName)>,
 }
 
 #[derive(Clone, Debug)]
@@ -188,7 +192,9 @@
         let latest = |list: &[(Instant, SealedBlock)]| {
             list.iter().rev().take(MAX_REPORTED_BLOCKS).map(|(_, block)| block.clone()).collect()
         };
-        (latest(&inner.sealed), latest(&inner.freed))
+        let (mut sealed, freed): (Vec<SealedBlock>, _) = (latest(&inner.sealed), latest(&inner.freed));
+        sealed.extend(inner.repeated());
+        (sealed, freed)
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -241,6 +247,21 @@
         self.unlisted.push(Unlisted { block, free_at: now + UNLIST_TO_FREE });
     }
 
+    /// Returns the next own blocks after those repeated last, from the start again after the last one.
+    fn repeated(&mut self) -> Vec<SealedBlock> {
+        let mut repeated = Vec::new();
+        for (store, blocks) in &self.stores {
+            for (name, listed) in blocks.iter().filter(|(_, listed)| listed.own.is_some()) {
+                let is_next = self.last_repeated.as_ref().is_none_or(|(s, n)| (s, n) < (store, name));
+                if is_next && repeated.len() < REPEATED_BLOCKS {
+                    repeated.push(SealedBlock { store: store.clone(), block: listed.block.clone() });
+                }
+            }
+        }
+        self.last_repeated = repeated.last().map(|last| (last.store.clone(), last.block.name.clone()));
+        repeated
+    }
+
     fn rested(&self, now: Instant) -> Vec<(InstanceId, BlockName, u64)> {
         let mut rested = Vec::new();
         for (store, blocks) in &self.stores {
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -6,10 +6,11 @@
 use awc::{
     Client, ClientResponse,
     error::{ConnectError, PayloadError, SendRequestError},
-    http::StatusCode,
+    http::{StatusCode, Uri},
 };
 use futures::Stream;
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::{net::TcpStream, time::timeout};
 
 use crate::{
     connection::{SendGate, UpstreamConnector},
@@ -26,6 +27,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time in which a control call (load, events, list) must be answered.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Port of a URL that names none.
+const DEFAULT_PORT: u16 = 80;
 /// Bytes of a control answer at most.
 const CONTROL_BODY_BYTES: usize = 16_777_216;
 
@@ -70,6 +73,20 @@
     }
 }
 
+/// Opens a connection to the host and port of a URL and closes it.
+///
+/// # Errors
+/// Fails if the connection is not open in time.
+pub async fn ping(url: &str) -> AttemptResult<()> {
+    let uri = url.parse::<Uri>().map_err(|error| AttemptError::NotSent(error.to_string()))?;
+    let (host, port) = (uri.host().unwrap_or_default(), uri.port_u16().unwrap_or(DEFAULT_PORT));
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect((host, port))).await {
+        Ok(Ok(_)) => Ok(()),
+        Ok(Err(error)) => Err(AttemptError::NotSent(error.to_string())),
+        Err(_) => Err(AttemptError::Silent),
+    }
+}
+
 /// Reads JSON with GET.
 ///
 /// # Errors
@@ -87,9 +104,9 @@
     client: &Client,
     url: &str,
     body: &B,
-    timeout: Duration,
+    time: Duration,
 ) -> AttemptResult<T> {
-    let response = client.post(url).timeout(timeout).send_json(body).await;
+    let response = client.post(url).timeout(time).send_json(body).await;
     read_json(response.map_err(|e| sort_send_error(&e))?).await
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,4 +35,5 @@
 pub mod tls;
 pub mod trace;
 pub mod upstream_edge;
+mod upstream_entry;
 pub mod upstreams;
--- a/crates/node/src/monitor.rs
+++ b/crates/node/src/monitor.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     shared::Shared,
-    upstream_edge::{Engine, Platform, Store},
+    upstream_edge::{Engine, PlainService, Platform, Store},
 };
 
 /// Time between two looks at the drain marks.
@@ -19,6 +19,7 @@
     shared: Arc<Shared>,
     engine: Rc<dyn Engine>,
     store: Rc<dyn Store>,
+    plain: Rc<dyn PlainService>,
     platform: Rc<dyn Platform>,
     /// Upstreams with a poll in progress; the platform has the empty name.
     polling: Rc<RefCell<BTreeSet<InstanceId>>>,
@@ -30,9 +31,10 @@
         shared: Arc<Shared>,
         engine: Rc<dyn Engine>,
         store: Rc<dyn Store>,
+        plain: Rc<dyn PlainService>,
         platform: Rc<dyn Platform>,
     ) -> Self {
-        Self { shared, engine, store, platform, polling: Rc::default() }
+        Self { shared, engine, store, plain, platform, polling: Rc::default() }
     }
 
     /// Runs a poll unless the one before it is still in progress.
@@ -93,6 +95,11 @@
             };
             self.poll(&id, poll, context);
         }
+        self.poll_stores(context);
+        self.poll_plain(context);
+    }
+
+    fn poll_stores(&self, context: &mut Context<Self>) {
         for (id, url, _) in self.shared.upstreams.of_kind(InstanceKind::Store) {
             let (shared, store) = (Arc::clone(&self.shared), Rc::clone(&self.store));
             let poll = {
@@ -107,6 +114,20 @@
             self.poll(&id, poll, context);
         }
     }
+
+    fn poll_plain(&self, context: &mut Context<Self>) {
+        for (id, url, _) in self.shared.upstreams.of_kind(InstanceKind::Plain) {
+            let (shared, plain) = (Arc::clone(&self.shared), Rc::clone(&self.plain));
+            let poll = {
+                let id = id.clone();
+                async move {
+                    let answered = plain.ping(&url).await.is_ok();
+                    shared.upstreams.event(&id, if answered { "ping_ok" } else { "ping_failed" });
+                }
+            };
+            self.poll(&id, poll, context);
+        }
+    }
 }
 
 fn apply_drains(shared: &Shared) {
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -11,7 +11,7 @@
     ids::{InstanceId, ServiceName},
     result_code::ResultCode,
     rules::ServiceRules,
-    view::UpstreamState,
+    view::{UpstreamState, UpstreamView},
 };
 use rand::seq::IndexedRandom;
 use tokio::time::{Instant, timeout_at};
@@ -125,10 +125,15 @@
     /// Chooses a live upstream, one in this zone if there is any.
     pub(crate) fn choose(&mut self, excluded: &[InstanceId]) -> Option<InstanceId> {
         let view = self.shared.upstreams.view();
-        let usable = |u: &&daisysill_core::view::UpstreamView| {
-            u.service == self.life.service && u.state == UpstreamState::Live && !excluded.contains(&u.id)
+        let in_state = |state| -> Vec<&UpstreamView> {
+            let of_service = view.upstreams.iter().filter(|u| u.service == self.life.service);
+            of_service.filter(|u| u.state == state && !excluded.contains(&u.id)).collect()
         };
-        let upstreams: Vec<_> = view.upstreams.iter().filter(usable).collect();
+        let mut upstreams = in_state(UpstreamState::Live);
+        if upstreams.is_empty() {
+            // One that missed a ping is better than none.
+            upstreams = in_state(UpstreamState::Suspect);
+        }
         let near: Vec<_> =
             upstreams.iter().copied().filter(|u| u.zone == self.shared.config.node.zone).collect();
         let pool = if near.is_empty() { upstreams } else { near };
--- a/crates/node/src/plain_client.rs
+++ b/crates/node/src/plain_client.rs
@@ -90,6 +90,10 @@
         Self::send(&self.client, url, request, traceparent).boxed_local()
     }
 
+    fn ping<'a>(&'a self, url: &'a str) -> LocalBoxFuture<'a, AttemptResult<()>> {
+        http::ping(url).boxed_local()
+    }
+
     fn call_once<'a>(
         &'a self,
         url: &'a str,
--- a/crates/node/src/upstream_edge.rs
+++ b/crates/node/src/upstream_edge.rs
@@ -138,6 +138,9 @@
         traceparent: &'a str,
     ) -> LocalBoxFuture<'a, AttemptResult<PlainResponse>>;
 
+    /// Checks that the upstream takes connections.
+    fn ping<'a>(&'a self, url: &'a str) -> LocalBoxFuture<'a, AttemptResult<()>>;
+
     /// Sends a call on a new connection, with its first byte before `dispatch_deadline` or not at all.
     ///
     /// The errors `NotSent` and `TooLate` state that not a single byte reached the connection.
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -13,7 +13,7 @@
     block::BlockName,
     chart::Chart,
     ids::{InstanceId, ServiceName, WeightVersion, ZoneName},
-    view::{ClusterView, StoreView, UpstreamState, UpstreamView},
+    view::{ClusterView, StoreView},
 };
 use daisysill_wire::border::{
     CacheEventKind, CacheEvents, EngineLoad, InstanceKind, InstanceState, PlatformInstance, StoreUsage,
@@ -21,46 +21,18 @@
 };
 use tokio::time::Instant;
 
-use crate::{directory::BlockDirectory, metrics::Metrics, rollout::EngineVersion};
+use crate::{
+    directory::BlockDirectory,
+    metrics::Metrics,
+    rollout::EngineVersion,
+    upstream_entry::{Entry, LeavingCause},
+};
 
-/// Prefill speed assumed until an engine reports its own.
-const ASSUMED_PREFILL_TOKENS_PER_S: u64 = 10_000;
 /// Link speed assumed until a store reports its own, in bytes per second.
 const ASSUMED_LINK_BYTES_PER_S: u64 = 10_000_000;
 /// Dispatches older than this are in every load report, or their engine does not report at all.
 const DISPATCH_MEMORY: Duration = Duration::from_mins(1);
 
-/// One upstream as this node sees it.
-#[derive(Clone, Debug)]
-struct Entry {
-    listed: PlatformInstance,
-    /// State of the upstream chart.
-    state: String,
-    leaving: BTreeSet<LeavingCause>,
-    load: Option<EngineLoad>,
-    usage: Option<StoreUsage>,
-    pieces: BTreeSet<BlockName>,
-    next_event: u64,
-    incarnation: u64,
-    /// Tokens of dispatches that the last load report did not cover, and when they were made.
-    dispatches: Vec<(Instant, u64)>,
-    in_flight: u64,
-    in_flight_tokens: u64,
-}
-
-/// Who says that an upstream is leaving.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum LeavingCause {
-    /// The platform's list.
-    Listed,
-    /// A drain mark.
-    Drained,
-    /// The upstream itself, to this node.
-    RefusedHere,
-    /// The upstream itself, to another node.
-    RefusedElsewhere,
-}
-
 /// All upstreams and stores that this node knows.
 #[derive(Debug)]
 pub struct UpstreamTable {
@@ -83,7 +55,7 @@
         let mut view = ClusterView::default();
         for (id, entry) in entries.iter() {
             match entry.listed.kind {
-                InstanceKind::Engine | InstanceKind::Plain => view.upstreams.push(upstream_view(id, entry)),
+                InstanceKind::Engine | InstanceKind::Plain => view.upstreams.push(entry.view(id)),
                 InstanceKind::Store => view.stores.push(self.store_view(id, entry)),
             }
         }
@@ -110,7 +82,14 @@
     /// Feeds an event to the life cycle of one upstream.
     pub fn event(&self, id: &InstanceId, event: &str) {
         if let Some(entry) = self.lock().get_mut(id) {
-            entry.set_leaving(LeavingCause::RefusedHere, event == "refused" || entry.refused_here());
+            if event == "refused" {
+                entry.set_leaving(LeavingCause::RefusedHere, true);
+            }
+            let is_plain = entry.listed.kind == InstanceKind::Plain;
+            if is_plain && event == "ping_failed" && entry.set_leaving(LeavingCause::RefusedHere, false) {
+                // The process that refused is gone. Without an incarnation, this is how a new one shows.
+                self.stay(entry);
+            }
             self.advance(entry, event);
         }
     }
@@ -349,40 +328,6 @@
     }
 }
 
-impl Entry {
-    fn new(listed: PlatformInstance) -> Self {
-        Self {
-            listed,
-            state: "unknown".to_owned(),
-            leaving: BTreeSet::new(),
-            load: None,
-            usage: None,
-            pieces: BTreeSet::new(),
-            next_event: 0,
-            incarnation: 0,
-            dispatches: Vec::new(),
-            in_flight: 0,
-            in_flight_tokens: 0,
-        }
-    }
-}
-
-impl Entry {
-    /// Returns whether the upstream can get work: an engine must have told which weight version it runs.
-    fn is_known(&self) -> bool {
-        self.listed.kind != InstanceKind::Engine || self.load.is_some()
-    }
-
-    fn refused_here(&self) -> bool {
-        self.leaving.contains(&LeavingCause::RefusedHere)
-    }
-
-    /// Sets whether a cause holds; returns whether it held before.
-    fn set_leaving(&mut self, cause: LeavingCause, holds: bool) -> bool {
-        if holds { !self.leaving.insert(cause) } else { self.leaving.remove(&cause) }
-    }
-}
-
 /// Ends the count of a dispatch when dropped.
 #[derive(Debug)]
 pub struct DispatchGuard {
@@ -399,24 +344,3 @@
         }
     }
 }
-
-fn upstream_view(id: &InstanceId, entry: &Entry) -> UpstreamView {
-    let load = entry.load.as_ref();
-    UpstreamView {
-        id: id.clone(),
-        service: ServiceName::from(entry.listed.service.as_str()),
-        zone: ZoneName::from(entry.listed.availability_zone.as_str()),
-        state: match entry.state.as_str() {
-            _ if !entry.is_known() => UpstreamState::Down,
-            "live" => UpstreamState::Live,
-            "suspect" => UpstreamState::Suspect,
-            "leaving" => UpstreamState::Leaving,
-            _ => UpstreamState::Down,
-        },
-        weight_version: WeightVersion(load.map_or(0, |l| l.weight_version)),
-        reported_queue_tokens: load.map_or(0, |l| l.queue_tokens),
-        dispatched_tokens: entry.dispatches.iter().map(|(_, tokens)| tokens).sum(),
-        prefill_tokens_per_s: load.map_or(ASSUMED_PREFILL_TOKENS_PER_S, |l| l.prefill_tokens_per_s),
-        pieces: entry.pieces.clone(),
-    }
-}
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -92,9 +92,27 @@
     wait_for(&node, "lyric-2", "down").await;
     let refused = answer(node.prompt("opera-a", "la la")).await;
     assert_eq!(refused, (String::new(), Some(1303)));
+    node.plain.unreachable.set(true);
+    wait_for(&node, "booth-1", "down").await;
+    node.plain.unreachable.set(false);
+    wait_for(&node, "booth-1", "live").await;
 }
 
-/// Guards against an upstream whose refusals go unnoticed because they concern a plain call.
+/// Guards against a plain upstream that gets calls after it refused one, and against its restarted process
+/// being taken for leaving for ever.
+#[actix_rt::test]
+async fn a_plain_upstream_that_refused_gets_work_again_as_a_new_process() {
+    let node = Node::start(RULES).await;
+    node.shared.upstreams.event(&"booth-1".into(), "refused");
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(node.state("booth-1"), "leaving");
+    node.plain.unreachable.set(true);
+    wait_for(&node, "booth-1", "down").await;
+    node.plain.unreachable.set(false);
+    wait_for(&node, "booth-1", "live").await;
+}
+
+/// Guards against `not_run` for a call that was sent, and against the reverse.
 #[actix_rt::test]
 async fn an_attempt_error_says_whether_the_call_ran() {
     let refused =
--- a/crates/node/tests/restores.rs
+++ b/crates/node/tests/restores.rs
@@ -162,3 +162,24 @@
     let lease = directory.lease(&"score-1".into(), &[name], MAX_LEASE).unwrap();
     assert_eq!(lease.blocks[0].generation, 2);
 }
+
+/// Guards against a node that started late and never learns of older blocks, and against reports without
+/// bound.
+#[actix_rt::test]
+async fn reports_repeat_older_blocks_in_turn() {
+    tokio::time::pause();
+    let (owner, late) = (BlockDirectory::default(), BlockDirectory::default());
+    let names: Vec<BlockName> =
+        (0..100).map(|index| BlockName::from(format!("{index:03}").as_str())).collect();
+    for name in &names {
+        owner.list_own(sealed(name, 1), Duration::from_hours(1));
+    }
+    assert!(owner.report().0.len() < 40);
+    sleep(Duration::from_mins(1)).await;
+    for _ in 0..26 {
+        let (sealed, freed) = owner.report();
+        assert!(sealed.len() <= 4);
+        late.apply_report(&sealed, &freed);
+    }
+    assert_eq!(late.held(&"score-1".into(), &names).len(), 100);
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -101,6 +101,7 @@
     pub started: Cell<u32>,
     pub finished: Cell<u32>,
     pub answer_bytes: Cell<usize>,
+    pub unreachable: Cell<bool>,
     pub errors: RefCell<VecDeque<AttemptError>>,
 }
 
@@ -130,6 +131,15 @@
         self.run(None).boxed_local()
     }
 
+    fn ping<'a>(&'a self, _: &'a str) -> LocalBoxFuture<'a, AttemptResult<()>> {
+        let answer = if self.unreachable.get() {
+            Err(AttemptError::NotSent("unreachable".to_owned()))
+        } else {
+            Ok(())
+        };
+        futures::future::ready(answer).boxed_local()
+    }
+
     fn call_once<'a>(
         &'a self,
         _: &'a str,
@@ -394,7 +404,10 @@
         }
         platform.add(InstanceKind::Store, "score-cache", "score-1");
         let store = Rc::<FakeStore>::default();
-        UpstreamMonitor::new(shared.clone(), engine.clone(), store.clone(), platform.clone()).start();
+        let (polled, plain_service) = (engine.clone(), plain.clone());
+        let monitor =
+            UpstreamMonitor::new(shared.clone(), polled, store.clone(), plain_service, platform.clone());
+        monitor.start();
         Exporter::new(shared.clone(), engine.clone(), store.clone()).start();
         let node = Self {
             adapters: Adapters { engine: engine.clone(), plain: plain.clone() },
