Count no undeclared event for a stored answer

Cause: a call that got its stored answer was finished a second time, which the request chart does not declare.

Change: a request that has its answer is not finished again.

--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -176,7 +176,9 @@
     pub(crate) fn finish(mut self, result: Result<PlainResponse, Refusal>) -> Result<PlainResponse, Refusal> {
         match &result {
             Ok(_) => {
-                self.life.event("finished");
+                if !self.life.is_answered() {
+                    self.life.event("finished");
+                }
                 self.life.result(ResultCode::Ok);
             }
             Err(refusal) => {
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -78,6 +78,11 @@
         self.state == "relaying"
     }
 
+    /// Returns whether the request has its answer, for instance a stored one.
+    pub fn is_answered(&self) -> bool {
+        self.state == "answered"
+    }
+
     /// Records the reason of a decision.
     pub fn decision(&mut self, reason: &str) {
         self.decisions.push(reason.to_owned());
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -372,6 +372,15 @@
     _folder: TempDir,
 }
 
+impl Drop for Node {
+    /// Checks that every event was one that the state charts declare.
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            assert_eq!(self.shared.metrics.undeclared_events.get(), 0, "undeclared events");
+        }
+    }
+}
+
 impl Node {
     /// Starts a node with two engines, two plain upstreams and a store, all live, and puts rules in force.
     pub async fn start(rules: &str) -> Self {
