Write the last spans before a planned stop ends

Cause: spans in the writer's queue were lost when the process exited.

Change: a planned stop waits up to a second for the writer. A test that a process suspended while it connects sends nothing of a claimed call.

--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -184,6 +184,7 @@
         self.callers.stop(true).await;
         self.shared.cluster.leave().await;
         self.admin.stop(false).await;
+        self.shared.tracing.flush().await;
         self.shared.role_event("finished");
     }
 
--- a/crates/node/src/trace.rs
+++ b/crates/node/src/trace.rs
@@ -6,6 +6,7 @@
     path::Path,
     sync::{
         Arc,
+        atomic::{AtomicUsize, Ordering},
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
@@ -24,14 +25,20 @@
 };
 use prometheus_client::metrics::counter::Counter;
 use serde_json::{Map, Value, json};
+use tokio::time::Instant;
 
 /// Spans that wait for the writer; further ones are dropped and counted.
 const QUEUE_SPANS: usize = 4_096;
+/// Longest time that a planned stop waits for the writer, and time between two looks.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
+const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Starts spans; without a trace file, trace context is passed on and nothing is recorded.
 #[derive(Clone, Debug, Default)]
 pub struct Tracing {
     tracer: Option<Arc<SdkTracer>>,
+    /// Spans handed to the writer that are not in the file yet.
+    pending: Arc<AtomicUsize>,
 }
 
 impl Tracing {
@@ -42,10 +49,21 @@
     pub fn to_file(path: &Path, dropped: Counter) -> eyre::Result<Self> {
         let file = OpenOptions::new().create(true).append(true).open(path)?;
         let (sender, receiver) = sync_channel(QUEUE_SPANS);
-        thread::Builder::new().name("traces".to_owned()).spawn(move || write_spans(&receiver, file))?;
-        let provider =
-            SdkTracerProvider::builder().with_span_processor(QueueProcessor { sender, dropped }).build();
-        Ok(Self { tracer: Some(Arc::new(provider.tracer("daisysill"))) })
+        let pending = Arc::<AtomicUsize>::default();
+        let written = Arc::clone(&pending);
+        let writer = move || write_spans(&receiver, file, &written);
+        thread::Builder::new().name("traces".to_owned()).spawn(writer)?;
+        let processor = QueueProcessor { sender, dropped, pending: Arc::clone(&pending) };
+        let provider = SdkTracerProvider::builder().with_span_processor(processor).build();
+        Ok(Self { tracer: Some(Arc::new(provider.tracer("daisysill"))), pending })
+    }
+
+    /// Waits until the spans that have ended are in the file, for a short time at most.
+    pub async fn flush(&self) {
+        let end = Instant::now() + FLUSH_TIMEOUT;
+        while self.pending.load(Ordering::Acquire) > 0 && Instant::now() < end {
+            tokio::time::sleep(FLUSH_CHECK_INTERVAL).await;
+        }
     }
 
     /// Starts a span under the trace context that came with a request.
@@ -127,13 +145,16 @@
 struct QueueProcessor {
     sender: SyncSender<SpanData>,
     dropped: Counter,
+    pending: Arc<AtomicUsize>,
 }
 
 impl SpanProcessor for QueueProcessor {
     fn on_start(&self, _: &mut Span, _: &Context) {}
 
     fn on_end(&self, span: SpanData) {
+        self.pending.fetch_add(1, Ordering::AcqRel);
         if self.sender.try_send(span).is_err() {
+            self.pending.fetch_sub(1, Ordering::AcqRel);
             self.dropped.inc();
         }
     }
@@ -147,18 +168,21 @@
     }
 }
 
-fn write_spans(receiver: &Receiver<SpanData>, file: File) {
+fn write_spans(receiver: &Receiver<SpanData>, file: File, pending: &AtomicUsize) {
     let mut out = BufWriter::new(file);
     while let Ok(span) = receiver.recv() {
+        let mut count = 1;
         let mut written = write_span(&mut out, &span);
         // Flushed only once the queue is empty, so that a burst costs few writes.
         while let (Ok(()), Ok(span)) = (&written, receiver.try_recv()) {
+            count += 1;
             written = write_span(&mut out, &span);
         }
         if let Err(error) = written.and_then(|()| out.flush()) {
             log::error!("traces are no longer written: {error}");
             return;
         }
+        pending.fetch_sub(count, Ordering::AcqRel);
     }
 }
 
--- a/crates/node/tests/upstream_errors.rs
+++ b/crates/node/tests/upstream_errors.rs
@@ -67,6 +67,20 @@
     assert_eq!(bytes.recv().unwrap(), 0);
 }
 
+/// Guards against a late first byte from a process that was suspended while it connected.
+#[actix_rt::test]
+async fn a_process_suspended_while_connecting_sends_nothing() {
+    let service = HttpPlainService::new(http::client());
+    let (url, bytes) = closing_upstream();
+    let (call, deadline) = (request(), Instant::now() + Duration::from_millis(100));
+    let mut sending = service.call_once(&url, &call, "", deadline);
+    assert!(futures::poll!(&mut sending).is_pending());
+    // Blocks the only thread, as a suspended process would stand still.
+    thread::sleep(Duration::from_millis(200));
+    assert_eq!(sending.await.unwrap_err(), AttemptError::TooLate);
+    assert_eq!(bytes.recv().unwrap(), 0);
+}
+
 /// Guards against `may_have_run` where the connection was refused.
 #[actix_rt::test]
 async fn a_refused_connection_did_not_run_the_call() {
--- a/crates/testkit/tests/planned_stop.rs
+++ b/crates/testkit/tests/planned_stop.rs
@@ -37,8 +37,8 @@
     (response.status().as_u16(), String::from_utf8(text.to_vec()).unwrap())
 }
 
-/// Guards against a stop that cuts a stream, refuses requests before the balancer took notice, or does not
-/// exit with success.
+/// Guards against a stop that cuts a stream, refuses requests before the balancer took notice, loses the last
+/// spans, or does not exit with success.
 #[actix_rt::test]
 async fn a_planned_stop_interrupts_no_request() {
     let (environment, platform) = (Environment::new(), Platform::start());
@@ -49,10 +49,11 @@
         "sathorn-1",
         &format!(
             "[node]\nname = sathorn-1\navailability_zone = bkk-sathorn\ncaller_listen = 127.0.0.1:0\n\
-             admin_listen = 127.0.0.1:0\nready_file = READY_FILE\nbalancer_notice_ms = 500\n\
+             admin_listen = 127.0.0.1:0\nready_file = READY_FILE\nbalancer_notice_ms = 500\ntrace_file = {}\n\
              [cluster]\npeer_listen = 127.0.0.1:0\nsecret = test\nbootstrap_voters = sathorn-1\n\
              [platform]\nurl = {}\npoll_ms = 50\n[service.lyric-llm]\nkind = model\npoll_ms = 50\n\
              [customer.opera-a]\ntoken_digest = {digest}\nservices = lyric-llm\n",
+            environment.path().join("traces.jsonl").display(),
             platform.url()
         ),
     );
@@ -70,6 +71,9 @@
     assert_eq!(stream.0, 200);
     assert!(stream.1.ends_with("data: [DONE]\n\n"), "{}", stream.1);
     assert_eq!(node.wait(Duration::from_secs(20)), Some(0));
+    let traces = std::fs::read_to_string(environment.path().join("traces.jsonl")).unwrap();
+    assert_eq!(traces.matches("\"name\":\"request\"").count(), 2, "{traces}");
+    assert!(traces.ends_with('\n'));
 }
 
 /// Guards against a stop that cuts a call that runs at most once because its caller has gone.
