--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -3,10 +3,16 @@
 use std::{fs, net::SocketAddr, path::Path, rc::Rc, sync::Arc, time::Duration};
 
 use actix::Actor;
-use actix_web::{App, HttpServer, dev::ServerHandle, web::Data};
+use actix_web::{
+    App, HttpServer,
+    dev::{ServerHandle, Service},
+    http::ConnectionType,
+    web::Data,
+};
 use daisysill_cluster::Cluster;
 use eyre::WrapErr;
 use serde::Serialize;
+use tokio::time::Instant;
 
 use crate::{
     admin_api,
@@ -14,16 +20,18 @@
     config::Config,
     engine_client::HttpEngine,
     exit_code::ExitCode,
+    exporter::Exporter,
     http,
+    monitor::UpstreamMonitor,
     options::Options,
     plain_client::HttpPlainService,
     platform_client::HttpPlatform,
     shared::Shared,
-    upstreams::UpstreamMonitor,
+    tls::{self, ReloadingCertificate},
 };
 
-/// Time between failing `/readyz` and closing the listener, in which the balancer takes notice.
-const BALANCER_NOTICE: Duration = Duration::from_millis(500);
+/// Time between two looks at the claimed calls in progress during a stop.
+const CLAIMED_CALL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Threads that serve callers.
 const CALLER_THREADS: usize = 1;
 
@@ -68,7 +76,6 @@
 }
 
 /// A running node.
-#[derive(Debug)]
 pub struct RunningNode {
     /// Where it listens.
     pub addresses: BoundAddresses,
@@ -77,6 +84,20 @@
     admin: ServerHandle,
 }
 
+/// Binds a listener, with TLS if a certificate is set. The type of a server cannot be named in a function.
+macro_rules! bind {
+    ($server:expr, $address:expr, $tls:expr, $message:literal) => {
+        match $tls {
+            Some(files) => {
+                let certificate = ReloadingCertificate::load(files)?;
+                actix_rt::spawn(tls::follow(Arc::downgrade(&certificate)));
+                $server.bind_rustls_0_23($address, certificate.server_config()?).wrap_err($message)?
+            }
+            None => $server.bind($address).wrap_err($message)?,
+        }
+    };
+}
+
 /// Starts all listeners and actors of a node.
 ///
 /// # Errors
@@ -86,18 +107,20 @@
         Cluster::start(config.cluster.clone()).await.wrap_err("the cluster does not start")?;
     let shared = Arc::new(Shared::new(config, cluster)?);
     shared.role_event("settings_checked");
-    actix_rt::spawn(Arc::clone(&shared).follow_rules());
     let client = http::client();
     let engine = Rc::new(HttpEngine::new(client.clone()));
-    UpstreamMonitor::new(Arc::clone(&shared), engine, Rc::new(HttpPlatform::new(client))).start();
+    let plain = Rc::new(HttpPlainService::new(client.clone()));
+    let platform = Rc::new(HttpPlatform::new(client));
+    UpstreamMonitor::new(Arc::clone(&shared), engine.clone(), engine.clone(), plain, platform).start();
+    Exporter::new(Arc::clone(&shared), engine.clone(), engine).start();
 
     let data = Data::from(Arc::clone(&shared));
     let admin_data = data.clone();
     let admin = HttpServer::new(move || App::new().app_data(admin_data.clone()).configure(admin_api::routes))
         .workers(1)
-        .disable_signals()
-        .bind(shared.config.node.admin_listen)
-        .wrap_err("the admin address cannot be bound")?;
+        .disable_signals();
+    let node = &shared.config.node;
+    let admin = bind!(admin, node.admin_listen, &node.admin_tls, "the admin address cannot be bound");
     let limits = &shared.config.limits;
     let callers = HttpServer::new(move || {
         let client = http::client();
@@ -105,14 +128,28 @@
             engine: Rc::new(HttpEngine::new(client.clone())),
             plain: Rc::new(HttpPlainService::new(client)),
         };
-        App::new().app_data(data.clone()).app_data(Data::new(adapters)).configure(caller_api::routes)
+        let shared = Arc::clone(&data);
+        let app = App::new().app_data(data.clone()).app_data(Data::new(adapters));
+        app.wrap_fn(move |request, service| {
+            let (shared, response) = (Arc::clone(&shared), service.call(request));
+            async move {
+                let mut response = response.await?;
+                if shared.role() == "draining" {
+                    // The caller's next request goes to another node.
+                    response.response_mut().head_mut().set_connection_type(ConnectionType::Close);
+                }
+                Ok(response)
+            }
+        })
+        .configure(caller_api::routes)
     })
     .workers(CALLER_THREADS)
     .client_request_timeout(Duration::from_millis(limits.header_timeout_ms))
     .shutdown_timeout(shared.config.node.stop_timeout_s)
-    .disable_signals()
-    .bind(shared.config.node.caller_listen)
-    .wrap_err("the caller address cannot be bound")?;
+    // A caller that disconnects while it waits is noticed at once, and its upstream work cancelled.
+    .h1_allow_half_closed(false)
+    .disable_signals();
+    let callers = bind!(callers, node.caller_listen, &node.caller_tls, "the caller address cannot be bound");
 
     let addresses = BoundAddresses { caller: first(&callers.addrs())?, admin: first(&admin.addrs())?, peer };
     let (callers, admin) = (callers.run(), admin.run());
@@ -138,14 +175,27 @@
     /// Stops without cutting requests.
     pub async fn stop(self) {
         self.shared.role_event("stop");
-        tokio::time::sleep(BALANCER_NOTICE).await;
+        // Requests that arrive meanwhile are served: the balancer has not taken notice yet.
+        let notice = Duration::from_millis(self.shared.config.node.balancer_notice_ms);
+        tokio::time::sleep(notice).await;
+        self.callers.pause().await;
+        self.wait_for_claimed_calls().await;
         // Graceful: waits for requests in progress, up to the configured time.
         self.callers.stop(true).await;
         self.shared.cluster.leave().await;
         self.admin.stop(false).await;
+        self.shared.tracing.flush().await;
         self.shared.role_event("finished");
     }
 
+    /// Waits for calls whose callers may have gone, since stopping the worker threads would cut them.
+    async fn wait_for_claimed_calls(&self) {
+        let end = Instant::now() + Duration::from_secs(self.shared.config.node.stop_timeout_s);
+        while self.shared.claimed_calls.count() > 0 && Instant::now() < end {
+            tokio::time::sleep(CLAIMED_CALL_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Returns what the node's parts share.
     pub fn shared(&self) -> &Arc<Shared> {
         &self.shared
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -1,17 +1,21 @@
 //! The HTTP client that all upstream adapters share.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use actix_web::web::Bytes;
 use awc::{
     Client, ClientResponse,
-    error::{PayloadError, SendRequestError},
-    http::StatusCode,
+    error::{ConnectError, PayloadError, SendRequestError},
+    http::{StatusCode, Uri},
 };
 use futures::Stream;
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::{net::TcpStream, time::timeout};
 
-use crate::upstream_edge::{AttemptError, AttemptResult};
+use crate::{
+    connection::{SendGate, UpstreamConnector},
+    upstream_edge::{AttemptError, AttemptResult},
+};
 
 /// Header by which an upstream states that it executed nothing.
 pub const NOT_RUN_HEADER: &str = "x-not-run";
@@ -19,20 +23,34 @@
 pub const LEAVING_HEADER: &str = "x-leaving";
 /// Time in which a connection must be open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Idle time after which a pooled connection is not used again.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time in which a control call (load, events, list) must be answered.
-const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Port of a URL that names none.
+const DEFAULT_PORT: u16 = 80;
 /// Bytes of a control answer at most.
 const CONTROL_BODY_BYTES: usize = 16_777_216;
 
 /// Creates a client; it belongs to the thread that created it.
 pub fn client() -> Client {
-    let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT).limit(0);
+    client_through(None)
+}
+
+/// Creates a client whose connections pass their bytes through a gate.
+pub fn client_through(gate: Option<Rc<SendGate>>) -> Client {
+    let connector = awc::Connector::new().connector(UpstreamConnector::new(gate));
+    let connector = connector.timeout(CONNECT_TIMEOUT).limit(0).conn_keep_alive(IDLE_TIMEOUT);
     Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
 }
 
 /// Sorts a send error by whether a byte was sent.
 pub fn sort_send_error(error: &SendRequestError) -> AttemptError {
     match error {
+        // The client also reports `Disconnected` when the upstream closes after the call was sent.
+        SendRequestError::Connect(ConnectError::Disconnected | ConnectError::H2(_)) => {
+            AttemptError::Failed("the upstream closed the connection without an answer".to_owned())
+        }
         SendRequestError::Url(_) | SendRequestError::Connect(_) => AttemptError::NotSent(error.to_string()),
         _ => AttemptError::Failed(error.to_string()),
     }
@@ -55,6 +73,20 @@
     }
 }
 
+/// Opens a connection to the host and port of a URL and closes it.
+///
+/// # Errors
+/// Fails if the connection is not open in time.
+pub async fn ping(url: &str) -> AttemptResult<()> {
+    let uri = url.parse::<Uri>().map_err(|error| AttemptError::NotSent(error.to_string()))?;
+    let (host, port) = (uri.host().unwrap_or_default(), uri.port_u16().unwrap_or(DEFAULT_PORT));
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect((host, port))).await {
+        Ok(Ok(_)) => Ok(()),
+        Ok(Err(error)) => Err(AttemptError::NotSent(error.to_string())),
+        Err(_) => Err(AttemptError::Silent),
+    }
+}
+
 /// Reads JSON with GET.
 ///
 /// # Errors
@@ -72,9 +104,9 @@
     client: &Client,
     url: &str,
     body: &B,
-    timeout: Duration,
+    time: Duration,
 ) -> AttemptResult<T> {
-    let response = client.post(url).timeout(timeout).send_json(body).await;
+    let response = client.post(url).timeout(time).send_json(body).await;
     read_json(response.map_err(|e| sort_send_error(&e))?).await
 }
 
@@ -85,7 +117,9 @@
 pub async fn delete(client: &Client, url: &str) -> AttemptResult<()> {
     let response = client.delete(url).timeout(CONTROL_TIMEOUT).send().await;
     let response = response.map_err(|e| sort_send_error(&e))?;
-    if response.status().is_success() { Ok(()) } else { Err(sort_error_status(&response)) }
+    // What is not there needs no deletion, for instance after the upstream restarted.
+    let done = response.status().is_success() || response.status() == StatusCode::NOT_FOUND;
+    if done { Ok(()) } else { Err(sort_error_status(&response)) }
 }
 
 async fn read_json<T, S>(mut response: ClientResponse<S>) -> AttemptResult<T>
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -4,17 +4,22 @@
 
 use daisysill_cluster::ClusterHandle;
 use daisysill_core::{
-    chart::{Chart, ChartError, REQUEST_CHART, ROLE_CHART, UPSTREAM_CHART},
-    ids::ServiceName,
+    chart::{Chart, REQUEST_CHART, ROLE_CHART, UPSTREAM_CHART},
+    ids::{ConfigVersion, ServiceName},
+    result_code::ResultCode,
     rules::{RuleSet, ServiceRules},
 };
+use eyre::WrapErr;
 
 use crate::{
-    auth::Authenticator, config::Config, explain::ExplainLog, metrics::Metrics, upstreams::UpstreamTable,
+    agreement::Agreement, auth::Authenticator, claimed_calls::ClaimedCalls, config::Config,
+    crash::BlockedRequests, directory::BlockDirectory, explain::ExplainLog, metrics::Metrics,
+    refusal::Refusal, resting::RestingContext, trace::Tracing, upstreams::UpstreamTable,
 };
+/// When to come back while a node is full.
+const FULL_RETRY_MS: u64 = 1_000;
 
 /// What all listeners and actors of one node share.
-#[derive(Debug)]
 pub struct Shared {
     /// The settings.
     pub config: Config,
@@ -22,34 +27,70 @@
     pub authenticator: Authenticator,
     /// Access to the cluster.
     pub cluster: ClusterHandle,
+    /// Commits commands; the cluster outside tests.
+    pub agreement: Arc<dyn Agreement>,
+    /// Calls that run at most once and are in progress here.
+    pub claimed_calls: Arc<ClaimedCalls>,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
     /// Why the latest requests were served as they were.
     pub explain: ExplainLog,
     /// Upstreams and stores.
     pub upstreams: Arc<UpstreamTable>,
+    /// Sealed blocks in stores.
+    pub directory: Arc<BlockDirectory>,
+    /// Context that rests in engines.
+    pub resting: RestingContext,
+    /// Requests blocked because they took down upstreams.
+    pub blocked_requests: BlockedRequests,
+    /// Starts spans.
+    pub tracing: Tracing,
     /// The life cycle of a request.
     pub request_chart: Chart,
     role_chart: Chart,
     role: Mutex<String>,
-    rules: Mutex<Arc<RuleSet>>,
+    rules: Mutex<ParsedRules>,
 }
 
 impl Shared {
     /// Builds the shared state.
     ///
     /// # Errors
-    /// Fails if a state chart file is not valid.
-    pub fn new(config: Config, cluster: ClusterHandle) -> Result<Self, ChartError> {
+    /// Fails if a state chart file is not valid or the trace file cannot be opened.
+    pub fn new(config: Config, cluster: ClusterHandle) -> eyre::Result<Self> {
+        let agreement = Arc::new(cluster.clone());
+        Self::with_agreement(config, cluster, agreement)
+    }
+
+    /// Builds the shared state with another way to commit commands.
+    ///
+    /// # Errors
+    /// Fails if a state chart file is not valid or the trace file cannot be opened.
+    pub fn with_agreement(
+        config: Config,
+        cluster: ClusterHandle,
+        agreement: Arc<dyn Agreement>,
+    ) -> eyre::Result<Self> {
         let metrics = Arc::new(Metrics::default());
-        let upstreams = UpstreamTable::new(Chart::parse(UPSTREAM_CHART)?, Arc::clone(&metrics));
+        let directory = Arc::<BlockDirectory>::default();
+        let chart = Chart::parse(UPSTREAM_CHART)?;
+        let upstreams = UpstreamTable::new(chart, Arc::clone(&metrics), Arc::clone(&directory));
+        let dropped = metrics.dropped_spans.clone();
+        let tracing = config.node.trace_file.as_ref().map(|path| Tracing::to_file(path, dropped));
+        let tracing = tracing.transpose().wrap_err("the trace file cannot be written")?.unwrap_or_default();
         Ok(Self {
             authenticator: Authenticator::new(&config),
             config,
             cluster,
+            agreement,
+            claimed_calls: Arc::default(),
             metrics,
             explain: ExplainLog::default(),
             upstreams: Arc::new(upstreams),
+            directory,
+            resting: RestingContext::default(),
+            blocked_requests: BlockedRequests::default(),
+            tracing,
             request_chart: Chart::parse(REQUEST_CHART)?,
             role_chart: Chart::parse(ROLE_CHART)?,
             role: Mutex::new("starting".to_owned()),
@@ -77,24 +118,39 @@
         }
     }
 
-    /// Returns the rules in force for a service.
-    pub fn rules_of(&self, service: &ServiceName) -> ServiceRules {
-        self.rules.lock().unwrap_or_else(PoisonError::into_inner).of(service)
+    /// Checks that the node may take one more request.
+    ///
+    /// # Errors
+    /// Refuses while as many requests are in progress as the settings allow.
+    pub fn check_room(&self) -> Result<(), Refusal> {
+        let limit = i64::try_from(self.config.limits.in_flight_requests).unwrap_or(i64::MAX);
+        if self.metrics.in_flight.get() < limit {
+            return Ok(());
+        }
+        let message = "this node has as many requests in progress as it may have";
+        Err(Refusal::new(ResultCode::CustomerOverloaded, message).retry_after_ms(FULL_RETRY_MS))
     }
 
-    /// Follows the configuration and parses each new set of rule files once.
-    pub async fn follow_rules(self: Arc<Self>) {
-        let mut view = self.cluster.view();
-        loop {
-            let files = view.borrow_and_update().rules.clone();
-            // The agreed state refuses files with errors, so a failure here means an older program version.
-            match RuleSet::parse(&files) {
-                Ok(rules) => *self.rules.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(rules),
+    /// Returns the rules in force for a service.
+    pub fn rules_of(&self, service: &ServiceName) -> ServiceRules {
+        let view = Arc::clone(&self.cluster.view().borrow());
+        let mut parsed = self.rules.lock().unwrap_or_else(PoisonError::into_inner);
+        // Parsed where they are used, so that no call is judged by rules older than the view.
+        if parsed.version != Some(view.rules_version) {
+            parsed.version = Some(view.rules_version);
+            match RuleSet::parse(&view.rules) {
+                Ok(rules) => parsed.rules = rules,
+                // The agreed state refuses files with errors, so this means an older program version.
                 Err(errors) => log::error!("rule files in force are not understood: {} errors", errors.len()),
             }
-            if view.changed().await.is_err() {
-                return;
-            }
         }
+        parsed.rules.of(service)
     }
 }
+
+/// The rules in force, parsed once for each version.
+#[derive(Debug, Default)]
+struct ParsedRules {
+    version: Option<ConfigVersion>,
+    rules: RuleSet,
+}
