Add the decisions on links, admission, retries, suspects and rest

Cause: nodes need one place that decides on bandwidth, admission, retries, crashing requests and resting context; the view had to be walked set by set.

Change: link, admission, retry, suspect and resting are pure functions and state machines. ClusterView is cloned in constant time, is changed in place through methods, and finds the holders of a piece through an index. route weighs computing, restoring, restoring in part, restoring and prefilling side by side, and adds own and peers' dispatches since the load report. node builds the view through the new methods and passes 0 as the time, which keeps its present behaviour until it keeps a view of its own.

--- /dev/null
+++ b/crates/core/src/backlog.rs
@@ -0,0 +1,122 @@
+//! The estimated prefill backlog of one upstream between two of its load reports.
+
+use crate::ids::InstanceId;
+
+/// Dispatches kept separately; older ones are merged, so a missing report cannot make the list grow.
+const MAX_DISPATCHES: usize = 64;
+
+/// A load report of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// When the upstream took the report, on this node's clock; the time of the question is a safe value.
+    pub at_ms: u64,
+    /// Tokens queued for prefill.
+    pub queue_tokens: u64,
+    /// Prefill speed.
+    pub prefill_tokens_per_s: u64,
+}
+
+/// What another node sent to an upstream since the last load report it knows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerLoad {
+    /// The other node.
+    pub peer: InstanceId,
+    /// The time of the load report from which the other node counts.
+    pub since_ms: u64,
+    /// When the other node took the count.
+    pub at_ms: u64,
+    /// Prompt tokens it dispatched in between.
+    pub tokens: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Dispatch {
+    at_ms: u64,
+    tokens: u64,
+}
+
+/// A load report and what was dispatched since.
+#[derive(Clone, Debug)]
+pub(crate) struct Backlog {
+    report: LoadReport,
+    own: Vec<Dispatch>,
+    peers: Vec<PeerLoad>,
+}
+
+impl Backlog {
+    /// Starts with an empty queue.
+    pub(crate) fn new(report: LoadReport) -> Self {
+        Self { report, own: Vec::new(), peers: Vec::new() }
+    }
+
+    /// Takes a newer report, which covers every dispatch made before it.
+    pub(crate) fn report(&mut self, report: LoadReport) {
+        if report.at_ms < self.report.at_ms {
+            return;
+        }
+        self.report = report;
+        self.own.retain(|dispatch| dispatch.at_ms >= report.at_ms);
+        self.peers.retain(|load| load.at_ms > report.at_ms);
+    }
+
+    /// Adds an own dispatch.
+    pub(crate) fn dispatched(&mut self, at_ms: u64, tokens: u64) {
+        if self.own.len() >= MAX_DISPATCHES {
+            let oldest = self.own.remove(0);
+            self.own[0].tokens += oldest.tokens;
+        }
+        self.own.push(Dispatch { at_ms, tokens });
+    }
+
+    /// Takes back an own dispatch that was cancelled before it ran.
+    pub(crate) fn retracted(&mut self, at_ms: u64, tokens: u64) {
+        if let Some(at) = self.own.iter().position(|d| d.at_ms == at_ms && d.tokens == tokens) {
+            self.own.remove(at);
+        }
+    }
+
+    /// Replaces what another node has dispatched.
+    pub(crate) fn peer(&mut self, load: PeerLoad) {
+        self.peers.retain(|known| known.peer != load.peer);
+        if load.tokens > 0 && load.at_ms > self.report.at_ms {
+            self.peers.push(load);
+        }
+    }
+
+    /// Returns the prefill speed.
+    pub(crate) fn prefill_tokens_per_s(&self) -> u64 {
+        self.report.prefill_tokens_per_s.max(1)
+    }
+
+    /// Returns the queued tokens at the time of the last addition, and that time.
+    ///
+    /// Work drains at the prefill speed between additions.
+    pub(crate) fn replay(&self) -> (f64, u64) {
+        let mut added: Vec<Dispatch> = self.own.clone();
+        added.extend(self.peers.iter().map(|load| self.uncovered(load)));
+        added.sort_by_key(|dispatch| dispatch.at_ms);
+        let speed_per_ms = self.prefill_tokens_per_s() as f64 / 1_000.0;
+        let start = (self.report.queue_tokens as f64, self.report.at_ms);
+        added.iter().fold(start, |(tokens, at_ms), dispatch| {
+            let elapsed_ms = dispatch.at_ms.saturating_sub(at_ms);
+            let left = (tokens - elapsed_ms as f64 * speed_per_ms).max(0.0);
+            (left + dispatch.tokens as f64, dispatch.at_ms.max(at_ms))
+        })
+    }
+
+    /// Returns the part of a peer's count that the own report does not cover yet.
+    ///
+    /// A peer that counts from an older report includes work that the newer one covers; its dispatches are
+    /// taken as spread evenly over its count.
+    fn uncovered(&self, load: &PeerLoad) -> Dispatch {
+        let counted_ms = load.at_ms.saturating_sub(load.since_ms);
+        let uncovered_ms = load.at_ms.saturating_sub(self.report.at_ms);
+        let tokens = if load.since_ms >= self.report.at_ms || counted_ms == 0 {
+            load.tokens
+        } else {
+            load.tokens * uncovered_ms / counted_ms
+        };
+        let at_ms = load.since_ms.max(self.report.at_ms).midpoint(load.at_ms);
+        Dispatch { at_ms, tokens }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,11 +6,25 @@
 #[macro_use]
 mod macros;
 
+mod backlog;
+mod candidates;
+mod concurrency;
+mod fill;
+mod link_queue;
+mod num;
+mod piece_index;
+mod return_history;
+
+pub mod admission;
 pub mod block;
 pub mod chart;
 pub mod ids;
 pub mod ini_check;
+pub mod link;
+pub mod resting;
 pub mod result_code;
+pub mod retry;
 pub mod route;
 pub mod rules;
+pub mod suspect;
 pub mod view;
--- /dev/null
+++ b/crates/core/src/num.rs
@@ -0,0 +1,16 @@
+//! Conversions between floating point estimates and whole units.
+
+/// Microseconds in a second.
+pub(crate) const US_PER_S: f64 = 1_000_000.0;
+
+/// Converts an estimate to whole units; negative and undefined values become 0.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub(crate) fn whole(value: f64) -> u64 {
+    value.max(0.0) as u64
+}
+
+/// Returns the index that a draw in `0.0..1.0` selects among `count` items.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub(crate) fn pick(draw: f64, count: usize) -> usize {
+    ((draw.clamp(0.0, 1.0) * count as f64) as usize).min(count.saturating_sub(1))
+}
--- /dev/null
+++ b/crates/core/src/return_history.rs
@@ -0,0 +1,65 @@
+//! How long context rested before it was used again.
+
+use serde::{Deserialize, Serialize};
+
+/// Buckets by powers of two of seconds; the last one begins after 12 days.
+const BUCKETS: usize = 21;
+/// Weight of the assumption, before anything is known, that each bucket is equally likely.
+const PRIOR: f64 = 0.25;
+
+/// Counts of rests by length, and of contexts that never came back.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReturnHistory {
+    returned: [u32; BUCKETS],
+    lost: u32,
+}
+
+impl ReturnHistory {
+    /// Counts a return after `rest_s` seconds.
+    ///
+    /// ```
+    /// use daisysill_core::resting::ReturnHistory;
+    /// let mut history = ReturnHistory::default();
+    /// (0..50).for_each(|_| history.returned(3_600));
+    /// assert!(history.likelihood_within(3_000, 3_000) > 0.9);
+    /// assert!(history.likelihood_within(60, 60) < 0.1);
+    /// ```
+    pub fn returned(&mut self, rest_s: u64) {
+        let count = &mut self.returned[bucket(rest_s)];
+        *count = count.saturating_add(1);
+    }
+
+    /// Counts a context that was deleted without having been used again.
+    pub fn lost(&mut self) {
+        self.lost = self.lost.saturating_add(1);
+    }
+
+    /// Returns how likely a context that has rested for `idle_s` is used within the next `horizon_s`.
+    pub fn likelihood_within(&self, idle_s: u64, horizon_s: u64) -> f64 {
+        let until_s = idle_s.saturating_add(horizon_s);
+        let (mut within, mut later) = (0.0, f64::from(self.lost) + PRIOR);
+        for (at, count) in self.returned.iter().enumerate() {
+            let (from_s, to_s) = bounds(at);
+            let weight = f64::from(*count) + PRIOR / BUCKETS as f64;
+            let length = to_s.saturating_sub(from_s).max(1) as f64;
+            let hit = overlap(from_s, to_s, idle_s, until_s) as f64 / length;
+            let after = overlap(from_s, to_s, until_s, u64::MAX) as f64 / length;
+            within += weight * hit;
+            later += weight * after;
+        }
+        within / (within + later)
+    }
+}
+
+fn bucket(rest_s: u64) -> usize {
+    (rest_s.max(1).ilog2() as usize).min(BUCKETS - 1)
+}
+
+fn bounds(bucket: usize) -> (u64, u64) {
+    let from_s = if bucket == 0 { 0 } else { 1 << bucket };
+    (from_s, 1 << (bucket + 1))
+}
+
+fn overlap(from_a: u64, to_a: u64, from_b: u64, to_b: u64) -> u64 {
+    to_a.min(to_b).saturating_sub(from_a.max(from_b))
+}
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -4,10 +4,14 @@
 
 use crate::{
     block::BlockName,
+    candidates::{Candidate, rank},
     ids::{InstanceId, ServiceName, WeightVersion, ZoneName},
-    view::{ClusterView, StoreView, UpstreamState, UpstreamView},
+    num::{pick, whole},
+    view::ClusterView,
 };
 
+pub use crate::fill::Fill;
+
 /// What is known of a request when an upstream is chosen for it.
 #[derive(Clone, Copy, Debug)]
 pub struct RouteRequest<'a> {
@@ -23,6 +27,8 @@
     pub pinned_version: Option<WeightVersion>,
     /// Upstreams that already failed this request.
     pub excluded: &'a [InstanceId],
+    /// The time on the clock of the view's load reports.
+    pub now_ms: u64,
 }
 
 /// How a rule file weighs the two costs, and the constants of the service.
@@ -34,16 +40,23 @@
     pub piece_bytes: u64,
     /// Cost of one recomputed token, in microseconds of time to first token.
     pub recompute_weight_us: f64,
-    /// Cost of crossing to another zone, in microseconds.
+    /// What another zone must save to be chosen, in microseconds.
     pub cross_zone_us: f64,
+    /// Whether the engine computes the front of a prompt while later pieces arrive.
+    pub prefill_during_restore: bool,
+    /// Candidates within this factor of the lowest cost count as equal.
+    pub near_tie_factor: f64,
 }
 
-/// Pieces to import from a store before the attempt.
+/// The near-tie factor in use; `docs/decisions.md` has the comparison.
+pub const NEAR_TIE_FACTOR: f64 = 1.05;
+
+/// Pieces to import from a store for the attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RestorePlan {
     /// The store to read from.
     pub store: InstanceId,
-    /// Index of the first piece to import.
+    /// Index of the first piece to import; pieces before it that are not cached are computed meanwhile.
     pub first_piece: usize,
     /// Number of pieces to import.
     pub piece_count: usize,
@@ -56,7 +69,9 @@
     pub upstream: InstanceId,
     /// The weight version it runs; the attempt demands it.
     pub weight_version: WeightVersion,
-    /// What to restore first, if anything.
+    /// How the cache is filled.
+    pub fill: Fill,
+    /// What to restore, if anything.
     pub restore: Option<RestorePlan>,
     /// Tokens found in the upstream's cache.
     pub cached_tokens: u64,
@@ -68,14 +83,15 @@
     pub reason: String,
 }
 
-/// One way to serve the request at one upstream.
-struct Candidate<'a> {
-    upstream: &'a UpstreamView,
-    restore: Option<(&'a StoreView, usize)>,
-    cached_pieces: usize,
-    recomputed_tokens: u64,
-    estimate_us: f64,
-    cost_us: f64,
+/// An upstream with the cost of its cheapest way, as ranked for a decision.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RankedUpstream {
+    /// The upstream.
+    pub upstream: InstanceId,
+    /// Estimated time to first token in microseconds.
+    pub estimate_us: f64,
+    /// The estimate with the weight for recomputed tokens and the zone.
+    pub cost_us: f64,
 }
 
 /// Chooses the upstream with the lowest cost; `draw` in `0.0..1.0` breaks near-ties.
@@ -87,102 +103,64 @@
     policy: &RoutePolicy,
     draw: f64,
 ) -> Option<Decision> {
-    let eligible = |wanted| {
-        let upstreams = view.upstreams.iter().filter(move |u| u.state == wanted);
-        let upstreams = upstreams.filter(|u| is_eligible(u, request));
-        upstreams.map(|u| best_candidate(u, view, request, policy)).collect::<Vec<_>>()
-    };
-    let mut candidates = eligible(UpstreamState::Live);
-    if candidates.is_empty() {
-        candidates = eligible(UpstreamState::Suspect);
-    }
-    candidates.sort_by(|a, b| a.cost_us.total_cmp(&b.cost_us));
-    let near = candidates.partition_point(|c| c.cost_us <= candidates[0].cost_us * NEAR_TIE_FACTOR);
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let picked = (draw * near as f64) as usize;
-    candidates.get(picked.min(near.saturating_sub(1))).map(|c| decide(c, candidates.len(), policy))
-}
-
-/// Candidates within this factor of the lowest cost count as equal, so that nodes that read the same
-/// report do not all choose the same upstream.
-const NEAR_TIE_FACTOR: f64 = 1.05;
-
-fn is_eligible(upstream: &UpstreamView, request: &RouteRequest<'_>) -> bool {
-    upstream.service == *request.service
-        && !request.excluded.contains(&upstream.id)
-        && request.pinned_version.is_none_or(|version| upstream.weight_version == version)
-}
-
-fn best_candidate<'a>(
-    upstream: &'a UpstreamView,
-    view: &'a ClusterView,
-    request: &RouteRequest<'_>,
-    policy: &RoutePolicy,
-) -> Candidate<'a> {
-    let pieces = request.pieces.get(&upstream.weight_version).map_or(&[][..], Vec::as_slice);
-    let cached_pieces = pieces.iter().take_while(|p| upstream.pieces.contains(*p)).count();
-    let plain = candidate(upstream, None, cached_pieces, request, policy);
-    let stores = view.stores.iter().filter(|s| s.reachable);
-    stores.fold(plain, |best, store| {
-        let wanted = &pieces[cached_pieces..];
-        let held = wanted.iter().take_while(|p| store.pieces.contains(*p)).count();
-        if held == 0 {
-            return best;
-        }
-        let with_restore = candidate(upstream, Some((store, held)), cached_pieces, request, policy);
-        if with_restore.cost_us < best.cost_us { with_restore } else { best }
-    })
+    let ranking = rank(view, request, policy, draw);
+    let lowest = ranking.candidates.first()?;
+    let limit_us = lowest.way.cost_us * policy.near_tie_factor.max(1.0);
+    // A tie is never broken towards another zone.
+    let near: Vec<&Candidate<'_>> = ranking
+        .candidates
+        .iter()
+        .filter(|c| c.way.cost_us <= limit_us && (c.own_zone || !lowest.own_zone))
+        .collect();
+    let chosen = near.get(pick(draw, near.len()))?;
+    Some(decide(chosen, ranking.considered, near.len(), policy))
 }
 
-fn candidate<'a>(
-    upstream: &'a UpstreamView,
-    restore: Option<(&'a StoreView, usize)>,
-    cached_pieces: usize,
+/// Returns the upstreams that a decision weighs in full, cheapest first.
+pub fn ranked(
+    view: &ClusterView,
     request: &RouteRequest<'_>,
     policy: &RoutePolicy,
-) -> Candidate<'a> {
-    let restored_pieces = restore.map_or(0, |(_, count)| count);
-    let kept_tokens = (cached_pieces + restored_pieces) as u64 * policy.piece_tokens;
-    let recomputed_tokens = request.prompt_tokens.saturating_sub(kept_tokens);
-    let queue_tokens = upstream.reported_queue_tokens + upstream.dispatched_tokens;
-    let speed = upstream.prefill_tokens_per_s.max(1) as f64;
-    let prefill_us = (queue_tokens + recomputed_tokens) as f64 / speed * US_PER_S;
-    let transfer_us = restore.map_or(0.0, |(store, count)| {
-        let bytes = store.booked_bytes + count as u64 * policy.piece_bytes;
-        bytes as f64 / store.link_bytes_per_s.max(1) as f64 * US_PER_S
+    draw: f64,
+) -> Vec<RankedUpstream> {
+    let ranking = rank(view, request, policy, draw);
+    let upstreams = ranking.candidates.iter().map(|c| RankedUpstream {
+        upstream: c.upstream.id.clone(),
+        estimate_us: c.way.estimate_us,
+        cost_us: c.way.cost_us,
     });
-    let zone_us = if upstream.zone == *request.zone { 0.0 } else { policy.cross_zone_us };
-    let estimate_us = prefill_us + transfer_us + zone_us;
-    let cost_us = estimate_us + recomputed_tokens as f64 * policy.recompute_weight_us;
-    Candidate { upstream, restore, cached_pieces, recomputed_tokens, estimate_us, cost_us }
+    upstreams.collect()
 }
 
-const US_PER_S: f64 = 1_000_000.0;
-
-fn decide(chosen: &Candidate<'_>, candidate_count: usize, policy: &RoutePolicy) -> Decision {
+fn decide(chosen: &Candidate<'_>, considered: usize, near: usize, policy: &RoutePolicy) -> Decision {
+    let way = &chosen.way;
     let cached_tokens = chosen.cached_pieces as u64 * policy.piece_tokens;
-    let restore = chosen.restore.map(|(store, piece_count)| RestorePlan {
+    let restore = way.store.map(|store| RestorePlan {
         store: store.id.clone(),
-        first_piece: chosen.cached_pieces,
-        piece_count,
+        first_piece: chosen.cached_pieces + way.front_pieces,
+        piece_count: way.pieces,
     });
     let source = restore.as_ref().map_or_else(
         || "nothing restored".to_owned(),
         |plan| format!("{} pieces restored from {}", plan.piece_count, plan.store),
     );
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let estimate_us = chosen.estimate_us.max(0.0) as u64;
+    let zone = if chosen.own_zone { "own zone" } else { "other zone" };
+    let estimate_us = whole(way.estimate_us);
     Decision {
         reason: format!(
-            "{} of {candidate_count} candidates: {cached_tokens} tokens cached, {source}, {} tokens computed, \
-             first token estimated after {estimate_us} us",
-            chosen.upstream.id, chosen.recomputed_tokens,
+            "{} of {considered} candidates ({near} near-equal, {zone}): {}, {cached_tokens} tokens cached, \
+             {source}, {} tokens computed, wait {} us, first token estimated after {estimate_us} us",
+            chosen.upstream.id,
+            way.fill,
+            way.computed_tokens,
+            whole(chosen.wait_us),
         ),
         upstream: chosen.upstream.id.clone(),
         weight_version: chosen.upstream.weight_version,
+        fill: way.fill,
         restore,
         cached_tokens,
-        recomputed_tokens: chosen.recomputed_tokens,
+        recomputed_tokens: way.computed_tokens,
         estimate_us,
     }
 }
--- /dev/null
+++ b/crates/core/src/suspect.rs
@@ -0,0 +1,283 @@
+//! Which request brought upstreams down. Part of the replicated state: every change is deterministic.
+//!
+//! A crash has one cause among the requests that ran, or a cause outside them. A request that finished
+//! elsewhere is cleared. Requests that the evidence cannot tell apart run alone before any is blocked.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::InstanceId;
+
+/// Crashes after which the evidence against a request is judged.
+const CRASHES_TO_BLOCK: usize = 2;
+/// Upstreams that one request may take down.
+const MAX_LOST_UPSTREAMS: usize = 3;
+/// Crashes kept; the oldest are dropped, which bounds the replicated state.
+const MAX_CRASHES: usize = 256;
+/// Blocks kept; the one that expires first is dropped.
+const MAX_BLOCKS: usize = 1_024;
+/// Per mille by which a crash is taken to have a cause outside the requests.
+const OUTSIDE_CAUSE_PERMILLE: u64 = 100;
+
+string_ids! {
+    /// A digest over what a request asks for, the same for each resend.
+    Fingerprint;
+}
+
+value_types! {
+    /// An upstream crashed.
+    pub struct CrashReport {
+        /// The upstream.
+        pub upstream: InstanceId,
+        /// Its incarnation that ended; the same crash may be reported by several nodes.
+        pub incarnation: u64,
+        /// The requests that were running, as one node knows them.
+        pub running: BTreeSet<Fingerprint>,
+    }
+
+    /// A blocked request.
+    pub struct Block {
+        /// Until when, in log time.
+        pub until_ms: u64,
+        /// One line for `daisysill explain`.
+        pub reason: String,
+    }
+
+    /// How a request may run.
+    pub enum Permission {
+        /// Like any other.
+        Run,
+        /// Not on an upstream that runs one of these, so that the next crash tells them apart.
+        RunApart {
+            /// The others under the same suspicion.
+            from: BTreeSet<Fingerprint>,
+        },
+        /// Only on an upstream that runs nothing else, and one at a time.
+        RunAlone,
+        /// Not now: other runs of it could take down too many upstreams.
+        Wait,
+        /// Not until the block expires.
+        Blocked {
+            /// Until when, in log time.
+            until_ms: u64,
+        },
+    }
+
+    /// A permission with its reason.
+    pub struct SuspectDecision {
+        /// The permission.
+        pub permission: Permission,
+        /// One line for `daisysill explain`.
+        pub reason: String,
+    }
+
+    #[derive(PartialOrd, Ord)]
+    struct CrashId {
+        upstream: InstanceId,
+        incarnation: u64,
+    }
+
+    struct Crash {
+        running: BTreeSet<Fingerprint>,
+        at_ms: u64,
+    }
+}
+
+/// Crashes, cleared requests and blocks.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectTable {
+    /// Pairs instead of a map with a structured key, which JSON cannot represent.
+    #[serde(with = "crash_pairs")]
+    crashes: BTreeMap<CrashId, Crash>,
+    /// Requests that finished, with the time; only those that appear in a crash are kept.
+    cleared: BTreeMap<Fingerprint, u64>,
+    blocks: BTreeMap<Fingerprint, Block>,
+}
+
+mod crash_pairs {
+    use std::collections::BTreeMap;
+
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    use super::{Crash, CrashId};
+
+    pub(super) fn serialize<S: Serializer>(
+        crashes: &BTreeMap<CrashId, Crash>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        crashes.iter().collect::<Vec<_>>().serialize(serializer)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<BTreeMap<CrashId, Crash>, D::Error> {
+        Ok(Vec::<(CrashId, Crash)>::deserialize(deserializer)?.into_iter().collect())
+    }
+}
+
+impl SuspectTable {
+    /// Takes a crash report and returns the requests that are newly blocked, for `block_ms`.
+    ///
+    /// ```
+    /// use daisysill_core::suspect::{CrashReport, Permission, SuspectTable};
+    /// let mut table = SuspectTable::default();
+    /// for upstream in ["lyric-1", "lyric-2"] {
+    ///     let running = ["request-a".into()].into();
+    ///     table.crashed(&CrashReport { upstream: upstream.into(), incarnation: 1, running }, 0, 60_000);
+    /// }
+    /// let permission = table.permission(&"request-a".into(), 0, 1).permission;
+    /// assert_eq!(permission, Permission::Blocked { until_ms: 60_000 });
+    /// ```
+    pub fn crashed(&mut self, report: &CrashReport, at_ms: u64, block_ms: u64) -> Vec<Fingerprint> {
+        let id = CrashId { upstream: report.upstream.clone(), incarnation: report.incarnation };
+        let empty = Crash { running: BTreeSet::new(), at_ms };
+        let crash = self.crashes.entry(id).or_insert(empty);
+        crash.running.extend(report.running.iter().cloned());
+        self.drop_oldest_crash();
+        let involved: Vec<Fingerprint> = report.running.iter().cloned().collect();
+        let blocked: Vec<Fingerprint> =
+            involved.into_iter().filter(|f| self.judge(f, at_ms, block_ms)).collect();
+        self.drop_excess_blocks();
+        blocked
+    }
+
+    /// Takes the news that a request ran to its end, which clears it of every crash so far.
+    pub fn finished(&mut self, fingerprint: &Fingerprint, at_ms: u64) {
+        if self.crashes.values().any(|crash| crash.running.contains(fingerprint)) {
+            self.cleared.insert(fingerprint.clone(), at_ms);
+        }
+    }
+
+    /// Lifts blocks that have expired, and forgets the crashes behind them.
+    pub fn expire(&mut self, now_ms: u64) {
+        let expired: Vec<Fingerprint> =
+            self.blocks.iter().filter(|(_, b)| b.until_ms <= now_ms).map(|(f, _)| f.clone()).collect();
+        for fingerprint in expired {
+            self.blocks.remove(&fingerprint);
+            self.crashes.retain(|_, crash| !crash.running.contains(&fingerprint));
+        }
+        let crashes = &self.crashes;
+        self.cleared.retain(|f, _| crashes.values().any(|crash| crash.running.contains(f)));
+    }
+
+    /// Returns how a request may run, given its runs that have not ended anywhere.
+    pub fn permission(&self, fingerprint: &Fingerprint, now_ms: u64, running: usize) -> SuspectDecision {
+        if let Some(block) = self.blocks.get(fingerprint).filter(|block| block.until_ms > now_ms) {
+            let permission = Permission::Blocked { until_ms: block.until_ms };
+            return SuspectDecision { permission, reason: block.reason.clone() };
+        }
+        let crashes = self.open_crashes(fingerprint).len();
+        let likelihood = self.likelihood_permille(fingerprint);
+        let permission = match crashes {
+            0 => Permission::Run,
+            _ if running > 0 && crashes + running >= MAX_LOST_UPSTREAMS => Permission::Wait,
+            1 => self.apart(fingerprint),
+            _ if running > 0 => Permission::Wait,
+            _ => Permission::RunAlone,
+        };
+        let reason = format!(
+            "{crashes} crashes not explained otherwise, cause of one with {likelihood} per mille, {running} \
+             runs in progress"
+        );
+        SuspectDecision { permission, reason }
+    }
+
+    /// Returns how likely a request caused the crashes it was part of, in per mille.
+    ///
+    /// Each crash weighs its suspects by the crashes they were part of: a request in two crashes is a better
+    /// explanation of both than two requests in one each.
+    pub fn likelihood_permille(&self, fingerprint: &Fingerprint) -> u64 {
+        let crashes = self.open_crashes(fingerprint);
+        let innocent = crashes.iter().fold(1_000, |innocent, crash| {
+            let suspects = self.suspects(crash);
+            let weight: u64 = suspects.iter().map(|suspect| self.weight(suspect)).sum();
+            let guilt = (1_000 - OUTSIDE_CAUSE_PERMILLE) * self.weight(fingerprint) / weight.max(1);
+            innocent * (1_000 - guilt) / 1_000
+        });
+        1_000 - innocent
+    }
+
+    /// Iterates over the blocked requests.
+    pub fn blocks(&self) -> impl Iterator<Item = (&Fingerprint, &Block)> {
+        self.blocks.iter()
+    }
+
+    fn weight(&self, fingerprint: &Fingerprint) -> u64 {
+        let crashes = u32::try_from(self.open_crashes(fingerprint).len()).unwrap_or(u32::MAX);
+        10_u64.saturating_pow(crashes.min(6))
+    }
+
+    /// Blocks a request if the evidence points at it and at no other; returns whether it did.
+    fn judge(&mut self, fingerprint: &Fingerprint, at_ms: u64, block_ms: u64) -> bool {
+        if self.blocks.get(fingerprint).is_some_and(|block| block.until_ms > at_ms) {
+            return false;
+        }
+        let crashes = self.open_crashes(fingerprint);
+        let count = crashes.len();
+        if count < CRASHES_TO_BLOCK {
+            return false;
+        }
+        let alone = crashes.iter().any(|crash| self.suspects(crash).len() == 1);
+        let rivals = self.rivals(fingerprint, &crashes);
+        if !alone && !rivals.is_empty() && count < MAX_LOST_UPSTREAMS {
+            return false;
+        }
+        let reason = format!(
+            "blocked: {count} upstreams crashed while it ran, {} others were part of all of these crashes",
+            rivals.len()
+        );
+        self.blocks.insert(fingerprint.clone(), Block { until_ms: at_ms + block_ms, reason });
+        true
+    }
+
+    /// Returns the other suspects that explain each of `crashes` as well.
+    fn rivals(&self, fingerprint: &Fingerprint, crashes: &[&Crash]) -> BTreeSet<Fingerprint> {
+        let mut rivals = crashes.first().map_or_else(BTreeSet::new, |crash| self.suspects(crash));
+        rivals.remove(fingerprint);
+        rivals.retain(|rival| crashes.iter().all(|crash| crash.running.contains(rival)));
+        rivals
+    }
+
+    fn apart(&self, fingerprint: &Fingerprint) -> Permission {
+        let crashes = self.open_crashes(fingerprint);
+        let mut from: BTreeSet<Fingerprint> = crashes.iter().flat_map(|c| self.suspects(c)).collect();
+        from.remove(fingerprint);
+        if from.is_empty() { Permission::RunAlone } else { Permission::RunApart { from } }
+    }
+
+    /// Returns the crashes that a request may have caused: it ran, was not cleared since, and no blocked
+    /// request explains them.
+    fn open_crashes(&self, fingerprint: &Fingerprint) -> Vec<&Crash> {
+        let cleared_ms = self.cleared.get(fingerprint);
+        let part = self.crashes.values().filter(|crash| crash.running.contains(fingerprint));
+        let open = part.filter(|crash| cleared_ms.is_none_or(|cleared| crash.at_ms > *cleared));
+        open.filter(|crash| !self.is_explained(crash, fingerprint)).collect()
+    }
+
+    fn is_explained(&self, crash: &Crash, except: &Fingerprint) -> bool {
+        crash.running.iter().any(|f| f != except && self.blocks.contains_key(f))
+    }
+
+    /// Returns the requests of a crash that are not cleared of it.
+    fn suspects(&self, crash: &Crash) -> BTreeSet<Fingerprint> {
+        let is_open = |f: &&Fingerprint| self.cleared.get(*f).is_none_or(|cleared| crash.at_ms > *cleared);
+        crash.running.iter().filter(is_open).cloned().collect()
+    }
+
+    fn drop_oldest_crash(&mut self) {
+        while self.crashes.len() > MAX_CRASHES {
+            let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at_ms);
+            let Some(id) = oldest.map(|(id, _)| id.clone()) else { return };
+            self.crashes.remove(&id);
+        }
+    }
+
+    fn drop_excess_blocks(&mut self) {
+        while self.blocks.len() > MAX_BLOCKS {
+            let first = self.blocks.iter().min_by_key(|(_, block)| block.until_ms);
+            let Some(fingerprint) = first.map(|(f, _)| f.clone()) else { return };
+            self.blocks.remove(&fingerprint);
+        }
+    }
+}
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -1,12 +1,24 @@
 //! What a node believes about upstreams and stores. Always a hint, checked where it is used.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeMap, sync::Arc};
 
 use crate::{
+    backlog::Backlog,
     block::BlockName,
     ids::{InstanceId, ServiceName, WeightVersion, ZoneName},
+    num::US_PER_S,
+    piece_index::{Holder, PieceIndex, PieceKey},
 };
 
+pub use crate::backlog::{LoadReport, PeerLoad};
+
+/// Upstreams that are copied together when one of them changes while a snapshot is in use.
+const CHUNK: usize = 64;
+/// Slots below this number belong to upstreams, the others to stores.
+const FIRST_STORE_SLOT: u16 = 0xF000;
+/// Prefill speed assumed until an upstream reports its own.
+const ASSUMED_PREFILL_TOKENS_PER_S: u64 = 10_000;
+
 /// Whether an upstream may get new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpstreamState {
@@ -20,7 +32,7 @@
     Down,
 }
 
-/// One model engine or plain service instance.
+/// What identifies one model engine or plain service instance.
 #[derive(Clone, Debug)]
 pub struct UpstreamView {
     /// The upstream.
@@ -33,14 +45,6 @@
     pub state: UpstreamState,
     /// The weight version it runs.
     pub weight_version: WeightVersion,
-    /// Tokens queued for prefill at the time of the last report.
-    pub reported_queue_tokens: u64,
-    /// Tokens this node dispatched since the time of the last report.
-    pub dispatched_tokens: u64,
-    /// Prefill speed in tokens per second.
-    pub prefill_tokens_per_s: u64,
-    /// Pieces that its cache is believed to hold.
-    pub pieces: BTreeSet<BlockName>,
 }
 
 /// One store and the link to it.
@@ -54,17 +58,385 @@
     pub reachable: bool,
     /// Bytes per second of its link that this node may use.
     pub link_bytes_per_s: u64,
-    /// Bytes already booked on the link by this node.
+    /// Bytes that are booked on the link ahead of a new transfer.
     pub booked_bytes: u64,
-    /// Pieces it is believed to hold, sealed.
-    pub pieces: BTreeSet<BlockName>,
+}
+
+/// What a routing decision reads of each upstream; kept small because a decision reads every row.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Row {
+    /// Index of the service's name, `u16::MAX` for a free slot.
+    pub(crate) service: u16,
+    /// Index of the zone's name.
+    pub(crate) zone: u16,
+    /// Whether it may get new work.
+    pub(crate) state: UpstreamState,
+    /// Epoch of its cache.
+    pub(crate) epoch: u16,
+    /// The weight version it runs.
+    pub(crate) weight_version: WeightVersion,
+    /// Queued tokens at `as_of_ms`, in microseconds of prefill.
+    pub(crate) backlog_us: f64,
+    /// Time of the last addition to the backlog.
+    pub(crate) as_of_ms: u64,
+    /// Microseconds of prefill per token.
+    pub(crate) us_per_token: f64,
+}
+
+impl Row {
+    /// Returns the prefill time queued ahead of a new request.
+    pub(crate) fn wait_us(&self, now_ms: u64) -> f64 {
+        (self.backlog_us - now_ms.saturating_sub(self.as_of_ms) as f64 * 1_000.0).max(0.0)
+    }
+}
+
+const FREE: Row = Row {
+    service: u16::MAX,
+    zone: 0,
+    state: UpstreamState::Down,
+    epoch: 0,
+    weight_version: WeightVersion(0),
+    backlog_us: 0.0,
+    as_of_ms: 0,
+    us_per_token: 0.0,
+};
+
+#[derive(Clone, Debug)]
+struct Entry {
+    view: UpstreamView,
+    backlog: Backlog,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Chunk {
+    rows: Vec<Row>,
+    entries: Vec<Option<Entry>>,
+}
+
+/// Slots by instance and numbers by name; changes only when instances come and go.
+#[derive(Clone, Debug, Default)]
+struct Directory {
+    slots: BTreeMap<InstanceId, u16>,
+    names: Vec<String>,
+    free: Vec<u16>,
+}
+
+/// One store with the epoch of its contents.
+#[derive(Clone, Debug)]
+struct StoreEntry {
+    view: StoreView,
+    epoch: u16,
+    removed: bool,
 }
 
 /// All upstreams and stores that a decision may use.
+///
+/// Cloning takes constant time, so a node keeps one value under a lock and hands clones to its threads.
+/// A change copies only the parts it touches, and only while a clone still uses them.
 #[derive(Clone, Debug, Default)]
 pub struct ClusterView {
-    /// Engines and plain service instances.
-    pub upstreams: Vec<UpstreamView>,
-    /// Stores.
-    pub stores: Vec<StoreView>,
+    directory: Arc<Directory>,
+    chunks: Arc<Vec<Arc<Chunk>>>,
+    stores: Arc<Vec<StoreEntry>>,
+    pieces: PieceIndex,
+}
+
+impl ClusterView {
+    /// Adds an upstream, or updates its identity and keeps its load and pieces.
+    ///
+    /// ```
+    /// use daisysill_core::{ids::WeightVersion, view::{ClusterView, UpstreamState, UpstreamView}};
+    /// let mut view = ClusterView::default();
+    /// view.put_upstream(UpstreamView {
+    ///     id: "lyric-1".into(),
+    ///     service: "lyric-llm".into(),
+    ///     zone: "bkk-bangna".into(),
+    ///     state: UpstreamState::Live,
+    ///     weight_version: WeightVersion(1),
+    /// });
+    /// assert_eq!(view.upstreams().count(), 1);
+    /// ```
+    pub fn put_upstream(&mut self, upstream: UpstreamView) {
+        let Some(slot) = self.slot_for(&upstream.id) else { return };
+        let service = self.name_index(upstream.service.as_str());
+        let zone = self.name_index(upstream.zone.as_str());
+        let (chunk, at) = self.chunk_mut(slot);
+        let row = &mut chunk.rows[at];
+        row.service = service;
+        row.zone = zone;
+        row.state = upstream.state;
+        row.weight_version = upstream.weight_version;
+        match &mut chunk.entries[at] {
+            Some(entry) => entry.view = upstream,
+            empty => {
+                let report = LoadReport {
+                    at_ms: 0,
+                    queue_tokens: 0,
+                    prefill_tokens_per_s: ASSUMED_PREFILL_TOKENS_PER_S,
+                };
+                *empty = Some(Entry { view: upstream, backlog: Backlog::new(report) });
+            }
+        }
+        self.with_backlog(slot, |_| {});
+    }
+
+    /// Removes an upstream and forgets its pieces.
+    pub fn remove_upstream(&mut self, id: &InstanceId) {
+        let Some(slot) = self.upstream_slot(id) else { return };
+        let (chunk, at) = self.chunk_mut(slot);
+        // The epoch survives, so pieces of the slot's former owner never count for the next one.
+        chunk.rows[at] = Row { epoch: chunk.rows[at].epoch.wrapping_add(1), ..FREE };
+        chunk.entries[at] = None;
+        let directory = Arc::make_mut(&mut self.directory);
+        directory.slots.remove(id);
+        directory.free.push(slot);
+    }
+
+    /// Sets whether an upstream may get new work.
+    pub fn set_state(&mut self, id: &InstanceId, state: UpstreamState) {
+        let Some(slot) = self.upstream_slot(id) else { return };
+        let (chunk, at) = self.chunk_mut(slot);
+        chunk.rows[at].state = state;
+        if let Some(entry) = &mut chunk.entries[at] {
+            entry.view.state = state;
+        }
+    }
+
+    /// Takes a load report; an older one than the last is ignored.
+    pub fn report(&mut self, id: &InstanceId, report: LoadReport) {
+        self.change_backlog(id, |backlog| backlog.report(report));
+    }
+
+    /// Adds what this node just dispatched.
+    pub fn dispatched(&mut self, id: &InstanceId, at_ms: u64, tokens: u64) {
+        self.change_backlog(id, |backlog| backlog.dispatched(at_ms, tokens));
+    }
+
+    /// Takes back a dispatch that was cancelled before it ran.
+    pub fn retracted(&mut self, id: &InstanceId, at_ms: u64, tokens: u64) {
+        self.change_backlog(id, |backlog| backlog.retracted(at_ms, tokens));
+    }
+
+    /// Takes what another node says it dispatched to an upstream.
+    pub fn peer_load(&mut self, id: &InstanceId, load: PeerLoad) {
+        self.change_backlog(id, |backlog| backlog.peer(load));
+    }
+
+    /// Adds a store, or updates its link and keeps its pieces.
+    pub fn put_store(&mut self, store: StoreView) {
+        let stores = Arc::make_mut(&mut self.stores);
+        if let Some(entry) = stores.iter_mut().find(|entry| entry.view.id == store.id) {
+            entry.view = store;
+            entry.removed = false;
+            return;
+        }
+        if stores.len() < usize::from(u16::MAX - FIRST_STORE_SLOT) {
+            stores.push(StoreEntry { view: store, epoch: 0, removed: false });
+        }
+    }
+
+    /// Removes a store and forgets its pieces.
+    pub fn remove_store(&mut self, id: &InstanceId) {
+        self.clear_pieces(id);
+        let stores = Arc::make_mut(&mut self.stores);
+        if let Some(entry) = stores.iter_mut().find(|entry| entry.view.id == *id) {
+            entry.removed = true;
+        }
+    }
+
+    /// Records that an upstream or a store holds a piece.
+    pub fn piece_stored(&mut self, id: &InstanceId, name: &BlockName) {
+        if let Some(holder) = self.holder(id) {
+            self.pieces.insert(PieceKey::of(name), holder);
+        }
+    }
+
+    /// Records that an upstream or a store no longer holds a piece.
+    pub fn piece_evicted(&mut self, id: &InstanceId, name: &BlockName) {
+        if let Some(holder) = self.holder(id) {
+            self.pieces.remove(PieceKey::of(name), holder.slot);
+        }
+    }
+
+    /// Forgets every piece of an instance, as after its restart, in constant time.
+    pub fn clear_pieces(&mut self, id: &InstanceId) {
+        if let Some(slot) = self.upstream_slot(id) {
+            let (chunk, at) = self.chunk_mut(slot);
+            chunk.rows[at].epoch = chunk.rows[at].epoch.wrapping_add(1);
+            return;
+        }
+        let stores = Arc::make_mut(&mut self.stores);
+        if let Some(entry) = stores.iter_mut().find(|entry| entry.view.id == *id) {
+            entry.epoch = entry.epoch.wrapping_add(1);
+        }
+    }
+
+    /// Frees the memory of forgotten pieces in one of 1,024 shards; call it in turn for each.
+    pub fn sweep(&mut self, shard: usize) -> usize {
+        let Self { chunks, stores, pieces, .. } = self;
+        pieces.sweep(shard, |holder| current(chunks, stores, holder))
+    }
+
+    /// Iterates over the upstreams.
+    pub fn upstreams(&self) -> impl Iterator<Item = &UpstreamView> {
+        self.chunks.iter().flat_map(|chunk| chunk.entries.iter().flatten().map(|entry| &entry.view))
+    }
+
+    /// Iterates over the stores.
+    pub fn stores(&self) -> impl Iterator<Item = &StoreView> {
+        self.stores.iter().filter(|entry| !entry.removed).map(|entry| &entry.view)
+    }
+
+    /// Returns the estimated prefill time queued at an upstream.
+    pub fn wait_us(&self, id: &InstanceId, now_ms: u64) -> Option<f64> {
+        self.upstream_slot(id).map(|slot| self.row(slot).wait_us(now_ms))
+    }
+
+    /// Returns whether an upstream or a store is believed to hold a piece.
+    pub fn holds(&self, id: &InstanceId, name: &BlockName) -> bool {
+        self.holder(id).is_some_and(|holder| self.pieces.holders(PieceKey::of(name)).contains(&holder))
+    }
+
+    /// Iterates over the rows of all slots, in slot order.
+    pub(crate) fn rows(&self) -> impl Iterator<Item = &Row> {
+        self.chunks.iter().flat_map(|chunk| chunk.rows.iter())
+    }
+
+    /// Returns the number of slots.
+    pub(crate) fn row_count(&self) -> usize {
+        self.chunks.len() * CHUNK
+    }
+
+    /// Returns the row of a slot, `None` for a store's slot.
+    pub(crate) fn row_at(&self, slot: u16) -> Option<&Row> {
+        let slot = usize::from(slot);
+        self.chunks.get(slot / CHUNK).map(|chunk| &chunk.rows[slot % CHUNK])
+    }
+
+    /// Returns the row of a slot that is known to exist.
+    pub(crate) fn row(&self, slot: u16) -> &Row {
+        let slot = usize::from(slot);
+        &self.chunks[slot / CHUNK].rows[slot % CHUNK]
+    }
+
+    /// Returns the identity of an upstream by slot.
+    pub(crate) fn upstream_at(&self, slot: u16) -> Option<&UpstreamView> {
+        let slot = usize::from(slot);
+        let chunk = self.chunks.get(slot / CHUNK)?;
+        chunk.entries.get(slot % CHUNK)?.as_ref().map(|entry| &entry.view)
+    }
+
+    /// Returns the slot of an upstream.
+    pub(crate) fn upstream_slot(&self, id: &InstanceId) -> Option<u16> {
+        self.directory.slots.get(id).copied()
+    }
+
+    /// Returns the number of a service or zone name, if any upstream uses it.
+    pub(crate) fn name_number(&self, name: &str) -> Option<u16> {
+        let at = self.directory.names.iter().position(|known| known == name)?;
+        u16::try_from(at).ok()
+    }
+
+    /// Returns the recorded holders of a piece, sorted by slot, forgotten ones included.
+    pub(crate) fn holders(&self, key: PieceKey) -> &[Holder] {
+        self.pieces.holders(key)
+    }
+
+    /// Returns the reachable stores that hold any of `keys`, with the run of pieces held from each index on.
+    pub(crate) fn store_runs(&self, keys: &[PieceKey]) -> Vec<(&StoreView, Vec<usize>)> {
+        let stores = self.stores.iter().enumerate();
+        let usable = stores.filter(|(_, entry)| entry.view.reachable && !entry.removed);
+        let runs = usable.filter_map(|(at, entry)| {
+            let slot = FIRST_STORE_SLOT + u16::try_from(at).ok()?;
+            let runs = self.runs(keys, Holder { slot, epoch: entry.epoch });
+            runs.iter().any(|run| *run > 0).then_some((&entry.view, runs))
+        });
+        runs.collect()
+    }
+
+    fn runs(&self, keys: &[PieceKey], holder: Holder) -> Vec<usize> {
+        let mut runs = vec![0; keys.len()];
+        let mut run = 0;
+        for (at, key) in keys.iter().enumerate().rev() {
+            run = if holds(self.holders(*key), holder) { run + 1 } else { 0 };
+            runs[at] = run;
+        }
+        runs
+    }
+
+    fn holder(&self, id: &InstanceId) -> Option<Holder> {
+        if let Some(slot) = self.upstream_slot(id) {
+            return Some(Holder { slot, epoch: self.row(slot).epoch });
+        }
+        let at = self.stores.iter().position(|entry| entry.view.id == *id && !entry.removed)?;
+        let slot = FIRST_STORE_SLOT + u16::try_from(at).ok()?;
+        Some(Holder { slot, epoch: self.stores[at].epoch })
+    }
+
+    fn change_backlog(&mut self, id: &InstanceId, change: impl FnOnce(&mut Backlog)) {
+        if let Some(slot) = self.upstream_slot(id) {
+            self.with_backlog(slot, change);
+        }
+    }
+
+    fn with_backlog(&mut self, slot: u16, change: impl FnOnce(&mut Backlog)) {
+        let (chunk, at) = self.chunk_mut(slot);
+        let Some(entry) = &mut chunk.entries[at] else { return };
+        change(&mut entry.backlog);
+        let (tokens, as_of_ms) = entry.backlog.replay();
+        let us_per_token = US_PER_S / entry.backlog.prefill_tokens_per_s() as f64;
+        let row = &mut chunk.rows[at];
+        row.backlog_us = tokens * us_per_token;
+        row.as_of_ms = as_of_ms;
+        row.us_per_token = us_per_token;
+    }
+
+    fn chunk_mut(&mut self, slot: u16) -> (&mut Chunk, usize) {
+        let slot = usize::from(slot);
+        let chunks = Arc::make_mut(&mut self.chunks);
+        (Arc::make_mut(&mut chunks[slot / CHUNK]), slot % CHUNK)
+    }
+
+    fn slot_for(&mut self, id: &InstanceId) -> Option<u16> {
+        if let Some(slot) = self.upstream_slot(id) {
+            return Some(slot);
+        }
+        let directory = Arc::make_mut(&mut self.directory);
+        let next = u16::try_from(directory.slots.len()).ok().filter(|slot| *slot < FIRST_STORE_SLOT)?;
+        let slot = directory.free.pop().unwrap_or(next);
+        directory.slots.insert(id.clone(), slot);
+        let chunks = Arc::make_mut(&mut self.chunks);
+        if usize::from(slot) >= chunks.len() * CHUNK {
+            let empty = Chunk { rows: vec![FREE; CHUNK], entries: vec![None; CHUNK] };
+            chunks.push(Arc::new(empty));
+        }
+        Some(slot)
+    }
+
+    fn name_index(&mut self, name: &str) -> u16 {
+        if let Some(number) = self.name_number(name) {
+            return number;
+        }
+        let names = &mut Arc::make_mut(&mut self.directory).names;
+        names.push(name.to_owned());
+        u16::try_from(names.len() - 1).unwrap_or(u16::MAX - 1)
+    }
+}
+
+/// Returns whether a holder is recorded with its present epoch.
+pub(crate) fn holds(holders: &[Holder], holder: Holder) -> bool {
+    match holders {
+        [only] => *only == holder,
+        _ => holders.binary_search(&holder).is_ok(),
+    }
+}
+
+fn current(chunks: &[Arc<Chunk>], stores: &[StoreEntry], holder: Holder) -> bool {
+    if holder.slot >= FIRST_STORE_SLOT {
+        let entry = stores.get(usize::from(holder.slot - FIRST_STORE_SLOT));
+        return entry.is_some_and(|entry| entry.epoch == holder.epoch);
+    }
+    let slot = usize::from(holder.slot);
+    let row = chunks.get(slot / CHUNK).map(|chunk| chunk.rows[slot % CHUNK]);
+    row.is_some_and(|row| row.epoch == holder.epoch)
 }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -144,12 +144,15 @@
             prompt_tokens: prompt_bytes.div_ceil(self.service.bytes_per_token),
             pinned_version: self.pinned_version,
             excluded: &self.excluded,
+            now_ms: 0,
         };
         let policy = RoutePolicy {
             piece_tokens: self.service.piece_tokens,
             piece_bytes: self.service.piece_bytes,
             recompute_weight_us: self.rules.costs.recompute_weight_us as f64,
             cross_zone_us: CROSS_ZONE_US,
+            prefill_during_restore: false,
+            near_tie_factor: route::NEAR_TIE_FACTOR,
         };
         let decision = route::choose(&view, &request, &policy, rand::rng().random::<f64>())?;
         self.life.decision(&decision.reason);
@@ -161,7 +164,7 @@
         let piece_bytes = self.service.piece_tokens * self.service.bytes_per_token;
         let piece_bytes = usize::try_from(piece_bytes).unwrap_or(usize::MAX);
         let mut pieces = BTreeMap::new();
-        for upstream in view.upstreams.iter().filter(|u| u.service == self.life.service) {
+        for upstream in view.upstreams().filter(|u| u.service == self.life.service) {
             pieces.entry(upstream.weight_version).or_insert_with(|| {
                 let scope = BlockScope {
                     customer: &self.life.customer,
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -220,7 +220,7 @@
         let usable = |u: &&daisysill_core::view::UpstreamView| {
             u.service == self.life.service && u.state == UpstreamState::Live && !excluded.contains(&u.id)
         };
-        let upstreams: Vec<_> = view.upstreams.iter().filter(usable).collect();
+        let upstreams: Vec<_> = view.upstreams().filter(usable).collect();
         let near: Vec<_> =
             upstreams.iter().copied().filter(|u| u.zone == self.shared.config.node.zone).collect();
         let pool = if near.is_empty() { upstreams } else { near };
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -12,7 +12,7 @@
     block::BlockName,
     chart::Chart,
     ids::{InstanceId, ServiceName, WeightVersion, ZoneName},
-    view::{ClusterView, StoreView, UpstreamState, UpstreamView},
+    view::{ClusterView, LoadReport, StoreView, UpstreamState, UpstreamView},
 };
 use daisysill_wire::border::{
     CacheEventKind, CacheEvents, EngineLoad, InstanceKind, InstanceState, PlatformInstance, UpstreamStatus,
@@ -61,9 +61,10 @@
         let mut view = ClusterView::default();
         for (id, entry) in entries.iter() {
             match entry.listed.kind {
-                InstanceKind::Engine | InstanceKind::Plain => view.upstreams.push(upstream_view(id, entry)),
-                InstanceKind::Store => view.stores.push(store_view(id, entry)),
+                InstanceKind::Engine | InstanceKind::Plain => put_upstream(&mut view, id, entry),
+                InstanceKind::Store => view.put_store(store_view(id, entry)),
             }
+            entry.pieces.iter().for_each(|piece| view.piece_stored(id, piece));
         }
         view
     }
@@ -212,9 +213,9 @@
     }
 }
 
-fn upstream_view(id: &InstanceId, entry: &Entry) -> UpstreamView {
+fn put_upstream(view: &mut ClusterView, id: &InstanceId, entry: &Entry) {
     let load = entry.load.as_ref();
-    UpstreamView {
+    view.put_upstream(UpstreamView {
         id: id.clone(),
         service: ServiceName::from(entry.listed.service.as_str()),
         zone: ZoneName::from(entry.listed.availability_zone.as_str()),
@@ -225,11 +226,11 @@
             _ => UpstreamState::Down,
         },
         weight_version: WeightVersion(load.map_or(0, |l| l.weight_version)),
-        reported_queue_tokens: load.map_or(0, |l| l.queue_tokens),
-        dispatched_tokens: entry.dispatched_tokens,
-        prefill_tokens_per_s: load.map_or(ASSUMED_PREFILL_TOKENS_PER_S, |l| l.prefill_tokens_per_s),
-        pieces: entry.pieces.clone(),
-    }
+    });
+    let prefill_tokens_per_s = load.map_or(ASSUMED_PREFILL_TOKENS_PER_S, |l| l.prefill_tokens_per_s);
+    let queue_tokens = load.map_or(0, |l| l.queue_tokens);
+    view.report(id, LoadReport { at_ms: 0, queue_tokens, prefill_tokens_per_s });
+    view.dispatched(id, 0, entry.dispatched_tokens);
 }
 
 fn store_view(id: &InstanceId, entry: &Entry) -> StoreView {
@@ -239,7 +240,6 @@
         reachable: entry.state == "live",
         link_bytes_per_s: 1,
         booked_bytes: 0,
-        pieces: entry.pieces.clone(),
     }
 }
 
