--- /dev/null
+++ b/crates/core/examples/decision_cost.rs
@@ -0,0 +1,29 @@
+//! Prints what decisions cost and how far routing is from the best choice when load reports are stale.
+//!
+//! Run with `cargo run --release -p daisysill-core --example decision_cost`.
+
+#[path = "decision_cost/admission_cost.rs"]
+mod admission_cost;
+#[path = "decision_cost/regret.rs"]
+mod regret;
+#[path = "decision_cost/route_cost.rs"]
+mod route_cost;
+#[path = "decision_cost/timing.rs"]
+mod timing;
+
+fn main() {
+    println!("# decision, case, median us, p99 us, count");
+    for upstreams in [24, 440, 4_400] {
+        route_cost::print(upstreams);
+    }
+    for customers in [10, 5_600] {
+        admission_cost::print(customers);
+    }
+    if std::env::args().any(|arg| arg == "--no-regret") {
+        return;
+    }
+    println!(
+        "# scenario, report interval ms, method, mean and p95 of (time to first token - best) in ms; 7 deciders"
+    );
+    regret::print();
+}
--- /dev/null
+++ b/crates/core/examples/decision_cost/regret.rs
@@ -0,0 +1,271 @@
+//! Simulation of several deciders that route by stale load reports.
+
+#![allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+
+use std::collections::BTreeMap;
+
+use daisysill_core::{
+    block::BlockName,
+    ids::{InstanceId, ServiceName, WeightVersion, ZoneName},
+    route::{RoutePolicy, RouteRequest, choose},
+    view::{ClusterView, LoadReport, PeerLoad, UpstreamState, UpstreamView},
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
+
+const DECIDERS: usize = 7;
+const UPSTREAMS: usize = 20;
+const CONTEXTS: usize = 60;
+const PIECES: usize = 8;
+const PIECE_TOKENS: u64 = 500;
+const PEER_REPORT_MS: u64 = 100;
+const REPORT_LAG_MS: u64 = 100;
+const RUN_MS: u64 = 4_000;
+const VIEWS: u64 = 40;
+const VERSION: WeightVersion = WeightVersion(1);
+
+/// A way to break ties.
+#[derive(Clone, Copy)]
+struct Method {
+    name: &'static str,
+    near_tie_factor: f64,
+    two_choices: bool,
+    shared: bool,
+}
+
+const METHODS: &[Method] = &[
+    Method { name: "lowest estimate only", near_tie_factor: 1.0, two_choices: false, shared: false },
+    Method { name: "power of two choices", near_tie_factor: 1.0, two_choices: true, shared: false },
+    Method { name: "near-ties 1.05", near_tie_factor: 1.05, two_choices: false, shared: false },
+    Method { name: "near-ties 1.25", near_tie_factor: 1.25, two_choices: false, shared: false },
+    Method { name: "near-ties 1.5", near_tie_factor: 1.5, two_choices: false, shared: false },
+    Method {
+        name: "power of two choices, shared counts",
+        near_tie_factor: 1.0,
+        two_choices: true,
+        shared: true,
+    },
+    Method { name: "lowest, shared counts", near_tie_factor: 1.0, two_choices: false, shared: true },
+    Method { name: "near-ties 1.02, shared counts", near_tie_factor: 1.02, two_choices: false, shared: true },
+    Method { name: "near-ties 1.05, shared counts", near_tie_factor: 1.05, two_choices: false, shared: true },
+    Method { name: "near-ties 1.15, shared counts", near_tie_factor: 1.15, two_choices: false, shared: true },
+    Method { name: "near-ties 1.25, shared counts", near_tie_factor: 1.25, two_choices: false, shared: true },
+];
+
+/// What the drawn upstreams are like.
+#[derive(Clone, Copy)]
+struct Scenario {
+    name: &'static str,
+    /// Upstreams that hold each context.
+    holders: usize,
+    min_tokens_per_s: u64,
+    /// Requests per millisecond over all deciders.
+    arrivals_per_ms: f64,
+}
+
+const SCENARIOS: &[Scenario] = &[
+    Scenario { name: "cached prefixes", holders: 2, min_tokens_per_s: 8_000, arrivals_per_ms: 0.06 },
+    Scenario { name: "nothing cached", holders: 0, min_tokens_per_s: 8_000, arrivals_per_ms: 0.025 },
+    Scenario {
+        name: "nothing cached, equal speeds",
+        holders: 0,
+        min_tokens_per_s: 11_999,
+        arrivals_per_ms: 0.025,
+    },
+];
+
+/// The true state of one upstream.
+struct Worker {
+    id: InstanceId,
+    tokens_per_s: u64,
+    backlog_us: f64,
+}
+
+struct Node {
+    view: ClusterView,
+    /// Time of the last report known, and what was sent since, by upstream.
+    report_ms: u64,
+    sent: Vec<Vec<(u64, u64)>>,
+}
+
+struct World {
+    workers: Vec<Worker>,
+    /// Upstreams that hold each context.
+    holders: Vec<Vec<usize>>,
+    pieces: Vec<BTreeMap<WeightVersion, Vec<BlockName>>>,
+}
+
+impl World {
+    fn draw(scenario: &Scenario, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let workers = (0..UPSTREAMS).map(|at| Worker {
+            id: InstanceId::from(format!("worker-{at}")),
+            tokens_per_s: rng.random_range(scenario.min_tokens_per_s..12_000),
+            backlog_us: rng.random_range(0.0..400_000.0),
+        });
+        let workers = workers.collect();
+        let mut order: Vec<usize> = (0..UPSTREAMS).collect();
+        let mut holders = Vec::new();
+        for _ in 0..CONTEXTS {
+            order.shuffle(&mut rng);
+            holders.push(order[..scenario.holders].to_vec());
+        }
+        let name = |context: usize, piece: usize| {
+            BlockName::from(format!("{:016x}", (context * 97 + piece + 1) * 0x9e37_79b9_7f4a).as_str())
+        };
+        let names = |context| (0..PIECES).map(|piece| name(context, piece)).collect();
+        let pieces = (0..CONTEXTS).map(|context| BTreeMap::from([(VERSION, names(context))])).collect();
+        Self { workers, holders, pieces }
+    }
+
+    fn node(&self) -> Node {
+        let mut view = ClusterView::default();
+        for worker in &self.workers {
+            view.put_upstream(UpstreamView {
+                id: worker.id.clone(),
+                service: "lyric-llm".into(),
+                zone: "zone".into(),
+                state: UpstreamState::Live,
+                weight_version: VERSION,
+            });
+        }
+        for (context, holders) in self.holders.iter().enumerate() {
+            for holder in holders {
+                let names = &self.pieces[context][&VERSION];
+                for name in names {
+                    view.piece_stored(&self.workers[*holder].id, name);
+                }
+            }
+        }
+        Node { view, report_ms: 0, sent: vec![Vec::new(); UPSTREAMS] }
+    }
+
+    fn first_token_us(&self, worker: usize, context: usize, tokens: u64) -> (f64, f64) {
+        let cached = if self.holders[context].contains(&worker) { PIECES as u64 * PIECE_TOKENS } else { 0 };
+        let computed = tokens.saturating_sub(cached) as f64 / self.workers[worker].tokens_per_s as f64 * 1e6;
+        (self.workers[worker].backlog_us + computed, computed)
+    }
+
+    fn reports(&self, at_ms: u64) -> Vec<LoadReport> {
+        let report = |worker: &Worker| LoadReport {
+            at_ms,
+            queue_tokens: (worker.backlog_us * worker.tokens_per_s as f64 / 1e6) as u64,
+            prefill_tokens_per_s: worker.tokens_per_s,
+        };
+        self.workers.iter().map(report).collect()
+    }
+}
+
+/// Prints the regret of every method in every scenario at several report intervals.
+pub(crate) fn print() {
+    for scenario in SCENARIOS {
+        for report_every_ms in [250, 500, 1_000] {
+            for method in METHODS {
+                let mut regrets: Vec<f64> = Vec::new();
+                (0..VIEWS).for_each(|seed| run(scenario, method, report_every_ms, seed, &mut regrets));
+                regrets.sort_by(f64::total_cmp);
+                let mean = regrets.iter().sum::<f64>() / regrets.len() as f64 / 1_000.0;
+                let p95 = regrets[regrets.len() * 95 / 100] / 1_000.0;
+                println!("{}, {report_every_ms}, {}, {mean:.1}, {p95:.1}", scenario.name, method.name);
+            }
+        }
+    }
+}
+
+fn run(scenario: &Scenario, method: &Method, report_every_ms: u64, seed: u64, regrets: &mut Vec<f64>) {
+    let mut world = World::draw(scenario, seed);
+    let mut nodes: Vec<Node> = (0..DECIDERS).map(|_| world.node()).collect();
+    let mut rng = StdRng::seed_from_u64(seed + 1_000);
+    let mut pending: Vec<LoadReport> = world.reports(0);
+    for now_ms in 0..RUN_MS {
+        world.workers.iter_mut().for_each(|w| w.backlog_us = (w.backlog_us - 1_000.0).max(0.0));
+        if now_ms % report_every_ms == 0 {
+            pending = world.reports(now_ms);
+        }
+        if now_ms % report_every_ms == REPORT_LAG_MS || now_ms == 0 {
+            for node in &mut nodes {
+                take_reports(node, &world, &pending);
+            }
+        }
+        if method.shared && now_ms % PEER_REPORT_MS == 0 {
+            share_counts(&mut nodes, &world, now_ms);
+        }
+        let more = scenario.arrivals_per_ms / (1.0 + scenario.arrivals_per_ms);
+        while rng.random_range(0.0..1.0) < more {
+            let decider = rng.random_range(0..DECIDERS);
+            let context = rng.random_range(0..CONTEXTS);
+            let tokens = rng.random_range(4_000..8_000);
+            let chosen = decide(method, &nodes[decider], &world, context, tokens, now_ms, &mut rng);
+            let (actual_us, computed_us) = world.first_token_us(chosen, context, tokens);
+            let costs = (0..UPSTREAMS).map(|worker| world.first_token_us(worker, context, tokens).0);
+            regrets.push(actual_us - costs.fold(f64::INFINITY, f64::min));
+            world.workers[chosen].backlog_us += computed_us;
+            let sent = (computed_us * world.workers[chosen].tokens_per_s as f64 / 1e6) as u64;
+            nodes[decider].view.dispatched(&world.workers[chosen].id, now_ms, sent);
+            nodes[decider].sent[chosen].push((now_ms, sent));
+        }
+    }
+}
+
+fn take_reports(node: &mut Node, world: &World, reports: &[LoadReport]) {
+    for (at, report) in reports.iter().enumerate() {
+        node.view.report(&world.workers[at].id, *report);
+        node.report_ms = report.at_ms;
+        node.sent[at].retain(|(sent_ms, _)| *sent_ms >= report.at_ms);
+    }
+}
+
+fn share_counts(nodes: &mut [Node], world: &World, now_ms: u64) {
+    for from in 0..nodes.len() {
+        for (at, worker) in world.workers.iter().enumerate() {
+            let load = PeerLoad {
+                peer: InstanceId::from(format!("node-{from}")),
+                since_ms: nodes[from].report_ms,
+                at_ms: now_ms,
+                tokens: nodes[from].sent[at].iter().map(|(_, tokens)| tokens).sum(),
+            };
+            for (to, node) in nodes.iter_mut().enumerate() {
+                if to != from {
+                    node.view.peer_load(&worker.id, load.clone());
+                }
+            }
+        }
+    }
+}
+
+fn decide(
+    method: &Method,
+    node: &Node,
+    world: &World,
+    context: usize,
+    tokens: u64,
+    now_ms: u64,
+    rng: &mut StdRng,
+) -> usize {
+    let mut excluded: Vec<InstanceId> = Vec::new();
+    if method.two_choices {
+        let mut order: Vec<usize> = (0..UPSTREAMS).collect();
+        order.shuffle(rng);
+        excluded = order[2..].iter().map(|at| world.workers[*at].id.clone()).collect();
+    }
+    let (service, zone) = (ServiceName::from("lyric-llm"), ZoneName::from("zone"));
+    let request = RouteRequest {
+        service: &service,
+        zone: &zone,
+        pieces: &world.pieces[context],
+        prompt_tokens: tokens,
+        pinned_version: None,
+        excluded: &excluded,
+        now_ms,
+    };
+    let policy = RoutePolicy {
+        piece_tokens: PIECE_TOKENS,
+        piece_bytes: 1,
+        recompute_weight_us: 0.0,
+        cross_zone_us: 0.0,
+        prefill_during_restore: false,
+        near_tie_factor: method.near_tie_factor,
+    };
+    let decision = choose(&node.view, &request, &policy, rng.random());
+    let chosen = decision.map(|decision| decision.upstream);
+    world.workers.iter().position(|worker| Some(&worker.id) == chosen.as_ref()).unwrap_or(0)
+}
--- a/crates/core/src/num.rs
+++ b/crates/core/src/num.rs
@@ -3,6 +3,9 @@
 /// Microseconds in a second.
 pub(crate) const US_PER_S: f64 = 1_000_000.0;
 
+/// Microseconds in a millisecond.
+pub(crate) const US_PER_MS: f64 = 1_000.0;
+
 /// Converts an estimate to whole units; negative and undefined values become 0.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 pub(crate) fn whole(value: f64) -> u64 {
--- a/crates/core/src/piece_index.rs
+++ b/crates/core/src/piece_index.rs
@@ -8,8 +8,13 @@
 
 use crate::block::BlockName;
 
-/// Shards of the index; an update copies one shard if a snapshot still uses it.
-const SHARDS: usize = 1024;
+/// Groups of shards; an update copies the list of groups, one group's list and one shard if a snapshot
+/// still uses them.
+const GROUPS: usize = 64;
+/// Shards in a group.
+const SHARDS_PER_GROUP: usize = 64;
+/// Shards of the index.
+pub(crate) const SHARDS: usize = GROUPS * SHARDS_PER_GROUP;
 
 /// The first 64 bits of a block name. A collision costs a wrong estimate; engines and stores compare names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -39,11 +44,17 @@
     pub(crate) epoch: u16,
 }
 
-/// The holders of one piece, sorted by slot. One holder is the usual case and needs no allocation.
+/// Holders kept inside an index entry, which saves two memory accesses in most lookups.
+const INLINE_HOLDERS: usize = 3;
+
+/// The holders of one piece, sorted by slot.
 #[derive(Clone, Debug)]
 enum Holders {
-    One(Holder),
-    // The box keeps an index entry at 24 bytes; millions of pieces have one holder.
+    Few {
+        count: u8,
+        holders: [Holder; INLINE_HOLDERS],
+    },
+    // The box keeps an index entry at 24 bytes; a node may know millions of pieces.
     #[allow(clippy::box_collection)]
     Many(Box<Vec<Holder>>),
 }
@@ -51,23 +62,32 @@
 impl Holders {
     fn as_slice(&self) -> &[Holder] {
         match self {
-            Self::One(holder) => std::slice::from_ref(holder),
+            Self::Few { count, holders } => &holders[..usize::from(*count)],
             Self::Many(holders) => holders,
         }
     }
 
     fn insert(&mut self, holder: Holder) {
-        let mut holders = self.as_slice().to_vec();
-        match holders.binary_search_by_key(&holder.slot, |h| h.slot) {
-            Ok(at) => holders[at] = holder,
-            Err(at) => holders.insert(at, holder),
+        let place = self.as_slice().binary_search_by_key(&holder.slot, |h| h.slot);
+        match (self, place) {
+            (Self::Few { holders, .. }, Ok(at)) => holders[at] = holder,
+            (Self::Many(holders), Ok(at)) => holders[at] = holder,
+            (Self::Many(holders), Err(at)) => holders.insert(at, holder),
+            (few, Err(at)) => {
+                let mut holders = few.as_slice().to_vec();
+                holders.insert(at, holder);
+                *few = Self::from_vec(holders);
+            }
         }
-        *self = Self::from_vec(holders);
     }
 
     fn from_vec(holders: Vec<Holder>) -> Self {
-        match holders.as_slice() {
-            [only] => Self::One(*only),
+        let mut inline = [Holder { slot: 0, epoch: 0 }; INLINE_HOLDERS];
+        match (inline.get_mut(..holders.len()), u8::try_from(holders.len())) {
+            (Some(part), Ok(count)) => {
+                part.copy_from_slice(&holders);
+                Self::Few { count, holders: inline }
+            }
             _ => Self::Many(Box::new(holders)),
         }
     }
@@ -92,33 +112,46 @@
     }
 }
 
+/// Returns whether a holder is recorded with its present epoch.
+pub(crate) fn holds(holders: &[Holder], holder: Holder) -> bool {
+    match holders {
+        [only] => *only == holder,
+        _ => holders.binary_search(&holder).is_ok(),
+    }
+}
+
 type Shard = HashMap<PieceKey, Holders, BuildHasherDefault<DigestHasher>>;
+type Group = Vec<Arc<Shard>>;
 
 /// An index that is cloned in constant time; a change copies only the shard it touches.
 #[derive(Clone, Debug)]
 pub(crate) struct PieceIndex {
-    shards: Arc<Vec<Arc<Shard>>>,
+    groups: Arc<Vec<Arc<Group>>>,
 }
 
 impl Default for PieceIndex {
     fn default() -> Self {
-        Self { shards: Arc::new((0..SHARDS).map(|_| Arc::default()).collect()) }
+        let group: Arc<Group> = Arc::new(vec![Arc::default(); SHARDS_PER_GROUP]);
+        Self { groups: Arc::new(vec![group; GROUPS]) }
     }
 }
 
 impl PieceIndex {
     /// Returns the recorded holders of a piece, sorted by slot; the caller compares epochs.
     pub(crate) fn holders(&self, key: PieceKey) -> &[Holder] {
-        self.shards[shard_of(key)].get(&key).map_or(&[], Holders::as_slice)
+        let shard = shard_of(key);
+        self.groups[shard / SHARDS_PER_GROUP][shard % SHARDS_PER_GROUP]
+            .get(&key)
+            .map_or(&[], Holders::as_slice)
     }
 
     /// Records a holder.
     pub(crate) fn insert(&mut self, key: PieceKey, holder: Holder) {
-        let shard = self.shard_mut(key);
+        let shard = self.shard_mut(shard_of(key));
         match shard.get_mut(&key) {
             Some(holders) => holders.insert(holder),
             None => {
-                shard.insert(key, Holders::One(holder));
+                shard.insert(key, Holders::from_vec(vec![holder]));
             }
         }
     }
@@ -128,7 +161,7 @@
         if self.holders(key).binary_search_by_key(&slot, |h| h.slot).is_err() {
             return;
         }
-        let shard = self.shard_mut(key);
+        let shard = self.shard_mut(shard_of(key));
         let left: Vec<Holder> = shard.get(&key).map_or(vec![], |h| h.as_slice().to_vec());
         let left: Vec<Holder> = left.into_iter().filter(|h| h.slot != slot).collect();
         if left.is_empty() {
@@ -140,8 +173,7 @@
 
     /// Drops the holders of one shard for which `keep` is false, and returns the number of pieces left in it.
     pub(crate) fn sweep(&mut self, shard: usize, keep: impl Fn(Holder) -> bool) -> usize {
-        let shards = Arc::make_mut(&mut self.shards);
-        let shard = Arc::make_mut(&mut shards[shard % SHARDS]);
+        let shard = self.shard_mut(shard % SHARDS);
         shard.retain(|_, holders| {
             let kept: Vec<Holder> = holders.as_slice().iter().copied().filter(|h| keep(*h)).collect();
             let any = !kept.is_empty();
@@ -153,9 +185,10 @@
         shard.len()
     }
 
-    fn shard_mut(&mut self, key: PieceKey) -> &mut Shard {
-        let shards = Arc::make_mut(&mut self.shards);
-        Arc::make_mut(&mut shards[shard_of(key)])
+    fn shard_mut(&mut self, shard: usize) -> &mut Shard {
+        let groups = Arc::make_mut(&mut self.groups);
+        let group = Arc::make_mut(&mut groups[shard / SHARDS_PER_GROUP]);
+        Arc::make_mut(&mut group[shard % SHARDS_PER_GROUP])
     }
 }
 
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -49,7 +49,7 @@
 }
 
 /// The near-tie factor in use; `docs/decisions.md` has the comparison.
-pub const NEAR_TIE_FACTOR: f64 = 1.05;
+pub const NEAR_TIE_FACTOR: f64 = 1.15;
 
 /// Pieces to import from a store for the attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -6,8 +6,9 @@
     backlog::Backlog,
     block::BlockName,
     ids::{InstanceId, ServiceName, WeightVersion, ZoneName},
-    num::US_PER_S,
-    piece_index::{Holder, PieceIndex, PieceKey},
+    num::{US_PER_MS, US_PER_S},
+    piece_index::{Holder, PieceIndex, PieceKey, SHARDS},
+    view_row::{FREE, Row},
 };
 
 pub use crate::backlog::{LoadReport, PeerLoad};
@@ -19,6 +20,9 @@
 /// Prefill speed assumed until an upstream reports its own.
 const ASSUMED_PREFILL_TOKENS_PER_S: u64 = 10_000;
 
+/// Calls of `ClusterView::sweep` that go through all pieces once.
+pub const SWEEP_STEPS: usize = SHARDS;
+
 /// Whether an upstream may get new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpstreamState {
@@ -62,45 +66,6 @@
     pub booked_bytes: u64,
 }
 
-/// What a routing decision reads of each upstream; kept small because a decision reads every row.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Row {
-    /// Index of the service's name, `u16::MAX` for a free slot.
-    pub(crate) service: u16,
-    /// Index of the zone's name.
-    pub(crate) zone: u16,
-    /// Whether it may get new work.
-    pub(crate) state: UpstreamState,
-    /// Epoch of its cache.
-    pub(crate) epoch: u16,
-    /// The weight version it runs.
-    pub(crate) weight_version: WeightVersion,
-    /// Queued tokens at `as_of_ms`, in microseconds of prefill.
-    pub(crate) backlog_us: f64,
-    /// Time of the last addition to the backlog.
-    pub(crate) as_of_ms: u64,
-    /// Microseconds of prefill per token.
-    pub(crate) us_per_token: f64,
-}
-
-impl Row {
-    /// Returns the prefill time queued ahead of a new request.
-    pub(crate) fn wait_us(&self, now_ms: u64) -> f64 {
-        (self.backlog_us - now_ms.saturating_sub(self.as_of_ms) as f64 * 1_000.0).max(0.0)
-    }
-}
-
-const FREE: Row = Row {
-    service: u16::MAX,
-    zone: 0,
-    state: UpstreamState::Down,
-    epoch: 0,
-    weight_version: WeightVersion(0),
-    backlog_us: 0.0,
-    as_of_ms: 0,
-    us_per_token: 0.0,
-};
-
 #[derive(Clone, Debug)]
 struct Entry {
     view: UpstreamView,
@@ -110,7 +75,7 @@
 #[derive(Clone, Debug, Default)]
 struct Chunk {
     rows: Vec<Row>,
-    entries: Vec<Option<Entry>>,
+    entries: Vec<Option<Arc<Entry>>>,
 }
 
 /// Slots by instance and numbers by name; changes only when instances come and go.
@@ -167,14 +132,14 @@
         row.state = upstream.state;
         row.weight_version = upstream.weight_version;
         match &mut chunk.entries[at] {
-            Some(entry) => entry.view = upstream,
+            Some(entry) => Arc::make_mut(entry).view = upstream,
             empty => {
                 let report = LoadReport {
                     at_ms: 0,
                     queue_tokens: 0,
                     prefill_tokens_per_s: ASSUMED_PREFILL_TOKENS_PER_S,
                 };
-                *empty = Some(Entry { view: upstream, backlog: Backlog::new(report) });
+                *empty = Some(Arc::new(Entry { view: upstream, backlog: Backlog::new(report) }));
             }
         }
         self.with_backlog(slot, |_| {});
@@ -198,7 +163,7 @@
         let (chunk, at) = self.chunk_mut(slot);
         chunk.rows[at].state = state;
         if let Some(entry) = &mut chunk.entries[at] {
-            entry.view.state = state;
+            Arc::make_mut(entry).view.state = state;
         }
     }
 
@@ -271,7 +236,7 @@
         }
     }
 
-    /// Frees the memory of forgotten pieces in one of 1,024 shards; call it in turn for each.
+    /// Frees the memory of forgotten pieces in one of `SWEEP_STEPS` shards; call it in turn for each.
     pub fn sweep(&mut self, shard: usize) -> usize {
         let Self { chunks, stores, pieces, .. } = self;
         pieces.sweep(shard, |holder| current(chunks, stores, holder))
@@ -289,7 +254,7 @@
 
     /// Returns the estimated prefill time queued at an upstream.
     pub fn wait_us(&self, id: &InstanceId, now_ms: u64) -> Option<f64> {
-        self.upstream_slot(id).map(|slot| self.row(slot).wait_us(now_ms))
+        self.upstream_slot(id).map(|slot| self.row(slot).wait_us(now_ms as f64 * US_PER_MS))
     }
 
     /// Returns whether an upstream or a store is believed to hold a piece.
@@ -297,20 +262,9 @@
         self.holder(id).is_some_and(|holder| self.pieces.holders(PieceKey::of(name)).contains(&holder))
     }
 
-    /// Iterates over the rows of all slots, in slot order.
-    pub(crate) fn rows(&self) -> impl Iterator<Item = &Row> {
-        self.chunks.iter().flat_map(|chunk| chunk.rows.iter())
-    }
-
-    /// Returns the number of slots.
-    pub(crate) fn row_count(&self) -> usize {
-        self.chunks.len() * CHUNK
-    }
-
-    /// Returns the row of a slot, `None` for a store's slot.
-    pub(crate) fn row_at(&self, slot: u16) -> Option<&Row> {
-        let slot = usize::from(slot);
-        self.chunks.get(slot / CHUNK).map(|chunk| &chunk.rows[slot % CHUNK])
+    /// Iterates over the rows of all slots in slot order, chunk by chunk.
+    pub(crate) fn row_chunks(&self) -> impl Iterator<Item = &[Row]> {
+        self.chunks.iter().map(|chunk| chunk.rows.as_slice())
     }
 
     /// Returns the row of a slot that is known to exist.
@@ -342,26 +296,14 @@
         self.pieces.holders(key)
     }
 
-    /// Returns the reachable stores that hold any of `keys`, with the run of pieces held from each index on.
-    pub(crate) fn store_runs(&self, keys: &[PieceKey]) -> Vec<(&StoreView, Vec<usize>)> {
-        let stores = self.stores.iter().enumerate();
-        let usable = stores.filter(|(_, entry)| entry.view.reachable && !entry.removed);
-        let runs = usable.filter_map(|(at, entry)| {
+    /// Iterates over the reachable stores with the holder that stands for each.
+    pub(crate) fn reachable_stores(&self) -> impl Iterator<Item = (&StoreView, Holder)> {
+        let stores =
+            self.stores.iter().enumerate().filter(|(_, entry)| entry.view.reachable && !entry.removed);
+        stores.filter_map(|(at, entry)| {
             let slot = FIRST_STORE_SLOT + u16::try_from(at).ok()?;
-            let runs = self.runs(keys, Holder { slot, epoch: entry.epoch });
-            runs.iter().any(|run| *run > 0).then_some((&entry.view, runs))
-        });
-        runs.collect()
-    }
-
-    fn runs(&self, keys: &[PieceKey], holder: Holder) -> Vec<usize> {
-        let mut runs = vec![0; keys.len()];
-        let mut run = 0;
-        for (at, key) in keys.iter().enumerate().rev() {
-            run = if holds(self.holders(*key), holder) { run + 1 } else { 0 };
-            runs[at] = run;
-        }
-        runs
+            Some((&entry.view, Holder { slot, epoch: entry.epoch }))
+        })
     }
 
     fn holder(&self, id: &InstanceId) -> Option<Holder> {
@@ -382,12 +324,12 @@
     fn with_backlog(&mut self, slot: u16, change: impl FnOnce(&mut Backlog)) {
         let (chunk, at) = self.chunk_mut(slot);
         let Some(entry) = &mut chunk.entries[at] else { return };
+        let entry = Arc::make_mut(entry);
         change(&mut entry.backlog);
         let (tokens, as_of_ms) = entry.backlog.replay();
         let us_per_token = US_PER_S / entry.backlog.prefill_tokens_per_s() as f64;
         let row = &mut chunk.rows[at];
-        row.backlog_us = tokens * us_per_token;
-        row.as_of_ms = as_of_ms;
+        row.drained_us = as_of_ms as f64 * US_PER_MS + tokens * us_per_token;
         row.us_per_token = us_per_token;
     }
 
@@ -423,14 +365,6 @@
     }
 }
 
-/// Returns whether a holder is recorded with its present epoch.
-pub(crate) fn holds(holders: &[Holder], holder: Holder) -> bool {
-    match holders {
-        [only] => *only == holder,
-        _ => holders.binary_search(&holder).is_ok(),
-    }
-}
-
 fn current(chunks: &[Arc<Chunk>], stores: &[StoreEntry], holder: Holder) -> bool {
     if holder.slot >= FIRST_STORE_SLOT {
         let entry = stores.get(usize::from(holder.slot - FIRST_STORE_SLOT));
