--- a/crates/core/examples/decision_cost/route_cost.rs
+++ b/crates/core/examples/decision_cost/route_cost.rs
@@ -69,20 +69,26 @@
         let names = names(prompt, shared);
         for _ in 0..2 {
             let holder = upstream(rng.random_range(0..upstreams));
-            names.iter().for_each(|name| view.piece_stored(&holder, name));
+            hold(&mut view, &holder, &names);
         }
         let holder = store(rng.random_range(0..STORES));
-        names.iter().for_each(|name| view.piece_stored(&holder, name));
+        hold(&mut view, &holder, &names);
     }
     if shared {
         let names = names(0, true);
-        (0..upstreams).for_each(|at| {
-            names.iter().take(SHARED_PIECES).for_each(|name| view.piece_stored(&upstream(at), name));
-        });
+        for at in 0..upstreams {
+            hold(&mut view, &upstream(at), &names[..SHARED_PIECES]);
+        }
     }
     view
 }
 
+fn hold(view: &mut ClusterView, holder: &InstanceId, names: &[BlockName]) {
+    for name in names {
+        view.piece_stored(holder, name);
+    }
+}
+
 /// Prints the costs at a number of candidate upstreams.
 pub(crate) fn print(upstreams: usize) {
     let prompts = upstreams.clamp(500, 5_000);
--- a/crates/core/src/candidates.rs
+++ b/crates/core/src/candidates.rs
@@ -8,7 +8,7 @@
 use crate::{
     fill::{self, Way, Work},
     ids::WeightVersion,
-    num::{US_PER_MS, pick},
+    num::US_PER_MS,
     piece_index::Holder,
     prefix::Prefix,
     route::{RoutePolicy, RouteRequest},
@@ -17,12 +17,10 @@
     view_row::Row,
 };
 
-/// Upstreams with an empty cache that are weighed in full.
-const MAX_EMPTY: usize = 16;
-/// Holders of a prefix that are weighed in full.
-const MAX_HOLDERS: usize = 16;
-/// Holders taken from a piece that more upstreams hold than this, by least wait.
-const HOLDERS_PER_SHARED_PIECE: usize = 8;
+/// Upstreams that are weighed in full.
+const MAX_WEIGHED: usize = 16;
+/// Holders that are looked at; bounds the time for prompts whose pieces very many upstreams hold.
+const MAX_HOLDERS: usize = 16_384;
 
 /// One upstream and its cheapest way.
 #[derive(Clone, Copy, Debug)]
@@ -104,12 +102,12 @@
 
 impl<'a> Context<'a, '_> {
     fn rank(&self, draw: f64) -> Ranking<'a> {
-        let scan = self.scan();
-        let holders = self.holding_slots(&scan);
-        let mut slots = self.cheapest(&scan, draw);
-        slots.retain(|slot| !holders.contains(slot));
-        let mut candidates: Vec<Candidate<'a>> =
-            holders.iter().chain(&slots).filter_map(|slot| self.weigh(*slot)).collect();
+        let mut scan = self.scan();
+        self.count_caches(&mut scan);
+        #[allow(clippy::cast_possible_truncation)]
+        let factor = self.policy.near_tie_factor.max(1.0) as f32;
+        let slots = scan.cheapest(factor, draw, MAX_WEIGHED);
+        let mut candidates: Vec<Candidate<'a>> = slots.iter().filter_map(|slot| self.weigh(*slot)).collect();
         candidates.sort_by(|a, b| a.way.cost_us.total_cmp(&b.way.cost_us));
         Ranking { candidates, considered: scan.considered }
     }
@@ -126,45 +124,29 @@
         scan
     }
 
-    /// Returns slots within the near-tie factor of the lowest bound.
-    #[allow(clippy::cast_possible_truncation)]
-    fn cheapest(&self, scan: &Scan, draw: f64) -> Vec<u16> {
-        let bounds = &scan.bounds;
-        let lowest = bounds.iter().copied().fold(f32::INFINITY, f32::min);
-        if lowest.is_infinite() {
-            return Vec::new();
-        }
-        let limit = lowest * self.policy.near_tie_factor.max(1.0) as f32;
-        // Nodes start at different slots, so that a large group of equals is not cut to the same few.
-        let start = pick(draw, bounds.len());
-        let order = (start..bounds.len()).chain(0..start);
-        let near = order.filter(|slot| bounds[*slot] <= limit).take(MAX_EMPTY);
-        near.filter_map(|slot| u16::try_from(slot).ok()).collect()
-    }
-
-    /// Returns upstreams that hold pieces of the prompt, those that hold later ones first.
-    fn holding_slots(&self, scan: &Scan) -> Vec<u16> {
-        let mut found: Vec<u16> = Vec::new();
+    /// Lowers the bounds of upstreams that hold pieces of the prompt.
+    ///
+    /// Caches evict from the end of a prefix, so holders of a piece mostly hold those before it. Going from the
+    /// last piece to the first, a piece with no more holders than a later one adds nothing.
+    fn count_caches(&self, scan: &mut Scan) {
+        let mut looked_at = 0;
         for prefix in self.prefixes.values() {
-            for holders in prefix.holders().iter().rev() {
-                if found.len() >= MAX_HOLDERS {
-                    break;
+            let mut most = 0;
+            for (at, holders) in prefix.holders().iter().enumerate().rev() {
+                if holders.len() <= most {
+                    continue;
                 }
-                if holders.len() > HOLDERS_PER_SHARED_PIECE {
-                    self.add_holders(least_waiting(holders, scan), scan, &mut found);
-                    break;
+                most = holders.len();
+                looked_at += most;
+                if looked_at > MAX_HOLDERS {
+                    return;
+                }
+                let cached_tokens = (at as u64 + 1) * self.policy.piece_tokens;
+                let missing_tokens = self.request.prompt_tokens.saturating_sub(cached_tokens) as f32;
+                for holder in *holders {
+                    let stale = || self.view.row(holder.slot).epoch != holder.epoch;
+                    scan.lower(holder.slot, missing_tokens, stale);
                 }
-                self.add_holders(holders.iter().copied(), scan, &mut found);
-            }
-        }
-        found
-    }
-
-    fn add_holders(&self, holders: impl Iterator<Item = Holder>, scan: &Scan, found: &mut Vec<u16>) {
-        for holder in holders {
-            let usable = is_eligible_slot(scan, holder) && self.view.row(holder.slot).epoch == holder.epoch;
-            if usable && found.len() < MAX_HOLDERS && !found.contains(&holder.slot) {
-                found.push(holder.slot);
             }
         }
     }
@@ -198,26 +180,3 @@
         Some(Candidate { upstream, own_zone, cached_pieces, wait_us: work.wait_us, way })
     }
 }
-
-/// Stores are in the same index as upstreams, but beyond the rows.
-fn is_eligible_slot(scan: &Scan, holder: Holder) -> bool {
-    scan.waits.get(usize::from(holder.slot)).is_some_and(|wait| wait.is_finite())
-}
-
-fn least_waiting(holders: &[Holder], scan: &Scan) -> impl Iterator<Item = Holder> + use<> {
-    let mut least: Vec<(f32, Holder)> = Vec::with_capacity(HOLDERS_PER_SHARED_PIECE + 1);
-    let mut limit = f32::INFINITY;
-    for holder in holders {
-        let wait = scan.waits.get(usize::from(holder.slot)).copied().unwrap_or(f32::INFINITY);
-        if wait >= limit || wait.is_infinite() {
-            continue;
-        }
-        let at = least.partition_point(|(known, _)| *known <= wait);
-        least.insert(at, (wait, *holder));
-        if least.len() > HOLDERS_PER_SHARED_PIECE {
-            least.pop();
-            limit = least[least.len() - 1].0;
-        }
-    }
-    least.into_iter().map(|(_, holder)| holder)
-}
--- a/crates/core/src/fill.rs
+++ b/crates/core/src/fill.rs
@@ -2,7 +2,11 @@
 
 use std::fmt;
 
-use crate::{num::US_PER_S, route::RoutePolicy, view::StoreView};
+use crate::{
+    num::{US_PER_S, whole},
+    route::RoutePolicy,
+    view::StoreView,
+};
 
 /// How the prefix of a request gets into an upstream's cache.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -109,53 +113,67 @@
     }
 }
 
-/// Returns the way that restores `pieces` pieces after computing `front_pieces`.
-///
-/// The transfer runs while the queue drains and, where the engine allows it, while the front is computed.
-pub(crate) fn restore<'a>(
-    work: &Work,
-    source: &Source<'a>,
+/// A split of the missing tokens: computed in front, restored, computed after both.
+#[derive(Clone, Copy, Debug)]
+struct Split {
     front_pieces: usize,
     pieces: usize,
-    policy: &RoutePolicy,
-) -> Way<'a> {
-    let front_tokens = front_pieces as u64 * policy.piece_tokens;
-    let restored_tokens = pieces as u64 * policy.piece_tokens;
-    let rest_tokens = work.missing_tokens.saturating_sub(front_tokens + restored_tokens);
-    let front_us = work.wait_us + front_tokens as f64 * work.us_per_token;
-    let estimate_us = front_us.max(source.transfer_us(pieces)) + rest_tokens as f64 * work.us_per_token;
-    let computed_tokens = front_tokens + rest_tokens;
-    let fill = match (front_pieces, pieces == source.held_pieces) {
-        (0, true) => Fill::Restore,
-        (0, false) => Fill::PartialRestore,
-        _ => Fill::SideBySide,
-    };
-    Way {
-        fill,
-        store: Some(source.store),
-        front_pieces,
-        pieces,
-        computed_tokens,
-        estimate_us,
-        cost_us: estimate_us + computed_tokens as f64 * policy.recompute_weight_us,
+}
+
+impl Split {
+    /// Returns the estimate and the tokens computed.
+    ///
+    /// The transfer runs while the queue drains and, where the engine allows it, while the front is computed.
+    fn estimate_us(self, work: &Work, source: &Source<'_>, piece_tokens: f64) -> (f64, f64) {
+        let front_tokens = self.front_pieces as f64 * piece_tokens;
+        let rest_tokens =
+            (work.missing_tokens as f64 - front_tokens - self.pieces as f64 * piece_tokens).max(0.0);
+        let front_us = work.wait_us + front_tokens * work.us_per_token;
+        let ready_us = front_us.max(source.transfer_us(self.pieces));
+        (ready_us + rest_tokens * work.us_per_token, front_tokens + rest_tokens)
+    }
+
+    fn way<'a>(self, work: &Work, source: &Source<'a>, policy: &RoutePolicy) -> Way<'a> {
+        let (estimate_us, computed_tokens) = self.estimate_us(work, source, policy.piece_tokens as f64);
+        let fill = match (self.front_pieces, self.pieces == source.held_pieces) {
+            (0, true) => Fill::Restore,
+            (0, false) => Fill::PartialRestore,
+            _ => Fill::SideBySide,
+        };
+        Way {
+            fill,
+            store: Some(source.store),
+            front_pieces: self.front_pieces,
+            pieces: self.pieces,
+            computed_tokens: whole(computed_tokens),
+            estimate_us,
+            cost_us: estimate_us + computed_tokens * policy.recompute_weight_us,
+        }
     }
 }
 
 /// Returns the cheapest way over all sources.
 pub(crate) fn best<'a>(work: &Work, sources: &[Source<'a>], policy: &RoutePolicy) -> Way<'a> {
-    let mut best = compute(work, policy);
+    let computed = compute(work, policy);
+    let piece_tokens = policy.piece_tokens as f64;
+    let mut lowest_us = computed.cost_us;
+    let mut chosen = None;
     for source in sources {
-        for pieces in 1..=source.held_pieces {
-            best = cheaper(best, restore(work, source, 0, pieces, policy));
-            let front_pieces = source.held_pieces - pieces;
-            if policy.prefill_during_restore && front_pieces > 0 {
-                best = cheaper(best, restore(work, source, front_pieces, pieces, policy));
+        let mut try_split = |split: Split| {
+            let (estimate_us, computed_tokens) = split.estimate_us(work, source, piece_tokens);
+            let cost_us = estimate_us + computed_tokens * policy.recompute_weight_us;
+            if cost_us < lowest_us {
+                lowest_us = cost_us;
+                chosen = Some((source, split));
+            }
+        };
+        // More pieces first, so that equal costs leave the accelerator the least work.
+        for pieces in (1..=source.held_pieces).rev() {
+            try_split(Split { front_pieces: 0, pieces });
+            if policy.prefill_during_restore && pieces < source.held_pieces {
+                try_split(Split { front_pieces: source.held_pieces - pieces, pieces });
             }
         }
     }
-    best
-}
-
-fn cheaper<'a>(a: Way<'a>, b: Way<'a>) -> Way<'a> {
-    if b.cost_us < a.cost_us { b } else { a }
+    chosen.map_or(computed, |(source, split)| split.way(work, source, policy))
 }
--- a/crates/core/src/retry.rs
+++ b/crates/core/src/retry.rs
@@ -161,7 +161,7 @@
 ) -> RetryDecision {
     let may_have_run = facts.may_have_run || !failure.is_not_run();
     let (code, reason) = if failure == Failure::RefusedInvalid {
-        (ResultCode::UpstreamRefused, "the upstream refused the call itself".to_owned())
+        (exhausted(failure, may_have_run), "the upstream refused the call itself".to_owned())
     } else if may_have_run && !facts.repeatable {
         (ResultCode::OutcomeUnknown, "a byte was sent and the call may not be repeated".to_owned())
     } else if facts.delivered_tokens > 0 && !facts.resumable {
--- a/crates/core/src/scan.rs
+++ b/crates/core/src/scan.rs
@@ -1,20 +1,32 @@
 //! The pass over all rows of a routing decision.
 
+use std::ops::Range;
+
 use crate::{
     fill::Source,
-    num::US_PER_MS,
+    num::{US_PER_MS, pick},
     prefix::{MAX_SOURCES, Prefix},
     route::{RoutePolicy, RouteRequest},
-    view::UpstreamState,
+    view::{CHUNK, UpstreamState},
     view_row::Row,
 };
 
+/// Factor by which a full weighing may lower a cost below its bound: prefill and restore side by side take at
+/// least half of the longer of the two.
+const REFINEMENT_FACTOR: f32 = 2.0;
+/// Slots that are sorted by cost at most.
+const MAX_FOUND: usize = 128;
+
 /// The result of the pass, by slot; infinite where an upstream is not eligible.
 pub(crate) struct Scan {
     /// Prefill time queued ahead, with the cost of crossing zones.
-    pub(crate) waits: Vec<f32>,
-    /// Cost as if the cache were empty.
-    pub(crate) bounds: Vec<f32>,
+    waits: Vec<f32>,
+    /// Cost of computing one token.
+    token_us: Vec<f32>,
+    /// Cost of the cheapest way known so far.
+    bounds: Vec<f32>,
+    /// The lowest bound of each chunk of rows.
+    chunk_lowest: Vec<f32>,
     /// Number of eligible upstreams.
     pub(crate) considered: usize,
 }
@@ -33,66 +45,132 @@
 /// A way without partial restore: prefill may start at `ready_us` and then takes `tokens` tokens.
 #[derive(Clone, Copy, Debug)]
 struct CoarseWay {
-    ready_us: f64,
-    tokens: f64,
+    ready_us: f32,
+    tokens: f32,
 }
 
 /// Computing everything, and restoring all that each source holds. A fixed size keeps the pass free of branches.
-type CoarseWays = [CoarseWay; MAX_SOURCES + 1];
+type CoarseWays = [CoarseWay; 1 + MAX_SOURCES];
 
+#[allow(clippy::cast_possible_truncation)]
 fn coarse_ways(sources: &[Source<'_>], prompt_tokens: u64, policy: &RoutePolicy) -> CoarseWays {
-    let compute = CoarseWay { ready_us: 0.0, tokens: prompt_tokens as f64 };
+    let compute = CoarseWay { ready_us: 0.0, tokens: prompt_tokens as f32 };
     let mut ways = [compute; MAX_SOURCES + 1];
     for (way, source) in ways.iter_mut().skip(1).zip(sources) {
         let restored_tokens = source.held_pieces as u64 * policy.piece_tokens;
-        way.ready_us = source.transfer_us(source.held_pieces);
-        way.tokens = prompt_tokens.saturating_sub(restored_tokens) as f64;
+        way.ready_us = source.transfer_us(source.held_pieces) as f32;
+        way.tokens = prompt_tokens.saturating_sub(restored_tokens) as f32;
     }
     ways
 }
 
-/// Scans all rows, given as chunks in slot order.
-#[allow(clippy::cast_possible_truncation)]
+// Comparisons instead of `f32::min` and `f32::max`, whose treatment of NaN costs several instructions a row.
+fn lower(a: f32, b: f32) -> f32 {
+    if a < b { a } else { b }
+}
+
+fn higher(a: f32, b: f32) -> f32 {
+    if a > b { a } else { b }
+}
+
+/// Returns the lowest value. Several minima side by side do not wait for each other.
+fn lowest_of(values: &[f32]) -> f32 {
+    let mut lowest = [f32::INFINITY; 8];
+    let parts = values.chunks_exact(lowest.len());
+    let rest = parts.remainder().iter().copied().fold(f32::INFINITY, lower);
+    for part in parts {
+        for (lowest, value) in lowest.iter_mut().zip(part) {
+            *lowest = lower(*value, *lowest);
+        }
+    }
+    lowest.into_iter().fold(rest, lower)
+}
+
+/// Scans all rows, given as chunks of `CHUNK` rows in slot order.
 pub(crate) fn scan<'a, 'p>(
-    chunks: impl Iterator<Item = &'a [Row]>,
+    chunks: impl ExactSizeIterator<Item = &'a [Row]>,
     eligibility: Eligibility,
     request: &RouteRequest<'_>,
     policy: &RoutePolicy,
     prefix_of: impl Fn(&Row) -> Option<&'p Prefix<'p>>,
 ) -> Scan {
-    let mut scan = Scan { waits: Vec::new(), bounds: Vec::new(), considered: 0 };
-    let now_us = request.now_ms as f64 * US_PER_MS;
+    let mut scan =
+        Scan { waits: vec![], token_us: vec![], bounds: vec![], chunk_lowest: vec![], considered: 0 };
+    let mut columns = Columns { waits: [0.0; CHUNK], token_us: [0.0; CHUNK], added: [0.0; CHUNK] };
     let mut version = None;
     let mut ways = coarse_ways(&[], request.prompt_tokens, policy);
     for chunk in chunks {
-        scan.waits.reserve(chunk.len());
-        scan.bounds.reserve(chunk.len());
-        for row in chunk {
-            let pinned = request.pinned_version.is_some_and(|pin| pin != row.weight_version);
-            if row.service != eligibility.service || row.state != eligibility.wanted || pinned {
-                scan.waits.push(f32::INFINITY);
-                scan.bounds.push(f32::INFINITY);
-                continue;
-            }
-            // Neighbours mostly run the same version, so the ways are prepared only where it changes.
-            if version != Some(row.weight_version) {
-                version = Some(row.weight_version);
-                let sources = prefix_of(row).map_or(&[][..], Prefix::sources);
+        scan.considered += columns.gather(chunk, eligibility, request, policy);
+        let mut lowest = f32::INFINITY;
+        let mut at = 0;
+        // Neighbours mostly run the same version, so a chunk has one run of rows, rarely more.
+        for run in chunk.chunk_by(|a, b| a.weight_version == b.weight_version) {
+            if version != Some(run[0].weight_version) {
+                version = Some(run[0].weight_version);
+                let sources = prefix_of(&run[0]).map_or(&[][..], Prefix::sources);
                 ways = coarse_ways(sources, request.prompt_tokens, policy);
             }
-            let wait_us = row.wait_us(now_us);
-            let token_us = row.us_per_token + policy.recompute_weight_us;
-            let cost = |way: &CoarseWay| wait_us.max(way.ready_us) + way.tokens * token_us;
-            let cost_us = ways.iter().map(cost).fold(f64::INFINITY, f64::min);
-            let zone_us = if Some(row.zone) == eligibility.zone { 0.0 } else { policy.cross_zone_us };
-            scan.waits.push((wait_us + zone_us) as f32);
-            scan.bounds.push((cost_us + zone_us) as f32);
-            scan.considered += 1;
+            lowest = lower(columns.bound(at..at + run.len(), &ways), lowest);
+            at += run.len();
         }
+        scan.waits.extend_from_slice(&columns.waits[..chunk.len()]);
+        scan.token_us.extend_from_slice(&columns.token_us[..chunk.len()]);
+        scan.bounds.extend_from_slice(&columns.added[..chunk.len()]);
+        scan.chunk_lowest.push(lowest);
     }
     scan
 }
 
+/// Columns of a chunk's rows, apart from each other so that the compiler vectorises the arithmetic.
+struct Columns {
+    waits: [f32; CHUNK],
+    token_us: [f32; CHUNK],
+    /// Cost of crossing zones, infinite where the row is not eligible; then the bound.
+    added: [f32; CHUNK],
+}
+
+impl Columns {
+    /// Fills the columns from rows and returns how many are eligible.
+    #[allow(clippy::cast_possible_truncation)]
+    fn gather(
+        &mut self,
+        rows: &[Row],
+        eligibility: Eligibility,
+        request: &RouteRequest<'_>,
+        policy: &RoutePolicy,
+    ) -> usize {
+        let now_us = request.now_ms as f64 * US_PER_MS;
+        let (weight_us, cross_us) = (policy.recompute_weight_us, policy.cross_zone_us as f32);
+        let own_zone = eligibility.zone.unwrap_or(u16::MAX);
+        let mut count = 0;
+        let columns = self.waits.iter_mut().zip(&mut self.token_us).zip(&mut self.added);
+        for (row, ((wait, token_us), added)) in rows.iter().zip(columns) {
+            let pinned = request.pinned_version.is_none_or(|pin| pin == row.weight_version);
+            let eligible = row.service == eligibility.service && row.state == eligibility.wanted && pinned;
+            // Waits and zones vary from row to row, so both are computed without a branch to mispredict.
+            let zone_us = cross_us * f32::from(u8::from(row.zone != own_zone));
+            let zone_us = if eligible { zone_us } else { f32::INFINITY };
+            *wait = ((row.drained_us - now_us) as f32).max(0.0) + zone_us;
+            *token_us = (row.us_per_token + weight_us) as f32;
+            *added = zone_us;
+            count += usize::from(eligible);
+        }
+        count
+    }
+
+    /// Adds the cost of the cheapest coarse way to the rows in `range` and returns the lowest result.
+    fn bound(&mut self, range: Range<usize>, ways: &CoarseWays) -> f32 {
+        let waits = &self.waits[range.clone()];
+        let token_us = &self.token_us[range.clone()];
+        for ((added, wait), token_us) in self.added[range.clone()].iter_mut().zip(waits).zip(token_us) {
+            // Both sides contain the cost of crossing zones.
+            let cost = |way: &CoarseWay| higher(*wait, way.ready_us + *added) + way.tokens * token_us;
+            *added = lower(lower(cost(&ways[0]), cost(&ways[1])), cost(&ways[2]));
+        }
+        lowest_of(&self.added[range])
+    }
+}
+
 impl Scan {
     /// Makes a slot ineligible.
     pub(crate) fn exclude(&mut self, slot: u16) {
@@ -100,5 +178,47 @@
         self.considered -= usize::from(self.bounds[slot].is_finite());
         self.waits[slot] = f32::INFINITY;
         self.bounds[slot] = f32::INFINITY;
+        let chunk = slot / CHUNK;
+        let bounds = &self.bounds[chunk * CHUNK..(chunk + 1) * CHUNK];
+        self.chunk_lowest[chunk] = bounds.iter().copied().fold(f32::INFINITY, lower);
+    }
+
+    /// Lowers the bound of a slot whose cache leaves `missing_tokens` to compute, unless `stale` says that
+    /// the cache is gone.
+    pub(crate) fn lower(&mut self, slot: u16, missing_tokens: f32, stale: impl FnOnce() -> bool) {
+        let slot = usize::from(slot);
+        let Some(bound) = self.bounds.get_mut(slot) else { return };
+        let cost_us = self.waits[slot] + missing_tokens * self.token_us[slot];
+        if cost_us < *bound && !stale() {
+            *bound = cost_us;
+            let chunk = &mut self.chunk_lowest[slot / CHUNK];
+            *chunk = lower(cost_us, *chunk);
+        }
+    }
+
+    /// Returns up to `count` slots: those whose bound is within `factor` of the lowest, then the next cheapest.
+    ///
+    /// Nodes start at different chunks, so that a large group of equals is not cut to the same few.
+    pub(crate) fn cheapest(&self, factor: f32, draw: f64, count: usize) -> Vec<u16> {
+        let lowest = self.chunk_lowest.iter().copied().fold(f32::INFINITY, lower);
+        if lowest.is_infinite() {
+            return Vec::new();
+        }
+        let (near, wide) = (lowest * factor, lowest * factor * REFINEMENT_FACTOR);
+        let chunks = self.chunk_lowest.len();
+        let start = pick(draw, chunks);
+        let usable = (start..chunks).chain(0..start).filter(|chunk| self.chunk_lowest[*chunk] <= wide);
+        let slots = usable.flat_map(|chunk| chunk * CHUNK..(chunk + 1) * CHUNK);
+        let mut found: Vec<(f32, usize)> = Vec::with_capacity(MAX_FOUND);
+        for slot in slots.filter(|slot| self.bounds[*slot] <= wide) {
+            // Near slots keep the order in which they are found; the others follow by cost.
+            let rank = if self.bounds[slot] <= near { 0.0 } else { self.bounds[slot] };
+            found.push((rank, slot));
+            if found.len() == MAX_FOUND {
+                break;
+            }
+        }
+        found.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        found.into_iter().take(count).filter_map(|(_, slot)| u16::try_from(slot).ok()).collect()
     }
 }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -14,7 +14,7 @@
 pub use crate::backlog::{LoadReport, PeerLoad};
 
 /// Upstreams that are copied together when one of them changes while a snapshot is in use.
-const CHUNK: usize = 64;
+pub(crate) const CHUNK: usize = 64;
 /// Slots below this number belong to upstreams, the others to stores.
 const FIRST_STORE_SLOT: u16 = 0xF000;
 /// Prefill speed assumed until an upstream reports its own.
@@ -263,7 +263,7 @@
     }
 
     /// Iterates over the rows of all slots in slot order, chunk by chunk.
-    pub(crate) fn row_chunks(&self) -> impl Iterator<Item = &[Row]> {
+    pub(crate) fn row_chunks(&self) -> impl ExactSizeIterator<Item = &[Row]> {
         self.chunks.iter().map(|chunk| chunk.rows.as_slice())
     }
 
