--- a/crates/core/src/resting.rs
+++ b/crates/core/src/resting.rs
@@ -1,6 +1,7 @@
 //! Context that has gone quiet: where it rests, what is exported first, and when it is brought back.
 
 use crate::{
+    ids::CustomerId,
     num::{US_PER_S, whole},
     rules::RestRules,
 };
@@ -104,6 +105,11 @@
     }
 }
 
+/// Returns whether a customer may announce a return; an empty list in the rule file allows every customer.
+pub fn may_announce(rules: &RestRules, customer: &CustomerId) -> bool {
+    rules.wake_customers.is_empty() || rules.wake_customers.contains(customer)
+}
+
 /// Decides what to do with a prefix now.
 pub fn decide(context: &RestingContext, rules: &RestRules, costs: &RestCosts) -> RestDecision {
     if context.idle_s >= rules.disk_s {
--- /dev/null
+++ b/crates/core/tests/resting.rs
@@ -0,0 +1,118 @@
+//! Context that has gone quiet.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use daisysill_core::{
+    resting::{
+        RestAction, RestCosts, RestPlace, RestingContext, ReturnHistory, bring_back_likely, decide,
+        export_order, may_announce,
+    },
+    rules::RestRules,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+
+const COSTS: RestCosts =
+    RestCosts { link_bytes_per_s: 100_000_000, prefill_tokens_per_s: 10_000, recompute_weight_us: 50 };
+
+fn rules() -> RestRules {
+    RestRules { accelerator_s: 600, memory_s: 3_600, disk_s: 86_400, wake_customers: vec![] }
+}
+
+fn context(place: RestPlace, idle_s: u64) -> RestingContext {
+    RestingContext {
+        place,
+        idle_s,
+        tokens: 20_000,
+        bytes: 50_000_000,
+        history: ReturnHistory::default(),
+        announced_in_s: None,
+    }
+}
+
+/// Guards against context that is evicted before it was exported, or kept beyond its rule.
+#[test]
+fn each_rule_limit_has_its_action() {
+    let action = |place, idle_s| decide(&context(place, idle_s), &rules(), &COSTS).action;
+    assert_eq!(action(RestPlace::Accelerator, 10), RestAction::Keep);
+    assert_eq!(action(RestPlace::Accelerator, 200), RestAction::Export);
+    assert_eq!(action(RestPlace::StoreMemory, 3_599), RestAction::Keep);
+    assert_eq!(action(RestPlace::StoreMemory, 3_600), RestAction::MoveToDisk);
+    assert_eq!(action(RestPlace::StoreDisk, 86_399), RestAction::Keep);
+    for place in [RestPlace::Accelerator, RestPlace::StoreMemory, RestPlace::StoreDisk] {
+        assert_eq!(action(place, 86_400), RestAction::Delete);
+    }
+}
+
+/// Guards against link time spent on context that is cheaper to compute again.
+#[test]
+fn context_that_is_cheaper_to_compute_is_not_exported() {
+    let slow = RestCosts { link_bytes_per_s: 1_000_000, ..COSTS };
+    let cheap = RestingContext { tokens: 100, ..context(RestPlace::Accelerator, 300) };
+    assert_eq!(decide(&cheap, &rules(), &slow).action, RestAction::Keep);
+    assert!(export_order(&[cheap], &slow).is_empty());
+}
+
+/// Guards against an announced return that finds its context still in the store.
+#[test]
+fn an_announced_return_is_restored_in_time_and_not_long_before() {
+    let with = |in_s| RestingContext { announced_in_s: Some(in_s), ..context(RestPlace::StoreDisk, 5_000) };
+    assert_eq!(decide(&with(600), &rules(), &COSTS).action, RestAction::Keep);
+    assert_eq!(decide(&with(3), &rules(), &COSTS).action, RestAction::BringBack);
+    let slow = RestCosts { link_bytes_per_s: 1_000_000, ..COSTS };
+    assert_eq!(decide(&with(45), &rules(), &slow).action, RestAction::BringBack, "a slow link needs 50 s");
+}
+
+/// Guards against a customer that brings context back although the rule file does not name it.
+#[test]
+fn only_named_customers_announce_a_return() {
+    let named = RestRules { wake_customers: vec!["opera-a".into()], ..rules() };
+    assert!(may_announce(&named, &"opera-a".into()) && !may_announce(&named, &"opera-b".into()));
+    assert!(may_announce(&rules(), &"opera-b".into()));
+}
+
+/// Guards against early restores that mostly go unused.
+#[test]
+fn a_likely_return_is_brought_back_and_an_unlikely_one_is_not() {
+    let mut punctual = ReturnHistory::default();
+    (0..50).for_each(|_| punctual.returned(1_100));
+    let due = RestingContext { history: punctual.clone(), ..context(RestPlace::StoreMemory, 1_500) };
+    assert_eq!(bring_back_likely(&due, &COSTS).action, RestAction::BringBack);
+    (0..200).for_each(|_| punctual.lost());
+    let lost = RestingContext { history: punctual, ..due };
+    assert_eq!(bring_back_likely(&lost, &COSTS).action, RestAction::Keep);
+}
+
+/// Guards against exporting in order of age alone, which loses what is dear to compute and likely to return.
+#[test]
+fn what_is_likely_and_dear_is_exported_first() {
+    let mut likely = ReturnHistory::default();
+    (0..50).for_each(|_| likely.returned(400));
+    let old = context(RestPlace::Accelerator, 590);
+    let dear = RestingContext { history: likely, ..context(RestPlace::Accelerator, 160) };
+    assert_eq!(export_order(&[old, dear], &COSTS), [1, 0]);
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 1_000, rng_seed: RngSeed::Fixed(7), ..Config::default() })]
+
+    /// Guards against likelihoods outside 0 to 1 for any history and age.
+    #[test]
+    fn likelihood_is_a_probability(
+        rests in proptest::collection::vec(any::<u64>(), 0..30),
+        lost in 0..9_u32,
+        idle_s: u64,
+        horizon_s: u64,
+    ) {
+        let mut history = ReturnHistory::default();
+        for rest_s in &rests {
+ history.returned(*rest_s);
+}
+        (0..lost).for_each(|_| history.lost());
+        let likelihood = history.likelihood_within(idle_s, horizon_s);
+        prop_assert!((0.0..=1.0).contains(&likelihood), "{likelihood}");
+        prop_assert!(history.likelihood_within(idle_s, horizon_s / 2) <= likelihood + 1e-9);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/suspect.rs
@@ -0,0 +1,127 @@
+//! Requests that bring upstreams down.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use daisysill_core::suspect::{CrashReport, Fingerprint, Permission, SuspectTable};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+const BLOCK_MS: u64 = 60_000;
+
+fn report(upstream: &str, incarnation: u64, running: &[&str]) -> CrashReport {
+    let running = running.iter().map(|name| Fingerprint::from(*name)).collect();
+    CrashReport { upstream: upstream.into(), incarnation, running }
+}
+
+fn blocked(table: &SuspectTable) -> Vec<&str> {
+    table.blocks().map(|(fingerprint, _)| fingerprint.as_str()).collect()
+}
+
+/// Guards against an innocent request that is blocked because it shared upstreams with the culprit.
+#[test]
+fn a_request_that_finished_elsewhere_is_cleared() {
+    let mut table = SuspectTable::default();
+    table.crashed(&report("lyric-1", 1, &["bad", "good"]), 0, BLOCK_MS);
+    table.finished(&"good".into(), 50);
+    assert_eq!(table.crashed(&report("lyric-2", 1, &["bad"]), 100, BLOCK_MS), ["bad".into()]);
+    assert_eq!(blocked(&table), ["bad"]);
+    assert_eq!(table.permission(&"good".into(), 100, 0).permission, Permission::Run);
+    assert_eq!(table.likelihood_permille(&"good".into()), 0);
+}
+
+/// Guards against blocking both of two requests that crashed the same two upstreams together.
+#[test]
+fn requests_that_the_evidence_cannot_tell_apart_run_alone_first() {
+    let mut table = SuspectTable::default();
+    for (at, upstream) in ["lyric-1", "lyric-2"].into_iter().enumerate() {
+        let blocked = table.crashed(&report(upstream, 1, &["bad", "good"]), at as u64, BLOCK_MS);
+        assert!(blocked.is_empty());
+    }
+    for name in ["bad", "good"] {
+        assert_eq!(table.permission(&name.into(), 10, 0).permission, Permission::RunAlone);
+        assert_eq!(table.permission(&name.into(), 10, 1).permission, Permission::Wait);
+    }
+    table.crashed(&report("lyric-3", 1, &["bad"]), 20, BLOCK_MS);
+    assert_eq!(blocked(&table), ["bad"]);
+    assert_eq!(table.permission(&"good".into(), 20, 0).permission, Permission::Run);
+}
+
+/// Guards against the same crash, reported by several nodes, counting twice.
+#[test]
+fn a_crash_reported_twice_counts_once() {
+    let mut table = SuspectTable::default();
+    (0..3).for_each(|at| {
+        table.crashed(&report("lyric-1", 1, &["bad"]), at, BLOCK_MS);
+    });
+    assert!(blocked(&table).is_empty());
+    table.crashed(&report("lyric-1", 2, &["bad"]), 5, BLOCK_MS);
+    assert_eq!(blocked(&table), ["bad"]);
+    table.expire(5 + BLOCK_MS);
+    assert_eq!(table.permission(&"bad".into(), 5 + BLOCK_MS, 0).permission, Permission::Run);
+}
+
+/// Guards against replicas that differ after a snapshot, and against a state that cannot be stored.
+#[test]
+fn the_table_survives_serialisation() {
+    let mut table = SuspectTable::default();
+    table.crashed(&report("lyric-1", 1, &["a", "b"]), 0, BLOCK_MS);
+    table.crashed(&report("lyric-2", 1, &["a"]), 1, BLOCK_MS);
+    table.finished(&"b".into(), 2);
+    let text = serde_json::to_string(&table).unwrap();
+    let read: SuspectTable = serde_json::from_str(&text).unwrap();
+    assert_eq!(read, table);
+    assert_eq!(serde_json::to_string(&read).unwrap(), text);
+}
+
+proptest! {
+    #![proptest_config(Config { cases: 300, rng_seed: RngSeed::Fixed(6), ..Config::default() })]
+
+    /// Guards against more than three lost upstreams and blocked innocents while callers resend: one request
+    /// always crashes its upstream, the others never do, and all obey the permissions.
+    #[test]
+    fn one_bad_request_takes_down_at_most_three_upstreams(seed: u64, others in 1..6_usize) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut table = SuspectTable::default();
+        let names: Vec<Fingerprint> =
+            (0..=others).map(|at| Fingerprint::from(format!("request-{at}"))).collect();
+        let mut running: BTreeMap<u64, BTreeSet<usize>> = BTreeMap::new();
+        let (mut crashes, mut next_upstream) = (0, 0);
+        for now_ms in 0..200 {
+            let request = rng.random_range(0..names.len());
+            let runs = running.values().filter(|on| on.contains(&request)).count();
+            let alone = match table.permission(&names[request], now_ms, runs).permission {
+                Permission::Run => Some(false),
+                Permission::RunApart { .. } | Permission::RunAlone => Some(true),
+                Permission::Wait | Permission::Blocked { .. } => None,
+            };
+            // Every caller sends again once its last send has ended.
+            if let Some(alone) = alone.filter(|_| runs == 0) {
+                let shared = running.keys().next_back().copied().filter(|_| !alone && rng.random_range(0..3) > 0);
+                let upstream = shared.unwrap_or_else(|| { next_upstream += 1; next_upstream });
+                running.entry(upstream).or_default().insert(request);
+            }
+            if rng.random_range(0..3) == 0 && let Some((upstream, on)) = running.pop_first() {
+                if on.contains(&0) {
+                    crashes += 1;
+                    let running = on.iter().map(|at| names[*at].clone()).collect();
+                    let report =
+                        CrashReport { upstream: format!("u{upstream}").into(), incarnation: 1, running };
+                    table.crashed(&report, now_ms, 1_000_000);
+                } else {
+                    for at in &on {
+ table.finished(&names[*at], now_ms);
+}
+                }
+            }
+        }
+        prop_assert!(crashes <= 3, "{crashes} crashes");
+        for (fingerprint, block) in table.blocks() {
+            prop_assert!(*fingerprint == names[0], "{fingerprint} {}", block.reason);
+        }
+    }
+}
