Prefer the own zone among many equals, and block the last suspect left

Among 300 equal upstreams of another zone the only one of the own zone was not weighed, so a tie was broken towards the other zone. Two requests that had crashed two upstreams together stayed open after one of them had finished, so the culprit could take down a third upstream.

Change: the near-equal upstreams of the own zone are weighed first; SuspectTable::finished takes the block time and returns what it blocks. Tests for both, for shares with one slot, and for likelihoods of short rests.

--- a/crates/core/src/candidates.rs
+++ b/crates/core/src/candidates.rs
@@ -110,7 +110,8 @@
         self.count_caches(&mut scan);
         #[allow(clippy::cast_possible_truncation)]
         let factor = self.policy.near_tie_factor.max(1.0) as f32;
-        let slots = scan.cheapest(factor, draw, MAX_WEIGHED);
+        let is_own_zone = |slot| self.view.zone(slot) == self.eligibility.zone;
+        let slots = scan.cheapest(factor, draw, MAX_WEIGHED, is_own_zone);
         let mut candidates: Vec<Candidate<'a>> = slots.iter().filter_map(|slot| self.weigh(*slot)).collect();
         candidates.sort_by(|a, b| a.way.cost_us.total_cmp(&b.way.cost_us));
         Ranking { candidates, considered: scan.considered }
--- a/crates/core/src/scan.rs
+++ b/crates/core/src/scan.rs
@@ -15,8 +15,8 @@
 /// Factor by which a full weighing may lower a cost below its bound: prefill and restore side by side take at
 /// least half of the longer of the two.
 const REFINEMENT_FACTOR: f32 = 2.0;
-/// Slots that are sorted by cost at most.
-const MAX_FOUND: usize = 128;
+/// One part in this many of the weighed upstreams is left to those that are not near-equal.
+const RESERVED_DIVISOR: usize = 4;
 
 /// The result of the pass, by slot; infinite where an upstream is not eligible.
 pub(crate) struct Scan {
@@ -208,27 +208,45 @@
 
     /// Returns up to `count` slots: those whose bound is within `factor` of the lowest, then the next cheapest.
     ///
-    /// Nodes start at different chunks, so that a large group of equals is not cut to the same few.
-    pub(crate) fn cheapest(&self, factor: f32, draw: f64, count: usize) -> Vec<u16> {
+    /// Of the former, those of the own zone go first if one of them is the lowest. Nodes start at different
+    /// chunks, so that a large group of equals is not cut to the same few.
+    pub(crate) fn cheapest(
+        &self,
+        factor: f32,
+        draw: f64,
+        count: usize,
+        is_own_zone: impl Fn(usize) -> bool,
+    ) -> Vec<u16> {
         let lowest = self.chunk_lowest.iter().copied().fold(f32::INFINITY, lower);
         if lowest.is_infinite() {
             return Vec::new();
         }
         let (near, wide) = (lowest * factor, lowest * factor * REFINEMENT_FACTOR);
+        let prefer_own = self.slots_within(lowest, 0.0).any(&is_own_zone);
+        let preferred = self.slots_within(near, draw).filter(|slot| !prefer_own || is_own_zone(*slot));
+        let mut slots: Vec<usize> = preferred.take(count - count / RESERVED_DIVISOR).collect();
+        let mut others: Vec<(f32, usize)> = Vec::with_capacity(count + 1);
+        let room = count - slots.len();
+        for slot in self.slots_within(wide, draw) {
+            let bound = self.bounds[slot];
+            let dearer = others.len() == room && others.last().is_some_and(|(last, _)| bound >= *last);
+            if dearer || slots.contains(&slot) {
+                continue;
+            }
+            let at = others.partition_point(|(known, _)| *known <= bound);
+            others.insert(at, (bound, slot));
+            others.truncate(room);
+        }
+        slots.extend(others.into_iter().map(|(_, slot)| slot));
+        slots.into_iter().filter_map(|slot| u16::try_from(slot).ok()).collect()
+    }
+
+    /// Iterates over the slots with a bound up to `limit`, from the chunk that `draw` selects on.
+    fn slots_within(&self, limit: f32, draw: f64) -> impl Iterator<Item = usize> {
         let chunks = self.chunk_lowest.len();
         let start = pick(draw, chunks);
-        let usable = (start..chunks).chain(0..start).filter(|chunk| self.chunk_lowest[*chunk] <= wide);
+        let usable = (start..chunks).chain(0..start).filter(move |chunk| self.chunk_lowest[*chunk] <= limit);
         let slots = usable.flat_map(|chunk| chunk * CHUNK..(chunk + 1) * CHUNK);
-        let mut found: Vec<(f32, usize)> = Vec::with_capacity(MAX_FOUND);
-        for slot in slots.filter(|slot| self.bounds[*slot] <= wide) {
-            // Near slots keep the order in which they are found; the others follow by cost.
-            let rank = if self.bounds[slot] <= near { 0.0 } else { self.bounds[slot] };
-            found.push((rank, slot));
-            if found.len() == MAX_FOUND {
-                break;
-            }
-        }
-        found.sort_by(|(a, _), (b, _)| a.total_cmp(b));
-        found.into_iter().take(count).filter_map(|(_, slot)| u16::try_from(slot).ok()).collect()
+        slots.filter(move |slot| self.bounds[*slot] <= limit)
     }
 }
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -143,10 +143,16 @@
     }
 
     /// Takes the news that a request ran to its end, which clears it of every crash so far.
-    pub fn finished(&mut self, fingerprint: &Fingerprint, at_ms: u64) {
-        if self.crashes.values().any(|crash| crash.running.contains(fingerprint)) {
-            self.cleared.insert(fingerprint.clone(), at_ms);
+    ///
+    /// Returns the requests that are newly blocked because no other is left that explains their crashes.
+    pub fn finished(&mut self, fingerprint: &Fingerprint, at_ms: u64, block_ms: u64) -> Vec<Fingerprint> {
+        let shared = self.crashes.values().filter(|crash| crash.running.contains(fingerprint));
+        let mut rivals: BTreeSet<Fingerprint> = shared.flat_map(|crash| crash.running.clone()).collect();
+        if !rivals.remove(fingerprint) {
+            return Vec::new();
         }
+        self.cleared.insert(fingerprint.clone(), at_ms);
+        rivals.into_iter().filter(|rival| self.judge(rival, at_ms, block_ms)).collect()
     }
 
     /// Lifts blocks that have expired, and forgets the crashes behind them.
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -279,6 +279,11 @@
         self.chunks[slot / CHUNK].rows.epoch[slot % CHUNK]
     }
 
+    /// Returns the number of the zone of a slot that is known to exist.
+    pub(crate) fn zone(&self, slot: usize) -> Option<u16> {
+        u16::try_from(self.chunks[slot / CHUNK].rows.zone[slot % CHUNK]).ok()
+    }
+
     /// Returns the identity of an upstream by slot.
     pub(crate) fn upstream_at(&self, slot: u16) -> Option<&UpstreamView> {
         let slot = usize::from(slot);
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -101,6 +101,35 @@
     assert!((2.7..=3.3).contains(&ratio), "{large} to {small}");
 }
 
+/// Guards against an order of starts that ignores shares where slots are too few to divide.
+#[test]
+fn one_slot_is_shared_in_turn_by_the_shares() {
+    let concurrency = ConcurrencyPolicy { initial: 1, min: 1, max: 1 };
+    let mut admission = Admission::new(AdmissionPolicy { concurrency, ..policy() });
+    let (large, small) = (CustomerId::from("a-large"), CustomerId::from("b-small"));
+    let mut tickets = BTreeMap::new();
+    for _ in 0..20 {
+        for (customer, share) in [(&large, 3), (&small, 1)] {
+            let (Verdict::Admit(ticket) | Verdict::Queue(ticket)) =
+                admission.offer(0, &offer(customer, share)).verdict
+            else {
+                panic!()
+            };
+            tickets.insert(ticket, customer);
+        }
+    }
+    let mut current = *tickets.keys().next().unwrap();
+    let mut started = Vec::new();
+    for _ in 0..20 {
+        admission.ended(current, Outcome::Other);
+        let Some(Next::Start(next)) = admission.next(0) else { panic!() };
+        started.push(tickets[&next]);
+        current = next;
+    }
+    let of_large = started.iter().filter(|customer| ***customer == large).count();
+    assert!((14..=16).contains(&of_large), "{started:?}");
+}
+
 /// Guards against a caller that waits for a start that cannot come in time, and against a time to come back
 /// at which it is refused again.
 #[test]
--- a/crates/core/tests/resting.rs
+++ b/crates/core/tests/resting.rs
@@ -101,10 +101,10 @@
     /// Guards against likelihoods outside 0 to 1 for any history and age.
     #[test]
     fn likelihood_is_a_probability(
-        rests in proptest::collection::vec(any::<u64>(), 0..30),
+        rests in proptest::collection::vec(prop_oneof![any::<u64>(), 0..100_000_u64], 0..30),
         lost in 0..9_u32,
-        idle_s: u64,
-        horizon_s: u64,
+        idle_s in prop_oneof![any::<u64>(), 0..100_000_u64],
+        horizon_s in prop_oneof![any::<u64>(), 0..100_000_u64],
     ) {
         let mut history = ReturnHistory::default();
         for rest_s in &rests {
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -136,6 +136,17 @@
     assert_eq!(route(&view, 1, &policy(), 0.0).unwrap().upstream, "far".into());
 }
 
+/// Guards against many equal upstreams of other zones hiding one of the own zone from the decision.
+#[test]
+fn the_own_zone_is_found_among_many_others() {
+    let mut view = ClusterView::default();
+    (0..300).for_each(|at| add(&mut view, &format!("far-{at}"), "bkk-sathorn", 0));
+    add(&mut view, "near", "bkk-bangna", 5);
+    for draw in [0.0, 0.5, 0.99] {
+        assert_eq!(route(&view, 1, &policy(), draw).unwrap().upstream, "near".into());
+    }
+}
+
 /// Guards against a suspect upstream that gets work while a live one is left, however busy.
 #[test]
 fn suspect_upstreams_are_the_last_resort() {
--- a/crates/core/tests/suspect.rs
+++ b/crates/core/tests/suspect.rs
@@ -27,11 +27,22 @@
 fn a_request_that_finished_elsewhere_is_cleared() {
     let mut table = SuspectTable::default();
     table.crashed(&report("lyric-1", 1, &["bad", "good"]), 0, BLOCK_MS);
-    table.finished(&"good".into(), 50);
+    assert!(table.finished(&"good".into(), 50, BLOCK_MS).is_empty());
+    assert_eq!(table.likelihood_permille(&"good".into()), 0);
+    assert_eq!(table.permission(&"good".into(), 60, 3).permission, Permission::Run);
+    assert_eq!(table.permission(&"bad".into(), 60, 0).permission, Permission::RunAlone);
     assert_eq!(table.crashed(&report("lyric-2", 1, &["bad"]), 100, BLOCK_MS), ["bad".into()]);
     assert_eq!(blocked(&table), ["bad"]);
     assert_eq!(table.permission(&"good".into(), 100, 0).permission, Permission::Run);
-    assert_eq!(table.likelihood_permille(&"good".into()), 0);
+}
+
+/// Guards against a third lost upstream although the only other suspect has just proved harmless.
+#[test]
+fn the_last_suspect_left_is_blocked_without_another_crash() {
+    let mut table = SuspectTable::default();
+    table.crashed(&report("lyric-1", 1, &["bad", "good"]), 0, BLOCK_MS);
+    table.crashed(&report("lyric-2", 1, &["bad", "good"]), 1, BLOCK_MS);
+    assert_eq!(table.finished(&"good".into(), 2, BLOCK_MS), ["bad".into()]);
 }
 
 /// Guards against blocking both of two requests that crashed the same two upstreams together.
@@ -71,7 +82,7 @@
     let mut table = SuspectTable::default();
     table.crashed(&report("lyric-1", 1, &["a", "b"]), 0, BLOCK_MS);
     table.crashed(&report("lyric-2", 1, &["a"]), 1, BLOCK_MS);
-    table.finished(&"b".into(), 2);
+    table.finished(&"b".into(), 2, BLOCK_MS);
     let text = serde_json::to_string(&table).unwrap();
     let read: SuspectTable = serde_json::from_str(&text).unwrap();
     assert_eq!(read, table);
@@ -114,7 +125,7 @@
                     table.crashed(&report, now_ms, 1_000_000);
                 } else {
                     for at in &on {
- table.finished(&names[*at], now_ms);
+ table.finished(&names[*at], now_ms, 1_000_000);
 }
                 }
             }
