Choose the first chunk and the upstream by different digits of the draw

Cause: a check of the spread over equal upstreams found 17 different ones in 40 draws among 100 equals, where independent draws give 33 on average: one draw selected both the chunk to start from and the upstream among those found.

Change: the chunk is selected by later digits of the draw. The search for the next cheapest upstreams passes over chunks that cannot contain one.

Fault shown: scan.rs:264 with the plain draw: equals_of_other_zones_do_not_ narrow_the_spread fails with 17 different upstreams. Without the preference for the own zone in scan.rs:228 no test fails.

--- a/crates/core/src/scan.rs
+++ b/crates/core/src/scan.rs
@@ -18,6 +18,9 @@
 /// One part in this many of the weighed upstreams is left to those that are not near-equal.
 const RESERVED_DIVISOR: usize = 4;
 
+/// Shifts the digits of a draw that select the first chunk; a prime, so that no number of chunks divides it.
+const DRAW_DIGITS: f64 = 7_919.0;
+
 /// The result of the pass, by slot; infinite where an upstream is not eligible.
 pub(crate) struct Scan {
     /// Prefill time queued ahead, with the cost of crossing zones.
@@ -225,27 +228,46 @@
         let prefer_own = self.slots_within(lowest, 0.0).any(&is_own_zone);
         let preferred = self.slots_within(near, draw).filter(|slot| !prefer_own || is_own_zone(*slot));
         let mut slots: Vec<usize> = preferred.take(count - count / RESERVED_DIVISOR).collect();
-        let mut others: Vec<(f32, usize)> = Vec::with_capacity(count + 1);
-        let room = count - slots.len();
-        for slot in self.slots_within(wide, draw) {
-            let bound = self.bounds[slot];
-            let dearer = others.len() == room && others.last().is_some_and(|(last, _)| bound >= *last);
-            if dearer || slots.contains(&slot) {
+        let others = self.lowest_others(wide, draw, count - slots.len(), &slots);
+        slots.extend(others);
+        slots.into_iter().filter_map(|slot| u16::try_from(slot).ok()).collect()
+    }
+
+    /// Returns up to `count` slots with the lowest bounds up to `limit`, without those in `known`.
+    fn lowest_others(&self, mut limit: f32, draw: f64, count: usize, known: &[usize]) -> Vec<usize> {
+        let mut found: Vec<(f32, usize)> = Vec::with_capacity(count + 1);
+        for chunk in self.chunks_from(draw) {
+            // The limit falls as cheaper slots are found, so most chunks are passed over.
+            if self.chunk_lowest[chunk] > limit {
                 continue;
             }
-            let at = others.partition_point(|(known, _)| *known <= bound);
-            others.insert(at, (bound, slot));
-            others.truncate(room);
+            for slot in chunk * CHUNK..(chunk + 1) * CHUNK {
+                let bound = self.bounds[slot];
+                if bound > limit || known.contains(&slot) {
+                    continue;
+                }
+                let at = found.partition_point(|(lower, _)| *lower <= bound);
+                found.insert(at, (bound, slot));
+                found.truncate(count);
+                if found.len() == count {
+                    limit = found.last().map_or(limit, |(last, _)| *last);
+                }
+            }
         }
-        slots.extend(others.into_iter().map(|(_, slot)| slot));
-        slots.into_iter().filter_map(|slot| u16::try_from(slot).ok()).collect()
+        found.into_iter().map(|(_, slot)| slot).collect()
+    }
+
+    /// Iterates over all chunks, beginning with the one that `draw` selects.
+    fn chunks_from(&self, draw: f64) -> impl Iterator<Item = usize> + use<> {
+        let chunks = self.chunk_lowest.len();
+        // The draw also selects among the slots found; other digits of it keep the two choices independent.
+        let start = pick((draw * DRAW_DIGITS).fract(), chunks);
+        (start..chunks).chain(0..start)
     }
 
     /// Iterates over the slots with a bound up to `limit`, from the chunk that `draw` selects on.
     fn slots_within(&self, limit: f32, draw: f64) -> impl Iterator<Item = usize> {
-        let chunks = self.chunk_lowest.len();
-        let start = pick(draw, chunks);
-        let usable = (start..chunks).chain(0..start).filter(move |chunk| self.chunk_lowest[*chunk] <= limit);
+        let usable = self.chunks_from(draw).filter(move |chunk| self.chunk_lowest[*chunk] <= limit);
         let slots = usable.flat_map(|chunk| chunk * CHUNK..(chunk + 1) * CHUNK);
         slots.filter(move |slot| self.bounds[*slot] <= limit)
     }
--- a/crates/core/tests/route.rs
+++ b/crates/core/tests/route.rs
@@ -15,6 +15,8 @@
     test_runner::{Config, RngSeed},
 };
 
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
 const VERSION: WeightVersion = WeightVersion(1);
 const NOW_MS: u64 = 10_000;
 
@@ -173,6 +175,22 @@
     assert!(chosen.len() >= 6, "{chosen:?}");
 }
 
+/// Guards against ties within the own zone being broken among few because other zones have equals too.
+#[test]
+fn equals_of_other_zones_do_not_narrow_the_spread() {
+    let mut view = ClusterView::default();
+    (0..400).for_each(|at| {
+        let zone = if at % 4 == 0 { "bkk-bangna" } else { "bkk-sathorn" };
+        add(&mut view, &format!("lyric-{at}"), zone, 0);
+    });
+    let mut rng = StdRng::seed_from_u64(1);
+    let draws = (0..40).map(|_| rng.random());
+    let chosen: std::collections::BTreeSet<InstanceId> =
+        draws.map(|draw| route(&view, 2, &policy(), draw).unwrap().upstream).collect();
+    // 40 uniform draws among the 100 equals of the own zone give 33 different ones on average.
+    assert!(chosen.len() >= 25, "{} different upstreams", chosen.len());
+}
+
 /// Guards against work counted twice: once in a report, once as an own or a peer's dispatch.
 #[test]
 fn dispatches_that_a_report_covers_are_not_counted_again() {
