--- a/crates/core/examples/decision_cost.rs
+++ b/crates/core/examples/decision_cost.rs
@@ -6,6 +6,8 @@
 mod admission_cost;
 #[path = "decision_cost/regret.rs"]
 mod regret;
+#[path = "decision_cost/rest.rs"]
+mod rest;
 #[path = "decision_cost/route_cost.rs"]
 mod route_cost;
 #[path = "decision_cost/timing.rs"]
@@ -19,6 +21,10 @@
     for customers in [10, 5_600] {
         admission_cost::print(customers);
     }
+    println!(
+        "# exported percent of bytes, percent of returning tokens computed again: oldest first, by value"
+    );
+    rest::print();
     if std::env::args().any(|arg| arg == "--no-regret") {
         return;
     }
