--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -126,7 +126,7 @@
     pub(crate) fn choose(&mut self, excluded: &[InstanceId]) -> Option<InstanceId> {
         let view = self.shared.upstreams.view();
         let in_state = |state| -> Vec<&UpstreamView> {
-            let of_service = view.upstreams.iter().filter(|u| u.service == self.life.service);
+            let of_service = view.upstreams().filter(|u| u.service == self.life.service);
             of_service.filter(|u| u.state == state && !excluded.contains(&u.id)).collect()
         };
         let mut upstreams = in_state(UpstreamState::Live);
--- a/crates/node/src/upstream_entry.rs
+++ b/crates/node/src/upstream_entry.rs
@@ -5,7 +5,7 @@
 use daisysill_core::{
     block::BlockName,
     ids::{InstanceId, ServiceName, WeightVersion, ZoneName},
-    view::{UpstreamState, UpstreamView},
+    view::{LoadReport, UpstreamState, UpstreamView},
 };
 use daisysill_wire::border::{EngineLoad, InstanceKind, PlatformInstance, StoreUsage};
 use tokio::time::Instant;
@@ -101,10 +101,16 @@
                 _ => UpstreamState::Down,
             },
             weight_version: WeightVersion(load.map_or(0, |l| l.weight_version)),
-            reported_queue_tokens: load.map_or(0, |l| l.queue_tokens),
-            dispatched_tokens: self.dispatches.iter().map(|(_, tokens)| tokens).sum(),
+        }
+    }
+
+    /// Returns the load as the decisions see it.
+    pub(crate) fn load_report(&self) -> LoadReport {
+        let load = self.load.as_ref();
+        LoadReport {
+            at_ms: 0,
+            queue_tokens: load.map_or(0, |l| l.queue_tokens),
             prefill_tokens_per_s: load.map_or(ASSUMED_PREFILL_TOKENS_PER_S, |l| l.prefill_tokens_per_s),
-            pieces: self.pieces.clone(),
         }
     }
 }
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -55,9 +55,10 @@
         let mut view = ClusterView::default();
         for (id, entry) in entries.iter() {
             match entry.listed.kind {
-                InstanceKind::Engine | InstanceKind::Plain => view.upstreams.push(entry.view(id)),
-                InstanceKind::Store => view.stores.push(self.store_view(id, entry)),
+                InstanceKind::Engine | InstanceKind::Plain => put_upstream(&mut view, id, entry),
+                InstanceKind::Store => view.put_store(self.store_view(id, entry)),
             }
+            entry.pieces.iter().for_each(|piece| view.piece_stored(id, piece));
         }
         view
     }
@@ -299,7 +300,6 @@
             reachable: entry.state == "live",
             link_bytes_per_s: self.link_share(entry.usage.as_ref()),
             booked_bytes: self.directory.booked_bytes(id),
-            pieces: BTreeSet::new(),
         }
     }
 
@@ -344,3 +344,9 @@
         }
     }
 }
+
+fn put_upstream(view: &mut ClusterView, id: &InstanceId, entry: &Entry) {
+    view.put_upstream(entry.view(id));
+    view.report(id, entry.load_report());
+    view.dispatched(id, 0, entry.dispatches.iter().map(|(_, tokens)| tokens).sum());
+}
