Keep a proxy's listener when an accept fails, and delay what was read early

Cause: a failed accept ended a proxy's listener for ever, so healthy upstreams refused connections after a zone cut; and bytes read while a link was silent passed without the link's delay (seen by the delay test). Change: a failed accept is tried again after 10 ms; early bytes go through the same delay and rate.

--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -27,6 +27,9 @@
 /// Chunks under way in one direction of one connection; bounds what a delayed link holds.
 const CHUNKS_UNDER_WAY: usize = 256;
 
+/// Time after which a failed accept is tried again.
+const ACCEPT_RETRY: Duration = Duration::from_millis(10);
+
 /// One direction of a link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Direction {
@@ -240,7 +243,12 @@
     let serving = Arc::clone(shared);
     let task = shared.runtime.spawn(async move {
         let Ok(listener) = TcpListener::from_std(listener) else { return };
-        while let Ok((client, _)) = listener.accept().await {
+        loop {
+            // A client that gave up in the backlog, or a full descriptor table, must not end the listener.
+            let Ok((client, _)) = listener.accept().await else {
+                tokio::time::sleep(ACCEPT_RETRY).await;
+                continue;
+            };
             let number = {
                 let mut accepted = lock(&serving.accepted);
                 *accepted += 1;
@@ -257,6 +265,7 @@
     // A connection that its client gives up while the link is silent must not hold a descriptor.
     let mut early = Vec::new();
     tokio::select! {
+        biased;
         () = shared.passable(Direction::Forward, number) => {}
         () = read_to_end(&client, &mut early) => return,
     }
@@ -267,11 +276,8 @@
         return;
     };
     let _ = (client.set_nodelay(true), server.set_nodelay(true));
-    if !write(&server, &early).await {
-        return end(client, true);
-    }
-    let forward = pump(&shared, Direction::Forward, number, &client, &server);
-    let backward = pump(&shared, Direction::Backward, number, &server, &client);
+    let forward = pump(&shared, Direction::Forward, number, &client, &server, early);
+    let backward = pump(&shared, Direction::Backward, number, &server, &client, Vec::new());
     let cut = tokio::select! {
         _ = async { tokio::join!(forward, backward) } => return,
         cut = cuts.recv() => cut.unwrap_or(Cut { client: true, server: true, reset: true }),
@@ -293,11 +299,22 @@
     drop(stream);
 }
 
-/// Moves one direction until its end, which is passed on as a half-close.
-async fn pump(shared: &Shared, direction: Direction, number: u64, from: &TcpStream, to: &TcpStream) {
+/// Moves one direction until its end, which is passed on as a half-close; `early` was read before.
+async fn pump(
+    shared: &Shared,
+    direction: Direction,
+    number: u64,
+    from: &TcpStream,
+    to: &TcpStream,
+    early: Vec<u8>,
+) {
     let (sender, mut receiver) = mpsc::channel::<(Instant, Vec<u8>)>(CHUNKS_UNDER_WAY);
     let reading = async {
         let sender = sender;
+        if !early.is_empty() {
+            // The channel is new, so it has room.
+            let _ = sender.send((Instant::now() + shared.behaviour(direction).delay, early)).await;
+        }
         while let Some(chunk) = read(from).await {
             let due = Instant::now() + shared.behaviour(direction).delay;
             if sender.send((due, chunk)).await.is_err() {
--- a/crates/testkit/tests/deployments.rs
+++ b/crates/testkit/tests/deployments.rs
@@ -52,9 +52,11 @@
     assert_eq!(fs::read(folder.join("test.bin")).unwrap(), [0, 1]);
     deployment.start_node("sathorn-1");
     deployment.wait_until_ready().await;
-    assert!(ask(&deployment, "sathorn-1", "again", 3).await.is_answer("again", 3));
+    let again = ask(&deployment, "sathorn-1", "again", 3).await;
+    assert!(again.is_answer("again", 3), "{again:?}\n{}", explained(&deployment, "sathorn-1"));
     deployment.restart_empty("sathorn-1");
     assert!(!folder.join("test.bin").exists());
     deployment.wait_until_ready().await;
-    assert!(ask(&deployment, "sathorn-1", "empty", 3).await.is_answer("empty", 3));
+    let empty = ask(&deployment, "sathorn-1", "empty", 3).await;
+    assert!(empty.is_answer("empty", 3), "{empty:?}\n{}", explained(&deployment, "sathorn-1"));
 }
