--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -9,7 +9,7 @@
     http::ConnectionType,
     web::Data,
 };
-use daisysill_cluster::Cluster;
+use daisysill_cluster::{Cluster, LeaseKeeper};
 use eyre::WrapErr;
 use serde::Serialize;
 use tokio::time::Instant;
@@ -26,6 +26,7 @@
     options::Options,
     plain_client::HttpPlainService,
     platform_client::HttpPlatform,
+    rollout::{self, Rollout},
     shared::Shared,
     tls::{self, ReloadingCertificate},
 };
@@ -112,7 +113,10 @@
     let plain = Rc::new(HttpPlainService::new(client.clone()));
     let platform = Rc::new(HttpPlatform::new(client));
     UpstreamMonitor::new(Arc::clone(&shared), engine.clone(), engine.clone(), plain, platform).start();
-    Exporter::new(Arc::clone(&shared), engine.clone(), engine).start();
+    Exporter::new(Arc::clone(&shared), engine.clone(), engine.clone()).start();
+    let holder = shared.config.node.name.clone();
+    let lease = LeaseKeeper::start(shared.cluster.clone(), holder, rollout::lease_terms());
+    Rollout::new(Arc::clone(&shared), engine, Rc::new(lease)).start();
 
     let data = Data::from(Arc::clone(&shared));
     let admin_data = data.clone();
--- a/crates/node/src/engine_client.rs
+++ b/crates/node/src/engine_client.rs
@@ -17,8 +17,8 @@
 
 /// Time in which a transfer between an engine and a store must end.
 const TRANSFER_TIMEOUT: Duration = Duration::from_mins(1);
-/// Time in which an engine must accept an order.
-const ORDER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time in which an engine must accept an order; a new holder of the lease waits it out.
+pub const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Reaches engines and stores over HTTP.
 #[derive(Clone)]
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -8,6 +8,7 @@
 };
 
 use actix::{Actor, AsyncContext, Context, WrapFuture};
+use daisysill_cluster::{LeaseKeeper, LeaseTerms};
 use daisysill_core::{
     ids::{FencingNumber, InstanceId, ServiceName, WeightVersion},
     rules::WeightRules,
@@ -15,12 +16,16 @@
 use daisysill_wire::border::EngineOrder;
 use tokio::time::Instant;
 
-use crate::{shared::Shared, upstream_edge::Engine};
+use crate::{engine_client::ORDER_TIMEOUT, shared::Shared, upstream_edge::Engine};
 
 /// Time between two looks at the versions in service.
 const ROLLOUT_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after which an engine that was ordered to load and does not report the version is ordered again.
 const LOADING_TIMEOUT: Duration = Duration::from_mins(1);
+/// The control role whose holder gives orders.
+const LEASE_ROLE: &str = "weights";
+/// How long the lease lasts without renewal.
+const LEASE_DURATION: Duration = Duration::from_secs(5);
 /// The order that makes an engine load a version.
 const LOAD_WEIGHTS: &str = "load_weights";
 
@@ -30,6 +35,18 @@
     fn fencing(&self) -> Option<FencingNumber>;
 }
 
+impl OrderLease for LeaseKeeper {
+    fn fencing(&self) -> Option<FencingNumber> {
+        // The inherent method, not this one.
+        Self::fencing(self)
+    }
+}
+
+/// Returns what this node must hold to give orders.
+pub fn lease_terms() -> LeaseTerms {
+    LeaseTerms { role: LEASE_ROLE.to_owned(), duration: LEASE_DURATION, longest_order: ORDER_TIMEOUT }
+}
+
 /// An engine as the rollout sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EngineVersion {
@@ -44,10 +61,11 @@
 }
 
 /// Returns the engines to order now, so that at most `max_loading` load at once and the floor of engines
-/// stays in service. A service with a single engine has no floor, since its weights could never change.
+/// stays in service. The floor leaves room for one engine, since weights could never change otherwise: 70 percent
+/// of 3 engines is all of them.
 pub fn plan(engines: &[EngineVersion], target: WeightVersion, rules: &WeightRules) -> Vec<InstanceId> {
     let total = engines.len() as u64;
-    let floor = if total > 1 { (total * rules.floor_percent).div_ceil(100) } else { 0 };
+    let floor = (total * rules.floor_percent).div_ceil(100).min(total.saturating_sub(1));
     let loading = engines.iter().filter(|engine| engine.loading).count() as u64;
     let serving = engines.iter().filter(|engine| engine.in_service && !engine.loading).count() as u64;
     let room = rules.max_loading.saturating_sub(loading).min(serving.saturating_sub(floor));
--- a/crates/testkit/tests/data_path.rs
+++ b/crates/testkit/tests/data_path.rs
@@ -161,3 +161,21 @@
     assert_eq!(answer["choices"][0]["text"], expected_text("la la", 100), "{answer}");
     assert_eq!(deployment.metric("silent_connections_total").await, 1);
 }
+
+/// Guards against weights that are set and never loaded, and against orders without a fencing number.
+#[actix_rt::test]
+async fn weights_that_are_set_are_loaded_by_every_engine() {
+    let deployment = Deployment::start(3).await;
+    let output = deployment.environment.cli(&deployment.node, &["weights", "lyric-llm", "0", "2"]);
+    assert!(output.status.success(), "{output:?}");
+    let end = Instant::now() + Duration::from_secs(40);
+    while deployment.engines.iter().any(|engine| engine.weight_version() != 2) {
+        assert!(Instant::now() < end, "{}", deployment.environment.log("sathorn-1"));
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+    let orders: Vec<_> = deployment.engines.iter().flat_map(|engine| engine.records().orders).collect();
+    assert_eq!(orders.len(), 3, "{orders:?}");
+    assert!(orders.iter().all(|order| order.fencing > 0 && order.accepted), "{orders:?}");
+    let answer = deployment.complete("la", 1).await;
+    assert!(answer["choices"][0]["text"].as_str().unwrap().contains("v2."), "{answer}");
+}
