--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -110,7 +110,7 @@
     shared.role_event("settings_checked");
     let client = http::client();
     let engine = Rc::new(HttpEngine::new(client.clone()));
-    let plain = Rc::new(HttpPlainService::new(client.clone()));
+    let plain = Rc::new(HttpPlainService);
     let platform = Rc::new(HttpPlatform::new(client));
     UpstreamMonitor::new(Arc::clone(&shared), engine.clone(), engine.clone(), plain, platform).start();
     Exporter::new(Arc::clone(&shared), engine.clone(), engine.clone()).start();
@@ -128,10 +128,8 @@
     let limits = &shared.config.limits;
     let callers = HttpServer::new(move || {
         let client = http::client();
-        let adapters = Adapters {
-            engine: Rc::new(HttpEngine::new(client.clone())),
-            plain: Rc::new(HttpPlainService::new(client)),
-        };
+        let adapters =
+            Adapters { engine: Rc::new(HttpEngine::new(client.clone())), plain: Rc::new(HttpPlainService) };
         let shared = Arc::clone(&data);
         let app = App::new().app_data(data.clone()).app_data(Data::new(adapters));
         app.wrap_fn(move |request, service| {
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -29,7 +29,10 @@
 /// Unanswered probes after which the kernel closes the connection.
 const KEEPALIVE_PROBES: u32 = 3;
 
-/// Lets the first byte of a call pass only before a deadline, and counts the bytes that passed.
+/// Bytes that end a chunked body without trailers.
+const LAST_CHUNK: &[u8; 5] = b"0\r\n\r\n";
+
+/// Lets the first byte of a call pass only before a deadline, and notes what passed on its connection.
 ///
 /// The check sits in front of the socket, so it also holds if the process was suspended while it connected.
 #[derive(Debug)]
@@ -37,12 +40,14 @@
     deadline: Instant,
     late: Cell<bool>,
     written: Cell<usize>,
+    /// The bytes received last.
+    tail: Cell<[u8; LAST_CHUNK.len()]>,
 }
 
 impl SendGate {
     /// Creates a gate that closes at `deadline`.
     pub fn new(deadline: Instant) -> Rc<Self> {
-        Rc::new(Self { deadline, late: Cell::new(false), written: Cell::new(0) })
+        Rc::new(Self { deadline, late: Cell::new(false), written: Cell::new(0), tail: Cell::default() })
     }
 
     /// Corrects the sorting of an error by what passed the gate.
@@ -55,6 +60,20 @@
         }
     }
 
+    /// Returns whether the bytes received last end a chunked body.
+    pub fn ends_chunked_body(&self) -> bool {
+        self.tail.get() == *LAST_CHUNK
+    }
+
+    fn received(&self, bytes: &[u8]) {
+        let mut tail = self.tail.get();
+        for byte in bytes.iter().rev().take(tail.len()).rev() {
+            tail.rotate_left(1);
+            tail[LAST_CHUNK.len() - 1] = *byte;
+        }
+        self.tail.set(tail);
+    }
+
     fn check(&self) -> io::Result<()> {
         if self.written.get() == 0 && Instant::now() >= self.deadline {
             self.late.set(true);
@@ -119,7 +138,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if let (Some(gate), Poll::Ready(Ok(()))) = (&self.gate, &result) {
+            gate.received(&buffer.filled()[before..]);
+        }
+        result
     }
 }
 
--- a/crates/node/src/plain_client.rs
+++ b/crates/node/src/plain_client.rs
@@ -1,8 +1,12 @@
 //! Reaches plain services over HTTP.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
-use awc::{Client, http::Method};
+use actix_web::web::Bytes;
+use awc::{
+    Client, ClientResponse,
+    http::{Method, StatusCode, header},
+};
 use futures::{FutureExt, future::LocalBoxFuture};
 use tokio::time::Instant;
 
@@ -37,20 +41,30 @@
     !HOP_HEADERS.contains(&name.to_ascii_lowercase().as_str())
 }
 
+/// Time for which a call that may be repeated may wait for its connection.
+const SEND_LIMIT: Duration = Duration::from_mins(1);
+
 /// Reaches plain services over HTTP.
-#[derive(Clone)]
-pub struct HttpPlainService {
-    client: Client,
-}
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HttpPlainService;
 
 impl HttpPlainService {
-    /// Creates an adapter over a client.
-    pub fn new(client: Client) -> Self {
-        Self { client }
+    /// Sends a call on a connection of its own: a pooled one may have gone silent, or been closed while idle.
+    async fn send(
+        url: &str,
+        request: &PlainRequest,
+        traceparent: &str,
+        send_deadline: Instant,
+    ) -> AttemptResult<PlainResponse> {
+        let gate = SendGate::new(send_deadline);
+        let client = http::client_through(Some(Rc::clone(&gate)));
+        let result = Self::exchange(&client, &gate, url, request, traceparent).await;
+        result.map_err(|error| gate.sort(error))
     }
 
-    async fn send(
+    async fn exchange(
         client: &Client,
+        gate: &SendGate,
         url: &str,
         request: &PlainRequest,
         traceparent: &str,
@@ -58,7 +72,6 @@
         let method = Method::from_bytes(request.method.as_bytes())
             .map_err(|_| AttemptError::NotSent(format!("method {:?} is not valid", request.method)))?;
         let mut out = client.request(method, format!("{url}{}", request.path)).no_decompress();
-        // Each call has a connection of its own: a pooled one may have gone silent.
         out = out.force_close();
         for (name, value) in &request.headers {
             out = out.insert_header((name.as_str(), value.as_str()));
@@ -73,6 +86,9 @@
         }
         let body = response.body().limit(MAX_ANSWER_BYTES).await;
         let body = body.map_err(|error| AttemptError::Failed(error.to_string()))?;
+        if !is_whole(request, &response, &body, gate) {
+            return Err(AttemptError::Failed("the answer ended early".to_owned()));
+        }
         let headers = response.headers().iter();
         let headers = headers.filter(|(name, _)| is_end_to_end(name.as_str()));
         let headers = headers.filter_map(|(n, v)| Some((n.as_str().to_owned(), v.to_str().ok()?.to_owned())));
@@ -80,6 +96,21 @@
     }
 }
 
+/// Returns whether the body has arrived to its end. The client takes an early end of the connection for the
+/// end of the body.
+fn is_whole<S>(request: &PlainRequest, response: &ClientResponse<S>, body: &Bytes, gate: &SendGate) -> bool {
+    let headers = response.headers();
+    let no_body = matches!(response.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    if no_body || request.method == "HEAD" {
+        return true;
+    }
+    if headers.contains_key(header::TRANSFER_ENCODING) {
+        return gate.ends_chunked_body();
+    }
+    let announced = headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    announced.is_none_or(|length| length.parse() == Ok(body.len()))
+}
+
 impl PlainService for HttpPlainService {
     fn call<'a>(
         &'a self,
@@ -87,7 +118,7 @@
         request: &'a PlainRequest,
         traceparent: &'a str,
     ) -> LocalBoxFuture<'a, AttemptResult<PlainResponse>> {
-        Self::send(&self.client, url, request, traceparent).boxed_local()
+        Self::send(url, request, traceparent, Instant::now() + SEND_LIMIT).boxed_local()
     }
 
     fn ping<'a>(&'a self, url: &'a str) -> LocalBoxFuture<'a, AttemptResult<()>> {
@@ -101,13 +132,6 @@
         traceparent: &'a str,
         dispatch_deadline: Instant,
     ) -> LocalBoxFuture<'a, AttemptResult<PlainResponse>> {
-        async move {
-            let gate = SendGate::new(dispatch_deadline);
-            // A client of its own has an empty pool: the call never meets a connection closed while idle.
-            let client = http::client_through(Some(Rc::clone(&gate)));
-            let result = Self::send(&client, url, request, traceparent).await;
-            result.map_err(|error| gate.sort(error))
-        }
-        .boxed_local()
+        Self::send(url, request, traceparent, dispatch_deadline).boxed_local()
     }
 }
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -29,6 +29,9 @@
 
 /// Time after which a failed accept is tried again.
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
+/// Time in which a closed listener refuses connections, and time between two checks.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(2);
 
 /// One direction of a link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -176,10 +179,19 @@
     pub fn close(&self) {
         if let Some(listener) = lock(&self.listener).take() {
             listener.abort();
+            self.wait_until_refused();
         }
         self.cut(true);
     }
 
+    /// The task that holds the listener ends a moment after the abort; until then a connection still opens.
+    fn wait_until_refused(&self) {
+        let end = std::time::Instant::now() + CLOSE_TIMEOUT;
+        while std::net::TcpStream::connect(self.address).is_ok() && std::time::Instant::now() < end {
+            std::thread::sleep(CLOSE_CHECK_INTERVAL);
+        }
+    }
+
     /// Listens again on the same port after `close`.
     ///
     /// # Panics
