Measure what one more upstream, claim, block or customer costs a node

Cause: docs/CAPACITY.md needs slopes, and nothing measured memory and bytes by the size of each kind of state.

--- /dev/null
+++ b/crates/testkit/examples/capacity.rs
@@ -0,0 +1,182 @@
+//! Measures what one more upstream, customer, claim, block or piece costs a node, at three sizes each.
+//!
+//! docs/CAPACITY.md is worked out from these slopes.
+
+#![allow(clippy::unwrap_used)]
+
+use std::{
+    fmt::Write as _,
+    fs,
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use daisysill_control::{
+    command::{Claim, ClaimKey, ClaimOutcome, Command, FinishClaim, PublishRules, StoredAnswer},
+    state::AgreedState,
+};
+use daisysill_core::{
+    block::{BlockDescriptor, BlockName},
+    ids::{ConfigVersion, InstanceId, WeightVersion},
+    rules::RuleFile,
+    view::{ClusterView, UpstreamState, UpstreamView},
+};
+use daisysill_node::{config::Config, directory::BlockDirectory};
+use daisysill_testkit::{
+    deployment::Deployment, deployment_config::DeploymentConfig, measure_run::node_use, proxy::Direction,
+};
+use daisysill_wire::peer::SealedBlock;
+
+/// Bytes of a stored answer, about that of a fired cue.
+const ANSWER_BYTES: usize = 200;
+/// Time for which an idle node is watched.
+const WATCH: Duration = Duration::from_secs(5);
+
+fn main() {
+    println!("{:<34} {:>9} {:>12} {:>14}", "what", "count", "kB resident", "us for each");
+    series("claims with a stored answer", &[2_000, 20_000, 60_000], claims);
+    series("upstreams in the view", &[440, 1_320, 4_400], upstreams);
+    series("pieces in the view", &[20_000, 100_000, 500_000], pieces);
+    series("blocks in the directory", &[20_000, 100_000, 500_000], blocks);
+    series("customers in the settings", &[56, 560, 5_600], customers);
+    series("rule files published", &[5, 50, 200], rule_files);
+    actix_rt::System::new().block_on(idle_nodes());
+}
+
+/// Measures one kind of state at several sizes; everything is kept, so that no memory is used twice.
+fn series<T>(what: &str, counts: &[usize], build: impl Fn(usize) -> T) {
+    for count in counts {
+        let (before_kb, start) = (resident_kb(), Instant::now());
+        let kept = build(*count);
+        let (elapsed, after_kb) = (start.elapsed(), resident_kb());
+        std::mem::forget(black_box(kept));
+        let each_us = elapsed.as_secs_f64() * 1e6 / *count as f64;
+        println!("{what:<34} {count:>9} {:>12} {each_us:>14.2}", after_kb.saturating_sub(before_kb));
+    }
+}
+
+fn claims(count: usize) -> AgreedState {
+    let mut state = AgreedState::default();
+    for number in 0..count {
+        let key = ClaimKey {
+            customer: "school-band".into(),
+            service: "ledger".into(),
+            key: format!("renewal-{number:012}"),
+        };
+        let attempt = format!("att-{number:032x}").into();
+        let claim = claim_of(&key, number);
+        let index = number as u64 * 2 + 1;
+        state.apply(index, index, &Command::Claim(claim));
+        let answer = StoredAnswer {
+            status: 200,
+            content_type: "application/json".to_owned(),
+            body: vec![b'x'; ANSWER_BYTES],
+        };
+        let finish = FinishClaim { key, attempt, outcome: ClaimOutcome::Answered(answer) };
+        state.apply(index + 1, index + 1, &Command::FinishClaim(finish));
+    }
+    state
+}
+
+fn claim_of(key: &ClaimKey, number: usize) -> Claim {
+    Claim {
+        key: key.clone(),
+        body_digest: format!("{number:064x}"),
+        attempt: format!("att-{number:032x}").into(),
+        holder: "howrah-1".into(),
+        keep_ms: 604_800_000,
+    }
+}
+
+fn upstreams(count: usize) -> ClusterView {
+    let mut view = ClusterView::default();
+    for number in 0..count {
+        view.put_upstream(UpstreamView {
+            id: format!("worker-{number}").into(),
+            service: format!("model-{}", number % 5).into(),
+            zone: format!("zone-{}", number % 5).into(),
+            state: UpstreamState::Live,
+            weight_version: WeightVersion(1),
+        });
+    }
+    view
+}
+
+fn pieces(count: usize) -> ClusterView {
+    let mut view = upstreams(440);
+    for number in 0..count {
+        let holder = InstanceId::from(format!("worker-{}", number % 440));
+        view.piece_stored(&holder, &block_name(number));
+    }
+    view
+}
+
+fn blocks(count: usize) -> BlockDirectory {
+    let directory = BlockDirectory::default();
+    for number in 0..count {
+        let store = InstanceId::from(format!("store-{}", number % 10));
+        let block =
+            BlockDescriptor { name: block_name(number), length_bytes: 4_000_000, checksum: 1, generation: 1 };
+        directory.apply_report(&[SealedBlock { store, block }], &[]);
+    }
+    directory
+}
+
+fn block_name(number: usize) -> BlockName {
+    BlockName::from(&blake3::hash(&number.to_le_bytes()).to_hex()[..32])
+}
+
+fn customers(count: usize) -> Config {
+    let mut text =
+        fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/bengal/howrah-1.ini"))
+            .unwrap_or_default();
+    for number in 0..count {
+        let digest = blake3::hash(&number.to_le_bytes()).to_hex();
+        let _ = write!(text, "[customer.c{number}]\ntoken_digest = {digest}\nservices = tanpura, ledger\n");
+    }
+    Config::parse("capacity.ini", &text).unwrap()
+}
+
+fn rule_files(count: usize) -> AgreedState {
+    let file = |number: usize| RuleFile {
+        name: format!("service-{number}.ini"),
+        text: format!("[service]\nname = service-{number}\n[rest]\naccelerator_s = 600\nmemory_s = 86400\n"),
+    };
+    let publish = PublishRules {
+        change: "capacity".into(),
+        base: ConfigVersion(0),
+        files: (0..count).map(file).collect(),
+    };
+    let mut state = AgreedState::default();
+    state.apply(1, 1, &Command::PublishRules(publish));
+    state
+}
+
+/// Watches a node that serves nothing, with 10, 40 and 160 engines to poll.
+async fn idle_nodes() {
+    println!("\n{:<10} {:>16} {:>16} {:>12}", "engines", "core percent", "bytes/s", "kB at most");
+    for engines in [10, 40, 160] {
+        let deployment = Deployment::start(DeploymentConfig::with_engines(engines));
+        deployment.wait_until_ready().await;
+        let process = deployment.node("sathorn-1").id();
+        let (before, bytes) = (node_use(process), polled_bytes(&deployment));
+        actix_rt::time::sleep(WATCH).await;
+        let (after, watched_s) = (node_use(process), WATCH.as_secs_f64());
+        let percent = (after.processor_s - before.processor_s) / watched_s * 100.0;
+        let bytes_per_s = (polled_bytes(&deployment) - bytes) as f64 / watched_s;
+        println!("{engines:<10} {percent:>16.2} {bytes_per_s:>16.0} {:>12}", after.memory_kb);
+    }
+}
+
+/// Bytes that passed between the node and all upstreams, both ways.
+fn polled_bytes(deployment: &Deployment) -> u64 {
+    let links = deployment.upstreams.listed();
+    let links = links.iter().map(|(plan, _)| deployment.upstream_link("sathorn-1", &plan.id));
+    links.map(|link| link.passed_bytes(Direction::Forward) + link.passed_bytes(Direction::Backward)).sum()
+}
+
+fn resident_kb() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|text| text.trim().trim_end_matches(" kB").parse().ok()).unwrap_or_default()
+}
