--- /dev/null
+++ b/crates/testkit/tests/promises/crashes.rs
@@ -0,0 +1,61 @@
+//! A prompt that crashes every engine that runs it.
+
+use std::time::{Duration, Instant};
+
+use crate::support::{ask_as, check_answer, config, start_with};
+
+/// Time from the second crash to the block on all nodes, and the engines that one prompt may take down.
+const BLOCKED: Duration = Duration::from_secs(2);
+const MAX_LOST: u64 = 3;
+const BLOCKED_CODE: u32 = 1_307;
+
+/// Guards against a prompt that goes on to crash engines while its caller sends it again through every node, and
+/// against a block of innocent prompts that ran beside it.
+#[actix_rt::test]
+async fn a_resent_crashing_prompt_is_blocked_on_all_nodes() {
+    let mut config = config(7, 3, 8);
+    config.engine.crash_marker = "poison".to_owned();
+    config.engine.token_ms = 10;
+    let deployment = start_with(config).await;
+    let names = deployment.node_names();
+    let crashes =
+        || deployment.upstreams.engines.values().map(|engine| engine.records().crashes).sum::<u64>();
+    let innocent = names.iter().cycle().take(28).enumerate().map(|(number, node)| {
+        let deployment = &deployment;
+        async move {
+            let text = format!("innocent {number}");
+            (ask_as(deployment, node, "opera-2", &text).await, text)
+        }
+    });
+    let poison = async {
+        let began = Instant::now();
+        let mut second_crash = None;
+        let mut outcomes = Vec::new();
+        for node in names.iter().cycle() {
+            outcomes.push(ask_as(&deployment, node, "opera-1", "poison").await);
+            if crashes() >= 2 {
+                second_crash.get_or_insert_with(Instant::now);
+            }
+            if second_crash.is_some_and(|at| at.elapsed() > BLOCKED) {
+                break;
+            }
+            assert!(began.elapsed() < Duration::from_secs(20), "no second crash: {outcomes:?}");
+        }
+        let lost = crashes();
+        for node in &names {
+            let outcome = ask_as(&deployment, node, "opera-1", "poison").await;
+            assert_eq!(outcome.result_code, Some(BLOCKED_CODE), "{node}: {outcome:?}");
+        }
+        lost
+    };
+    let (answers, lost) = futures::future::join(futures::future::join_all(innocent), poison).await;
+    assert_eq!(lost, crashes());
+    assert!(lost <= MAX_LOST, "{lost} engines were lost");
+    for (outcome, text) in &answers {
+        assert_ne!(outcome.result_code, Some(BLOCKED_CODE), "{text} is blocked");
+    }
+    // The engines come back after half a second; an innocent caller whose stream was lost asks again.
+    for (_, text) in &answers {
+        check_answer(&ask_as(&deployment, &names[0], "opera-2", text).await, text, &[1]);
+    }
+}
--- /dev/null
+++ b/crates/testkit/tests/promises/stops.rs
@@ -0,0 +1,48 @@
+//! Nodes that are stopped as planned, one after the other, under load (P8).
+
+use std::time::Duration;
+
+use daisysill_testkit::deployment_config::DeploymentConfig;
+
+use crate::support::{ask_as, check_answer, check_runs, config, fire_at, publish_cue_rules, start_with};
+
+/// Guards against a planned stop that cuts a stream or a claimed call, or refuses one before the balancer knows.
+#[actix_rt::test]
+async fn a_planned_stop_of_each_node_in_turn_cuts_no_request() {
+    let mut config: DeploymentConfig = config(4, 3, 4);
+    config.engine.token_ms = 40;
+    config.node_lines = "balancer_notice_ms = 500\n".to_owned();
+    let mut deployment = start_with(config).await;
+    publish_cue_rules(&deployment).await;
+    for plain in deployment.upstreams.plain.values() {
+        plain.set_delay_ms(800);
+    }
+    for node in deployment.node_names() {
+        let stopping = async {
+            actix_rt::time::sleep(Duration::from_millis(200)).await;
+            deployment.node(&node).signal("TERM");
+        };
+        let text = |number: u64| format!("{node} {number}");
+        let asked = (0..30).map(|number| {
+            let (deployment, node, text) = (&deployment, &node, text(number));
+            async move {
+                // The last of them come in the balancer's notice time.
+                actix_rt::time::sleep(Duration::from_millis(number * 18)).await;
+                (ask_as(deployment, node, "opera-1", &text).await, text)
+            }
+        });
+        let url = format!("{}/services/booth-app/cues/7/fire", deployment.caller_url(&node));
+        let fired = (0..5).map(|number| fire_at(url.clone(), text(number), text(number)));
+        let asked = futures::future::join_all(asked);
+        let fired = futures::future::join_all(fired);
+        let (answers, told, ()) = futures::future::join3(asked, fired, stopping).await;
+        for (outcome, text) in &answers {
+            check_answer(outcome, text, &[1]);
+        }
+        assert!(told.iter().all(|told| told.status == 200), "{node}: {told:?}");
+        check_runs(&deployment, &told);
+        assert_eq!(deployment.wait_for_end(&node, Duration::from_secs(20)).await, Some(0));
+        deployment.start_node(&node);
+        deployment.wait_until_live().await;
+    }
+}
--- a/crates/testkit/tests/promises/support.rs
+++ b/crates/testkit/tests/promises/support.rs
@@ -7,8 +7,10 @@
 
 use awc::Client;
 use daisysill_testkit::{
+    caller::{PromptCall, PromptOutcome, prompt},
     deployment::Deployment,
     deployment_config::DeploymentConfig,
+    engine::expected_text_of,
     proxy::{Behaviour, Direction},
 };
 use daisysill_wire::border::InstanceKind;
@@ -18,6 +20,8 @@
 pub(crate) const CUE_RULES: &str = "[service]\nname = booth-app\n[never_twice]\ncalls = POST /cues/*/fire\n";
 /// Promise P9 at today's size.
 pub(crate) const IN_FORCE: Duration = Duration::from_secs(2);
+/// Tokens of each answer.
+const TOKENS: u32 = 20;
 const CALL_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Which traffic between a node and all others is held back.
@@ -43,18 +47,29 @@
     pub mark: String,
 }
 
-/// Starts nodes over three zones, the first of them voters, with one engine and two plain services.
-pub(crate) async fn start(nodes: usize, voters: usize) -> Deployment {
+/// Returns nodes over three zones, the first of them voters, with engines and two plain services.
+pub(crate) fn config(nodes: usize, voters: usize, engines: usize) -> DeploymentConfig {
     let mut config = DeploymentConfig::bangkok();
     config.nodes.truncate(nodes);
     for (index, node) in config.nodes.iter_mut().enumerate() {
         node.voter = index < voters;
     }
-    let mut engines = 0;
+    let mut left = engines;
     config.upstreams.retain(|plan| {
-        engines += usize::from(plan.kind == InstanceKind::Engine);
-        plan.kind == InstanceKind::Plain || (plan.kind == InstanceKind::Engine && engines == 1)
+        let is_kept = plan.kind != InstanceKind::Engine || left > 0;
+        left -= usize::from(is_kept && plan.kind == InstanceKind::Engine);
+        is_kept && !(plan.kind == InstanceKind::Store && engines == 1)
     });
+    config
+}
+
+/// Starts nodes with one engine and two plain services.
+pub(crate) async fn start(nodes: usize, voters: usize) -> Deployment {
+    start_with(config(nodes, voters, 1)).await
+}
+
+/// Starts a deployment and waits until its nodes are ready.
+pub(crate) async fn start_with(config: DeploymentConfig) -> Deployment {
     let deployment = Deployment::start(config);
     deployment.wait_until_live().await;
     deployment
@@ -141,14 +156,42 @@
 
 /// Publishes the cue rules and waits until they are in force on every running node.
 pub(crate) async fn publish_cue_rules(deployment: &Deployment) -> u64 {
+    publish_first(deployment, CUE_RULES).await
+}
+
+/// Publishes rules on no earlier ones and waits until they are in force.
+pub(crate) async fn publish_first(deployment: &Deployment, text: &str) -> u64 {
     let node = leader(deployment).await;
-    let told = publish(deployment, &node, "cue-rules", 0, CUE_RULES).await;
+    let told = publish(deployment, &node, "first", 0, text).await;
     assert_eq!(told.status, 200, "{told:?}");
     let version = told.body["version"].as_u64().unwrap();
     wait_in_force(deployment, version, IN_FORCE).await;
     version
 }
 
+/// Sets the weight version of the model through a node.
+pub(crate) async fn set_weights(deployment: &Deployment, node: &str, base: u64, version: u64) {
+    let url = format!("http://{}/admin/v1/weights", deployment.node(node).addresses.admin);
+    let (change, service) = (format!("weights-{version}"), &deployment.config.model);
+    let body = json!({"change_id": change, "base_version": base, "service": service, "version": version});
+    let told = told(Client::default().post(url).send_json(&body), String::new()).await;
+    assert_eq!(told.status, 200, "{told:?}");
+}
+
+/// Streams a prompt of one customer through a node.
+pub(crate) async fn ask_as(deployment: &Deployment, node: &str, customer: &str, text: &str) -> PromptOutcome {
+    let (url, token) = (deployment.caller_url(node), DeploymentConfig::token(customer));
+    let (model, deadline) = (deployment.config.model.as_str(), Duration::from_secs(10));
+    let call = PromptCall { url: &url, token: &token, model, prompt: text, max_tokens: TOKENS, deadline };
+    prompt(&Client::default(), &call).await
+}
+
+/// Fails unless the answer is whole and all of it is that of one weight version.
+pub(crate) fn check_answer(outcome: &PromptOutcome, text: &str, versions: &[u64]) {
+    let whole = versions.iter().any(|v| outcome.text == expected_text_of(text, u64::from(TOKENS), *v));
+    assert!(outcome.is_whole && whole, "{outcome:?}");
+}
+
 /// Returns the version of the rules that each running node shows.
 pub(crate) async fn shown(deployment: &Deployment) -> Vec<(String, u64)> {
     let statuses = deployment.statuses().await.into_iter();
