--- a/crates/testkit/tests/promises/orders.rs
+++ b/crates/testkit/tests/promises/orders.rs
@@ -46,6 +46,8 @@
     set_weights(&deployment, &others[0], 2, 3).await;
     let orders = async {
         wait(&deployment, |records| records.orders.iter().any(|order| order.weight_version == 3)).await;
+        // In this time a holder that does not stop by itself sees engines with a version other than its own.
+        actix_rt::time::sleep(Duration::from_millis(1_500)).await;
         match fault {
             Fault::Freeze => deployment.thaw(&holder),
             Fault::Cut => set_cut(&deployment, &holder, Cut::Both, false),
--- a/crates/testkit/tests/promises/stops.rs
+++ b/crates/testkit/tests/promises/stops.rs
@@ -1,8 +1,8 @@
-//! Nodes that are stopped as planned, one after the other, under load (P8).
+//! Upstreams that leave (P7) and nodes that are stopped as planned, one after the other, under load (P8).
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use daisysill_testkit::deployment_config::DeploymentConfig;
+use daisysill_testkit::{deployment::Deployment, deployment_config::DeploymentConfig};
 
 use crate::support::{ask_as, check_answer, check_runs, config, fire_at, publish_cue_rules, start_with};
 
@@ -46,3 +46,52 @@
         deployment.wait_until_live().await;
     }
 }
+
+/// Promise P7.
+const NOTICE: Duration = Duration::from_secs(3);
+
+/// Who says that an engine leaves.
+#[derive(Clone, Copy, Debug)]
+enum Cause {
+    Listed,
+    Drained,
+    Refuses,
+}
+
+/// Guards against new work for an engine that leaves, whoever says so, on any node: also on one that has had no
+/// request since and knows of a refusal only from the others.
+#[actix_rt::test]
+async fn an_engine_that_leaves_gets_no_new_work_from_any_node() {
+    let deployment = start_with(config(4, 3, 5)).await;
+    let names = deployment.node_names();
+    deployment.platform.set_lag(Duration::from_secs(1));
+    for (index, cause) in [Cause::Listed, Cause::Drained, Cause::Refuses].into_iter().enumerate() {
+        let id = format!("lyric-llm-{}", index + 1);
+        let engine = &deployment.upstreams.engines[&id];
+        let left = Instant::now();
+        match cause {
+            Cause::Listed => deployment.platform.set_leaving(&id),
+            Cause::Drained => {
+                let output = deployment.environment.cli(deployment.node(&names[1]), &["drain", &id]);
+                assert!(output.status.success(), "{output:?}");
+            }
+            Cause::Refuses => engine.leave(),
+        }
+        ask_until(&deployment, &names[..3], left + NOTICE).await;
+        let refused = engine.records().refusals;
+        ask_until(&deployment, &names, left + NOTICE + Duration::from_secs(1)).await;
+        let late = engine.records().runs.iter().filter(|run| run.arrived > left + NOTICE).count();
+        assert_eq!((late, engine.records().refusals), (0, refused), "{cause:?}");
+    }
+}
+
+/// Keeps asking through nodes in turn.
+async fn ask_until(deployment: &Deployment, nodes: &[String], end: Instant) {
+    for (number, node) in nodes.iter().cycle().enumerate() {
+        if Instant::now() > end {
+            return;
+        }
+        let text = format!("question {number}");
+        check_answer(&ask_as(deployment, node, "opera-1", &text).await, &text, &[1]);
+    }
+}
