Start the deployments of two older tests through the shared type

Cause: whole_path.rs and planned_stop.rs each wrote settings, stand-ins and a wait of their own.

Change: they use Deployment, which now exists; every check stays.

--- a/crates/testkit/tests/planned_stop.rs
+++ b/crates/testkit/tests/planned_stop.rs
@@ -6,9 +6,10 @@
 
 use awc::Client;
 use daisysill_testkit::{
+    deployment::Deployment,
+    deployment_config::DeploymentConfig,
     engine::{Engine, EngineConfig},
     environment::{Environment, NodeProcess},
-    plain::PlainService,
     platform::Platform,
 };
 use daisysill_wire::border::InstanceKind;
@@ -79,35 +80,20 @@
 /// Guards against a stop that cuts a call that runs at most once because its caller has gone.
 #[actix_rt::test]
 async fn a_planned_stop_waits_for_a_claimed_call_without_a_caller() {
-    let (environment, platform, plain) = (Environment::new(), Platform::start(), PlainService::start());
-    platform.add(InstanceKind::Plain, "booth-app", "booth-1", "bkk-sathorn", &plain.url());
-    let digest = blake3::hash(TOKEN.as_bytes()).to_hex();
-    let mut node = environment.start_node(
-        "sathorn-1",
-        &format!(
-            "[node]\nname = sathorn-1\navailability_zone = bkk-sathorn\ncaller_listen = 127.0.0.1:0\n\
-             admin_listen = 127.0.0.1:0\nready_file = READY_FILE\nbalancer_notice_ms = 0\n\
-             [cluster]\npeer_listen = 127.0.0.1:0\nsecret = test\nbootstrap_voters = sathorn-1\n\
-             [platform]\nurl = {}\npoll_ms = 50\n[service.booth-app]\nkind = plain\n\
-             [customer.opera-a]\ntoken_digest = {digest}\nservices = booth-app\n",
-            platform.url()
-        ),
-    );
-    wait_until_live(&environment, &node).await;
-    environment
-        .write("rules/booth.ini", "[service]\nname = booth-app\n[never_twice]\ncalls = POST /cues/*/fire\n");
-    let folder = environment.path().join("rules").display().to_string();
-    let output = environment.cli(&node, &["publish", "--wait", &folder]);
-    assert!(output.status.success(), "{output:?}");
+    let mut config = DeploymentConfig::small();
+    config.node_lines = "balancer_notice_ms = 0\n".to_owned();
+    let mut deployment = Deployment::start(config);
+    deployment.wait_until_live().await;
+    let rules = "[service]\nname = booth-app\n[never_twice]\ncalls = POST /cues/*/fire\n";
+    assert!(deployment.publish("sathorn-1", &[("booth.ini", rules)]).await);
 
-    plain.set_delay_ms(2_000);
+    deployment.upstreams.plain["booth-app-1"].set_delay_ms(2_000);
     let started = Instant::now();
-    let url = format!("http://{}/services/booth-app/cues/7/fire", node.addresses.caller);
+    let url = format!("{}/services/booth-app/cues/7/fire", deployment.caller_url("sathorn-1"));
     let call = Client::default().post(url).bearer_auth(TOKEN).insert_header(("idempotency-key", "k"));
     let gone = actix_rt::time::timeout(Duration::from_millis(500), call.send_body("cue 7")).await;
     assert!(gone.is_err());
-    assert_eq!(plain.runs("cue 7"), 1);
-    node.signal("TERM");
-    assert_eq!(node.wait(Duration::from_secs(20)), Some(0));
+    assert_eq!(deployment.upstreams.plain["booth-app-1"].runs("cue 7"), 1);
+    assert_eq!(deployment.stop("sathorn-1", Duration::from_secs(20)), Some(0));
     assert!(started.elapsed() >= Duration::from_secs(2), "{:?}", started.elapsed());
 }
