--- a/crates/testkit/tests/promises/stops.rs
+++ b/crates/testkit/tests/promises/stops.rs
@@ -62,7 +62,7 @@
 /// request since and knows of a refusal only from the others.
 #[actix_rt::test]
 async fn an_engine_that_leaves_gets_no_new_work_from_any_node() {
-    let deployment = start_with(config(4, 3, 5)).await;
+    let deployment = start_with(config(4, 3, 4)).await;
     let names = deployment.node_names();
     deployment.platform.set_lag(Duration::from_secs(1));
     for (index, cause) in [Cause::Listed, Cause::Drained, Cause::Refuses].into_iter().enumerate() {
@@ -79,7 +79,8 @@
         }
         ask_until(&deployment, &names[..3], left + NOTICE).await;
         let refused = engine.records().refusals;
-        ask_until(&deployment, &names, left + NOTICE + Duration::from_secs(1)).await;
+        ask_until(&deployment, &names[3..], left + NOTICE + Duration::from_millis(700)).await;
+        ask_until(&deployment, &names, left + NOTICE + Duration::from_millis(1_200)).await;
         let late = engine.records().runs.iter().filter(|run| run.arrived > left + NOTICE).count();
         assert_eq!((late, engine.records().refusals), (0, refused), "{cause:?}");
     }
