Give claims a time by which their outcome is due

A copy of a claim that arrived after FinishClaim(NotRun) of its attempt claimed the key again, for nobody. A rule with a short keep_s could drop a claim while its call could still be sent, so a resend ran as well.

Change: Claim carries outcome_ms (dispatch window, rest of the deadline and 5 s). Past it, in log time, the claim counts as Unknown and a resend gets may_have_run; an outcome that is recorded later still counts. A claim is kept at least until its outcome is due. Attempts that ended without a run are remembered for 600 s, 16,384 at most, also if the outcome precedes the claim, so one committed withdrawal suffices and the node tries it for keep_s instead of twice 5 s. A leader appends an entry without effect every second while an outcome is not due, since log time moves only with entries. The claims move from state.rs to claims.rs.

Tests, each shown failing with a fault put in: - a_claim_without_an_outcome_in_time_is_unknown: claims.rs, state_at, the condition replaced by false. - a_claim_is_kept_until_its_outcome_is_due: claims.rs, claim, without .max(due_ms). - a_late_copy_of_a_claim_does_not_hold_the_key: claims.rs, finish_claim, without note_ended. - log_time_moves_while_an_outcome_is_awaited: replication.rs, advance_log_time, waits_for_time replaced by false.

--- /dev/null
+++ b/crates/control/src/claims.rs
@@ -0,0 +1,206 @@
+//! Claims for calls that may not be repeated, as part of the agreed state.
+
+use daisysill_core::{
+    ids::{AttemptId, InstanceId},
+    value_types,
+};
+
+use crate::{
+    command::{Claim, ClaimKey, ClaimOutcome, ClaimState, FinishClaim, Reply, StoredAnswer},
+    state::AgreedState,
+};
+
+/// Claims kept at most; each may hold a stored answer.
+pub const MAX_CLAIMS: usize = 200_000;
+/// Bytes of stored answers kept at most, so that a replica stays within the memory of a small instance.
+pub const MAX_ANSWER_BYTES: u64 = 32 * 1024 * 1024;
+/// Expired claims dropped by one entry at most, so that no entry takes long to apply. More than one, so that
+/// the claims are dropped faster than they are made.
+pub const MAX_DROPPED_CLAIMS: usize = 8;
+/// Time for which an attempt that ended without running its call is remembered. A proposal is tried for 5 s;
+/// the rest is for copies held up in a suspended process.
+pub const ENDED_ATTEMPT_MS: u64 = 600_000;
+/// Ended attempts remembered at most. A copy of a claim that arrives after its attempt was forgotten holds the
+/// key until the claim expires; it never leads to a call.
+const MAX_ENDED_ATTEMPTS: usize = 16_384;
+
+value_types! {
+    /// A claim as kept.
+    pub struct ClaimRecord {
+        /// Digest of method, path and body.
+        pub body_digest: String,
+        /// The attempt that holds it.
+        pub attempt: AttemptId,
+        /// The instance that holds it.
+        pub holder: InstanceId,
+        /// Its state as last recorded; see `state_at`.
+        pub state: ClaimState,
+        /// When its outcome is due, in log time.
+        pub due_ms: u64,
+        /// When it is dropped, in log time.
+        pub expires_ms: u64,
+    }
+}
+
+impl ClaimRecord {
+    /// Returns the state at a log time: without an outcome when it is due, the outcome is unknown.
+    pub fn state_at(&self, now_ms: u64) -> ClaimState {
+        if self.state == ClaimState::InProgress && now_ms >= self.due_ms {
+            return ClaimState::Unknown;
+        }
+        self.state.clone()
+    }
+
+    fn is_in_progress(&self, now_ms: u64) -> bool {
+        self.state == ClaimState::InProgress && now_ms < self.due_ms
+    }
+}
+
+/// Serialises the claims as a list, since their keys are not strings.
+pub(crate) mod claim_list {
+    use std::collections::BTreeMap;
+
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    use super::{ClaimKey, ClaimRecord};
+
+    pub(crate) fn serialize<S: Serializer>(
+        claims: &BTreeMap<ClaimKey, ClaimRecord>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        claims.iter().collect::<Vec<_>>().serialize(serializer)
+    }
+
+    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<BTreeMap<ClaimKey, ClaimRecord>, D::Error> {
+        Vec::<(ClaimKey, ClaimRecord)>::deserialize(deserializer).map(|pairs| pairs.into_iter().collect())
+    }
+}
+
+impl AgreedState {
+    pub(crate) fn claim(&mut self, claim: &Claim) -> Reply {
+        let now_ms = self.now_ms;
+        let existing = self.claims.get(&claim.key).filter(|record| record.expires_ms > now_ms);
+        if let Some(record) = existing {
+            return match () {
+                () if record.body_digest != claim.body_digest => Reply::KeyReused,
+                // The claim command itself was resent after a lost reply.
+                () if record.attempt == claim.attempt && record.is_in_progress(now_ms) => Reply::Claimed,
+                () => Reply::ClaimExists(record.state_at(now_ms)),
+            };
+        }
+        if self.ended_attempts.contains(&attempt_digest(&claim.key, &claim.attempt)) {
+            return Reply::AttemptEnded;
+        }
+        // An expired claim that is not dropped yet makes room for its own successor.
+        self.remove_claim(&claim.key);
+        if self.claims.len() >= MAX_CLAIMS || self.answer_bytes >= MAX_ANSWER_BYTES {
+            return Reply::ClaimsFull;
+        }
+        let due_ms = now_ms.saturating_add(claim.outcome_ms);
+        // A claim that is dropped while its call may still be sent would let the call run twice.
+        let expires_ms = now_ms.saturating_add(claim.keep_ms).max(due_ms);
+        self.outcomes_due_ms = self.outcomes_due_ms.max(due_ms);
+        let record = ClaimRecord {
+            body_digest: claim.body_digest.clone(),
+            attempt: claim.attempt.clone(),
+            holder: claim.holder.clone(),
+            state: ClaimState::InProgress,
+            due_ms,
+            expires_ms,
+        };
+        self.claim_expiries.insert((expires_ms, claim.key.clone()));
+        self.claims.insert(claim.key.clone(), record);
+        Reply::Claimed
+    }
+
+    pub(crate) fn finish_claim(&mut self, finish: &FinishClaim) -> Reply {
+        if finish.outcome == ClaimOutcome::NotRun {
+            // Also without a record: a copy of the claim may be committed after this entry.
+            self.note_ended(attempt_digest(&finish.key, &finish.attempt));
+        }
+        let Some(record) = self.claims.get_mut(&finish.key) else { return Reply::Done };
+        if record.attempt != finish.attempt || record.state != ClaimState::InProgress {
+            return Reply::Done;
+        }
+        match &finish.outcome {
+            ClaimOutcome::Answered(answer) if self.answer_bytes + stored_bytes(answer) > MAX_ANSWER_BYTES => {
+                // The call ran and must not run again, but its answer cannot be kept.
+                record.state = ClaimState::Unknown;
+                return Reply::ClaimsFull;
+            }
+            ClaimOutcome::Answered(answer) => {
+                self.answer_bytes += stored_bytes(answer);
+                record.state = ClaimState::Answered(answer.clone());
+            }
+            ClaimOutcome::Unknown => record.state = ClaimState::Unknown,
+            ClaimOutcome::NotRun => {
+                self.remove_claim(&finish.key);
+            }
+        }
+        Reply::Done
+    }
+
+    /// Drops a bounded number of claims whose time is over.
+    pub(crate) fn drop_expired_claims(&mut self) {
+        for _ in 0..MAX_DROPPED_CLAIMS {
+            let Some((_, key)) = self.claim_expiries.first().filter(|(until, _)| *until <= self.now_ms)
+            else {
+                return;
+            };
+            let key = key.clone();
+            self.remove_claim(&key);
+        }
+    }
+
+    fn remove_claim(&mut self, key: &ClaimKey) {
+        let Some(record) = self.claims.remove(key) else { return };
+        self.claim_expiries.remove(&(record.expires_ms, key.clone()));
+        if let ClaimState::Answered(answer) = &record.state {
+            self.answer_bytes -= stored_bytes(answer);
+        }
+    }
+
+    fn note_ended(&mut self, attempt: [u8; 32]) {
+        if !self.ended_attempts.insert(attempt) {
+            return;
+        }
+        self.ended_order.push_back((self.now_ms.saturating_add(ENDED_ATTEMPT_MS), attempt));
+        if self.ended_order.len() > MAX_ENDED_ATTEMPTS {
+            self.forget_oldest_attempt();
+        }
+    }
+
+    /// Forgets a bounded number of ended attempts whose time is over.
+    pub(crate) fn forget_ended_attempts(&mut self) {
+        for _ in 0..MAX_DROPPED_CLAIMS {
+            if self.ended_order.front().is_none_or(|(until_ms, _)| *until_ms > self.now_ms) {
+                return;
+            }
+            self.forget_oldest_attempt();
+        }
+    }
+
+    fn forget_oldest_attempt(&mut self) {
+        if let Some((_, attempt)) = self.ended_order.pop_front() {
+            self.ended_attempts.remove(&attempt);
+        }
+    }
+}
+
+/// Returns a digest of an attempt and its key, which takes the same room however long the key is.
+fn attempt_digest(key: &ClaimKey, attempt: &AttemptId) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    for part in [key.customer.as_str(), key.service.as_str(), &key.key, attempt.as_str()] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part.as_bytes());
+    }
+    hasher.finalize().into()
+}
+
+/// Returns how many bytes an answer takes, and a fixed part for the record.
+fn stored_bytes(answer: &StoredAnswer) -> u64 {
+    const FIXED_BYTES: usize = 64;
+    (FIXED_BYTES + answer.content_type.len() + answer.body.len()) as u64
+}
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -92,7 +92,9 @@
         pub attempt: AttemptId,
         /// The instance that asks.
         pub holder: InstanceId,
-        /// How long the claim is kept.
+        /// Time after its commit in which the outcome is due; past it, the outcome counts as unknown.
+        pub outcome_ms: u64,
+        /// How long the claim is kept, and at least until its outcome is due.
         pub keep_ms: u64,
     }
 
@@ -162,6 +164,8 @@
         KeyReused,
         /// The table of claims is full.
         ClaimsFull,
+        /// The attempt ended without running its call before this copy of its claim arrived.
+        AttemptEnded,
     }
 
     /// Why a change was refused, and what is in force instead.
@@ -174,7 +178,7 @@
 
     /// The state of a claim.
     pub enum ClaimState {
-        /// Held by an attempt that has not reported yet.
+        /// Held by an attempt whose outcome is not due yet.
         InProgress,
         /// Finished with an answer.
         Answered(StoredAnswer),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,6 +1,7 @@
 //! The replicated log of daisysill: agreed state, protocol and storage.
 
 pub mod api;
+pub mod claims;
 pub mod command;
 mod election;
 pub mod entry;
--- a/crates/control/src/replication.rs
+++ b/crates/control/src/replication.rs
@@ -20,6 +20,8 @@
 const MAX_UNCOMMITTED: u64 = 4_096;
 /// Proposals that wait; further ones are refused.
 const MAX_WAITING: usize = 16_384;
+/// Log time moves only with entries; a leader appends one this often while something waits for log time.
+const LOG_TIME_STEP_MS: u64 = 1_000;
 
 /// What a leader keeps for its term.
 #[derive(Debug)]
@@ -115,10 +117,7 @@
     /// Appends an entry of the own term and returns its index.
     pub(crate) fn append(&mut self, payload: Payload) -> u64 {
         let position = Position { term: self.term, index: self.log.last().index + 1 };
-        let time_ms = match &self.stand {
-            Stand::Leader(leadership) => leadership.log_time_ms + (self.now_ms - leadership.since_ms),
-            _ => 0,
-        };
+        let time_ms = self.log_time_ms();
         let sets_voters = matches!(payload, Payload::Voters(_));
         self.log.push(Arc::new(Entry { position, time_ms, payload }));
         if sets_voters {
@@ -128,6 +127,25 @@
         position.index
     }
 
+    /// Returns the time that this leader stamps on an entry now.
+    fn log_time_ms(&self) -> u64 {
+        match &self.stand {
+            Stand::Leader(leadership) => leadership.log_time_ms + (self.now_ms - leadership.since_ms),
+            _ => 0,
+        }
+    }
+
+    /// Appends an entry without effect while something waits for log time. One at a time, so that a leader
+    /// without a majority does not fill its log.
+    fn advance_log_time(&mut self) {
+        let last_ms = self.log.last_time_ms().max(self.state.now_ms);
+        let time_ms = self.log_time_ms();
+        let is_settled = self.log.last().index == self.commit_index;
+        if is_settled && time_ms >= last_ms + LOG_TIME_STEP_MS && self.state.waits_for_time(time_ms) {
+            self.append(Payload::Command(Command::Noop));
+        }
+    }
+
     pub(crate) fn tick_leader(&mut self) {
         let quorum_ms = self.quorum_heard_ms();
         let longest_ms = 2 * self.config.election_timeout_ms;
@@ -139,6 +157,8 @@
             return;
         }
         leadership.heartbeat_due_ms = self.now_ms + self.config.heartbeat_ms;
+        self.advance_log_time();
+        let Stand::Leader(leadership) = &self.stand else { return };
         let peers: Vec<_> = leadership.peers.keys().cloned().collect();
         for peer in peers {
             self.heartbeat(&peer);
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -11,18 +11,13 @@
     value_types,
 };
 
-use crate::command::{
-    AcquireLease, Claim, ClaimKey, ClaimOutcome, ClaimState, Command, Conflict, FinishClaim, PublishRules,
-    Reply, ReportCrash, SetDrain, SetWeights, StoredAnswer,
+use crate::{
+    claims::{ClaimRecord, claim_list},
+    command::{
+        AcquireLease, ClaimKey, Command, Conflict, PublishRules, Reply, ReportCrash, SetDrain, SetWeights,
+    },
 };
 
-/// Claims kept at most; each may hold a stored answer.
-pub const MAX_CLAIMS: usize = 200_000;
-/// Bytes of stored answers kept at most, so that a replica stays within the memory of a small instance.
-pub const MAX_ANSWER_BYTES: u64 = 32 * 1024 * 1024;
-/// Expired claims dropped by one entry at most, so that no entry takes long to apply. More than one, so that
-/// the claims are dropped faster than they are made.
-pub const MAX_DROPPED_CLAIMS: usize = 8;
 /// Change ids remembered, so that a resent change is recognised.
 const REMEMBERED_CHANGES: usize = 10_000;
 /// Crashes after which a fingerprint that was present at each is blocked.
@@ -46,20 +41,6 @@
         pub blocked: BTreeMap<String, u64>,
     }
 
-    /// A claim as kept.
-    pub struct ClaimRecord {
-        /// Digest of method, path and body.
-        pub body_digest: String,
-        /// The attempt that holds it.
-        pub attempt: daisysill_core::ids::AttemptId,
-        /// The instance that holds it.
-        pub holder: InstanceId,
-        /// Its state.
-        pub state: ClaimState,
-        /// When it is dropped, in log time.
-        pub expires_ms: u64,
-    }
-
     /// A lease as granted.
     pub struct LeaseRecord {
         /// The holder.
@@ -94,6 +75,12 @@
         pub claim_expiries: BTreeSet<(u64, ClaimKey)>,
         /// Bytes of the stored answers.
         pub answer_bytes: u64,
+        /// The latest time, in log time, at which the outcome of a claim is due.
+        pub outcomes_due_ms: u64,
+        /// Digests of attempts that ended without running their call; a late copy of their claim is refused.
+        pub ended_attempts: BTreeSet<[u8; 32]>,
+        /// The same attempts, oldest first, and when each is forgotten, in log time.
+        pub ended_order: VecDeque<(u64, [u8; 32])>,
         /// Leases by role.
         pub leases: BTreeMap<String, LeaseRecord>,
         /// Accepted changes by id.
@@ -105,28 +92,6 @@
     }
 }
 
-/// Serialises the claims as a list, since their keys are not strings.
-mod claim_list {
-    use std::collections::BTreeMap;
-
-    use serde::{Deserialize, Deserializer, Serialize, Serializer};
-
-    use super::{ClaimKey, ClaimRecord};
-
-    pub(super) fn serialize<S: Serializer>(
-        claims: &BTreeMap<ClaimKey, ClaimRecord>,
-        serializer: S,
-    ) -> Result<S::Ok, S::Error> {
-        claims.iter().collect::<Vec<_>>().serialize(serializer)
-    }
-
-    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
-        deserializer: D,
-    ) -> Result<BTreeMap<ClaimKey, ClaimRecord>, D::Error> {
-        Vec::<(ClaimKey, ClaimRecord)>::deserialize(deserializer).map(|pairs| pairs.into_iter().collect())
-    }
-}
-
 impl AgreedState {
     /// Applies the command of the log entry at `index`, which its leader stamped with `now_ms`.
     ///
@@ -143,6 +108,7 @@
         self.applied_index = index;
         self.now_ms = self.now_ms.max(now_ms);
         self.drop_expired_claims();
+        self.forget_ended_attempts();
         match command {
             Command::Noop => Reply::Done,
             Command::PublishRules(publish) => self.publish(publish),
@@ -155,6 +121,12 @@
         }
     }
 
+    /// Returns whether something changes with log time alone, given the leader's present log time.
+    pub(crate) fn waits_for_time(&self, time_ms: u64) -> bool {
+        self.now_ms < self.outcomes_due_ms
+            || self.config.blocked.values().any(|until_ms| *until_ms <= time_ms)
+    }
+
     fn publish(&mut self, publish: &PublishRules) -> Reply {
         let digest = digest_of(publish.files.iter().flat_map(|f| [f.name.as_str(), f.text.as_str()]));
         if let Some(reply) = self.repeated(&publish.change, &digest) {
@@ -226,80 +198,6 @@
         Reply::LeaseGranted(fencing)
     }
 
-    fn claim(&mut self, claim: &Claim) -> Reply {
-        let now_ms = self.now_ms;
-        let existing = self.claims.get(&claim.key).filter(|record| record.expires_ms > now_ms);
-        if let Some(record) = existing {
-            return match () {
-                () if record.body_digest != claim.body_digest => Reply::KeyReused,
-                // The claim command itself was resent after a lost reply.
-                () if record.attempt == claim.attempt && record.state == ClaimState::InProgress => {
-                    Reply::Claimed
-                }
-                () => Reply::ClaimExists(record.state.clone()),
-            };
-        }
-        // An expired claim that is not dropped yet makes room for its own successor.
-        self.remove_claim(&claim.key);
-        if self.claims.len() >= MAX_CLAIMS || self.answer_bytes >= MAX_ANSWER_BYTES {
-            return Reply::ClaimsFull;
-        }
-        let expires_ms = now_ms.saturating_add(claim.keep_ms);
-        let record = ClaimRecord {
-            body_digest: claim.body_digest.clone(),
-            attempt: claim.attempt.clone(),
-            holder: claim.holder.clone(),
-            state: ClaimState::InProgress,
-            expires_ms,
-        };
-        self.claim_expiries.insert((expires_ms, claim.key.clone()));
-        self.claims.insert(claim.key.clone(), record);
-        Reply::Claimed
-    }
-
-    fn finish_claim(&mut self, finish: &FinishClaim) -> Reply {
-        let Some(record) = self.claims.get_mut(&finish.key) else { return Reply::Done };
-        if record.attempt != finish.attempt || record.state != ClaimState::InProgress {
-            return Reply::Done;
-        }
-        match &finish.outcome {
-            ClaimOutcome::Answered(answer) if self.answer_bytes + stored_bytes(answer) > MAX_ANSWER_BYTES => {
-                // The call ran and must not run again, but its answer cannot be kept.
-                record.state = ClaimState::Unknown;
-                return Reply::ClaimsFull;
-            }
-            ClaimOutcome::Answered(answer) => {
-                self.answer_bytes += stored_bytes(answer);
-                record.state = ClaimState::Answered(answer.clone());
-            }
-            ClaimOutcome::Unknown => record.state = ClaimState::Unknown,
-            ClaimOutcome::NotRun => {
-                self.remove_claim(&finish.key);
-            }
-        }
-        Reply::Done
-    }
-
-    /// Drops a bounded number of claims whose time is over.
-    fn drop_expired_claims(&mut self) {
-        for _ in 0..MAX_DROPPED_CLAIMS {
-            let Some((_, key)) = self.claim_expiries.first().filter(|(until, _)| *until <= self.now_ms)
-            else {
-                return;
-            };
-            let key = key.clone();
-            self.remove_claim(&key);
-        }
-    }
-
-    fn remove_claim(&mut self, key: &ClaimKey) {
-        let Some(record) = self.claims.remove(key) else { return };
-        self.claim_expiries.remove(&(record.expires_ms, key.clone()));
-        if let ClaimState::Answered(answer) = &record.state {
-            self.answer_bytes -= stored_bytes(answer);
-        }
-    }
-
     fn report_crash(&mut self, report: &ReportCrash) -> Reply {
         let crash = format!("{}#{}", report.upstream, report.incarnation);
         let until_ms = self.now_ms.saturating_add(report.block_ms);
@@ -346,12 +244,6 @@
     }
 }
 
-/// Returns how many bytes an answer takes, and a fixed part for the record.
-fn stored_bytes(answer: &StoredAnswer) -> u64 {
-    const FIXED_BYTES: usize = 64;
-    (FIXED_BYTES + answer.content_type.len() + answer.body.len()) as u64
-}
-
 fn digest_of<'a>(parts: impl IntoIterator<Item = &'a str>) -> String {
     let mut hasher = blake3::Hasher::new();
     for part in parts {
--- a/crates/control/tests/agreed_state.rs
+++ b/crates/control/tests/agreed_state.rs
@@ -2,11 +2,12 @@
 //! The agreed state: changes sent twice, races on one base, claims, leases and their bounds.
 
 use daisysill_control::{
+    claims::{ENDED_ATTEMPT_MS, MAX_ANSWER_BYTES, MAX_DROPPED_CLAIMS},
     command::{
         AcquireLease, Claim, ClaimKey, ClaimOutcome, ClaimState, Command, FinishClaim, PublishRules, Reply,
         SetDrain, SetWeights, StoredAnswer,
     },
-    state::{AgreedState, MAX_ANSWER_BYTES, MAX_DROPPED_CLAIMS},
+    state::AgreedState,
 };
 use daisysill_core::ids::{ConfigVersion, FencingNumber, WeightVersion};
 
@@ -36,6 +37,7 @@
         body_digest: digest.into(),
         attempt: attempt.into(),
         holder: "n".into(),
+        outcome_ms: 50,
         keep_ms: 100,
     })
 }
@@ -107,6 +109,45 @@
     assert_eq!(log.apply(9, &claim("l", "2", "d")), Reply::Claimed);
 }
 
+/// Guards against a key that stays in progress after its holder died, and an outcome that comes late and is lost.
+#[test]
+fn a_claim_without_an_outcome_in_time_is_unknown() {
+    let mut log = Log::new();
+    log.apply(0, &claim("k", "1", "d"));
+    assert_eq!(log.apply(49, &claim("k", "2", "d")), Reply::ClaimExists(ClaimState::InProgress));
+    assert_eq!(log.apply(50, &claim("k", "2", "d")), Reply::ClaimExists(ClaimState::Unknown));
+    assert_eq!(log.apply(50, &claim("k", "1", "d")), Reply::ClaimExists(ClaimState::Unknown));
+    log.apply(60, &finish("k", "1", ClaimOutcome::Answered(answer(3))));
+    assert_eq!(log.apply(61, &claim("k", "2", "d")), Reply::ClaimExists(ClaimState::Answered(answer(3))));
+}
+
+/// Guards against a claim that is dropped while its call may still be sent, so that a resend runs as well.
+#[test]
+fn a_claim_is_kept_until_its_outcome_is_due() {
+    let mut log = Log::new();
+    let short = |attempt: &str| {
+        let Command::Claim(claim) = claim("k", attempt, "d") else { unreachable!() };
+        Command::Claim(Claim { keep_ms: 1, ..claim })
+    };
+    log.apply(0, &short("1"));
+    assert_eq!(log.apply(49, &short("2")), Reply::ClaimExists(ClaimState::InProgress));
+    assert_eq!(log.apply(50, &short("2")), Reply::Claimed);
+}
+
+/// Guards against a key that is held by an attempt that has ended: a copy of its claim comes after its outcome.
+#[test]
+fn a_late_copy_of_a_claim_does_not_hold_the_key() {
+    let mut log = Log::new();
+    log.apply(0, &claim("k", "1", "d"));
+    log.apply(1, &finish("k", "1", ClaimOutcome::NotRun));
+    log.apply(1, &finish("l", "2", ClaimOutcome::NotRun));
+    assert_eq!(log.apply(2, &claim("k", "1", "d")), Reply::AttemptEnded);
+    assert_eq!(log.apply(2, &claim("l", "2", "d")), Reply::AttemptEnded);
+    assert_eq!(log.apply(3, &claim("k", "3", "d")), Reply::Claimed);
+    log.apply(1 + ENDED_ATTEMPT_MS, &Command::Noop);
+    assert!(log.state.ended_attempts.is_empty() && log.state.ended_order.is_empty());
+}
+
 /// Guards against claims that are kept for ever, or dropped early, and an entry that takes long to apply.
 #[test]
 fn expired_claims_are_dropped_a_few_at_a_time() {
--- a/crates/control/tests/protocol/leadership.rs
+++ b/crates/control/tests/protocol/leadership.rs
@@ -5,7 +5,7 @@
 use crate::sim::{Disk, Sim};
 use daisysill_control::{
     Input, ProposalFailure, Role, VoterChange,
-    command::{Command, Reply},
+    command::{ClaimState, Command, Reply},
 };
 
 fn isolate(sim: &mut Sim, name: &str) {
@@ -258,3 +258,21 @@
     assert_eq!(last_index, before + 8, "acknowledged entries are gone");
     sim.settle_and_check();
 }
+
+/// Guards against a claim that stays in progress because nothing else moves log time, and against a leader that
+/// appends entries for ever.
+#[test]
+fn log_time_moves_while_an_outcome_is_awaited() {
+    let mut sim = Sim::new(&["a", "b", "c"], 8);
+    sim.bootstrap(&["a", "b", "c"]);
+    let a = "a".into();
+    sim.propose_claim(&a, "k");
+    sim.run_calm(3_000);
+    let replica = sim.nodes[&a].replica.as_ref().unwrap();
+    let state = replica.state();
+    let claim = state.claims.values().next().unwrap();
+    assert_eq!(claim.state_at(state.now_ms), ClaimState::Unknown);
+    let last_index = replica.status().last_index;
+    sim.run_calm(3_000);
+    assert_eq!(sim.nodes[&a].replica.as_ref().unwrap().status().last_index, last_index);
+}
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -26,6 +26,9 @@
 
 /// Time between asking for a claim and the last moment at which its call may be sent.
 const DISPATCH_WINDOW: Duration = Duration::from_secs(2);
+/// Time after the deadline of a call in which its outcome is recorded, before resends are told that it is
+/// unknown. An outcome that is recorded later still counts.
+const OUTCOME_MARGIN: Duration = Duration::from_secs(5);
 /// When to come back while no majority is in reach.
 const NO_QUORUM_RETRY_MS: u64 = 2_000;
 /// When to ask again for a call that is in progress.
@@ -37,8 +40,6 @@
 /// Pauses between two tries to record an outcome.
 const RECORD_PAUSE: Duration = Duration::from_millis(200);
 const MAX_RECORD_PAUSE: Duration = Duration::from_secs(10);
-/// Time after which a claim that was not known to be committed has reached the log or never will.
-const CLAIM_SETTLE: Duration = Duration::from_secs(5);
 
 /// Serves a call that may not be repeated.
 ///
@@ -98,7 +99,10 @@
             Claimed::Uncertain => {
                 let finish =
                     FinishClaim { key: ticket.key().clone(), attempt, outcome: ClaimOutcome::NotRun };
-                actix_rt::spawn(withdraw(Arc::clone(&self.shared), finish));
+                let shared = Arc::clone(&self.shared);
+                let keep = Duration::from_secs(self.rules.never_twice.keep_s);
+                // Gives the key back. Also before the claim: the state refuses the claim of an ended attempt.
+                actix_rt::spawn(async move { record_later(&shared, &finish, keep).await });
                 ticket.publish(self.finish(Err(no_quorum())));
                 return;
             }
@@ -123,6 +127,7 @@
             body_digest: digest.to_owned(),
             attempt: attempt.clone(),
             holder: self.shared.config.node.name.clone(),
+            outcome_ms: millis(self.outcome_due()),
             keep_ms: self.rules.never_twice.keep_s * 1_000,
         };
         let span = self.life.span.child("claim");
@@ -170,6 +175,11 @@
         }
     }
 
+    /// Returns the time from now in which the outcome is known, unless this process dies.
+    fn outcome_due(&self) -> Duration {
+        DISPATCH_WINDOW + self.deadline.saturating_duration_since(Instant::now()) + OUTCOME_MARGIN
+    }
+
     fn outcome(&self, result: &CallResult) -> ClaimOutcome {
         match result {
             Ok(answer) if answer.body.len() > MAX_KEPT_ANSWER_BYTES => {
@@ -212,12 +222,8 @@
     }
 }
 
-/// Gives back a claim that may or may not be committed, so that the caller can bring the call again.
-async fn withdraw(shared: Arc<Shared>, finish: FinishClaim) {
-    record_later(&shared, &finish, CLAIM_SETTLE).await;
-    // The claim may be committed after the first withdrawal, which then had no effect.
-    sleep(CLAIM_SETTLE).await;
-    record_later(&shared, &finish, CLAIM_SETTLE).await;
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
 fn in_progress() -> Refusal {
