Judge crashes by the reports of all nodes

Cause: the agreed state blocked every request that was part of two crashes, also one that only shared the upstreams; the table of crashes had no bound, and a block stayed in the configuration view until another crash.

Change: ReportCrash feeds core's suspect table (crashes.rs). A crash is judged 1.5 s after its first report, since each node reports only its own requests and the first report alone would put the blame on whoever it names. A request that was part of two crashes is held until the later one is judged. Waiting crashes (64), fingerprints of a crash (256 of 128 bytes) and judged crashes (256) are bounded. Blocks end by their rule, counted from the crash, and leave the view then; log_time_ms in the view is the log time of its last change, so the time a block has left can be told from the view alone. The leader appends an entry when a crash or a block is due.

Limit: two requests that were part of the same crashes cannot be told apart and are not blocked before the third one. core blocks the first of them by name then; the node does not yet report requests that finished, which would clear them.

--- a/crates/cluster/src/delta.rs
+++ b/crates/cluster/src/delta.rs
@@ -21,6 +21,7 @@
         weights: (old.weights != new.weights).then(|| new.weights.clone()),
         blocked: blocked.map(|(name, until)| (name.clone(), *until)).collect(),
         unblocked: unblocked.cloned().collect(),
+        log_time_ms: new.log_time_ms,
     }
 }
 
@@ -42,5 +43,6 @@
         draining: delta.draining.clone().unwrap_or_else(|| base.draining.clone()),
         weights: delta.weights.clone().unwrap_or_else(|| base.weights.clone()),
         blocked,
+        log_time_ms: delta.log_time_ms,
     })
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod api;
 pub mod claims;
 pub mod command;
+pub mod crashes;
 mod election;
 pub mod entry;
 mod log;
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -13,15 +13,12 @@
 
 use crate::{
     claims::{ClaimRecord, claim_list},
-    command::{
-        AcquireLease, ClaimKey, Command, Conflict, PublishRules, Reply, ReportCrash, SetDrain, SetWeights,
-    },
+    command::{AcquireLease, ClaimKey, Command, Conflict, PublishRules, Reply, SetDrain, SetWeights},
+    crashes::Crashes,
 };
 
 /// Change ids remembered, so that a resent change is recognised.
 const REMEMBERED_CHANGES: usize = 10_000;
-/// Crashes after which a fingerprint that was present at each is blocked.
-const CRASHES_TO_BLOCK: usize = 2;
 
 value_types! {
     /// What every node follows: everything agreed except claims and leases.
@@ -37,8 +34,10 @@
         pub draining: BTreeSet<InstanceId>,
         /// The weight version that new requests use, by service.
         pub weights: BTreeMap<ServiceName, WeightVersion>,
-        /// Blocked request fingerprints and when the block ends, in log time.
+        /// Blocked request fingerprints and when the block ends, in log time. An entry goes when its block ends.
         pub blocked: BTreeMap<String, u64>,
+        /// Log time of the last change: at that time, a block had `blocked[..] - log_time_ms` left.
+        pub log_time_ms: u64,
     }
 
     /// A lease as granted.
@@ -87,8 +86,8 @@
         pub changes: BTreeMap<ChangeId, AcceptedChange>,
         /// The ids of the accepted changes, oldest first.
         pub change_order: VecDeque<ChangeId>,
-        /// Crashed upstream incarnations by fingerprint.
-        pub crashes: BTreeMap<String, BTreeSet<String>>,
+        /// Crashed upstreams, and the requests blocked for them.
+        pub crashes: Crashes,
     }
 }
 
@@ -109,7 +108,8 @@
         self.now_ms = self.now_ms.max(now_ms);
         self.drop_expired_claims();
         self.forget_ended_attempts();
-        match command {
+        self.settle_crashes();
+        let reply = match command {
             Command::Noop => Reply::Done,
             Command::PublishRules(publish) => self.publish(publish),
             Command::SetDrain(drain) => self.set_drain(drain),
@@ -118,13 +118,17 @@
             Command::Claim(claim) => self.claim(claim),
             Command::FinishClaim(finish) => self.finish_claim(finish),
             Command::ReportCrash(report) => self.report_crash(report),
+        };
+        if self.config.version == ConfigVersion(index) {
+            Arc::make_mut(&mut self.config).log_time_ms = self.now_ms;
         }
+        reply
     }
 
     /// Returns whether something changes with log time alone, given the leader's present log time.
     pub(crate) fn waits_for_time(&self, time_ms: u64) -> bool {
         self.now_ms < self.outcomes_due_ms
-            || self.config.blocked.values().any(|until_ms| *until_ms <= time_ms)
+            || self.crashes.next_change_ms().is_some_and(|due_ms| due_ms <= time_ms)
     }
 
     fn publish(&mut self, publish: &PublishRules) -> Reply {
@@ -198,29 +202,6 @@
         Reply::LeaseGranted(fencing)
     }
 
-    fn report_crash(&mut self, report: &ReportCrash) -> Reply {
-        let crash = format!("{}#{}", report.upstream, report.incarnation);
-        let until_ms = self.now_ms.saturating_add(report.block_ms);
-        let mut newly_blocked = Vec::new();
-        for fingerprint in &report.fingerprints {
-            let crashes = self.crashes.entry(fingerprint.clone()).or_default();
-            crashes.insert(crash.clone());
-            if crashes.len() >= CRASHES_TO_BLOCK {
-                newly_blocked.push(fingerprint.clone());
-            }
-        }
-        if newly_blocked.is_empty() {
-            return Reply::Done;
-        }
-        let now_ms = self.now_ms;
-        let version = ConfigVersion(self.applied_index);
-        let config = Arc::make_mut(&mut self.config);
-        config.blocked.retain(|_, until| *until > now_ms);
-        config.blocked.extend(newly_blocked.into_iter().map(|f| (f, until_ms)));
-        config.version = version;
-        Reply::Accepted(version)
-    }
-
     fn repeated(&self, change: &ChangeId, digest: &str) -> Option<Reply> {
         let accepted = self.changes.get(change)?;
         if accepted.digest == digest {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -124,6 +124,8 @@
         pub blocked: BTreeMap<String, u64>,
         /// Block marks that are gone.
         pub unblocked: Vec<String>,
+        /// Log time of the last change.
+        pub log_time_ms: u64,
     }
 
     /// Why a forwarded proposal has no reply.
