Make every engine get work in the test of leaving engines

Cause: with one request at a time a node that ignored refusals known from others, put into a scratch copy, was not noticed: the engine got no work in any case.

Change: many requests at a time, and a check that the engine had work before it left.

Conclusion: the same fault now fails the test.

--- a/crates/testkit/tests/promises/stops.rs
+++ b/crates/testkit/tests/promises/stops.rs
@@ -68,6 +68,8 @@
     for (index, cause) in [Cause::Listed, Cause::Drained, Cause::Refuses].into_iter().enumerate() {
         let id = format!("lyric-llm-{}", index + 1);
         let engine = &deployment.upstreams.engines[&id];
+        ask_until(&deployment, &names, Instant::now() + Duration::from_millis(500)).await;
+        assert!(engine.completed() > 0, "{id} gets no work before it leaves");
         let left = Instant::now();
         match cause {
             Cause::Listed => deployment.platform.set_leaving(&id),
@@ -86,13 +88,15 @@
     }
 }
 
-/// Keeps asking through nodes in turn.
+/// Keeps asking through nodes in turn, many at a time, so that every engine in service gets work.
 async fn ask_until(deployment: &Deployment, nodes: &[String], end: Instant) {
-    for (number, node) in nodes.iter().cycle().enumerate() {
-        if Instant::now() > end {
-            return;
+    while Instant::now() < end {
+        let asked = nodes.iter().cycle().take(16).enumerate().map(|(number, node)| async move {
+            let text = format!("question {number}");
+            (ask_as(deployment, node, "opera-1", &text).await, text)
+        });
+        for (outcome, text) in futures::future::join_all(asked).await {
+            check_answer(&outcome, &text, &[1]);
         }
-        let text = format!("question {number}");
-        check_answer(&ask_as(deployment, node, "opera-1", &text).await, &text, &[1]);
     }
 }
