--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,7 +1,9 @@
 //! The replicated log of daisysill: agreed state, protocol and storage.
 
 pub mod api;
+pub mod claims;
 pub mod command;
+pub mod crashes;
 mod election;
 pub mod entry;
 mod log;
