Keep one view of the cluster and count dispatches in time

Each decision rebuilt the view of all upstreams from scratch and looked up every piece in every store. Load reports had no time, so the queue never drained between two reports, and what other nodes dispatched did not count at all.

The node keeps one ClusterView under a lock and clones it. Load reports carry the time at which they were asked for less their age; own dispatches carry theirs, and one that did not reach its upstream is taken back. SoftReport carries, for each upstream, the tokens dispatched since the load report the node knows and for how long they were counted, in place of tokens in flight, which nothing read. Engine caches, stores and bookings change the view by event. The reason of a decision says what the wait rests on, and three metrics count used and late counts and retracted dispatches.

The cluster's heartbeat test fills its report with 59 entries instead of 60, since an entry is two bytes longer: 60 would exceed the report's limit and be cut to nothing. The report stays nearly at the limit.

--- a/crates/cluster/examples/commit_speed.rs
+++ b/crates/cluster/examples/commit_speed.rs
@@ -17,7 +17,7 @@
 use daisysill_cluster::{Cluster, ClusterConfig, ClusterHandle, PeerAddress, Role};
 use daisysill_control::command::{Claim, ClaimKey, Command, Reply, SetDrain};
 use daisysill_core::ids::ConfigVersion;
-use daisysill_wire::peer::SoftReport;
+use daisysill_wire::peer::{DispatchCount, SoftReport};
 use eyre::{WrapErr, eyre};
 use hdrhistogram::Histogram;
 use tokio::{runtime::Builder, sync::oneshot, time::sleep};
@@ -327,7 +327,7 @@
             let mut soft = SoftReport::default();
             for worker in 0..60 {
                 let (name, tokens) = report(worker);
-                soft.in_flight_tokens.insert(name, tokens?);
+                soft.dispatched.insert(name, DispatchCount { tokens: tokens?, counted_ms: 250 });
             }
             node.handle()?.set_soft(soft);
         }
--- a/crates/cluster/tests/cluster/heartbeats.rs
+++ b/crates/cluster/tests/cluster/heartbeats.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use daisysill_wire::peer::SoftReport;
+use daisysill_wire::peer::{DispatchCount, SoftReport};
 use tokio::time::{Instant, sleep};
 
 use crate::common::TestCluster;
@@ -13,8 +13,9 @@
 
 /// A report of nearly the size limit that differs at every call.
 fn full_report(number: u64) -> SoftReport {
-    let tokens = (0..60).map(|worker| (format!("worker-{worker:04}").as_str().into(), 1_000_000 + number));
-    SoftReport { in_flight_tokens: tokens.collect(), ..SoftReport::default() }
+    let count = DispatchCount { tokens: 1_000_000 + number, counted_ms: 250 };
+    let counts = (0..59).map(|worker| (format!("worker-{worker:04}").as_str().into(), count.clone()));
+    SoftReport { dispatched: counts.collect(), ..SoftReport::default() }
 }
 
 /// Guards against live nodes that are taken for dead because soft reports use up the byte budget, and
--- a/crates/core/src/backlog.rs
+++ b/crates/core/src/backlog.rs
@@ -29,6 +29,36 @@
     pub tokens: u64,
 }
 
+/// What the estimate of an upstream's queue rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadBasis {
+    /// The time of the load report; 0 before the first one.
+    pub report_at_ms: u64,
+    /// Tokens this node dispatched that the report does not cover.
+    pub own_tokens: u64,
+    /// Tokens other nodes dispatched that the report does not cover.
+    pub peer_tokens: u64,
+}
+
+impl LoadBasis {
+    /// Returns one line for `daisysill explain`.
+    ///
+    /// ```
+    /// use daisysill_core::view::LoadBasis;
+    /// let basis = LoadBasis { report_at_ms: 1_000, own_tokens: 300, peer_tokens: 0 };
+    /// let line = "load report 250 ms old, 300 tokens dispatched since by this node, 0 by others";
+    /// assert_eq!(basis.reason(1_250), line);
+    /// ```
+    pub fn reason(&self, now_ms: u64) -> String {
+        let report = match self.report_at_ms {
+            0 => "no load report".to_owned(),
+            at_ms => format!("load report {} ms old", now_ms.saturating_sub(at_ms)),
+        };
+        let Self { own_tokens, peer_tokens, .. } = self;
+        format!("{report}, {own_tokens} tokens dispatched since by this node, {peer_tokens} by others")
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Dispatch {
     at_ms: u64,
@@ -88,6 +118,15 @@
         self.report.prefill_tokens_per_s.max(1)
     }
 
+    /// Returns the report's time and what was dispatched since.
+    pub(crate) fn basis(&self) -> LoadBasis {
+        LoadBasis {
+            report_at_ms: self.report.at_ms,
+            own_tokens: self.own.iter().map(|dispatch| dispatch.tokens).sum(),
+            peer_tokens: self.peers.iter().map(|load| self.uncovered(load).tokens).sum(),
+        }
+    }
+
     /// Returns the queued tokens at the time of the last addition, and that time.
     ///
     /// Work drains at the prefill speed between additions.
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -11,7 +11,7 @@
     view_row::{FREE, Row, Rows},
 };
 
-pub use crate::backlog::{LoadReport, PeerLoad};
+pub use crate::backlog::{LoadBasis, LoadReport, PeerLoad};
 
 /// Upstreams that are copied together when one of them changes while a snapshot is in use.
 pub(crate) const CHUNK: usize = 64;
@@ -37,7 +37,7 @@
 }
 
 /// What identifies one model engine or plain service instance.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamView {
     /// The upstream.
     pub id: InstanceId,
@@ -52,7 +52,7 @@
 }
 
 /// One store and the link to it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreView {
     /// The store.
     pub id: InstanceId,
@@ -257,6 +257,13 @@
         self.upstream_slot(id).map(|slot| self.row(slot).wait_us(now_ms as f64 * US_PER_MS))
     }
 
+    /// Returns what the estimate of an upstream's queue rests on.
+    pub fn load_basis(&self, id: &InstanceId) -> Option<LoadBasis> {
+        let slot = usize::from(self.upstream_slot(id)?);
+        let entry = self.chunks.get(slot / CHUNK)?.entries.get(slot % CHUNK)?.as_ref()?;
+        Some(entry.backlog.basis())
+    }
+
     /// Returns whether an upstream or a store is believed to hold a piece.
     pub fn holds(&self, id: &InstanceId, name: &BlockName) -> bool {
         self.holder(id).is_some_and(|holder| self.pieces.holders(PieceKey::of(name)).contains(&holder))
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -30,9 +30,10 @@
         self.shared.metrics.attempts.get_or_create(&labels).inc();
         // Taken before the attempt: after a crash, the load report may already be the new process's.
         self.incarnation = self.shared.upstreams.incarnation(&decision.upstream);
-        let _guard = self.shared.upstreams.dispatch(&decision.upstream, decision.recomputed_tokens);
+        let guard = self.shared.upstreams.dispatch(&decision.upstream, decision.recomputed_tokens);
         let names = self.piece_names(decision);
         if !self.restore(&url, decision, &names).await {
+            guard.retract();
             return Attempt::CallerGone;
         }
         let request = self.engine_request(decision, &names);
@@ -53,6 +54,7 @@
                 span.set("error", error.to_string());
                 if error.is_not_run() {
                     cancel.id = None;
+                    guard.retract();
                 }
                 Attempt::Failed(error)
             }
@@ -60,7 +62,7 @@
     }
 
     fn piece_names(&self, decision: &Decision) -> Vec<BlockName> {
-        let mut pieces = self.pieces_by_version(&self.shared.upstreams.view());
+        let mut pieces = self.pieces_by_version(&self.shared.upstreams.view().0);
         pieces.remove(&decision.weight_version).unwrap_or_default()
     }
 
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -36,8 +36,41 @@
     inner: Mutex<Inner>,
 }
 
+/// What changed in the stores, for the view that decisions use.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum DirectoryChange {
+    /// A store has a block under this name.
+    Listed {
+        /// The store.
+        store: InstanceId,
+        /// The block.
+        name: BlockName,
+    },
+    /// A store no longer has a block under this name for readers.
+    Unlisted {
+        /// The store.
+        store: InstanceId,
+        /// The block.
+        name: BlockName,
+    },
+    /// Every block of a store is gone.
+    StoreDropped {
+        /// The store.
+        store: InstanceId,
+    },
+    /// The bytes of running transfers over a store's link changed.
+    Booked {
+        /// The store.
+        store: InstanceId,
+        /// All bytes booked now.
+        bytes: u64,
+    },
+}
+
 #[derive(Debug, Default)]
 struct Inner {
+    /// What changed since the view last took the changes.
+    changes: Vec<DirectoryChange>,
     stores: BTreeMap<InstanceId, BTreeMap<BlockName, Listed>>,
     /// Blocks that no new reader gets, and when each may be freed.
     unlisted: Vec<Unlisted>,
@@ -106,6 +139,21 @@
         names.into_iter().filter(|name| listed.contains_key(*name)).cloned().collect()
     }
 
+    /// Returns the changes since the last call, in order.
+    pub(crate) fn take_changes(&self) -> Vec<DirectoryChange> {
+        std::mem::take(&mut self.lock().changes)
+    }
+
+    /// Announces all blocks and bookings of a store again, since the view did not know the store before.
+    pub(crate) fn announce(&self, store: &InstanceId) {
+        let mut inner = self.lock();
+        let names: Vec<BlockName> =
+            inner.stores.get(store).into_iter().flat_map(|b| b.keys().cloned()).collect();
+        let listed = names.into_iter().map(|name| DirectoryChange::Listed { store: store.clone(), name });
+        inner.changes.extend(listed);
+        inner.booked(store, |bytes| bytes);
+    }
+
     /// Returns whether any store has a block listed under this name.
     pub fn holds(&self, name: &BlockName) -> bool {
         self.lock().stores.values().any(|blocks| blocks.contains_key(name))
@@ -142,7 +190,7 @@
         inner.next_lease += 1;
         let lease = Lease { store: store.clone(), bytes, expires: now + time.min(MAX_LEASE) };
         inner.leases.insert(id, lease);
-        *inner.booked_bytes.entry(store.clone()).or_default() += bytes;
+        inner.booked(store, |booked| booked + bytes);
         Some(BlockLease { directory: Arc::clone(self), id, blocks })
     }
 
@@ -155,6 +203,7 @@
     pub fn drop_store(&self, store: &InstanceId) {
         let mut inner = self.lock();
         inner.stores.remove(store);
+        inner.changes.push(DirectoryChange::StoreDropped { store: store.clone() });
         inner.unlisted.retain(|unlisted| unlisted.block.store != *store);
     }
 
@@ -212,7 +261,9 @@
         if known.is_none() && blocks.len() >= MAX_LISTED_BLOCKS {
             return;
         }
+        let (store, name) = (sealed.store.clone(), sealed.block.name.clone());
         let replaced = blocks.insert(sealed.block.name.clone(), Listed { block: sealed.block, own });
+        self.changes.push(DirectoryChange::Listed { store, name });
         // An own block under the same name would otherwise never be freed.
         if let Some(Listed { block, own: Some(_) }) = replaced {
             self.free_later(SealedBlock { store: sealed.store, block });
@@ -226,7 +277,17 @@
         if listed.block.generation != sealed.block.generation {
             return None;
         }
-        blocks.remove(&sealed.block.name)
+        let removed = blocks.remove(&sealed.block.name);
+        let (store, name) = (sealed.store.clone(), sealed.block.name.clone());
+        self.changes.push(DirectoryChange::Unlisted { store, name });
+        removed
+    }
+
+    fn booked(&mut self, store: &InstanceId, change: impl FnOnce(u64) -> u64) {
+        let booked = self.booked_bytes.entry(store.clone()).or_default();
+        *booked = change(*booked);
+        let bytes = *booked;
+        self.changes.push(DirectoryChange::Booked { store: store.clone(), bytes });
     }
 
     fn unlist(&mut self, store: &InstanceId, name: &BlockName, generation: u64) {
@@ -276,9 +337,7 @@
 
     fn end_lease(&mut self, id: u64) {
         let Some(lease) = self.leases.remove(&id) else { return };
-        if let Some(booked) = self.booked_bytes.get_mut(&lease.store) {
-            *booked = booked.saturating_sub(lease.bytes);
-        }
+        self.booked(&lease.store, |booked| booked.saturating_sub(lease.bytes));
     }
 }
 
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -150,15 +150,8 @@
     }
 
     fn choose(&mut self) -> Option<Decision> {
-        let mut view = self.shared.upstreams.view();
+        let (view, now_ms) = self.shared.upstreams.view();
         let pieces = self.pieces_by_version(&view);
-        let stores: Vec<InstanceId> = view.stores().map(|store| store.id.clone()).collect();
-        for store in &stores {
-            let held = self.shared.directory.held(store, pieces.values().flatten());
-            for piece in &held {
-                view.piece_stored(store, piece);
-            }
-        }
         let prompt_bytes = self.request.prompt.len() as u64;
         let request = RouteRequest {
             service: &self.life.service,
@@ -167,7 +160,7 @@
             prompt_tokens: prompt_bytes.div_ceil(self.service.bytes_per_token),
             pinned_version: self.pinned_version,
             excluded: &self.excluded,
-            now_ms: 0,
+            now_ms,
         };
         let policy = RoutePolicy {
             piece_tokens: self.service.piece_tokens,
@@ -178,10 +171,12 @@
             near_tie_factor: route::NEAR_TIE_FACTOR,
         };
         let decision = route::choose(&view, &request, &policy, rand::rng().random::<f64>())?;
-        self.life.decision(&decision.reason);
+        let basis = self.shared.upstreams.load_basis(&decision.upstream).unwrap_or_default();
+        let reason = format!("{}; {basis}", decision.reason);
+        self.life.decision(&reason);
         self.life.event("chosen");
         let span = self.life.span.child("decision");
-        span.set("reason", decision.reason.as_str());
+        span.set("reason", reason);
         Some(decision)
     }
 
--- a/crates/node/src/exporter.rs
+++ b/crates/node/src/exporter.rs
@@ -74,7 +74,7 @@
             (store, bytes)
         };
         self.shared.cluster.set_soft(SoftReport {
-            in_flight_tokens: self.shared.upstreams.in_flight_tokens(),
+            dispatched: self.shared.upstreams.dispatch_counts(),
             booked_bytes: stores.into_iter().map(booked).collect::<BTreeMap<_, _>>(),
             leaving_upstreams: self.shared.upstreams.refused_here(),
             sealed_blocks,
@@ -84,6 +84,9 @@
         for member in &members {
             self.shared.directory.apply_report(&member.soft.sealed_blocks, &member.soft.freed_blocks);
         }
+        for report in self.shared.cluster.soft_reports() {
+            self.shared.upstreams.apply_peer_counts(&report.name, &report.soft.dispatched, report.age);
+        }
         let leaving = members.iter().flat_map(|member| member.soft.leaving_upstreams.iter().cloned());
         self.shared.upstreams.apply_reported_leaving(&leaving.collect());
         self.shared.upstreams.set_node_count(members.iter().filter(|m| m.alive).count() + 1);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod explain;
 pub mod exporter;
 pub mod http;
+mod live_view;
 pub mod metrics;
 pub mod monitor;
 pub mod openai;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -75,6 +75,12 @@
     pub freed_blocks: Counter,
     /// Spans dropped because the writer's queue was full.
     pub dropped_spans: Counter,
+    /// Dispatches taken back because they did not reach their upstream.
+    pub retracted_dispatches: Counter,
+    /// Counts of other nodes' dispatches that were newer than the own load report.
+    pub peer_counts: Counter,
+    /// Counts of other nodes' dispatches that the own load report already covered.
+    pub late_peer_counts: Counter,
     /// Orders given to engines.
     pub orders: Counter,
     /// Orders that engines did not take.
@@ -111,6 +117,9 @@
             failed_exports: Counter::default(),
             freed_blocks: Counter::default(),
             dropped_spans: Counter::default(),
+            retracted_dispatches: Counter::default(),
+            peer_counts: Counter::default(),
+            late_peer_counts: Counter::default(),
             failed_orders: Counter::default(),
             orders: Counter::default(),
         };
@@ -186,6 +195,17 @@
             ("exported_blocks", "Blocks exported to stores", &self.exported_blocks),
             ("failed_exports", "Exports that failed", &self.failed_exports),
             ("freed_blocks", "Blocks freed in stores", &self.freed_blocks),
+            (
+                "retracted_dispatches",
+                "Dispatches that did not reach their upstream",
+                &self.retracted_dispatches,
+            ),
+            ("peer_counts", "Counts of other nodes newer than the own load report", &self.peer_counts),
+            (
+                "late_peer_counts",
+                "Counts of other nodes covered by the own load report",
+                &self.late_peer_counts,
+            ),
             ("orders", "Orders given to engines", &self.orders),
             ("failed_orders", "Orders that engines did not take", &self.failed_orders),
             ("dropped_spans", "Spans dropped because the queue was full", &self.dropped_spans),
--- a/crates/node/src/monitor.rs
+++ b/crates/node/src/monitor.rs
@@ -5,6 +5,7 @@
 use actix::{Actor, AsyncContext, Context, WrapFuture};
 use daisysill_core::ids::InstanceId;
 use daisysill_wire::border::InstanceKind;
+use tokio::time::Instant;
 
 use crate::{
     shared::Shared,
@@ -78,16 +79,17 @@
             let poll = {
                 let id = id.clone();
                 async move {
+                    let asked = Instant::now();
                     match engine.load(&url).await {
                         Ok(load) => {
-                            if shared.upstreams.apply_load(&id, load) {
+                            if shared.upstreams.apply_load(&id, load, asked) {
                                 shared.resting.forget_engine(&id);
                             }
                         }
                         Err(_) => return shared.upstreams.event(&id, "ping_failed"),
                     }
                     if let Ok(events) = engine.cache_events(&url, after).await {
-                        for evicted in shared.upstreams.apply_cache_events(&id, events) {
+                        for evicted in shared.upstreams.apply_cache_events(&id, &events) {
                             shared.resting.forget(&id, &evicted);
                         }
                     }
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -124,7 +124,7 @@
 
     /// Chooses a live upstream, one in this zone if there is any.
     pub(crate) fn choose(&mut self, excluded: &[InstanceId]) -> Option<InstanceId> {
-        let view = self.shared.upstreams.view();
+        let (view, _) = self.shared.upstreams.view();
         let in_state = |state| -> Vec<&UpstreamView> {
             let of_service = view.upstreams().filter(|u| u.service == self.life.service);
             of_service.filter(|u| u.state == state && !excluded.contains(&u.id)).collect()
--- a/crates/node/src/upstream_entry.rs
+++ b/crates/node/src/upstream_entry.rs
@@ -3,15 +3,10 @@
 use std::collections::BTreeSet;
 
 use daisysill_core::{
-    block::BlockName,
     ids::{InstanceId, ServiceName, WeightVersion, ZoneName},
-    view::{LoadReport, UpstreamState, UpstreamView},
+    view::{UpstreamState, UpstreamView},
 };
 use daisysill_wire::border::{EngineLoad, InstanceKind, PlatformInstance, StoreUsage};
-use tokio::time::Instant;
-
-/// Prefill speed assumed until an engine reports its own.
-const ASSUMED_PREFILL_TOKENS_PER_S: u64 = 10_000;
 
 /// One upstream as this node sees it.
 #[derive(Clone, Debug)]
@@ -26,18 +21,14 @@
     pub(crate) load: Option<EngineLoad>,
     /// The last usage report of a store.
     pub(crate) usage: Option<StoreUsage>,
-    /// Pieces that its cache is believed to hold.
-    pub(crate) pieces: BTreeSet<BlockName>,
+    /// What the view for decisions has of it.
+    pub(crate) shown: Option<UpstreamView>,
     /// Where its cache events go on.
     pub(crate) next_event: u64,
     /// The incarnation whose cache events were read.
     pub(crate) incarnation: u64,
-    /// Tokens of dispatches that the last load report did not cover, and when they were made.
-    pub(crate) dispatches: Vec<(Instant, u64)>,
     /// Calls in progress.
     pub(crate) in_flight: u64,
-    /// Prompt tokens of these calls.
-    pub(crate) in_flight_tokens: u64,
 }
 
 /// Who says that an upstream is leaving.
@@ -62,12 +53,10 @@
             leaving: BTreeSet::new(),
             load: None,
             usage: None,
-            pieces: BTreeSet::new(),
+            shown: None,
             next_event: 0,
             incarnation: 0,
-            dispatches: Vec::new(),
             in_flight: 0,
-            in_flight_tokens: 0,
         }
     }
 
@@ -103,14 +92,4 @@
             weight_version: WeightVersion(load.map_or(0, |l| l.weight_version)),
         }
     }
-
-    /// Returns the load as the decisions see it.
-    pub(crate) fn load_report(&self) -> LoadReport {
-        let load = self.load.as_ref();
-        LoadReport {
-            at_ms: 0,
-            queue_tokens: load.map_or(0, |l| l.queue_tokens),
-            prefill_tokens_per_s: load.map_or(ASSUMED_PREFILL_TOKENS_PER_S, |l| l.prefill_tokens_per_s),
-        }
-    }
 }
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -15,14 +15,18 @@
     ids::{InstanceId, ServiceName, WeightVersion, ZoneName},
     view::{ClusterView, StoreView},
 };
-use daisysill_wire::border::{
-    CacheEventKind, CacheEvents, EngineLoad, InstanceKind, InstanceState, PlatformInstance, StoreUsage,
-    UpstreamStatus,
+use daisysill_wire::{
+    border::{
+        CacheEventKind, CacheEvents, EngineLoad, InstanceKind, InstanceState, PlatformInstance, StoreUsage,
+        UpstreamStatus,
+    },
+    peer::DispatchCount,
 };
 use tokio::time::Instant;
 
 use crate::{
     directory::BlockDirectory,
+    live_view::LiveView,
     metrics::Metrics,
     rollout::EngineVersion,
     upstream_entry::{Entry, LeavingCause},
@@ -30,8 +34,6 @@
 
 /// Link speed assumed until a store reports its own, in bytes per second.
 const ASSUMED_LINK_BYTES_PER_S: u64 = 10_000_000;
-/// Dispatches older than this are in every load report, or their engine does not report at all.
-const DISPATCH_MEMORY: Duration = Duration::from_mins(1);
 
 /// All upstreams and stores that this node knows.
 #[derive(Debug)]
@@ -40,49 +42,53 @@
     metrics: Arc<Metrics>,
     directory: Arc<BlockDirectory>,
     node_count: AtomicUsize,
-    entries: Mutex<BTreeMap<InstanceId, Entry>>,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    entries: BTreeMap<InstanceId, Entry>,
+    live: LiveView,
 }
 
 impl UpstreamTable {
     /// Creates an empty table.
     pub fn new(chart: Chart, metrics: Arc<Metrics>, directory: Arc<BlockDirectory>) -> Self {
-        Self { chart, metrics, directory, node_count: AtomicUsize::new(1), entries: Mutex::default() }
+        let inner = Inner { entries: BTreeMap::new(), live: LiveView::new() };
+        Self { chart, metrics, directory, node_count: AtomicUsize::new(1), inner: Mutex::new(inner) }
     }
 
-    /// Returns the engines and stores as the decisions see them; the pieces in stores are left out.
-    pub fn view(&self) -> ClusterView {
-        let entries = self.lock();
-        let mut view = ClusterView::default();
-        for (id, entry) in entries.iter() {
-            match entry.listed.kind {
-                InstanceKind::Engine | InstanceKind::Plain => put_upstream(&mut view, id, entry),
-                InstanceKind::Store => view.put_store(self.store_view(id, entry)),
-            }
-            entry.pieces.iter().for_each(|piece| view.piece_stored(id, piece));
-        }
-        view
+    /// Returns the engines and stores as the decisions see them, and the time on the clock of the view.
+    pub fn view(&self) -> (ClusterView, u64) {
+        let mut inner = self.lock();
+        self.follow_directory(&mut inner.live);
+        (inner.live.snapshot(), inner.live.ms_of(Instant::now()))
+    }
+
+    /// Returns what the estimate of an upstream's queue rests on, for `daisysill explain`.
+    pub fn load_basis(&self, id: &InstanceId) -> Option<String> {
+        let inner = self.lock();
+        inner.live.basis(id).map(|basis| basis.reason(inner.live.ms_of(Instant::now())))
     }
 
     /// Returns the base URL of an upstream.
     pub fn url(&self, id: &InstanceId) -> Option<String> {
-        self.lock().get(id).map(|entry| entry.listed.url.clone())
+        self.lock().entries.get(id).map(|entry| entry.listed.url.clone())
     }
 
     /// Counts a dispatch until the returned guard is dropped.
     pub fn dispatch(self: &Arc<Self>, id: &InstanceId, tokens: u64) -> DispatchGuard {
-        if let Some(entry) = self.lock().get_mut(id) {
-            let now = Instant::now();
+        let mut inner = self.lock();
+        if let Some(entry) = inner.entries.get_mut(id) {
             entry.in_flight += 1;
-            entry.in_flight_tokens += tokens;
-            entry.dispatches.retain(|(at, _)| now - *at < DISPATCH_MEMORY);
-            entry.dispatches.push((now, tokens));
         }
-        DispatchGuard { table: Arc::clone(self), id: id.clone(), tokens }
+        let at_ms = inner.live.dispatched(id, tokens);
+        DispatchGuard { table: Arc::clone(self), id: id.clone(), tokens, at_ms, ran: true }
     }
 
     /// Feeds an event to the life cycle of one upstream.
     pub fn event(&self, id: &InstanceId, event: &str) {
-        if let Some(entry) = self.lock().get_mut(id) {
+        self.change(id, |entry| {
             if event == "refused" {
                 entry.set_leaving(LeavingCause::RefusedHere, true);
             }
@@ -92,17 +98,17 @@
                 self.stay(entry);
             }
             self.advance(entry, event);
-        }
+        });
     }
 
     /// Returns the incarnation of an upstream as last reported; 0 if it never was.
     pub fn incarnation(&self, id: &InstanceId) -> u64 {
-        self.lock().get(id).and_then(|entry| entry.load.as_ref()).map_or(0, |load| load.incarnation)
+        self.lock().entries.get(id).and_then(|entry| entry.load.as_ref()).map_or(0, |load| load.incarnation)
     }
 
     /// Returns the bytes per second of a store's link that this node may use.
     pub fn link_bytes_per_s(&self, store: &InstanceId) -> u64 {
-        let usage = self.lock().get(store).and_then(|entry| entry.usage.clone());
+        let usage = self.lock().entries.get(store).and_then(|entry| entry.usage.clone());
         self.link_share(usage.as_ref())
     }
 
@@ -113,7 +119,7 @@
 
     /// Returns the stores.
     pub fn store_ids(&self) -> Vec<InstanceId> {
-        let entries = self.lock();
+        let entries = &self.lock().entries;
         let stores = entries.iter().filter(|(_, entry)| entry.listed.kind == InstanceKind::Store);
         stores.map(|(id, _)| id.clone()).collect()
     }
@@ -121,7 +127,7 @@
     /// Returns the store that takes exports of an engine, with its URL: one in the engine's zone if there is
     /// any, and of these the one with most space left.
     pub fn store_for(&self, engine: &InstanceId) -> Option<(InstanceId, String)> {
-        let entries = self.lock();
+        let entries = &self.lock().entries;
         let zone = entries.get(engine)?.listed.availability_zone.clone();
         let stores =
             entries.iter().filter(|(_, e)| e.listed.kind == InstanceKind::Store && e.state == "live");
@@ -136,7 +142,7 @@
 
     /// Returns the engines of a service for a rollout.
     pub fn engine_versions(&self, service: &ServiceName) -> Vec<EngineVersion> {
-        let entries = self.lock();
+        let entries = &self.lock().entries;
         let engines = entries.iter().filter(|(_, entry)| {
             entry.listed.kind == InstanceKind::Engine && entry.listed.service == service.as_str()
         });
@@ -149,22 +155,37 @@
         engines.map(version).collect()
     }
 
-    /// Returns the prompt tokens in flight at each upstream.
-    pub fn in_flight_tokens(&self) -> BTreeMap<InstanceId, u64> {
-        let entries = self.lock();
-        let busy = entries.iter().filter(|(_, entry)| entry.in_flight_tokens > 0);
-        busy.map(|(id, entry)| (id.clone(), entry.in_flight_tokens)).collect()
+    /// Returns what was dispatched to each upstream since the load report that this node knows.
+    pub fn dispatch_counts(&self) -> BTreeMap<InstanceId, DispatchCount> {
+        let inner = self.lock();
+        let counts = inner.entries.keys().filter_map(|id| Some((id.clone(), inner.live.dispatch_count(id)?)));
+        counts.collect()
+    }
+
+    /// Takes what another node reported `age` ago.
+    pub fn apply_peer_counts(
+        &self,
+        peer: &InstanceId,
+        counts: &BTreeMap<InstanceId, DispatchCount>,
+        age: Duration,
+    ) {
+        let mut inner = self.lock();
+        for (upstream, count) in counts {
+            let used = inner.live.peer_count(peer, upstream, count, age);
+            let metric = if used { &self.metrics.peer_counts } else { &self.metrics.late_peer_counts };
+            metric.inc();
+        }
     }
 
     /// Returns the upstreams that refused work from this node because they are leaving.
     pub fn refused_here(&self) -> Vec<InstanceId> {
-        let entries = self.lock();
+        let entries = &self.lock().entries;
         entries.iter().filter(|(_, entry)| entry.refused_here()).map(|(id, _)| id.clone()).collect()
     }
 
     /// Applies what other nodes report of upstreams that refused work because they are leaving.
     pub fn apply_reported_leaving(&self, leaving: &BTreeSet<InstanceId>) {
-        for (id, entry) in self.lock().iter_mut() {
+        self.change_all(|id, entry| {
             let is = leaving.contains(id);
             let was = entry.set_leaving(LeavingCause::RefusedElsewhere, is);
             match (was, is) {
@@ -172,12 +193,12 @@
                 (true, false) => self.stay(entry),
                 (false, false) => {}
             }
-        }
+        });
     }
 
     /// Returns the upstreams for the status report.
     pub fn status(&self) -> Vec<UpstreamStatus> {
-        let entries = self.lock();
+        let entries = &self.lock().entries;
         let status = entries.iter().map(|(id, entry)| UpstreamStatus {
             id: id.to_string(),
             service: entry.listed.service.clone(),
@@ -190,7 +211,8 @@
 
     /// Applies the platform's list; returns the instances that are gone.
     pub fn apply_list(&self, instances: Vec<PlatformInstance>) -> Vec<InstanceId> {
-        let mut entries = self.lock();
+        let mut inner = self.lock();
+        let Inner { entries, live } = &mut *inner;
         let listed: BTreeSet<InstanceId> =
             instances.iter().map(|i| InstanceId::from(i.id.as_str())).collect();
         let mut gone = Vec::new();
@@ -198,7 +220,13 @@
             self.advance(entry, "removed");
             gone.push(id.clone());
         }
-        entries.retain(|_, entry| entry.state != "gone" || entry.in_flight > 0);
+        entries.retain(|id, entry| {
+            let keep = entry.state != "gone" || entry.in_flight > 0;
+            if !keep {
+                live.remove(id);
+            }
+            keep
+        });
         for instance in instances {
             let id = InstanceId::from(instance.id.as_str());
             let entry = entries.entry(id).or_insert_with(|| Entry::new(instance.clone()));
@@ -214,12 +242,17 @@
                 self.stay(entry);
             }
         }
+        for (id, entry) in entries.iter_mut() {
+            self.show(live, id, entry);
+        }
+        // Also without requests, so that the changes do not pile up.
+        self.follow_directory(live);
         gone
     }
 
     /// Applies the drain marks in force, those that were cleared included.
     pub fn apply_drains(&self, draining: &BTreeSet<InstanceId>) {
-        for (id, entry) in self.lock().iter_mut() {
+        self.change_all(|id, entry| {
             let is = draining.contains(id);
             let was = entry.set_leaving(LeavingCause::Drained, is);
             match (was, is) {
@@ -227,63 +260,50 @@
                 (true, false) => self.stay(entry),
                 _ => {}
             }
-        }
+        });
     }
 
-    /// Applies a load report; returns whether the engine restarted.
-    pub fn apply_load(&self, id: &InstanceId, load: EngineLoad) -> bool {
-        let mut entries = self.lock();
+    /// Applies a load report that was asked for at `asked`; returns whether the engine restarted.
+    pub fn apply_load(&self, id: &InstanceId, load: EngineLoad, asked: Instant) -> bool {
+        let mut inner = self.lock();
+        let Inner { entries, live } = &mut *inner;
         let Some(entry) = entries.get_mut(id) else { return false };
-        // The report covers what was dispatched before it was made; only later dispatches are to be added.
-        let now = Instant::now();
-        let age = Duration::from_millis(load.report_age_ms);
-        entry.dispatches.retain(|(at, _)| now - *at < age);
         let restarted = entry.load.as_ref().is_some_and(|known| known.incarnation != load.incarnation);
+        live.report(id, &load, asked);
         entry.load = Some(load);
         if restarted && entry.set_leaving(LeavingCause::RefusedHere, false) {
             // The new process has refused nothing yet.
             self.stay(entry);
         }
         self.advance(entry, "ping_ok");
+        self.show(live, id, entry);
         restarted
     }
 
     /// Applies a store's usage report.
     pub fn apply_usage(&self, id: &InstanceId, usage: StoreUsage) {
-        if let Some(entry) = self.lock().get_mut(id) {
+        self.change(id, |entry| {
             entry.usage = Some(usage);
             self.advance(entry, "ping_ok");
-        }
+        });
     }
 
     /// Applies an engine's cache events; returns the pieces it evicted.
-    pub fn apply_cache_events(&self, id: &InstanceId, events: CacheEvents) -> Vec<BlockName> {
-        let mut entries = self.lock();
+    pub fn apply_cache_events(&self, id: &InstanceId, events: &CacheEvents) -> Vec<BlockName> {
+        let mut inner = self.lock();
+        let Inner { entries, live } = &mut *inner;
         let Some(entry) = entries.get_mut(id) else { return Vec::new() };
-        if entry.incarnation != events.incarnation {
-            entry.incarnation = events.incarnation;
-            entry.pieces.clear();
-        }
+        live.cache_events(id, events, entry.incarnation != events.incarnation);
+        live.sweep();
+        entry.incarnation = events.incarnation;
         entry.next_event = events.next_seq;
-        let mut evicted = Vec::new();
-        for event in events.events {
-            let name = BlockName::from(event.piece.as_str());
-            match event.kind {
-                CacheEventKind::Stored => {
-                    entry.pieces.insert(name);
-                }
-                CacheEventKind::Evicted => {
-                    entry.pieces.remove(&name);
-                    evicted.push(name);
-                }
-            }
-        }
-        evicted
+        let evicted = events.events.iter().filter(|event| event.kind == CacheEventKind::Evicted);
+        evicted.map(|event| BlockName::from(event.piece.as_str())).collect()
     }
 
     /// Returns id, URL and next cache event of each upstream of a kind.
     pub fn of_kind(&self, kind: InstanceKind) -> Vec<(InstanceId, String, u64)> {
-        let entries = self.lock();
+        let entries = &self.lock().entries;
         let wanted = entries.iter().filter(|(_, entry)| entry.listed.kind == kind);
         wanted.map(|(id, entry)| (id.clone(), entry.listed.url.clone(), entry.next_event)).collect()
     }
@@ -303,6 +323,39 @@
         }
     }
 
+    fn follow_directory(&self, live: &mut LiveView) {
+        for change in self.directory.take_changes() {
+            live.directory_change(&change);
+        }
+    }
+
+    /// Changes one entry and shows the change to the decisions.
+    fn change(&self, id: &InstanceId, change: impl FnOnce(&mut Entry)) {
+        let mut inner = self.lock();
+        let Inner { entries, live } = &mut *inner;
+        if let Some(entry) = entries.get_mut(id) {
+            change(entry);
+            self.show(live, id, entry);
+        }
+    }
+
+    fn change_all(&self, change: impl Fn(&InstanceId, &mut Entry)) {
+        let mut inner = self.lock();
+        let Inner { entries, live } = &mut *inner;
+        for (id, entry) in entries.iter_mut() {
+            change(id, entry);
+            self.show(live, id, entry);
+        }
+    }
+
+    fn show(&self, live: &mut LiveView, id: &InstanceId, entry: &mut Entry) {
+        if entry.listed.kind != InstanceKind::Store {
+            live.put_upstream(id, entry);
+        } else if live.put_store(self.store_view(id, entry)) {
+            self.directory.announce(id);
+        }
+    }
+
     /// Gives new work again to an upstream that nothing says is leaving any more.
     fn stay(&self, entry: &mut Entry) {
         if entry.leaving.is_empty() && entry.state == "leaving" {
@@ -323,8 +376,8 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<InstanceId, Entry>> {
-        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -334,19 +387,26 @@
     table: Arc<UpstreamTable>,
     id: InstanceId,
     tokens: u64,
+    at_ms: u64,
+    ran: bool,
+}
+
+impl DispatchGuard {
+    /// Takes the dispatch back, since it did not reach the upstream.
+    pub fn retract(mut self) {
+        self.ran = false;
+    }
 }
 
 impl Drop for DispatchGuard {
     fn drop(&mut self) {
-        if let Some(entry) = self.table.lock().get_mut(&self.id) {
+        let mut inner = self.table.lock();
+        if let Some(entry) = inner.entries.get_mut(&self.id) {
             entry.in_flight = entry.in_flight.saturating_sub(1);
-            entry.in_flight_tokens = entry.in_flight_tokens.saturating_sub(self.tokens);
+        }
+        if !self.ran && self.tokens > 0 {
+            inner.live.retracted(&self.id, self.at_ms, self.tokens);
+            self.table.metrics.retracted_dispatches.inc();
         }
     }
 }
-
-fn put_upstream(view: &mut ClusterView, id: &InstanceId, entry: &Entry) {
-    view.put_upstream(entry.view(id));
-    view.report(id, entry.load_report());
-    view.dispatched(id, 0, entry.dispatches.iter().map(|(_, tokens)| tokens).sum());
-}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -61,8 +61,8 @@
     /// Soft state that nodes share; a hint, never a promise.
     #[derive(Default)]
     pub struct SoftReport {
-        /// Prompt tokens in flight by upstream.
-        pub in_flight_tokens: BTreeMap<InstanceId, u64>,
+        /// What was dispatched to each upstream since the last load report that the node knows.
+        pub dispatched: BTreeMap<InstanceId, DispatchCount>,
         /// Bytes booked by store link.
         pub booked_bytes: BTreeMap<InstanceId, u64>,
         /// Upstreams that refused work because they are leaving.
@@ -73,6 +73,14 @@
         pub freed_blocks: Vec<SealedBlock>,
     }
 
+    /// Prompt tokens dispatched to one upstream.
+    pub struct DispatchCount {
+        /// The tokens.
+        pub tokens: u64,
+        /// Time from the load report to the soft report.
+        pub counted_ms: u64,
+    }
+
     /// A block in a store, as nodes tell each other.
     pub struct SealedBlock {
         /// The store.
