Check the disk of a restarted voter with its peers in every case

Cause: `Replica::new` set the start check as passed and left it to `reload_voters` to clear it. That function clears it only when the replica becomes a voter, and a voter whose stored commit index covers the voter set is one already. So most restarted voters skipped the check that finds an older disk. Change: the check is passed at the start only if the replica is exempt or no voter.

It now asks for a leader that can prove its lead.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -113,9 +113,10 @@
             config,
         };
         replica.start_check.exempt = !formatted || replica.config.trust_disk;
-        replica.start_check.passed = true;
         replica.start_check.check = replica.rng.next_u64();
         replica.reload_voters();
+        // Not left to `reload_voters`: it sees a voter already if the log's commit index covers the voter set.
+        replica.start_check.passed = replica.start_check.exempt || !replica.is_voter();
         replica.reset_election_timer();
         replica.apply_committed();
         replica
