--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -7,7 +7,7 @@
 use daisysill_wire::border::{ConflictReply, ErrorBody};
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::exit_code::ExitCode;
+use crate::{exit_code::ExitCode, options::Options};
 
 /// Time in which a node must answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
@@ -58,24 +58,33 @@
 }
 
 /// Reads JSON with GET.
-pub(crate) async fn get<T: DeserializeOwned>(url: &str) -> Result<T, CallError> {
-    let mut response = client().get(url).send().await.map_err(|e| CallError::Unreachable(e.to_string()))?;
+pub(crate) async fn get<T: DeserializeOwned>(options: &Options, path: &str) -> Result<T, CallError> {
+    let request = client(options).get(format!("{}{path}", options.node));
+    let mut response = request.send().await.map_err(|e| CallError::Unreachable(e.to_string()))?;
     let status = response.status();
     let body = response.body().limit(MAX_ANSWER_BYTES).await;
     decode(status.as_u16(), &body.map_err(|e| CallError::Unreachable(e.to_string()))?)
 }
 
 /// Sends JSON with POST and reads JSON.
-pub(crate) async fn post<B: Serialize, T: DeserializeOwned>(url: &str, request: &B) -> Result<T, CallError> {
-    let sent = client().post(url).send_json(request).await;
+pub(crate) async fn post<B: Serialize, T: DeserializeOwned>(
+    options: &Options,
+    path: &str,
+    request: &B,
+) -> Result<T, CallError> {
+    let sent = client(options).post(format!("{}{path}", options.node)).send_json(request).await;
     let mut response = sent.map_err(|e| CallError::Unreachable(e.to_string()))?;
     let status = response.status();
     let body = response.body().limit(MAX_ANSWER_BYTES).await;
     decode(status.as_u16(), &body.map_err(|e| CallError::Unreachable(e.to_string()))?)
 }
 
-fn client() -> Client {
-    Client::builder().timeout(CALL_TIMEOUT).finish()
+fn client(options: &Options) -> Client {
+    let builder = Client::builder().timeout(CALL_TIMEOUT);
+    match &options.admin_token {
+        Some(token) => builder.bearer_auth(token).finish(),
+        None => builder.finish(),
+    }
 }
 
 fn decode<T: DeserializeOwned>(status: u16, body: &[u8]) -> Result<T, CallError> {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -43,6 +43,10 @@
         Action::Drain { upstream, draining } => {
             actix_rt::System::new().block_on(report::drain(options, upstream, *draining))
         }
+        Action::Voters => actix_rt::System::new().block_on(report::voters(options)),
+        Action::ChangeVoters { action, name } => {
+            actix_rt::System::new().block_on(report::change_voters(options, *action, name))
+        }
         Action::Weights { service, base, version } => {
             actix_rt::System::new().block_on(report::weights(options, service, *base, *version))
         }
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -1,6 +1,8 @@
 //! The command line of daisysill.
 
-use std::path::PathBuf;
+use std::{fs, path::PathBuf};
+
+use daisysill_wire::border::VoterAction;
 
 /// Address of the admin listener when none is given.
 const DEFAULT_NODE: &str = "http://127.0.0.1:8081";
@@ -16,13 +18,19 @@
   drain UPSTREAM            give an upstream no new work
   undrain UPSTREAM          clear the drain mark
   weights SERVICE OLD NEW   roll out a weight version
+  voters                    show the voters and learners
+  voters add NAME           send the log to a node; it does not vote yet
+  voters promote NAME       let a learner that holds the log vote
+  voters remove NAME        take a learner or a voter out
   digest                    print the digest of the bearer token on standard input";
 
 /// The command line as parsed.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(crate) struct Options {
     /// Base URL of a node's admin listener.
     pub(crate) node: String,
+    /// Bearer token for the admin listener.
+    pub(crate) admin_token: Option<String>,
     /// Whether to print JSON.
     pub(crate) json: bool,
     /// Identifies the change when it is resent.
@@ -59,6 +67,15 @@
     },
     /// Print the digest of a token.
     Digest,
+    /// Show the voters.
+    Voters,
+    /// Change the voters.
+    ChangeVoters {
+        /// What to do.
+        action: VoterAction,
+        /// The node.
+        name: String,
+    },
     /// Roll out a weight version.
     Weights {
         /// The model service.
@@ -97,6 +114,7 @@
         };
         Ok(Self {
             node: matches.opt_str("node").unwrap_or_else(|| DEFAULT_NODE.to_owned()),
+            admin_token: matches.opt_str("admin-token-file").map(|path| read_token(&path)).transpose()?,
             json: matches.opt_present("json"),
             change_id: matches.opt_str("change-id"),
             action,
@@ -107,6 +125,7 @@
 fn parser() -> getopts::Options {
     let mut parser = getopts::Options::new();
     parser.optopt("n", "node", "admin URL of a node (default http://127.0.0.1:8081)", "URL");
+    parser.optopt("", "admin-token-file", "file that holds the operators' bearer token", "FILE");
     parser.optflag("j", "json", "print JSON");
     parser.optopt("", "change-id", "identify the change, so that it can be resent safely", "ID");
     parser.optopt("", "base", "publish on top of this version of the rules", "VERSION");
@@ -140,11 +159,22 @@
             base: number(base)?,
             version: number(version)?,
         }),
+        ["voters"] => Ok(Action::Voters),
+        ["voters", action, name] => Ok(Action::ChangeVoters {
+            action: action.parse().map_err(|_| "voters takes add, promote or remove".to_owned())?,
+            name: (*name).to_owned(),
+        }),
         [] => Err("no command given; see daisysill --help".to_owned()),
         words => Err(format!("cannot understand {:?}; see daisysill --help", words.join(" "))),
     }
 }
 
+/// Reads a token from a file, so that it appears in no process list.
+fn read_token(path: &str) -> Result<String, String> {
+    let text = fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
+    Ok(text.trim().to_owned())
+}
+
 fn number(text: &str) -> Result<u64, String> {
     text.parse().map_err(|_| format!("{text:?} is not a number"))
 }
--- a/crates/cli/src/publish.rs
+++ b/crates/cli/src/publish.rs
@@ -12,6 +12,8 @@
     options::{Options, Publish},
 };
 
+/// Path of the rule files in force.
+const RULES: &str = "/admin/v1/rules";
 /// Time between two looks at which nodes have the rules.
 const WAIT_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -20,15 +22,14 @@
     let directory = &publish.directory;
     let files = check::collect(directory)
         .map_err(|error| CallError::Unexpected(format!("{}: {error}", directory.display())))?;
-    let url = format!("{}/admin/v1/rules", options.node);
     let base_version = match publish.base {
         Some(base) => base,
-        None => client::get::<RulesReply>(&url).await?.version,
+        None => client::get::<RulesReply>(options, RULES).await?.version,
     };
     let change_id = options.change_id.clone().unwrap_or_else(new_change_id);
     let files = files.into_iter().map(|file| RuleFileBody { name: file.name, text: file.text });
     let request = PublishRequest { change_id: change_id.clone(), base_version, files: files.collect() };
-    let reply = match client::post::<_, ChangeReply>(&url, &request).await {
+    let reply = match client::post::<_, ChangeReply>(options, RULES, &request).await {
         Ok(reply) => reply,
         Err(CallError::Unreachable(message)) => {
             eprintln!("daisysill: the change may have been accepted ({message})");
@@ -48,10 +49,9 @@
 
 /// Waits until every live node follows `version`; returns those that do not.
 async fn wait(options: &Options, publish: &Publish, version: u64) -> Result<Vec<String>, CallError> {
-    let url = format!("{}/admin/v1/status", options.node);
     let end = Instant::now() + Duration::from_secs(publish.timeout_s);
     loop {
-        let status: NodeStatus = client::get(&url).await?;
+        let status: NodeStatus = client::get(options, "/admin/v1/status").await?;
         let missing = nodes_without(&status, version);
         if missing.is_empty() || Instant::now() >= end {
             return Ok(missing);
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -1,6 +1,9 @@
 //! Shows and changes single things through the admin interface.
 
-use daisysill_wire::border::{ChangeReply, DrainRequest, ExplainReply, NodeStatus, WeightsRequest};
+use daisysill_wire::border::{
+    ChangeReply, DrainRequest, ExplainReply, NodeStatus, VoterAction, VotersReply, VotersRequest,
+    WeightsRequest,
+};
 use serde::Serialize;
 
 use crate::{
@@ -12,12 +15,15 @@
 
 /// Shows a node, its cluster and its upstreams.
 pub(crate) async fn status(options: &Options) -> Result<ExitCode, CallError> {
-    let status: NodeStatus = client::get(&format!("{}/admin/v1/status", options.node)).await?;
+    let status: NodeStatus = client::get(options, "/admin/v1/status").await?;
     if print_json(options, &status) {
         return Ok(ExitCode::Success);
     }
     println!("node {} in {}: {}", status.name, status.availability_zone, status.life_cycle);
     println!("log: {}, term {}, leader {}", status.role, status.term, or_none(&status.leader));
+    if status.disk != "none" {
+        println!("log: disk {}", status.disk);
+    }
     println!("log: committed {}, applied {}", status.commit_index, status.applied_index);
     println!("configuration {}, rules {}", status.config_version, status.rules_version);
     for member in &status.members {
@@ -38,7 +44,7 @@
 /// Shows why requests were served as they were.
 pub(crate) async fn explain(options: &Options, request_id: Option<&str>) -> Result<ExitCode, CallError> {
     let query = request_id.map(|id| format!("?request_id={id}")).unwrap_or_default();
-    let reply: ExplainReply = client::get(&format!("{}/admin/v1/explain{query}", options.node)).await?;
+    let reply: ExplainReply = client::get(options, &format!("/admin/v1/explain{query}")).await?;
     if print_json(options, &reply) {
         return Ok(ExitCode::Success);
     }
@@ -53,10 +59,41 @@
     Ok(if request_id.is_some() && reply.requests.is_empty() { ExitCode::Failure } else { ExitCode::Success })
 }
 
+/// Shows the voters.
+pub(crate) async fn voters(options: &Options) -> Result<ExitCode, CallError> {
+    let status: NodeStatus = client::get(options, "/admin/v1/status").await?;
+    print_voters(options, &VotersReply { voters: status.voters, learners: status.learners });
+    Ok(ExitCode::Success)
+}
+
+/// Changes the voters.
+pub(crate) async fn change_voters(
+    options: &Options,
+    action: VoterAction,
+    name: &str,
+) -> Result<ExitCode, CallError> {
+    let request = VotersRequest { action, name: name.to_owned() };
+    let reply = client::post(options, "/admin/v1/voters", &request).await?;
+    print_voters(options, &reply);
+    Ok(ExitCode::Success)
+}
+
+fn print_voters(options: &Options, reply: &VotersReply) {
+    if print_json(options, reply) {
+        return;
+    }
+    if reply.voters.is_empty() {
+        println!("this node holds no replica; ask a node with a data folder for the voters");
+        return;
+    }
+    println!("voters: {}", reply.voters.join(", "));
+    println!("learners: {}", or_none(&reply.learners.join(", ")));
+}
+
 /// Marks an upstream as draining or clears the mark.
 pub(crate) async fn drain(options: &Options, upstream: &str, draining: bool) -> Result<ExitCode, CallError> {
     let request = DrainRequest { change_id: change_id(options), upstream: upstream.to_owned(), draining };
-    let reply = client::post(&format!("{}/admin/v1/drains", options.node), &request).await?;
+    let reply = client::post(options, "/admin/v1/drains", &request).await?;
     print_change(options, &reply);
     Ok(ExitCode::Success)
 }
@@ -74,7 +111,7 @@
         base_version: base,
         version,
     };
-    let reply = client::post(&format!("{}/admin/v1/weights", options.node), &request).await?;
+    let reply = client::post(options, "/admin/v1/weights", &request).await?;
     print_change(options, &reply);
     Ok(ExitCode::Success)
 }
--- a/crates/cluster/examples/commit_speed.rs
+++ b/crates/cluster/examples/commit_speed.rs
@@ -97,6 +97,7 @@
         peer_listen: addresses[index],
         peers: peers.clone(),
         bootstrap_voters: (0..3).map(|voter| name(voter).into()).collect(),
+        trust_disk: false,
         secret: "a shared secret".to_owned(),
     };
     Ok((0..count).map(|index| Node { config: config(index), running: None }).collect())
--- a/crates/cluster/src/config.rs
+++ b/crates/cluster/src/config.rs
@@ -19,6 +19,9 @@
     pub peers: Vec<PeerAddress>,
     /// Voters of a new cluster; used only while every one of them has an empty folder.
     pub bootstrap_voters: Vec<InstanceId>,
+    /// The operator states that the data folder is the newest copy of this voter's disk; it then votes without
+    /// asking its peers when it starts.
+    pub trust_disk: bool,
     /// Secret that all nodes share.
     pub secret: String,
 }
--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use daisysill_control::{
-    Input, Output, ProposalFailure, Replica, ReplicaStatus, Role,
+    Input, Output, ProposalFailure, Replica, ReplicaStatus, Role, VoterChange,
     command::{Command, Reply},
 };
 use daisysill_core::ids::InstanceId;
@@ -47,6 +47,13 @@
         /// Gets the answer; dropped unanswered if the outcome is uncertain.
         answer: oneshot::Sender<ProposalResult>,
     },
+    /// The voters are to be changed.
+    ChangeVoters {
+        /// The change.
+        change: VoterChange,
+        /// Gets the answer, as for a command.
+        answer: oneshot::Sender<ProposalResult>,
+    },
     /// The leader has stopped.
     TakeOver {
         /// The node that says so; ignored unless it is the leader.
@@ -181,6 +188,7 @@
                 }
             }
             DriverInput::Propose { command, answer } => self.propose(command, answer),
+            DriverInput::ChangeVoters { change, answer } => self.change_voters(change, answer),
             DriverInput::TakeOver { from, term, campaign } => self.take_over(&from, term, campaign),
             DriverInput::Leave { stopped } => self.leaving = Some((stopped, Instant::now() + SETTLE_LIMIT)),
         }
@@ -200,6 +208,17 @@
         self.step(Input::Propose { ticket: self.next_ticket, command });
     }
 
+    fn change_voters(&mut self, change: VoterChange, answer: oneshot::Sender<ProposalResult>) {
+        if let Some(refusal) = self.replica.voter_refusal(&change) {
+            let _ = answer.send(Ok(Reply::VotersRefused(refusal)));
+            return;
+        }
+        log::info!("change of the voters asked for: {change:?}");
+        self.next_ticket += 1;
+        self.answers.insert(self.next_ticket, answer);
+        self.step(Input::ChangeVoters { ticket: self.next_ticket, change });
+    }
+
     /// Sets the replica's clock forward, so that it acts as if the leader had been silent for that long. Only
     /// the pace of this clock matters to the protocol, and the leader that says so has stopped for good.
     fn take_over(&mut self, from: &InstanceId, term: u64, campaign: bool) {
@@ -266,6 +285,8 @@
                 || old.leader != status.leader
                 || old.term != status.term
                 || old.voters != status.voters
+                || old.waits_for_peers != status.waits_for_peers
+                || old.disk_outdated != status.disk_outdated
                 || old.last_index != status.last_index
                 || old.commit_index != status.commit_index;
             view.status = Some(status);
--- a/crates/cluster/src/handle.rs
+++ b/crates/cluster/src/handle.rs
@@ -7,7 +7,7 @@
 };
 
 use daisysill_control::{
-    Recovered, Replica, ReplicaConfig, ReplicaStatus, Role as ReplicaRole,
+    Recovered, Replica, ReplicaConfig, ReplicaStatus, Role as ReplicaRole, VoterChange,
     command::{Command, Reply},
     state::ConfigView,
     storage,
@@ -35,7 +35,7 @@
     members::Members,
     metrics::ClusterMetrics,
     outbox::Outbox,
-    propose::{LeaderHint, Proposer},
+    propose::{LeaderHint, Proposal, Proposer},
     server::{self, ServerState},
     status::STALE_AFTER,
     storage_thread::{StorageThread, WriteDone},
@@ -174,6 +174,7 @@
     let replica_config = ReplicaConfig {
         heartbeat_ms: HEARTBEAT_MS,
         election_timeout_ms: ELECTION_TIMEOUT_MS,
+        trust_disk: config.trust_disk,
         ..ReplicaConfig::new(config.name.clone())
     };
     let replica = Replica::new(replica_config, recovered, 0, rand::random());
@@ -215,10 +216,22 @@
     /// # Errors
     /// Says whether the command may have been committed.
     pub async fn propose(&self, command: Command) -> Result<Reply, ProposeError> {
+        self.bring(Proposal::Command(command)).await
+    }
+
+    /// Changes the voters through the leader. A change that is in effect already is answered with `Done`.
+    ///
+    /// # Errors
+    /// Says whether the change may have been committed.
+    pub async fn change_voters(&self, change: VoterChange) -> Result<Reply, ProposeError> {
+        self.bring(Proposal::Voters(change)).await
+    }
+
+    async fn bring(&self, proposal: Proposal) -> Result<Reply, ProposeError> {
         let proposer = self.inner.proposer.clone();
         // On the runtime of the cluster: the connections must outlive the caller's thread, and a caller that
         // gives up must not leave its proposal half done.
-        let proposal = self.inner.runtime.spawn(async move { proposer.propose(command).await });
+        let proposal = self.inner.runtime.spawn(async move { proposer.propose(proposal).await });
         match timeout(PROPOSE_LIMIT, proposal).await {
             Ok(Ok(result)) => result,
             Ok(Err(_)) | Err(_) => Err(ProposeError::Uncertain),
@@ -249,6 +262,10 @@
             leader: known_leader.or_else(|| self.inner.leader.get()),
             commit_index: replica.as_ref().map_or(0, |status| status.commit_index),
             applied_index: replica.as_ref().map_or(0, |status| status.applied_index),
+            voters: replica.as_ref().map_or_else(Vec::new, |s| s.voters.voters.keys().cloned().collect()),
+            learners: replica.as_ref().map_or_else(Vec::new, |s| s.voters.learners.iter().cloned().collect()),
+            waits_for_peers: replica.as_ref().is_some_and(|status| status.waits_for_peers),
+            disk_outdated: replica.as_ref().is_some_and(|status| status.disk_outdated),
             current: self.is_current(),
             members: members.collect(),
         }
--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -45,7 +45,7 @@
         let Self::Request(request) = self else { return Purpose::Connection };
         match request.message {
             PeerRequest::Replicate { .. } | PeerRequest::TakeOver { .. } => Purpose::Replicate,
-            PeerRequest::Propose { .. } => Purpose::Propose,
+            PeerRequest::Propose { .. } | PeerRequest::ChangeVoters { .. } => Purpose::Propose,
             PeerRequest::Follow { .. } => Purpose::Follow,
             PeerRequest::Heartbeat { .. } => Purpose::Heartbeat,
         }
@@ -56,7 +56,7 @@
     fn purpose(&self) -> Purpose {
         match self.message {
             Ok(PeerResponse::Replicate(..) | PeerResponse::TakeOver(..)) => Purpose::Replicate,
-            Ok(PeerResponse::Propose(..)) => Purpose::Propose,
+            Ok(PeerResponse::Propose(..) | PeerResponse::ChangeVoters(..)) => Purpose::Propose,
             Ok(PeerResponse::Follow(..)) => Purpose::Follow,
             Ok(PeerResponse::Heartbeat(..)) => Purpose::Heartbeat,
             Err(_) => Purpose::Connection,
--- a/crates/cluster/src/propose.rs
+++ b/crates/cluster/src/propose.rs
@@ -5,7 +5,10 @@
     time::Duration,
 };
 
-use daisysill_control::command::{Command, Reply};
+use daisysill_control::{
+    VoterChange,
+    command::{Command, Reply},
+};
 use daisysill_core::ids::InstanceId;
 use daisysill_wire::peer::{ForwardError, PeerClient};
 use futures::FutureExt;
@@ -45,6 +48,15 @@
     }
 }
 
+/// What is brought to the leader.
+#[derive(Clone, Debug)]
+pub(crate) enum Proposal {
+    /// A command.
+    Command(Command),
+    /// A change of the voters.
+    Voters(VoterChange),
+}
+
 /// How one attempt ended.
 enum Attempt {
     Answered(Reply),
@@ -72,8 +84,8 @@
 }
 
 impl Proposer {
-    /// Commits a command; returns within the two limits together.
-    pub(crate) async fn propose(&self, command: Command) -> Result<Reply, ProposeError> {
+    /// Commits a proposal; returns within the two limits together.
+    pub(crate) async fn propose(&self, proposal: Proposal) -> Result<Reply, ProposeError> {
         let find_limit = Instant::now() + FIND_LEADER_LIMIT;
         let answer_limit = Instant::now() + FIND_LEADER_LIMIT + ANSWER_LIMIT;
         let mut uncertain = false;
@@ -82,10 +94,10 @@
             if Instant::now() >= limit {
                 break;
             }
-            match self.attempt(turn, &command, answer_limit).await {
+            match self.attempt(turn, &proposal, answer_limit).await {
                 Attempt::Answered(reply) => return Ok(reply),
                 Attempt::NotAppended => {}
-                Attempt::Uncertain if !may_be_resent(&command) => return Err(ProposeError::Uncertain),
+                Attempt::Uncertain if !may_be_resent(&proposal) => return Err(ProposeError::Uncertain),
                 // A command that was sent once stays uncertain, whatever later attempts say.
                 Attempt::Uncertain => uncertain = true,
             }
@@ -94,12 +106,12 @@
         Err(if uncertain { ProposeError::Uncertain } else { ProposeError::NotCommitted })
     }
 
-    async fn attempt(&self, turn: usize, command: &Command, limit: Instant) -> Attempt {
+    async fn attempt(&self, turn: usize, proposal: &Proposal, limit: Instant) -> Attempt {
         let Some(target) = self.target(turn) else { return Attempt::NotAppended };
         let result = if target == self.name {
-            self.locally(command.clone(), limit).await
+            self.locally(proposal.clone(), limit).await
         } else {
-            self.forward(&target, command.clone(), limit).await
+            self.forward(&target, proposal.clone(), limit).await
         };
         match result {
             Ok(Ok(reply)) => {
@@ -145,12 +157,16 @@
     /// Proposes to this node's replica.
     pub(crate) async fn locally(
         &self,
-        command: Command,
+        proposal: Proposal,
         limit: Instant,
     ) -> Result<Result<Reply, ForwardError>, CallError> {
         let Some(driver) = &self.driver else { return Ok(Err(ForwardError::NotLeader(self.leader.get()))) };
         let (answer, result) = oneshot::channel();
-        if driver.try_send(DriverInput::Propose { command, answer }).is_err() {
+        let input = match proposal {
+            Proposal::Command(command) => DriverInput::Propose { command, answer },
+            Proposal::Voters(change) => DriverInput::ChangeVoters { change, answer },
+        };
+        if driver.try_send(input).is_err() {
             return Err(CallError::NotSent);
         }
         match timeout(limit.saturating_duration_since(Instant::now()), result).await {
@@ -162,21 +178,32 @@
     async fn forward(
         &self,
         target: &InstanceId,
-        command: Command,
+        proposal: Proposal,
         limit: Instant,
     ) -> Result<Result<Reply, ForwardError>, CallError> {
         let Some(link) = self.links.get(target) else { return Err(CallError::NotSent) };
-        let most = if may_be_resent(&command) { ATTEMPT_LIMIT } else { ANSWER_LIMIT };
+        let most = if may_be_resent(&proposal) { ATTEMPT_LIMIT } else { ANSWER_LIMIT };
         let limit = limit.saturating_duration_since(Instant::now()).min(most);
-        let call =
-            move |client: PeerClient, context| async move { client.propose(context, command).await }.boxed();
+        let call = move |client: PeerClient, context| {
+            async move {
+                match proposal {
+                    Proposal::Command(command) => client.propose(context, command).await,
+                    Proposal::Voters(change) => client.change_voters(context, change).await,
+                }
+            }
+            .boxed()
+        };
         link.call(limit, call).await
     }
 }
 
-/// Returns whether a command that may have been committed can be sent again.
+/// Returns whether a proposal that may have been committed can be sent again.
 #[allow(clippy::match_same_arms)] // One reason an arm.
-const fn may_be_resent(command: &Command) -> bool {
+const fn may_be_resent(proposal: &Proposal) -> bool {
+    let Proposal::Command(command) = proposal else {
+        // A late copy of a removal could undo an addition that came after it.
+        return false;
+    };
     match command {
         // Has no effect.
         Command::Noop => true,
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -6,7 +6,10 @@
     time::Duration,
 };
 
-use daisysill_control::command::{Command, Reply};
+use daisysill_control::{
+    VoterChange,
+    command::{Command, Reply},
+};
 use daisysill_core::ids::{ConfigVersion, InstanceId};
 use daisysill_wire::peer::{FollowReply, ForwardError, Heartbeat, Peer, PeerRequest, PeerResponse};
 use futures::{FutureExt, StreamExt};
@@ -29,7 +32,7 @@
     link::{CallError, set_options},
     members::Members,
     metrics::ClusterMetrics,
-    propose::Proposer,
+    propose::{Proposal, Proposer},
     view_store::ViewStore,
 };
 
@@ -138,12 +141,11 @@
     }
 
     async fn propose(self, _: Context, command: Command) -> Result<Reply, ForwardError> {
-        let limit = Instant::now() + PROPOSE_LIMIT;
-        match self.state.proposer.locally(command, limit).await {
-            Ok(result) => result,
-            Err(CallError::NotSent) => Err(ForwardError::NotAppended),
-            Err(CallError::Uncertain) => Err(ForwardError::Uncertain),
-        }
+        self.state.bring(Proposal::Command(command)).await
+    }
+
+    async fn change_voters(self, _: Context, change: VoterChange) -> Result<Reply, ForwardError> {
+        self.state.bring(Proposal::Voters(change)).await
     }
 
     async fn follow(self, _: Context, after: ConfigVersion, wait_ms: u64) -> FollowReply {
@@ -177,6 +179,17 @@
     }
 }
 
+impl ServerState {
+    async fn bring(&self, proposal: Proposal) -> Result<Reply, ForwardError> {
+        let limit = Instant::now() + PROPOSE_LIMIT;
+        match self.proposer.locally(proposal, limit).await {
+            Ok(result) => result,
+            Err(CallError::NotSent) => Err(ForwardError::NotAppended),
+            Err(CallError::Uncertain) => Err(ForwardError::Uncertain),
+        }
+    }
+}
+
 /// Counts a follower while its poll is held.
 struct FollowerCount<'a>(&'a ClusterMetrics);
 
--- a/crates/cluster/src/status.rs
+++ b/crates/cluster/src/status.rs
@@ -117,6 +117,14 @@
     pub commit_index: u64,
     /// Last applied log index.
     pub applied_index: u64,
+    /// The voters, as this node's replica knows them; empty without a replica.
+    pub voters: Vec<InstanceId>,
+    /// The learners, likewise.
+    pub learners: Vec<InstanceId>,
+    /// Whether this voter has started and waits for its peers to confirm its disk.
+    pub waits_for_peers: bool,
+    /// Whether this voter's disk is older than what it has acknowledged.
+    pub disk_outdated: bool,
     /// Whether the configuration is at least as new as any in reach.
     pub current: bool,
     /// The other nodes.
--- a/crates/cluster/tests/cluster/common.rs
+++ b/crates/cluster/tests/cluster/common.rs
@@ -166,6 +166,7 @@
                 peer_listen: "127.0.0.1:0".parse().unwrap(),
                 peers,
                 bootstrap_voters: voters.iter().map(|(voter, _)| voter.as_str().into()).collect(),
+                trust_disk: false,
                 secret: "a shared secret".to_owned(),
             };
             configs.insert(name.clone(), config);
--- a/crates/cluster/tests/cluster/replicas.rs
+++ b/crates/cluster/tests/cluster/replicas.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use daisysill_cluster::{ProposeError, Role};
-use daisysill_control::command::Reply;
+use daisysill_control::{VoterChange, VoterRefusal, command::Reply};
 use tokio::time::Instant;
 
 use crate::common::{TestCluster, drain_command};
@@ -185,3 +185,55 @@
     let version = cluster.drain(&leader, "worker-1").await;
     cluster.wait_version(&["a", "b", "c"], version).await;
 }
+
+/// Guards against a cluster of three that has no way out once one voter is lost and another has restarted, and
+/// against changes of the voters that are refused without a reason.
+#[tokio::test]
+async fn a_trusted_disk_gives_back_a_cluster_whose_lost_voter_is_then_replaced() {
+    let mut cluster = TestCluster::new(THREE, &["d/z3"]);
+    let folder = cluster.data_dir("d");
+    cluster.config("d").data_dir = Some(folder);
+    for name in ["a", "b", "c", "d"] {
+        cluster.start(name);
+    }
+    cluster.wait("a, b, c current", |c| ["a", "b", "c"].iter().all(|n| c.node(n).status().current)).await;
+    cluster.drain("a", "before").await;
+    for name in ["c", "b"] {
+        cluster.stop(name);
+    }
+    cluster.start("b");
+    let stuck =
+        |cluster: &TestCluster| cluster.node("b").status().waits_for_peers && cluster.leader().is_none();
+    cluster.wait("b waits for c", stuck).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(stuck(&cluster));
+    cluster.stop("b");
+    cluster.config("b").trust_disk = true;
+    cluster.start("b");
+    cluster.wait("a leader", |cluster| cluster.leader().is_some()).await;
+    assert!(!cluster.node("b").status().waits_for_peers);
+
+    let node = cluster.node("d").clone();
+    let early = node.change_voters(VoterChange::Promote("d".into())).await;
+    assert_eq!(early, Ok(Reply::VotersRefused(VoterRefusal::NotALearner)));
+    for change in [
+        VoterChange::AddLearner("d".into()),
+        VoterChange::Promote("d".into()),
+        VoterChange::Remove("c".into()),
+    ] {
+        let start = Instant::now();
+        loop {
+            match node.change_voters(change.clone()).await {
+                Ok(Reply::Done) => break,
+                Ok(Reply::VotersRefused(VoterRefusal::NotCaughtUp | VoterRefusal::ChangeInProgress)) => {}
+                other => panic!("{change:?}: {other:?}"),
+            }
+            assert!(start.elapsed() < Duration::from_secs(10), "{change:?}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    let voters = |name: &str| cluster.node(name).status().voters;
+    cluster.wait("d knows the voters", |_| voters("d") == ["a".into(), "b".into(), "d".into()]).await;
+    let version = cluster.drain("d", "after").await;
+    cluster.wait_version(&["a", "b", "d"], version).await;
+}
--- a/crates/cluster/tests/cluster/transport.rs
+++ b/crates/cluster/tests/cluster/transport.rs
@@ -54,6 +54,7 @@
         peer_listen: "127.0.0.1:0".parse().unwrap(),
         peers: Vec::new(),
         bootstrap_voters: vec!["a".into()],
+        trust_disk: false,
         secret: "a shared secret".to_owned(),
     };
     Cluster::start(config).await.unwrap()
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -1,6 +1,6 @@
 //! The inputs, outputs and status of a replica.
 
-use std::sync::Arc;
+use std::{fmt, sync::Arc};
 
 use daisysill_core::{ids::InstanceId, value_types};
 
@@ -135,6 +135,29 @@
         /// Removes a learner or a voter.
         Remove(InstanceId),
     }
+
+    /// Why a leader refuses a change of the voter set.
+    pub enum VoterRefusal {
+        /// Another change, or the first entry of the leader's term, is not committed yet.
+        ChangeInProgress,
+        /// Only a learner can be promoted.
+        NotALearner,
+        /// The learner lacks committed entries, or has not reported its disk.
+        NotCaughtUp,
+        /// A cluster needs a voter.
+        LastVoter,
+    }
+}
+
+impl fmt::Display for VoterRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::ChangeInProgress => "another change of the voters is not committed yet",
+            Self::NotALearner => "it is not a learner; add it first",
+            Self::NotCaughtUp => "it does not hold everything committed yet; ask again once it does",
+            Self::LastVoter => "it is the last voter",
+        })
+    }
 }
 
 /// The role of a replica.
@@ -176,4 +199,6 @@
     pub voters: VoterSet,
     /// Whether the disk was found to be older than what the voter has acknowledged.
     pub disk_outdated: bool,
+    /// Whether the voter has started and waits for its peers to confirm its disk; until then it does not vote.
+    pub waits_for_peers: bool,
 }
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -8,6 +8,8 @@
     value_types,
 };
 
+use crate::api::VoterRefusal;
+
 value_types! {
     /// A change to the agreed state.
     pub enum Command {
@@ -166,6 +168,8 @@
         ClaimsFull,
         /// The attempt ended without running its call before this copy of its claim arrived.
         AttemptEnded,
+        /// The voters cannot be changed in this way now.
+        VotersRefused(VoterRefusal),
     }
 
     /// Why a change was refused, and what is in force instead.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,7 +19,9 @@
 pub mod storage;
 mod writes;
 
-pub use api::{Input, Output, ProposalFailure, ReplicaConfig, ReplicaStatus, Role, VoterChange};
+pub use api::{
+    Input, Output, ProposalFailure, ReplicaConfig, ReplicaStatus, Role, VoterChange, VoterRefusal,
+};
 pub use entry::{DiskId, Position, Recovered, VoterSet, WriteBatch};
 pub use replica::Replica;
 pub use storage::{Storage, StorageError};
--- a/crates/node/src/admin_api.rs
+++ b/crates/node/src/admin_api.rs
@@ -7,8 +7,11 @@
     middleware::{Next, from_fn},
     web::{self, Data, Json, Query, ServiceConfig as Routes},
 };
-use daisysill_cluster::ProposeError;
-use daisysill_control::command::{Command, Conflict, PublishRules, Reply, SetDrain, SetWeights};
+use daisysill_cluster::{ClusterStatus, ProposeError};
+use daisysill_control::{
+    VoterChange,
+    command::{Command, Conflict, PublishRules, Reply, SetDrain, SetWeights},
+};
 use daisysill_core::{
     ids::{ChangeId, ConfigVersion, InstanceId, ServiceName, WeightVersion},
     result_code::ResultCode,
@@ -16,7 +19,7 @@
 };
 use daisysill_wire::border::{
     ChangeReply, ConflictReply, DrainRequest, ExplainReply, MemberStatus, NodeStatus, PublishRequest,
-    RuleFileBody, RulesReply, WeightsRequest,
+    RuleFileBody, RulesReply, VoterAction, VotersReply, VotersRequest, WeightsRequest,
 };
 use serde::Deserialize;
 
@@ -44,6 +47,7 @@
                 .route("/rules", web::post().to(publish))
                 .route("/drains", web::post().to(drain))
                 .route("/weights", web::post().to(weights))
+                .route("/voters", web::post().to(voters))
                 .route("/explain", web::get().to(explain)),
         );
 }
@@ -100,6 +104,9 @@
         leader: cluster.leader.as_ref().map(ToString::to_string).unwrap_or_default(),
         commit_index: cluster.commit_index,
         applied_index: cluster.applied_index,
+        voters: names(&cluster.voters),
+        learners: names(&cluster.learners),
+        disk: disk_state(&cluster, &shared.config.node.name).to_owned(),
         config_version: view.version.0,
         rules_version: view.rules_version.0,
         members: cluster.members.iter().map(member).collect(),
@@ -146,6 +153,48 @@
     change(&shared, Command::SetWeights(weights)).await
 }
 
+async fn voters(shared: Data<Shared>, request: Json<VotersRequest>) -> HttpResponse {
+    let request = request.into_inner();
+    let name = InstanceId::from(request.name);
+    let cluster = &shared.config.cluster;
+    let known = name == cluster.name || cluster.peers.iter().any(|peer| peer.name == name);
+    if !known && request.action != VoterAction::Remove {
+        // A voter that no node can reach would count towards the majority and never answer.
+        let message = format!("{name} is not a node of this deployment: the settings have no [peer.{name}]");
+        return Refusal::new(ResultCode::ChangeConflict, message).response();
+    }
+    let change = match request.action {
+        VoterAction::Add => VoterChange::AddLearner(name),
+        VoterAction::Promote => VoterChange::Promote(name),
+        VoterAction::Remove => VoterChange::Remove(name),
+    };
+    match shared.cluster.change_voters(change).await {
+        Ok(Reply::Done) => {
+            let status = shared.cluster.status();
+            let (voters, learners) = (names(&status.voters), names(&status.learners));
+            HttpResponse::Ok().json(VotersReply { voters, learners })
+        }
+        Ok(Reply::VotersRefused(refusal)) => {
+            Refusal::new(ResultCode::ChangeConflict, refusal.to_string()).response()
+        }
+        Ok(_) => Refusal::new(ResultCode::Internal, "unexpected reply to a change").response(),
+        Err(error) => not_committed(error),
+    }
+}
+
+fn names(ids: &[InstanceId]) -> Vec<String> {
+    ids.iter().map(ToString::to_string).collect()
+}
+
+fn disk_state(cluster: &ClusterStatus, name: &InstanceId) -> &'static str {
+    match () {
+        () if cluster.disk_outdated => "outdated",
+        () if cluster.waits_for_peers => "waiting_for_peers",
+        () if cluster.voters.contains(name) => "confirmed",
+        () => "none",
+    }
+}
+
 async fn change(shared: &Shared, command: Command) -> HttpResponse {
     match shared.cluster.propose(command).await {
         Ok(Reply::Accepted(version)) => HttpResponse::Ok().json(ChangeReply { version: version.0 }),
@@ -157,12 +206,18 @@
             Refusal::new(ResultCode::RulesInvalid, errors.join("\n")).response()
         }
         Ok(_) => Refusal::new(ResultCode::Internal, "unexpected reply to a change").response(),
-        Err(ProposeError::NotCommitted) => {
+        Err(error) => not_committed(error),
+    }
+}
+
+fn not_committed(error: ProposeError) -> HttpResponse {
+    match error {
+        ProposeError::NotCommitted => {
             Refusal::new(ResultCode::NoQuorum, ProposeError::NotCommitted.to_string())
                 .retry_after_ms(NO_QUORUM_RETRY_MS)
                 .response()
         }
-        Err(ProposeError::Uncertain) => {
+        ProposeError::Uncertain => {
             let message = "the change may have been accepted; resend it with the same change id";
             Refusal::new(ResultCode::ChangeUncertain, message).retry_after_ms(NO_QUORUM_RETRY_MS).response()
         }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -257,7 +257,7 @@
 }
 
 fn parse_cluster(ini: &mut IniFile<'_>, node: &NodeConfig) -> ClusterConfig {
-    ini.check_keys("cluster", &["peer_listen", "data_dir", "secret", "bootstrap_voters"]);
+    ini.check_keys("cluster", &["peer_listen", "data_dir", "secret", "bootstrap_voters", "trust_disk"]);
     let voters = names(ini.raw("cluster", "bootstrap_voters"));
     ClusterConfig {
         name: node.name.clone(),
@@ -266,6 +266,7 @@
         peer_listen: address(ini, "cluster", "peer_listen"),
         peers: parse_peers(ini),
         bootstrap_voters: voters.into_iter().map(InstanceId::from).collect(),
+        trust_disk: ini.value("cluster", "trust_disk", false, "true or false"),
         secret: ini.required("cluster", "secret", "a secret that all nodes share"),
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms of one node.
 
+use daisysill_cluster::ClusterMetrics;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -129,6 +130,13 @@
 }
 
 impl Metrics {
+    /// Creates the metrics of a node, among them those of its part of the cluster.
+    pub fn with_cluster(cluster: &ClusterMetrics) -> Self {
+        let mut metrics = Self::default();
+        cluster.register(&mut metrics.registry);
+        metrics
+    }
+
     /// Returns all metrics in the `OpenMetrics` text format.
     pub fn encode(&self) -> String {
         let mut text = String::new();
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -71,7 +71,7 @@
         cluster: ClusterHandle,
         agreement: Arc<dyn Agreement>,
     ) -> eyre::Result<Self> {
-        let metrics = Arc::new(Metrics::default());
+        let metrics = Arc::new(Metrics::with_cluster(cluster.metrics()));
         let directory = Arc::<BlockDirectory>::default();
         let chart = Chart::parse(UPSTREAM_CHART)?;
         let upstreams = UpstreamTable::new(chart, Arc::clone(&metrics), Arc::clone(&directory));
--- /dev/null
+++ b/crates/testkit/tests/operators.rs
@@ -0,0 +1,46 @@
+//! The operators' command against a real node.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use daisysill_testkit::environment::{Environment, NodeProcess};
+
+const TOKEN: &str = "operators-token";
+
+fn start(environment: &Environment) -> NodeProcess {
+    let digest = blake3::hash(TOKEN.as_bytes()).to_hex();
+    let data_dir = environment.path().join("data");
+    let settings = format!(
+        "[node]\nname = sathorn-1\navailability_zone = bkk-sathorn\ncaller_listen = 127.0.0.1:0\n\
+         admin_listen = 127.0.0.1:0\nready_file = READY_FILE\nadmin_token_digest = {digest}\n\
+         [cluster]\npeer_listen = 127.0.0.1:0\nsecret = test\nbootstrap_voters = sathorn-1\ndata_dir = {}\n\
+         [platform]\nurl = http://127.0.0.1:9\n[service.booth-app]\nkind = plain\n",
+        data_dir.display()
+    );
+    environment.start_node("sathorn-1", &settings)
+}
+
+/// Guards against a command that cannot show the operators' token, and against an admin listener that needs none.
+#[test]
+fn the_command_shows_its_token_and_reports_voters() {
+    let environment = Environment::new();
+    let node = start(&environment);
+    let token = environment.write("token", &format!("{TOKEN}\n")).display().to_string();
+    let run = |arguments: &[&str]| {
+        let output = environment.cli(&node, arguments);
+        (output.status.code(), String::from_utf8(output.stdout).unwrap())
+    };
+    assert_eq!(run(&["voters"]).0, Some(1));
+    let end = Instant::now() + Duration::from_secs(10);
+    let expected = (Some(0), "voters: sathorn-1\nlearners: none\n".to_owned());
+    while run(&["--admin-token-file", &token, "voters"]) != expected {
+        assert!(Instant::now() < end, "{:?}", run(&["--admin-token-file", &token, "voters"]));
+        thread::sleep(Duration::from_millis(50));
+    }
+    let refused = run(&["--admin-token-file", &token, "voters", "add", "nowhere-1"]);
+    assert_eq!(refused.0, Some(1), "a node without a [peer] section was added: {refused:?}");
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use daisysill_control::{
+    VoterChange,
     command::{Command, Reply},
     state::ConfigView,
 };
@@ -155,6 +156,8 @@
     async fn replicate(messages: Vec<Vec<u8>>);
     /// Asks the leader to commit a command.
     async fn propose(command: Command) -> Result<Reply, ForwardError>;
+    /// Asks the leader to change the voters.
+    async fn change_voters(change: VoterChange) -> Result<Reply, ForwardError>;
     /// Asks for the configuration once it is newer than `after`; answers `Unchanged` after `wait_ms`.
     async fn follow(after: ConfigVersion, wait_ms: u64) -> FollowReply;
     /// Tells a voter that the leader of `term`, which calls, has stopped: it need not wait until it misses heartbeats.
