--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -216,6 +216,18 @@
         self.forget(ticket);
     }
 
+    /// Returns the mean service time.
+    pub fn service_ms(&self) -> u64 {
+        crate::num::whole(self.service_ms)
+    }
+
+    /// Returns the expected wait of a request that a customer offers now, in milliseconds.
+    pub fn expected_wait(&self, customer: &CustomerId, share: u64) -> u64 {
+        let lane = self.lanes.get(customer);
+        let queued = lane.map_or(0, |lane| lane.queue.len());
+        self.expected_wait_ms(share.max(1), queued, lane.is_some()).max(MIN_RETRY_AFTER_MS)
+    }
+
     /// Returns the number of requests in flight.
     pub fn in_flight(&self) -> u64 {
         self.in_flight
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -111,6 +111,8 @@
     pub piece_bytes: u64,
     /// Bytes of prompt text that count as one token.
     pub bytes_per_token: u64,
+    /// Requests that a node has in flight at the start; the number follows what the upstreams take.
+    pub slots: u64,
     /// Whether the upstreams refuse orders with an old fencing number.
     pub checks_fencing: bool,
     /// Milliseconds between two reads of an engine's load and cache events.
@@ -315,6 +317,7 @@
         "piece_tokens",
         "piece_bytes",
         "bytes_per_token",
+        "slots",
         "checks_fencing",
         "poll_ms",
         "link_bytes_per_s",
@@ -327,6 +330,7 @@
             piece_tokens: ini.number(&section, "piece_tokens", 2_000, 1, 1_000_000),
             piece_bytes: ini.number(&section, "piece_bytes", 4_000_000, 1, 1_000_000_000_000),
             bytes_per_token: ini.number(&section, "bytes_per_token", 4, 1, 1_000),
+            slots: ini.number(&section, "slots", 64, 1, 100_000),
             checks_fencing: ini.value(&section, "checks_fencing", false, "true or false"),
             poll_ms: ini.number(&section, "poll_ms", 500, 10, 60_000),
             link_bytes_per_s: ini.number(&section, "link_bytes_per_s", 100_000_000, 1, 1_000_000_000_000),
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -15,6 +15,7 @@
 use tokio::{sync::mpsc::Sender, time::Instant};
 
 use crate::{
+    admission_gate::{AdmissionRequest, AdmissionSlot},
     config::ServiceConfig,
     crash::fingerprint,
     refusal::Refusal,
@@ -120,6 +121,18 @@
 
     /// Serves the prompt to its end.
     pub async fn run(mut self) {
+        if self.is_blocked() {
+            return self.refuse(blocked()).await;
+        }
+        let mut slot = match self.admit().await {
+            Some(Ok(slot)) => slot,
+            Some(Err(refusal)) => {
+                self.life.admission(&refusal.message);
+                return self.refuse(refusal).await;
+            }
+            None => return self.life.event("disconnected"),
+        };
+        self.life.admission(&slot.reason);
         self.life.event("admitted");
         let mut last_error = None;
         for _ in 0..self.rules.retries.max_attempts {
@@ -129,14 +142,24 @@
             }
             let Some(decision) = self.choose() else { break };
             match self.attempt(&decision).await {
-                Attempt::Finished => return self.life.result(ResultCode::Ok),
+                Attempt::Finished => {
+                    slot.served();
+                    return self.life.result(ResultCode::Ok);
+                }
                 Attempt::CallerGone => return self.life.event("disconnected"),
                 Attempt::Failed(error) => {
                     self.note_failure(&decision.upstream, &error).await;
+                    if matches!(error, AttemptError::Refused { leaving: false, .. }) {
+                        slot.overloaded();
+                    }
                     last_error = Some(error);
                 }
             }
-            if Instant::now() >= self.request.deadline || self.sender.is_closed() {
+            if self.sender.is_closed() {
+                break;
+            }
+            if Instant::now() >= self.request.deadline {
+                slot.overloaded();
                 break;
             }
         }
@@ -144,6 +167,21 @@
         self.refuse(refusal).await;
     }
 
+    /// Waits for a slot; `None` if the caller has gone.
+    async fn admit(&self) -> Option<Result<AdmissionSlot, Refusal>> {
+        let request = AdmissionRequest {
+            customer: &self.life.customer,
+            service: &self.life.service,
+            shares: &self.rules.shares,
+            slots: self.service.slots,
+            deadline: self.request.deadline,
+        };
+        tokio::select! {
+            admitted = self.shared.admission.admit(&request) => Some(admitted),
+            () = self.sender.closed() => None,
+        }
+    }
+
     fn is_blocked(&self) -> bool {
         let view = Arc::clone(&self.shared.cluster.view().borrow());
         self.shared.blocked_requests.contains(&view.blocked, &self.fingerprint, &self.rules)
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -75,6 +75,10 @@
     pub freed_blocks: Counter,
     /// Spans dropped because the writer's queue was full.
     pub dropped_spans: Counter,
+    /// Requests that waited in a queue.
+    pub queued_requests: Counter,
+    /// Requests refused by admission.
+    pub admission_refusals: Counter,
     /// Dispatches taken back because they did not reach their upstream.
     pub retracted_dispatches: Counter,
     /// Counts of other nodes' dispatches that were newer than the own load report.
@@ -117,6 +121,8 @@
             failed_exports: Counter::default(),
             freed_blocks: Counter::default(),
             dropped_spans: Counter::default(),
+            queued_requests: Counter::default(),
+            admission_refusals: Counter::default(),
             retracted_dispatches: Counter::default(),
             peer_counts: Counter::default(),
             late_peer_counts: Counter::default(),
@@ -195,6 +201,8 @@
             ("exported_blocks", "Blocks exported to stores", &self.exported_blocks),
             ("failed_exports", "Exports that failed", &self.failed_exports),
             ("freed_blocks", "Blocks freed in stores", &self.freed_blocks),
+            ("queued_requests", "Requests that waited in a queue", &self.queued_requests),
+            ("admission_refusals", "Requests refused by admission", &self.admission_refusals),
             (
                 "retracted_dispatches",
                 "Dispatches that did not reach their upstream",
--- a/crates/node/src/plain_call.rs
+++ b/crates/node/src/plain_call.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    admission_gate::{AdmissionRequest, AdmissionSlot},
     caller_api::{Adapters, read_body, traceparent},
     claim,
     config::ServiceKind,
@@ -56,10 +57,10 @@
 ) -> Result<PlainResponse, Refusal> {
     let customer = shared.authenticator.authenticate(request)?;
     let service = ServiceName::from(service);
-    let kind = shared.config.services.get(&service).map(|config| config.kind);
-    if kind != Some(ServiceKind::Plain) {
+    let config = shared.config.services.get(&service).filter(|config| config.kind == ServiceKind::Plain);
+    let Some(config) = config else {
         return Err(Refusal::new(ResultCode::RouteUnknown, format!("no plain service {service}")));
-    }
+    };
     customer.check_service(&service)?;
     if matches!(shared.role().as_str(), "starting" | "joining") {
         // Without the rules in force, a call that must run once would pass as one that may be repeated.
@@ -70,6 +71,7 @@
     shared.check_room()?;
     let rules = shared.rules_of(&service);
     let mut call = PlainCall {
+        slot: None,
         life: RequestLife::new(shared, &customer.id, &service, traceparent(request)),
         deadline: Instant::now() + Duration::from_millis(rules.deadlines.request_ms),
         shared: Arc::clone(shared),
@@ -82,6 +84,9 @@
             body,
         },
     };
+    if let Err(refusal) = call.admit(config.slots).await {
+        return call.finish(Err(refusal));
+    }
     let key = request.headers().get(&call.rules.never_twice.key_header).and_then(|v| v.to_str().ok());
     if call.rules.never_twice.covers(request.method().as_str(), &canonical_path(path)) {
         let key = key.map(str::to_owned);
@@ -93,6 +98,8 @@
 
 /// One call to a plain service in progress.
 pub(crate) struct PlainCall {
+    /// Held until the call ends, also after its caller has gone.
+    pub(crate) slot: Option<AdmissionSlot>,
     pub(crate) life: RequestLife,
     pub(crate) shared: Arc<Shared>,
     pub(crate) plain: Rc<dyn PlainService>,
@@ -102,6 +109,22 @@
 }
 
 impl PlainCall {
+    /// Waits for a slot.
+    async fn admit(&mut self, slots: u64) -> Result<(), Refusal> {
+        let request = AdmissionRequest {
+            customer: &self.life.customer,
+            service: &self.life.service,
+            shares: &self.rules.shares,
+            slots,
+            deadline: self.deadline,
+        };
+        let admitted = self.shared.admission.admit(&request).await;
+        let reason = admitted.as_ref().map_or_else(|refusal| &refusal.message, |slot| &slot.reason);
+        self.life.admission(reason);
+        self.slot = Some(admitted?);
+        Ok(())
+    }
+
     /// Serves a call that may be repeated.
     async fn run_repeatable(&mut self) -> Result<PlainResponse, Refusal> {
         self.life.event("admitted");
@@ -176,12 +199,20 @@
     pub(crate) fn finish(mut self, result: Result<PlainResponse, Refusal>) -> Result<PlainResponse, Refusal> {
         match &result {
             Ok(_) => {
+                if let Some(slot) = &mut self.slot {
+                    slot.served();
+                }
                 if !self.life.is_answered() {
                     self.life.event("finished");
                 }
                 self.life.result(ResultCode::Ok);
             }
             Err(refusal) => {
+                if let (Some(slot), ResultCode::UpstreamRefused | ResultCode::DeadlineExceeded) =
+                    (&mut self.slot, refusal.code)
+                {
+                    slot.overloaded();
+                }
                 self.life.event("refused");
                 self.life.result(refusal.code);
             }
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -88,6 +88,12 @@
         self.decisions.push(reason.to_owned());
     }
 
+    /// Records the reason of the admission, or of its refusal.
+    pub fn admission(&mut self, reason: &str) {
+        self.span.child("admission").set("reason", reason);
+        self.decision(reason);
+    }
+
     /// Records the result; the last one recorded counts.
     pub fn result(&mut self, result: ResultCode) {
         self.result = result;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -12,8 +12,8 @@
 use eyre::WrapErr;
 
 use crate::{
-    agreement::Agreement, auth::Authenticator, claimed_calls::ClaimedCalls, config::Config,
-    crash::BlockedRequests, directory::BlockDirectory, explain::ExplainLog, metrics::Metrics,
+    admission_gate::AdmissionGate, agreement::Agreement, auth::Authenticator, claimed_calls::ClaimedCalls,
+    config::Config, crash::BlockedRequests, directory::BlockDirectory, explain::ExplainLog, metrics::Metrics,
     refusal::Refusal, resting::RestingContext, trace::Tracing, upstreams::UpstreamTable,
 };
 /// When to come back while a node is full.
@@ -31,6 +31,8 @@
     pub agreement: Arc<dyn Agreement>,
     /// Calls that run at most once and are in progress here.
     pub claimed_calls: Arc<ClaimedCalls>,
+    /// Queues and slots of each service.
+    pub admission: Arc<AdmissionGate>,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
     /// Why the latest requests were served as they were.
@@ -84,6 +86,7 @@
             cluster,
             agreement,
             claimed_calls: Arc::default(),
+            admission: Arc::new(AdmissionGate::new(Arc::clone(&metrics))),
             metrics,
             explain: ExplainLog::default(),
             upstreams: Arc::new(upstreams),
