--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -330,7 +330,7 @@
             piece_tokens: ini.number(&section, "piece_tokens", 2_000, 1, 1_000_000),
             piece_bytes: ini.number(&section, "piece_bytes", 4_000_000, 1, 1_000_000_000_000),
             bytes_per_token: ini.number(&section, "bytes_per_token", 4, 1, 1_000),
-            slots: ini.number(&section, "slots", 64, 1, 100_000),
+            slots: ini.number(&section, "slots", 1_024, 1, 100_000),
             checks_fencing: ini.value(&section, "checks_fencing", false, "true or false"),
             poll_ms: ini.number(&section, "poll_ms", 500, 10, 60_000),
             link_bytes_per_s: ini.number(&section, "link_bytes_per_s", 100_000_000, 1, 1_000_000_000_000),
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -486,8 +486,8 @@
          admin_listen = 127.0.0.1:0\n\
          [cluster]\npeer_listen = 127.0.0.1:0\nsecret = test\nbootstrap_voters = sathorn-1\ndata_dir = {}\n\
          [platform]\nurl = http://platform\npoll_ms = 50\n\
-         [service.lyric-llm]\nkind = model\npoll_ms = 50\npiece_tokens = 10\npiece_bytes = 10\nbytes_per_token = 1\n\
-         [service.booth-app]\nkind = plain\n[service.score-cache]\nkind = store\n\
+         [service.lyric-llm]\nkind = model\nslots = 64\npoll_ms = 50\npiece_tokens = 10\npiece_bytes = 10\nbytes_per_token = 1\n\
+         [service.booth-app]\nkind = plain\nslots = 64\n[service.score-cache]\nkind = store\n\
          [customer.opera-a]\ntoken_digest = {digest}\nservices = lyric-llm, booth-app\n",
         folder.path().join("data").display()
     )
