Expect the admission line before the routing decision in explain

Cause: since requests pass admission, its line comes first in explain and has a span of its own, so the test that compared the first line with the decision's span failed. Change: the test compares both lines with their spans.

--- a/crates/testkit/tests/caller_limits.rs
+++ b/crates/testkit/tests/caller_limits.rs
@@ -150,13 +150,13 @@
     let body = json!({"model": "lyric-llm", "prompt": "la", "max_tokens": 2});
     assert_eq!(request.send_json(&body).await.unwrap().status().as_u16(), 200);
     let explain: Value = serde_json::from_str(&deployment.admin("/admin/v1/explain").await).unwrap();
-    let reason = &explain["requests"][0]["decisions"][0];
+    let reasons = &explain["requests"][0]["decisions"];
     let path = deployment.environment.path().join("traces.jsonl");
     let mut spans = Vec::<Value>::new();
     for _ in 0..100 {
         let text = std::fs::read_to_string(&path).unwrap();
         spans = text.lines().map(|line| serde_json::from_str(line).unwrap()).collect();
-        if spans.len() >= 3 {
+        if spans.len() >= 4 {
             break;
         }
         actix_rt::time::sleep(Duration::from_millis(20)).await;
@@ -164,7 +164,8 @@
     let span = |name: &str| spans.iter().find(|span| span["name"] == name).unwrap();
     assert!(spans.iter().all(|span| span["trace_id"] == "0af7651916cd43dd8448eb211c80319c"));
     assert_eq!(span("request")["parent_span_id"], "b7ad6b7169203331");
-    assert_eq!(span("decision")["attributes"]["reason"], *reason);
+    assert_eq!(span("admission")["attributes"]["reason"], reasons[0]);
+    assert_eq!(span("decision")["attributes"]["reason"], reasons[1]);
     assert_eq!(span("attempt")["parent_span_id"], span("request")["span_id"]);
 }
 
