Name the role of a replica and the tracking of tickets by usual terms

Cause: `Stand` and `expect` in the replica made a newcomer look for another meaning. Change: `RoleState`, `track`. No behaviour changes.

--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -7,7 +7,7 @@
 use crate::{
     entry::{DiskId, Position},
     message::Message,
-    replica::{Replica, Stand},
+    replica::{Replica, RoleState},
 };
 
 impl Replica {
@@ -20,7 +20,7 @@
             return;
         }
         self.leader = None;
-        self.stand = Stand::Candidate { votes: BTreeMap::new(), pre: true };
+        self.role_state = RoleState::Candidate { votes: BTreeMap::new(), pre: true };
         let (term, last) = (self.term + 1, self.log.last());
         for peer in self.other_voters() {
             self.send(&peer, Message::PreVote { term, last });
@@ -43,13 +43,13 @@
 
     pub(crate) fn become_follower(&mut self) {
         self.give_up_leadership();
-        self.stand = Stand::Follower;
+        self.role_state = RoleState::Follower;
         self.reset_election_timer();
     }
 
     /// Returns whether a leader was heard so recently that its lease may still hold.
     fn leader_is_recent(&self) -> bool {
-        matches!(self.stand, Stand::Leader(_))
+        matches!(self.role_state, RoleState::Leader(_))
             || self.now_ms < self.leader_heard_ms + self.config.election_timeout_ms
     }
 
@@ -74,7 +74,7 @@
             self.enter_term(term);
             return;
         }
-        let waiting = matches!(self.stand, Stand::Candidate { pre: true, .. });
+        let waiting = matches!(self.role_state, RoleState::Candidate { pre: true, .. });
         if granted && waiting && asked == self.term + 1 {
             self.count_vote(from.clone(), disk);
         }
@@ -102,7 +102,7 @@
             self.enter_term(term);
             return;
         }
-        let waiting = matches!(self.stand, Stand::Candidate { pre: false, .. });
+        let waiting = matches!(self.role_state, RoleState::Candidate { pre: false, .. });
         if granted && waiting && term == self.term {
             self.count_vote(from.clone(), disk);
         }
@@ -110,7 +110,7 @@
 
     /// Counts a vote and moves on once a majority has granted it.
     pub(crate) fn count_vote(&mut self, from: InstanceId, disk: DiskId) {
-        let Stand::Candidate { votes, pre } = &mut self.stand else { return };
+        let RoleState::Candidate { votes, pre } = &mut self.role_state else { return };
         votes.insert(from, disk);
         let counted = votes.iter().filter(|(name, disk)| self.voters.counts(name, **disk)).count();
         if counted < self.voters.majority() {
@@ -122,7 +122,7 @@
     fn ask_votes(&mut self) {
         self.enter_term(self.term + 1);
         self.voted_for = Some(self.config.name.clone());
-        self.stand = Stand::Candidate { votes: BTreeMap::new(), pre: false };
+        self.role_state = RoleState::Candidate { votes: BTreeMap::new(), pre: false };
         let last = self.log.last();
         for peer in self.other_voters() {
             self.send_synced(&peer, Message::Vote { last });
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -9,7 +9,7 @@
     command::Reply,
     entry::{DiskId, Payload, VoterSet},
     message::Message,
-    replica::{Replica, Stand},
+    replica::{Replica, RoleState},
 };
 
 /// A cluster that is being formed.
@@ -23,7 +23,7 @@
 
 impl Replica {
     pub(crate) fn change_voters(&mut self, ticket: u64, change: &VoterChange) {
-        if !matches!(self.stand, Stand::Leader(_)) {
+        if !matches!(self.role_state, RoleState::Leader(_)) {
             return self.fail(ticket, ProposalFailure::NotLeader(self.leader.clone()));
         }
         let Ok(voters) = self.changed(change) else {
@@ -35,12 +35,12 @@
             return;
         }
         let index = self.append(Payload::Voters(voters));
-        self.expect(index, ticket);
+        self.track(index, ticket);
     }
 
     /// Returns why a leader would refuse a change now; `None` if it would not, or if this replica does not lead.
     pub fn voter_refusal(&self, change: &VoterChange) -> Option<VoterRefusal> {
-        let leads = matches!(self.stand, Stand::Leader(_));
+        let leads = matches!(self.role_state, RoleState::Leader(_));
         self.changed(change).err().filter(|_| leads)
     }
 
@@ -76,7 +76,7 @@
 
     /// Returns the disk of a learner that holds everything committed, synced.
     fn caught_up_disk(&self, name: &InstanceId) -> Option<DiskId> {
-        let Stand::Leader(leadership) = &self.stand else { return None };
+        let RoleState::Leader(leadership) = &self.role_state else { return None };
         let progress = leadership.peers.get(name)?;
         progress.disk.filter(|_| progress.matched >= self.commit_index)
     }
--- a/crates/control/src/progress.rs
+++ b/crates/control/src/progress.rs
@@ -5,7 +5,7 @@
 use crate::{
     entry::{DiskId, Entry, Position},
     message::Message,
-    replica::{Replica, Stand},
+    replica::{Replica, RoleState},
     snapshots::Outgoing,
 };
 
@@ -85,8 +85,8 @@
 
 impl Replica {
     fn progress(&mut self, peer: &InstanceId) -> Option<&mut Progress> {
-        match &mut self.stand {
-            Stand::Leader(leadership) => leadership.peers.get_mut(peer),
+        match &mut self.role_state {
+            RoleState::Leader(leadership) => leadership.peers.get_mut(peer),
             _ => None,
         }
     }
@@ -110,7 +110,7 @@
 
     /// Sends to every peer what it lacks and its window admits.
     pub(crate) fn replicate(&mut self) {
-        let Stand::Leader(leadership) = &self.stand else { return };
+        let RoleState::Leader(leadership) = &self.role_state else { return };
         let peers: Vec<_> = leadership.peers.keys().cloned().collect();
         for peer in peers {
             while self.send_append(&peer, false) {}
@@ -120,7 +120,7 @@
     /// Tells idle peers the new commit index without waiting for the next heartbeat.
     pub(crate) fn announce_commit(&mut self) {
         let last_index = self.log.last().index;
-        let Stand::Leader(leadership) = &self.stand else { return };
+        let RoleState::Leader(leadership) = &self.role_state else { return };
         let idle = leadership.peers.iter().filter(|(_, progress)| progress.next > last_index);
         let idle: Vec<_> = idle.map(|(peer, _)| peer.clone()).collect();
         for peer in idle {
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -20,7 +20,7 @@
 
 /// What this replica is in its term.
 #[derive(Debug)]
-pub(crate) enum Stand {
+pub(crate) enum RoleState {
     Follower,
     /// Seeks votes; the votes received so far, and whether they are only pre-votes.
     Candidate {
@@ -40,7 +40,7 @@
     pub(crate) disk: DiskId,
     pub(crate) term: u64,
     pub(crate) voted_for: Option<InstanceId>,
-    pub(crate) stand: Stand,
+    pub(crate) role_state: RoleState,
     pub(crate) leader: Option<InstanceId>,
     /// When the leader was last heard; starts with the replica, since a lease may depend on it.
     pub(crate) leader_heard_ms: u64,
@@ -92,7 +92,7 @@
             disk,
             term: term.max(last.term),
             voted_for,
-            stand: Stand::Follower,
+            role_state: RoleState::Follower,
             leader: None,
             leader_heard_ms: now_ms,
             election_due_ms: now_ms,
@@ -125,7 +125,7 @@
     /// Processes one input at `now_ms` on this instance's monotonic clock.
     pub fn step(&mut self, now_ms: u64, input: Input, outputs: &mut Vec<Output>) {
         self.now_ms = self.now_ms.max(now_ms);
-        if matches!(self.stand, Stand::Halted) {
+        if matches!(self.role_state, RoleState::Halted) {
             if let Input::Propose { ticket, .. } | Input::ChangeVoters { ticket, .. } = input {
                 self.fail(ticket, ProposalFailure::NotLeader(None));
             }
@@ -152,10 +152,10 @@
             (true, Some(bootstrap)) => bootstrap.retry_ms,
             (false, _) => self.start_check.retry_ms,
         };
-        let due_ms = match &self.stand {
-            Stand::Halted => u64::MAX,
-            Stand::Leader(leadership) => leadership.heartbeat_due_ms,
-            Stand::Follower | Stand::Candidate { .. } => self.election_due_ms,
+        let due_ms = match &self.role_state {
+            RoleState::Halted => u64::MAX,
+            RoleState::Leader(leadership) => leadership.heartbeat_due_ms,
+            RoleState::Follower | RoleState::Candidate { .. } => self.election_due_ms,
         };
         due_ms.min(retry_ms)
     }
@@ -167,12 +167,12 @@
 
     /// Returns the state of this replica.
     pub fn status(&self) -> ReplicaStatus {
-        let role = match &self.stand {
-            Stand::Halted => Role::Halted,
-            Stand::Leader(_) => Role::Leader,
-            Stand::Candidate { .. } => Role::Candidate,
-            Stand::Follower if self.may_vote() => Role::Follower,
-            Stand::Follower => Role::Learner,
+        let role = match &self.role_state {
+            RoleState::Halted => Role::Halted,
+            RoleState::Leader(_) => Role::Leader,
+            RoleState::Candidate { .. } => Role::Candidate,
+            RoleState::Follower if self.may_vote() => Role::Follower,
+            RoleState::Follower => Role::Learner,
         };
         ReplicaStatus {
             role,
@@ -192,10 +192,10 @@
     fn tick(&mut self) {
         self.tick_start_check();
         self.tick_bootstrap();
-        match &self.stand {
-            Stand::Leader(_) => self.tick_leader(),
-            Stand::Follower | Stand::Candidate { .. } => self.tick_election(),
-            Stand::Halted => {}
+        match &self.role_state {
+            RoleState::Leader(_) => self.tick_leader(),
+            RoleState::Follower | RoleState::Candidate { .. } => self.tick_election(),
+            RoleState::Halted => {}
         }
     }
 
@@ -234,7 +234,7 @@
 
     /// Does what follows from any input: commit, apply, snapshot, send, write.
     fn advance(&mut self) {
-        if matches!(self.stand, Stand::Halted) {
+        if matches!(self.role_state, RoleState::Halted) {
             return;
         }
         self.advance_commit();
--- a/crates/control/src/replication.rs
+++ b/crates/control/src/replication.rs
@@ -13,7 +13,7 @@
     entry::{DiskId, Entry, Payload, Position},
     message::Message,
     progress::Progress,
-    replica::{Replica, Stand},
+    replica::{Replica, RoleState},
 };
 
 /// Entries that a leader holds uncommitted; further proposals wait.
@@ -41,7 +41,7 @@
 impl Replica {
     pub(crate) fn become_leader(&mut self) {
         let log_time_ms = self.log.last_time_ms().max(self.state.now_ms);
-        self.stand = Stand::Leader(Box::new(Leadership {
+        self.role_state = RoleState::Leader(Box::new(Leadership {
             peers: BTreeMap::new(),
             open: BTreeMap::new(),
             waiting: VecDeque::new(),
@@ -58,7 +58,10 @@
 
     /// Answers every open proposal and forgets the leadership.
     pub(crate) fn give_up_leadership(&mut self) {
-        let Stand::Leader(leadership) = std::mem::replace(&mut self.stand, Stand::Follower) else { return };
+        let RoleState::Leader(leadership) = std::mem::replace(&mut self.role_state, RoleState::Follower)
+        else {
+            return;
+        };
         self.leader = None;
         for ticket in leadership.open.into_values() {
             self.fail(ticket, ProposalFailure::Uncertain);
@@ -70,7 +73,7 @@
 
     /// Keeps one progress record for each member of the voter set.
     pub(crate) fn refresh_peers(&mut self) {
-        let Stand::Leader(leadership) = &mut self.stand else { return };
+        let RoleState::Leader(leadership) = &mut self.role_state else { return };
         let (voters, name, now_ms) = (&self.voters, &self.config.name, self.now_ms);
         leadership.peers.retain(|peer, _| voters.members().any(|member| member == peer));
         for member in voters.members().filter(|member| *member != name) {
@@ -80,7 +83,7 @@
     }
 
     pub(crate) fn propose(&mut self, ticket: u64, command: Command) {
-        let Stand::Leader(leadership) = &mut self.stand else {
+        let RoleState::Leader(leadership) = &mut self.role_state else {
             return self.fail(ticket, ProposalFailure::NotLeader(self.leader.clone()));
         };
         if leadership.waiting.len() >= MAX_WAITING {
@@ -92,23 +95,23 @@
 
     fn append_waiting(&mut self) {
         while self.log.last().index < self.commit_index + MAX_UNCOMMITTED {
-            let Stand::Leader(leadership) = &mut self.stand else { return };
+            let RoleState::Leader(leadership) = &mut self.role_state else { return };
             let Some((ticket, command)) = leadership.waiting.pop_front() else { return };
             let index = self.append(Payload::Command(command));
-            self.expect(index, ticket);
+            self.track(index, ticket);
         }
     }
 
     /// Notes that the entry at `index` answers `ticket`.
-    pub(crate) fn expect(&mut self, index: u64, ticket: u64) {
-        if let Stand::Leader(leadership) = &mut self.stand {
+    pub(crate) fn track(&mut self, index: u64, ticket: u64) {
+        if let RoleState::Leader(leadership) = &mut self.role_state {
             leadership.open.insert(index, ticket);
         }
     }
 
     /// Answers the proposal at `index`, if it was made here.
     pub(crate) fn answer(&mut self, index: u64, reply: Reply) {
-        let Stand::Leader(leadership) = &mut self.stand else { return };
+        let RoleState::Leader(leadership) = &mut self.role_state else { return };
         if let Some(ticket) = leadership.open.remove(&index) {
             self.outputs.push(Output::Reply { ticket, result: Ok(reply) });
         }
@@ -129,8 +132,8 @@
 
     /// Returns the time that this leader stamps on an entry now.
     fn log_time_ms(&self) -> u64 {
-        match &self.stand {
-            Stand::Leader(leadership) => leadership.log_time_ms + (self.now_ms - leadership.since_ms),
+        match &self.role_state {
+            RoleState::Leader(leadership) => leadership.log_time_ms + (self.now_ms - leadership.since_ms),
             _ => 0,
         }
     }
@@ -149,7 +152,7 @@
     pub(crate) fn tick_leader(&mut self) {
         let quorum_ms = self.quorum_heard_ms();
         let longest_ms = 2 * self.config.election_timeout_ms;
-        let Stand::Leader(leadership) = &mut self.stand else { return };
+        let RoleState::Leader(leadership) = &mut self.role_state else { return };
         if self.now_ms > quorum_ms.max(leadership.since_ms) + longest_ms {
             return self.become_follower();
         }
@@ -158,7 +161,7 @@
         }
         leadership.heartbeat_due_ms = self.now_ms + self.config.heartbeat_ms;
         self.advance_log_time();
-        let Stand::Leader(leadership) = &self.stand else { return };
+        let RoleState::Leader(leadership) = &self.role_state else { return };
         let peers: Vec<_> = leadership.peers.keys().cloned().collect();
         for peer in peers {
             self.heartbeat(&peer);
@@ -172,7 +175,7 @@
 
     /// Returns the highest value that a majority of the voters has reached; `own` is this replica's.
     fn majority_value(&self, own: u64, of_peer: impl Fn(&Progress) -> u64) -> u64 {
-        let Stand::Leader(leadership) = &self.stand else { return 0 };
+        let RoleState::Leader(leadership) = &self.role_state else { return 0 };
         let value = |(name, disk): (&InstanceId, &DiskId)| {
             if *name == self.config.name {
                 return if *disk == self.disk { own } else { 0 };
@@ -187,7 +190,7 @@
 
     /// Returns until when no other replica can lead, if this one leads and has applied all earlier terms.
     pub(crate) fn leader_until_ms(&self) -> Option<u64> {
-        let Stand::Leader(leadership) = &self.stand else { return None };
+        let RoleState::Leader(leadership) = &self.role_state else { return None };
         if self.state.applied_index < leadership.first_index {
             return None;
         }
@@ -196,7 +199,7 @@
     }
 
     pub(crate) fn advance_commit(&mut self) {
-        if !matches!(self.stand, Stand::Leader(_)) {
+        if !matches!(self.role_state, RoleState::Leader(_)) {
             return;
         }
         let index = self.majority_value(self.writes.synced_index, |progress| progress.matched);
@@ -209,8 +212,8 @@
 
     /// A leader may change the voters once an entry of its own term is committed.
     pub(crate) fn has_committed_in_term(&self) -> bool {
-        match &self.stand {
-            Stand::Leader(leadership) => self.commit_index >= leadership.first_index,
+        match &self.role_state {
+            RoleState::Leader(leadership) => self.commit_index >= leadership.first_index,
             _ => false,
         }
     }
@@ -219,20 +222,20 @@
     pub(crate) fn leave_if_removed(&mut self) {
         let removed =
             !self.voters.counts(&self.config.name, self.disk) && self.voters_index <= self.commit_index;
-        if removed && matches!(self.stand, Stand::Leader(_)) {
+        if removed && matches!(self.role_state, RoleState::Leader(_)) {
             self.become_follower();
         }
     }
 
     /// Handles a message that only the leader of `term` sends. Returns whether it is to be processed.
     pub(crate) fn follow(&mut self, from: &InstanceId, term: u64) -> bool {
-        if term < self.term || matches!(self.stand, Stand::Leader(_)) && term == self.term {
+        if term < self.term || matches!(self.role_state, RoleState::Leader(_)) && term == self.term {
             // The reply carries the newer term.
             self.send(from, Message::AppendReply { matched: None, hint: 0, echo_ms: 0 });
             return false;
         }
         self.enter_term(term);
-        self.stand = Stand::Follower;
+        self.role_state = RoleState::Follower;
         self.leader = Some(from.clone());
         self.leader_heard_ms = self.now_ms;
         self.bootstrap = None;
@@ -310,7 +313,7 @@
         if term > self.term {
             return self.enter_term(term);
         }
-        let Stand::Leader(leadership) = &mut self.stand else { return };
+        let RoleState::Leader(leadership) = &mut self.role_state else { return };
         let Some(progress) = leadership.peers.get_mut(from).filter(|_| term == self.term) else { return };
         progress.heard(disk, echo_ms);
         let Some(matched) = matched else { return progress.rejected(hint) };
--- a/crates/control/src/snapshots.rs
+++ b/crates/control/src/snapshots.rs
@@ -8,7 +8,7 @@
     entry::{DiskId, Position, Snapshot},
     log::Log,
     message::{Message, SnapshotChunk},
-    replica::{Replica, Stand},
+    replica::{Replica, RoleState},
     state::AgreedState,
 };
 
@@ -51,7 +51,7 @@
     pub(crate) fn start_snapshot(&mut self, peer: &InstanceId) {
         let Some(snapshot) = self.snapshot.clone() else { return };
         let checksum = crc32fast::hash(&snapshot.state);
-        let Stand::Leader(leadership) = &mut self.stand else { return };
+        let RoleState::Leader(leadership) = &mut self.role_state else { return };
         if let Some(progress) = leadership.peers.get_mut(peer) {
             progress.outgoing = Some(Outgoing { snapshot, checksum, offset: 0 });
         }
@@ -60,7 +60,7 @@
 
     /// Sends the chunk that the peer lacks next.
     pub(crate) fn send_chunk(&mut self, peer: &InstanceId) {
-        let Stand::Leader(leadership) = &self.stand else { return };
+        let RoleState::Leader(leadership) = &self.role_state else { return };
         let Some(outgoing) = leadership.peers.get(peer).and_then(|progress| progress.outgoing.as_ref())
         else {
             return;
@@ -136,7 +136,7 @@
         if term > self.term {
             return self.enter_term(term);
         }
-        let Stand::Leader(leadership) = &mut self.stand else { return };
+        let RoleState::Leader(leadership) = &mut self.role_state else { return };
         let Some(progress) = leadership.peers.get_mut(from).filter(|_| term == self.term) else { return };
         let Some(outgoing) = progress.outgoing.as_mut() else { return };
         if outgoing.snapshot.position != position || (received != 0 && received <= outgoing.offset) {
--- a/crates/control/src/writes.rs
+++ b/crates/control/src/writes.rs
@@ -8,7 +8,7 @@
     api::Output,
     entry::{HardState, Payload, Snapshot, WriteBatch},
     message::{Envelope, Message},
-    replica::{Replica, Stand},
+    replica::{Replica, RoleState},
 };
 
 /// What must be durable before a message may be sent or a vote counted.
@@ -162,7 +162,7 @@
             return;
         }
         self.give_up_leadership();
-        self.stand = Stand::Halted;
+        self.role_state = RoleState::Halted;
         self.leader = None;
     }
 
