Do not count an upstream's refusal as an attempt, and wait for a voter that leads

Change: an attempt that an upstream did not run does not count; its upstream is left out afterwards, so the loop still ends. Attempts that may have run count as before.

Also: `proposals_during_elections_keep_their_word` took the leader at the start of a round while every voter still named one that had stepped down, and panicked on `None` once. It waits for a voter that leads; the checks are unchanged.

--- a/crates/cluster/tests/cluster/replicas.rs
+++ b/crates/cluster/tests/cluster/replicas.rs
@@ -92,6 +92,8 @@
     let mut accepted = BTreeSet::new();
     let mut refused = BTreeSet::new();
     for round in 0..4 {
+        // Every voter may still name a leader that has just stepped down.
+        cluster.wait("a voter leads", |cluster| cluster.leader().is_some()).await;
         let leader = cluster.leader().unwrap();
         let through = |index: usize| if index.is_multiple_of(2) { "o1" } else { "o2" };
         let proposals = (0..24).map(|index| {
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -135,7 +135,8 @@
         self.life.admission(&slot.reason);
         self.life.event("admitted");
         let mut last_error = None;
-        for _ in 0..self.rules.retries.max_attempts {
+        let mut attempts = 0;
+        while attempts < self.rules.retries.max_attempts {
             // Asked before each attempt: the request may have taken down the upstream of the last one.
             if self.is_blocked() {
                 return self.refuse(blocked()).await;
@@ -148,6 +149,9 @@
                 }
                 Attempt::CallerGone => return self.life.event("disconnected"),
                 Attempt::Failed(error) => {
+                    // An upstream that did not run the request is left out from now on, so that this ends; it
+                    // counts as no attempt, since all engines that load new weights may refuse in turn.
+                    attempts += u64::from(!error.is_not_run());
                     self.note_failure(&decision.upstream, &error).await;
                     if matches!(error, AttemptError::Refused { leaving: false, .. }) {
                         slot.overloaded();
