--- a/crates/cluster/examples/commit_speed.rs
+++ b/crates/cluster/examples/commit_speed.rs
@@ -98,6 +98,9 @@
         peers: peers.clone(),
         bootstrap_voters: (0..3).map(|voter| name(voter).into()).collect(),
         trust_disk: false,
+        bootstrap: true,
+        names_are_addresses: false,
+        wanted_voters: None,
         secret: "a shared secret".to_owned(),
     };
     Ok((0..count).map(|index| Node { config: config(index), running: None }).collect())
--- a/crates/cluster/src/delta.rs
+++ b/crates/cluster/src/delta.rs
@@ -19,6 +19,8 @@
         rules: rules.cloned().collect(),
         draining: (old.draining != new.draining).then(|| new.draining.clone()),
         weights: (old.weights != new.weights).then(|| new.weights.clone()),
+        document: (old.document != new.document).then(|| new.document.clone()).flatten(),
+        model_versions: (old.model_versions != new.model_versions).then(|| new.model_versions.clone()),
         blocked: blocked.map(|(name, until)| (name.clone(), *until)).collect(),
         unblocked: unblocked.cloned().collect(),
         log_time_ms: new.log_time_ms,
@@ -42,6 +44,8 @@
         rules: rules.collect::<Option<_>>()?,
         draining: delta.draining.clone().unwrap_or_else(|| base.draining.clone()),
         weights: delta.weights.clone().unwrap_or_else(|| base.weights.clone()),
+        document: delta.document.clone().or_else(|| base.document.clone()),
+        model_versions: delta.model_versions.clone().unwrap_or_else(|| base.model_versions.clone()),
         blocked,
         log_time_ms: delta.log_time_ms,
     })
--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::{
+    clock::BootInstant,
     metrics::ClusterMetrics,
     outbox::Outbox,
     storage_thread::{StorageThread, WriteDone},
@@ -89,6 +90,7 @@
 pub(crate) struct Driver {
     replica: Replica,
     start: Instant,
+    boot_start: BootInstant,
     /// Time by which the replica's clock is ahead, see `take_over`.
     ahead_ms: u64,
     election_timeout_ms: u64,
@@ -102,6 +104,8 @@
     outputs: Vec<Output>,
     leaving: Option<(oneshot::Sender<()>, Instant)>,
     halted: bool,
+    /// Whether a follower that hears its leader takes its own configuration for current.
+    trusts_leader_contact: bool,
 }
 
 impl Driver {
@@ -114,10 +118,12 @@
         views: Arc<ViewStore>,
         metrics: ClusterMetrics,
         status: watch::Sender<ReplicaView>,
+        trusts_leader_contact: bool,
     ) -> Self {
         Self {
             replica,
             start: Instant::now(),
+            boot_start: BootInstant::now(),
             ahead_ms: 0,
             election_timeout_ms,
             storage,
@@ -130,6 +136,7 @@
             outputs: Vec::new(),
             leaving: None,
             halted: false,
+            trusts_leader_contact,
         }
     }
 
@@ -172,7 +179,7 @@
     }
 
     fn now_ms(&self) -> u64 {
-        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX).saturating_add(self.ahead_ms)
+        u64::try_from(self.boot_start.elapsed().as_millis()).unwrap_or(u64::MAX).saturating_add(self.ahead_ms)
     }
 
     fn step(&mut self, input: Input) {
@@ -263,11 +270,14 @@
         let now_ms = self.now_ms();
         let led = match status.role {
             Role::Leader => status.leader_until_ms.is_some_and(|until_ms| now_ms < until_ms),
-            Role::Follower => status.leader.is_some() && status.applied_index == status.commit_index,
+            Role::Follower => {
+                let applied = status.applied_index == status.commit_index;
+                self.trusts_leader_contact && status.leader.is_some() && applied
+            }
             Role::Candidate | Role::Learner | Role::Halted => false,
         };
         if led {
-            self.views.confirm(Instant::now());
+            self.views.confirm(BootInstant::now());
         }
         self.status.send_if_modified(|view| {
             let Some(old) = &view.status else {
--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::{
+    clock::BootInstant,
     driver::ReplicaView,
     gossip::spread,
     link::{CallError, Link, Links},
@@ -56,14 +57,14 @@
     /// This node's replica.
     pub(crate) replica: watch::Receiver<ReplicaView>,
     /// When this node had caught up after its start.
-    pub(crate) caught_up: Arc<watch::Sender<Option<Instant>>>,
+    pub(crate) caught_up: Arc<watch::Sender<Option<BootInstant>>>,
 }
 
 impl Follower {
     /// Catches up, then follows until it is aborted.
     pub(crate) async fn run(mut self) {
         self.catch_up().await;
-        self.caught_up.send_replace(Some(Instant::now()));
+        self.caught_up.send_replace(Some(BootInstant::now()));
         let mut failures = 0;
         loop {
             if self.replica.borrow_and_update().has_leader() {
@@ -93,7 +94,7 @@
         {
             let age = Duration::from_millis(age_ms);
             if self.views.install_update(&reply.update)
-                && let Some(at) = Instant::now().checked_sub(age)
+                && let Some(at) = BootInstant::now().checked_sub(age)
             {
                 self.views.confirm(at);
             }
@@ -198,9 +199,9 @@
     /// Picks a source of the own zone if there is one; the choice differs between nodes and attempts.
     fn pick(&self, names: &[InstanceId], failures: usize) -> Option<Arc<Link>> {
         let links: Vec<_> = names.iter().filter_map(|name| self.links.get(name)).collect();
-        let near: Vec<_> = links.iter().filter(|link| link.zone == self.zone).copied().collect();
+        let near: Vec<_> = links.iter().filter(|link| link.zone == self.zone).cloned().collect();
         let links = if near.is_empty() || failures > 0 { links } else { near };
         let index = (spread(&self.name, links.len()) + failures) % links.len().max(1);
-        links.get(index).map(|link| Arc::clone(link))
+        links.get(index).cloned()
     }
 }
--- a/crates/cluster/src/handle.rs
+++ b/crates/cluster/src/handle.rs
@@ -13,7 +13,7 @@
     storage,
 };
 use daisysill_core::ids::{ConfigVersion, InstanceId};
-use daisysill_wire::peer::{PeerClient, SoftReport};
+use daisysill_wire::peer::{Board, CrashSighting, PeerClient, SoftReport, UpstreamEntry};
 use eyre::WrapErr;
 use futures::{FutureExt, future::join_all};
 use tokio::{
@@ -21,11 +21,13 @@
     runtime::Handle,
     sync::{mpsc, oneshot, watch},
     task::JoinHandle,
-    time::{Instant, sleep, timeout},
+    time::{sleep, timeout},
 };
 
 pub use crate::status::{ClusterStatus, MemberState, PeerReport, ProposeError, Role};
 use crate::{
+    board::BoardStore,
+    clock::BootInstant,
     config::ClusterConfig,
     driver::{Driver, DriverInput, INPUT_QUEUE, ReplicaView},
     follow::Follower,
@@ -33,7 +35,9 @@
     handshake::SharedKey,
     link::{Link, Links},
     members::Members,
+    membership,
     metrics::ClusterMetrics,
+    observer::{Observer, Sightings},
     outbox::Outbox,
     propose::{LeaderHint, Proposal, Proposer},
     server::{self, ServerState},
@@ -74,7 +78,7 @@
         let address = listener.local_addr()?;
         let metrics = ClusterMetrics::default();
         let key = SharedKey::new(&config.secret);
-        let links = Links::new(&config.name, key, &config.peers, &metrics);
+        let links = Links::new(&config.name, key, &config.peers, config.names_are_addresses, &metrics);
         let members = Arc::new(Members::new(&config, now_since_epoch_ms()));
         let views = Arc::new(ViewStore::new());
         let leader = LeaderHint::default();
@@ -89,7 +93,9 @@
             leader: leader.clone(),
             first_voters: config.bootstrap_voters.clone(),
         };
+        let board = Arc::new(BoardStore::new(format!("{} {:x}", config.name, rand::random::<u64>())));
         let state = ServerState {
+            board: Arc::clone(&board),
             name: config.name.clone(),
             key,
             members: Arc::clone(&members),
@@ -117,23 +123,45 @@
             replica: replica.clone(),
             caught_up: Arc::clone(&caught_up),
         };
-        let mut tasks = vec![
-            tokio::spawn(server::serve(listener, Arc::new(state))),
-            tokio::spawn(gossip.clone().run()),
-            tokio::spawn(follower.run()),
-        ];
+        let sightings = Sightings::default();
+        let in_touch = watch::channel(false).0;
+        let mut tasks = vec![tokio::spawn(server::serve(listener, Arc::new(state)))];
+        if let Some(wanted) = config.wanted_voters {
+            let observer = Observer {
+                name: config.name.clone(),
+                seeds: config.bootstrap_voters.clone(),
+                links: links.clone(),
+                views: Arc::clone(&views),
+                board: Arc::clone(&board),
+                leader: leader.clone(),
+                replica: replica.clone(),
+                sightings: sightings.clone(),
+                in_touch: in_touch.clone(),
+            };
+            tasks.push(tokio::spawn(observer.run()));
+            if parts.is_some() {
+                tasks.push(tokio::spawn(membership::run(proposer.clone(), replica.clone(), wanted)));
+            }
+        } else {
+            tasks.push(tokio::spawn(gossip.clone().run()));
+            tasks.push(tokio::spawn(follower.run()));
+        }
         if let Some(parts) = parts {
-            let first = config.bootstrap_voters.iter().min() == Some(&config.name);
+            let first = config.bootstrap && config.bootstrap_voters.iter().min() == Some(&config.name);
             let voters = if first { config.bootstrap_voters } else { Vec::new() };
             tasks.push(tokio::spawn(parts.driver.run(voters, parts.receiver, parts.writes)));
         }
         let runtime = Handle::current();
         let inner = Inner {
+            names_are_addresses: config.names_are_addresses,
             runtime,
             proposer,
             gossip,
             leader,
             replica,
+            board,
+            sightings,
+            in_touch,
             caught_up,
             metrics,
             tasks: Mutex::new(tasks),
@@ -166,7 +194,7 @@
             log::warn!("the only node has no data folder: its state is lost when it stops");
             (None, Recovered::default())
         }
-        None if config.bootstrap_voters.contains(&config.name) => {
+        None if config.bootstrap_voters.contains(&config.name) && config.wanted_voters.is_none() => {
             eyre::bail!("{} is a first voter but has no data folder", config.name);
         }
         None => return Ok(None),
@@ -182,7 +210,18 @@
     let outbox = Outbox::new(links.clone(), metrics.clone());
     let (inputs, receiver) = mpsc::channel(INPUT_QUEUE);
     let views = Arc::clone(views);
-    let driver = Driver::new(replica, ELECTION_TIMEOUT_MS, storage, outbox, views, metrics.clone(), status);
+    // Where the leader is observed, its word on its own lease is stricter than hearing from it.
+    let trusts_leader_contact = config.wanted_voters.is_none();
+    let driver = Driver::new(
+        replica,
+        ELECTION_TIMEOUT_MS,
+        storage,
+        outbox,
+        views,
+        metrics.clone(),
+        status,
+        trusts_leader_contact,
+    );
     Ok(Some(DriverParts { driver, inputs, receiver, writes }))
 }
 
@@ -200,12 +239,16 @@
 
 #[derive(Debug)]
 struct Inner {
+    names_are_addresses: bool,
     runtime: Handle,
     proposer: Proposer,
     gossip: Gossip,
     leader: LeaderHint,
     replica: watch::Receiver<ReplicaView>,
-    caught_up: Arc<watch::Sender<Option<Instant>>>,
+    board: Arc<BoardStore>,
+    sightings: Sightings,
+    in_touch: watch::Sender<bool>,
+    caught_up: Arc<watch::Sender<Option<BootInstant>>>,
     metrics: ClusterMetrics,
     tasks: Mutex<Vec<JoinHandle<()>>>,
 }
@@ -280,6 +323,53 @@
             && views.confirmed_at().max(started).is_some_and(|at| at.elapsed() < STALE_AFTER)
     }
 
+    /// Returns the board that the leader shares, and its changes.
+    pub fn board(&self) -> watch::Receiver<Arc<Board>> {
+        self.inner.board.subscribe()
+    }
+
+    /// Returns the time since the board was known to be current; `None` if there is none yet.
+    pub fn board_age(&self) -> Option<Duration> {
+        self.inner.board.age()
+    }
+
+    /// Shares upstreams that were listed at `at` with all nodes; for the leader.
+    pub fn publish_board(&self, upstreams: Vec<UpstreamEntry>, at: BootInstant) {
+        self.inner.board.publish(upstreams, at);
+    }
+
+    /// Reports that a request was running when its upstream crashed.
+    pub fn report_crash(&self, sighting: CrashSighting) {
+        if self.is_leader() {
+            let name = &self.inner.proposer.name;
+            return self.inner.board.heard(name, &[sighting]);
+        }
+        self.inner.sightings.add(sighting);
+    }
+
+    /// Returns the time since this node's configuration was known to be the newest that a majority had agreed
+    /// on, on a clock that counts suspended time; `None` if it never was.
+    pub fn config_age(&self) -> Option<Duration> {
+        self.inner.gossip.views.confirmed_at().map(BootInstant::elapsed)
+    }
+
+    /// Returns whether a voter answers with a current configuration, and the changes of that.
+    pub fn in_touch(&self) -> watch::Receiver<bool> {
+        self.inner.in_touch.subscribe()
+    }
+
+    /// Returns whether this node's replica leads.
+    pub fn is_leader(&self) -> bool {
+        let replica = self.inner.replica.borrow();
+        replica.status.as_ref().is_some_and(|status| status.role == ReplicaRole::Leader)
+    }
+
+    /// Returns whether this node's replica has stopped after a failed write.
+    pub fn has_halted(&self) -> bool {
+        let replica = self.inner.replica.borrow();
+        replica.status.as_ref().is_some_and(|status| status.role == ReplicaRole::Halted)
+    }
+
     /// Replaces what this node tells the others about its work in flight.
     pub fn set_soft(&self, soft: SoftReport) {
         self.inner.gossip.members.set_soft(soft);
@@ -323,8 +413,9 @@
         let term = status.term;
         let links = &self.inner.proposer.links;
         let voters = status.voters.voters.keys().filter_map(|name| links.get(name));
-        let (alive, _): (Vec<_>, Vec<_>) =
-            voters.partition(|link| self.inner.gossip.members.is_alive(&link.name));
+        let (alive, _): (Vec<_>, Vec<_>) = voters.partition(|link| {
+            self.inner.names_are_addresses || self.inner.gossip.members.is_alive(&link.name)
+        });
         let Some((successor, others)) = alive.split_first() else { return };
         let tell = |link: &Arc<Link>, campaign| {
             let link = Arc::clone(link);
--- a/crates/cluster/src/lease.rs
+++ b/crates/cluster/src/lease.rs
@@ -13,7 +13,7 @@
     time::{Instant, sleep, sleep_until},
 };
 
-use crate::handle::ClusterHandle;
+use crate::{clock::BootInstant, handle::ClusterHandle};
 
 /// The share of the lease kept as a margin for clocks that run at different speeds.
 const DRIFT_SHARE: f64 = 0.1;
@@ -36,8 +36,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Holding {
     fencing: FencingNumber,
-    usable_from: Instant,
-    valid_until: Instant,
+    usable_from: BootInstant,
+    valid_until: BootInstant,
 }
 
 /// Takes and renews a lease for as long as it exists.
@@ -60,7 +60,7 @@
     /// Returns the number that an order sent now must carry; `None` if no order may be sent. To be asked
     /// immediately before each order, since the process may have been suspended since the last time.
     pub fn fencing(&self) -> Option<FencingNumber> {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let holding = (*self.holding.lock().unwrap_or_else(PoisonError::into_inner))?;
         (holding.usable_from <= now && now < holding.valid_until).then_some(holding.fencing)
     }
@@ -99,18 +99,18 @@
 
     /// Completes when the lease becomes usable or runs out.
     async fn changes(&self) {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let holding = *self.holding.lock().unwrap_or_else(PoisonError::into_inner);
         let next = holding.and_then(|h| [h.usable_from, h.valid_until].into_iter().find(|at| *at > now));
         match next {
-            Some(at) => sleep_until(at).await,
+            Some(at) => sleep(at.since(now)).await,
             None if self.held.borrow().is_some() => {}
             None => std::future::pending().await,
         }
     }
 
     fn publish(&self) {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let holding = *self.holding.lock().unwrap_or_else(PoisonError::into_inner);
         let usable = holding.filter(|h| h.usable_from <= now && now < h.valid_until).map(|h| h.fencing);
         self.held.send_if_modified(|held| std::mem::replace(held, usable) != usable);
@@ -118,7 +118,7 @@
 
     /// Asks for the lease; returns when to ask next.
     async fn ask(&self) -> Instant {
-        let asked_at = Instant::now();
+        let (asked_at, asked_boot) = (Instant::now(), BootInstant::now());
         let request = AcquireLease {
             role: self.terms.role.clone(),
             holder: self.holder.clone(),
@@ -130,7 +130,7 @@
             () = async { loop { self.changes().await; self.publish(); sleep(RETRY).await } } => return asked_at,
         };
         match reply {
-            Ok(Reply::LeaseGranted(fencing)) => self.granted(fencing, asked_at),
+            Ok(Reply::LeaseGranted(fencing)) => self.granted(fencing, asked_boot),
             Ok(_) => *self.holding.lock().unwrap_or_else(PoisonError::into_inner) = None,
             Err(_) => {
                 self.publish();
@@ -141,14 +141,14 @@
         asked_at + self.terms.duration.mul_f64(RENEW_SHARE)
     }
 
-    fn granted(&self, fencing: FencingNumber, asked_at: Instant) {
+    fn granted(&self, fencing: FencingNumber, asked_at: BootInstant) {
         // The lease began at some time after it was asked for, so this end is early on any clock.
         let valid_until = asked_at + self.terms.duration.mul_f64(1.0 - DRIFT_SHARE);
         let mut holding = self.holding.lock().unwrap_or_else(PoisonError::into_inner);
         let usable_from = match *holding {
             Some(present) if present.fencing == fencing => present.usable_from,
             // The former holder may have sent an order just before its lease ran out.
-            _ => Instant::now() + self.terms.longest_order,
+            _ => BootInstant::now() + self.terms.longest_order,
         };
         *holding = Some(Holding { fencing, usable_from, valid_until });
     }
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -1,5 +1,7 @@
 //! Runs this node's part of the cluster: the replicated log, followers, heartbeats, leases.
 
+mod board;
+pub mod clock;
 pub mod config;
 mod delta;
 mod driver;
@@ -11,7 +13,9 @@
 pub mod lease;
 mod link;
 mod members;
+mod membership;
 pub mod metrics;
+mod observer;
 mod outbox;
 mod propose;
 mod server;
@@ -19,6 +23,7 @@
 mod storage_thread;
 mod view_store;
 
+pub use clock::BootInstant;
 pub use config::{ClusterConfig, PeerAddress};
 pub use handle::{Cluster, ClusterHandle};
 pub use lease::{LeaseKeeper, LeaseTerms};
--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -201,46 +201,86 @@
 /// The links to all other nodes.
 #[derive(Clone, Debug)]
 pub(crate) struct Links {
-    links: Arc<BTreeMap<InstanceId, Arc<Link>>>,
+    inner: Arc<LinkTable>,
+}
+
+#[derive(Debug)]
+struct LinkTable {
+    own: InstanceId,
+    key: SharedKey,
+    metrics: ClusterMetrics,
+    /// The nodes of the settings.
+    known: BTreeMap<InstanceId, Arc<Link>>,
+    /// Nodes whose name is their address; `None` if names are not addresses.
+    addressed: Option<Mutex<BTreeMap<InstanceId, Arc<Link>>>>,
 }
 
 impl Links {
-    /// Prepares a link to each of `peers`; no connection is opened yet.
+    /// Prepares a link to each of `peers`; no connection is opened yet. With `names_are_addresses`, a link to
+    /// any other node is prepared when it is first asked for.
     pub(crate) fn new(
         own: &InstanceId,
         key: SharedKey,
         peers: &[PeerAddress],
+        names_are_addresses: bool,
         metrics: &ClusterMetrics,
     ) -> Self {
-        let link = |peer: &PeerAddress| Link {
-            name: peer.name.clone(),
-            zone: peer.zone.clone(),
-            address: peer.address,
+        let mut table = LinkTable {
             own: own.clone(),
             key,
             metrics: metrics.clone(),
-            slot: AsyncMutex::default(),
-            last_use: Mutex::new(Instant::now()),
-            calls: Semaphore::new(MAX_CALLS),
+            known: BTreeMap::new(),
+            addressed: names_are_addresses.then(Mutex::default),
         };
-        let others = peers.iter().filter(|peer| peer.name != *own);
-        Self { links: Arc::new(others.map(|peer| (peer.name.clone(), Arc::new(link(peer)))).collect()) }
+        for peer in peers.iter().filter(|peer| peer.name != *own) {
+            table.known.insert(peer.name.clone(), Arc::new(table.link(peer)));
+        }
+        Self { inner: Arc::new(table) }
     }
 
     /// Returns the link to a node.
-    pub(crate) fn get(&self, name: &InstanceId) -> Option<&Arc<Link>> {
-        self.links.get(name)
+    pub(crate) fn get(&self, name: &InstanceId) -> Option<Arc<Link>> {
+        if let Some(link) = self.inner.known.get(name) {
+            return Some(Arc::clone(link));
+        }
+        let addressed = self.inner.addressed.as_ref().filter(|_| *name != self.inner.own)?;
+        let address: SocketAddr = name.as_str().parse().ok()?;
+        let mut links = addressed.lock().unwrap_or_else(PoisonError::into_inner);
+        let link = links.entry(name.clone()).or_insert_with(|| {
+            let peer = PeerAddress { name: name.clone(), zone: ZoneName::from(""), address };
+            Arc::new(self.inner.link(&peer))
+        });
+        Some(Arc::clone(link))
     }
 
-    /// Returns all links, ordered by name.
+    /// Returns the links to the nodes of the settings, ordered by name.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Arc<Link>> {
-        self.links.values()
+        self.inner.known.values()
     }
 
     /// Closes all connections.
     pub(crate) async fn shut_down(&self) {
-        for link in self.links.values() {
+        let addressed: Vec<Arc<Link>> = self.inner.addressed.as_ref().map_or_else(Vec::new, |links| {
+            links.lock().unwrap_or_else(PoisonError::into_inner).values().cloned().collect()
+        });
+        for link in self.inner.known.values().chain(&addressed) {
             link.shut_down().await;
         }
     }
 }
+
+impl LinkTable {
+    fn link(&self, peer: &PeerAddress) -> Link {
+        Link {
+            name: peer.name.clone(),
+            zone: peer.zone.clone(),
+            address: peer.address,
+            own: self.own.clone(),
+            key: self.key,
+            metrics: self.metrics.clone(),
+            slot: AsyncMutex::default(),
+            last_use: Mutex::new(Instant::now()),
+            calls: Semaphore::new(MAX_CALLS),
+        }
+    }
+}
--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -46,7 +46,7 @@
         match request.message {
             PeerRequest::Replicate { .. } | PeerRequest::TakeOver { .. } => Purpose::Replicate,
             PeerRequest::Propose { .. } | PeerRequest::ChangeVoters { .. } => Purpose::Propose,
-            PeerRequest::Follow { .. } => Purpose::Follow,
+            PeerRequest::Follow { .. } | PeerRequest::Observe { .. } => Purpose::Follow,
             PeerRequest::Heartbeat { .. } => Purpose::Heartbeat,
         }
     }
@@ -57,7 +57,7 @@
         match self.message {
             Ok(PeerResponse::Replicate(..) | PeerResponse::TakeOver(..)) => Purpose::Replicate,
             Ok(PeerResponse::Propose(..) | PeerResponse::ChangeVoters(..)) => Purpose::Propose,
-            Ok(PeerResponse::Follow(..)) => Purpose::Follow,
+            Ok(PeerResponse::Follow(..) | PeerResponse::Observe(..)) => Purpose::Follow,
             Ok(PeerResponse::Heartbeat(..)) => Purpose::Heartbeat,
             Err(_) => Purpose::Connection,
         }
--- a/crates/cluster/src/outbox.rs
+++ b/crates/cluster/src/outbox.rs
@@ -73,7 +73,7 @@
         if let Some(shared) = self.queues.get(to) {
             return Some(Arc::clone(shared));
         }
-        let link = Arc::clone(self.links.get(to)?);
+        let link = self.links.get(to)?;
         let shared = Arc::new(Shared::default());
         self.queues.insert(to.clone(), Arc::clone(&shared));
         let _: AbortHandle = self.tasks.spawn(deliver(link, Arc::clone(&shared)));
--- a/crates/cluster/src/propose.rs
+++ b/crates/cluster/src/propose.rs
@@ -214,6 +214,8 @@
         // The claim belongs to one attempt: a second copy of that attempt's claim is granted again, and the
         // first outcome that the attempt reports stands.
         Command::Claim(_) | Command::FinishClaim(_) => true,
+        // Versions only grow: a late copy changes nothing.
+        Command::PublishDocument(_) | Command::NameModelVersion(_) => true,
         // Crashes are a set of upstream and incarnation.
         Command::ReportCrash(_) => true,
     }
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -11,7 +11,9 @@
     command::{Command, Reply},
 };
 use daisysill_core::ids::{ConfigVersion, InstanceId};
-use daisysill_wire::peer::{FollowReply, ForwardError, Heartbeat, Peer, PeerRequest, PeerResponse};
+use daisysill_wire::peer::{
+    Board, FollowReply, ForwardError, Heartbeat, Observation, ObserveReply, Peer, PeerRequest, PeerResponse,
+};
 use futures::{FutureExt, StreamExt};
 use tarpc::{
     ClientMessage, Response,
@@ -26,6 +28,8 @@
 };
 
 use crate::{
+    board::BoardStore,
+    clock::BootInstant,
     driver::{DriverInput, ReplicaView},
     framing::SealedTransport,
     handshake::{self, SharedKey},
@@ -62,6 +66,8 @@
     pub(crate) views: Arc<ViewStore>,
     /// Hands commands to this node's replica.
     pub(crate) proposer: Proposer,
+    /// The board.
+    pub(crate) board: Arc<BoardStore>,
     /// Counters.
     pub(crate) metrics: ClusterMetrics,
 }
@@ -161,11 +167,44 @@
         let replica: ReplicaView = state.proposer.replica.borrow().clone();
         FollowReply {
             update,
-            age_ms: age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            age_ms: age.map(millis),
             leader: replica.status.and_then(|status| status.leader).or_else(|| state.proposer.leader.get()),
         }
     }
 
+    async fn observe(self, _: Context, observation: Observation, wait_ms: u64) -> ObserveReply {
+        let state = &self.state;
+        state.board.heard(&observation.node, &observation.crashes);
+        let mut views = state.views.subscribe();
+        let mut boards = state.board.subscribe();
+        let (source, number) = &observation.board_after;
+        let is_news = |board: &Arc<Board>| board.number != *number || board.source != *source;
+        if wait_ms > 0 {
+            let _follower = FollowerCount::new(&state.metrics);
+            let news = async {
+                tokio::select! {
+                    _ = views.wait_for(|view| view.version > observation.config_after) => {}
+                    _ = boards.wait_for(is_news) => {}
+                }
+            };
+            let _ = timeout(Duration::from_millis(wait_ms.min(MAX_POLL_MS)), news).await;
+        }
+        // The age is read before the content, so that it never makes the content look newer than it is.
+        let age = state.views.confirmed_at().map(BootInstant::elapsed);
+        let board_age = state.board.age();
+        let replica: ReplicaView = state.proposer.replica.borrow().clone();
+        let status = replica.status.as_ref();
+        let board = state.board.get();
+        ObserveReply {
+            update: state.views.update_since(observation.config_after),
+            age_ms: age.map(millis),
+            leader: status.and_then(|status| status.leader.clone()),
+            voters: status.map_or_else(Vec::new, |status| status.voters.voters.keys().cloned().collect()),
+            board: is_news(&board).then_some(board),
+            board_age_ms: board_age.map(millis),
+        }
+    }
+
     async fn take_over(self, _: Context, term: u64, campaign: bool) {
         let Some(driver) = &self.state.proposer.driver else { return };
         let _ = driver.try_send(DriverInput::TakeOver { from: self.peer, term, campaign });
@@ -179,6 +218,10 @@
     }
 }
 
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl ServerState {
     async fn bring(&self, proposal: Proposal) -> Result<Reply, ForwardError> {
         let limit = Instant::now() + PROPOSE_LIMIT;
--- a/crates/cluster/src/view_store.rs
+++ b/crates/cluster/src/view_store.rs
@@ -10,7 +10,7 @@
 use daisysill_wire::peer::ConfigUpdate;
 use tokio::{sync::watch, time::Instant};
 
-use crate::delta;
+use crate::{clock::BootInstant, delta};
 
 /// Configurations kept to send differences from: at 2,200 changes a day these span more than 10 minutes.
 const KEPT_VIEWS: usize = 16;
@@ -27,7 +27,7 @@
 #[derive(Debug)]
 struct Inner {
     recent: VecDeque<Arc<ConfigView>>,
-    confirmed_at: Option<Instant>,
+    confirmed_at: Option<BootInstant>,
     second: Instant,
     snapshots: u32,
 }
@@ -107,13 +107,13 @@
     }
 
     /// Records that the configuration was the newest agreed one at `at`.
-    pub(crate) fn confirm(&self, at: Instant) {
+    pub(crate) fn confirm(&self, at: BootInstant) {
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
         inner.confirmed_at = inner.confirmed_at.max(Some(at));
     }
 
     /// Returns when the configuration was last known to be the newest agreed one.
-    pub(crate) fn confirmed_at(&self) -> Option<Instant> {
+    pub(crate) fn confirmed_at(&self) -> Option<BootInstant> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner).confirmed_at
     }
 }
--- a/crates/cluster/tests/cluster/common.rs
+++ b/crates/cluster/tests/cluster/common.rs
@@ -167,6 +167,9 @@
                 peers,
                 bootstrap_voters: voters.iter().map(|(voter, _)| voter.as_str().into()).collect(),
                 trust_disk: false,
+                bootstrap: true,
+                names_are_addresses: false,
+                wanted_voters: None,
                 secret: "a shared secret".to_owned(),
             };
             configs.insert(name.clone(), config);
--- a/crates/cluster/tests/cluster/transport.rs
+++ b/crates/cluster/tests/cluster/transport.rs
@@ -55,6 +55,9 @@
         peers: Vec::new(),
         bootstrap_voters: vec!["a".into()],
         trust_disk: false,
+        bootstrap: true,
+        names_are_addresses: false,
+        wanted_voters: None,
         secret: "a shared secret".to_owned(),
     };
     Cluster::start(config).await.unwrap()
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -19,6 +19,8 @@
     pub heartbeat_ms: u64,
     /// Shortest election timeout; the longest is twice as long.
     pub election_timeout_ms: u64,
+    /// Bytes of entries in the log above which a snapshot is taken.
+    pub snapshot_bytes: usize,
     /// Applied entries after which a snapshot is taken.
     pub snapshot_entries: u64,
     /// Entries kept before a snapshot, so that a follower slightly behind needs no snapshot.
@@ -41,6 +43,7 @@
             name,
             heartbeat_ms: 50,
             election_timeout_ms: 300,
+            snapshot_bytes: 16 * 1024 * 1024,
             snapshot_entries: 10_000,
             retained_entries: 1_000,
             message_bytes: 256 * 1024,
@@ -175,6 +178,19 @@
     Halted,
 }
 
+/// What a leader knows of another member of the voter set.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerStatus {
+    /// The member.
+    pub name: InstanceId,
+    /// Time since the sending of the newest message that it has answered.
+    pub silent_ms: u64,
+    /// Whether it reports another disk than the one that it was admitted with.
+    pub other_disk: bool,
+    /// Whether it holds everything committed, synced.
+    pub caught_up: bool,
+}
+
 /// The state of a replica.
 #[derive(Clone, Debug)]
 pub struct ReplicaStatus {
@@ -197,6 +213,8 @@
     pub applied_index: u64,
     /// The voters and learners of the newest entry that sets them.
     pub voters: VoterSet,
+    /// What a leader knows of the other members; empty on other replicas.
+    pub peers: Vec<PeerStatus>,
     /// Whether the disk was found to be older than what the voter has acknowledged.
     pub disk_outdated: bool,
     /// Whether the voter has started and waits for its peers to confirm its disk; until then it does not vote.
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -29,6 +29,10 @@
         FinishClaim(FinishClaim),
         /// Reports that an upstream crashed while it ran requests.
         ReportCrash(ReportCrash),
+        /// Puts a routing document in force unless one of the same or a higher version is.
+        PublishDocument(PublishDocument),
+        /// Names the weight version that a model is to be served with, unless a higher one was named.
+        NameModelVersion(NameModelVersion),
     }
 
     /// Puts a set of rule files in force.
@@ -41,6 +45,22 @@
         pub files: Vec<RuleFile>,
     }
 
+    /// Puts a routing document in force.
+    pub struct PublishDocument {
+        /// The version that its author gave it; the highest is in force.
+        pub version: u64,
+        /// The document as its author sent it, already checked.
+        pub body: Vec<u8>,
+    }
+
+    /// Names the weight version that a model is to be served with.
+    pub struct NameModelVersion {
+        /// The model.
+        pub model: String,
+        /// The version.
+        pub version: WeightVersion,
+    }
+
     /// Marks an upstream as draining or clears the mark.
     pub struct SetDrain {
         /// Identifies the change when it is resent.
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -142,6 +142,7 @@
                 outcome: ClaimOutcome::Answered(answer),
                 ..
             })) => answer.body.len(),
+            Payload::Command(Command::PublishDocument(document)) => document.body.len(),
             Payload::Command(Command::ReportCrash(report)) => {
                 report.fingerprints.iter().map(String::len).sum()
             }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,7 +20,7 @@
 mod writes;
 
 pub use api::{
-    Input, Output, ProposalFailure, ReplicaConfig, ReplicaStatus, Role, VoterChange, VoterRefusal,
+    Input, Output, PeerStatus, ProposalFailure, ReplicaConfig, ReplicaStatus, Role, VoterChange, VoterRefusal,
 };
 pub use entry::{DiskId, Position, Recovered, VoterSet, WriteBatch};
 pub use replica::Replica;
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -9,12 +9,14 @@
 pub(crate) struct Log {
     base: Position,
     entries: VecDeque<Arc<Entry>>,
+    bytes: usize,
 }
 
 impl Log {
     /// Starts with `base` as the position before the first of `entries`.
     pub(crate) fn new(base: Position, entries: Vec<Arc<Entry>>) -> Self {
-        Self { base, entries: entries.into() }
+        let bytes = entries.iter().map(|entry| entry.payload_bytes()).sum();
+        Self { base, entries: entries.into(), bytes }
     }
 
     pub(crate) fn first_index(&self) -> u64 {
@@ -49,14 +51,24 @@
         self.entries.range(start..)
     }
 
+    /// Returns roughly how many bytes the entries take.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     pub(crate) fn push(&mut self, entry: Arc<Entry>) {
+        self.bytes += entry.payload_bytes();
         self.entries.push_back(entry);
     }
 
     /// Removes the entries from `index` on.
     pub(crate) fn truncate_from(&mut self, index: u64) {
         let keep = usize::try_from(index.saturating_sub(self.first_index())).unwrap_or(usize::MAX);
-        self.entries.truncate(keep);
+        while self.entries.len() > keep
+            && let Some(entry) = self.entries.pop_back()
+        {
+            self.bytes -= entry.payload_bytes();
+        }
     }
 
     /// Forgets the entries before `index`.
@@ -65,6 +77,7 @@
             && let Some(entry) = self.entries.pop_front()
         {
             self.base = entry.position;
+            self.bytes -= entry.payload_bytes();
         }
     }
 
--- a/crates/control/src/replication.rs
+++ b/crates/control/src/replication.rs
@@ -8,7 +8,7 @@
 use daisysill_core::ids::InstanceId;
 
 use crate::{
-    api::{Output, ProposalFailure},
+    api::{Output, PeerStatus, ProposalFailure},
     command::{Command, Reply},
     entry::{DiskId, Entry, Payload, Position},
     message::Message,
@@ -210,6 +210,21 @@
         self.append_waiting();
     }
 
+    /// Returns what this replica knows of the other members, if it leads.
+    pub(crate) fn peer_status(&self) -> Vec<PeerStatus> {
+        let RoleState::Leader(leadership) = &self.role_state else { return Vec::new() };
+        let status = |(name, progress): (&InstanceId, &Progress)| PeerStatus {
+            name: name.clone(),
+            silent_ms: self.now_ms.saturating_sub(progress.echo_ms),
+            other_disk: matches!(
+                (self.voters.voters.get(name), progress.disk),
+                (Some(admitted), Some(reported)) if *admitted != reported
+            ),
+            caught_up: progress.matched >= self.commit_index,
+        };
+        leadership.peers.iter().map(status).collect()
+    }
+
     /// A leader may change the voters once an entry of its own term is committed.
     pub(crate) fn has_committed_in_term(&self) -> bool {
         match &self.role_state {
--- a/crates/control/src/snapshots.rs
+++ b/crates/control/src/snapshots.rs
@@ -12,6 +12,9 @@
     state::AgreedState,
 };
 
+/// Entries kept before a snapshot that was taken because the entries are large.
+const FEW_RETAINED: u64 = 8;
+
 /// A snapshot on its way to a peer.
 #[derive(Debug)]
 pub(crate) struct Outgoing {
@@ -34,7 +37,9 @@
     pub(crate) fn take_snapshot_if_due(&mut self) {
         let applied_index = self.state.applied_index;
         let previous = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.position.index);
-        if applied_index < previous + self.config.snapshot_entries || self.writes.snapshot_pending() {
+        let by_bytes = self.log.bytes() > self.config.snapshot_bytes && applied_index > previous;
+        let due = by_bytes || applied_index >= previous + self.config.snapshot_entries;
+        if !due || self.writes.snapshot_pending() {
             return;
         }
         let Some(term) = self.log.term_at(applied_index) else { return };
@@ -45,7 +50,8 @@
         let snapshot = Arc::new(Snapshot { position, voters: voters.unwrap_or_default(), state });
         self.snapshot = Some(Arc::clone(&snapshot));
         self.writes.snapshot_taken(snapshot);
-        self.log.drop_before((applied_index + 1).saturating_sub(self.config.retained_entries));
+        let retained = if by_bytes { FEW_RETAINED } else { u64::MAX }.min(self.config.retained_entries);
+        self.log.drop_before((applied_index + 1).saturating_sub(retained));
     }
 
     pub(crate) fn start_snapshot(&mut self, peer: &InstanceId) {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -13,7 +13,10 @@
 
 use crate::{
     claims::{ClaimRecord, claim_list},
-    command::{AcquireLease, ClaimKey, Command, Conflict, PublishRules, Reply, SetDrain, SetWeights},
+    command::{
+        AcquireLease, ClaimKey, Command, Conflict, NameModelVersion, PublishDocument, PublishRules, Reply,
+        SetDrain, SetWeights,
+    },
     crashes::Crashes,
 };
 
@@ -36,10 +39,22 @@
         pub weights: BTreeMap<ServiceName, WeightVersion>,
         /// Blocked request fingerprints and when the block ends, in log time. An entry goes when its block ends.
         pub blocked: BTreeMap<String, u64>,
+        /// The routing document in force.
+        pub document: Option<Arc<RoutingDocument>>,
+        /// The weight version named last, by model.
+        pub model_versions: BTreeMap<String, WeightVersion>,
         /// Log time of the last change: at that time, a block had `blocked[..] - log_time_ms` left.
         pub log_time_ms: u64,
     }
 
+    /// A routing document as its author sent it.
+    pub struct RoutingDocument {
+        /// The version that its author gave it.
+        pub version: u64,
+        /// The content.
+        pub body: Vec<u8>,
+    }
+
     /// A lease as granted.
     pub struct LeaseRecord {
         /// The holder.
@@ -118,6 +133,8 @@
             Command::Claim(claim) => self.claim(claim),
             Command::FinishClaim(finish) => self.finish_claim(finish),
             Command::ReportCrash(report) => self.report_crash(report),
+            Command::PublishDocument(publish) => self.publish_document(publish),
+            Command::NameModelVersion(named) => self.name_model_version(named),
         };
         if self.config.version == ConfigVersion(index) {
             Arc::make_mut(&mut self.config).log_time_ms = self.now_ms;
@@ -152,6 +169,28 @@
         self.accept(&publish.change, digest)
     }
 
+    /// A document that is not newer is answered like an accepted one: whoever sent it has been overtaken.
+    fn publish_document(&mut self, publish: &PublishDocument) -> Reply {
+        let held = self.config.document.as_ref().map(|document| document.version);
+        if held.is_none_or(|held| publish.version > held) {
+            let document = RoutingDocument { version: publish.version, body: publish.body.clone() };
+            let config = Arc::make_mut(&mut self.config);
+            config.document = Some(Arc::new(document));
+            config.version = ConfigVersion(self.applied_index);
+        }
+        Reply::Done
+    }
+
+    fn name_model_version(&mut self, named: &NameModelVersion) -> Reply {
+        let held = self.config.model_versions.get(&named.model).copied();
+        if held.is_none_or(|held| named.version > held) {
+            let config = Arc::make_mut(&mut self.config);
+            config.model_versions.insert(named.model.clone(), named.version);
+            config.version = ConfigVersion(self.applied_index);
+        }
+        Reply::Done
+    }
+
     fn set_drain(&mut self, drain: &SetDrain) -> Reply {
         let digest = digest_of([drain.upstream.as_str(), if drain.draining { "1" } else { "0" }]);
         if let Some(reply) = self.repeated(&drain.change, &digest) {
--- /dev/null
+++ b/crates/core/src/placement.rs
@@ -0,0 +1,120 @@
+//! Chooses an upstream for a request: where its prompt is likely cached, unless that upstream is too busy.
+
+/// Work beyond the least busy candidate up to which a request still goes where its prompt is cached, in units of
+/// the time saved there.
+const PATIENCE: f64 = 1.0;
+/// Added to the estimate of an upstream that failed lately, for each failure.
+const FAILURE_PENALTY_MS: f64 = 150.0;
+/// An upstream with work in flight that has sent nothing for this time is taken for unreachable.
+const SILENCE_LIMIT_MS: f64 = 400.0;
+/// Added to the estimate of an upstream in another availability zone.
+const OTHER_ZONE_PENALTY_MS: f64 = 1.5;
+
+/// What is known of one upstream that may take the request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// Requests in flight there, as far as known.
+    pub in_flight: u32,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Prompt tokens in flight there that it has yet to read.
+    pub unread_tokens: u64,
+    /// Time that one request in flight adds to the wait of the next.
+    pub ms_per_request: f64,
+    /// Prompt tokens of this request that it has cached, as far as known.
+    pub cached_tokens: u64,
+    /// Failures lately; fades with time.
+    pub recent_failures: f64,
+    /// Time for which something was awaited from it and nothing came.
+    pub silent_ms: f64,
+    /// Whether it is in the availability zone of this node.
+    pub own_zone: bool,
+    /// Rank of the upstream for the session of the request: a hash of both, equal on all nodes.
+    pub session_rank: u64,
+}
+
+/// What the request needs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Need {
+    /// Prompt tokens; 0 for a plain call.
+    pub prompt_tokens: u64,
+    /// Leading prompt tokens that other requests share.
+    pub shared_tokens: u64,
+    /// Prompt tokens that an engine reads in a millisecond.
+    pub tokens_per_ms: f64,
+}
+
+/// The chosen candidate and why.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// Index of the candidate.
+    pub index: usize,
+    /// Estimated time until it begins to answer.
+    pub estimate_ms: f64,
+}
+
+impl Candidate {
+    /// Estimates the time until the upstream begins to answer.
+    fn estimate_ms(&self, need: &Need) -> f64 {
+        let waiting = f64::from((self.in_flight + 1).saturating_sub(self.slots));
+        let unread = need.prompt_tokens.saturating_sub(self.cached_tokens) + self.unread_tokens;
+        let reading_ms =
+            if need.prompt_tokens == 0 { 0.0 } else { unread as f64 / need.tokens_per_ms.max(0.001) };
+        let share = f64::from(self.in_flight) / f64::from(self.slots.max(1));
+        let zone_ms = if self.own_zone { 0.0 } else { OTHER_ZONE_PENALTY_MS };
+        waiting * self.ms_per_request
+            + share * self.ms_per_request * 0.5
+            + reading_ms
+            + zone_ms
+            + self.recent_failures * FAILURE_PENALTY_MS
+            + if self.silent_ms > SILENCE_LIMIT_MS { self.silent_ms } else { 0.0 }
+    }
+}
+
+/// Chooses among `candidates`. `draw` is a random number that settles near-ties.
+///
+/// A session has a home: the candidate with the highest rank. All nodes agree on it without talking to each
+/// other, so its prompt is read once. The home is left when the wait there exceeds what the cache saves.
+pub fn choose(candidates: &[Candidate], need: &Need, draw: u64) -> Option<Choice> {
+    let estimates: Vec<f64> = candidates.iter().map(|candidate| candidate.estimate_ms(need)).collect();
+    let least = estimates.iter().copied().fold(f64::INFINITY, f64::min);
+    if need.shared_tokens > 0 {
+        let saved_ms = need.shared_tokens as f64 / need.tokens_per_ms.max(0.001);
+        let homes = ranked_homes(candidates);
+        let home = homes.into_iter().flatten().find(|index| {
+            let candidate = &candidates[*index];
+            let full = candidate.in_flight >= candidate.slots;
+            !full && estimates[*index] <= least + PATIENCE * saved_ms.max(1.0)
+        });
+        if let Some(index) = home {
+            return Some(Choice { index, estimate_ms: estimates[index] });
+        }
+    }
+    least_busy(candidates, &estimates, draw)
+}
+
+/// The two highest-ranked candidates.
+fn ranked_homes(candidates: &[Candidate]) -> [Option<usize>; 2] {
+    let mut homes = [None, None];
+    for (index, candidate) in candidates.iter().enumerate() {
+        let rank = |home: Option<usize>| home.map_or(0, |home: usize| candidates[home].session_rank);
+        if homes[0].is_none() || candidate.session_rank > rank(homes[0]) {
+            homes = [Some(index), homes[0]];
+        } else if homes[1].is_none() || candidate.session_rank > rank(homes[1]) {
+            homes[1] = Some(index);
+        }
+    }
+    homes
+}
+
+/// Of two drawn candidates the one with the lower estimate, so that nodes with the same view do not all choose
+/// the same upstream; near-ties of few candidates are settled by the draw as well.
+fn least_busy(candidates: &[Candidate], estimates: &[f64], draw: u64) -> Option<Choice> {
+    const NEAR_TIE_MS: f64 = 2.0;
+    let least = estimates.iter().copied().fold(f64::INFINITY, f64::min);
+    let near: Vec<usize> =
+        (0..candidates.len()).filter(|index| estimates[*index] <= least + NEAR_TIE_MS).collect();
+    let count = u64::try_from(near.len()).ok().filter(|count| *count > 0)?;
+    let index = *near.get(usize::try_from(draw % count).ok()?)?;
+    Some(Choice { index, estimate_ms: estimates[index] })
+}
--- /dev/null
+++ b/crates/core/src/repeat_budget.rs
@@ -0,0 +1,76 @@
+//! Limits how many requests are sent to an upstream beyond the first time, over all nodes together.
+
+use std::collections::VecDeque;
+
+/// Steps in which a window slides.
+const STEPS: u64 = 10;
+
+/// The terms that all nodes share.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetTerms {
+    /// Repeats for each first send.
+    pub ratio: f64,
+    /// Length of the window.
+    pub window_ms: u64,
+    /// Repeats allowed in a window on top, for all nodes together.
+    pub slack: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Step {
+    number: u64,
+    first: u32,
+    repeats: u32,
+}
+
+/// The budget of one service on one node.
+#[derive(Debug)]
+pub struct RepeatBudget {
+    terms: BudgetTerms,
+    steps: VecDeque<Step>,
+}
+
+impl RepeatBudget {
+    /// Starts with nothing sent.
+    pub const fn new(terms: BudgetTerms) -> Self {
+        Self { terms, steps: VecDeque::new() }
+    }
+
+    /// Counts a request that is sent for the first time.
+    pub fn first_sent(&mut self, now_ms: u64) {
+        self.step(now_ms).first += 1;
+    }
+
+    /// Takes one repeat from the budget; `false` if nothing is left. `nodes` nodes share the slack.
+    ///
+    /// ```
+    /// use daisysill_core::repeat_budget::{BudgetTerms, RepeatBudget};
+    /// let terms = BudgetTerms { ratio: 0.2, window_ms: 10_000, slack: 2.0 };
+    /// let mut budget = RepeatBudget::new(terms);
+    /// assert!(budget.take(0, 1) && budget.take(0, 1) && !budget.take(0, 1));
+    /// ```
+    pub fn take(&mut self, now_ms: u64, nodes: u32) -> bool {
+        self.step(now_ms);
+        let first: u32 = self.steps.iter().map(|step| step.first).sum();
+        let repeats: u32 = self.steps.iter().map(|step| step.repeats).sum();
+        let allowed = self.terms.ratio * f64::from(first) + self.terms.slack / f64::from(nodes.max(1));
+        if f64::from(repeats + 1) > allowed {
+            return false;
+        }
+        self.step(now_ms).repeats += 1;
+        true
+    }
+
+    /// Returns the present step; forgets those that have left the window.
+    fn step(&mut self, now_ms: u64) -> &mut Step {
+        let number = now_ms / (self.terms.window_ms / STEPS).max(1);
+        while self.steps.front().is_some_and(|step| step.number + STEPS < number) {
+            self.steps.pop_front();
+        }
+        if self.steps.back().is_none_or(|step| step.number < number) {
+            self.steps.push_back(Step { number, ..Step::default() });
+        }
+        let last = self.steps.len() - 1;
+        &mut self.steps[last]
+    }
+}
--- /dev/null
+++ b/crates/core/src/voters.rs
@@ -0,0 +1,69 @@
+//! Keeps the voters of the replicated log complete without an operator.
+
+use crate::ids::InstanceId;
+
+/// A voter that has not answered for this time is replaced if another member can take its place.
+const DEAD_AFTER_MS: u64 = 2_000;
+/// A learner that has not answered for this time is removed.
+const FORGOTTEN_AFTER_MS: u64 = 10_000;
+
+/// What the leader knows of another member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// The member.
+    pub name: InstanceId,
+    /// Whether it votes; otherwise it is a learner.
+    pub votes: bool,
+    /// Time since it last answered.
+    pub silent_ms: u64,
+    /// Whether its disk is not the one it was admitted with.
+    pub lost_disk: bool,
+    /// Whether it holds everything committed.
+    pub caught_up: bool,
+}
+
+/// The next change of the voter set.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A learner becomes a voter.
+    Promote(InstanceId),
+    /// A member is removed; if it runs, it asks to be admitted again.
+    Remove(InstanceId),
+}
+
+/// Returns the next change, if one is due. `others` are the members beside the leader, `wanted` the number of
+/// voters, the leader among them.
+///
+/// A member with another disk is removed first: it counts in the majority but cannot vote. A dead voter is
+/// removed only once its replacement votes, so that the number of copies never falls.
+///
+/// ```
+/// use daisysill_core::voters::{Change, Member, next_change};
+/// let member = |name: &str, votes| Member {
+///     name: name.into(), votes, silent_ms: 50, lost_disk: false, caught_up: true,
+/// };
+/// let others = [member("b", true), member("c", false)];
+/// assert_eq!(next_change(&others, 3), Some(Change::Promote("c".into())));
+/// ```
+pub fn next_change(others: &[Member], wanted: usize) -> Option<Change> {
+    let voters = 1 + others.iter().filter(|member| member.votes).count();
+    let live_voters =
+        1 + others.iter().filter(|m| m.votes && m.silent_ms < DEAD_AFTER_MS && !m.lost_disk).count();
+    let empty = others.iter().find(|member| member.votes && member.lost_disk);
+    // The majority of the smaller set must be there.
+    if let Some(member) = empty.filter(|_| live_voters > (voters - 1) / 2) {
+        return Some(Change::Remove(member.name.clone()));
+    }
+    let dead = others.iter().find(|member| member.votes && member.silent_ms >= DEAD_AFTER_MS);
+    let ready = others.iter().find(|m| !m.votes && m.caught_up && m.silent_ms < DEAD_AFTER_MS);
+    if voters < wanted || (voters == wanted && dead.is_some()) {
+        if let Some(member) = ready {
+            return Some(Change::Promote(member.name.clone()));
+        }
+    }
+    if let Some(member) = dead.filter(|_| voters > wanted) {
+        return Some(Change::Remove(member.name.clone()));
+    }
+    let forgotten = others.iter().find(|member| !member.votes && member.silent_ms >= FORGOTTEN_AFTER_MS);
+    forgotten.map(|member| Change::Remove(member.name.clone()))
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,23 @@
+//! The gateway: entry nodes forward callers' requests to upstreams; control nodes keep the upstreams in order.
+//!
+//! The names and formats of the deployment's platform are behind the traits of [`dialect`] and [`discovery`].
+
+pub mod config;
+pub mod connection;
+pub mod control_node;
+pub mod dialect;
+pub mod discovery;
+pub mod entry_node;
+mod event_stream;
+mod exchange;
+pub mod forward;
+mod http_head;
+pub mod logging;
+pub mod metrics;
+pub mod pool;
+pub mod refusal;
+mod relay;
+pub mod rollout;
+pub mod routing_state;
+mod stop;
+pub mod upstreams;
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -269,6 +269,9 @@
         peers: parse_peers(ini),
         bootstrap_voters: voters.into_iter().map(InstanceId::from).collect(),
         trust_disk: ini.value("cluster", "trust_disk", false, "true or false"),
+        bootstrap: true,
+        names_are_addresses: false,
+        wanted_voters: None,
         secret: ini.required("cluster", "secret", "a secret that all nodes share"),
     }
 }
--- a/crates/node/src/options.rs
+++ b/crates/node/src/options.rs
@@ -7,6 +7,8 @@
 pub struct Options {
     /// The settings file.
     pub settings_path: Option<PathBuf>,
+    /// Whether the platform's settings file describes the process.
+    pub on_platform: bool,
     /// Whether to check the settings and exit.
     pub check_only: bool,
     /// Text to print instead of running.
@@ -22,6 +24,7 @@
         let mut parser = getopts::Options::new();
         parser.optopt("c", "config", "serve with the settings in FILE", "FILE");
         parser.optopt("", "check-settings", "check the settings in FILE and exit", "FILE");
+        parser.optflag("", "platform", "serve as the settings file of the platform says");
         parser.optflag("h", "help", "print this text");
         parser.optflag("V", "version", "print the version");
         let matches = parser.parse(arguments).map_err(|error| error.to_string())?;
@@ -39,9 +42,10 @@
         let options = Self {
             check_only: check.is_some(),
             settings_path: check.or_else(|| matches.opt_str("config")).map(PathBuf::from),
+            on_platform: matches.opt_present("platform"),
             print,
         };
-        if options.print.is_none() && options.settings_path.is_none() {
+        if options.print.is_none() && options.settings_path.is_none() && !options.on_platform {
             return Err("no settings file given; use --config FILE".to_owned());
         }
         Ok(options)
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,14 +1,18 @@
 //! The tarpc service between daisysill processes and its messages.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
 
 use daisysill_control::{
     VoterChange,
     command::{Command, Reply},
-    state::ConfigView,
+    state::{ConfigView, RoutingDocument},
 };
 use daisysill_core::{
-    ids::{ConfigVersion, InstanceId, ServiceName, WeightVersion},
+    ids::{ConfigVersion, InstanceId, ServiceName, WeightVersion, ZoneName},
     rules::RuleFile,
     value_types,
 };
@@ -129,6 +133,10 @@
         pub draining: Option<BTreeSet<InstanceId>>,
         /// All weight versions after it; `None` if unchanged.
         pub weights: Option<BTreeMap<ServiceName, WeightVersion>>,
+        /// The routing document after it; `None` if unchanged.
+        pub document: Option<Arc<RoutingDocument>>,
+        /// All model versions after it; `None` if unchanged.
+        pub model_versions: Option<BTreeMap<String, WeightVersion>>,
         /// Block marks that are new or changed.
         pub blocked: BTreeMap<String, u64>,
         /// Block marks that are gone.
@@ -137,6 +145,81 @@
         pub log_time_ms: u64,
     }
 
+    /// An upstream as the platform's list shows it.
+    pub struct UpstreamEntry {
+        /// The upstream; each start of it may have another id.
+        pub id: InstanceId,
+        /// When it started, in Unix milliseconds; tells two starts under one id apart.
+        pub started_unix_ms: u64,
+        /// The service it belongs to.
+        pub service: ServiceName,
+        /// Where it serves.
+        pub address: SocketAddr,
+        /// Its availability zone.
+        pub zone: ZoneName,
+        /// Requests that it runs at the same time.
+        pub slots: u32,
+        /// Whether it is about to stop and must get no new work.
+        pub draining: bool,
+        /// Whether it was told to load weights; it refuses new work until it has them.
+        pub loading: bool,
+        /// Weight versions by model.
+        pub models: BTreeMap<String, WeightVersion>,
+    }
+
+    /// Soft state that the leader shares with all nodes.
+    #[derive(Default)]
+    pub struct Board {
+        /// The node that made it, and its incarnation; empty if there is none yet.
+        pub source: String,
+        /// Counts the changes made by its source.
+        pub number: u64,
+        /// The upstreams.
+        pub upstreams: Vec<UpstreamEntry>,
+        /// Entry nodes that have asked the source lately.
+        pub entry_nodes: u32,
+        /// Fingerprints of requests that have crashed upstreams, with the number of crashes.
+        pub crash_counts: BTreeMap<u64, u32>,
+    }
+
+    /// What an entry node tells when it asks for news.
+    pub struct Observation {
+        /// The node that asks.
+        pub node: InstanceId,
+        /// The configuration version it has.
+        pub config_after: ConfigVersion,
+        /// The source and number of the board that it has.
+        pub board_after: (String, u64),
+        /// Crashes that it has seen since it last asked.
+        pub crashes: Vec<CrashSighting>,
+    }
+
+    /// A request that was running at an upstream when the upstream crashed.
+    pub struct CrashSighting {
+        /// Fingerprint of the request.
+        pub fingerprint: u64,
+        /// The upstream that crashed.
+        pub upstream: InstanceId,
+        /// When the upstream had started, in Unix milliseconds.
+        pub started_unix_ms: u64,
+    }
+
+    /// The news for an entry node.
+    pub struct ObserveReply {
+        /// What is newer than the node's configuration.
+        pub update: ConfigUpdate,
+        /// Time since the source's configuration was known to be the newest that a majority agreed on.
+        pub age_ms: Option<u64>,
+        /// The leader, if the source knows it.
+        pub leader: Option<InstanceId>,
+        /// The voters, if the source knows them.
+        pub voters: Vec<InstanceId>,
+        /// The board if it differs from the one that the node has.
+        pub board: Option<Arc<Board>>,
+        /// Time since the source's board was known to be current; `None` if it has none.
+        pub board_age_ms: Option<u64>,
+    }
+
     /// Why a forwarded proposal has no reply.
     pub enum ForwardError {
         /// The asked node is not the leader; perhaps this one is.
@@ -160,6 +243,8 @@
     async fn change_voters(change: VoterChange) -> Result<Reply, ForwardError>;
     /// Asks for the configuration once it is newer than `after`; answers `Unchanged` after `wait_ms`.
     async fn follow(after: ConfigVersion, wait_ms: u64) -> FollowReply;
+    /// Asks for news; answers after `wait_ms` if there are none.
+    async fn observe(observation: Observation, wait_ms: u64) -> ObserveReply;
     /// Tells a voter that the leader of `term`, which calls, has stopped: it need not wait until it misses heartbeats.
     /// One voter is told to campaign, after the others.
     async fn take_over(term: u64, campaign: bool);
