Count upstreams of resumed streams, and let wiped voters ask to be admitted again

Ruled out: elections and disks; the log shows one voter left of two. Change: a learner asks again while its leader is silent; a resumed stream is a repeat and uses an attempt; a process whose disk refuses writes waits for the disk before it ends.

--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -220,7 +220,7 @@
             let _ = answer.send(Ok(Reply::VotersRefused(refusal)));
             return;
         }
-        log::info!("change of the voters asked for: {change:?}");
+        log::debug!("change of the voters asked for: {change:?}");
         self.next_ticket += 1;
         self.answers.insert(self.next_ticket, answer);
         self.step(Input::ChangeVoters { ticket: self.next_ticket, change });
--- a/crates/cluster/src/membership.rs
+++ b/crates/cluster/src/membership.rs
@@ -5,7 +5,7 @@
 use daisysill_control::{ReplicaStatus, Role, VoterChange};
 use daisysill_core::{
     ids::InstanceId,
-    voters::{Change, Member, next_change},
+    voters::{Change, Member, asks_admission, next_change},
 };
 use tokio::{sync::watch, time::sleep};
 
@@ -49,8 +49,8 @@
     })
 }
 
-/// A node that is no member asks to become one. Before the first cluster has formed nobody can admit it.
+/// A node that may not vote asks to become a learner. Before the first cluster has formed nobody can admit it.
 fn admission(status: &ReplicaStatus, name: &InstanceId) -> Option<VoterChange> {
-    let known = status.voters.members().any(|member| member == name);
-    (!known).then(|| VoterChange::AddLearner(name.clone()))
+    let asks = asks_admission(status.voters.learners.contains(name), status.leader_silent_ms);
+    asks.then(|| VoterChange::AddLearner(name.clone()))
 }
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -213,6 +213,8 @@
     pub applied_index: u64,
     /// The voters and learners of the newest entry that sets them.
     pub voters: VoterSet,
+    /// Time since a leader was heard.
+    pub leader_silent_ms: u64,
     /// What a leader knows of the other members; empty on other replicas.
     pub peers: Vec<PeerStatus>,
     /// Whether the disk was found to be older than what the voter has acknowledged.
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -184,6 +184,7 @@
             commit_index: self.commit_index,
             applied_index: self.state.applied_index,
             voters: self.voters.clone(),
+            leader_silent_ms: self.now_ms.saturating_sub(self.leader_heard_ms),
             peers: self.peer_status(),
             waits_for_peers: self.is_voter() && !self.start_check.passed,
             disk_outdated: self.start_check.outdated && self.own_position() < self.start_check.floor,
--- a/crates/core/src/voters.rs
+++ b/crates/core/src/voters.rs
@@ -31,6 +31,17 @@
     Remove(InstanceId),
 }
 
+/// Returns whether a replica that may not vote asks to be admitted. `is_learner` is whether its own log lists it as
+/// a learner; the entry that removed it may never have reached it, so the leader's silence counts too.
+///
+/// ```
+/// use daisysill_core::voters::asks_admission;
+/// assert!(asks_admission(false, 50) && !asks_admission(true, 50) && asks_admission(true, 5_000));
+/// ```
+pub fn asks_admission(is_learner: bool, leader_silent_ms: u64) -> bool {
+    !is_learner || leader_silent_ms >= DEAD_AFTER_MS
+}
+
 /// Returns the next change, if one is due. `others` are the members beside the leader, `wanted` the number of
 /// voters, the leader among them.
 ///
@@ -56,10 +67,8 @@
     }
     let dead = others.iter().find(|member| member.votes && member.silent_ms >= DEAD_AFTER_MS);
     let ready = others.iter().find(|m| !m.votes && m.caught_up && m.silent_ms < DEAD_AFTER_MS);
-    if voters < wanted || (voters == wanted && dead.is_some()) {
-        if let Some(member) = ready {
-            return Some(Change::Promote(member.name.clone()));
-        }
+    if let Some(member) = ready.filter(|_| voters < wanted || (voters == wanted && dead.is_some())) {
+        return Some(Change::Promote(member.name.clone()));
     }
     if let Some(member) = dead.filter(|_| voters > wanted) {
         return Some(Change::Remove(member.name.clone()));
--- a/crates/gateway/src/control_node.rs
+++ b/crates/gateway/src/control_node.rs
@@ -1,6 +1,6 @@
 //! A control node: holds the replicated log, serves operators, and leads the upstreams if it is the leader.
 
-use std::{sync::Arc, time::Duration};
+use std::{fs, path::Path, sync::Arc, time::Duration};
 
 use actix_web::{App, HttpResponse, HttpServer, web};
 use daisysill_cluster::{Cluster, ClusterHandle, ProposeError};
@@ -25,8 +25,10 @@
 const MAX_DOCUMENT_BYTES: usize = 16 * 1_024 * 1_024;
 /// Time between two looks whether the disk still takes writes.
 const HALT_CHECK: Duration = Duration::from_millis(200);
-/// A process whose disk refuses writes waits this long before it ends, so that it is not restarted in a loop.
-const HALT_PAUSE: Duration = Duration::from_millis(800);
+/// Time between two tries to write to a disk that has refused a write.
+const DISK_CHECK: Duration = Duration::from_millis(400);
+/// Bytes of such a try; more than the slack of a block.
+const DISK_CHECK_BYTES: usize = 64 * 1_024;
 /// Time for operators' calls in progress when the process stops.
 const OPERATOR_STOP: Duration = Duration::from_secs(2);
 
@@ -112,10 +114,9 @@
     O: OrderSender,
     A: OperatorApi,
 {
-    let Role::Control { operators, .. } = &config.role else {
+    let Role::Control { operators, data_dir } = config.role.clone() else {
         eyre::bail!("the settings are not those of a control node");
     };
-    let operators = *operators;
     let (cluster, peers) = Cluster::start(config.cluster()).await?;
     let metrics = GatewayMetrics::new(cluster.metrics());
     tracing::info!(event = "start", node = config.name, role = "control", %operators, %peers);
@@ -154,7 +155,7 @@
         () = stop_requested() => {}
         () = halted(&cluster) => {
             tracing::error!(event = "halted", reason = "the data folder cannot be written");
-            sleep(HALT_PAUSE).await;
+            wait_for_disk(&data_dir).await;
             eyre::bail!("the data folder cannot be written");
         }
     }
@@ -167,6 +168,20 @@
     Ok(())
 }
 
+/// Waits until the disk takes writes again. The process then ends and is started afresh from what is durable.
+async fn wait_for_disk(data_dir: &Path) {
+    let probe = data_dir.join("disk-check");
+    loop {
+        sleep(DISK_CHECK).await;
+        let written = fs::write(&probe, vec![0; DISK_CHECK_BYTES]);
+        let removed = fs::remove_file(&probe);
+        if written.is_ok() && removed.is_ok() {
+            tracing::info!(event = "disk_regained");
+            return;
+        }
+    }
+}
+
 async fn halted(cluster: &ClusterHandle) {
     while !cluster.has_halted() {
         sleep(HALT_CHECK).await;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -284,6 +284,7 @@
             unread_tokens: chosen.unread_tokens,
         };
         let started = Instant::now();
+        progress.sent += 1;
         let most = self.max_connections(&call.service);
         let dialect = self.dialect.0.as_ref();
         let result = attempt(&self.pool, dialect, &chosen.upstream, most, &terms, &outgoing, limit).await;
@@ -344,7 +345,8 @@
 
     fn note_error(&self, call: &Rc<Call>, progress: &mut Progress, chosen: &Chosen, error: AttemptError) {
         let upstream = &chosen.upstream;
-        progress.sent += u32::from(error.was_sent());
+        // What never left this node is no repeat at the service.
+        progress.sent -= u32::from(!error.was_sent());
         match error {
             AttemptError::NotSent => {
                 progress.unreachable += 1;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -142,6 +142,7 @@
     /// Goes on after the last whole event at another upstream.
     async fn resume(&mut self, reason: &'static str) -> bool {
         let Some(answer) = self.answer.take() else { return false };
+        self.progress.may_have_run += 1;
         answer.in_flight.upstream.failed();
         self.progress.tried.push(answer.in_flight.upstream.entry.id.clone());
         // Closes the connection, so that the upstream stops.
