Keep shared prompt parts in stores, share loads between nodes, check room before a send

Ruled out: prompt placement alone, since engines hold two of the eight million distinct shared tokens. Change: the lease holder follows the events of the stores and publishes what may be fetched; parts are retired before they are freed; entry nodes fetch and save part by part, report their work in flight, and send to engines with room.

--- a/crates/cluster/src/handle.rs
+++ b/crates/cluster/src/handle.rs
@@ -13,7 +13,9 @@
     storage,
 };
 use daisysill_core::ids::{ConfigVersion, InstanceId};
-use daisysill_wire::peer::{Board, CrashSighting, PeerClient, SoftReport, UpstreamEntry};
+use daisysill_wire::peer::{
+    Board, CrashSighting, PeerClient, SoftReport, StoredPart, UpstreamEntry, UpstreamLoad,
+};
 use eyre::WrapErr;
 use futures::{FutureExt, future::join_all};
 use tokio::{
@@ -41,6 +43,7 @@
     outbox::Outbox,
     propose::{LeaderHint, Proposal, Proposer},
     server::{self, ServerState},
+    shared_soft::SharedSoft,
     status::STALE_AFTER,
     storage_thread::{StorageThread, WriteDone},
     view_store::ViewStore,
@@ -94,8 +97,10 @@
             first_voters: config.bootstrap_voters.clone(),
         };
         let board = Arc::new(BoardStore::new(format!("{} {:x}", config.name, rand::random::<u64>())));
+        let soft = Arc::new(SharedSoft::default());
         let state = ServerState {
             board: Arc::clone(&board),
+            soft: Arc::clone(&soft),
             name: config.name.clone(),
             key,
             members: Arc::clone(&members),
@@ -133,6 +138,7 @@
                 links: links.clone(),
                 views: Arc::clone(&views),
                 board: Arc::clone(&board),
+                soft: Arc::clone(&soft),
                 leader: leader.clone(),
                 replica: replica.clone(),
                 sightings: sightings.clone(),
@@ -160,6 +166,7 @@
             leader,
             replica,
             board,
+            soft,
             sightings,
             in_touch,
             caught_up,
@@ -246,6 +253,7 @@
     leader: LeaderHint,
     replica: watch::Receiver<ReplicaView>,
     board: Arc<BoardStore>,
+    soft: Arc<SharedSoft>,
     sightings: Sightings,
     in_touch: watch::Sender<bool>,
     caught_up: Arc<watch::Sender<Option<BootInstant>>>,
@@ -338,6 +346,53 @@
         self.inner.board.publish(upstreams, at);
     }
 
+    /// Replaces this node's work in flight, which the leader adds up.
+    pub fn set_loads(&self, loads: Vec<UpstreamLoad>) {
+        self.inner.soft.set_own_loads(loads);
+    }
+
+    /// Returns the work in flight of the other entry nodes at an upstream, named by the hash of its id.
+    pub fn others_load(&self, upstream: u64) -> UpstreamLoad {
+        self.inner.soft.others_load(upstream)
+    }
+
+    /// Returns where a part of a prompt lies, if this node has learned of that within `limit`.
+    pub fn stored_part(&self, part: u64, limit: Duration) -> Option<StoredPart> {
+        self.inner.soft.find(part, limit)
+    }
+
+    /// Notes that this node has used a stored part.
+    pub fn note_used_part(&self, part: u64) {
+        self.inner.soft.note_used(part);
+    }
+
+    /// Returns the clock of the upstreams in ms, not ahead of theirs; `None` until it is known.
+    pub fn upstream_clock_ms(&self) -> Option<u64> {
+        self.inner.soft.stores_clock_ms()
+    }
+
+    /// Starts to keep the book of stored parts; for the leader.
+    pub fn open_book(&self) {
+        let source = format!("{} {:x}", self.inner.proposer.name, rand::random::<u64>());
+        self.inner.soft.open_book(source);
+    }
+
+    /// Stops to keep the book.
+    pub fn close_book(&self) {
+        self.inner.soft.close_book();
+    }
+
+    /// Publishes changes of the book: a part with where it lies, or with `None` if it must not be fetched any
+    /// more. `clock` is the clock of a store in ms and a time at which it had been reached.
+    pub fn publish_stored(&self, changes: Vec<(u64, Option<StoredPart>)>, clock: Option<(u64, BootInstant)>) {
+        self.inner.soft.publish(changes, clock);
+    }
+
+    /// Returns the stored parts that entry nodes have used since the last call.
+    pub fn take_used_parts(&self) -> Vec<u64> {
+        self.inner.soft.take_used_by_all()
+    }
+
     /// Reports that a request was running when its upstream crashed.
     pub fn report_crash(&self, sighting: CrashSighting) {
         if self.is_leader() {
--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -19,6 +19,7 @@
     driver::ReplicaView,
     link::{CallError, Links},
     propose::LeaderHint,
+    shared_soft::SharedSoft,
     view_store::ViewStore,
 };
 
@@ -33,6 +34,15 @@
 /// Crash sightings that wait to be told at most.
 const MAX_SIGHTINGS: usize = 64;
 
+/// How often a node with work in flight tells of it: more nodes tell less often, so that the leader's work stays
+/// bounded.
+fn busy_poll_ms(entry_nodes: u32) -> u64 {
+    const BUSY_POLL_MS: u64 = 200;
+    const NODES_AT_FULL_RATE: u64 = 16;
+    let share = u64::from(entry_nodes).div_ceil(NODES_AT_FULL_RATE).max(1);
+    (BUSY_POLL_MS * share).min(POLL_MS)
+}
+
 /// What an observer tells the rest of the process.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Sightings(Arc<Mutex<Vec<CrashSighting>>>);
@@ -65,6 +75,8 @@
     pub(crate) views: Arc<ViewStore>,
     /// The board.
     pub(crate) board: Arc<BoardStore>,
+    /// Work in flight and stored parts.
+    pub(crate) soft: Arc<SharedSoft>,
     /// Where the leader was last heard of.
     pub(crate) leader: LeaderHint,
     /// This node's replica; a node with one takes only the board from others.
@@ -120,19 +132,30 @@
         let link = self.links.get(target).ok_or(CallError::NotSent)?;
         let board = self.board.get();
         let crashes = self.sightings.take();
-        let wait_ms = if crashes.is_empty() { POLL_MS } else { 0 };
+        let (loads, used_parts, stored_after) = self.soft.own_report();
+        let wait_ms = match (crashes.is_empty(), loads.is_empty()) {
+            (false, _) => 0,
+            (true, true) => POLL_MS,
+            (true, false) => busy_poll_ms(board.entry_nodes),
+        };
+        let reported = loads.clone();
+        let asked_at = BootInstant::now();
         let observation = Observation {
             node: self.name.clone(),
             config_after: self.views.version(),
             board_after: (board.source.clone(), board.number),
+            stored_after,
+            loads,
+            used_parts,
             crashes: crashes.clone(),
         };
         let call = move |client: PeerClient, context| {
             async move { client.observe(context, observation, wait_ms).await }.boxed()
         };
         let reply = link.call(Duration::from_millis(wait_ms) + POLL_GRACE, call).await;
-        if reply.is_err() {
-            crashes.into_iter().for_each(|crash| self.sightings.add(crash));
+        match &reply {
+            Ok(reply) => self.soft.take_reply(&reported, &reply.loads, reply.stored.as_ref(), asked_at),
+            Err(_) => crashes.into_iter().for_each(|crash| self.sightings.add(crash)),
         }
         reply
     }
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -37,6 +37,7 @@
     members::Members,
     metrics::ClusterMetrics,
     propose::{Proposal, Proposer},
+    shared_soft::SharedSoft,
     view_store::ViewStore,
 };
 
@@ -68,6 +69,8 @@
     pub(crate) proposer: Proposer,
     /// The board.
     pub(crate) board: Arc<BoardStore>,
+    /// Work in flight and stored parts.
+    pub(crate) soft: Arc<SharedSoft>,
     /// Counters.
     pub(crate) metrics: ClusterMetrics,
 }
@@ -175,6 +178,7 @@
     async fn observe(self, _: Context, observation: Observation, wait_ms: u64) -> ObserveReply {
         let state = &self.state;
         state.board.heard(&observation.node, &observation.crashes);
+        state.soft.exchange_loads(&observation.node, observation.loads, &observation.used_parts);
         let mut views = state.views.subscribe();
         let mut boards = state.board.subscribe();
         let (source, number) = &observation.board_after;
@@ -202,6 +206,8 @@
             voters: status.map_or_else(Vec::new, |status| status.voters.voters.keys().cloned().collect()),
             board: is_news(&board).then_some(board),
             board_age_ms: board_age.map(millis),
+            loads: state.soft.totals(),
+            stored: state.soft.stored_news(&observation.stored_after),
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,8 @@
 pub mod route;
 pub mod routing;
 pub mod rules;
+pub mod store_book;
 pub mod suspect;
 pub mod view;
 pub mod voters;
+pub mod wait_queue;
--- a/crates/core/src/repeat_budget.rs
+++ b/crates/core/src/repeat_budget.rs
@@ -52,7 +52,8 @@
     pub fn take(&mut self, now_ms: u64, nodes: u32) -> bool {
         let number = self.step(now_ms).number;
         // The oldest step lies partly outside the window: its repeats count, its first sends do not.
-        let first: u32 = self.steps.iter().filter(|step| step.number + STEPS > number).map(|step| step.first).sum();
+        let first: u32 =
+            self.steps.iter().filter(|step| step.number + STEPS > number).map(|step| step.first).sum();
         let repeats: u32 = self.steps.iter().map(|step| step.repeats).sum();
         let allowed = self.terms.ratio * f64::from(first) + self.terms.slack / f64::from(nodes.max(1));
         if f64::from(repeats + 1) > allowed {
--- a/crates/gateway/src/control_node.rs
+++ b/crates/gateway/src/control_node.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     config::{GatewayConfig, Role},
-    discovery::{Discovery, DocumentFormat, OrderSender},
+    discovery::{Discovery, DocumentFormat, OrderSender, StoreClient},
     metrics::GatewayMetrics,
     rollout::Leader,
     stop::{KILL_MARGIN, stop_requested},
@@ -102,16 +102,18 @@
 ///
 /// # Errors
 /// Fails if an address cannot be bound, or if the data folder cannot be used any more.
-pub async fn run<D, O, A>(
+pub async fn run<D, O, C, A>(
     config: GatewayConfig,
     format: Arc<dyn DocumentFormat>,
     discovery: D,
     orders: O,
+    stores: C,
     api: A,
 ) -> eyre::Result<()>
 where
     D: Discovery,
     O: OrderSender,
+    C: StoreClient,
     A: OperatorApi,
 {
     let Role::Control { operators, data_dir } = config.role.clone() else {
@@ -125,7 +127,10 @@
         name: config.node_id(),
         discovery,
         orders,
+        stores,
+        format: Arc::clone(&format),
         metrics: metrics.clone(),
+        weights_limit: config.bounds.weights_limit,
         order_lease: config.bounds.order_lease,
     };
     actix_rt::spawn(leader.run());
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -59,6 +59,26 @@
     pub urgency: Option<u8>,
     /// The last event that the caller has.
     pub resume_after: Option<&'a str>,
+    /// What the upstream fetches from and saves to stores.
+    pub transfers: Option<&'a Transfers>,
+}
+
+/// For each part of the prompt, which store it is fetched from and which it is saved to.
+#[derive(Clone, Debug, Default)]
+pub struct Transfers {
+    /// Address and number of tokens by part.
+    pub fetch: Vec<Option<(String, u64)>>,
+    /// Address by part.
+    pub save: Vec<Option<String>>,
+    /// A fetch that has not ended at this time of the upstreams' clock, in ms, is given up.
+    pub fetch_until_ms: u64,
+}
+
+impl Transfers {
+    /// Returns the tokens that are fetched.
+    pub fn fetched_tokens(&self) -> u64 {
+        self.fetch.iter().flatten().map(|(_, tokens)| tokens).sum()
+    }
 }
 
 /// What the headers of an upstream's answer say.
--- a/crates/gateway/src/entry_node.rs
+++ b/crates/gateway/src/entry_node.rs
@@ -48,6 +48,8 @@
 const OWN_LIST_JITTER_MS: u64 = 400;
 /// A configuration older than this means that the node is cut off; callers are better served elsewhere.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(2_800);
+/// Time between two reports of the work in flight.
+const REPORT_INTERVAL: Duration = Duration::from_millis(150);
 /// Time between two sweeps of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -142,6 +144,7 @@
     actix_rt::spawn(gateway.routing.clone().follow(gateway.cluster.clone(), format));
     actix_rt::spawn(follow_board(Rc::clone(gateway)));
     actix_rt::spawn(read_list_if_cut_off(Rc::clone(gateway), discovery));
+    actix_rt::spawn(share_room(Rc::clone(gateway)));
     let gateway = Rc::clone(gateway);
     actix_rt::spawn(async move {
         loop {
@@ -152,6 +155,19 @@
     });
 }
 
+/// Tells the other nodes of this one's work in flight, and wakes requests that wait for room.
+async fn share_room(gateway: Rc<Gateway>) {
+    let mut report_due = Instant::now();
+    loop {
+        let released = timeout_at(report_due, gateway.released.notified()).await.is_ok();
+        gateway.wake_waiting();
+        if !released {
+            gateway.cluster.set_loads(gateway.upstreams.loads());
+            report_due = Instant::now() + REPORT_INTERVAL;
+        }
+    }
+}
+
 async fn follow_board(gateway: Rc<Gateway>) {
     let mut boards = gateway.cluster.board();
     loop {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use daisysill_core::ids::WeightVersion;
-use tokio::time::{Instant, timeout};
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout},
+};
 
 use crate::{
     connection::ReadError,
@@ -88,6 +91,8 @@
     pub(crate) runs_once: bool,
     /// Prompt tokens that the upstream has yet to read.
     pub(crate) unread_tokens: u64,
+    /// Tokens that the request takes at the upstream at most.
+    pub(crate) tokens: u64,
 }
 
 /// Sends a request and waits for the head of its answer for at most `limit`.
@@ -99,15 +104,17 @@
     terms: &AttemptTerms<'_>,
     outgoing: &Outgoing<'_>,
     limit: Duration,
+    released: &Rc<Notify>,
 ) -> Result<Answer, AttemptError> {
     let started = Instant::now();
-    let in_flight = InFlight::new(Rc::clone(upstream), outgoing.unread_tokens);
-    let lent =
-        timeout(limit, pool.checkout(upstream.entry.address, max_connections, outgoing.runs_once)).await;
+    let upstream = Rc::clone(upstream);
+    let address = upstream.entry.address;
+    let in_flight = InFlight::new(upstream, outgoing.unread_tokens, outgoing.tokens, Rc::clone(released));
+    let lent = timeout(limit, pool.checkout(address, max_connections, outgoing.runs_once)).await;
     let lent = match lent {
         Ok(Ok(lent)) => lent,
         Ok(Err(NoConnection::Full)) => return Err(AttemptError::NoConnectionLeft),
-        Ok(Err(NoConnection::Failed(_))) | Err(_) => return Err(AttemptError::NotSent),
+        Ok(Err(NoConnection::Failed)) | Err(_) => return Err(AttemptError::NotSent),
     };
     let mut head = Vec::with_capacity(outgoing.head.len() + 256);
     head.extend_from_slice(outgoing.head);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -11,19 +11,24 @@
     repeat_budget::RepeatBudget,
     result_code::ResultCode,
     routing::{CallKind, Customer, Route, RoutingTable, ServiceSpec},
+    wait_queue::WaitQueue,
 };
 use daisysill_wire::peer::CrashSighting;
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::{Notify, oneshot},
+    time::{Instant, sleep, timeout_at},
+};
 
 use crate::{
     config::Bounds,
     connection::UpstreamConnection,
-    dialect::{AttemptTerms, CallHeaders, Dialect},
+    dialect::{AttemptTerms, CallHeaders, Dialect, Transfers},
     exchange::{Answer, AttemptError, Outgoing, attempt},
     metrics::GatewayMetrics,
     pool::Pool,
     refusal::Refusal,
-    routing_state::RoutingState,
+    routing_state::{RoutingState, StoreRef},
+    store_keeper::{FETCH_LIMIT, INDEX_LIMIT, part_hash},
     upstreams::{SessionKey, Upstream, Upstreams, stable_hash},
 };
 
@@ -56,6 +61,15 @@
 const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(1_500);
 /// Samples of the reading speed are taken from prompts of this size on.
 const SPEED_SAMPLE_TOKENS: u64 = 1_500;
+/// A request waits for room until this share of its goal has passed; later its answer would be late.
+const WAIT_GOAL_SHARE: f64 = 0.5;
+/// Requests at one engine may take this share of its memory; beyond it the engine puts requests back and reads
+/// them again.
+const MEMORY_SHARE: f64 = 0.9;
+/// A part that is being saved is not saved again for this time.
+const SAVE_TIME: Duration = Duration::from_secs(4);
+/// Parts being saved that are remembered before the old ones are dropped.
+const MAX_SAVING: usize = 4_096;
 /// Urgency of the least urgent routes; the field has one digit.
 const LEAST_URGENT: u8 = 9;
 
@@ -94,6 +108,11 @@
         matches!(self.route.kind, CallKind::AtMostOnce | CallKind::Stream { resumable: false })
     }
 
+    /// Returns the tokens that the request takes at its upstream at most; 0 for a plain call.
+    fn tokens(&self) -> u64 {
+        self.headers.prompt.as_ref().map_or(0, |prompt| prompt.prompt_tokens + prompt.max_output_tokens)
+    }
+
     fn session(&self, scope: &str) -> Option<(SessionKey, u64)> {
         let parts = &self.headers.prompt.as_ref()?.parts;
         let (_, shared) = parts.split_last()?;
@@ -133,6 +152,11 @@
     /// Counters.
     pub metrics: GatewayMetrics,
     budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
+    waiting: RefCell<HashMap<ServiceName, WaitQueue<oneshot::Sender<()>>>>,
+    /// Told when a request has ended at its upstream.
+    pub(crate) released: Rc<Notify>,
+    /// Parts that this node had saved lately, and when.
+    saving: RefCell<HashMap<u64, Instant>>,
     started: Instant,
 }
 
@@ -154,6 +178,16 @@
     unread_tokens: u64,
     estimate_ms: f64,
     candidates: usize,
+    transfers: Option<Transfers>,
+}
+
+/// Whether an upstream can take a request now.
+enum Placement {
+    At(Box<Chosen>),
+    /// Upstreams take work, but none has room.
+    NoRoom,
+    /// No upstream takes work.
+    Nowhere,
 }
 
 impl Gateway {
@@ -174,6 +208,9 @@
             pool: Pool::new(metrics.clone()),
             metrics,
             budgets: RefCell::default(),
+            waiting: RefCell::default(),
+            released: Rc::default(),
+            saving: RefCell::default(),
             started: Instant::now(),
         }
     }
@@ -231,8 +268,11 @@
         }
         let mut last_error = None;
         loop {
-            let Some(chosen) = self.place(call, progress) else {
-                return Err(self.out_of_upstreams(progress, last_error));
+            let chosen = match self.place(call, progress) {
+                Placement::At(chosen) => chosen,
+                Placement::NoRoom if self.wait_for_room(call).await => continue,
+                Placement::NoRoom => return Err(self.no_room(call, progress)),
+                Placement::Nowhere => return Err(self.out_of_upstreams(progress, last_error)),
             };
             if progress.sent > 0 && !self.take_repeat(&call.service) {
                 return Err(out_of_budget(progress));
@@ -274,6 +314,7 @@
             weight_version: chosen.version,
             urgency: chosen.scope.as_ref().map(|_| urgency(call)),
             resume_after,
+            transfers: chosen.transfers.as_ref(),
         };
         let outgoing = Outgoing {
             method: &call.method,
@@ -282,12 +323,15 @@
             body: &call.body,
             runs_once: call.runs_once(),
             unread_tokens: chosen.unread_tokens,
+            tokens: call.tokens(),
         };
         let started = Instant::now();
         progress.sent += 1;
         let most = self.max_connections(&call.service);
         let dialect = self.dialect.0.as_ref();
-        let result = attempt(&self.pool, dialect, &chosen.upstream, most, &terms, &outgoing, limit).await;
+        let result =
+            attempt(&self.pool, dialect, &chosen.upstream, most, &terms, &outgoing, limit, &self.released)
+                .await;
         let outcome = result.as_ref().map_or_else(|error| error.name(), |_| "answered");
         self.metrics.attempted(outcome);
         if result.is_err() {
@@ -415,15 +459,63 @@
         Refusal::not_run(ResultCode::NoUpstream, reason, NO_UPSTREAM_RETRY_MS)
     }
 
+    /// Waits until a request ends at an upstream of the service; `false` if the wait would make the answer late.
+    async fn wait_for_room(&self, call: &Call) -> bool {
+        let goal = Duration::from_millis(call.route.goal_ms);
+        let latest = call.arrived + goal.mul_f64(WAIT_GOAL_SHARE);
+        if Instant::now() >= latest || call.time_left() == Duration::ZERO {
+            return false;
+        }
+        let (wake, woken) = oneshot::channel();
+        let now_ms = self.now_ms();
+        let due_ms = now_ms + millis(latest.saturating_duration_since(Instant::now()));
+        let queued = |act: &mut dyn FnMut(&mut WaitQueue<oneshot::Sender<()>>)| {
+            act(self.waiting.borrow_mut().entry(call.service.clone()).or_default());
+        };
+        let mut turn = None;
+        let mut wake = Some(wake);
+        queued(&mut |queue| {
+            turn = wake.take().map(|wake| queue.push(urgency(call), due_ms, now_ms, wake));
+        });
+        let woken = timeout_at(latest, woken).await.is_ok();
+        if let Some(turn) = turn {
+            queued(&mut |queue| queue.remove(&turn));
+        }
+        woken
+    }
+
+    /// Wakes requests that wait: the first of each service, since one place is free.
+    pub(crate) fn wake_waiting(&self) {
+        for queue in self.waiting.borrow_mut().values_mut() {
+            while let Some(wake) = queue.pop() {
+                if wake.send(()).is_ok() {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn no_room(&self, call: &Call, progress: &Progress) -> Refusal {
+        if progress.may_have_run > 0 {
+            return Refusal::new(ResultCode::UpstreamFailed, "no other upstream has room");
+        }
+        let waiting = self.waiting.borrow().get(&call.service).map_or(0, WaitQueue::len);
+        let reason = format!("no upstream has room; {waiting} requests wait");
+        // The callers that are refused together come back spread over the next goals.
+        let retry_ms = BUSY_RETRY_MS + rand::random_range(0..=call.route.goal_ms.max(1));
+        Refusal::not_run(ResultCode::DeadlineUnreachable, reason, retry_ms)
+    }
+
     /// Chooses an upstream that was not tried yet.
-    fn place(&self, call: &Call, progress: &Progress) -> Option<Chosen> {
+    fn place(&self, call: &Call, progress: &Progress) -> Placement {
         let all = self.upstreams.of(&call.service);
         let untried = all.iter().filter(|upstream| !progress.tried.contains(&upstream.entry.id));
         let speeds = self.upstreams.speeds(&call.service);
-        let nodes = self.entry_nodes();
         let prompt = call.headers.prompt.as_ref();
         let named = prompt.and_then(|prompt| self.routing.named_version(&prompt.model));
+        let memory_tokens = self.memory_tokens(&call.service);
         let mut options = Vec::new();
+        let mut any = false;
         for upstream in untried {
             let version = prompt.and_then(|prompt| upstream.version_of(&prompt.model));
             let age =
@@ -431,14 +523,21 @@
             if age.is_some_and(|age| age + OLD_WEIGHTS_MARGIN >= self.bounds.weights_limit) {
                 continue;
             }
+            any = true;
+            let others = self.cluster.others_load(upstream.tag);
+            let in_flight = upstream.in_flight() + others.requests;
+            let tokens = upstream.tokens() + others.tokens + call.tokens();
+            if !has_room(upstream.entry.slots, memory_tokens, in_flight, tokens) {
+                continue;
+            }
             let scope = prompt.map(|prompt| cache_scope(&prompt.model, version, call.customer.as_deref()));
             let session = scope.as_deref().and_then(|scope| call.session(scope));
             let cached_tokens = session.map_or(0, |(key, _)| upstream.cached_tokens(key));
             let is_old = age.is_some_and(|age| age > OLD_WEIGHTS_GRACE);
             let candidate = Candidate {
-                in_flight: upstream.in_flight().saturating_mul(nodes),
+                in_flight,
                 slots: upstream.entry.slots,
-                unread_tokens: upstream.unread_tokens(),
+                unread_tokens: upstream.unread_tokens() + others.unread_tokens,
                 ms_per_request: speeds.request_ms.get() / f64::from(upstream.entry.slots.max(1)),
                 cached_tokens,
                 recent_failures: upstream.recent_failures() + if is_old { OLD_WEIGHTS_PENALTY } else { 0.0 },
@@ -452,17 +551,69 @@
         let shared_tokens = options.first().and_then(|option| option.4).map_or(0, |(_, tokens)| tokens);
         let need = Need { prompt_tokens, shared_tokens, tokens_per_ms: speeds.tokens_per_ms.get() };
         let candidates: Vec<Candidate> = options.iter().map(|option| option.0).collect();
-        let choice = choose(&candidates, &need, rand::random())?;
+        let Some(choice) = choose(&candidates, &need, rand::random()) else {
+            return if any { Placement::NoRoom } else { Placement::Nowhere };
+        };
         let (candidate, upstream, version, scope, session) = options.swap_remove(choice.index);
-        Some(Chosen {
+        let is_newest = named.is_none_or(|named| version.is_some_and(|version| version >= named.version));
+        let transfers = scope.as_deref().map(|scope| self.transfers(call, scope, is_newest));
+        let fetched_tokens = transfers.as_ref().map_or(0, Transfers::fetched_tokens);
+        let known_tokens = candidate.cached_tokens.max(fetched_tokens);
+        Placement::At(Box::new(Chosen {
             upstream,
             version,
             scope,
             session,
-            unread_tokens: prompt_tokens.saturating_sub(candidate.cached_tokens),
+            unread_tokens: prompt_tokens.saturating_sub(known_tokens),
             estimate_ms: choice.estimate_ms,
             candidates: candidates.len(),
-        })
+            transfers,
+        }))
+    }
+
+    /// Decides for each shared part of a prompt whether it is fetched from a store or saved to one.
+    fn transfers(&self, call: &Call, scope: &str, may_save: bool) -> Transfers {
+        let mut transfers = Transfers::default();
+        let Some(prompt) = &call.headers.prompt else { return transfers };
+        let clock_ms = self.cluster.upstream_clock_ms();
+        let stores = self.routing.stores();
+        for (index, part) in prompt.parts.iter().enumerate() {
+            // The last part is the request's own.
+            let is_shared = index + 1 < prompt.parts.len();
+            let hash = part_hash(scope, &part.id);
+            let stored =
+                self.cluster.stored_part(hash, INDEX_LIMIT).filter(|_| is_shared && clock_ms.is_some());
+            let store = stored.and_then(|stored| stores.iter().find(|store| store.tag == stored.store));
+            let fetch = stored.zip(store).map(|(stored, store)| {
+                self.cluster.note_used_part(hash);
+                (store.address.clone(), stored.tokens.min(part.tokens))
+            });
+            let saves = may_save && is_shared && fetch.is_none() && self.may_save(hash);
+            let save =
+                if saves { home_store(&stores, hash).map(|store| store.address.clone()) } else { None };
+            transfers.fetch.push(fetch);
+            transfers.save.push(save);
+        }
+        transfers.fetch_until_ms = clock_ms.unwrap_or(0) + millis(FETCH_LIMIT);
+        transfers
+    }
+
+    /// Returns whether a part is not being saved already, and notes that it is from now on.
+    fn may_save(&self, part: u64) -> bool {
+        let mut saving = self.saving.borrow_mut();
+        if saving.len() > MAX_SAVING {
+            saving.retain(|_, at| at.elapsed() < SAVE_TIME);
+        }
+        let now = Instant::now();
+        let is_free = saving.get(&part).is_none_or(|at| at.elapsed() >= SAVE_TIME);
+        if is_free {
+            saving.insert(part, now);
+        }
+        is_free
+    }
+
+    fn now_ms(&self) -> u64 {
+        millis(self.started.elapsed())
     }
 
     fn entry_nodes(&self) -> u32 {
@@ -500,7 +651,7 @@
     }
 
     fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RepeatBudget, u64) -> T) -> T {
-        let now_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let now_ms = self.now_ms();
         let mut budgets = self.budgets.borrow_mut();
         let terms = self.bounds.repeats;
         act(budgets.entry(service.clone()).or_insert_with(|| RepeatBudget::new(terms)), now_ms)
@@ -550,6 +701,28 @@
     }
 }
 
+/// Returns whether an upstream with `in_flight` requests can take one more, after which they take `tokens`. Plain
+/// services have no memory to share and may queue one request for each place.
+fn has_room(slots: u32, memory_tokens: u64, in_flight: u32, tokens: u64) -> bool {
+    if memory_tokens == 0 {
+        return in_flight < slots.saturating_mul(2);
+    }
+    in_flight < slots && (in_flight == 0 || tokens as f64 <= memory_tokens as f64 * MEMORY_SHARE)
+}
+
+/// The store that a part is saved to, the same on all nodes; larger stores get more parts.
+fn home_store(stores: &[StoreRef], part: u64) -> Option<&StoreRef> {
+    let score = |store: &&StoreRef| {
+        let draw = stable_hash(&(part, store.tag)) as f64 / u64::MAX as f64;
+        draw.max(f64::MIN_POSITIVE).ln() / store.memory_tokens.max(1) as f64
+    };
+    stores.iter().max_by(|left, right| score(left).total_cmp(&score(right)))
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn out_of_budget(progress: &Progress) -> Refusal {
     let reason = format!("no repeats left after {} sends", progress.sent);
     if progress.may_have_run > 0 {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod rollout;
 pub mod routing_state;
 mod stop;
+mod store_keeper;
 pub mod upstreams;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -19,7 +19,7 @@
     /// The upstream has as many as it accepts from this node.
     Full,
     /// It could not be reached.
-    Failed(io::ErrorKind),
+    Failed,
 }
 
 #[derive(Debug, Default)]
@@ -72,7 +72,10 @@
                 lent.connection = Some(connection);
                 Ok(lent)
             }
-            Err(error) => Err(NoConnection::Failed(error.kind())),
+            Err(error) => {
+                tracing::debug!(event = "connect_failed", %address, error = %error.kind());
+                Err(NoConnection::Failed)
+            }
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,8 +13,6 @@
     forward::{Call, Gateway, Progress},
 };
 
-/// Upstreams at which one stream is taken up again at most.
-const MAX_RESUMPTIONS: u32 = 3;
 /// A stream that may be resumed elsewhere is given up at its upstream after a pause of this many times the longest
 /// pause that is on time.
 const SILENT_GAPS: u32 = 3;
@@ -38,7 +36,6 @@
     call: Rc<Call>,
     answer: Option<Answer>,
     splitter: Option<EventSplitter>,
-    resumptions: u32,
     progress: Progress,
     events_bytes: u64,
     started: Instant,
@@ -66,7 +63,6 @@
         call,
         answer: Some(answer),
         splitter,
-        resumptions: 0,
         progress,
         events_bytes: 0,
         started: Instant::now(),
@@ -134,8 +130,10 @@
     }
 
     fn may_resume(&self) -> bool {
+        // The upstream that runs the request now is one of those that it may be sent to.
+        let used = self.progress.may_have_run + u32::from(self.answer.is_some());
         self.splitter.is_some()
-            && self.resumptions < MAX_RESUMPTIONS
+            && used < self.call.route.max_attempts
             && self.call.time_left() > Duration::ZERO
     }
 
@@ -153,7 +151,6 @@
         let Some(splitter) = &mut self.splitter else { return false };
         splitter.drop_pending();
         let after = splitter.last_id().map(str::to_owned);
-        self.resumptions += 1;
         let resumed = self.gateway.send(&self.call, &mut self.progress, after.as_deref()).await;
         tracing::info!(
             event = "stream_resumed",
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -4,6 +4,8 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
@@ -17,8 +19,10 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    discovery::{Discovery, LoadOrder, OrderOutcome, OrderSender},
+    discovery::{Discovery, DocumentFormat, LoadOrder, OrderOutcome, OrderSender, StoreClient},
     metrics::GatewayMetrics,
+    routing_state::RoutingState,
+    store_keeper::StoreKeeper,
 };
 
 /// Time between two reads of the list.
@@ -48,7 +52,7 @@
 }
 
 /// The duties of the leader.
-pub struct Leader<D, O> {
+pub struct Leader<D, O, C> {
     /// This node's part of the cluster.
     pub cluster: ClusterHandle,
     /// This node.
@@ -57,8 +61,14 @@
     pub discovery: D,
     /// Gives orders.
     pub orders: O,
+    /// Talks to stores.
+    pub stores: C,
+    /// Reads routing documents.
+    pub format: Arc<dyn DocumentFormat>,
     /// Counters.
     pub metrics: GatewayMetrics,
+    /// New weights must be in place within this time.
+    pub weights_limit: Duration,
     /// Orders of two holders must be this far apart.
     pub order_lease: Duration,
 }
@@ -72,7 +82,7 @@
     pending: HashMap<Incarnation, Pending>,
 }
 
-impl<D: Discovery, O: OrderSender> Leader<D, O> {
+impl<D: Discovery, O: OrderSender, C: StoreClient> Leader<D, O, C> {
     /// Runs until it is aborted.
     pub async fn run(self) {
         loop {
@@ -85,13 +95,17 @@
                 duration: self.order_lease / 2,
                 longest_order: self.order_lease,
             };
-            let keeper = LeaseKeeper::start(self.cluster.clone(), self.name.clone(), terms);
+            let keeper = Rc::new(LeaseKeeper::start(self.cluster.clone(), self.name.clone(), terms));
             self.lead(&keeper).await;
             tracing::info!(event = "leads_no_more", node = self.name.as_str());
         }
     }
 
-    async fn lead(&self, keeper: &LeaseKeeper) {
+    async fn lead(&self, keeper: &Rc<LeaseKeeper>) {
+        let mut stores = StoreKeeper::new(self.stores.clone(), self.cluster.clone(), Rc::clone(keeper));
+        let routing = RoutingState::default();
+        let following = routing.clone().follow(self.cluster.clone(), Arc::clone(&self.format));
+        let following = actix_rt::spawn(following);
         let mut knowledge = Knowledge::default();
         let mut list_due = Instant::now();
         while self.cluster.is_leader() {
@@ -99,10 +113,22 @@
                 self.read_list(&mut knowledge).await;
                 list_due = Instant::now() + LIST_INTERVAL;
             }
+            stores.step(routing.table().as_deref(), self.oldest_in_use(&routing));
             let rolling = self.step_rollout(keeper, &mut knowledge).await;
             let pause = if rolling { STEP_INTERVAL } else { LEADER_CHECK };
             sleep(pause.min(list_due.saturating_duration_since(Instant::now()))).await;
         }
+        following.abort();
+    }
+
+    /// Versions whose cached prompts are of use, by model: older ones go once the new weights are in place.
+    fn oldest_in_use(&self, routing: &RoutingState) -> HashMap<String, WeightVersion> {
+        let models = self.cluster.view().borrow().model_versions.clone();
+        let settled = models.into_keys().filter_map(|model| {
+            let named = routing.named_version(&model)?;
+            (named.since.elapsed() >= self.weights_limit).then_some((model, named.version))
+        });
+        settled.collect()
     }
 
     async fn read_list(&self, knowledge: &mut Knowledge) {
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -12,7 +12,10 @@
 use daisysill_core::{ids::WeightVersion, routing::RoutingTable};
 use tokio::time::Instant;
 
-use crate::discovery::DocumentFormat;
+use crate::{
+    discovery::DocumentFormat,
+    store_keeper::{store_tag, stores_of},
+};
 
 /// A weight version and when this node learned of it.
 #[derive(Clone, Copy, Debug)]
@@ -23,8 +26,20 @@
     pub since: Instant,
 }
 
+/// A store as requests see it.
+#[derive(Clone, Debug)]
+pub struct StoreRef {
+    /// Its name among nodes.
+    pub tag: u32,
+    /// Its address.
+    pub address: String,
+    /// Tokens that it holds.
+    pub memory_tokens: u64,
+}
+
 #[derive(Debug, Default)]
 struct Inner {
+    stores: Rc<Vec<StoreRef>>,
     table: Option<Rc<RoutingTable>>,
     named: HashMap<String, NamedVersion>,
 }
@@ -41,6 +56,11 @@
         self.inner.borrow().table.clone()
     }
 
+    /// Returns the stores.
+    pub fn stores(&self) -> Rc<Vec<StoreRef>> {
+        Rc::clone(&self.inner.borrow().stores)
+    }
+
     /// Returns the weight version that a model is to be served with, if one was named.
     pub fn named_version(&self, model: &str) -> Option<NamedVersion> {
         self.inner.borrow().named.get(model).copied()
@@ -64,6 +84,12 @@
                     version = table.version(),
                     log_index = view.version.0
                 );
+                let stores = stores_of(&table).into_iter().map(|(address, memory_tokens)| StoreRef {
+                    tag: store_tag(&address),
+                    address,
+                    memory_tokens,
+                });
+                inner.stores = Rc::new(stores.collect());
                 inner.table = Some(Rc::new(table));
             }
             // Checked before it was agreed on, so this is a fault of this program.
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -10,8 +10,8 @@
 };
 
 use daisysill_core::ids::{ServiceName, WeightVersion, ZoneName};
-use daisysill_wire::peer::UpstreamEntry;
-use tokio::time::Instant;
+use daisysill_wire::peer::{UpstreamEntry, UpstreamLoad};
+use tokio::{sync::Notify, time::Instant};
 
 /// Time in which the weight of a failure falls to about a third.
 const FAILURE_MEMORY: Duration = Duration::from_secs(2);
@@ -43,6 +43,9 @@
     pub entry: UpstreamEntry,
     in_flight: Rc<Cell<u32>>,
     unread_tokens: Rc<Cell<u64>>,
+    tokens: Rc<Cell<u64>>,
+    /// Names the upstream among nodes.
+    pub tag: u64,
     /// Since when something is awaited from the upstream and nothing has come.
     waiting_since: Rc<Cell<Option<Instant>>>,
     failures: Cell<(f64, Option<Instant>)>,
@@ -55,6 +58,8 @@
 impl Upstream {
     fn new(entry: UpstreamEntry) -> Self {
         Self {
+            tag: stable_hash(&entry.id.as_str()),
+            tokens: Rc::default(),
             entry,
             in_flight: Rc::default(),
             unread_tokens: Rc::default(),
@@ -71,6 +76,11 @@
         self.in_flight.get()
     }
 
+    /// Returns the tokens that this node's requests take there at most.
+    pub fn tokens(&self) -> u64 {
+        self.tokens.get()
+    }
+
     /// Returns the prompt tokens of this node's requests that have had no answer yet.
     pub fn unread_tokens(&self) -> u64 {
         self.unread_tokens.get()
@@ -157,17 +167,21 @@
     /// The upstream.
     pub upstream: Rc<Upstream>,
     unread_tokens: u64,
+    tokens: u64,
+    released: Rc<Notify>,
 }
 
 impl InFlight {
-    /// Starts to count a request with this many prompt tokens to read.
-    pub fn new(upstream: Rc<Upstream>, unread_tokens: u64) -> Self {
+    /// Starts to count a request with this many prompt tokens to read, which takes `tokens` at most. `released` is
+    /// told when it ends.
+    pub fn new(upstream: Rc<Upstream>, unread_tokens: u64, tokens: u64, released: Rc<Notify>) -> Self {
         if upstream.in_flight.get() == 0 {
             upstream.waiting_since.set(Some(Instant::now()));
         }
         upstream.in_flight.set(upstream.in_flight.get() + 1);
         upstream.unread_tokens.set(upstream.unread_tokens.get() + unread_tokens);
-        Self { upstream, unread_tokens }
+        upstream.tokens.set(upstream.tokens.get() + tokens);
+        Self { upstream, unread_tokens, tokens, released }
     }
 
     /// Notes that the prompt was read.
@@ -180,6 +194,8 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.prompt_was_read();
+        self.upstream.tokens.set(self.upstream.tokens.get().saturating_sub(self.tokens));
+        self.released.notify_one();
         let left = self.upstream.in_flight.get().saturating_sub(1);
         self.upstream.in_flight.set(left);
         if left == 0 {
@@ -268,6 +284,19 @@
         self.by_service.borrow().is_empty()
     }
 
+    /// Returns this node's work in flight.
+    pub fn loads(&self) -> Vec<UpstreamLoad> {
+        let by_service = self.by_service.borrow();
+        let busy = by_service.values().flatten().filter(|upstream| upstream.in_flight() > 0);
+        busy.map(|upstream| UpstreamLoad {
+            upstream: upstream.tag,
+            requests: upstream.in_flight(),
+            tokens: upstream.tokens(),
+            unread_tokens: upstream.unread_tokens(),
+        })
+        .collect()
+    }
+
     /// Returns the addresses of all upstreams.
     pub fn addresses(&self) -> HashSet<SocketAddr> {
         self.by_service.borrow().values().flatten().map(|upstream| upstream.entry.address).collect()
@@ -291,6 +320,8 @@
     /// Returns this upstream with a newer entry; the counts are shared with the old one.
     fn with_entry(&self, entry: UpstreamEntry) -> Self {
         Self {
+            tag: self.tag,
+            tokens: Rc::clone(&self.tokens),
             entry,
             in_flight: Rc::clone(&self.in_flight),
             unread_tokens: Rc::clone(&self.unread_tokens),
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -182,6 +182,47 @@
         pub crash_counts: BTreeMap<u64, u32>,
     }
 
+    /// Work in flight at one upstream.
+    #[derive(Copy, Default)]
+    pub struct UpstreamLoad {
+        /// Hash of the upstream's id.
+        pub upstream: u64,
+        /// Requests.
+        pub requests: u32,
+        /// Tokens of prompts and of output that the requests take at most.
+        pub tokens: u64,
+        /// Prompt tokens that are not read yet.
+        pub unread_tokens: u64,
+    }
+
+    /// A part of a prompt that lies whole in a store.
+    #[derive(Copy)]
+    pub struct StoredPart {
+        /// Hash of its cache scope and id.
+        pub part: u64,
+        /// Names the store: a hash of its address.
+        pub store: u32,
+        /// Its length.
+        pub tokens: u64,
+    }
+
+    /// What changed of the parts in stores.
+    #[derive(Default)]
+    pub struct StoredNews {
+        /// The node that keeps the book, and its incarnation.
+        pub source: String,
+        /// Counts the changes; the follower's next question starts from here.
+        pub number: u64,
+        /// Whether `added` is everything there is.
+        pub is_whole: bool,
+        /// Parts that may be fetched.
+        pub added: Vec<StoredPart>,
+        /// Parts that must not be fetched any more.
+        pub removed: Vec<u64>,
+        /// The clock of upstreams and stores at the time of the answer, in ms; it is not behind this.
+        pub clock_ms: u64,
+    }
+
     /// What an entry node tells when it asks for news.
     pub struct Observation {
         /// The node that asks.
@@ -190,6 +231,12 @@
         pub config_after: ConfigVersion,
         /// The source and number of the board that it has.
         pub board_after: (String, u64),
+        /// The source and number of the stored parts that it knows.
+        pub stored_after: (String, u64),
+        /// Its work in flight.
+        pub loads: Vec<UpstreamLoad>,
+        /// Stored parts that it has used since it last asked.
+        pub used_parts: Vec<u64>,
         /// Crashes that it has seen since it last asked.
         pub crashes: Vec<CrashSighting>,
     }
@@ -218,6 +265,10 @@
         pub board: Option<Arc<Board>>,
         /// Time since the source's board was known to be current; `None` if it has none.
         pub board_age_ms: Option<u64>,
+        /// Work in flight of all entry nodes together.
+        pub loads: Vec<UpstreamLoad>,
+        /// What changed of the parts in stores; `None` if the source does not keep the book.
+        pub stored: Option<StoredNews>,
     }
 
     /// Why a forwarded proposal has no reply.
