Serve all listeners of an entry node from one state, pause unreachable upstreams

Cause: the server's factory runs once a listener, so three states with their own pools and reports existed; the one that answered callers never saw readiness and closed every connection, and empty reports overwrote real loads. Ruled out: store speed for that; the log showed each board change three times. Failed try: stores left alone for 1.5 s after two slow answers.

--- a/crates/cluster/src/shared_soft.rs
+++ b/crates/cluster/src/shared_soft.rs
@@ -121,6 +121,7 @@
     /// The totals of all nodes, and what this node had reported in them.
     total_loads: HashMap<u64, UpstreamLoad>,
     reported_loads: HashMap<u64, UpstreamLoad>,
+    totals_at: Option<BootInstant>,
 }
 
 /// The soft state of one process.
@@ -209,14 +210,18 @@
         let mut inner = self.lock();
         inner.total_loads = by_upstream(totals);
         inner.reported_loads = by_upstream(reported);
+        inner.totals_at = Some(asked_at);
         if let Some(news) = stored {
             inner.index.take(news, asked_at);
         }
     }
 
-    /// Returns the work of the other nodes at an upstream.
+    /// Returns the work of the other nodes at an upstream; none if what is known of it is too old.
     pub(crate) fn others_load(&self, upstream: u64) -> UpstreamLoad {
         let inner = self.lock();
+        if inner.totals_at.is_none_or(|at| at.elapsed() >= LOAD_LIFETIME) {
+            return UpstreamLoad { upstream, ..UpstreamLoad::default() };
+        }
         let total = inner.total_loads.get(&upstream).copied().unwrap_or_default();
         let own = inner.reported_loads.get(&upstream).copied().unwrap_or_default();
         UpstreamLoad {
--- a/crates/gateway/src/entry_node.rs
+++ b/crates/gateway/src/entry_node.rs
@@ -1,7 +1,7 @@
 //! An entry node: serves callers, and says whether it is ready to.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, OnceCell},
     rc::Rc,
     sync::{
         Arc,
@@ -62,6 +62,11 @@
     was_ready: Cell<bool>,
 }
 
+thread_local! {
+    /// The state of the thread that serves callers.
+    static STATE: OnceCell<Rc<EntryState>> = const { OnceCell::new() };
+}
+
 /// Runs an entry node until it is told to stop.
 ///
 /// # Errors
@@ -83,7 +88,7 @@
     let metrics_address = config.metrics;
     let server = {
         let (cluster, stopping, config) = (cluster.clone(), Arc::clone(&stopping), config.clone());
-        let body = move || {
+        let start = move || {
             let upstreams = Upstreams::new(config.zone.clone());
             let gateway = Rc::new(Gateway::new(
                 Arc::clone(&dialect),
@@ -93,16 +98,20 @@
                 metrics.clone(),
             ));
             spawn_tasks(&gateway, Arc::clone(&format), discovery.clone());
-            let state = Rc::new(EntryState {
+            Rc::new(EntryState {
                 gateway,
                 readiness_port: readiness.port(),
                 metrics_port: config.metrics.port(),
                 stopping: Arc::clone(&stopping),
                 was_ready: Cell::new(false),
-            });
+            })
+        };
+        // The factory runs once for each listener, all on the one thread; the state is shared between them.
+        let app = move || {
+            let state = STATE.with(|state| Rc::clone(state.get_or_init(&start)));
             App::new().app_data(state).default_service(web::to(handle))
         };
-        HttpServer::new(body)
+        HttpServer::new(app)
             .workers(1)
             .backlog(BACKLOG)
             .h1_allow_half_closed(false)
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -53,6 +53,8 @@
 /// requests take, whichever is longer.
 const ATTEMPT_GOAL_SHARE: f64 = 0.6;
 const ATTEMPT_TIMES_MEAN: f64 = 5.0;
+/// The same for prompts, in goals. What an engine has read by then would be read again elsewhere.
+const PROMPT_ATTEMPT_GOALS: f64 = 1.5;
 /// Until this long after new weights were named, upstreams with older ones are as good as others.
 const OLD_WEIGHTS_GRACE: Duration = Duration::from_millis(1_000);
 /// Added to the estimate of an upstream with old weights after that.
@@ -66,6 +68,8 @@
 /// Requests at one engine may take this share of its memory; beyond it the engine puts requests back and reads
 /// them again.
 const MEMORY_SHARE: f64 = 0.9;
+/// A fetch is given up after this share of the goal; there is then time to read the prompt instead.
+const FETCH_GOAL_SHARE: f64 = 0.5;
 /// A part that is being saved is not saved again for this time.
 const SAVE_TIME: Duration = Duration::from_secs(4);
 /// Parts being saved that are remembered before the old ones are dropped.
@@ -340,7 +344,7 @@
                 request_id = call.headers.request_id.as_deref(),
                 upstream = chosen.upstream.entry.id.as_str(),
                 outcome,
-                after_ms = started.elapsed().as_millis(),
+                after_ms = millis(started.elapsed()),
                 estimate_ms = chosen.estimate_ms,
                 candidates = chosen.candidates,
                 in_flight = chosen.upstream.in_flight(),
@@ -363,9 +367,13 @@
         if !may_repeat {
             return left;
         }
-        let mean_ms = self.upstreams.speeds(&call.service).request_ms.get();
         let goal_ms = call.route.goal_ms as f64;
-        let limit_ms = (goal_ms * ATTEMPT_GOAL_SHARE).max(mean_ms * ATTEMPT_TIMES_MEAN);
+        let limit_ms = if call.headers.prompt.is_some() {
+            goal_ms * PROMPT_ATTEMPT_GOALS
+        } else {
+            let mean_ms = self.upstreams.speeds(&call.service).request_ms.get();
+            (goal_ms * ATTEMPT_GOAL_SHARE).max(mean_ms * ATTEMPT_TIMES_MEAN)
+        };
         left.min(Duration::from_secs_f64(limit_ms / 1_000.0))
     }
 
@@ -394,8 +402,7 @@
         match error {
             AttemptError::NotSent => {
                 progress.unreachable += 1;
-                upstream.failed();
-                upstream.failed();
+                upstream.unreachable();
             }
             AttemptError::NoConnectionLeft => progress.unreachable += 1,
             AttemptError::Refused => {
@@ -510,6 +517,10 @@
     fn place(&self, call: &Call, progress: &Progress) -> Placement {
         let all = self.upstreams.of(&call.service);
         let untried = all.iter().filter(|upstream| !progress.tried.contains(&upstream.entry.id));
+        let reachable: Vec<&Rc<Upstream>> =
+            untried.clone().filter(|upstream| !upstream.is_unreachable()).collect();
+        // Where none is left, one that could not be reached is better than none.
+        let untried = if reachable.is_empty() { untried.collect() } else { reachable };
         let speeds = self.upstreams.speeds(&call.service);
         let prompt = call.headers.prompt.as_ref();
         let named = prompt.and_then(|prompt| self.routing.named_version(&prompt.model));
@@ -588,13 +599,14 @@
                 self.cluster.note_used_part(hash);
                 (store.address.clone(), stored.tokens.min(part.tokens))
             });
-            let saves = may_save && is_shared && fetch.is_none() && self.may_save(hash);
+            let saves = may_save && is_shared && stored.is_none() && self.may_save(hash);
             let save =
                 if saves { home_store(&stores, hash).map(|store| store.address.clone()) } else { None };
             transfers.fetch.push(fetch);
             transfers.save.push(save);
         }
-        transfers.fetch_until_ms = clock_ms.unwrap_or(0) + millis(FETCH_LIMIT);
+        let limit = Duration::from_millis(call.route.goal_ms).mul_f64(FETCH_GOAL_SHARE).min(FETCH_LIMIT);
+        transfers.fetch_until_ms = clock_ms.unwrap_or(0) + millis(limit);
         transfers
     }
 
@@ -696,7 +708,7 @@
             request_id = call.headers.request_id.as_deref(),
             outcome,
             bytes,
-            after_ms = call.arrived.elapsed().as_millis(),
+            after_ms = millis(call.arrived.elapsed()),
         );
     }
 }
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -40,6 +40,11 @@
 /// The lease under which orders are given.
 const ORDER_ROLE: &str = "orders";
 
+/// The lease under which the book of the stores is kept, and the longest time for which a call to a store under it
+/// can take effect.
+const STORE_ROLE: &str = "stores";
+const STORE_CALL: Duration = Duration::from_millis(700);
+
 /// An upstream at one of its starts.
 type Incarnation = (InstanceId, u64);
 
@@ -90,19 +95,20 @@
                 sleep(LEADER_CHECK).await;
             }
             tracing::info!(event = "leads", node = self.name.as_str());
-            let terms = LeaseTerms {
-                role: ORDER_ROLE.to_owned(),
-                duration: self.order_lease / 2,
-                longest_order: self.order_lease,
-            };
-            let keeper = Rc::new(LeaseKeeper::start(self.cluster.clone(), self.name.clone(), terms));
-            self.lead(&keeper).await;
+            let orders = self.lease(ORDER_ROLE, self.order_lease);
+            let stores = self.lease(STORE_ROLE, STORE_CALL);
+            self.lead(&orders, stores).await;
             tracing::info!(event = "leads_no_more", node = self.name.as_str());
         }
     }
 
-    async fn lead(&self, keeper: &Rc<LeaseKeeper>) {
-        let mut stores = StoreKeeper::new(self.stores.clone(), self.cluster.clone(), Rc::clone(keeper));
+    fn lease(&self, role: &str, longest_order: Duration) -> LeaseKeeper {
+        let terms = LeaseTerms { role: role.to_owned(), duration: self.order_lease / 2, longest_order };
+        LeaseKeeper::start(self.cluster.clone(), self.name.clone(), terms)
+    }
+
+    async fn lead(&self, keeper: &LeaseKeeper, store_lease: LeaseKeeper) {
+        let mut stores = StoreKeeper::new(self.stores.clone(), self.cluster.clone(), Rc::new(store_lease));
         let routing = RoutingState::default();
         let following = routing.clone().follow(self.cluster.clone(), Arc::clone(&self.format));
         let following = actix_rt::spawn(following);
--- a/crates/gateway/src/store_keeper.rs
+++ b/crates/gateway/src/store_keeper.rs
@@ -23,7 +23,7 @@
 use crate::{discovery::StoreClient, upstreams::stable_hash};
 
 /// An entry node starts no fetch on news older than this.
-pub(crate) const INDEX_LIMIT: Duration = Duration::from_millis(2_000);
+pub(crate) const INDEX_LIMIT: Duration = Duration::from_millis(5_000);
 /// A fetch that has not ended after this time is given up by its upstream.
 pub(crate) const FETCH_LIMIT: Duration = Duration::from_millis(1_500);
 /// Left for clocks and for a request that is on its way.
@@ -125,6 +125,7 @@
                     used: Rc::clone(&used),
                     address: address.clone(),
                     book: StoreBook::new(capacity, millis(INDEX_LIMIT + FETCH_LIMIT + RETIREMENT_MARGIN)),
+                    is_reachable: true,
                 };
                 (actix_rt::spawn(store.run()).abort_handle(), used)
             });
@@ -154,6 +155,7 @@
     used: UsedParts,
     address: String,
     book: StoreBook,
+    is_reachable: bool,
 }
 
 impl<C: StoreClient> StoreTask<C> {
@@ -199,9 +201,11 @@
         while Instant::now() < list_due {
             let asked_at = BootInstant::now();
             let Some(news) = self.client.events(&self.address, since).await else {
+                self.set_reachable(false);
                 sleep(RETRY).await;
                 continue;
             };
+            self.set_reachable(true);
             if news.epoch != epoch {
                 tracing::info!(event = "store_restarted", store = self.address, epoch = news.epoch);
                 return false;
@@ -228,6 +232,20 @@
         true
     }
 
+    /// While the store does not answer, nothing is to be fetched from it.
+    fn set_reachable(&mut self, reachable: bool) {
+        if std::mem::replace(&mut self.is_reachable, reachable) == reachable {
+            return;
+        }
+        tracing::info!(event = "store_contact", store = self.address, reachable);
+        let store = store_tag(&self.address);
+        let changes = self.book.fetchable().map(|(name, tokens)| {
+            let part = part_hash(&name.scope, &name.id);
+            (part, reachable.then_some(StoredPart { part, store, tokens }))
+        });
+        self.shared.cluster.publish_stored(changes.collect(), None);
+    }
+
     async fn upkeep(&mut self, epoch: u64, clock: Option<(u64, BootInstant)>) {
         let now_ms = self.now_ms();
         let used = std::mem::take(&mut *self.used.borrow_mut());
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -15,6 +15,9 @@
 
 /// Time in which the weight of a failure falls to about a third.
 const FAILURE_MEMORY: Duration = Duration::from_secs(2);
+/// Pause after the first connection that failed; doubled by each further one, up to so many times.
+const FIRST_BACKOFF: Duration = Duration::from_millis(200);
+const MAX_BACKOFF_STEPS: u32 = 4;
 /// Sessions remembered for each upstream.
 const REMEMBERED_SESSIONS: usize = 128;
 /// The share of a new sample in a running mean.
@@ -49,6 +52,8 @@
     /// Since when something is awaited from the upstream and nothing has come.
     waiting_since: Rc<Cell<Option<Instant>>>,
     failures: Cell<(f64, Option<Instant>)>,
+    /// Connections that failed in a row, and until when no other is tried.
+    unreachable: Cell<(u32, Option<Instant>)>,
     /// Whether another upstream answers at its address.
     gone: Cell<bool>,
     learned_versions: RefCell<HashMap<String, WeightVersion>>,
@@ -65,6 +70,7 @@
             unread_tokens: Rc::default(),
             waiting_since: Rc::default(),
             failures: Cell::default(),
+            unreachable: Cell::default(),
             gone: Cell::default(),
             learned_versions: RefCell::default(),
             sessions: RefCell::default(),
@@ -99,6 +105,7 @@
 
     /// Notes that bytes came from the upstream.
     pub fn heard(&self) {
+        self.unreachable.set((0, None));
         self.waiting_since.set((self.in_flight.get() > 0).then(Instant::now));
     }
 
@@ -115,6 +122,19 @@
         }
     }
 
+    /// Notes that no connection could be made; no new work goes there for a while, longer each time.
+    pub fn unreachable(&self) {
+        let (failures, _) = self.unreachable.get();
+        let failures = (failures + 1).min(MAX_BACKOFF_STEPS);
+        let pause = FIRST_BACKOFF * 2_u32.pow(failures - 1);
+        self.unreachable.set((failures, Some(Instant::now() + pause)));
+    }
+
+    /// Returns whether the upstream could not be reached lately.
+    pub fn is_unreachable(&self) -> bool {
+        self.unreachable.get().1.is_some_and(|until| Instant::now() < until)
+    }
+
     /// Notes that another upstream answers at this one's address.
     pub fn set_gone(&self) {
         self.gone.set(true);
@@ -327,6 +347,7 @@
             unread_tokens: Rc::clone(&self.unread_tokens),
             waiting_since: Rc::clone(&self.waiting_since),
             failures: Cell::new(self.failures.get()),
+            unreachable: Cell::new(self.unreachable.get()),
             gone: Cell::new(self.gone.get()),
             learned_versions: RefCell::new(self.learned_versions.borrow().clone()),
             sessions: RefCell::new(self.sessions.borrow().clone()),
