Send prompts to engines in the availability zone of the store that holds them

Ruled out: engine compute, which was used to a third. Change: links and zones of stores are read from the routing document; the estimate counts the fetch; homes near the store go first; prompts are given up at a silent engine after three goals, not one and a half.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -21,8 +21,12 @@
     pub unread_tokens: u64,
     /// Time that one request in flight adds to the wait of the next.
     pub ms_per_request: f64,
-    /// Prompt tokens of this request that it has cached, as far as known.
+    /// Prompt tokens of this request that it has cached, as far as known, or fetches from a store.
     pub cached_tokens: u64,
+    /// Time that it takes to fetch what it does not have cached.
+    pub fetch_ms: f64,
+    /// Whether it is in the availability zone of the store that holds the shared part of the prompt.
+    pub near_store: bool,
     /// Failures lately; fades with time.
     pub recent_failures: f64,
     /// Time for which something was awaited from it and nothing came.
@@ -65,6 +69,7 @@
         waiting * self.ms_per_request
             + share * self.ms_per_request * 0.5
             + reading_ms
+            + self.fetch_ms
             + zone_ms
             + self.recent_failures * FAILURE_PENALTY_MS
             + if self.silent_ms > SILENCE_LIMIT_MS { self.silent_ms } else { 0.0 }
@@ -93,14 +98,15 @@
     least_busy(candidates, &estimates, draw)
 }
 
-/// The two highest-ranked candidates.
+/// The two highest-ranked candidates; those near the store of the prompt go before all others, since a transfer
+/// between availability zones takes twice as long.
 fn ranked_homes(candidates: &[Candidate]) -> [Option<usize>; 2] {
+    let rank = |index: usize| (candidates[index].near_store, candidates[index].session_rank);
     let mut homes = [None, None];
-    for (index, candidate) in candidates.iter().enumerate() {
-        let rank = |home: Option<usize>| home.map_or(0, |home: usize| candidates[home].session_rank);
-        if homes[0].is_none() || candidate.session_rank > rank(homes[0]) {
+    for index in 0..candidates.len() {
+        if homes[0].is_none_or(|home| rank(index) > rank(home)) {
             homes = [Some(index), homes[0]];
-        } else if homes[1].is_none() || candidate.session_rank > rank(homes[1]) {
+        } else if homes[1].is_none_or(|home| rank(index) > rank(home)) {
             homes[1] = Some(index);
         }
     }
--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -65,6 +65,8 @@
         pub memory_tokens: u64,
         /// Bytes of KV cache of one token.
         pub token_bytes: u64,
+        /// Speed of one engine's link for transfers of KV cache.
+        pub link_mbit_per_s: u64,
         /// The models that it serves.
         pub models: Vec<String>,
     }
@@ -77,6 +79,8 @@
         pub zone: ZoneName,
         /// Tokens that it holds.
         pub memory_tokens: u64,
+        /// Speed of its link.
+        pub link_mbit_per_s: u64,
     }
 
     /// What upstreams of a service are.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,7 +10,7 @@
     placement::{Candidate, Need, choose},
     repeat_budget::RepeatBudget,
     result_code::ResultCode,
-    routing::{CallKind, Customer, Route, RoutingTable, ServiceSpec},
+    routing::{CallKind, Customer, EngineSpec, Route, RoutingTable, ServiceSpec},
     wait_queue::WaitQueue,
 };
 use daisysill_wire::peer::CrashSighting;
@@ -54,7 +54,7 @@
 const ATTEMPT_GOAL_SHARE: f64 = 0.6;
 const ATTEMPT_TIMES_MEAN: f64 = 5.0;
 /// The same for prompts, in goals. What an engine has read by then would be read again elsewhere.
-const PROMPT_ATTEMPT_GOALS: f64 = 1.5;
+const PROMPT_ATTEMPT_GOALS: f64 = 3.0;
 /// Until this long after new weights were named, upstreams with older ones are as good as others.
 const OLD_WEIGHTS_GRACE: Duration = Duration::from_millis(1_000);
 /// Added to the estimate of an upstream with old weights after that.
@@ -185,6 +185,52 @@
     transfers: Option<Transfers>,
 }
 
+/// Where a shared part of a prompt lies, or is to be saved.
+struct PartPlace {
+    hash: u64,
+    tokens: u64,
+    store: Option<StoreRef>,
+    is_stored: bool,
+}
+
+/// The shared parts of a prompt.
+#[derive(Default)]
+struct StoredParts {
+    places: Vec<PartPlace>,
+}
+
+impl StoredParts {
+    fn stored(&self) -> impl Iterator<Item = &PartPlace> {
+        self.places.iter().filter(|place| place.is_stored)
+    }
+
+    fn tokens(&self) -> u64 {
+        self.stored().map(|place| place.tokens).sum()
+    }
+
+    /// Returns whether the store of the largest part is in the upstream's availability zone.
+    fn is_near(&self, upstream: &Upstream) -> bool {
+        let largest = self.places.iter().max_by_key(|place| place.tokens);
+        let store = largest.and_then(|place| place.store.as_ref());
+        store.is_some_and(|store| store.zone == upstream.entry.zone)
+    }
+
+    /// Estimates how long the upstream takes to fetch the stored parts, one after another.
+    fn fetch_ms(&self, upstream: &Upstream, engine: Option<&EngineSpec>) -> f64 {
+        /// Transfers between availability zones take this many times as long.
+        const BETWEEN_ZONES: f64 = 2.0;
+        let Some(engine) = engine else { return 0.0 };
+        let part_ms = |place: &PartPlace| {
+            let Some(store) = &place.store else { return 0.0 };
+            let link = store.link_mbit_per_s.min(engine.link_mbit_per_s).max(1) as f64;
+            let bits = place.tokens as f64 * engine.token_bytes as f64 * 8.0;
+            let factor = if store.zone == upstream.entry.zone { 1.0 } else { BETWEEN_ZONES };
+            factor * bits / (link * 1_000.0)
+        };
+        self.stored().map(part_ms).sum()
+    }
+}
+
 /// Whether an upstream can take a request now.
 enum Placement {
     At(Box<Chosen>),
@@ -391,7 +437,8 @@
             self.upstreams.speeds(&call.service).read(chosen.unread_tokens, took);
         }
         if let Some((session, tokens)) = chosen.session {
-            upstream.remember_session(session, tokens, self.memory_tokens(&call.service));
+            let memory_tokens = self.engine(&call.service).map_or(0, |engine| engine.memory_tokens);
+            upstream.remember_session(session, tokens, memory_tokens);
         }
     }
 
@@ -524,7 +571,8 @@
         let speeds = self.upstreams.speeds(&call.service);
         let prompt = call.headers.prompt.as_ref();
         let named = prompt.and_then(|prompt| self.routing.named_version(&prompt.model));
-        let memory_tokens = self.memory_tokens(&call.service);
+        let engine = self.engine(&call.service);
+        let memory_tokens = engine.as_ref().map_or(0, |engine| engine.memory_tokens);
         let mut options = Vec::new();
         let mut any = false;
         for upstream in untried {
@@ -543,20 +591,27 @@
             }
             let scope = prompt.map(|prompt| cache_scope(&prompt.model, version, call.customer.as_deref()));
             let session = scope.as_deref().and_then(|scope| call.session(scope));
-            let cached_tokens = session.map_or(0, |(key, _)| upstream.cached_tokens(key));
+            let plan = scope.as_deref().map(|scope| self.stored_parts(call, scope));
+            let local_tokens = session.map_or(0, |(key, _)| upstream.cached_tokens(key));
+            let (fetched_tokens, fetch_ms) = match &plan {
+                Some(plan) if local_tokens == 0 => (plan.tokens(), plan.fetch_ms(upstream, engine.as_ref())),
+                _ => (0, 0.0),
+            };
             let is_old = age.is_some_and(|age| age > OLD_WEIGHTS_GRACE);
             let candidate = Candidate {
                 in_flight,
                 slots: upstream.entry.slots,
                 unread_tokens: upstream.unread_tokens() + others.unread_tokens,
                 ms_per_request: speeds.request_ms.get() / f64::from(upstream.entry.slots.max(1)),
-                cached_tokens,
+                cached_tokens: local_tokens.max(fetched_tokens),
+                fetch_ms,
+                near_store: plan.as_ref().is_some_and(|plan| plan.is_near(upstream)),
                 recent_failures: upstream.recent_failures() + if is_old { OLD_WEIGHTS_PENALTY } else { 0.0 },
                 silent_ms: upstream.silent_for().as_secs_f64() * 1_000.0,
                 own_zone: self.upstreams.is_near(upstream),
                 session_rank: session.map_or(0, |(key, _)| upstream.session_rank(key)),
             };
-            options.push((candidate, Rc::clone(upstream), version, scope, session));
+            options.push((candidate, Rc::clone(upstream), version, scope, session, plan));
         }
         let prompt_tokens = prompt.map_or(0, |prompt| prompt.prompt_tokens);
         let shared_tokens = options.first().and_then(|option| option.4).map_or(0, |(_, tokens)| tokens);
@@ -565,48 +620,58 @@
         let Some(choice) = choose(&candidates, &need, rand::random()) else {
             return if any { Placement::NoRoom } else { Placement::Nowhere };
         };
-        let (candidate, upstream, version, scope, session) = options.swap_remove(choice.index);
+        let (candidate, upstream, version, scope, session, plan) = options.swap_remove(choice.index);
         let is_newest = named.is_none_or(|named| version.is_some_and(|version| version >= named.version));
-        let transfers = scope.as_deref().map(|scope| self.transfers(call, scope, is_newest));
-        let fetched_tokens = transfers.as_ref().map_or(0, Transfers::fetched_tokens);
-        let known_tokens = candidate.cached_tokens.max(fetched_tokens);
+        let transfers = plan.map(|plan| self.transfers(call, &plan, is_newest));
         Placement::At(Box::new(Chosen {
             upstream,
             version,
             scope,
             session,
-            unread_tokens: prompt_tokens.saturating_sub(known_tokens),
+            unread_tokens: prompt_tokens.saturating_sub(candidate.cached_tokens),
             estimate_ms: choice.estimate_ms,
             candidates: candidates.len(),
             transfers,
         }))
     }
 
-    /// Decides for each shared part of a prompt whether it is fetched from a store or saved to one.
-    fn transfers(&self, call: &Call, scope: &str, may_save: bool) -> Transfers {
-        let mut transfers = Transfers::default();
-        let Some(prompt) = &call.headers.prompt else { return transfers };
-        let clock_ms = self.cluster.upstream_clock_ms();
+    /// Finds for each shared part of a prompt where it lies, or where it is to be saved.
+    fn stored_parts(&self, call: &Call, scope: &str) -> StoredParts {
+        let Some(prompt) = &call.headers.prompt else { return StoredParts::default() };
         let stores = self.routing.stores();
-        for (index, part) in prompt.parts.iter().enumerate() {
-            // The last part is the request's own.
-            let is_shared = index + 1 < prompt.parts.len();
+        let clock_known = self.cluster.upstream_clock_ms().is_some();
+        // The last part is the request's own.
+        let shared = prompt.parts.len().saturating_sub(1);
+        let places = prompt.parts.iter().take(shared).map(|part| {
             let hash = part_hash(scope, &part.id);
-            let stored =
-                self.cluster.stored_part(hash, INDEX_LIMIT).filter(|_| is_shared && clock_ms.is_some());
-            let store = stored.and_then(|stored| stores.iter().find(|store| store.tag == stored.store));
-            let fetch = stored.zip(store).map(|(stored, store)| {
-                self.cluster.note_used_part(hash);
-                (store.address.clone(), stored.tokens.min(part.tokens))
-            });
-            let saves = may_save && is_shared && stored.is_none() && self.may_save(hash);
-            let save =
-                if saves { home_store(&stores, hash).map(|store| store.address.clone()) } else { None };
+            let stored = self.cluster.stored_part(hash, INDEX_LIMIT).filter(|_| clock_known);
+            let holder = stored.and_then(|stored| stores.iter().find(|store| store.tag == stored.store));
+            let is_stored = stored.is_some();
+            let store = holder.or_else(|| home_store(&stores, hash)).cloned();
+            let tokens = stored.map_or(part.tokens, |stored| stored.tokens.min(part.tokens));
+            PartPlace { hash, tokens, store, is_stored }
+        });
+        StoredParts { places: places.collect() }
+    }
+
+    /// Decides for each shared part of a prompt whether it is fetched from a store or saved to one.
+    fn transfers(&self, call: &Call, parts: &StoredParts, may_save: bool) -> Transfers {
+        let mut transfers = Transfers::default();
+        for place in &parts.places {
+            let address = place.store.as_ref().map(|store| store.address.clone());
+            let fetch = address.clone().filter(|_| place.is_stored).map(|address| (address, place.tokens));
+            if fetch.is_some() {
+                self.cluster.note_used_part(place.hash);
+            }
+            let saves = may_save && !place.is_stored && self.may_save(place.hash);
             transfers.fetch.push(fetch);
-            transfers.save.push(save);
+            transfers.save.push(address.filter(|_| saves));
         }
+        // The request's own part.
+        transfers.fetch.push(None);
+        transfers.save.push(None);
         let limit = Duration::from_millis(call.route.goal_ms).mul_f64(FETCH_GOAL_SHARE).min(FETCH_LIMIT);
-        transfers.fetch_until_ms = clock_ms.unwrap_or(0) + millis(limit);
+        transfers.fetch_until_ms = self.cluster.upstream_clock_ms().unwrap_or(0) + millis(limit);
         transfers
     }
 
@@ -636,12 +701,11 @@
         self.cluster.board().borrow().crash_counts.get(&fingerprint).copied().unwrap_or(0)
     }
 
-    fn memory_tokens(&self, service: &ServiceName) -> u64 {
-        let table = self.routing.table();
-        let service = table.as_ref().and_then(|table| table.service(service));
-        match service.map(|service| &service.spec) {
-            Some(ServiceSpec::Engine(engine)) => engine.memory_tokens,
-            _ => 0,
+    fn engine(&self, service: &ServiceName) -> Option<EngineSpec> {
+        let table = self.routing.table()?;
+        match &table.service(service)?.spec {
+            ServiceSpec::Engine(engine) => Some(engine.clone()),
+            ServiceSpec::Plain | ServiceSpec::Store(_) => None,
         }
     }
 
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -9,7 +9,10 @@
 
 use daisysill_cluster::ClusterHandle;
 use daisysill_control::state::ConfigView;
-use daisysill_core::{ids::WeightVersion, routing::RoutingTable};
+use daisysill_core::{
+    ids::{WeightVersion, ZoneName},
+    routing::RoutingTable,
+};
 use tokio::time::Instant;
 
 use crate::{
@@ -33,6 +36,10 @@
     pub tag: u32,
     /// Its address.
     pub address: String,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Speed of its link.
+    pub link_mbit_per_s: u64,
     /// Tokens that it holds.
     pub memory_tokens: u64,
 }
@@ -84,10 +91,12 @@
                     version = table.version(),
                     log_index = view.version.0
                 );
-                let stores = stores_of(&table).into_iter().map(|(address, memory_tokens)| StoreRef {
-                    tag: store_tag(&address),
-                    address,
-                    memory_tokens,
+                let stores = stores_of(&table).map(|store| StoreRef {
+                    tag: store_tag(&store.address),
+                    address: store.address.clone(),
+                    zone: store.zone.clone(),
+                    link_mbit_per_s: store.link_mbit_per_s,
+                    memory_tokens: store.memory_tokens,
                 });
                 inner.stores = Rc::new(stores.collect());
                 inner.table = Some(Rc::new(table));
--- a/crates/gateway/src/store_keeper.rs
+++ b/crates/gateway/src/store_keeper.rs
@@ -11,7 +11,7 @@
 use daisysill_cluster::{BootInstant, ClusterHandle, LeaseKeeper};
 use daisysill_core::{
     ids::WeightVersion,
-    routing::{RoutingTable, ServiceSpec},
+    routing::{RoutingTable, ServiceSpec, StoreSpec},
     store_book::{BookChange, PartName, StoreBook},
 };
 use daisysill_wire::peer::StoredPart;
@@ -53,13 +53,12 @@
     tag
 }
 
-/// The stores of a routing document with their capacity in tokens.
-pub(crate) fn stores_of(table: &RoutingTable) -> BTreeMap<String, u64> {
-    let stores = table.services().filter_map(|service| match &service.spec {
-        ServiceSpec::Store(store) => Some((store.address.clone(), store.memory_tokens)),
+/// The stores of a routing document.
+pub(crate) fn stores_of(table: &RoutingTable) -> impl Iterator<Item = &StoreSpec> {
+    table.services().filter_map(|service| match &service.spec {
+        ServiceSpec::Store(store) => Some(store),
         ServiceSpec::Engine(_) | ServiceSpec::Plain => None,
-    });
-    stores.collect()
+    })
 }
 
 /// What is shared by the tasks of one term.
@@ -106,7 +105,9 @@
         }
         *self.shared.oldest_in_use.borrow_mut() = oldest_in_use;
         let used_parts = self.shared.cluster.take_used_parts();
-        let stores = table.map(stores_of).unwrap_or_default();
+        let specs = table.into_iter().flat_map(stores_of);
+        let stores: BTreeMap<String, u64> =
+            specs.map(|store| (store.address.clone(), store.memory_tokens)).collect();
         self.tasks.retain(|address, (task, used)| {
             used.borrow_mut().extend(&used_parts);
             let kept = stores.contains_key(address);
