Limit fetches by their size and the wait at the engine, avoid fuller batches

Cause: a fetch limit of half a goal ran out while requests waited at busy engines, and the prompts were read instead. Change: the limit is three times the idle transfer plus twice the estimated wait; the share of taken places counts.

--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -5,6 +5,9 @@
 const PATIENCE: f64 = 1.0;
 /// Added to the estimate of an upstream that failed lately, for each failure.
 const FAILURE_PENALTY_MS: f64 = 150.0;
+/// Added to the estimate of an upstream whose places are all taken; in proportion for others. A fuller batch makes
+/// every token slower.
+const FULL_BATCH_MS: f64 = 80.0;
 /// An upstream with work in flight that has sent nothing for this time is taken for unreachable.
 const SILENCE_LIMIT_MS: f64 = 400.0;
 /// Added to the estimate of an upstream in another availability zone.
@@ -67,7 +70,7 @@
         let share = f64::from(self.in_flight) / f64::from(self.slots.max(1));
         let zone_ms = if self.own_zone { 0.0 } else { OTHER_ZONE_PENALTY_MS };
         waiting * self.ms_per_request
-            + share * self.ms_per_request * 0.5
+            + share * FULL_BATCH_MS
             + reading_ms
             + self.fetch_ms
             + zone_ms
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -7,7 +7,7 @@
 use daisysill_cluster::ClusterHandle;
 use daisysill_core::{
     ids::{InstanceId, ServiceName, WeightVersion},
-    placement::{Candidate, Need, choose},
+    placement::{Candidate, Choice, Need, choose},
     repeat_budget::RepeatBudget,
     result_code::ResultCode,
     routing::{CallKind, Customer, EngineSpec, Route, RoutingTable, ServiceSpec},
@@ -68,8 +68,14 @@
 /// Requests at one engine may take this share of its memory; beyond it the engine puts requests back and reads
 /// them again.
 const MEMORY_SHARE: f64 = 0.9;
-/// A fetch is given up after this share of the goal; there is then time to read the prompt instead.
-const FETCH_GOAL_SHARE: f64 = 0.5;
+/// A fetch is given up after this time, so many times what it takes on an idle link, and so many times the estimate of
+/// the wait at the engine: its time runs while the request waits, and a prompt whose fetch was given up is read and
+/// adds load where there is too much.
+const FETCH_BASE_MS: f64 = 80.0;
+const FETCH_TIMES: f64 = 3.0;
+const FETCH_WAITS: f64 = 2.0;
+/// No fetch is worth more than this many goals.
+const FETCH_GOALS: f64 = 2.5;
 /// A part that is being saved is not saved again for this time.
 const SAVE_TIME: Duration = Duration::from_secs(4);
 /// Parts being saved that are remembered before the old ones are dropped.
@@ -183,6 +189,8 @@
     estimate_ms: f64,
     candidates: usize,
     transfers: Option<Transfers>,
+    cached_tokens: u64,
+    fetch_ms: f64,
 }
 
 /// Where a shared part of a prompt lies, or is to be saved.
@@ -200,12 +208,12 @@
 }
 
 impl StoredParts {
-    fn stored(&self) -> impl Iterator<Item = &PartPlace> {
+    fn fetched(&self) -> impl Iterator<Item = &PartPlace> {
         self.places.iter().filter(|place| place.is_stored)
     }
 
     fn tokens(&self) -> u64 {
-        self.stored().map(|place| place.tokens).sum()
+        self.fetched().map(|place| place.tokens).sum()
     }
 
     /// Returns whether the store of the largest part is in the upstream's availability zone.
@@ -227,7 +235,7 @@
             let factor = if store.zone == upstream.entry.zone { 1.0 } else { BETWEEN_ZONES };
             factor * bits / (link * 1_000.0)
         };
-        self.stored().map(part_ms).sum()
+        self.fetched().map(part_ms).sum()
     }
 }
 
@@ -398,6 +406,19 @@
             );
         }
         let mut answer = result?;
+        if let Some(transfers) = &chosen.transfers {
+            tracing::info!(
+                event = "prompt",
+                request_id = call.headers.request_id.as_deref(),
+                shared_tokens = chosen.session.map(|(_, tokens)| tokens),
+                cached_tokens = chosen.cached_tokens,
+                fetched_tokens = transfers.fetched_tokens(),
+                saved_parts = transfers.save.iter().flatten().count(),
+                fetch_ms = chosen.fetch_ms,
+                took_ms = millis(started.elapsed()),
+                index = self.cluster.upstream_clock_ms().is_some(),
+            );
+        }
         self.note_answer(call, chosen, &answer, started.elapsed());
         answer.in_flight.prompt_was_read();
         if answer.head.status.is_success() && !answer.sealed {
@@ -622,7 +643,7 @@
         };
         let (candidate, upstream, version, scope, session, plan) = options.swap_remove(choice.index);
         let is_newest = named.is_none_or(|named| version.is_some_and(|version| version >= named.version));
-        let transfers = plan.map(|plan| self.transfers(call, &plan, is_newest));
+        let transfers = plan.map(|plan| self.transfers(call, &plan, is_newest, choice, candidate.fetch_ms));
         Placement::At(Box::new(Chosen {
             upstream,
             version,
@@ -632,6 +653,8 @@
             estimate_ms: choice.estimate_ms,
             candidates: candidates.len(),
             transfers,
+            cached_tokens: candidate.cached_tokens,
+            fetch_ms: candidate.fetch_ms,
         }))
     }
 
@@ -655,7 +678,14 @@
     }
 
     /// Decides for each shared part of a prompt whether it is fetched from a store or saved to one.
-    fn transfers(&self, call: &Call, parts: &StoredParts, may_save: bool) -> Transfers {
+    fn transfers(
+        &self,
+        call: &Call,
+        parts: &StoredParts,
+        may_save: bool,
+        choice: Choice,
+        fetch_ms: f64,
+    ) -> Transfers {
         let mut transfers = Transfers::default();
         for place in &parts.places {
             let address = place.store.as_ref().map(|store| store.address.clone());
@@ -670,7 +700,10 @@
         // The request's own part.
         transfers.fetch.push(None);
         transfers.save.push(None);
-        let limit = Duration::from_millis(call.route.goal_ms).mul_f64(FETCH_GOAL_SHARE).min(FETCH_LIMIT);
+        let goals_ms = call.route.goal_ms as f64 * FETCH_GOALS;
+        let limit_ms = FETCH_BASE_MS + FETCH_TIMES * fetch_ms + FETCH_WAITS * (choice.estimate_ms - fetch_ms);
+        let limit_ms = limit_ms.min(goals_ms);
+        let limit = Duration::from_secs_f64(limit_ms / 1_000.0).min(FETCH_LIMIT);
         transfers.fetch_until_ms = self.cluster.upstream_clock_ms().unwrap_or(0) + millis(limit);
         transfers
     }
--- a/crates/gateway/src/store_keeper.rs
+++ b/crates/gateway/src/store_keeper.rs
@@ -25,7 +25,7 @@
 /// An entry node starts no fetch on news older than this.
 pub(crate) const INDEX_LIMIT: Duration = Duration::from_millis(5_000);
 /// A fetch that has not ended after this time is given up by its upstream.
-pub(crate) const FETCH_LIMIT: Duration = Duration::from_millis(1_500);
+pub(crate) const FETCH_LIMIT: Duration = Duration::from_millis(2_000);
 /// Left for clocks and for a request that is on its way.
 const RETIREMENT_MARGIN: Duration = Duration::from_millis(1_000);
 /// Time between two looks at what is to be retired and freed.
