Try failed idempotent requests elsewhere, rank routes within customers, refuse what comes late in a stop

Change: a failed idempotent request goes to another upstream within its attempts; urgency is the customer's rank, then the route's; requests later than 2.6 s after the signal are refused as not run.

--- a/crates/gateway/src/entry_node.rs
+++ b/crates/gateway/src/entry_node.rs
@@ -3,10 +3,7 @@
 use std::{
     cell::{Cell, OnceCell},
     rc::Rc,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, OnceLock},
     time::Duration,
 };
 
@@ -50,6 +47,10 @@
 const CUT_OFF_AFTER: Duration = Duration::from_millis(2_800);
 /// Time between two reports of the work in flight.
 const REPORT_INTERVAL: Duration = Duration::from_millis(150);
+/// A request that comes later than this after the signal to stop might not be finished in time; it is refused.
+const LAST_REQUEST: Duration = Duration::from_millis(2_600);
+/// Its caller may come back at once, to another node.
+const STOP_RETRY_MS: u64 = 20;
 /// Time between two sweeps of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -58,7 +59,7 @@
     gateway: Rc<Gateway>,
     readiness_port: u16,
     metrics_port: u16,
-    stopping: Arc<AtomicBool>,
+    stopping: Arc<OnceLock<Instant>>,
     was_ready: Cell<bool>,
 }
 
@@ -83,7 +84,7 @@
     let (cluster, peers) = Cluster::start(config.cluster()).await?;
     let metrics = GatewayMetrics::new(cluster.metrics());
     tracing::info!(event = "start", node = config.name, role = "entry", %callers, %peers);
-    let stopping = Arc::new(AtomicBool::new(false));
+    let stopping = Arc::new(OnceLock::new());
     let stop_limit = config.bounds.stop_limit;
     let metrics_address = config.metrics;
     let server = {
@@ -130,7 +131,7 @@
     stop_requested().await;
     let stop_at = Instant::now() + stop_limit.saturating_sub(KILL_MARGIN);
     tracing::info!(event = "stop", phase = "not_ready");
-    stopping.store(true, Ordering::Relaxed);
+    let _ = stopping.set(Instant::now());
     sleep(LEAVE_TIME).await;
     let stopped = timeout_at(stop_at, handle.stop(true)).await;
     tracing::info!(event = "stop", phase = "end", all_served = stopped.is_ok());
@@ -239,7 +240,7 @@
         let age = self.gateway.cluster.config_age();
         let cut_off = age.is_none_or(|age| age > CUT_OFF_AFTER);
         let can_serve = self.gateway.routing.table().is_some() && !self.gateway.upstreams.is_empty();
-        let stopping = self.stopping.load(Ordering::Relaxed);
+        let stopping = self.stopping.get().is_some();
         let ready = can_serve && !stopping && !cut_off;
         if self.was_ready.replace(ready) != ready {
             let age_ms = age.map(|age| age.as_millis());
@@ -250,7 +251,7 @@
 
     /// Whether callers are told to open a new connection, which may lead to another node.
     fn sheds_connections(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed) || !self.was_ready.get()
+        self.stopping.get().is_some() || !self.was_ready.get()
     }
 
     async fn serve(&self, request: &HttpRequest, payload: web::Payload) -> HttpResponse {
@@ -294,6 +295,13 @@
             Ok(Err(error)) => return Err(Refusal::new(ResultCode::BodyIncomplete, error.to_string())),
             Err(_) => return Err(Refusal::new(ResultCode::BodyTooLarge, format!("over {limit} bytes"))),
         };
+        if self.stopping.get().is_some_and(|since| since.elapsed() >= LAST_REQUEST) {
+            return Err(Refusal::not_run(
+                ResultCode::ShuttingDown,
+                "the node is about to end",
+                STOP_RETRY_MS,
+            ));
+        }
         let Some(table) = table else {
             return Err(Refusal::not_run(ResultCode::NoQuorum, "no configuration yet", 500));
         };
@@ -339,6 +347,9 @@
                 return Err(deadline_refusal(&progress));
             };
             let answer = sent?;
+            if answer.head.status.is_server_error() && self.tries_elsewhere(&call, &mut progress, &answer) {
+                continue;
+            }
             gateway.metrics.answer_seconds.observe(call.arrived.elapsed().as_secs_f64());
             self.log_answer(&call, &answer);
             let streams =
@@ -356,6 +367,23 @@
         }
     }
 
+    /// Whether a request that an upstream has failed is sent to another one.
+    fn tries_elsewhere(&self, call: &Call, progress: &mut Progress, answer: &Answer) -> bool {
+        let upstream = &answer.in_flight.upstream;
+        if !may_repeat(call) || progress.may_have_run + 1 >= call.route.max_attempts {
+            return false;
+        }
+        progress.may_have_run += 1;
+        progress.tried.push(upstream.entry.id.clone());
+        tracing::info!(
+            event = "failed_answer",
+            request_id = call.headers.request_id.as_deref(),
+            upstream = upstream.entry.id.as_str(),
+            status = answer.head.status.as_u16(),
+        );
+        true
+    }
+
     fn log_answer(&self, call: &Call, answer: &Answer) {
         let upstream = &answer.in_flight.upstream;
         tracing::info!(
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -80,6 +80,10 @@
 const SAVE_TIME: Duration = Duration::from_secs(4);
 /// Parts being saved that are remembered before the old ones are dropped.
 const MAX_SAVING: usize = 4_096;
+/// Ranks of routes that are told apart within one rank of customers, whose rank goes first.
+const ROUTE_RANKS: u8 = 3;
+/// The rank of a customer that has none.
+const USUAL_CUSTOMER_RANK: u8 = 1;
 /// Urgency of the least urgent routes; the field has one digit.
 const LEAST_URGENT: u8 = 9;
 
@@ -858,8 +862,9 @@
 }
 
 fn urgency(call: &Call) -> u8 {
-    let own = call.customer.as_ref().and_then(|customer| customer.priority);
-    own.unwrap_or(call.route.priority).min(LEAST_URGENT)
+    let customer = call.customer.as_ref().and_then(|customer| customer.priority);
+    let customer = customer.unwrap_or(USUAL_CUSTOMER_RANK).saturating_mul(ROUTE_RANKS);
+    customer.saturating_add(call.route.priority.min(ROUTE_RANKS - 1)).min(LEAST_URGENT)
 }
 
 /// Writes the request line and the headers that every attempt has.
