--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -37,7 +37,7 @@
 /// How often a node with work in flight tells of it: more nodes tell less often, so that the leader's work stays
 /// bounded.
 fn busy_poll_ms(entry_nodes: u32) -> u64 {
-    const BUSY_POLL_MS: u64 = 80;
+    const BUSY_POLL_MS: u64 = 40;
     const NODES_AT_FULL_RATE: u64 = 16;
     let share = u64::from(entry_nodes).div_ceil(NODES_AT_FULL_RATE).max(1);
     (BUSY_POLL_MS * share).min(POLL_MS)
--- a/crates/gateway/src/entry_node.rs
+++ b/crates/gateway/src/entry_node.rs
@@ -46,7 +46,7 @@
 /// A configuration older than this means that the node is cut off; callers are better served elsewhere.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(2_800);
 /// Time between two reports of the work in flight.
-const REPORT_INTERVAL: Duration = Duration::from_millis(50);
+const REPORT_INTERVAL: Duration = Duration::from_millis(25);
 /// A request that comes later than this after the signal to stop might not be finished in time; it is refused.
 const LAST_REQUEST: Duration = Duration::from_millis(2_600);
 /// Its caller may come back at once, to another node.
