--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -19,6 +19,7 @@
 mod outbox;
 mod propose;
 mod server;
+mod shared_handle;
 mod shared_soft;
 pub mod status;
 mod storage_thread;
