--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -1,6 +1,6 @@
 //! Structured logs: JSON lines on standard output, through a bounded queue that never blocks.
 
-use std::io::stdout;
+use std::{io::stdout, sync::OnceLock};
 
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::{EnvFilter, fmt::time::SystemTime};
@@ -10,17 +10,17 @@
 /// What is logged unless `DAISYSILL_LOG` says otherwise.
 const DEFAULT_FILTER: &str = "info,tarpc=error,actix_server=warn";
 
-/// Keeps the writer alive and counts the lines that were dropped.
+/// Counts the lines that were dropped since logging was started.
+static DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
+
+/// Keeps the writer alive; what waits is written when it is dropped.
 pub struct LogGuard {
     _worker: WorkerGuard,
-    dropped: ErrorCounter,
 }
 
-impl LogGuard {
-    /// Returns the number of lines dropped so far.
-    pub fn dropped_lines(&self) -> usize {
-        self.dropped.dropped_lines()
-    }
+/// Returns the number of lines dropped so far.
+pub(crate) fn dropped_lines() -> usize {
+    DROPPED.get().map_or(0, ErrorCounter::dropped_lines)
 }
 
 /// Starts logging. Records of the `log` crate go the same way.
@@ -31,6 +31,7 @@
     let (writer, worker) =
         NonBlockingBuilder::default().lossy(true).buffered_lines_limit(QUEUED_LINES).finish(stdout());
     let dropped = writer.error_counter();
+    let _ = DROPPED.set(dropped);
     let filter = EnvFilter::try_from_env("DAISYSILL_LOG").unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
     tracing_subscriber::fmt()
         .json()
@@ -42,5 +43,5 @@
         .with_writer(writer)
         .try_init()
         .map_err(|error| eyre::eyre!("logging cannot be started: {error}"))?;
-    Ok(LogGuard { _worker: worker, dropped })
+    Ok(LogGuard { _worker: worker })
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,6 +14,8 @@
     registry::{Registry, Unit},
 };
 
+use crate::logging;
+
 /// Labels of a finished request.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct ResultLabels {
@@ -40,7 +42,7 @@
     /// Requests in progress.
     pub in_flight: Gauge,
     /// Log lines dropped because the queue was full.
-    pub dropped_log_lines: Counter,
+    pub dropped_log_lines: Gauge,
     /// Calls to the platform's list of upstreams.
     pub list_calls: Counter,
     /// Orders sent to upstreams.
@@ -57,7 +59,7 @@
         let attempts = Family::<AttemptLabels, Counter>::default();
         let connections_opened = Counter::default();
         let in_flight = Gauge::default();
-        let dropped_log_lines = Counter::default();
+        let dropped_log_lines = Gauge::default();
         let list_calls = Counter::default();
         let orders = Counter::default();
         let answer_seconds = Histogram::new(exponential_buckets(0.002, 2.0, 14));
@@ -97,6 +99,7 @@
 
     /// Returns all metrics in the text format of `OpenMetrics`.
     pub fn render(&self) -> String {
+        self.dropped_log_lines.set(i64::try_from(logging::dropped_lines()).unwrap_or(i64::MAX));
         let mut text = String::new();
         if encode(&mut text, &self.registry).is_err() {
             log::warn!("the metrics could not be encoded");
