--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -17,16 +17,14 @@
     wait_queue::WaitQueue,
     zone_reach::ZoneReach,
 };
-use daisysill_wire::peer::CrashSighting;
 use tokio::{
     sync::{Notify, oneshot},
-    time::{Instant, sleep},
+    time::Instant,
 };
 
 use crate::{
     call::{Call, Progress, urgency},
     config::Bounds,
-    connection::UpstreamConnection,
     dialect::{AttemptTerms, Dialect},
     duration::millis,
     exchange::{Answer, AttemptError, Outgoing, attempt},
@@ -35,7 +33,7 @@
     pool::Pool,
     refusal::Refusal,
     routing_state::RoutingState,
-    upstreams::{Upstream, Upstreams},
+    upstreams::Upstreams,
 };
 
 /// Upstreams that may refuse one request before it is refused.
@@ -52,9 +50,6 @@
 pub(crate) const BUSY_RETRY_MS: u64 = 250;
 /// Time after which a caller may come back to a node that has lost touch with the control nodes.
 const STALE_RETRY_MS: u64 = 600;
-/// Time until a broken connection is checked for a crash of its upstream, and for the check itself.
-const CRASH_CHECK_DELAY: Duration = Duration::from_millis(150);
-const CRASH_CHECK_LIMIT: Duration = Duration::from_millis(300);
 /// A share of the configured connections that is left to other callers.
 const CONNECTION_SHARE: f64 = 0.9;
 /// An attempt at an idempotent request is given up after this share of its goal, or this many times what
@@ -63,8 +58,7 @@
 const ATTEMPT_TIMES_MEAN: f64 = 5.0;
 /// The same for prompts, in goals. What an engine has read by then would be read again elsewhere.
 const PROMPT_ATTEMPT_GOALS: f64 = 3.0;
-/// Samples of the reading speed are taken from prompts of this size on.
-const SPEED_SAMPLE_TOKENS: u64 = 1_500;
+
 /// Everything that requests on this node share.
 #[derive(Debug)]
 pub struct Gateway {
@@ -299,71 +293,6 @@
         left.min(Duration::from_secs_f64(limit_ms / 1_000.0))
     }
 
-    fn note_answer(&self, call: &Call, chosen: &Chosen, answer: &Answer, took: Duration) {
-        let upstream = &chosen.upstream;
-        self.zones.borrow_mut().answered(&upstream.entry.zone);
-        let model = call.headers.prompt.as_ref().map(|prompt| prompt.model.as_str());
-        if let (Some(model), Some(version)) = (model, answer.weight_version) {
-            upstream.learn_version(model, version);
-        }
-        if !answer.head.status.is_success() {
-            upstream.failed();
-            return;
-        }
-        if chosen.unread_tokens >= SPEED_SAMPLE_TOKENS && upstream.in_flight() <= 2 {
-            self.upstreams.speeds(&call.service).read(chosen.unread_tokens, took);
-        }
-        if let Some((session, tokens)) = chosen.session {
-            let memory_tokens = self.engine(&call.service).map_or(0, |engine| engine.memory_tokens);
-            upstream.remember_session(session, tokens, memory_tokens);
-        }
-    }
-
-    fn note_error(&self, call: &Rc<Call>, progress: &mut Progress, chosen: &Chosen, error: AttemptError) {
-        let upstream = &chosen.upstream;
-        if !error.was_sent() {
-            progress.sends.never_left();
-        }
-        match error {
-            AttemptError::NotSent => {
-                progress.unreachable += 1;
-                upstream.unreachable();
-                self.zones.borrow_mut().failed(&upstream.entry.zone, &upstream.entry.id, self.now_ms());
-            }
-            AttemptError::NoConnectionLeft => progress.unreachable += 1,
-            AttemptError::Refused => {
-                progress.refusals += 1;
-                upstream.failed();
-            }
-            AttemptError::Misdirected => {
-                progress.refusals += 1;
-                self.note_misdirected(call, chosen);
-            }
-            AttemptError::Broken => {
-                progress.may_have_run += 1;
-                upstream.failed();
-                self.check_for_crash(call, upstream);
-            }
-            AttemptError::TimedOut => {
-                progress.may_have_run += 1;
-                upstream.failed();
-            }
-        }
-        progress.tried.push(upstream.entry.id.clone());
-    }
-
-    /// Another upstream answers there, or the upstream has the weights that were named last.
-    fn note_misdirected(&self, call: &Call, chosen: &Chosen) {
-        let model = call.headers.prompt.as_ref().map(|prompt| prompt.model.as_str());
-        let named = model.and_then(|model| self.routing.named_version(model));
-        match (model, named, chosen.version) {
-            (Some(model), Some(named), Some(sent)) if sent < named.version => {
-                chosen.upstream.learn_version(model, named.version);
-            }
-            _ => chosen.upstream.set_gone(),
-        }
-    }
-
     /// Returns why nothing more is tried, if so.
     fn stop_reason(&self, call: &Call, progress: &Progress, error: AttemptError) -> Option<Refusal> {
         if call.time_left() == Duration::ZERO {
@@ -440,33 +369,6 @@
         act(budgets.entry(service.clone()).or_insert_with(|| RepeatBudget::new(terms)), now_ms)
     }
 
-    /// Reports the request if the upstream whose connection broke does not accept connections any more.
-    pub(crate) fn check_for_crash(&self, call: &Call, upstream: &Upstream) {
-        let cluster = self.cluster.clone();
-        let address = upstream.entry.address;
-        let sighting = CrashSighting {
-            fingerprint: call.fingerprint,
-            upstream: upstream.entry.id.clone(),
-            started_unix_ms: upstream.entry.started_unix_ms,
-        };
-        actix_rt::spawn(async move {
-            sleep(CRASH_CHECK_DELAY).await;
-            if UpstreamConnection::connect(address, CRASH_CHECK_LIMIT).await.is_err() {
-                tracing::info!(
-                    event = "crash_seen",
-                    upstream = sighting.upstream.as_str(),
-                    fingerprint = sighting.fingerprint
-                );
-                cluster.report_crash(sighting);
-            }
-        });
-    }
-
-    /// Notes how long a request took.
-    pub(crate) fn note_finished(&self, call: &Call, took: Duration) {
-        self.upstreams.speeds(&call.service).finished(took);
-    }
-
     /// Logs the end of a stream.
     pub(crate) fn stream_ended(&self, call: &Call, outcome: &'static str, bytes: u64) {
         self.metrics.in_flight.dec();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod http_head;
 pub mod logging;
 pub mod metrics;
+mod outcomes;
 mod place;
 pub mod pool;
 mod prompt_parts;
