Ask before a request that was part of a crash runs again

Ruled out: a longer hold after the second crash (the third and the fourth come from runs that are already under way). Change: StartSuspectRun and EndSuspectRun in the replicated log (control::crashes, suspect_runs): one run of a suspected request at a time, one such run an engine, none while two of its crashes wait to be judged; the crash is reported before the end of its run; a run that finished clears the request. The view names suspects by short digests, so that the state stays within the bound of its test. Without a majority the request is refused as not run.

--- a/crates/cluster/src/delta.rs
+++ b/crates/cluster/src/delta.rs
@@ -23,6 +23,8 @@
         model_versions: (old.model_versions != new.model_versions).then(|| new.model_versions.clone()),
         blocked: blocked.map(|(name, until)| (name.clone(), *until)).collect(),
         unblocked: unblocked.cloned().collect(),
+        suspected: new.suspects.difference(&old.suspects).copied().collect(),
+        cleared: old.suspects.difference(&new.suspects).copied().collect(),
         log_time_ms: new.log_time_ms,
     }
 }
@@ -38,6 +40,9 @@
     let mut blocked = base.blocked.clone();
     blocked.retain(|name, _| !delta.unblocked.contains(name));
     blocked.extend(delta.blocked.clone());
+    let mut suspects = base.suspects.clone();
+    suspects.retain(|digest| !delta.cleared.contains(digest));
+    suspects.extend(&delta.suspected);
     Some(ConfigView {
         version: delta.version,
         rules_version: delta.rules_version,
@@ -47,6 +52,7 @@
         document: delta.document.clone().or_else(|| base.document.clone()),
         model_versions: delta.model_versions.clone().unwrap_or_else(|| base.model_versions.clone()),
         blocked,
+        suspects,
         log_time_ms: delta.log_time_ms,
     })
 }
--- a/crates/cluster/src/propose.rs
+++ b/crates/cluster/src/propose.rs
@@ -218,5 +218,7 @@
         Command::PublishDocument(_) | Command::NameModelVersion(_) => true,
         // Crashes are a set of upstream and incarnation.
         Command::ReportCrash(_) => true,
+        // A run is known by its attempt; the end of a run that is not known changes nothing.
+        Command::StartSuspectRun(_) | Command::EndSuspectRun(_) => true,
     }
 }
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -29,6 +29,10 @@
         FinishClaim(FinishClaim),
         /// Reports that an upstream crashed while it ran requests.
         ReportCrash(ReportCrash),
+        /// Asks to run a request that was part of a crash.
+        StartSuspectRun(StartSuspectRun),
+        /// Reports that such a run has ended.
+        EndSuspectRun(EndSuspectRun),
         /// Puts a routing document in force unless one of the same or a higher version is.
         PublishDocument(PublishDocument),
         /// Names the weight version that a model is to be served with, unless a higher one was named.
@@ -162,6 +166,39 @@
         pub block_ms: u64,
     }
 
+    /// Asks to run a request that was part of a crash.
+    pub struct StartSuspectRun {
+        /// The attempt that asks.
+        pub attempt: AttemptId,
+        /// The request's fingerprint.
+        pub fingerprint: String,
+        /// Where it would run.
+        pub upstream: InstanceId,
+        /// Time after which the run counts as ended if nobody reports its end.
+        pub limit_ms: u64,
+    }
+
+    /// Reports that the run of a request that was part of a crash has ended.
+    pub struct EndSuspectRun {
+        /// The attempt that ran it.
+        pub attempt: AttemptId,
+        /// Whether the upstream completed the request, which clears it of the crashes so far.
+        pub finished: bool,
+        /// How long a request is blocked that is now the only one left to explain its crashes.
+        pub block_ms: u64,
+    }
+
+    /// Why a request that was part of a crash must not run as asked.
+    pub enum RunRefusal {
+        /// Another request that was part of a crash runs at that upstream: a further crash could not tell them
+        /// apart.
+        UpstreamTaken,
+        /// A run of the same request is in progress, or reports of its latest crash are still arriving.
+        Wait,
+        /// The request is blocked.
+        Blocked,
+    }
+
     /// The reply to a command.
     pub enum Reply {
         /// Done; nothing to tell.
@@ -188,6 +225,10 @@
         ClaimsFull,
         /// The attempt ended without running its call before this copy of its claim arrived.
         AttemptEnded,
+        /// The request that was part of a crash may run.
+        RunPermitted,
+        /// The request that was part of a crash must not run as asked.
+        RunRefused(RunRefusal),
         /// The voters cannot be changed in this way now.
         VotersRefused(VoterRefusal),
     }
--- a/crates/control/src/crashes.rs
+++ b/crates/control/src/crashes.rs
@@ -5,7 +5,7 @@
 //! could be blocked in place of the one that took down the upstream.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
 };
 
@@ -16,8 +16,9 @@
 };
 
 use crate::{
-    command::{Reply, ReportCrash},
+    command::{EndSuspectRun, Reply, ReportCrash, RunRefusal, StartSuspectRun},
     state::AgreedState,
+    suspect_runs::SuspectRuns,
 };
 
 /// Time in which all reports of a crash arrive. A node looks for 500 ms whether an upstream still runs, and
@@ -30,6 +31,10 @@
 const MAX_FINGERPRINT_BYTES: usize = 128;
 /// Judged crashes whose number of requests is remembered, as many as the table of judged crashes keeps.
 const MAX_JUDGED: usize = 256;
+/// Crashes of one request after which it waits until all of them are judged.
+const CRASHES_TO_WAIT: usize = 2;
+/// Suspects that nodes are told of, the latest first; further ones run without permission.
+const MAX_SUSPECTS: usize = 512;
 
 value_types! {
     /// A crash whose reports are still arriving.
@@ -64,6 +69,20 @@
     pub unsettled: Vec<UnsettledCrash>,
     /// The sizes of the judged crashes, oldest first.
     pub sizes: VecDeque<JudgedCrash>,
+    /// Runs in progress of requests that were part of a crash.
+    pub runs: SuspectRuns,
+}
+
+/// Returns the short digest under which nodes are told of a suspect. Requests that share one by chance are only
+/// asked for without need.
+///
+/// ```
+/// use daisysill_control::crashes::suspect_digest;
+/// assert_ne!(suspect_digest("request-a"), suspect_digest("request-b"));
+/// ```
+pub fn suspect_digest(fingerprint: &str) -> u32 {
+    let [first, second, third, fourth, ..] = *blake3::hash(fingerprint.as_bytes()).as_bytes();
+    u32::from_le_bytes([first, second, third, fourth])
 }
 
 impl Crashes {
@@ -155,6 +174,52 @@
     fn is_suspect(&self, fingerprint: &Fingerprint, now_ms: u64) -> bool {
         self.judged.permission(fingerprint, now_ms, 0).permission != Permission::Run
     }
+
+    /// Returns the requests that may have caused a crash, those of unjudged crashes first.
+    fn suspects(&self) -> BTreeSet<u32> {
+        let unsettled = self.unsettled.iter().rev().flat_map(|crash| crash.report.running.iter().cloned());
+        let judged = self.judged.suspects().into_iter();
+        let mut suspects = BTreeSet::new();
+        for fingerprint in unsettled.chain(judged) {
+            if suspects.len() < MAX_SUSPECTS {
+                suspects.insert(suspect_digest(fingerprint.as_str()));
+            }
+        }
+        suspects
+    }
+
+    fn start_run(&mut self, start: &StartSuspectRun, now_ms: u64) -> Result<(), RunRefusal> {
+        self.runs.expire(now_ms);
+        if self.runs.contains(&start.attempt) {
+            return Ok(());
+        }
+        let fingerprint: Fingerprint = start.fingerprint.as_str().into();
+        let unjudged =
+            self.unsettled.iter().filter(|crash| crash.report.running.contains(&fingerprint)).count();
+        let running = self.runs.of(&start.fingerprint);
+        let must_wait = match self.judged.permission(&fingerprint, now_ms, running).permission {
+            Permission::Blocked { .. } => return Err(RunRefusal::Blocked),
+            Permission::Wait => true,
+            Permission::Run => unjudged >= CRASHES_TO_WAIT || (unjudged > 0 && running > 0),
+            Permission::RunApart { .. } | Permission::RunAlone => unjudged > 0 || running > 0,
+        };
+        if must_wait {
+            return Err(RunRefusal::Wait);
+        }
+        self.runs.start(start, now_ms)
+    }
+
+    fn end_run(&mut self, end: &EndSuspectRun, now_ms: u64) {
+        let Some(run) = self.runs.end(&end.attempt) else { return };
+        if !end.finished {
+            return;
+        }
+        let fingerprint: Fingerprint = run.fingerprint.as_str().into();
+        for crash in self.unsettled.iter_mut().filter(|crash| crash.at_ms < run.started_ms) {
+            crash.report.running.remove(&fingerprint);
+        }
+        self.judged.finished(&fingerprint, run.started_ms, end.block_ms.max(now_ms - run.started_ms + 1));
+    }
 }
 
 fn extend(merged: &mut CrashReport, report: &ReportCrash) {
@@ -173,6 +238,19 @@
         if self.config.version == before { Reply::Done } else { Reply::Accepted(self.config.version) }
     }
 
+    pub(crate) fn start_suspect_run(&mut self, start: &StartSuspectRun) -> Reply {
+        match self.crashes.start_run(start, self.now_ms) {
+            Ok(()) => Reply::RunPermitted,
+            Err(refusal) => Reply::RunRefused(refusal),
+        }
+    }
+
+    pub(crate) fn end_suspect_run(&mut self, end: &EndSuspectRun) -> Reply {
+        self.crashes.end_run(end, self.now_ms);
+        self.update_blocks();
+        Reply::Done
+    }
+
     /// Judges the crashes that are due.
     pub(crate) fn settle_crashes(&mut self) {
         if self.crashes.next_change_ms().is_some_and(|due_ms| due_ms <= self.now_ms) {
@@ -182,12 +260,13 @@
     }
 
     fn update_blocks(&mut self) {
-        let blocked = self.crashes.blocked();
-        if blocked == self.config.blocked {
+        let (blocked, suspects) = (self.crashes.blocked(), self.crashes.suspects());
+        if blocked == self.config.blocked && suspects == self.config.suspects {
             return;
         }
         let config = Arc::make_mut(&mut self.config);
         config.blocked = blocked;
+        config.suspects = suspects;
         config.version = ConfigVersion(self.applied_index);
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 mod start_check;
 pub mod state;
 pub mod storage;
+pub mod suspect_runs;
 mod writes;
 
 pub use api::{
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -39,6 +39,9 @@
         pub weights: BTreeMap<ServiceName, WeightVersion>,
         /// Blocked request fingerprints and when the block ends, in log time. An entry goes when its block ends.
         pub blocked: BTreeMap<String, u64>,
+        /// Digests of the fingerprints of requests that were part of a crash and may have caused it. A node asks
+        /// before it runs one of them.
+        pub suspects: BTreeSet<u32>,
         /// The routing document in force.
         pub document: Option<Arc<RoutingDocument>>,
         /// The weight version named last, by model.
@@ -133,6 +136,8 @@
             Command::Claim(claim) => self.claim(claim),
             Command::FinishClaim(finish) => self.finish_claim(finish),
             Command::ReportCrash(report) => self.report_crash(report),
+            Command::StartSuspectRun(start) => self.start_suspect_run(start),
+            Command::EndSuspectRun(end) => self.end_suspect_run(end),
             Command::PublishDocument(publish) => self.publish_document(publish),
             Command::NameModelVersion(named) => self.name_model_version(named),
         };
--- a/crates/core/src/suspect.rs
+++ b/crates/core/src/suspect.rs
@@ -196,7 +196,7 @@
     pub fn likelihood_permille(&self, fingerprint: &Fingerprint) -> u64 {
         let crashes = self.open_crashes(fingerprint);
         let innocent = crashes.iter().fold(1_000, |innocent, crash| {
-            let suspects = self.suspects(crash);
+            let suspects = self.suspects_of(crash);
             let weight: u64 = suspects.iter().map(|suspect| self.weight(suspect)).sum();
             let guilt = (1_000 - OUTSIDE_CAUSE_PERMILLE) * self.weight(fingerprint) / weight.max(1);
             innocent * (1_000 - guilt) / 1_000
@@ -204,6 +204,22 @@
         1_000 - innocent
     }
 
+    /// Returns the requests that may have caused a crash and are not blocked, those of the latest crash first.
+    pub fn suspects(&self) -> Vec<Fingerprint> {
+        let mut crashes: Vec<&Crash> = self.crashes.values().collect();
+        crashes.sort_by_key(|crash| std::cmp::Reverse(crash.at_ms));
+        let mut suspects = Vec::new();
+        let mut seen = BTreeSet::new();
+        for fingerprint in crashes.into_iter().flat_map(|crash| self.suspects_of(crash)) {
+            let is_open =
+                !self.blocks.contains_key(&fingerprint) && !self.open_crashes(&fingerprint).is_empty();
+            if is_open && seen.insert(fingerprint.clone()) {
+                suspects.push(fingerprint);
+            }
+        }
+        suspects
+    }
+
     /// Iterates over the blocked requests.
     pub fn blocks(&self) -> impl Iterator<Item = (&Fingerprint, &Block)> {
         self.blocks.iter()
@@ -224,7 +240,7 @@
         if count < CRASHES_TO_BLOCK {
             return false;
         }
-        let alone = crashes.iter().any(|crash| self.suspects(crash).len() == 1);
+        let alone = crashes.iter().any(|crash| self.suspects_of(crash).len() == 1);
         let rivals = self.rivals(fingerprint, &crashes);
         if !alone && !rivals.is_empty() && count < MAX_LOST_UPSTREAMS {
             return false;
@@ -239,7 +255,7 @@
 
     /// Returns the other suspects that explain each of `crashes` as well.
     fn rivals(&self, fingerprint: &Fingerprint, crashes: &[&Crash]) -> BTreeSet<Fingerprint> {
-        let mut rivals = crashes.first().map_or_else(BTreeSet::new, |crash| self.suspects(crash));
+        let mut rivals = crashes.first().map_or_else(BTreeSet::new, |crash| self.suspects_of(crash));
         rivals.remove(fingerprint);
         rivals.retain(|rival| crashes.iter().all(|crash| crash.running.contains(rival)));
         rivals
@@ -247,7 +263,7 @@
 
     fn apart(&self, fingerprint: &Fingerprint) -> Permission {
         let crashes = self.open_crashes(fingerprint);
-        let mut from: BTreeSet<Fingerprint> = crashes.iter().flat_map(|c| self.suspects(c)).collect();
+        let mut from: BTreeSet<Fingerprint> = crashes.iter().flat_map(|c| self.suspects_of(c)).collect();
         from.remove(fingerprint);
         if from.is_empty() { Permission::RunAlone } else { Permission::RunApart { from } }
     }
@@ -266,7 +282,7 @@
     }
 
     /// Returns the requests of a crash that are not cleared of it.
-    fn suspects(&self, crash: &Crash) -> BTreeSet<Fingerprint> {
+    fn suspects_of(&self, crash: &Crash) -> BTreeSet<Fingerprint> {
         let is_open = |f: &&Fingerprint| self.cleared.get(*f).is_none_or(|cleared| crash.at_ms > *cleared);
         crash.running.iter().filter(is_open).cloned().collect()
     }
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -2,18 +2,22 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Mutex, PoisonError},
+    sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
-use daisysill_control::command::{Command, ReportCrash};
+use daisysill_control::{
+    command::{Command, EndSuspectRun, Reply, ReportCrash, RunRefusal, StartSuspectRun},
+    crashes::suspect_digest,
+};
 use daisysill_core::{
-    ids::{CustomerId, InstanceId, ServiceName},
+    ids::{AttemptId, CustomerId, InstanceId, ServiceName},
     rules::ServiceRules,
 };
 use tokio::time::{Instant, timeout};
 
 use crate::{
+    request::new_id,
     shared::Shared,
     upstream_edge::{AttemptError, Engine},
 };
@@ -22,6 +26,13 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time that a further attempt waits for the report of a crash to be committed.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time that a request waits for the permission to run. Longer than an election takes, so that a change of leader
+/// refuses nobody.
+const PERMISSION_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Time for which the end of a run is proposed again; the run then counts as ended by its own time limit.
+const END_TIMEOUT: Duration = Duration::from_secs(10);
+/// Fingerprints of crashes seen here that are remembered until the configuration names them.
+const MAX_SEEN_HERE: usize = 1_024;
 
 /// Returns what identifies equal requests: customer, service, adapter and prompt.
 ///
@@ -46,6 +57,9 @@
 #[derive(Debug, Default)]
 pub struct BlockedRequests {
     seen: Mutex<BTreeMap<String, (u64, Instant)>>,
+    /// Requests that were part of a crash that this node saw, and until when the node asks before it runs them.
+    /// The configuration names them too, but later, and not if the report of the crash found no majority.
+    crashed_here: Mutex<BTreeMap<String, Instant>>,
 }
 
 impl BlockedRequests {
@@ -61,6 +75,114 @@
         }
         now - first_seen.1 < Duration::from_secs(rules.crashes.block_s)
     }
+
+    /// Returns whether this node saw a crash that a request was part of.
+    fn crashed_here(&self, fingerprint: &str) -> bool {
+        let mut crashed = self.crashed_here.lock().unwrap_or_else(PoisonError::into_inner);
+        crashed.retain(|_, until| *until > Instant::now());
+        crashed.contains_key(fingerprint)
+    }
+
+    fn note_crash(&self, fingerprint: &str, rules: &ServiceRules) {
+        let mut crashed = self.crashed_here.lock().unwrap_or_else(PoisonError::into_inner);
+        if crashed.len() < MAX_SEEN_HERE {
+            let until = Instant::now() + Duration::from_secs(rules.crashes.block_s);
+            crashed.insert(fingerprint.to_owned(), until);
+        }
+    }
+
+    fn clear(&self, fingerprint: &str) {
+        self.crashed_here.lock().unwrap_or_else(PoisonError::into_inner).remove(fingerprint);
+    }
+}
+
+/// Whether an attempt may run.
+pub(crate) enum RunPermission {
+    /// The request was part of no crash that is known.
+    Free,
+    /// The request was part of a crash; the end of this run must be reported.
+    Granted(GrantedRun),
+    /// The request must not run as asked.
+    Refused(RunRefusal),
+    /// No majority answered.
+    NoQuorum,
+}
+
+/// The run of a request that was part of a crash. Dropped without a word, it is reported as not finished.
+pub(crate) struct GrantedRun {
+    shared: Arc<Shared>,
+    end: Option<EndSuspectRun>,
+    fingerprint: String,
+}
+
+impl GrantedRun {
+    /// Reports that the upstream completed the request.
+    pub(crate) fn finished(mut self) {
+        if let Some(end) = &mut self.end {
+            end.finished = true;
+        }
+        self.shared.blocked_requests.clear(&self.fingerprint);
+    }
+}
+
+impl Drop for GrantedRun {
+    fn drop(&mut self) {
+        let Some(end) = self.end.take() else { return };
+        let shared = Arc::clone(&self.shared);
+        actix_rt::spawn(async move {
+            let attempt = end.attempt.clone();
+            let proposed = shared.agreement.propose(Command::EndSuspectRun(end));
+            match timeout(END_TIMEOUT, proposed).await {
+                Ok(Ok(_)) => {}
+                Ok(Err(error)) => log::warn!("the end of run {attempt} was not recorded: {error}"),
+                Err(_) => log::warn!("the end of run {attempt} was not recorded in time"),
+            }
+        });
+    }
+}
+
+/// An attempt that is about to run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PlannedRun<'a> {
+    /// Where.
+    pub(crate) upstream: &'a InstanceId,
+    /// Fingerprint of the request.
+    pub(crate) fingerprint: &'a str,
+    /// The rules of the service.
+    pub(crate) rules: &'a ServiceRules,
+    /// When the request ends at the latest.
+    pub(crate) deadline: Instant,
+}
+
+impl PlannedRun<'_> {
+    /// Asks the agreed state for permission if the request was part of a crash.
+    pub(crate) async fn permission(&self, shared: &Arc<Shared>) -> RunPermission {
+        let named = shared.cluster.view().borrow().suspects.contains(&suspect_digest(self.fingerprint));
+        if !named && !shared.blocked_requests.crashed_here(self.fingerprint) {
+            return RunPermission::Free;
+        }
+        let attempt = AttemptId::from(new_id("run"));
+        let limit = self.deadline.saturating_duration_since(Instant::now());
+        let start = StartSuspectRun {
+            attempt: attempt.clone(),
+            fingerprint: self.fingerprint.to_owned(),
+            upstream: self.upstream.clone(),
+            limit_ms: u64::try_from(limit.as_millis()).unwrap_or(u64::MAX),
+        };
+        let block_ms = self.rules.crashes.block_s * 1_000;
+        // Made before the proposal: a permission whose reply is lost is given back as well.
+        let run = GrantedRun {
+            shared: Arc::clone(shared),
+            end: Some(EndSuspectRun { attempt, finished: false, block_ms }),
+            fingerprint: self.fingerprint.to_owned(),
+        };
+        let proposed = shared.agreement.propose(Command::StartSuspectRun(start));
+        match timeout(PERMISSION_TIMEOUT, proposed).await {
+            Ok(Ok(Reply::RunPermitted)) => RunPermission::Granted(run),
+            Ok(Ok(Reply::RunRefused(refusal))) => RunPermission::Refused(refusal),
+            _ => RunPermission::NoQuorum,
+        }
+    }
 }
 
 /// An attempt that failed after it was sent.
@@ -92,14 +214,19 @@
             return;
         }
         shared.metrics.crashes.inc();
+        shared.blocked_requests.note_crash(self.fingerprint, self.rules);
         let report = ReportCrash {
             upstream: self.upstream.clone(),
             incarnation: self.incarnation,
             fingerprints: vec![self.fingerprint.to_owned()],
             block_ms: self.rules.crashes.block_s * 1_000,
         };
-        // Without a majority the crash goes unreported; the next one is reported again.
+        // Without a majority the crash goes unreported; this node then asks before it runs the request again.
         let proposed = shared.agreement.propose(Command::ReportCrash(report));
-        let _ = timeout(REPORT_TIMEOUT, proposed).await;
+        match timeout(REPORT_TIMEOUT, proposed).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(error)) => log::warn!("the crash of {} was not recorded: {error}", self.upstream),
+            Err(_) => log::warn!("the crash of {} was not recorded in time", self.upstream),
+        }
     }
 }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, rc::Rc, sync::Arc};
 
+use daisysill_control::{command::RunRefusal, crashes::SETTLE_MS};
 use daisysill_core::{
     block::{BlockName, BlockScope, piece_names},
     ids::{InstanceId, WeightVersion},
@@ -17,7 +18,7 @@
 use crate::{
     admission_gate::{AdmissionRequest, AdmissionSlot},
     config::ServiceConfig,
-    crash::fingerprint,
+    crash::{GrantedRun, PlannedRun, RunPermission, fingerprint},
     refusal::Refusal,
     request::RequestLife,
     shared::Shared,
@@ -60,6 +61,14 @@
     Refused(Refusal),
 }
 
+/// Why a request that was part of a crash does not run as decided.
+enum NotPermitted {
+    /// It may run at another upstream.
+    Elsewhere,
+    /// It must not run now.
+    Refused(Refusal),
+}
+
 /// How an attempt ended.
 pub(crate) enum Attempt {
     Finished,
@@ -142,8 +151,20 @@
                 return self.refuse(blocked()).await;
             }
             let Some(decision) = self.choose() else { break };
+            let run = match self.permission(&decision).await {
+                Ok(run) => run,
+                Err(NotPermitted::Elsewhere) => {
+                    self.excluded.push(decision.upstream);
+                    continue;
+                }
+                Err(NotPermitted::Refused(refusal)) => return self.refuse(refusal).await,
+            };
+            self.life.event("chosen");
             match self.attempt(&decision).await {
                 Attempt::Finished => {
+                    if let Some(run) = run {
+                        run.finished();
+                    }
                     slot.served();
                     return self.life.result(ResultCode::Ok);
                 }
@@ -152,7 +173,9 @@
                     // An upstream that did not run the request is left out from now on, so that this ends; it
                     // counts as no attempt, since all engines that load new weights may refuse in turn.
                     attempts += u64::from(!error.is_not_run());
+                    // The crash is reported before the run ends, so that no other run is permitted in between.
                     self.note_failure(&decision.upstream, &error).await;
+                    drop(run);
                     if matches!(error, AttemptError::Refused { leaving: false, .. }) {
                         slot.overloaded();
                     }
@@ -191,6 +214,27 @@
         self.shared.blocked_requests.contains(&view.blocked, &self.fingerprint, &self.rules)
     }
 
+    /// Asks whether a request that was part of a crash may run where it was decided.
+    async fn permission(&mut self, decision: &Decision) -> Result<Option<GrantedRun>, NotPermitted> {
+        let planned = PlannedRun {
+            upstream: &decision.upstream,
+            fingerprint: &self.fingerprint,
+            rules: &self.rules,
+            deadline: self.request.deadline,
+        };
+        match planned.permission(&self.shared).await {
+            RunPermission::Free => Ok(None),
+            RunPermission::Granted(run) => Ok(Some(run)),
+            RunPermission::Refused(RunRefusal::UpstreamTaken) => {
+                self.life.decision(&format!("{}: runs another request of a crash", decision.upstream));
+                Err(NotPermitted::Elsewhere)
+            }
+            RunPermission::Refused(RunRefusal::Wait) => Err(NotPermitted::Refused(waits_for_crash())),
+            RunPermission::Refused(RunRefusal::Blocked) => Err(NotPermitted::Refused(blocked())),
+            RunPermission::NoQuorum => Err(NotPermitted::Refused(no_quorum())),
+        }
+    }
+
     fn choose(&mut self) -> Option<Decision> {
         let (view, now_ms) = self.shared.upstreams.view();
         let pieces = self.pieces_by_version(&view);
@@ -216,7 +260,6 @@
         let basis = self.shared.upstreams.load_basis(&decision.upstream).unwrap_or_default();
         let reason = format!("{}; {basis}", decision.reason);
         self.life.decision(&reason);
-        self.life.event("chosen");
         let span = self.life.span.child("decision");
         span.set("reason", reason);
         Some(decision)
@@ -277,3 +320,13 @@
 fn blocked() -> Refusal {
     Refusal::new(ResultCode::RequestBlocked, "the request is blocked because it took down upstreams")
 }
+
+fn waits_for_crash() -> Refusal {
+    let message = "the request was part of a crash whose reports are arriving, or is running elsewhere";
+    Refusal::new(ResultCode::RequestBlocked, message).retry_after_ms(SETTLE_MS)
+}
+
+fn no_quorum() -> Refusal {
+    let message = "the request was part of a crash, and no majority is in reach to permit another run";
+    Refusal::new(ResultCode::NoQuorum, message).retry_after_ms(NO_UPSTREAM_RETRY_MS)
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -141,6 +141,10 @@
         pub blocked: BTreeMap<String, u64>,
         /// Block marks that are gone.
         pub unblocked: Vec<String>,
+        /// Suspects that are new.
+        pub suspected: Vec<u32>,
+        /// Suspects that are cleared.
+        pub cleared: Vec<u32>,
         /// Log time of the last change.
         pub log_time_ms: u64,
     }
