Share scarce places between entry nodes

Cause: many nodes see the same few engines free on news that is 130 ms old and all rush there. Ruled out: too little reading speed (36% in use) and full links of engines (9%); local caches (they turn over in a second, so nearly every kept token is fetched). Change: core::place_share gives each node its part of the open places (free, or free before the news arrives) while less than half of all places are free; placement draws engines in proportion to their open places in place of the least busy one. The tests play 67 nodes with old news and name the pattern. The draws of the placement tests now cover the range of the random number, since a draw is no longer taken modulo the number of candidates.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod link;
 pub mod liveness;
 pub mod load_plan;
+pub mod place_share;
 pub mod placement;
 pub mod repeat_budget;
 pub mod resting;
--- a/crates/core/src/placement.rs
+++ b/crates/core/src/placement.rs
@@ -1,5 +1,7 @@
 //! Chooses an upstream for a request: where its prompt is likely cached, unless that upstream is too busy.
 
+use crate::place_share::NEWS_DELAY_MS;
+
 /// Work beyond the least busy candidate up to which a request still goes where its prompt is cached, in units of
 /// the time saved there.
 const PATIENCE: f64 = 1.0;
@@ -10,6 +12,10 @@
 const FULL_BATCH_MS: f64 = 80.0;
 /// An upstream with work in flight that has sent nothing for this time is taken for unreachable.
 const SILENCE_LIMIT_MS: f64 = 400.0;
+/// An upstream that is chosen from has this many open places at least, so that one without work can be drawn.
+const MIN_OPEN_PLACES: f64 = 0.1;
+/// Candidates are drawn from those whose estimate is at most this much above the least.
+const DRAWN_WITHIN_MS: f64 = 100.0;
 /// Added to the estimate of an upstream in another availability zone.
 const OTHER_ZONE_PENALTY_MS: f64 = 1.5;
 
@@ -61,6 +67,13 @@
 }
 
 impl Candidate {
+    /// Returns the free places, and those that become free before other nodes know of new placements.
+    pub fn open_places(&self) -> f64 {
+        let request_ms = self.ms_per_request * f64::from(self.slots);
+        let ending = f64::from(self.in_flight) * NEWS_DELAY_MS as f64 / request_ms.max(NEWS_DELAY_MS as f64);
+        f64::from(self.slots.saturating_sub(self.in_flight)) + ending.max(MIN_OPEN_PLACES)
+    }
+
     /// Estimates the time until the upstream begins to answer.
     fn estimate_ms(&self, need: &Need) -> f64 {
         let waiting = f64::from((self.in_flight + 1).saturating_sub(self.slots));
@@ -79,7 +92,7 @@
     }
 }
 
-/// Chooses among `candidates`. `draw` is a random number that settles near-ties.
+/// Chooses among `candidates`. `draw` is a random number.
 ///
 /// A session has a home: the candidate with the highest rank. All nodes agree on it without talking to each
 /// other, so its prompt is read once. The home is left when the wait there exceeds what the cache saves.
@@ -116,14 +129,18 @@
     homes
 }
 
-/// Of two drawn candidates the one with the lower estimate, so that nodes with the same view do not all choose
-/// the same upstream; near-ties of few candidates are settled by the draw as well.
+/// Draws one of the candidates whose estimates are nearly the least, in proportion to their open places: nodes with the
+/// same view, which is a little old, would otherwise all choose the same upstream.
 fn least_busy(candidates: &[Candidate], estimates: &[f64], draw: u64) -> Option<Choice> {
-    const NEAR_TIE_MS: f64 = 2.0;
     let least = estimates.iter().copied().fold(f64::INFINITY, f64::min);
-    let near: Vec<usize> =
-        (0..candidates.len()).filter(|index| estimates[*index] <= least + NEAR_TIE_MS).collect();
-    let count = u64::try_from(near.len()).ok().filter(|count| *count > 0)?;
-    let index = *near.get(usize::try_from(draw % count).ok()?)?;
+    let is_near = |index: &usize| estimates[*index] <= least + DRAWN_WITHIN_MS;
+    let near: Vec<usize> = (0..candidates.len()).filter(is_near).collect();
+    let total: f64 = near.iter().map(|index| candidates[*index].open_places()).sum();
+    let mut left = total * draw as f64 / u64::MAX as f64;
+    let is_drawn = |index: &usize| {
+        left -= candidates[*index].open_places();
+        left <= 0.0
+    };
+    let index = near.iter().copied().find(is_drawn).or(near.last().copied())?;
     Some(Choice { index, estimate_ms: estimates[index] })
 }
--- /dev/null
+++ b/crates/core/tests/place_share.rs
@@ -0,0 +1,116 @@
+//! The load patterns of places that many nodes see as free at the same time.
+
+#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+
+use std::collections::{BTreeMap, VecDeque};
+
+use daisysill_core::{
+    place_share::{NEWS_DELAY_MS, PlaceShare, Places},
+    placement::{Candidate, Need, choose},
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+const NODES: u32 = 67;
+const ENGINES: usize = 67;
+const SLOTS: u32 = 16;
+const REQUEST_MS: u64 = 450;
+const NEED: Need = Need { prompt_tokens: 1_000, shared_tokens: 0, tokens_per_ms: 140.0 };
+
+fn candidate(in_flight: u32) -> Candidate {
+    Candidate {
+        in_flight,
+        slots: SLOTS,
+        unread_tokens: 0,
+        ms_per_request: REQUEST_MS as f64 / f64::from(SLOTS),
+        cached_tokens: 0,
+        fetch_ms: 0.0,
+        near_store: false,
+        recent_failures: 0.0,
+        silent_ms: 0.0,
+        own_zone: true,
+        session_rank: 0,
+    }
+}
+
+/// Plays nodes that know the engines' work as it was `NEWS_DELAY_MS` ago, with more requests than places. Returns
+/// the most requests that one engine had beyond its places, and the mean share of places in use.
+fn play(with_share: bool) -> (u32, f64) {
+    let mut random = StdRng::seed_from_u64(7);
+    let mut in_flight = vec![0_u32; ENGINES];
+    let mut past: VecDeque<Vec<u32>> = VecDeque::new();
+    let mut ends: BTreeMap<u64, Vec<usize>> = BTreeMap::new();
+    let mut shares: Vec<PlaceShare> = (0..NODES).map(|_| PlaceShare::default()).collect();
+    let (mut waiting, mut worst, mut used) = (0_u32, 0, 0_u64);
+    for now_ms in 0..2_500_u64 {
+        for engine in ends.remove(&now_ms).unwrap_or_default() {
+            in_flight[engine] -= 1;
+        }
+        past.push_back(in_flight.clone());
+        if past.len() > usize::try_from(NEWS_DELAY_MS).unwrap() {
+            past.pop_front();
+        }
+        // Three requests a millisecond; the places carry 2.4.
+        waiting += 3;
+        let known: Vec<u32> = past[0].clone();
+        for _ in 0..waiting.min(12) {
+            let open: Vec<usize> = (0..ENGINES).filter(|engine| known[*engine] < SLOTS).collect();
+            let candidates: Vec<Candidate> = open.iter().map(|engine| candidate(known[*engine])).collect();
+            let places = Places {
+                free: candidates.iter().map(|c| c.slots - c.in_flight).sum(),
+                open: candidates.iter().map(Candidate::open_places).sum(),
+                all: SLOTS * u32::try_from(ENGINES).unwrap(),
+                nodes: NODES,
+            };
+            let node = random.random_range(0..shares.len());
+            if candidates.is_empty() || (with_share && !shares[node].take(now_ms, &places)) {
+                continue;
+            }
+            let chosen = open[choose(&candidates, &NEED, random.random()).unwrap().index];
+            in_flight[chosen] += 1;
+            let took_ms = random.random_range(REQUEST_MS / 2..=REQUEST_MS * 3 / 2);
+            ends.entry(now_ms + took_ms).or_default().push(chosen);
+            waiting -= 1;
+        }
+        worst = worst.max(in_flight.iter().map(|n| n.saturating_sub(SLOTS)).max().unwrap());
+        if now_ms >= 1_000 {
+            used += in_flight.iter().map(|n| u64::from((*n).min(SLOTS))).sum::<u64>();
+        }
+    }
+    let places = f64::from(SLOTS) * ENGINES as f64 * 1_500.0;
+    (worst, used as f64 / places)
+}
+
+/// Pattern: a quarter of the engines is gone and all nodes rush to the few places that they see free on the same old
+/// news. Without shares, one engine gets several times its places.
+#[test]
+fn many_nodes_do_not_fill_the_same_free_places() {
+    let (rushed, _) = play(false);
+    assert!(rushed > SLOTS, "the pattern does not show: {rushed} beyond the places");
+    let (worst, used) = play(true);
+    assert!(worst <= SLOTS, "{worst} requests beyond the places of one engine");
+    assert!(used >= 0.6, "only {used:.2} of the places are in use");
+}
+
+/// Pattern: one node gets a burst while the others have little to do.
+#[test]
+fn plenty_of_places_limit_no_node() {
+    let mut share = PlaceShare::default();
+    let places = Places { free: 900, open: 950.0, all: 1_072, nodes: NODES };
+    assert!((0..200).all(|_| share.take(0, &places)));
+}
+
+/// Pattern: one place is free among many nodes. All of them together place as many requests as become free.
+#[test]
+fn the_parts_of_all_nodes_add_up_to_what_becomes_free() {
+    let mut shares: Vec<PlaceShare> = (0..NODES).map(|_| PlaceShare::default()).collect();
+    let places = Places { free: 1, open: 6.0, all: 1_072, nodes: NODES };
+    let mut taken = 0;
+    for now_ms in 0..10 * NEWS_DELAY_MS {
+        for share in &mut shares {
+            taken += u32::from(share.take(now_ms, &places));
+        }
+    }
+    // Six open places in each of ten times; each node starts with one placement.
+    assert!(taken <= 10 * 6 + NODES, "{taken}");
+    assert!(taken >= 10 * 6, "{taken}");
+}
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -20,6 +20,11 @@
     }
 }
 
+/// Draws over the whole range of the random number.
+fn draws() -> impl Iterator<Item = u64> {
+    (0..=50).map(|step| step * (u64::MAX / 50))
+}
+
 const PROMPT: Need = Need { prompt_tokens: 12_000, shared_tokens: 9_000, tokens_per_ms: 100.0 };
 const PLAIN: Need = Need { prompt_tokens: 0, shared_tokens: 0, tokens_per_ms: 100.0 };
 
@@ -27,7 +32,7 @@
 #[test]
 fn a_returning_session_goes_home_whatever_the_draw() {
     let candidates = [idle(5), idle(9), idle(7)];
-    for draw in 0..50 {
+    for draw in draws() {
         assert_eq!(choose(&candidates, &PROMPT, draw).unwrap().index, 1);
     }
 }
@@ -53,7 +58,7 @@
 #[test]
 fn a_silent_upstream_gets_no_new_work() {
     let dark = Candidate { silent_ms: 900.0, in_flight: 1, ..idle(9) };
-    for draw in 0..20 {
+    for draw in draws() {
         assert_ne!(choose(&[dark, idle(5), idle(7)], &PROMPT, draw).unwrap().index, 0);
         assert_ne!(choose(&[dark, idle(5), idle(7)], &PLAIN, draw).unwrap().index, 0);
     }
@@ -64,7 +69,7 @@
 fn plain_calls_are_spread_over_equal_upstreams() {
     let candidates = [idle(1), idle(2), idle(3)];
     let chosen: std::collections::BTreeSet<usize> =
-        (0..30).map(|draw| choose(&candidates, &PLAIN, draw).unwrap().index).collect();
+        draws().map(|draw| choose(&candidates, &PLAIN, draw).unwrap().index).collect();
     assert_eq!(chosen.len(), 3);
 }
 
@@ -72,7 +77,7 @@
 #[test]
 fn a_failing_upstream_is_avoided_while_others_are_free() {
     let failing = Candidate { recent_failures: 2.0, ..idle(1) };
-    for draw in 0..20 {
+    for draw in draws() {
         assert_ne!(choose(&[failing, idle(2), idle(3)], &PLAIN, draw).unwrap().index, 0);
     }
     assert_eq!(choose(&[failing], &PLAIN, 0).unwrap().index, 0);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -11,6 +11,7 @@
 use daisysill_cluster::ClusterHandle;
 use daisysill_core::{
     ids::ServiceName,
+    place_share::PlaceShare,
     repeat_budget::RepeatBudget,
     result_code::ResultCode,
     routing::{Customer, Route, RoutingTable},
@@ -84,6 +85,8 @@
     pub(crate) released: Rc<Notify>,
     /// Parts that this node had saved lately, and when.
     pub(crate) saving: RefCell<HashMap<u64, Instant>>,
+    /// This node's part of scarce places, by service.
+    pub(crate) place_shares: RefCell<HashMap<ServiceName, PlaceShare>>,
     node_peak: Cell<(u32, Instant)>,
     started: Instant,
 }
@@ -119,6 +122,7 @@
             zones: RefCell::default(),
             released: Rc::default(),
             saving: RefCell::default(),
+            place_shares: RefCell::default(),
             node_peak: Cell::new((0, Instant::now())),
             started: Instant::now(),
         }
@@ -325,7 +329,7 @@
         millis(self.started.elapsed())
     }
 
-    fn entry_nodes(&self) -> u32 {
+    pub(crate) fn entry_nodes(&self) -> u32 {
         self.cluster.board().borrow().entry_nodes.max(1)
     }
 
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -4,6 +4,7 @@
 
 use daisysill_core::{
     ids::{ServiceName, WeightVersion, ZoneName},
+    place_share::Places,
     placement::{Candidate, Choice, Need, choose},
     routing::{Customer, EngineSpec, ServiceSpec},
 };
@@ -101,6 +102,9 @@
             tokens_per_ms: speeds.tokens_per_ms.get(),
         };
         let candidates: Vec<Candidate> = choosable.iter().map(|choosable| choosable.candidate).collect();
+        if demand.engine.is_some() && !self.takes_share(&demand, &current, &candidates) {
+            return Placement::NoRoom;
+        }
         match choose(&candidates, &need, rand::random()) {
             Some(choice) => {
                 let chosen = choosable.swap_remove(choice.index);
@@ -111,6 +115,18 @@
         }
     }
 
+    /// Takes one of this node's part of the free places; `false` if it has had them.
+    fn takes_share(&self, demand: &Demand<'_>, current: &[Rc<Upstream>], with_room: &[Candidate]) -> bool {
+        let places = Places {
+            free: with_room.iter().map(|candidate| candidate.slots.saturating_sub(candidate.in_flight)).sum(),
+            open: with_room.iter().map(Candidate::open_places).sum(),
+            all: current.iter().map(|upstream| upstream.entry.slots).sum(),
+            nodes: self.entry_nodes(),
+        };
+        let mut shares = self.place_shares.borrow_mut();
+        shares.entry(demand.call.service.clone()).or_default().take(self.now_ms(), &places)
+    }
+
     /// Returns the upstreams that were not tried; those that could not be reached lately only if none else is left.
     fn untried(&self, call: &Call, progress: &Progress) -> Vec<Rc<Upstream>> {
         let mut untried = self.upstreams.of(&call.service);
