Tell the nodes of a zone which upstreams are out of reach

Ruled out: a shorter connect limit, which takes lossy links for dead engines. Change: a node reports the upstreams that it could not reach with a bit for its zone; what two nodes of a zone say counts for the nodes of that zone that have no evidence of their own. Own contact within 500 ms and own failures go first, so a zone that is cut off judges for itself.

--- a/crates/cluster/src/shared_soft.rs
+++ b/crates/cluster/src/shared_soft.rs
@@ -32,8 +32,15 @@
     fn totals(&mut self) -> Vec<UpstreamLoad> {
         self.by_node.retain(|_, (at, _)| at.elapsed() < LOAD_LIFETIME);
         let mut totals: HashMap<u64, UpstreamLoad> = HashMap::new();
+        let mut unreachable: HashMap<u64, u32> = HashMap::new();
         for load in self.by_node.values().flat_map(|(_, loads)| loads) {
             let total = totals.entry(load.upstream).or_default();
+            if load.unreachable_from != 0 {
+                // One node may have lost a packet; what two nodes of a zone say counts.
+                let once = unreachable.entry(load.upstream).or_default();
+                total.unreachable_from |= *once & load.unreachable_from;
+                *once |= load.unreachable_from;
+            }
             total.upstream = load.upstream;
             total.requests = total.requests.saturating_add(load.requests);
             total.tokens = total.tokens.saturating_add(load.tokens);
@@ -229,6 +236,7 @@
             requests: total.requests.saturating_sub(own.requests),
             tokens: total.tokens.saturating_sub(own.tokens),
             unread_tokens: total.unread_tokens.saturating_sub(own.unread_tokens),
+            unreachable_from: total.unreachable_from,
         }
     }
 
--- a/crates/cluster/tests/observer.rs
+++ b/crates/cluster/tests/observer.rs
@@ -116,7 +116,13 @@
 #[tokio::test]
 async fn each_node_knows_the_load_of_the_others() {
     let pair = start(3, 2).await;
-    let load = |requests| UpstreamLoad { upstream: 9, requests, tokens: 100, unread_tokens: 10 };
+    let load = |requests| UpstreamLoad {
+        upstream: 9,
+        requests,
+        tokens: 100,
+        unread_tokens: 10,
+        ..UpstreamLoad::default()
+    };
     pair.entries[0].set_loads(vec![load(3)]);
     pair.entries[1].set_loads(vec![load(5)]);
     wait("the load of the second", || pair.entries[0].others_load(9).requests == 5).await;
@@ -130,6 +136,24 @@
     wait("an old load to be forgotten", || pair.entries[0].others_load(9).requests == 0).await;
 }
 
+/// Pattern: a quarter of the engines is gone without a word. Nodes must not all find out by a connection that times
+/// out, and one lost packet must not take an engine from all nodes.
+#[tokio::test]
+async fn two_nodes_that_cannot_reach_an_upstream_are_believed() {
+    const ZONE: u32 = 1 << 7;
+    let pair = start(5, 2).await;
+    let told = |unreachable_from| UpstreamLoad { upstream: 9, unreachable_from, ..UpstreamLoad::default() };
+    let entry = &pair.entries[0];
+    entry.set_loads(vec![told(ZONE)]);
+    pair.entries[1].set_loads(vec![UpstreamLoad { requests: 1, ..told(ZONE << 1) }]);
+    wait("the report of the other zone", || entry.others_load(9).requests == 1).await;
+    assert_eq!(entry.others_load(9).unreachable_from, 0, "one node of each zone");
+    pair.entries[1].set_loads(vec![told(ZONE | ZONE << 1)]);
+    wait("the second report", || entry.others_load(9).unreachable_from == ZONE).await;
+    entry.set_loads(Vec::new());
+    wait("the upstream to be in reach again", || entry.others_load(9).unreachable_from == 0).await;
+}
+
 /// Guards against parts that are fetched after they were withdrawn, or on news that are too old.
 #[tokio::test]
 async fn stored_parts_are_followed_and_withdrawn() {
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -131,8 +131,8 @@
     fn untried(&self, call: &Call, progress: &Progress) -> Vec<Rc<Upstream>> {
         let mut untried = self.upstreams.of(&call.service);
         untried.retain(|upstream| !progress.tried.contains(&upstream.entry.id));
-        if untried.iter().any(|upstream| !upstream.is_unreachable()) {
-            untried.retain(|upstream| !upstream.is_unreachable());
+        if untried.iter().any(|upstream| !self.is_out_of_reach(upstream)) {
+            untried.retain(|upstream| !self.is_out_of_reach(upstream));
         }
         let zones: HashSet<&ZoneName> = untried.iter().map(|upstream| &upstream.entry.zone).collect();
         let mut reach = self.zones.borrow_mut();
@@ -145,6 +145,14 @@
         untried
     }
 
+    /// Returns whether this node could not reach an upstream lately, or others of its zone and it has not tried.
+    fn is_out_of_reach(&self, upstream: &Upstream) -> bool {
+        if upstream.is_unheard() {
+            return self.upstreams.is_told_unreachable(&self.cluster.others_load(upstream.tag));
+        }
+        upstream.is_unreachable()
+    }
+
     /// Returns since when an upstream has older weights than those that were named.
     fn outdated_for(upstream: &Upstream, demand: &Demand<'_>) -> Option<Duration> {
         let model = &demand.call.headers.prompt.as_ref()?.model;
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -18,6 +18,11 @@
 /// Pause after the first connection that failed; doubled by each further one, up to so many times.
 const FIRST_BACKOFF: Duration = Duration::from_millis(200);
 const MAX_BACKOFF_STEPS: u32 = 4;
+/// After the pause for an upstream, this node tells the others for so long that it could not reach it, unless it tries
+/// again before.
+const UNREACHABLE_MEMORY: Duration = Duration::from_secs(1);
+/// An upstream that was heard within this time is in reach, whatever other nodes say.
+const HEARD_MEMORY: Duration = Duration::from_millis(500);
 /// Sessions remembered for each upstream.
 const REMEMBERED_SESSIONS: usize = 128;
 /// The share of a new sample in a running mean.
@@ -54,6 +59,8 @@
     failures: Cell<(f64, Option<Instant>)>,
     /// Connections that failed in a row, and until when no other is tried.
     unreachable: Cell<(u32, Option<Instant>)>,
+    /// When bytes came from it last.
+    heard_at: Cell<Option<Instant>>,
     /// Whether another upstream answers at its address.
     gone: Cell<bool>,
     learned_versions: RefCell<HashMap<String, WeightVersion>>,
@@ -71,6 +78,7 @@
             waiting_since: Rc::default(),
             failures: Cell::default(),
             unreachable: Cell::default(),
+            heard_at: Cell::default(),
             gone: Cell::default(),
             learned_versions: RefCell::default(),
             sessions: RefCell::default(),
@@ -105,8 +113,10 @@
 
     /// Notes that bytes came from the upstream.
     pub fn heard(&self) {
+        let now = Instant::now();
         self.unreachable.set((0, None));
-        self.waiting_since.set((self.in_flight.get() > 0).then(Instant::now));
+        self.heard_at.set(Some(now));
+        self.waiting_since.set((self.in_flight.get() > 0).then_some(now));
     }
 
     /// Notes a failure.
@@ -135,6 +145,17 @@
         self.unreachable.get().1.is_some_and(|until| Instant::now() < until)
     }
 
+    /// Returns whether this node has nothing of its own to say on whether the upstream is in reach.
+    pub fn is_unheard(&self) -> bool {
+        let heard_lately = self.heard_at.get().is_some_and(|at| at.elapsed() < HEARD_MEMORY);
+        self.unreachable.get().0 == 0 && !heard_lately
+    }
+
+    /// Returns whether other nodes are told that it is out of reach.
+    fn is_told_unreachable(&self) -> bool {
+        self.unreachable.get().1.is_some_and(|until| Instant::now() < until + UNREACHABLE_MEMORY)
+    }
+
     /// Notes that another upstream answers at this one's address.
     pub fn set_gone(&self) {
         self.gone.set(true);
@@ -263,6 +284,8 @@
 #[derive(Debug)]
 pub struct Upstreams {
     zone: ZoneName,
+    /// Stands for the zone in sets of zones.
+    zone_bit: u32,
     by_service: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
     speeds: RefCell<HashMap<ServiceName, Rc<Speeds>>>,
 }
@@ -270,7 +293,8 @@
 impl Upstreams {
     /// Starts without upstreams. `zone` is the availability zone of this node.
     pub fn new(zone: ZoneName) -> Self {
-        Self { zone, by_service: RefCell::default(), speeds: RefCell::default() }
+        let zone_bit = 1 << (stable_hash(&zone.as_str()) % u64::from(u32::BITS));
+        Self { zone, zone_bit, by_service: RefCell::default(), speeds: RefCell::default() }
     }
 
     /// Replaces the list; what is known of upstreams that stay is kept.
@@ -307,16 +331,23 @@
     /// Returns this node's work in flight.
     pub fn loads(&self) -> Vec<UpstreamLoad> {
         let by_service = self.by_service.borrow();
-        let busy = by_service.values().flatten().filter(|upstream| upstream.in_flight() > 0);
-        busy.map(|upstream| UpstreamLoad {
+        let all = by_service.values().flatten();
+        let told = all.filter(|upstream| upstream.in_flight() > 0 || upstream.is_told_unreachable());
+        told.map(|upstream| UpstreamLoad {
             upstream: upstream.tag,
             requests: upstream.in_flight(),
             tokens: upstream.tokens(),
             unread_tokens: upstream.unread_tokens(),
+            unreachable_from: if upstream.is_told_unreachable() { self.zone_bit } else { 0 },
         })
         .collect()
     }
 
+    /// Returns whether other nodes of this zone could not reach an upstream, given what they tell.
+    pub fn is_told_unreachable(&self, told: &UpstreamLoad) -> bool {
+        told.unreachable_from & self.zone_bit != 0
+    }
+
     /// Returns the addresses of all upstreams.
     pub fn addresses(&self) -> HashSet<SocketAddr> {
         self.by_service.borrow().values().flatten().map(|upstream| upstream.entry.address).collect()
@@ -348,6 +379,7 @@
             waiting_since: Rc::clone(&self.waiting_since),
             failures: Cell::new(self.failures.get()),
             unreachable: Cell::new(self.unreachable.get()),
+            heard_at: Cell::new(self.heard_at.get()),
             gone: Cell::new(self.gone.get()),
             learned_versions: RefCell::new(self.learned_versions.borrow().clone()),
             sessions: RefCell::new(self.sessions.borrow().clone()),
