Tell loads in proportion to the number of entry nodes

Cause: the time between two reports was a multiple of 40 ms, so 67 nodes told their loads every 80 ms, and the loads that a node used were 128 ms old at the median.

--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -41,8 +41,7 @@
 fn busy_poll_ms(entry_nodes: u32) -> u64 {
     const BUSY_POLL_MS: u64 = 40;
     const NODES_AT_FULL_RATE: u64 = 64;
-    let share = u64::from(entry_nodes).div_ceil(NODES_AT_FULL_RATE).max(1);
-    (BUSY_POLL_MS * share).min(POLL_MS)
+    (BUSY_POLL_MS * u64::from(entry_nodes) / NODES_AT_FULL_RATE).clamp(BUSY_POLL_MS, POLL_MS)
 }
 
 /// What an observer tells the rest of the process.
