--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -30,6 +30,7 @@
     duration::millis,
     exchange::{Answer, AttemptError, Outgoing, attempt},
     metrics::GatewayMetrics,
+    node_share::out_of_budget,
     place::{Chosen, Placement},
     pool::Pool,
     refusal::Refusal,
@@ -41,8 +42,6 @@
 const MAX_REFUSALS: u32 = 2;
 /// Upstreams that may be unreachable for one request before it is refused.
 const MAX_UNREACHABLE: u32 = 4;
-/// The most entry nodes known are remembered for this time; longer than a window of the budget.
-const NODE_PEAK_MEMORY: Duration = Duration::from_secs(20);
 /// Crashes after which a request is not sent any more.
 const CRASHES_TO_BLOCK: u32 = 3;
 /// Time after which a caller may come back where no upstream takes work.
@@ -51,8 +50,6 @@
 pub(crate) const BUSY_RETRY_MS: u64 = 250;
 /// Time after which a caller may come back to a node that has lost touch with the control nodes.
 const STALE_RETRY_MS: u64 = 600;
-/// A share of the configured connections that is left to other callers.
-const CONNECTION_SHARE: f64 = 0.9;
 /// An attempt at an idempotent request is given up after this share of its goal, or this many times what
 /// requests take, whichever is longer.
 const ATTEMPT_GOAL_SHARE: f64 = 0.6;
@@ -77,7 +74,7 @@
     pub pool: Pool,
     /// Counters.
     pub metrics: GatewayMetrics,
-    budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
+    pub(crate) budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
     pub(crate) waiting: RefCell<HashMap<ServiceName, WaitQueue<oneshot::Sender<()>>>>,
     /// Zones out of reach.
     pub(crate) zones: RefCell<ZoneReach>,
@@ -87,7 +84,8 @@
     pub(crate) saving: RefCell<HashMap<u64, Instant>>,
     /// This node's part of scarce places, by service.
     pub(crate) place_shares: RefCell<HashMap<ServiceName, PlaceShare>>,
-    node_peak: Cell<(u32, Instant)>,
+    /// The most entry nodes that were known lately, and when.
+    pub(crate) node_peak: Cell<(u32, Instant)>,
     started: Instant,
 }
 
@@ -329,50 +327,10 @@
         millis(self.started.elapsed())
     }
 
-    pub(crate) fn entry_nodes(&self) -> u32 {
-        self.cluster.board().borrow().entry_nodes.max(1)
-    }
-
-    /// Returns the most entry nodes that were known lately. A new leader has heard of few at first, and each would
-    /// take more than its share of the budget.
-    fn most_entry_nodes(&self) -> u32 {
-        let (known, at) = self.node_peak.get();
-        let present = self.entry_nodes();
-        if present >= known || at.elapsed() >= NODE_PEAK_MEMORY {
-            self.node_peak.set((present, Instant::now()));
-            return present;
-        }
-        known
-    }
-
     fn crashes_of(&self, fingerprint: u64) -> u32 {
         self.cluster.board().borrow().crash_counts.get(&fingerprint).copied().unwrap_or(0)
     }
 
-    /// Returns this node's share of the connections that an upstream accepts.
-    fn max_connections(&self, service: &ServiceName) -> usize {
-        let table = self.routing.table();
-        let accepted =
-            table.as_ref().and_then(|table| table.service(service)).map_or(1, |s| s.max_connections);
-        let share = f64::from(accepted) * CONNECTION_SHARE / f64::from(self.entry_nodes());
-        // Truncated on purpose: a fraction of a connection is none.
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let share = share as usize;
-        share.max(2)
-    }
-
-    fn take_repeat(&self, service: &ServiceName) -> bool {
-        let nodes = self.most_entry_nodes();
-        self.with_budget(service, |budget, now_ms| budget.take(now_ms, nodes))
-    }
-
-    fn with_budget<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RepeatBudget, u64) -> T) -> T {
-        let now_ms = self.now_ms();
-        let mut budgets = self.budgets.borrow_mut();
-        let terms = self.bounds.repeats;
-        act(budgets.entry(service.clone()).or_insert_with(|| RepeatBudget::new(terms)), now_ms)
-    }
-
     /// Logs the end of a stream.
     pub(crate) fn stream_ended(&self, call: &Call, outcome: &'static str, bytes: u64) {
         self.metrics.in_flight.dec();
@@ -390,14 +348,6 @@
     }
 }
 
-fn out_of_budget(progress: &Progress) -> Refusal {
-    let reason = format!("no repeats left after {} sends", progress.sends.arrived());
-    if progress.may_have_run > 0 {
-        return Refusal::new(ResultCode::RetryBudgetExhausted, reason);
-    }
-    Refusal::not_run(ResultCode::RetryBudgetExhausted, reason, BUSY_RETRY_MS)
-}
-
 /// Returns the refusal of a request whose time is over.
 pub(crate) fn deadline_refusal(progress: &Progress) -> Refusal {
     if progress.may_have_run > 0 {
