--- a/crates/cluster/src/shared_handle.rs
+++ b/crates/cluster/src/shared_handle.rs
@@ -49,18 +49,18 @@
         self.inner.soft.stores_clock_ms()
     }
 
-    /// Starts to keep the book of stored parts; for the leader.
-    pub fn open_book(&self) {
+    /// Starts to keep the catalog of stored parts; for the leader.
+    pub fn open_catalog(&self) {
         let source = format!("{} {:x}", self.inner.proposer.name, rand::random::<u64>());
-        self.inner.soft.open_book(source);
+        self.inner.soft.open_catalog(source);
     }
 
-    /// Stops to keep the book.
-    pub fn close_book(&self) {
-        self.inner.soft.close_book();
+    /// Stops to keep the catalog.
+    pub fn close_catalog(&self) {
+        self.inner.soft.close_catalog();
     }
 
-    /// Publishes changes of the book: a part with where it lies, or with `None` if it must not be fetched any
+    /// Publishes changes of the catalog: a part with where it lies, or with `None` if it must not be fetched any
     /// more. `clock` is the clock of a store in ms and a time at which it had been reached.
     pub fn publish_stored(&self, changes: Vec<(u64, Option<StoredPart>)>, clock: Option<(u64, BootInstant)>) {
         self.inner.soft.publish(changes, clock);
--- a/crates/cluster/src/shared_soft.rs
+++ b/crates/cluster/src/shared_soft.rs
@@ -53,10 +53,10 @@
 /// A change of the stored parts; `None` means that the part must not be fetched any more.
 type StoredChange = (u64, Option<StoredPart>);
 
-/// The stored parts, as published by the node that keeps the book.
+/// The stored parts, as published by the node that keeps the catalog.
 #[derive(Debug, Default)]
 struct StoredLog {
-    /// Empty while this node does not keep the book.
+    /// Empty while this node does not keep the catalog.
     source: String,
     number: u64,
     parts: HashMap<u64, StoredPart>,
@@ -152,7 +152,7 @@
         self.lock().loads.totals()
     }
 
-    /// Returns what changed of the stored parts; `None` if this node does not keep the book.
+    /// Returns what changed of the stored parts; `None` if this node does not keep the catalog.
     pub(crate) fn stored_news(&self, after: &(String, u64)) -> Option<StoredNews> {
         let inner = self.lock();
         if inner.log.source.is_empty() {
@@ -161,13 +161,13 @@
         inner.log.news_since(&after.0, after.1)
     }
 
-    /// Starts to keep the book under a new name.
-    pub(crate) fn open_book(&self, source: String) {
+    /// Starts to keep the catalog under a new name.
+    pub(crate) fn open_catalog(&self, source: String) {
         self.lock().log = StoredLog { source, ..StoredLog::default() };
     }
 
-    /// Stops to keep the book.
-    pub(crate) fn close_book(&self) {
+    /// Stops to keep the catalog.
+    pub(crate) fn close_catalog(&self) {
         self.lock().log = StoredLog::default();
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,7 +37,7 @@
 pub mod route;
 pub mod routing;
 pub mod rules;
-pub mod store_book;
+pub mod store_catalog;
 pub mod suspect;
 pub mod view;
 pub mod voters;
--- a/crates/core/src/store_book.rs
+++ b/crates/core/src/store_catalog.rs
@@ -1,4 +1,4 @@
-//! The book of a managed store: which parts lie there, when they were used, and which are to be freed.
+//! The catalog of a managed store: which parts lie there, when they were used, and which are to be freed.
 //!
 //! A part is freed in two steps: first nobody may start to fetch it, and only when every fetch that may have been
 //! started has ended or been given up is it freed.
@@ -30,25 +30,25 @@
 
 /// A change of what may be fetched.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum BookChange {
+pub enum CatalogChange {
     /// The part lies in the store whole.
     Stored(PartName, u64),
     /// The part must not be fetched any more.
     Retired(PartName),
 }
 
-/// The book of one store.
+/// The catalog of one store.
 #[derive(Debug)]
-pub struct StoreBook {
+pub struct StoreCatalog {
     capacity_tokens: u64,
     /// Time from the retirement of a part until no fetch of it can be in progress.
     retirement_ms: u64,
     parts: BTreeMap<PartName, Part>,
     used_tokens: u64,
-    changes: Vec<BookChange>,
+    changes: Vec<CatalogChange>,
 }
 
-impl StoreBook {
+impl StoreCatalog {
     /// Starts with an empty store.
     pub fn new(capacity_tokens: u64, retirement_ms: u64) -> Self {
         Self { capacity_tokens, retirement_ms, parts: BTreeMap::new(), used_tokens: 0, changes: Vec::new() }
@@ -60,7 +60,7 @@
             return;
         }
         self.used_tokens += tokens;
-        self.changes.push(BookChange::Stored(name.clone(), tokens));
+        self.changes.push(CatalogChange::Stored(name.clone(), tokens));
         self.parts.insert(name, Part { tokens, used_ms: now_ms, retired_ms: None });
     }
 
@@ -69,7 +69,7 @@
         let Some(part) = self.parts.remove(name) else { return };
         self.used_tokens -= part.tokens;
         if part.retired_ms.is_none() {
-            self.changes.push(BookChange::Retired(name.clone()));
+            self.changes.push(CatalogChange::Retired(name.clone()));
         }
     }
 
@@ -117,16 +117,16 @@
         }
     }
 
-    /// Returns the parts that can be freed now. They stay in the book until the store tells that they are gone.
+    /// Returns the parts that can be freed now. They stay in the catalog until the store tells that they are gone.
     ///
     /// ```
-    /// use daisysill_core::store_book::{PartName, StoreBook};
-    /// let mut book = StoreBook::new(1_000, 4_000);
+    /// use daisysill_core::store_catalog::{PartName, StoreCatalog};
+    /// let mut catalog = StoreCatalog::new(1_000, 4_000);
     /// let name = PartName { scope: "m/1".to_owned(), id: "a".to_owned() };
-    /// book.stored(name.clone(), 100, 0);
-    /// book.retire(|scope| scope != "m/1", 1_000);
-    /// assert!(book.to_free(4_999).is_empty());
-    /// assert_eq!(book.to_free(5_000), [name]);
+    /// catalog.stored(name.clone(), 100, 0);
+    /// catalog.retire(|scope| scope != "m/1", 1_000);
+    /// assert!(catalog.to_free(4_999).is_empty());
+    /// assert_eq!(catalog.to_free(5_000), [name]);
     /// ```
     pub fn to_free(&self, now_ms: u64) -> Vec<PartName> {
         let due = self.parts.iter().filter(|(_, part)| {
@@ -136,7 +136,7 @@
     }
 
     /// Returns what has changed since the last call.
-    pub fn take_changes(&mut self) -> Vec<BookChange> {
+    pub fn take_changes(&mut self) -> Vec<CatalogChange> {
         std::mem::take(&mut self.changes)
     }
 
@@ -169,6 +169,6 @@
     fn retire_part(&mut self, name: &PartName, now_ms: u64) {
         let Some(part) = self.parts.get_mut(name).filter(|part| part.retired_ms.is_none()) else { return };
         part.retired_ms = Some(now_ms);
-        self.changes.push(BookChange::Retired(name.clone()));
+        self.changes.push(CatalogChange::Retired(name.clone()));
     }
 }
--- a/crates/core/tests/store_book.rs
+++ b/crates/core/tests/store_catalog.rs
@@ -1,10 +1,10 @@
-//! The book of a managed store, in random histories.
+//! The catalog of a managed store, in random histories.
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-use daisysill_core::store_book::{BookChange, PartName, StoreBook};
+use daisysill_core::store_catalog::{CatalogChange, PartName, StoreCatalog};
 use proptest::prelude::*;
 
 const RETIREMENT_MS: u64 = 5_000;
@@ -43,38 +43,38 @@
     /// Guards against a part that is freed while a fetch of it, started on the news of its time, may still run.
     #[test]
     fn nothing_is_freed_before_its_retirement_was_published_long_enough(steps in steps()) {
-        let mut book = StoreBook::new(2_000, RETIREMENT_MS);
+        let mut catalog = StoreCatalog::new(2_000, RETIREMENT_MS);
         let mut now_ms = 0;
         // What entry nodes know, and when each part that they may not fetch any more was last fetchable.
         let mut published: BTreeMap<PartName, u64> = BTreeMap::new();
         let mut withdrawn_ms: BTreeMap<PartName, u64> = BTreeMap::new();
         for step in steps {
             match step {
-                Step::Stored(number) => book.stored(name(number), 90, now_ms),
-                Step::Removed(number) => book.removed(&name(number)),
-                Step::Used(number) => book.used(|part| *part == name(number), now_ms),
+                Step::Stored(number) => catalog.stored(name(number), 90, now_ms),
+                Step::Removed(number) => catalog.removed(&name(number)),
+                Step::Used(number) => catalog.used(|part| *part == name(number), now_ms),
                 Step::Wait(wait_ms) => now_ms += wait_ms,
-                Step::Retire { oldest } => book.retire(|scope| scope != format!("m/{oldest}"), now_ms),
-                Step::Restart => book.replace(HashMap::new(), now_ms),
+                Step::Retire { oldest } => catalog.retire(|scope| scope != format!("m/{oldest}"), now_ms),
+                Step::Restart => catalog.replace(HashMap::new(), now_ms),
                 Step::Free => {
-                    for part in book.to_free(now_ms) {
+                    for part in catalog.to_free(now_ms) {
                         prop_assert!(!published.contains_key(&part));
                         let since = withdrawn_ms.get(&part).copied().unwrap();
                         prop_assert!(now_ms - since >= RETIREMENT_MS);
-                        book.removed(&part);
+                        catalog.removed(&part);
                     }
                 }
             }
-            for change in book.take_changes() {
+            for change in catalog.take_changes() {
                 match change {
-                    BookChange::Stored(part, tokens) => drop(published.insert(part, tokens)),
-                    BookChange::Retired(part) => {
+                    CatalogChange::Stored(part, tokens) => drop(published.insert(part, tokens)),
+                    CatalogChange::Retired(part) => {
                         prop_assert!(published.remove(&part).is_some());
                         withdrawn_ms.insert(part, now_ms);
                     }
                 }
             }
-            let fetchable: BTreeSet<&PartName> = book.fetchable().map(|(part, _)| part).collect();
+            let fetchable: BTreeSet<&PartName> = catalog.fetchable().map(|(part, _)| part).collect();
             prop_assert_eq!(fetchable, published.keys().collect::<BTreeSet<_>>());
         }
     }
@@ -83,14 +83,14 @@
 /// Pattern: a store that fills up under new prompts. What was used lately stays, the rest makes room.
 #[test]
 fn a_full_store_keeps_what_was_used_lately() {
-    let mut book = StoreBook::new(1_000, RETIREMENT_MS);
+    let mut catalog = StoreCatalog::new(1_000, RETIREMENT_MS);
     for number in 0..10 {
-        book.stored(name(number), 100, u64::from(number));
+        catalog.stored(name(number), 100, u64::from(number));
     }
-    book.used(|part| part.id == "0", 20_000);
-    book.retire(|_| true, 20_000);
-    let kept: BTreeSet<String> = book.fetchable().map(|(part, _)| part.id.clone()).collect();
+    catalog.used(|part| part.id == "0", 20_000);
+    catalog.retire(|_| true, 20_000);
+    let kept: BTreeSet<String> = catalog.fetchable().map(|(part, _)| part.id.clone()).collect();
     assert!(kept.contains("0") && !kept.contains("1"), "{kept:?}");
-    assert_eq!(book.to_free(25_000).len(), 2);
-    assert_eq!(book.used_tokens(), 1_000, "space counts until the store tells that it is free");
+    assert_eq!(catalog.to_free(25_000).len(), 2);
+    assert_eq!(catalog.used_tokens(), 1_000, "space counts until the store tells that it is free");
 }
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -8,7 +8,7 @@
 use daisysill_core::{
     ids::{FencingNumber, InstanceId, WeightVersion},
     routing::RoutingSpec,
-    store_book::PartName,
+    store_catalog::PartName,
 };
 use daisysill_wire::peer::UpstreamEntry;
 
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -40,7 +40,7 @@
 /// The lease under which orders are given.
 const ORDER_ROLE: &str = "orders";
 
-/// The lease under which the book of the stores is kept, and the longest time for which a call to a store under it
+/// The lease under which the catalog of the stores is kept, and the longest time for which a call to a store under it
 /// can take effect.
 const STORE_ROLE: &str = "stores";
 const STORE_CALL: Duration = Duration::from_millis(700);
--- a/crates/gateway/src/store_keeper.rs
+++ b/crates/gateway/src/store_keeper.rs
@@ -1,4 +1,4 @@
-//! Keeps the book of the managed stores: follows their events, tells entry nodes what may be fetched, and frees
+//! Keeps the catalog of the managed stores: follows their events, tells entry nodes what may be fetched, and frees
 //! what is no longer worth its space. Done by one node at a time, under the same lease as orders.
 
 use std::{
@@ -12,7 +12,7 @@
 use daisysill_core::{
     ids::WeightVersion,
     routing::{RoutingTable, ServiceSpec, StoreSpec},
-    store_book::{BookChange, PartName, StoreBook},
+    store_catalog::{CatalogChange, PartName, StoreCatalog},
 };
 use daisysill_wire::peer::StoredPart;
 use tokio::{
@@ -70,7 +70,7 @@
     started: Instant,
 }
 
-/// Keeps the book while it exists.
+/// Keeps the catalog while it exists.
 pub(crate) struct StoreKeeper<C> {
     client: C,
     shared: Rc<Shared>,
@@ -82,7 +82,7 @@
 type UsedParts = Rc<RefCell<HashSet<u64>>>;
 
 impl<C: StoreClient> StoreKeeper<C> {
-    /// Prepares to keep the book once the lease is held.
+    /// Prepares to keep the catalog once the lease is held.
     pub(crate) fn new(client: C, cluster: ClusterHandle, keeper: Rc<LeaseKeeper>) -> Self {
         let shared = Shared { cluster, keeper, oldest_in_use: RefCell::default(), started: Instant::now() };
         Self { client, shared: Rc::new(shared), tasks: BTreeMap::new(), is_open: false }
@@ -100,7 +100,7 @@
             return;
         }
         if !self.is_open {
-            self.shared.cluster.open_book();
+            self.shared.cluster.open_catalog();
             self.is_open = true;
         }
         *self.shared.oldest_in_use.borrow_mut() = oldest_in_use;
@@ -125,7 +125,10 @@
                     shared: Rc::clone(shared),
                     used: Rc::clone(&used),
                     address: address.clone(),
-                    book: StoreBook::new(capacity, millis(INDEX_LIMIT + FETCH_LIMIT + RETIREMENT_MARGIN)),
+                    catalog: StoreCatalog::new(
+                        capacity,
+                        millis(INDEX_LIMIT + FETCH_LIMIT + RETIREMENT_MARGIN),
+                    ),
                     is_reachable: true,
                 };
                 (actix_rt::spawn(store.run()).abort_handle(), used)
@@ -135,7 +138,7 @@
 
     fn close(&mut self) {
         if self.is_open {
-            self.shared.cluster.close_book();
+            self.shared.cluster.close_catalog();
         }
         self.is_open = false;
         for (task, _) in std::mem::take(&mut self.tasks).into_values() {
@@ -146,7 +149,7 @@
 
 impl<C> Drop for StoreKeeper<C> {
     fn drop(&mut self) {
-        self.shared.cluster.close_book();
+        self.shared.cluster.close_catalog();
         for (task, _) in self.tasks.values() {
             task.abort();
         }
@@ -159,7 +162,7 @@
     shared: Rc<Shared>,
     used: UsedParts,
     address: String,
-    book: StoreBook,
+    catalog: StoreCatalog,
     is_reachable: bool,
 }
 
@@ -174,7 +177,7 @@
             let epoch = list.epoch;
             let now_ms = self.now_ms();
             let parts = list.whole.len();
-            self.book.replace(list.whole, now_ms);
+            self.catalog.replace(list.whole, now_ms);
             self.publish(None);
             // Still not whole since the last list: its writing broke off, and nobody was told of it.
             let partial: HashSet<PartName> = list.partial.into_iter().collect();
@@ -186,12 +189,12 @@
                 parts,
                 partial = partial.len(),
                 stuck = stuck.len(),
-                used_tokens = self.book.used_tokens(),
+                used_tokens = self.catalog.used_tokens(),
             );
             broken_off = partial;
             self.free(&stuck, epoch, None).await;
             if !self.follow(epoch, list.next).await {
-                self.book.clear();
+                self.catalog.clear();
                 broken_off.clear();
                 self.publish(None);
             }
@@ -219,8 +222,8 @@
             let now_ms = self.now_ms();
             for (name, stored) in news.events {
                 match stored {
-                    Some(tokens) => self.book.stored(name, tokens, now_ms),
-                    None => self.book.removed(&name),
+                    Some(tokens) => self.catalog.stored(name, tokens, now_ms),
+                    None => self.catalog.removed(&name),
                 }
             }
             clock = news.clock_ms.map(|clock_ms| (clock_ms, asked_at)).or(clock);
@@ -244,7 +247,7 @@
         }
         tracing::info!(event = "store_contact", store = self.address, reachable);
         let store = store_tag(&self.address);
-        let changes = self.book.fetchable().map(|(name, tokens)| {
+        let changes = self.catalog.fetchable().map(|(name, tokens)| {
             let part = part_hash(&name.scope, &name.id);
             (part, reachable.then_some(StoredPart { part, store, tokens }))
         });
@@ -254,11 +257,11 @@
     async fn upkeep(&mut self, epoch: u64, clock: Option<(u64, BootInstant)>) {
         let now_ms = self.now_ms();
         let used = std::mem::take(&mut *self.used.borrow_mut());
-        self.book.used(|name| used.contains(&part_hash(&name.scope, &name.id)), now_ms);
+        self.catalog.used(|name| used.contains(&part_hash(&name.scope, &name.id)), now_ms);
         let oldest = self.shared.oldest_in_use.borrow().clone();
-        self.book.retire(|scope| is_in_use(scope, &oldest), now_ms);
+        self.catalog.retire(|scope| is_in_use(scope, &oldest), now_ms);
         self.publish(None);
-        let due: Vec<PartName> = self.book.to_free(now_ms).into_iter().take(MAX_FREED).collect();
+        let due: Vec<PartName> = self.catalog.to_free(now_ms).into_iter().take(MAX_FREED).collect();
         let until_ms = clock.map(|(clock_ms, at)| clock_ms + millis(at.elapsed()) + FREE_LIMIT_MS);
         self.free(&due, epoch, until_ms).await;
     }
@@ -272,19 +275,19 @@
         tracing::info!(event = "parts_freed", store = self.address, parts = parts.len(), freed);
         if freed {
             for part in parts {
-                self.book.removed(part);
+                self.catalog.removed(part);
             }
         }
     }
 
     fn publish(&mut self, clock: Option<(u64, BootInstant)>) {
         let store = store_tag(&self.address);
-        let changes = self.book.take_changes().into_iter().map(|change| match change {
-            BookChange::Stored(name, tokens) => {
+        let changes = self.catalog.take_changes().into_iter().map(|change| match change {
+            CatalogChange::Stored(name, tokens) => {
                 let part = part_hash(&name.scope, &name.id);
                 (part, Some(StoredPart { part, store, tokens }))
             }
-            BookChange::Retired(name) => (part_hash(&name.scope, &name.id), None),
+            CatalogChange::Retired(name) => (part_hash(&name.scope, &name.id), None),
         });
         self.shared.cluster.publish_stored(changes.collect(), clock);
     }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -216,7 +216,7 @@
     /// What changed of the parts in stores.
     #[derive(Default)]
     pub struct StoredNews {
-        /// The node that keeps the book, and its incarnation.
+        /// The node that keeps the catalog, and its incarnation.
         pub source: String,
         /// Counts the changes; the follower's next question starts from here.
         pub number: u64,
@@ -274,7 +274,7 @@
         pub board_age_ms: Option<u64>,
         /// Work in flight of all entry nodes together.
         pub loads: Vec<UpstreamLoad>,
-        /// What changed of the parts in stores; `None` if the source does not keep the book.
+        /// What changed of the parts in stores; `None` if the source does not keep the catalog.
         pub stored: Option<StoredNews>,
     }
 
