Wait in a test until a new leader may change the voters

A leader refuses changes of the voters until it has committed an entry in its term (control/src/membership.rs, has_committed_in_term), as safety requires; the test asked right after the election, so it raced with that entry. Read from the code; the test makes no earlier change of the voters. Change: the test asks again while that is the answer, up to 10 s, and then requires NotALearner as before.

--- a/crates/cluster/tests/cluster/replicas.rs
+++ b/crates/cluster/tests/cluster/replicas.rs
@@ -216,7 +216,16 @@
     assert!(!cluster.node("b").status().waits_for_peers);
 
     let node = cluster.node("d").clone();
-    let early = node.change_voters(VoterChange::Promote("d".into())).await;
+    // A new leader takes no change of the voters before it has committed an entry in its term.
+    let start = Instant::now();
+    let early = loop {
+        let early = node.change_voters(VoterChange::Promote("d".into())).await;
+        if early != Ok(Reply::VotersRefused(VoterRefusal::ChangeInProgress)) {
+            break early;
+        }
+        assert!(start.elapsed() < Duration::from_secs(10), "the leader commits nothing");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
     assert_eq!(early, Ok(Reply::VotersRefused(VoterRefusal::NotALearner)));
     for change in [
         VoterChange::AddLearner("d".into()),
