Leave out one fetch for each that came too late

Change: core::fetch_debts leaves out one later fetch from the same store for each late one, two in a row at most, if the wait at the engine was estimated at up to 160 ms.

--- /dev/null
+++ b/crates/core/src/fetch_debts.rs
@@ -0,0 +1,47 @@
+//! Fetches that are left out because a store cannot keep up with what is fetched from it.
+//!
+//! When the link of a store turns slow, more is asked of it than it carries, and then nearly every fetch comes too
+//! late: its prompt waits in vain and is read after all. For each late fetch a node leaves out one later fetch from
+//! the same store, so that the fetches that remain arrive in time.
+
+use std::collections::BTreeMap;
+
+/// Fetches from one store that are left out in a row at most, so that a store that has recovered is found out.
+const MAX_DEBT: u32 = 2;
+
+/// The fetches that one node leaves out, by the store's tag.
+#[derive(Debug, Default)]
+pub struct FetchDebts {
+    owed: BTreeMap<u32, u32>,
+}
+
+impl FetchDebts {
+    /// Returns whether the next fetch from a store is made.
+    ///
+    /// ```
+    /// use daisysill_core::fetch_debts::FetchDebts;
+    /// let mut debts = FetchDebts::default();
+    /// debts.too_late(7);
+    /// assert!(!debts.admits(7) && debts.admits(8));
+    /// debts.left_out(7);
+    /// assert!(debts.admits(7));
+    /// ```
+    pub fn admits(&self, store: u32) -> bool {
+        !self.owed.contains_key(&store)
+    }
+
+    /// Notes that a fetch came too late.
+    pub fn too_late(&mut self, store: u32) {
+        let owed = self.owed.entry(store).or_default();
+        *owed = (*owed + 1).min(MAX_DEBT);
+    }
+
+    /// Notes that a fetch was left out.
+    pub fn left_out(&mut self, store: u32) {
+        let Some(owed) = self.owed.get_mut(&store) else { return };
+        *owed -= 1;
+        if *owed == 0 {
+            self.owed.remove(&store);
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 mod backlog;
 mod candidates;
 mod concurrency;
+pub mod fetch_debts;
 mod fill;
 mod link_queue;
 mod num;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,6 +10,7 @@
 
 use daisysill_cluster::ClusterHandle;
 use daisysill_core::{
+    fetch_debts::FetchDebts,
     ids::ServiceName,
     place_share::PlaceShare,
     repeat_budget::RepeatBudget,
@@ -82,6 +83,8 @@
     pub(crate) released: Rc<Notify>,
     /// Parts that this node had saved lately, and when.
     pub(crate) saving: RefCell<HashMap<u64, Instant>>,
+    /// Fetches that are left out.
+    pub(crate) fetch_debts: RefCell<FetchDebts>,
     /// This node's part of scarce places, by service.
     pub(crate) place_shares: RefCell<HashMap<ServiceName, PlaceShare>>,
     /// The most entry nodes that were known lately, and when.
@@ -120,6 +123,7 @@
             zones: RefCell::default(),
             released: Rc::default(),
             saving: RefCell::default(),
+            fetch_debts: RefCell::default(),
             place_shares: RefCell::default(),
             node_peak: Cell::new((0, Instant::now())),
             started: Instant::now(),
@@ -258,6 +262,7 @@
         }
         let mut answer = result?;
         if let Some(transfers) = &chosen.transfers {
+            self.note_fetch(transfers, chosen.estimate_ms - chosen.fetch_ms);
             tracing::info!(
                 event = "prompt",
                 request_id = call.headers.request_id.as_deref(),
--- a/crates/gateway/src/prompt_parts.rs
+++ b/crates/gateway/src/prompt_parts.rs
@@ -11,7 +11,7 @@
     duration::millis,
     forward::Gateway,
     routing_state::StoreRef,
-    store_keeper::{FETCH_LIMIT, INDEX_LIMIT, part_hash},
+    store_keeper::{FETCH_LIMIT, INDEX_LIMIT, part_hash, store_tag},
     upstreams::{Upstream, stable_hash},
 };
 
@@ -23,6 +23,8 @@
 const FETCH_WAITS: f64 = 2.0;
 /// No fetch is worth more than this many goals.
 const FETCH_GOALS: f64 = 2.5;
+/// A fetch that came too late counts against its store if the wait at the engine was estimated at less than this.
+const BLAMED_WAIT_MS: f64 = 160.0;
 /// A part that is being saved is not saved again for this time.
 const SAVE_TIME: Duration = Duration::from_secs(4);
 /// Parts being saved that are remembered before the old ones are dropped.
@@ -34,6 +36,8 @@
     tokens: u64,
     store: Option<StoreRef>,
     is_stored: bool,
+    /// Whether it is not fetched because its store cannot keep up.
+    is_left_out: bool,
 }
 
 /// The shared parts of a prompt.
@@ -44,7 +48,7 @@
 
 impl StoredParts {
     fn fetched(&self) -> impl Iterator<Item = &PartPlace> {
-        self.places.iter().filter(|place| place.is_stored)
+        self.places.iter().filter(|place| place.is_stored && !place.is_left_out)
     }
 
     pub(crate) fn tokens(&self) -> u64 {
@@ -89,7 +93,9 @@
             let is_stored = stored.is_some();
             let store = holder.or_else(|| home_store(&known, hash)).cloned();
             let tokens = stored.map_or(part.tokens, |stored| stored.tokens.min(part.tokens));
-            PartPlace { hash, tokens, store, is_stored }
+            let is_left_out =
+                store.as_ref().is_some_and(|store| !self.fetch_debts.borrow().admits(store.tag));
+            PartPlace { hash, tokens, store, is_stored, is_left_out }
         });
         StoredParts { places: places.collect() }
     }
@@ -106,10 +112,16 @@
         let mut transfers = Transfers::default();
         for place in &parts.places {
             let address = place.store.as_ref().map(|store| store.address.clone());
-            let fetch = address.clone().filter(|_| place.is_stored).map(|address| (address, place.tokens));
-            if fetch.is_some() {
+            let fetch = address
+                .clone()
+                .filter(|_| place.is_stored && !place.is_left_out)
+                .map(|address| (address, place.tokens));
+            if place.is_stored {
                 self.cluster.note_used_part(place.hash);
             }
+            if let Some(store) = place.store.as_ref().filter(|_| place.is_stored && place.is_left_out) {
+                self.fetch_debts.borrow_mut().left_out(store.tag);
+            }
             let saves = may_save && !place.is_stored && self.may_save(place.hash);
             transfers.fetch.push(fetch);
             transfers.save.push(address.filter(|_| saves));
@@ -125,6 +137,19 @@
         transfers
     }
 
+    /// Notes the stores whose fetch came too late: the answer began after the fetch was given up, and not because of
+    /// a wait at the engine of `wait_ms`.
+    pub(crate) fn note_fetch(&self, transfers: &Transfers, wait_ms: f64) {
+        let now_ms = self.cluster.upstream_clock_ms();
+        let is_late = now_ms.is_some_and(|now_ms| now_ms > transfers.fetch_until_ms);
+        if !is_late || wait_ms > BLAMED_WAIT_MS {
+            return;
+        }
+        for (address, _) in transfers.fetch.iter().flatten() {
+            self.fetch_debts.borrow_mut().too_late(store_tag(address));
+        }
+    }
+
     /// Returns whether a part is not being saved already, and notes that it is from now on.
     fn may_save(&self, part: u64) -> bool {
         let mut saving = self.saving.borrow_mut();
