--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -85,6 +85,8 @@
     pub(crate) refusals: u32,
     /// Upstreams that could not be reached.
     pub(crate) unreachable: u32,
+    /// Time that it waited for a place at an upstream.
+    pub(crate) waited: Duration,
 }
 
 pub(crate) fn urgency(call: &Call) -> u8 {
--- a/crates/gateway/src/caller_requests.rs
+++ b/crates/gateway/src/caller_requests.rs
@@ -129,7 +129,7 @@
                 continue;
             }
             gateway.metrics.answer_seconds.observe(call.arrived.elapsed().as_secs_f64());
-            Self::log_answer(&call, &answer);
+            Self::log_answer(&call, &progress, &answer);
             let streams =
                 matches!(call.route.kind, CallKind::Stream { .. }) && answer.head.status.is_success();
             if streams {
@@ -162,7 +162,7 @@
         true
     }
 
-    fn log_answer(call: &Call, answer: &Answer) {
+    fn log_answer(call: &Call, progress: &Progress, answer: &Answer) {
         let upstream = &answer.in_flight.upstream;
         tracing::info!(
             event = "answered",
@@ -173,6 +173,7 @@
             status = answer.head.status.as_u16(),
             version = answer.weight_version.map(|version| version.0),
             in_flight = upstream.in_flight(),
+            waited_ms = progress.waited.as_millis(),
             after_ms = call.arrived.elapsed().as_millis(),
         );
     }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -72,6 +72,8 @@
     pub save: Vec<Option<String>>,
     /// A fetch that has not ended at this time of the upstreams' clock, in ms, is given up.
     pub fetch_until_ms: u64,
+    /// Parts that lie in a store and are read here all the same, since the store cannot keep up.
+    pub left_out_parts: usize,
 }
 
 impl Transfers {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -185,7 +185,7 @@
         loop {
             let chosen = match self.place(call, progress) {
                 Placement::At(chosen) => chosen,
-                Placement::NoRoom if self.wait_for_room(call).await => continue,
+                Placement::NoRoom if self.wait_for_room(call, progress).await => continue,
                 Placement::NoRoom => return Err(self.no_room(call, progress)),
                 Placement::Nowhere => return Err(self.out_of_upstreams(progress, last_error)),
             };
@@ -270,6 +270,7 @@
                 cached_tokens = chosen.cached_tokens,
                 fetched_tokens = transfers.fetched_tokens(),
                 saved_parts = transfers.save.iter().flatten().count(),
+                left_out_parts = transfers.left_out_parts,
                 fetch_ms = chosen.fetch_ms,
                 took_ms = millis(started.elapsed()),
                 index = self.cluster.upstream_clock_ms().is_some(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -47,6 +47,10 @@
     pub list_calls: Counter,
     /// Orders sent to upstreams.
     pub orders: Counter,
+    /// Fetches from stores that came too late.
+    pub late_fetches: Counter,
+    /// Waits of requests for a place at an upstream.
+    pub waits_for_room: Counter,
     /// Time from arrival to the head of the answer.
     pub answer_seconds: Histogram,
     registry: Arc<Registry>,
@@ -62,6 +66,8 @@
         let dropped_log_lines = Gauge::default();
         let list_calls = Counter::default();
         let orders = Counter::default();
+        let late_fetches = Counter::default();
+        let waits_for_room = Counter::default();
         let answer_seconds = Histogram::new(exponential_buckets(0.002, 2.0, 14));
         let mut registry = Registry::with_prefix("daisysill_gateway");
         registry.register("requests", "Requests finished", requests.clone());
@@ -71,6 +77,8 @@
         registry.register("dropped_log_lines", "Log lines dropped", dropped_log_lines.clone());
         registry.register("list_calls", "Calls to the list of upstreams", list_calls.clone());
         registry.register("orders", "Orders sent to upstreams", orders.clone());
+        registry.register("late_fetches", "Fetches from stores that came too late", late_fetches.clone());
+        registry.register("waits_for_room", "Waits of requests for a place", waits_for_room.clone());
         let time = "Time from arrival to the head of the answer";
         registry.register_with_unit("answer", time, Unit::Seconds, answer_seconds.clone());
         cluster.register(&mut registry);
@@ -82,6 +90,8 @@
             dropped_log_lines,
             list_calls,
             orders,
+            late_fetches,
+            waits_for_room,
             answer_seconds,
             registry: Arc::new(registry),
         }
--- a/crates/gateway/src/prompt_parts.rs
+++ b/crates/gateway/src/prompt_parts.rs
@@ -121,6 +121,7 @@
             }
             if let Some(store) = place.store.as_ref().filter(|_| place.is_stored && place.is_left_out) {
                 self.fetch_debts.borrow_mut().left_out(store.tag);
+                transfers.left_out_parts += 1;
             }
             let saves = may_save && !place.is_stored && self.may_save(place.hash);
             transfers.fetch.push(fetch);
@@ -145,7 +146,9 @@
         if !is_late || wait_ms > BLAMED_WAIT_MS {
             return;
         }
-        for (address, _) in transfers.fetch.iter().flatten() {
+        for (address, tokens) in transfers.fetch.iter().flatten() {
+            self.metrics.late_fetches.inc();
+            tracing::info!(event = "fetch_late", store = address, tokens, engine_wait_ms = wait_ms);
             self.fetch_debts.borrow_mut().too_late(store_tag(address));
         }
     }
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -20,12 +20,13 @@
 
 impl Gateway {
     /// Waits until a request ends at an upstream of the service; `false` if the wait would make the answer late.
-    pub(crate) async fn wait_for_room(&self, call: &Call) -> bool {
+    pub(crate) async fn wait_for_room(&self, call: &Call, progress: &mut Progress) -> bool {
         let goal = Duration::from_millis(call.route.goal_ms);
         let latest = call.arrived + goal.mul_f64(WAIT_GOAL_SHARE);
         if Instant::now() >= latest || call.time_left() == Duration::ZERO {
             return false;
         }
+        self.metrics.waits_for_room.inc();
         let (wake, woken) = oneshot::channel();
         let now_ms = self.now_ms();
         let due_ms = now_ms + millis(latest.saturating_duration_since(Instant::now()));
@@ -37,7 +38,9 @@
         queued(&mut |queue| {
             turn = wake.take().map(|wake| queue.push(urgency(call), due_ms, now_ms, wake));
         });
+        let began = Instant::now();
         let woken = timeout_at(latest, woken).await.is_ok();
+        progress.waited += began.elapsed();
         if let Some(turn) = turn {
             queued(&mut |queue| queue.remove(&turn));
         }
