Report no end for a run that was refused

Read as a newcomer would: a refused run proposed an end that the agreed state did not know, one log write for nothing.

--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -108,7 +108,7 @@
     NoQuorum,
 }
 
-/// The run of a request that was part of a crash. Dropped without a word, it is reported as not finished.
+/// The run of a request that was part of a crash. When it is dropped, its end is reported.
 pub(crate) struct GrantedRun {
     shared: Arc<Shared>,
     end: Option<EndSuspectRun>,
@@ -116,6 +116,11 @@
 }
 
 impl GrantedRun {
+    /// Ends a run that was refused; there is nothing to report.
+    fn refused(mut self) {
+        self.end = None;
+    }
+
     /// Reports that the upstream completed the request.
     pub(crate) fn finished(mut self) {
         if let Some(end) = &mut self.end {
@@ -179,7 +184,10 @@
         let proposed = shared.agreement.propose(Command::StartSuspectRun(start));
         match timeout(PERMISSION_TIMEOUT, proposed).await {
             Ok(Ok(Reply::RunPermitted)) => RunPermission::Granted(run),
-            Ok(Ok(Reply::RunRefused(refusal))) => RunPermission::Refused(refusal),
+            Ok(Ok(Reply::RunRefused(refusal))) => {
+                run.refused();
+                RunPermission::Refused(refusal)
+            }
             _ => RunPermission::NoQuorum,
         }
     }
--- a/crates/node/tests/crashes.rs
+++ b/crates/node/tests/crashes.rs
@@ -114,6 +114,10 @@
     node.script(&[&[Step::Finish(0)]]);
     assert_eq!(answer(node.prompt("opera-a", "la la")).await.1, None);
     sleep(Duration::from_millis(50)).await;
+    // A run whose permission may have been committed is given back too.
+    let is_end = |command: &Command| matches!(command, Command::EndSuspectRun(_));
+    let ends = node.agreement.proposed.lock().unwrap().iter().filter(|c| is_end(c)).count();
+    assert_eq!(ends, 2, "the run whose permission was not committed, and the one that finished");
     let is_finish =
         |command: &Command| matches!(command, Command::EndSuspectRun(EndSuspectRun { finished: true, .. }));
     assert_eq!(node.agreement.proposed.lock().unwrap().iter().filter(|c| is_finish(c)).count(), 1);
