Wait in the test of restores until nodes have heard of an eviction

The test asks at once after it empties them, so a node restores only if it happens to ask the engines in between; on a busy machine it does not. Ruled out: exports (20 blocks were sealed) and failed restores (none). A prompt that goes to an emptied engine is read there and answered, as the test checked. Change: the test waits 500 ms after an eviction; what it checks is the same.

--- a/crates/testkit/tests/promises/blocks.rs
+++ b/crates/testkit/tests/promises/blocks.rs
@@ -12,6 +12,8 @@
 const RULES: &str = "[service]\nname = lyric-llm\n[rest]\naccelerator_s = 1\n[costs]\nrecompute_weight_us = 1000\n\
      [weights]\nmax_loading = 3\nfloor_percent = 20\n";
 const ROUNDS: usize = 30;
+/// Time in which nodes hear of an eviction; they ask engines several times a second.
+const EVICTION_HEARD: Duration = Duration::from_millis(500);
 
 /// Guards against context of another customer or weight version, blocks that are used unsealed, freed or damaged,
 /// and answers that are not whole, while stores hand out anything, slow down and die and weights are swapped.
@@ -41,6 +43,8 @@
             for engine in deployment.upstreams.engines.values() {
                 engine.evict_all();
             }
+            // A node that has not heard of the eviction takes the context for cached and restores nothing.
+            actix_rt::time::sleep(EVICTION_HEARD).await;
         }
         let asked = (0..6).map(|number| {
             // Both customers send the same three texts at the same time.
