--- a/crates/control/src/crashes.rs
+++ b/crates/control/src/crashes.rs
@@ -197,7 +197,9 @@
         let unjudged =
             self.unsettled.iter().filter(|crash| crash.report.running.contains(&fingerprint)).count();
         let running = self.runs.of(&start.fingerprint);
-        let must_wait = match self.judged.permission(&fingerprint, now_ms, running).permission {
+        let permission = self.judged.permission(&fingerprint, now_ms, running).permission;
+        let alone = permission == Permission::RunAlone;
+        let must_wait = match permission {
             Permission::Blocked { .. } => return Err(RunRefusal::Blocked),
             Permission::Wait => true,
             Permission::Run => unjudged >= CRASHES_TO_WAIT || (unjudged > 0 && running > 0),
@@ -206,7 +208,7 @@
         if must_wait {
             return Err(RunRefusal::Wait);
         }
-        self.runs.start(start, now_ms)
+        self.runs.start(start, alone, now_ms)
     }
 
     fn end_run(&mut self, end: &EndSuspectRun, now_ms: u64) {
--- a/crates/control/src/suspect_runs.rs
+++ b/crates/control/src/suspect_runs.rs
@@ -1,5 +1,6 @@
-//! Runs in progress of requests that were part of a crash: at most one a request and one an upstream, so that a
-//! further crash tells which request caused it.
+//! Runs in progress of requests that were part of a crash: at most one a request. A request that was part of two crashes
+//! runs at an upstream without other such requests, so that a third crash tells which request caused it. After one
+//! crash, requests may run side by side: most crashes have a cause outside them, and all of them must go on.
 
 use std::collections::BTreeMap;
 
@@ -22,6 +23,8 @@
         pub fingerprint: String,
         /// Where it runs.
         pub upstream: InstanceId,
+        /// Whether no other such request may run beside it.
+        pub alone: bool,
         /// When it was permitted, in log time.
         pub started_ms: u64,
         /// When it counts as ended if nobody reports its end, in log time.
@@ -51,9 +54,14 @@
         self.runs.values().filter(|run| run.fingerprint == fingerprint).count()
     }
 
-    /// Notes a run, unless another one is in progress at its upstream.
-    pub(crate) fn start(&mut self, start: &StartSuspectRun, now_ms: u64) -> Result<(), RunRefusal> {
-        if self.runs.values().any(|run| run.upstream == start.upstream) {
+    /// Notes a run, unless one of it and another in progress at its upstream has to be alone.
+    pub(crate) fn start(
+        &mut self,
+        start: &StartSuspectRun,
+        alone: bool,
+        now_ms: u64,
+    ) -> Result<(), RunRefusal> {
+        if self.runs.values().any(|run| run.upstream == start.upstream && (alone || run.alone)) {
             return Err(RunRefusal::UpstreamTaken);
         }
         if self.runs.len() >= MAX_RUNS {
@@ -62,6 +70,7 @@
         let run = SuspectRun {
             fingerprint: start.fingerprint.clone(),
             upstream: start.upstream.clone(),
+            alone,
             started_ms: now_ms,
             expires_ms: now_ms.saturating_add(start.limit_ms.min(MAX_RUN_MS)),
         };
