--- a/crates/cluster/src/handle.rs
+++ b/crates/cluster/src/handle.rs
@@ -7,21 +7,20 @@
 };
 
 use daisysill_control::{
-    Recovered, Replica, ReplicaConfig, ReplicaStatus, Role as ReplicaRole, VoterChange,
+    Recovered, Replica, ReplicaConfig, VoterChange,
     command::{Command, Reply},
     state::ConfigView,
     storage,
 };
-use daisysill_core::ids::{ConfigVersion, InstanceId};
-use daisysill_wire::peer::{PeerClient, SoftReport};
+use daisysill_core::ids::ConfigVersion;
+use daisysill_wire::peer::SoftReport;
 use eyre::WrapErr;
-use futures::{FutureExt, future::join_all};
 use tokio::{
     net::TcpListener,
     runtime::Handle,
-    sync::{mpsc, oneshot, watch},
+    sync::{mpsc, watch},
     task::JoinHandle,
-    time::{sleep, timeout},
+    time::timeout,
 };
 
 pub use crate::status::{ClusterStatus, MemberState, PeerReport, ProposeError, Role};
@@ -33,7 +32,7 @@
     follow::Follower,
     gossip::Gossip,
     handshake::SharedKey,
-    link::{Link, Links},
+    link::Links,
     members::Members,
     membership,
     metrics::ClusterMetrics,
@@ -51,14 +50,8 @@
 const HEARTBEAT_MS: u64 = 100;
 /// Shortest election timeout; with the longest of twice that, a new leader is there within about a second.
 const ELECTION_TIMEOUT_MS: u64 = 400;
-/// A leader that leaves waits this long until another node leads.
-const HAND_OVER_LIMIT: Duration = Duration::from_secs(3);
 /// Time for a proposal where even the cluster's own limits do not end it.
 const PROPOSE_LIMIT: Duration = Duration::from_secs(5);
-/// Time for a voter to take note that the leader has stopped.
-const HAND_OVER_CALL: Duration = Duration::from_millis(300);
-/// Time between two looks at who leads.
-const HAND_OVER_CHECK: Duration = Duration::from_millis(20);
 
 /// The first line of the error if the data folder cannot be opened.
 const UNUSABLE_FOLDER: &str = "the data folder cannot be used; if a file in it is damaged, keep a copy of the folder, \
@@ -236,11 +229,11 @@
 
 #[derive(Debug)]
 pub(crate) struct Inner {
-    names_are_addresses: bool,
+    pub(crate) names_are_addresses: bool,
     runtime: Handle,
     pub(crate) proposer: Proposer,
     pub(crate) gossip: Gossip,
-    leader: LeaderHint,
+    pub(crate) leader: LeaderHint,
     pub(crate) replica: watch::Receiver<ReplicaView>,
     pub(crate) board: Arc<BoardStore>,
     pub(crate) soft: Arc<SharedSoft>,
@@ -341,52 +334,6 @@
         &self.inner.metrics
     }
 
-    /// Tells the others that this node is shutting down, and hands over what it owns.
-    pub async fn leave(&self) {
-        self.inner.gossip.members.set_leaving();
-        let replica = self.inner.replica.borrow().status.clone();
-        let led = replica.as_ref().filter(|status| status.role == ReplicaRole::Leader);
-        if let Some(driver) = &self.inner.proposer.driver {
-            let (stopped, has_stopped) = oneshot::channel();
-            self.inner.leader.set(None);
-            if driver.send(DriverInput::Leave { stopped }).await.is_ok() {
-                let _ = timeout(HAND_OVER_LIMIT, has_stopped).await;
-            }
-        }
-        if let Some(status) = led.filter(|status| status.voters.voters.len() > 1) {
-            self.hand_over(status).await;
-        }
-        self.inner.gossip.tell_partners().await;
-    }
-
-    /// Tells the other voters that the leader has stopped, and waits until another node leads.
-    async fn hand_over(&self, status: &ReplicaStatus) {
-        let term = status.term;
-        let links = &self.inner.proposer.links;
-        let voters = status.voters.voters.keys().filter_map(|name| links.get(name));
-        let (alive, _): (Vec<_>, Vec<_>) = voters.partition(|link| {
-            self.inner.names_are_addresses || self.inner.gossip.members.is_alive(&link.name)
-        });
-        let Some((successor, others)) = alive.split_first() else { return };
-        let tell = |link: &Arc<Link>, campaign| {
-            let link = Arc::clone(link);
-            let call = move |client: PeerClient, context| {
-                async move { client.take_over(context, term, campaign).await }.boxed()
-            };
-            async move { link.call(HAND_OVER_CALL, call).await }
-        };
-        join_all(others.iter().map(|link| tell(link, false))).await;
-        let _ = tell(successor, true).await;
-        let _ = timeout(HAND_OVER_LIMIT, self.another_leads()).await;
-    }
-
-    async fn another_leads(&self) {
-        let own: &InstanceId = &self.inner.proposer.name;
-        while self.inner.leader.get().is_none_or(|leader| leader == *own) {
-            sleep(HAND_OVER_CHECK).await;
-        }
-    }
-
     /// Stops all tasks at once and closes the data folder, as the end of the process would.
     pub async fn stop(&self) {
         let tasks = std::mem::take(&mut *self.inner.tasks.lock().unwrap_or_else(PoisonError::into_inner));
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod config;
 mod delta;
+mod departure;
 mod driver;
 mod follow;
 mod framing;
--- a/crates/control/tests/protocol/faults.rs
+++ b/crates/control/tests/protocol/faults.rs
@@ -1,7 +1,7 @@
 //! The whole protocol under random faults: loss, duplication, reordering, partitions in one direction,
 //! crashes that lose unsynced writes, restarts, voter changes and replaced disks.
 
-use crate::sim::{Disk, Sim};
+use crate::{disk::Disk, sim::Sim};
 use daisysill_control::{Input, VoterChange};
 use proptest::{
     collection,
--- a/crates/control/tests/protocol/leadership.rs
+++ b/crates/control/tests/protocol/leadership.rs
@@ -2,7 +2,7 @@
 
 use daisysill_core::ids::InstanceId;
 
-use crate::sim::{Disk, Sim};
+use crate::{disk::Disk, sim::Sim};
 use daisysill_control::{
     Input, ProposalFailure, Role, VoterChange,
     command::{ClaimState, Command, Reply},
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -38,4 +38,5 @@
 pub mod trace;
 pub mod upstream_edge;
 mod upstream_entry;
+mod upstream_reports;
 pub mod upstreams;
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -1,25 +1,20 @@
 //! What this node believes about upstreams and stores.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Duration,
 };
 
 use daisysill_core::{
-    block::BlockName,
     chart::Chart,
     ids::{InstanceId, ServiceName, WeightVersion, ZoneName},
     view::{ClusterView, StoreView},
 };
 use daisysill_wire::{
-    border::{
-        CacheEventKind, CacheEvents, EngineLoad, InstanceKind, InstanceState, PlatformInstance, StoreUsage,
-        UpstreamStatus,
-    },
+    border::{InstanceKind, StoreUsage, UpstreamStatus},
     peer::DispatchCount,
 };
 use tokio::time::Instant;
@@ -39,16 +34,16 @@
 #[derive(Debug)]
 pub struct UpstreamTable {
     chart: Chart,
-    metrics: Arc<Metrics>,
+    pub(crate) metrics: Arc<Metrics>,
     directory: Arc<BlockDirectory>,
     node_count: AtomicUsize,
     inner: Mutex<Inner>,
 }
 
 #[derive(Debug)]
-struct Inner {
-    entries: BTreeMap<InstanceId, Entry>,
-    live: LiveView,
+pub(crate) struct Inner {
+    pub(crate) entries: BTreeMap<InstanceId, Entry>,
+    pub(crate) live: LiveView,
 }
 
 impl UpstreamTable {
@@ -162,40 +157,12 @@
         counts.collect()
     }
 
-    /// Takes what another node reported `age` ago.
-    pub fn apply_peer_counts(
-        &self,
-        peer: &InstanceId,
-        counts: &BTreeMap<InstanceId, DispatchCount>,
-        age: Duration,
-    ) {
-        let mut inner = self.lock();
-        for (upstream, count) in counts {
-            let used = inner.live.peer_count(peer, upstream, count, age);
-            let metric = if used { &self.metrics.peer_counts } else { &self.metrics.late_peer_counts };
-            metric.inc();
-        }
-    }
-
     /// Returns the upstreams that refused work from this node because they are leaving.
     pub fn refused_here(&self) -> Vec<InstanceId> {
         let entries = &self.lock().entries;
         entries.iter().filter(|(_, entry)| entry.refused_here()).map(|(id, _)| id.clone()).collect()
     }
 
-    /// Applies what other nodes report of upstreams that refused work because they are leaving.
-    pub fn apply_reported_leaving(&self, leaving: &BTreeSet<InstanceId>) {
-        self.change_all(|id, entry| {
-            let is = leaving.contains(id);
-            let was = entry.set_leaving(LeavingCause::RefusedElsewhere, is);
-            match (was, is) {
-                (_, true) => self.advance(entry, "refused"),
-                (true, false) => self.stay(entry),
-                (false, false) => {}
-            }
-        });
-    }
-
     /// Returns the upstreams for the status report.
     pub fn status(&self) -> Vec<UpstreamStatus> {
         let entries = &self.lock().entries;
@@ -209,98 +176,6 @@
         status.collect()
     }
 
-    /// Applies the platform's list; returns the instances that are gone.
-    pub fn apply_list(&self, instances: Vec<PlatformInstance>) -> Vec<InstanceId> {
-        let mut inner = self.lock();
-        let Inner { entries, live } = &mut *inner;
-        let listed: BTreeSet<InstanceId> =
-            instances.iter().map(|i| InstanceId::from(i.id.as_str())).collect();
-        let mut gone = Vec::new();
-        for (id, entry) in entries.iter_mut().filter(|(id, _)| !listed.contains(*id)) {
-            self.advance(entry, "removed");
-            gone.push(id.clone());
-        }
-        entries.retain(|id, entry| {
-            let keep = entry.state != "gone" || entry.in_flight > 0;
-            if !keep {
-                live.remove(id);
-            }
-            keep
-        });
-        for instance in instances {
-            let id = InstanceId::from(instance.id.as_str());
-            let entry = entries.entry(id).or_insert_with(|| Entry::new(instance.clone()));
-            let is_leaving = instance.state == InstanceState::Leaving;
-            let was_leaving = entry.set_leaving(LeavingCause::Listed, is_leaving);
-            entry.listed = instance;
-            if is_leaving {
-                self.advance(entry, "listed_leaving");
-            } else if entry.is_known() {
-                self.advance(entry, "listed");
-            }
-            if was_leaving && !is_leaving {
-                self.stay(entry);
-            }
-        }
-        for (id, entry) in entries.iter_mut() {
-            self.show(live, id, entry);
-        }
-        // Also without requests, so that the changes do not pile up.
-        self.follow_directory(live);
-        gone
-    }
-
-    /// Applies the drain marks in force, those that were cleared included.
-    pub fn apply_drains(&self, draining: &BTreeSet<InstanceId>) {
-        self.change_all(|id, entry| {
-            let is = draining.contains(id);
-            let was = entry.set_leaving(LeavingCause::Drained, is);
-            match (was, is) {
-                (false, true) => self.advance(entry, "drain_marked"),
-                (true, false) => self.stay(entry),
-                _ => {}
-            }
-        });
-    }
-
-    /// Applies a load report that was asked for at `asked`; returns whether the engine restarted.
-    pub fn apply_load(&self, id: &InstanceId, load: EngineLoad, asked: Instant) -> bool {
-        let mut inner = self.lock();
-        let Inner { entries, live } = &mut *inner;
-        let Some(entry) = entries.get_mut(id) else { return false };
-        let restarted = entry.load.as_ref().is_some_and(|known| known.incarnation != load.incarnation);
-        live.report(id, &load, asked);
-        entry.load = Some(load);
-        if restarted && entry.set_leaving(LeavingCause::RefusedHere, false) {
-            // The new process has refused nothing yet.
-            self.stay(entry);
-        }
-        self.advance(entry, "ping_ok");
-        self.show(live, id, entry);
-        restarted
-    }
-
-    /// Applies a store's usage report.
-    pub fn apply_usage(&self, id: &InstanceId, usage: StoreUsage) {
-        self.change(id, |entry| {
-            entry.usage = Some(usage);
-            self.advance(entry, "ping_ok");
-        });
-    }
-
-    /// Applies an engine's cache events; returns the pieces it evicted.
-    pub fn apply_cache_events(&self, id: &InstanceId, events: &CacheEvents) -> Vec<BlockName> {
-        let mut inner = self.lock();
-        let Inner { entries, live } = &mut *inner;
-        let Some(entry) = entries.get_mut(id) else { return Vec::new() };
-        live.cache_events(id, events, entry.incarnation != events.incarnation);
-        live.sweep();
-        entry.incarnation = events.incarnation;
-        entry.next_event = events.next_seq;
-        let evicted = events.events.iter().filter(|event| event.kind == CacheEventKind::Evicted);
-        evicted.map(|event| BlockName::from(event.piece.as_str())).collect()
-    }
-
     /// Returns id, URL and next cache event of each upstream of a kind.
     pub fn of_kind(&self, kind: InstanceKind) -> Vec<(InstanceId, String, u64)> {
         let entries = &self.lock().entries;
@@ -323,14 +198,14 @@
         }
     }
 
-    fn follow_directory(&self, live: &mut LiveView) {
+    pub(crate) fn follow_directory(&self, live: &mut LiveView) {
         for change in self.directory.take_changes() {
             live.directory_change(&change);
         }
     }
 
     /// Changes one entry and shows the change to the decisions.
-    fn change(&self, id: &InstanceId, change: impl FnOnce(&mut Entry)) {
+    pub(crate) fn change(&self, id: &InstanceId, change: impl FnOnce(&mut Entry)) {
         let mut inner = self.lock();
         let Inner { entries, live } = &mut *inner;
         if let Some(entry) = entries.get_mut(id) {
@@ -339,7 +214,7 @@
         }
     }
 
-    fn change_all(&self, change: impl Fn(&InstanceId, &mut Entry)) {
+    pub(crate) fn change_all(&self, change: impl Fn(&InstanceId, &mut Entry)) {
         let mut inner = self.lock();
         let Inner { entries, live } = &mut *inner;
         for (id, entry) in entries.iter_mut() {
@@ -348,7 +223,7 @@
         }
     }
 
-    fn show(&self, live: &mut LiveView, id: &InstanceId, entry: &mut Entry) {
+    pub(crate) fn show(&self, live: &mut LiveView, id: &InstanceId, entry: &mut Entry) {
         if entry.listed.kind != InstanceKind::Store {
             live.put_upstream(id, entry);
         } else if live.put_store(self.store_view(id, entry)) {
@@ -357,13 +232,13 @@
     }
 
     /// Gives new work again to an upstream that nothing says is leaving any more.
-    fn stay(&self, entry: &mut Entry) {
+    pub(crate) fn stay(&self, entry: &mut Entry) {
         if entry.leaving.is_empty() && entry.state == "leaving" {
             self.advance(entry, "drain_cleared");
         }
     }
 
-    fn advance(&self, entry: &mut Entry, event: &str) {
+    pub(crate) fn advance(&self, entry: &mut Entry, event: &str) {
         match self.chart.next(&entry.state, event) {
             Ok(next) if next == entry.state => {}
             Ok(next) => {
@@ -376,7 +251,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod plain;
 pub mod platform;
 pub mod proxy;
+mod proxy_relay;
 pub mod server;
 pub mod slots;
 pub mod store;
--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -11,21 +11,20 @@
     time::Duration,
 };
 
-use socket2::SockRef;
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::TcpListener,
     runtime::{Builder, Handle},
-    sync::{broadcast, mpsc, watch},
+    sync::{broadcast, watch},
     task::AbortHandle,
-    time::{Instant, sleep_until},
 };
 
-use crate::util::{CHUNK_BYTES, Rate, lock};
+use crate::{
+    proxy_relay::serve,
+    util::{Rate, lock},
+};
 
 /// Threads that all proxies of a process share.
 const PROXY_THREADS: usize = 2;
-/// Chunks under way in one direction of one connection; bounds what a delayed link holds.
-const CHUNKS_UNDER_WAY: usize = 256;
 
 /// Time after which a failed accept is tried again.
 const ACCEPT_RETRY: Duration = Duration::from_millis(10);
@@ -52,8 +51,8 @@
 }
 
 #[derive(Clone, Debug)]
-struct LinkState {
-    target: Option<SocketAddr>,
+pub(crate) struct LinkState {
+    pub(crate) target: Option<SocketAddr>,
     forward: Behaviour,
     backward: Behaviour,
     /// Connections with a lower number stay silent for ever.
@@ -61,12 +60,12 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Cut {
+pub(crate) struct Cut {
     /// Whether the connecting side sees the connection end.
-    client: bool,
+    pub(crate) client: bool,
     /// Whether the listening side sees it.
-    server: bool,
-    reset: bool,
+    pub(crate) server: bool,
+    pub(crate) reset: bool,
 }
 
 /// A TCP proxy with faults on demand; it stops when dropped.
@@ -78,8 +77,8 @@
 }
 
 #[derive(Debug)]
-struct Shared {
-    state: watch::Sender<LinkState>,
+pub(crate) struct Shared {
+    pub(crate) state: watch::Sender<LinkState>,
     cuts: broadcast::Sender<Cut>,
     forward_rate: Rate,
     backward_rate: Rate,
@@ -211,14 +210,14 @@
 }
 
 impl Shared {
-    fn rate(&self, direction: Direction) -> &Rate {
+    pub(crate) fn rate(&self, direction: Direction) -> &Rate {
         match direction {
             Direction::Forward => &self.forward_rate,
             Direction::Backward => &self.backward_rate,
         }
     }
 
-    fn behaviour(&self, direction: Direction) -> Behaviour {
+    pub(crate) fn behaviour(&self, direction: Direction) -> Behaviour {
         let state = self.state.borrow();
         match direction {
             Direction::Forward => state.forward,
@@ -227,7 +226,7 @@
     }
 
     /// Waits until a connection's bytes may pass.
-    async fn passable(&self, direction: Direction, number: u64) {
+    pub(crate) async fn passable(&self, direction: Direction, number: u64) {
         let mut state = self.state.subscribe();
         let open = state.wait_for(|state| {
             let behaviour = if direction == Direction::Forward { state.forward } else { state.backward };
@@ -272,121 +271,6 @@
     Ok((address, task.abort_handle()))
 }
 
-async fn serve(shared: Arc<Shared>, client: TcpStream, number: u64, mut cuts: broadcast::Receiver<Cut>) {
-    let target = shared.state.borrow().target;
-    // A connection that its client gives up while the link is silent must not hold a descriptor.
-    let mut early = Vec::new();
-    tokio::select! {
-        biased;
-        () = shared.passable(Direction::Forward, number) => {}
-        () = read_to_end(&client, &mut early) => return,
-    }
-    let Some(target) = target else { return };
-    let Ok(server) = TcpStream::connect(target).await else {
-        // The connecting side sees a reset, as close to a refusal as an accepted connection can get.
-        end(client, true);
-        return;
-    };
-    let _ = (client.set_nodelay(true), server.set_nodelay(true));
-    let forward = pump(&shared, Direction::Forward, number, &client, &server, early);
-    let backward = pump(&shared, Direction::Backward, number, &server, &client, Vec::new());
-    let cut = tokio::select! {
-        _ = async { tokio::join!(forward, backward) } => return,
-        cut = cuts.recv() => cut.unwrap_or(Cut { client: true, server: true, reset: true }),
-    };
-    let mut held = Vec::new();
-    for (stream, ends) in [(client, cut.client), (server, cut.server)] {
-        if ends { end(stream, cut.reset) } else { held.push(stream) }
-    }
-    if !held.is_empty() {
-        // The side that hears nothing keeps its connection until a full cut.
-        while cuts.recv().await.is_ok_and(|cut| !(cut.client && cut.server)) {}
-    }
-}
-
-fn end(stream: TcpStream, reset: bool) {
-    if reset {
-        let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-    }
-    drop(stream);
-}
-
-/// Moves one direction until its end, which is passed on as a half-close; `early` was read before.
-async fn pump(
-    shared: &Shared,
-    direction: Direction,
-    number: u64,
-    from: &TcpStream,
-    to: &TcpStream,
-    early: Vec<u8>,
-) {
-    let (sender, mut receiver) = mpsc::channel::<(Instant, Vec<u8>)>(CHUNKS_UNDER_WAY);
-    let reading = async {
-        let sender = sender;
-        if !early.is_empty() {
-            // The channel is new, so it has room.
-            let _ = sender.send((Instant::now() + shared.behaviour(direction).delay, early)).await;
-        }
-        while let Some(chunk) = read(from).await {
-            let due = Instant::now() + shared.behaviour(direction).delay;
-            if sender.send((due, chunk)).await.is_err() {
-                return;
-            }
-        }
-    };
-    let writing = async {
-        while let Some((due, chunk)) = receiver.recv().await {
-            if due > Instant::now() {
-                sleep_until(due).await;
-            }
-            shared.rate(direction).pass(chunk.len()).await;
-            shared.passable(direction, number).await;
-            if !write(to, &chunk).await {
-                return;
-            }
-        }
-        shared.passable(direction, number).await;
-        let _ = SockRef::from(to).shutdown(std::net::Shutdown::Write);
-    };
-    tokio::join!(reading, writing);
-}
-
-async fn read_to_end(from: &TcpStream, bytes: &mut Vec<u8>) {
-    while let Some(chunk) = read(from).await {
-        bytes.extend_from_slice(&chunk);
-    }
-}
-
-async fn read(from: &TcpStream) -> Option<Vec<u8>> {
-    let mut chunk = vec![0; CHUNK_BYTES];
-    loop {
-        from.readable().await.ok()?;
-        match from.try_read(&mut chunk) {
-            Ok(0) => return None,
-            Ok(length) => {
-                chunk.truncate(length);
-                return Some(chunk);
-            }
-            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
-            Err(_) => return None,
-        }
-    }
-}
-
-async fn write(to: &TcpStream, mut chunk: &[u8]) -> bool {
-    while !chunk.is_empty() {
-        if to.writable().await.is_err() {
-            return false;
-        }
-        match to.try_write(chunk) {
-            Ok(length) => chunk = &chunk[length..],
-            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
-            Err(_) => return false,
-        }
-    }
-    true
-}
-
 /// Returns one of the threads that all proxies share.
 fn runtime() -> Handle {
     static HANDLES: OnceLock<Vec<Handle>> = OnceLock::new();
