Name the skipped fetches a backoff, and say when suspects run apart

The field says backoff where a node leaves out requests to a store that is slow; 'debts' needed explaining. No behaviour changes.

--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -190,8 +190,8 @@
 
     /// Why a request that was part of a crash must not run as asked.
     pub enum RunRefusal {
-        /// Another request that was part of a crash runs at that upstream: a further crash could not tell them
-        /// apart.
+        /// Another request that was part of a crash runs at that upstream, and one of the two was part of two: a third
+        /// crash could not tell them apart.
         UpstreamTaken,
         /// A run of the same request is in progress, or reports of its latest crash are still arriving.
         Wait,
--- a/crates/core/src/fetch_debts.rs
+++ b/crates/core/src/fetch_backoff.rs
@@ -7,41 +7,41 @@
 use std::collections::BTreeMap;
 
 /// Fetches from one store that are left out in a row at most, so that a store that has recovered is found out.
-const MAX_DEBT: u32 = 2;
+const MAX_SKIPS: u32 = 2;
 
 /// The fetches that one node leaves out, by the store's tag.
 #[derive(Debug, Default)]
-pub struct FetchDebts {
-    owed: BTreeMap<u32, u32>,
+pub struct FetchBackoff {
+    skips: BTreeMap<u32, u32>,
 }
 
-impl FetchDebts {
+impl FetchBackoff {
     /// Returns whether the next fetch from a store is made.
     ///
     /// ```
-    /// use daisysill_core::fetch_debts::FetchDebts;
-    /// let mut debts = FetchDebts::default();
-    /// debts.too_late(7);
-    /// assert!(!debts.admits(7) && debts.admits(8));
-    /// debts.left_out(7);
-    /// assert!(debts.admits(7));
+    /// use daisysill_core::fetch_backoff::FetchBackoff;
+    /// let mut backoff = FetchBackoff::default();
+    /// backoff.too_late(7);
+    /// assert!(!backoff.admits(7) && backoff.admits(8));
+    /// backoff.left_out(7);
+    /// assert!(backoff.admits(7));
     /// ```
     pub fn admits(&self, store: u32) -> bool {
-        !self.owed.contains_key(&store)
+        !self.skips.contains_key(&store)
     }
 
     /// Notes that a fetch came too late.
     pub fn too_late(&mut self, store: u32) {
-        let owed = self.owed.entry(store).or_default();
-        *owed = (*owed + 1).min(MAX_DEBT);
+        let skips = self.skips.entry(store).or_default();
+        *skips = (*skips + 1).min(MAX_SKIPS);
     }
 
     /// Notes that a fetch was left out.
     pub fn left_out(&mut self, store: u32) {
-        let Some(owed) = self.owed.get_mut(&store) else { return };
-        *owed -= 1;
-        if *owed == 0 {
-            self.owed.remove(&store);
+        let Some(skips) = self.skips.get_mut(&store) else { return };
+        *skips -= 1;
+        if *skips == 0 {
+            self.skips.remove(&store);
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,7 +9,7 @@
 mod backlog;
 mod candidates;
 mod concurrency;
-pub mod fetch_debts;
+pub mod fetch_backoff;
 mod fill;
 mod link_queue;
 mod num;
--- a/crates/core/tests/fetch_debts.rs
+++ b/crates/core/tests/fetch_backoff.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use daisysill_core::fetch_debts::FetchDebts;
+use daisysill_core::fetch_backoff::FetchBackoff;
 
 const NODES: u64 = 67;
 const STORE: u32 = 1;
@@ -14,24 +14,24 @@
 const END_MS: u64 = 60_000;
 
 /// Plays nodes that want half as much again as the link carries. Returns how many fetches were made and how many came in time.
-fn play(with_debts: bool) -> (u64, u64) {
-    let mut debts: Vec<FetchDebts> = (0..NODES).map(|_| FetchDebts::default()).collect();
+fn play(with_backoff: bool) -> (u64, u64) {
+    let mut backoff: Vec<FetchBackoff> = (0..NODES).map(|_| FetchBackoff::default()).collect();
     let mut link_free_ms = 0;
     let (mut made, mut in_time) = (0, 0);
     let mut late: Vec<(u64, usize)> = Vec::new();
     for now_ms in 0..END_MS {
         late.retain(|(at_ms, node)| {
             if *at_ms <= now_ms {
-                debts[*node].too_late(STORE);
+                backoff[*node].too_late(STORE);
             }
             *at_ms > now_ms
         });
-        for (node, debts) in debts.iter_mut().enumerate() {
+        for (node, backoff) in backoff.iter_mut().enumerate() {
             if !(now_ms + node as u64 * 13).is_multiple_of(WISH_MS) {
                 continue;
             }
-            if with_debts && !debts.admits(STORE) {
-                debts.left_out(STORE);
+            if with_backoff && !backoff.admits(STORE) {
+                backoff.left_out(STORE);
                 continue;
             }
             made += 1;
@@ -65,11 +65,11 @@
 /// Pattern: the link is fast again. Each node finds out with its next fetches.
 #[test]
 fn a_store_that_has_recovered_is_used_again_soon() {
-    let mut debts = FetchDebts::default();
-    (0..20).for_each(|_| debts.too_late(STORE));
+    let mut backoff = FetchBackoff::default();
+    (0..20).for_each(|_| backoff.too_late(STORE));
     let left_out = (0..20).filter(|_| {
-        let is_left_out = !debts.admits(STORE);
-        debts.left_out(STORE);
+        let is_left_out = !backoff.admits(STORE);
+        backoff.left_out(STORE);
         is_left_out
     });
     assert_eq!(left_out.count(), 2);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,7 +10,7 @@
 
 use daisysill_cluster::ClusterHandle;
 use daisysill_core::{
-    fetch_debts::FetchDebts,
+    fetch_backoff::FetchBackoff,
     ids::ServiceName,
     place_share::PlaceShare,
     repeat_budget::RepeatBudget,
@@ -84,7 +84,7 @@
     /// Parts that this node had saved lately, and when.
     pub(crate) saving: RefCell<HashMap<u64, Instant>>,
     /// Fetches that are left out.
-    pub(crate) fetch_debts: RefCell<FetchDebts>,
+    pub(crate) fetch_backoff: RefCell<FetchBackoff>,
     /// This node's part of scarce places, by service.
     pub(crate) place_shares: RefCell<HashMap<ServiceName, PlaceShare>>,
     /// The most entry nodes that were known lately, and when.
@@ -123,7 +123,7 @@
             zones: RefCell::default(),
             released: Rc::default(),
             saving: RefCell::default(),
-            fetch_debts: RefCell::default(),
+            fetch_backoff: RefCell::default(),
             place_shares: RefCell::default(),
             node_peak: Cell::new((0, Instant::now())),
             started: Instant::now(),
--- a/crates/gateway/src/prompt_parts.rs
+++ b/crates/gateway/src/prompt_parts.rs
@@ -94,7 +94,7 @@
             let store = holder.or_else(|| home_store(&known, hash)).cloned();
             let tokens = stored.map_or(part.tokens, |stored| stored.tokens.min(part.tokens));
             let is_left_out =
-                store.as_ref().is_some_and(|store| !self.fetch_debts.borrow().admits(store.tag));
+                store.as_ref().is_some_and(|store| !self.fetch_backoff.borrow().admits(store.tag));
             PartPlace { hash, tokens, store, is_stored, is_left_out }
         });
         StoredParts { places: places.collect() }
@@ -120,7 +120,7 @@
                 self.cluster.note_used_part(place.hash);
             }
             if let Some(store) = place.store.as_ref().filter(|_| place.is_stored && place.is_left_out) {
-                self.fetch_debts.borrow_mut().left_out(store.tag);
+                self.fetch_backoff.borrow_mut().left_out(store.tag);
                 transfers.left_out_parts += 1;
             }
             let saves = may_save && !place.is_stored && self.may_save(place.hash);
@@ -149,7 +149,7 @@
         for (address, tokens) in transfers.fetch.iter().flatten() {
             self.metrics.late_fetches.inc();
             tracing::info!(event = "fetch_late", store = address, tokens, engine_wait_ms = wait_ms);
-            self.fetch_debts.borrow_mut().too_late(store_tag(address));
+            self.fetch_backoff.borrow_mut().too_late(store_tag(address));
         }
     }
 
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -152,7 +152,7 @@
     }
 
     /// Returns whether other nodes are told that it is out of reach.
-    fn is_told_unreachable(&self) -> bool {
+    fn tells_unreachable(&self) -> bool {
         self.unreachable.get().1.is_some_and(|until| Instant::now() < until + UNREACHABLE_MEMORY)
     }
 
@@ -332,13 +332,13 @@
     pub fn loads(&self) -> Vec<UpstreamLoad> {
         let by_service = self.by_service.borrow();
         let all = by_service.values().flatten();
-        let told = all.filter(|upstream| upstream.in_flight() > 0 || upstream.is_told_unreachable());
+        let told = all.filter(|upstream| upstream.in_flight() > 0 || upstream.tells_unreachable());
         told.map(|upstream| UpstreamLoad {
             upstream: upstream.tag,
             requests: upstream.in_flight(),
             tokens: upstream.tokens(),
             unread_tokens: upstream.unread_tokens(),
-            unreachable_from: if upstream.is_told_unreachable() { self.zone_bit } else { 0 },
+            unreachable_from: if upstream.tells_unreachable() { self.zone_bit } else { 0 },
         })
         .collect()
     }
