Keep the port of a closed proxy

Ruled out: the proxy's own earlier listener, for which binding waits 2 s. Change: a proxy holds its port with a bound socket that never listens; connections are refused as before. The new test fails without it.

--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use socket2::{Domain, Socket, Type};
 use tokio::{
     net::TcpListener,
     runtime::{Builder, Handle},
@@ -74,6 +75,8 @@
     address: SocketAddr,
     shared: Arc<Shared>,
     listener: Mutex<Option<AbortHandle>>,
+    /// Keeps the port while the proxy is closed.
+    _reservation: Socket,
 }
 
 #[derive(Debug)]
@@ -106,8 +109,10 @@
             accepted: Mutex::new(0),
             runtime: runtime(),
         });
-        let (address, listener) = listen(&shared, SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
-        Self { address, shared, listener: Mutex::new(Some(listener)) }
+        let reservation = reserve_port().unwrap();
+        let address = reservation.local_addr().unwrap().as_socket().unwrap();
+        let listener = listen(&shared, address).unwrap();
+        Self { address, shared, listener: Mutex::new(Some(listener)), _reservation: reservation }
     }
 
     /// Returns where the proxy listens.
@@ -194,11 +199,11 @@
     /// Listens again on the same port after `close`.
     ///
     /// # Panics
-    /// Panics if another process has taken the port.
+    /// Panics if the earlier listener does not free the port in time.
     pub fn reopen(&self) {
         let mut listener = lock(&self.listener);
         if listener.is_none() {
-            *listener = Some(listen(&self.shared, self.address).unwrap().1);
+            *listener = Some(listen(&self.shared, self.address).unwrap());
         }
     }
 }
@@ -237,8 +242,17 @@
     }
 }
 
+/// Binds a socket that never listens: connections to its port are refused, nobody else is given the port, and a
+/// listener can be bound beside it since both allow that.
+fn reserve_port() -> std::io::Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+    Ok(socket)
+}
+
 /// Binds without a race against the abort of an earlier listener, which frees the port a little later.
-fn listen(shared: &Arc<Shared>, address: SocketAddr) -> std::io::Result<(SocketAddr, AbortHandle)> {
+fn listen(shared: &Arc<Shared>, address: SocketAddr) -> std::io::Result<AbortHandle> {
     const BIND_ATTEMPTS: usize = 200;
     let mut bound = std::net::TcpListener::bind(address);
     for _ in 0..BIND_ATTEMPTS {
@@ -250,7 +264,6 @@
     }
     let listener = bound?;
     listener.set_nonblocking(true)?;
-    let address = listener.local_addr()?;
     let serving = Arc::clone(shared);
     let task = shared.runtime.spawn(async move {
         let Ok(listener) = TcpListener::from_std(listener) else { return };
@@ -268,7 +281,7 @@
             tokio::spawn(serve(Arc::clone(&serving), client, number, serving.cuts.subscribe()));
         }
     });
-    Ok((address, task.abort_handle()))
+    Ok(task.abort_handle())
 }
 
 /// Returns one of the threads that all proxies share.
--- a/crates/testkit/tests/proxy.rs
+++ b/crates/testkit/tests/proxy.rs
@@ -10,6 +10,7 @@
 };
 
 use daisysill_testkit::proxy::{Behaviour, Direction, Proxy};
+use socket2::{Domain, Socket, Type};
 
 const SHORT: Duration = Duration::from_millis(150);
 const LONG: Duration = Duration::from_secs(5);
@@ -152,3 +153,17 @@
     proxy.reopen();
     assert!(echoes(&mut connect(&proxy), LONG));
 }
+
+/// Guards against a port that somebody else is given while the proxy is closed (seen: "Address already in use" when a
+/// stand-in came back, in a run of all tests beside others).
+#[test]
+fn a_closed_proxy_keeps_its_port() {
+    let proxy = Proxy::start(Some(echo()));
+    proxy.close();
+    let other = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let error = other.bind(&proxy.address().into()).unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::AddrInUse);
+    assert_eq!(TcpStream::connect(proxy.address()).unwrap_err().kind(), ErrorKind::ConnectionRefused);
+    proxy.reopen();
+    assert!(echoes(&mut connect(&proxy), LONG));
+}
