Let control nodes answer the polls of the entry nodes in their zone

Cause: every entry node polled the leader, which also added up the loads of all nodes anew for each reply. At 295 nodes a new leader sent all of them the list of upstreams and the catalog of stored parts at once, on the thread that sends its heartbeats, and lost its leadership before it was done; so did each successor. While there was no leader every node read the platform's list, four calls each.

Ruled out: relays among the entry nodes. They have 10 Mbit/s and an eighth of a core, and would need to be found, replaced and trusted with freshness; control nodes hold the configuration anyway and stand in each zone.

A new leader continues the copy that it followed, and corrects it by the list of each store, so that its followers need no complete copy. A maintainer that has not published for a second hands nothing out, since it may have been suspended; parts stay in stores for half a second longer for this. - Own reads of the platform's list are spread over a time that grows with the number of entry nodes. - A stored part whose store has left the routing table is not fetched from another store. - The locations of a prompt's parts are looked up once a request instead of once an upstream.

The recorded encodings of existing messages are unchanged; two calls are new. An entry node of an earlier build that is polled through a new leader waits for a complete catalog.

--- a/crates/cluster/src/gossip.rs
+++ b/crates/cluster/src/gossip.rs
@@ -11,6 +11,7 @@
 use futures::FutureExt;
 
 use crate::{
+    config::ClusterConfig,
     link::{Link, Links},
     members::Members,
     metrics::ClusterMetrics,
@@ -40,6 +41,24 @@
 }
 
 impl Gossip {
+    /// Creates the gossip of a node, without starting it.
+    pub(crate) fn new(
+        config: &ClusterConfig,
+        links: &Links,
+        members: &Arc<Members>,
+        views: &Arc<ViewStore>,
+        metrics: &ClusterMetrics,
+    ) -> Self {
+        Self {
+            name: config.name.clone(),
+            zone: config.zone.clone(),
+            links: links.clone(),
+            members: Arc::clone(members),
+            views: Arc::clone(views),
+            metrics: metrics.clone(),
+        }
+    }
+
     /// Starts an exchange each round until the task is aborted.
     pub(crate) async fn run(self) {
         for round in 0.. {
--- a/crates/cluster/src/handle.rs
+++ b/crates/cluster/src/handle.rs
@@ -12,7 +12,7 @@
     state::ConfigView,
     storage,
 };
-use daisysill_core::ids::ConfigVersion;
+use daisysill_core::{ids::ConfigVersion, poll_source::PollSources};
 use daisysill_wire::peer::SoftReport;
 use eyre::WrapErr;
 use tokio::{
@@ -39,6 +39,7 @@
     outbox::Outbox,
     propose::{LeaderHint, Proposal, Proposer},
     published_upstreams::PublishedStore,
+    relays::{RelayReporter, Relays},
     server::{self, ServerState},
     soft_state::SoftState,
     status::STALE_AFTER,
@@ -87,26 +88,24 @@
             leader: leader.clone(),
             bootstrap_voters: config.bootstrap_voters.clone(),
         };
-        let published = Arc::new(PublishedStore::new(format!("{} {:x}", config.name, rand::random::<u64>())));
+        let relays = Arc::new(Relays::default());
+        let published = Arc::new(PublishedStore::new(&config.name, Arc::clone(&relays)));
         let soft_state = Arc::new(SoftState::default());
+        let crash_queue = CrashQueue::default();
         let state = ServerState {
             published: Arc::clone(&published),
             soft_state: Arc::clone(&soft_state),
+            relays: Arc::clone(&relays),
+            crash_queue: crash_queue.clone(),
             name: config.name.clone(),
+            zone: config.zone.clone(),
             key,
             members: Arc::clone(&members),
             views: Arc::clone(&views),
             proposer: proposer.clone(),
             metrics: metrics.clone(),
         };
-        let gossip = Gossip {
-            name: config.name.clone(),
-            zone: config.zone.clone(),
-            links: links.clone(),
-            members: Arc::clone(&members),
-            views: Arc::clone(&views),
-            metrics: metrics.clone(),
-        };
+        let gossip = Gossip::new(&config, &links, &members, &views, &metrics);
         let caught_up = Arc::new(watch::channel(None).0);
         let follower = Follower {
             name: config.name.clone(),
@@ -119,13 +118,12 @@
             replica: replica.clone(),
             caught_up: Arc::clone(&caught_up),
         };
-        let crash_queue = CrashQueue::default();
         let control_contact = watch::channel(false).0;
         let mut tasks = vec![tokio::spawn(server::serve(listener, Arc::new(state)))];
         if let Some(target_voters) = config.target_voters {
             let observer = Observer {
                 name: config.name.clone(),
-                seeds: config.bootstrap_voters.clone(),
+                sources: poll_sources(&config),
                 links: links.clone(),
                 views: Arc::clone(&views),
                 published: Arc::clone(&published),
@@ -135,18 +133,18 @@
                 crash_queue: crash_queue.clone(),
                 control_contact: control_contact.clone(),
             };
-            tasks.push(tokio::spawn(observer.run()));
             if parts.is_some() {
+                let reporter = RelayReporter::new(&observer, config.zone.clone(), relays);
+                tasks.push(tokio::spawn(reporter.run()));
                 tasks.push(tokio::spawn(membership::run(proposer.clone(), replica.clone(), target_voters)));
             }
+            tasks.push(tokio::spawn(observer.run()));
         } else {
             tasks.push(tokio::spawn(gossip.clone().run()));
             tasks.push(tokio::spawn(follower.run()));
         }
         if let Some(parts) = parts {
-            let first = config.bootstrap && config.bootstrap_voters.iter().min() == Some(&config.name);
-            let voters = if first { config.bootstrap_voters } else { Vec::new() };
-            tasks.push(tokio::spawn(parts.driver.run(voters, parts.receiver, parts.writes)));
+            tasks.push(parts.spawn(&config));
         }
         let runtime = Handle::current();
         let inner = Inner {
@@ -175,6 +173,19 @@
     writes: mpsc::UnboundedReceiver<WriteDone>,
 }
 
+impl DriverParts {
+    /// Starts the driver. The first of the bootstrap voters by name forms a new cluster.
+    fn spawn(self, config: &ClusterConfig) -> JoinHandle<()> {
+        let is_first = config.bootstrap && config.bootstrap_voters.iter().min() == Some(&config.name);
+        let voters = if is_first { config.bootstrap_voters.clone() } else { Vec::new() };
+        tokio::spawn(self.driver.run(voters, self.receiver, self.writes))
+    }
+}
+
+fn poll_sources(config: &ClusterConfig) -> PollSources {
+    PollSources::new(config.name.clone(), config.zone.clone(), config.bootstrap_voters.clone())
+}
+
 fn start_driver(
     config: &ClusterConfig,
     links: &Links,
--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -46,7 +46,10 @@
         match request.message {
             PeerRequest::Replicate { .. } | PeerRequest::LeaderStopped { .. } => Purpose::Replicate,
             PeerRequest::Propose { .. } | PeerRequest::ChangeVoters { .. } => Purpose::Propose,
-            PeerRequest::Follow { .. } | PeerRequest::Observe { .. } => Purpose::Follow,
+            PeerRequest::Follow { .. }
+            | PeerRequest::Observe { .. }
+            | PeerRequest::Relay { .. }
+            | PeerRequest::ControlNodes { .. } => Purpose::Follow,
             PeerRequest::Heartbeat { .. } => Purpose::Heartbeat,
         }
     }
@@ -57,7 +60,12 @@
         match self.message {
             Ok(PeerResponse::Replicate(..) | PeerResponse::LeaderStopped(..)) => Purpose::Replicate,
             Ok(PeerResponse::Propose(..) | PeerResponse::ChangeVoters(..)) => Purpose::Propose,
-            Ok(PeerResponse::Follow(..) | PeerResponse::Observe(..)) => Purpose::Follow,
+            Ok(
+                PeerResponse::Follow(..)
+                | PeerResponse::Observe(..)
+                | PeerResponse::Relay(..)
+                | PeerResponse::ControlNodes(..),
+            ) => Purpose::Follow,
             Ok(PeerResponse::Heartbeat(..)) => Purpose::Heartbeat,
             Err(_) => Purpose::Connection,
         }
--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -1,16 +1,21 @@
-//! Polls a voter for the configuration, its freshness and the published upstreams, and reports soft state to it.
+//! Polls a control node for the configuration, its freshness and the published upstreams, and reports soft state to it.
+//!
+//! Control nodes poll the leader; entry nodes poll a control node, which passes on what it has from the leader.
 
 use std::{
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
-use daisysill_core::ids::{ConfigVersion, InstanceId};
+use daisysill_core::{
+    ids::{ConfigVersion, InstanceId},
+    poll_source::{PollOutcome, PollSources},
+};
 use daisysill_wire::peer::{ConfigUpdate, ObserveReply, ObserveRequest, PeerClient, UpstreamCrash};
 use futures::FutureExt;
 use tokio::{
     sync::watch,
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{
@@ -23,9 +28,13 @@
     view_store::ViewStore,
 };
 
-/// How long a voter holds a poll without a change. A fraction of the strictest bound on freshness.
+/// How long a source holds a poll without a change. A fraction of the strictest bound on freshness.
 const POLL_MS: u64 = 800;
-/// Time beyond the poll after which the voter counts as failed.
+/// The same for polls of control nodes, whose own followers wait for what they learn.
+const CONTROL_POLL_MS: u64 = 100;
+/// Time between two requests for the list of control nodes.
+const CONTROL_NODES_INTERVAL: Duration = Duration::from_secs(2);
+/// Time beyond the poll after which the source counts as failed.
 const RESPONSE_GRACE: Duration = Duration::from_millis(500);
 /// Delay before the next poll after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -36,12 +45,13 @@
 /// Maximum number of crashes queued for the next poll.
 const MAX_QUEUED_CRASHES: usize = 64;
 
-/// Returns the poll time of a node with work in flight. It grows with the number of entry nodes, which bounds the
-/// load on the leader.
-fn busy_poll_ms(entry_nodes: u32) -> u64 {
+/// Returns the poll time of a node with work in flight. It grows with the number of entry nodes that poll one control
+/// node, which bounds the load on that node.
+fn busy_poll_ms(entry_nodes: u32, control_nodes: usize) -> u64 {
     const BUSY_POLL_MS: u64 = 40;
     const NODES_AT_FULL_RATE: u64 = 64;
-    (BUSY_POLL_MS * u64::from(entry_nodes) / NODES_AT_FULL_RATE).clamp(BUSY_POLL_MS, POLL_MS)
+    let nodes = u64::from(entry_nodes) / control_nodes.max(1) as u64;
+    (BUSY_POLL_MS * nodes / NODES_AT_FULL_RATE).clamp(BUSY_POLL_MS, POLL_MS)
 }
 
 /// Crashes to be reported with the next poll, oldest first.
@@ -63,13 +73,13 @@
     }
 }
 
-/// Polls the voters on behalf of a node with automatic membership.
+/// Polls the control nodes on behalf of a node with automatic membership.
 #[derive(Clone, Debug)]
 pub(crate) struct Observer {
     /// Name of this node.
     pub(crate) name: InstanceId,
-    /// Voters of the settings; others are learned from responses.
-    pub(crate) seeds: Vec<InstanceId>,
+    /// The nodes that it may poll.
+    pub(crate) sources: PollSources,
     pub(crate) links: Links,
     pub(crate) views: Arc<ViewStore>,
     pub(crate) published: Arc<PublishedStore>,
@@ -86,61 +96,83 @@
 impl Observer {
     /// Polls until the task is aborted, except while this node is leader.
     pub(crate) async fn run(mut self) {
-        let mut voters: Vec<InstanceId> = Vec::new();
-        let mut failures = 0;
+        let start = Instant::now();
+        let mut control_nodes_due = start;
         loop {
             if self.is_leader() {
                 let _ = timeout(Duration::from_millis(POLL_MS), self.replica.changed()).await;
                 continue;
             }
-            let Some(target) = self.target(&voters, failures) else {
+            let leader = self.leader.get().filter(|_| self.has_replica());
+            let Some(source) = self.sources.choose(leader.as_ref(), elapsed_ms(start)) else {
                 sleep(RETRY_DELAY).await;
                 continue;
             };
-            let requested_at = BootInstant::now();
-            if let Ok(reply) = self.poll(&target).await {
-                let useful = self.apply(&reply, requested_at).await;
-                if !reply.voters.is_empty() {
-                    voters.clone_from(&reply.voters);
-                }
-                failures = if useful { 0 } else { failures + 1 };
-            } else {
-                self.leader.set(None);
-                failures += 1;
-            }
-            let control_contact = failures == 0;
-            self.control_contact
-                .send_if_modified(|known| std::mem::replace(known, control_contact) != control_contact);
-            if failures > 0 {
+            let outcome = self.poll_once(&source).await;
+            self.sources.record(&source, outcome, elapsed_ms(start));
+            let is_current = outcome == PollOutcome::Current;
+            self.control_contact.send_if_modified(|known| std::mem::replace(known, is_current) != is_current);
+            if !is_current {
                 sleep(RETRY_DELAY).await;
+            } else if !self.has_replica() && Instant::now() >= control_nodes_due {
+                self.refresh_control_nodes(&source).await;
+                control_nodes_due = Instant::now() + CONTROL_NODES_INTERVAL;
             }
         }
     }
 
+    async fn poll_once(&mut self, source: &InstanceId) -> PollOutcome {
+        let requested_at = BootInstant::now();
+        let Ok(reply) = self.poll(source).await else {
+            if self.leader.get().as_ref() == Some(source) {
+                self.leader.set(None);
+            }
+            return PollOutcome::Unreachable;
+        };
+        self.sources.add_others(&reply.voters);
+        if self.apply(&reply, requested_at).await { PollOutcome::Current } else { PollOutcome::Outdated }
+    }
+
+    /// Asks which control nodes may be polled.
+    async fn refresh_control_nodes(&mut self, source: &InstanceId) {
+        let Some(link) = self.links.get(source) else { return };
+        let call = |client: PeerClient, context| async move { client.control_nodes(context).await }.boxed();
+        // Until the next attempt the known ones stay.
+        if let Ok(nodes) = link.call(RESPONSE_GRACE, call).await
+            && !nodes.is_empty()
+        {
+            self.sources.set_control_nodes(nodes.into_iter().map(|node| (node.name, node.zone)));
+        }
+    }
+
+    fn has_replica(&self) -> bool {
+        self.replica.borrow().status.is_some()
+    }
+
     fn is_leader(&mut self) -> bool {
         let view = self.replica.borrow_and_update();
         view.status.as_ref().is_some_and(|status| status.leader.as_ref() == Some(&self.name))
     }
 
-    async fn poll(&self, target: &InstanceId) -> Result<ObserveReply, CallError> {
-        let link = self.links.get(target).ok_or(CallError::NotSent)?;
+    async fn poll(&self, source: &InstanceId) -> Result<ObserveReply, CallError> {
+        let link = self.links.get(source).ok_or(CallError::NotSent)?;
         let published = self.published.get();
         let crashes = self.crash_queue.take();
-        let (loads, used_parts, stored_after) = self.soft_state.own_report();
-        let wait_ms = match (crashes.is_empty(), loads.is_empty()) {
+        let report = self.soft_state.own_report();
+        let wait_ms = match (crashes.is_empty(), report.loads.is_empty()) {
             (false, _) => 0,
+            (true, _) if self.has_replica() => CONTROL_POLL_MS,
             (true, true) => POLL_MS,
-            (true, false) => busy_poll_ms(published.entry_nodes),
+            (true, false) => busy_poll_ms(published.entry_nodes, self.sources.control_nodes()),
         };
-        let reported = loads.clone();
         let requested_at = BootInstant::now();
         let request = ObserveRequest {
             node: self.name.clone(),
             config_after: self.views.version(),
             published_after: (published.source.clone(), published.number),
-            stored_after,
-            loads,
-            used_parts,
+            stored_after: report.stored_after.clone(),
+            loads: report.loads.clone(),
+            used_parts: report.used_parts,
             crashes: crashes.clone(),
         };
         let call = move |client: PeerClient, context| {
@@ -149,7 +181,10 @@
         let reply = link.call(Duration::from_millis(wait_ms) + RESPONSE_GRACE, call).await;
         match &reply {
             Ok(reply) => {
-                self.soft_state.apply_reply(&reported, &reply.loads, reply.stored.as_ref(), requested_at);
+                self.soft_state.apply_totals(&report.loads, &reply.loads, requested_at);
+                if let Some(update) = &reply.stored {
+                    self.soft_state.apply_stored_parts(update, &report.stored_after, requested_at);
+                }
             }
             Err(_) => crashes.into_iter().for_each(|crash| self.crash_queue.add(crash)),
         }
@@ -192,17 +227,8 @@
             .await
             .is_ok_and(|view| view.is_ok())
     }
+}
 
-    /// Returns the node to poll: the leader, or after a failure the voters and seeds in turn.
-    fn target(&self, voters: &[InstanceId], failures: usize) -> Option<InstanceId> {
-        if failures == 0
-            && let Some(leader) = self.leader.get().filter(|leader| *leader != self.name)
-        {
-            return Some(leader);
-        }
-        let seeds = self.seeds.iter().filter(|seed| !voters.contains(seed));
-        let all: Vec<&InstanceId> = voters.iter().chain(seeds).filter(|name| **name != self.name).collect();
-        let start = crate::gossip::hash_index(&self.name, all.len());
-        all.get((start + failures) % all.len().max(1)).map(|name| (*name).clone())
-    }
+fn elapsed_ms(start: Instant) -> u64 {
+    u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/cluster/src/published_upstreams.rs
+++ b/crates/cluster/src/published_upstreams.rs
@@ -10,7 +10,7 @@
 use daisysill_wire::peer::{PublishedUpstreams, UpstreamCrash, UpstreamEntry};
 use tokio::sync::watch;
 
-use crate::clock::BootInstant;
+use crate::{clock::BootInstant, relays::Relays};
 
 /// An entry node that has not polled for this time is no longer counted.
 const ENTRY_NODE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -23,6 +23,8 @@
     /// Identifies what this process publishes.
     own_source: String,
     sender: watch::Sender<Arc<PublishedUpstreams>>,
+    /// The control nodes that answer the polls of other entry nodes.
+    relays: Arc<Relays>,
     inner: Mutex<Inner>,
 }
 
@@ -35,9 +37,14 @@
 }
 
 impl PublishedStore {
-    /// Creates an empty store; `own_source` must differ between starts of the process.
-    pub(crate) fn new(own_source: String) -> Self {
-        Self { own_source, sender: watch::channel(Arc::default()).0, inner: Mutex::default() }
+    /// Creates an empty store on the node `name`. What it publishes is told apart from that of an earlier start.
+    pub(crate) fn new(name: &InstanceId, relays: Arc<Relays>) -> Self {
+        Self {
+            own_source: format!("{name} {:x}", rand::random::<u64>()),
+            sender: watch::channel(Arc::default()).0,
+            relays,
+            inner: Mutex::default(),
+        }
     }
 
     /// Returns a receiver of the published upstreams.
@@ -65,17 +72,22 @@
 
     /// Publishes upstreams that the platform listed at `at`.
     pub(crate) fn publish(&self, upstreams: Vec<UpstreamEntry>, at: BootInstant) {
-        let mut inner = self.lock();
-        inner.last_polls.retain(|_, last_poll| last_poll.elapsed() < ENTRY_NODE_TIMEOUT);
-        inner.current_at = Some(at);
-        let entry_nodes = u32::try_from(inner.last_polls.len()).unwrap_or(u32::MAX);
-        drop(inner);
+        self.lock().current_at = Some(at);
+        let entry_nodes = self.polling_entry_nodes().saturating_add(self.relays.entry_nodes());
         self.change(|published| {
             published.upstreams = upstreams;
             published.entry_nodes = entry_nodes;
         });
     }
 
+    /// Returns the number of entry nodes that recently polled this node.
+    pub(crate) fn polling_entry_nodes(&self) -> u32 {
+        let mut inner = self.lock();
+        inner.last_polls.retain(|_, last_poll| last_poll.elapsed() < ENTRY_NODE_TIMEOUT);
+        let entry_nodes = inner.last_polls.keys().filter(|name| !self.relays.is_control_node(name)).count();
+        u32::try_from(entry_nodes).unwrap_or(u32::MAX)
+    }
+
     /// Records a poll of an entry node and the crashes that it reports.
     pub(crate) fn record_poll(&self, node: &InstanceId, crashes: &[UpstreamCrash]) {
         let mut inner = self.lock();
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -10,10 +10,10 @@
     VoterChange,
     command::{Command, Reply},
 };
-use daisysill_core::ids::{ConfigVersion, InstanceId};
+use daisysill_core::ids::{ConfigVersion, InstanceId, ZoneName};
 use daisysill_wire::peer::{
-    FollowReply, ForwardError, Heartbeat, ObserveReply, ObserveRequest, Peer, PeerRequest, PeerResponse,
-    PublishedUpstreams,
+    ControlNode, FollowReply, ForwardError, Heartbeat, ObserveReply, ObserveRequest, Peer, PeerRequest,
+    PeerResponse, PublishedUpstreams, RelayReply, RelayReport,
 };
 use futures::{FutureExt, StreamExt};
 use tarpc::{
@@ -36,8 +36,10 @@
     link::{CallError, set_options},
     members::Members,
     metrics::ClusterMetrics,
+    observer::CrashQueue,
     propose::{Proposal, Proposer},
     published_upstreams::PublishedStore,
+    relays::Relays,
     soft_state::SoftState,
     view_store::ViewStore,
 };
@@ -60,6 +62,7 @@
 pub(crate) struct ServerState {
     /// Name of this node.
     pub(crate) name: InstanceId,
+    pub(crate) zone: ZoneName,
     pub(crate) key: SharedKey,
     pub(crate) members: Arc<Members>,
     pub(crate) views: Arc<ViewStore>,
@@ -67,6 +70,9 @@
     pub(crate) published: Arc<PublishedStore>,
     /// Work in flight and stored parts.
     pub(crate) soft_state: Arc<SoftState>,
+    pub(crate) relays: Arc<Relays>,
+    /// Crashes that entry nodes reported to this node, to be passed on to the leader.
+    pub(crate) crash_queue: CrashQueue,
     pub(crate) metrics: ClusterMetrics,
 }
 
@@ -173,7 +179,7 @@
 
     async fn observe(self, _: Context, request: ObserveRequest, wait_ms: u64) -> ObserveReply {
         let state = &self.state;
-        state.published.record_poll(&request.node, &request.crashes);
+        state.record_poll(&request);
         state.soft_state.record_report(&request.node, request.loads, &request.used_parts);
         let mut views = state.views.subscribe();
         let mut published_changes = state.published.subscribe();
@@ -219,6 +225,27 @@
         }
         self.state.members.heartbeat_for(&self.peer)
     }
+
+    async fn relay(self, _: Context, report: RelayReport) -> RelayReply {
+        let state = &self.state;
+        if !state.is_leader() {
+            return RelayReply { is_leader: false, loads: Vec::new(), control_nodes: Vec::new() };
+        }
+        state.relays.record(&self.peer, &report);
+        state.soft_state.record_relay(&self.peer, report.loads, &report.used_parts);
+        RelayReply {
+            is_leader: true,
+            loads: state.soft_state.totals(),
+            control_nodes: state.relays.reporting(state.as_control_node()),
+        }
+    }
+
+    async fn control_nodes(self, _: Context) -> Vec<ControlNode> {
+        if self.state.is_leader() {
+            return self.state.relays.reporting(self.state.as_control_node());
+        }
+        self.state.relays.named()
+    }
 }
 
 fn millis(duration: Duration) -> u64 {
@@ -226,6 +253,25 @@
 }
 
 impl ServerState {
+    fn is_leader(&self) -> bool {
+        let replica = self.proposer.replica.borrow();
+        replica.status.as_ref().is_some_and(|status| status.leader.as_ref() == Some(&self.name))
+    }
+
+    fn as_control_node(&self) -> ControlNode {
+        ControlNode { name: self.name.clone(), zone: self.zone.clone() }
+    }
+
+    /// Records a poll. Crashes are counted by the leader; another node passes them on.
+    fn record_poll(&self, request: &ObserveRequest) {
+        if self.is_leader() {
+            self.published.record_poll(&request.node, &request.crashes);
+            return;
+        }
+        self.published.record_poll(&request.node, &[]);
+        request.crashes.iter().for_each(|crash| self.crash_queue.add(crash.clone()));
+    }
+
     /// Proposes to this node's replica and maps the failures for the forwarding node.
     async fn propose_local(&self, proposal: Proposal) -> Result<Reply, ForwardError> {
         let deadline = Instant::now() + PROPOSE_TIMEOUT;
--- a/crates/cluster/src/soft_state.rs
+++ b/crates/cluster/src/soft_state.rs
@@ -1,7 +1,7 @@
-//! Soft state of entry nodes: their work in flight, which the leader adds up, and the catalog of stored prompt parts.
+//! Soft state of entry nodes: their work in flight and the stored prompt parts that they use.
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::HashMap,
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -9,120 +9,30 @@
 use daisysill_core::ids::InstanceId;
 use daisysill_wire::peer::{StoredPart, StoredPartsUpdate, UpstreamLoad};
 
-use crate::clock::BootInstant;
+use crate::{
+    clock::BootInstant,
+    load_table::{LOAD_TIMEOUT, LoadTable, subtract},
+    stored_parts::{CatalogPosition, StoredPartChange, StoredParts},
+};
 
-/// The loads of a node that has not reported for this time are discarded, and so are totals of this age.
-const LOAD_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Maximum number of catalog changes retained for incremental updates.
-const MAX_RECENT_CHANGES: usize = 4_096;
 /// Maximum number of uses of stored parts queued; further ones are dropped.
 const MAX_QUEUED_USES: usize = 2_048;
 
-/// Work in flight by entry node, as collected by the leader.
-#[derive(Debug, Default)]
-pub(crate) struct LoadTable {
-    by_node: BTreeMap<InstanceId, (BootInstant, Vec<UpstreamLoad>)>,
-}
-
-impl LoadTable {
-    fn report(&mut self, node: &InstanceId, loads: Vec<UpstreamLoad>) {
-        self.by_node.insert(node.clone(), (BootInstant::now(), loads));
-    }
-
-    fn totals(&mut self) -> Vec<UpstreamLoad> {
-        self.by_node.retain(|_, (at, _)| at.elapsed() < LOAD_TIMEOUT);
-        let mut totals: HashMap<u64, UpstreamLoad> = HashMap::new();
-        let mut unreachable: HashMap<u64, u32> = HashMap::new();
-        for load in self.by_node.values().flat_map(|(_, loads)| loads) {
-            let total = totals.entry(load.upstream).or_default();
-            if load.unreachable_from != 0 {
-                // A single node may have lost a packet, so two nodes of a zone must report it.
-                let reported_once = unreachable.entry(load.upstream).or_default();
-                total.unreachable_from |= *reported_once & load.unreachable_from;
-                *reported_once |= load.unreachable_from;
-            }
-            total.upstream = load.upstream;
-            total.requests = total.requests.saturating_add(load.requests);
-            total.tokens = total.tokens.saturating_add(load.tokens);
-            total.pending_prefill_tokens =
-                total.pending_prefill_tokens.saturating_add(load.pending_prefill_tokens);
-        }
-        totals.into_values().collect()
-    }
-}
-
-/// A change of the catalog: the hash of a part, and `None` if it must no longer be fetched.
-type StoredPartChange = (u64, Option<StoredPart>);
-
-/// The catalog of stored parts on the node that maintains it, with its recent changes.
-#[derive(Debug, Default)]
-struct StoredPartsCatalog {
-    /// Empty while this node does not maintain the catalog.
-    source: String,
-    number: u64,
-    parts: HashMap<u64, StoredPart>,
-    recent: VecDeque<StoredPartChange>,
-    /// A reading of a store's clock in ms, and a time not before it.
-    clock: Option<(u64, BootInstant)>,
-}
-
-impl StoredPartsCatalog {
-    fn apply(&mut self, change: StoredPartChange) {
-        match change {
-            (part, Some(stored)) => drop(self.parts.insert(part, stored)),
-            (part, None) => drop(self.parts.remove(&part)),
-        }
-        self.number += 1;
-        self.recent.push_back(change);
-        if self.recent.len() > MAX_RECENT_CHANGES {
-            self.recent.pop_front();
-        }
-    }
-
-    fn changes_since(&self, source: &str, number: u64) -> Option<StoredPartsUpdate> {
-        let clock_ms = clock_now(self.clock?);
-        let missed = self.number.checked_sub(number).and_then(|missed| usize::try_from(missed).ok());
-        let mut update = StoredPartsUpdate {
-            source: self.source.clone(),
-            number: self.number,
-            clock_ms,
-            ..StoredPartsUpdate::default()
-        };
-        let missed = missed.filter(|missed| source == self.source && *missed <= self.recent.len());
-        let Some(missed) = missed else {
-            update.is_full = true;
-            update.added = self.parts.values().copied().collect();
-            return Some(update);
-        };
-        for (part, stored) in self.recent.range(self.recent.len() - missed..) {
-            match stored {
-                Some(stored) => update.added.push(*stored),
-                None => update.removed.push(*part),
-            }
-        }
-        // Only the last change of a part is sent.
-        update.added.retain(|added| self.parts.get(&added.part) == Some(added));
-        update.removed.retain(|part| !self.parts.contains_key(part));
-        Some(update)
-    }
-}
-
-/// The catalog of stored parts as an entry node has it.
-#[derive(Debug, Default)]
-struct StoredPartsIndex {
-    source: String,
-    number: u64,
-    parts: HashMap<u64, StoredPart>,
-    updated_at: Option<BootInstant>,
-    /// The clock of the last update in ms, and when the update arrived.
-    clock: Option<(u64, BootInstant)>,
+/// The soft state that a node reports with a poll.
+#[derive(Debug)]
+pub(crate) struct OwnReport {
+    /// Work in flight, by upstream.
+    pub(crate) loads: Vec<UpstreamLoad>,
+    /// Stored parts used since the last report.
+    pub(crate) used_parts: Vec<u64>,
+    /// Position of this node's catalog of stored parts.
+    pub(crate) stored_after: CatalogPosition,
 }
 
 #[derive(Debug, Default)]
 struct Inner {
     loads: LoadTable,
-    catalog: StoredPartsCatalog,
-    index: StoredPartsIndex,
+    stored: StoredParts,
     reported_uses: Vec<u64>,
     own_loads: Vec<UpstreamLoad>,
     own_uses: Vec<u64>,
@@ -141,13 +51,30 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records the loads and the used parts that a node reports.
+    /// Records the loads and the used parts that an entry node reports.
     pub(crate) fn record_report(&self, node: &InstanceId, loads: Vec<UpstreamLoad>, used_parts: &[u64]) {
         let mut inner = self.lock();
-        inner.loads.report(node, loads);
-        if inner.reported_uses.len() < MAX_QUEUED_USES {
-            inner.reported_uses.extend_from_slice(used_parts);
-        }
+        inner.loads.record_entry_node(node, loads);
+        inner.record_uses(used_parts);
+    }
+
+    /// Records what a control node reports for the entry nodes that poll it.
+    pub(crate) fn record_relay(&self, node: &InstanceId, loads: Vec<UpstreamLoad>, used_parts: &[u64]) {
+        let mut inner = self.lock();
+        inner.loads.record_control_node(node, loads);
+        inner.record_uses(used_parts);
+    }
+
+    /// Returns what this control node reports to the leader: the loads of the entry nodes that poll it, and the parts
+    /// that they used since the last call.
+    pub(crate) fn relay_report(&self) -> (Vec<UpstreamLoad>, Vec<u64>) {
+        let mut inner = self.lock();
+        (inner.loads.own_sum(), std::mem::take(&mut inner.reported_uses))
+    }
+
+    /// Applies the totals that the leader returned for a report of the loads `reported`.
+    pub(crate) fn apply_relay_totals(&self, totals: &[UpstreamLoad], reported: &[UpstreamLoad]) {
+        self.lock().loads.set_elsewhere(totals, reported);
     }
 
     /// Returns the total work in flight of all nodes, by upstream.
@@ -155,32 +82,29 @@
         self.lock().loads.totals()
     }
 
-    /// Returns the changes of the catalog after a source and number; `None` if this node does not maintain it.
-    pub(crate) fn stored_parts_update(&self, after: &(String, u64)) -> Option<StoredPartsUpdate> {
-        let inner = self.lock();
-        if inner.catalog.source.is_empty() {
-            return None;
-        }
-        inner.catalog.changes_since(&after.0, after.1)
+    /// Returns the changes of the catalog after a position; `None` if this node has no current catalog.
+    pub(crate) fn stored_parts_update(&self, after: &CatalogPosition) -> Option<StoredPartsUpdate> {
+        self.lock().stored.changes_since(after)
     }
 
-    /// Starts an empty catalog; `source` identifies it.
+    /// Starts to maintain the catalog; `source` identifies it.
     pub(crate) fn open_catalog(&self, source: String) {
-        self.lock().catalog = StoredPartsCatalog { source, ..StoredPartsCatalog::default() };
+        self.lock().stored.open(source);
     }
 
-    /// Discards the catalog.
+    /// Stops maintaining the catalog.
     pub(crate) fn close_catalog(&self) {
-        self.lock().catalog = StoredPartsCatalog::default();
+        self.lock().stored.close();
     }
 
     /// Publishes changes of the catalog. `clock` is a reading of a store's clock in ms and a time not before it.
     pub(crate) fn publish(&self, changes: Vec<StoredPartChange>, clock: Option<(u64, BootInstant)>) {
-        let mut inner = self.lock();
-        for change in changes {
-            inner.catalog.apply(change);
-        }
-        inner.catalog.clock = clock.or(inner.catalog.clock);
+        self.lock().stored.publish(changes, clock);
+    }
+
+    /// Publishes the complete content of one store, identified by its tag.
+    pub(crate) fn publish_store(&self, store: u32, content: Vec<StoredPart>) {
+        self.lock().stored.publish_store(store, content);
     }
 
     /// Returns the uses of stored parts that nodes have reported since the previous call.
@@ -201,19 +125,18 @@
         }
     }
 
-    /// Returns this node's next report: its loads, the parts it has used, and the source and number of its catalog.
-    pub(crate) fn own_report(&self) -> (Vec<UpstreamLoad>, Vec<u64>, (String, u64)) {
+    /// Returns this node's next report.
+    pub(crate) fn own_report(&self) -> OwnReport {
         let mut inner = self.lock();
-        let used = std::mem::take(&mut inner.own_uses);
-        (inner.own_loads.clone(), used, (inner.index.source.clone(), inner.index.number))
+        let used_parts = std::mem::take(&mut inner.own_uses);
+        OwnReport { loads: inner.own_loads.clone(), used_parts, stored_after: inner.stored.position() }
     }
 
-    /// Applies the response to a report of the loads `reported` that was sent at `requested_at`.
-    pub(crate) fn apply_reply(
+    /// Applies the response to a poll that was sent at `requested_at` with the loads `reported`.
+    pub(crate) fn apply_totals(
         &self,
         reported: &[UpstreamLoad],
         totals: &[UpstreamLoad],
-        stored: Option<&StoredPartsUpdate>,
         requested_at: BootInstant,
     ) {
         let by_upstream = |loads: &[UpstreamLoad]| loads.iter().map(|load| (load.upstream, *load)).collect();
@@ -221,9 +144,17 @@
         inner.total_loads = by_upstream(totals);
         inner.reported_loads = by_upstream(reported);
         inner.totals_at = Some(requested_at);
-        if let Some(update) = stored {
-            inner.index.apply(update, requested_at);
-        }
+    }
+
+    /// Applies an update of the catalog, the response to a poll that was sent at `requested_at` with the position
+    /// `requested_after`.
+    pub(crate) fn apply_stored_parts(
+        &self,
+        update: &StoredPartsUpdate,
+        requested_after: &CatalogPosition,
+        requested_at: BootInstant,
+    ) {
+        self.lock().stored.apply(update, requested_after, requested_at);
     }
 
     /// Returns the work of the other nodes at an upstream; zero if the totals are too old.
@@ -234,46 +165,24 @@
         }
         let total = inner.total_loads.get(&upstream).copied().unwrap_or_default();
         let own = inner.reported_loads.get(&upstream).copied().unwrap_or_default();
-        UpstreamLoad {
-            upstream,
-            requests: total.requests.saturating_sub(own.requests),
-            tokens: total.tokens.saturating_sub(own.tokens),
-            pending_prefill_tokens: total.pending_prefill_tokens.saturating_sub(own.pending_prefill_tokens),
-            unreachable_from: total.unreachable_from,
-        }
+        UpstreamLoad { upstream, ..subtract(&total, &own) }
     }
 
-    /// Returns a stored part, if the index was updated within `limit`.
+    /// Returns a stored part, if the catalog was updated within `limit`.
     pub(crate) fn find(&self, part: u64, limit: Duration) -> Option<StoredPart> {
-        let inner = self.lock();
-        inner.index.updated_at.filter(|at| at.elapsed() < limit)?;
-        inner.index.parts.get(&part).copied()
+        self.lock().stored.find(part, limit)
     }
 
     /// Returns a lower bound of the clock of upstreams and stores, in ms; `None` until it is known.
     pub(crate) fn upstream_clock_ms(&self) -> Option<u64> {
-        self.lock().index.clock.map(clock_now)
+        self.lock().stored.clock_ms()
     }
 }
 
-impl StoredPartsIndex {
-    fn apply(&mut self, update: &StoredPartsUpdate, requested_at: BootInstant) {
-        if update.is_full {
-            self.parts.clear();
-        } else if update.source != self.source {
-            return;
+impl Inner {
+    fn record_uses(&mut self, used_parts: &[u64]) {
+        if self.reported_uses.len() < MAX_QUEUED_USES {
+            self.reported_uses.extend_from_slice(used_parts);
         }
-        self.parts.extend(update.added.iter().map(|stored| (stored.part, *stored)));
-        for part in &update.removed {
-            self.parts.remove(part);
-        }
-        self.source.clone_from(&update.source);
-        self.number = update.number;
-        self.updated_at = Some(requested_at);
-        self.clock = Some((update.clock_ms, BootInstant::now()));
     }
 }
-
-fn clock_now((clock_ms, at): (u64, BootInstant)) -> u64 {
-    clock_ms.saturating_add(u64::try_from(at.elapsed().as_millis()).unwrap_or(0))
-}
--- a/crates/cluster/src/soft_state_handle.rs
+++ b/crates/cluster/src/soft_state_handle.rs
@@ -50,13 +50,14 @@
         self.inner.soft_state.upstream_clock_ms()
     }
 
-    /// Starts an empty catalog of stored parts. To be called by the leader only.
+    /// Starts to maintain the catalog of stored parts. To be called by the leader only. It continues with a recent
+    /// copy of the previous leader's catalog, which [`Self::publish_store`] then corrects; without one it is empty.
     pub fn open_catalog(&self) {
         let source = format!("{} {:x}", self.inner.proposer.name, rand::random::<u64>());
         self.inner.soft_state.open_catalog(source);
     }
 
-    /// Discards the catalog; entry nodes then receive no further updates from this node.
+    /// Stops maintaining the catalog; entry nodes then receive no further updates from this node.
     pub fn close_catalog(&self) {
         self.inner.soft_state.close_catalog();
     }
@@ -71,6 +72,12 @@
         self.inner.soft_state.publish(changes, clock);
     }
 
+    /// Publishes the complete content of a store, identified by the hash of its address; its other parts must no longer
+    /// be fetched.
+    pub fn publish_store(&self, store: u32, content: Vec<StoredPart>) {
+        self.inner.soft_state.publish_store(store, content);
+    }
+
     /// Returns the uses of stored parts that entry nodes have reported since the previous call.
     pub fn take_used_parts(&self) -> Vec<u64> {
         self.inner.soft_state.take_reported_uses()
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod link;
 pub mod liveness;
 pub mod placement;
+pub mod poll_source;
 pub mod result_code;
 pub mod retention;
 pub mod retry;
--- a/crates/gateway/src/entry_tasks.rs
+++ b/crates/gateway/src/entry_tasks.rs
@@ -14,8 +14,13 @@
 const MAX_LIST_AGE: Duration = Duration::from_millis(1_800);
 /// Time between two own reads of the platform's list, without jitter.
 const OWN_LIST_INTERVAL_MS: u64 = 1_000;
-/// Maximum random time added to it.
+/// Minimum of the maximum random time added to it.
 const OWN_LIST_JITTER_MS: u64 = 400;
+/// The maximum random time for each entry node. All nodes lose the leader's list at the same moment, and together must
+/// not flood the platform.
+const OWN_LIST_JITTER_PER_NODE_MS: u64 = 20;
+/// Time after the start before the first own read, in which the leader's list usually arrives.
+const FIRST_OWN_LIST_DELAY: Duration = Duration::from_secs(1);
 /// Time between two load reports to the other nodes.
 const REPORT_INTERVAL: Duration = Duration::from_millis(25);
 /// Time between two sweeps of the connection pool.
@@ -92,8 +97,10 @@
 
 /// Reads the platform's list while the leader publishes none.
 async fn poll_list_fallback<D: Discovery>(gateway: Rc<Gateway>, discovery: D) {
+    sleep(FIRST_OWN_LIST_DELAY).await;
     loop {
-        let pause_ms = OWN_LIST_INTERVAL_MS + rand::random_range(0..OWN_LIST_JITTER_MS);
+        let jitter_ms = OWN_LIST_JITTER_PER_NODE_MS * u64::from(gateway.entry_nodes());
+        let pause_ms = OWN_LIST_INTERVAL_MS + rand::random_range(0..jitter_ms.max(OWN_LIST_JITTER_MS));
         sleep(Duration::from_millis(pause_ms)).await;
         if gateway.cluster.published_upstreams_age().is_some_and(|age| age < MAX_LIST_AGE) {
             continue;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -1,6 +1,11 @@
 //! Chooses the upstream of an attempt from the state of the upstreams known to this node.
 
-use std::{collections::HashSet, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    time::Duration,
+};
 
 use daisysill_core::{
     ids::{ServiceName, WeightVersion, ZoneName},
@@ -67,7 +72,7 @@
     version: Option<WeightVersion>,
     scope: Option<String>,
     prefix: Option<(PrefixKey, u64)>,
-    parts: Option<SharedParts>,
+    parts: Option<Rc<SharedParts>>,
 }
 
 /// Inputs of the choice that are the same for every upstream.
@@ -76,6 +81,8 @@
     engine: Option<EngineSpec>,
     target: Option<TargetVersion>,
     request_ms: f64,
+    /// Shared parts by cache scope: upstreams with the same weight version have the same.
+    parts_by_scope: RefCell<HashMap<String, Rc<SharedParts>>>,
 }
 
 impl Gateway {
@@ -89,6 +96,7 @@
             engine: self.engine(&request.service),
             target: prompt.and_then(|prompt| self.routing.target_version(&prompt.model)),
             request_ms: speeds.request_ms.get(),
+            parts_by_scope: RefCell::default(),
         };
         let current: Vec<Rc<Upstream>> =
             upstreams.into_iter().filter(|upstream| !self.is_outdated(upstream, &inputs)).collect();
@@ -189,7 +197,7 @@
         let version = prompt.and_then(|prompt| upstream.version_of(&prompt.model));
         let scope = prompt.map(|prompt| cache_scope(&prompt.model, version, request.customer.as_deref()));
         let prefix = scope.as_deref().and_then(|scope| request.prefix(scope));
-        let parts = scope.as_deref().map(|scope| self.locate_shared_parts(request, scope));
+        let parts = scope.as_deref().map(|scope| self.shared_parts(inputs, scope));
         let cached_tokens = prefix.map_or(0, |(key, _)| upstream.cached_tokens(key));
         let (fetched_tokens, fetch_ms) = match &parts {
             Some(parts) if cached_tokens == 0 => {
@@ -214,6 +222,17 @@
         Some(EligibleUpstream { candidate, upstream: Rc::clone(upstream), version, scope, prefix, parts })
     }
 
+    /// Returns the locations of the prompt's shared parts in a cache scope.
+    fn shared_parts(&self, inputs: &PlacementInputs<'_>, scope: &str) -> Rc<SharedParts> {
+        let mut by_scope = inputs.parts_by_scope.borrow_mut();
+        if let Some(parts) = by_scope.get(scope) {
+            return Rc::clone(parts);
+        }
+        let parts = Rc::new(self.locate_shared_parts(inputs.request, scope));
+        by_scope.insert(scope.to_owned(), Rc::clone(&parts));
+        parts
+    }
+
     /// Adds what the attempt needs to a choice. Only an upstream with the target version saves parts.
     fn chosen_upstream(
         &self,
--- a/crates/gateway/src/prompt_parts.rs
+++ b/crates/gateway/src/prompt_parts.rs
@@ -92,10 +92,15 @@
         let parts = prompt.parts.iter().take(shared).map(|part| {
             let hash = part_hash(scope, &part.id);
             let stored = self.cluster.stored_part(hash, MAX_INDEX_AGE).filter(|_| clock_known);
-            let holder = stored.and_then(|stored| all_stores.iter().find(|store| store.tag == stored.store));
-            let is_stored = stored.is_some();
-            let store = holder.or_else(|| preferred_store(&all_stores, hash)).cloned();
-            let tokens = stored.map_or(part.tokens, |stored| stored.tokens.min(part.tokens));
+            // A store that the routing table does not name any more cannot be fetched from.
+            let held = stored.and_then(|stored| {
+                let holder = all_stores.iter().find(|store| store.tag == stored.store)?;
+                Some((holder, stored.tokens))
+            });
+            let is_stored = held.is_some();
+            let store =
+                held.map(|(holder, _)| holder).or_else(|| preferred_store(&all_stores, hash)).cloned();
+            let tokens = held.map_or(part.tokens, |(_, tokens)| tokens.min(part.tokens));
             let is_skipped =
                 store.as_ref().is_some_and(|store| !self.fetch_backoff.borrow().admits(store.tag));
             PartLocation { hash, tokens, store, is_stored, is_skipped }
--- a/crates/gateway/src/store_manager.rs
+++ b/crates/gateway/src/store_manager.rs
@@ -26,9 +26,9 @@
 pub(crate) const MAX_INDEX_AGE: Duration = Duration::from_secs(5);
 /// Upper limit of the fetch timeout.
 pub(crate) const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time between retiring and freeing a part, beyond the age of the index and the fetch timeout: covers differences of
-/// clocks and requests in transit.
-const RETIREMENT_MARGIN: Duration = Duration::from_secs(1);
+/// Time between retiring and freeing a part, beyond the age of the index and the fetch timeout: covers the age of the
+/// copies that control nodes pass on, differences of clocks, and requests in transit.
+const RETIREMENT_MARGIN: Duration = Duration::from_millis(1_500);
 /// Time between two rounds of retiring and freeing parts.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time between two complete lists, which reveal parts whose write was aborted.
@@ -175,14 +175,16 @@
         let mut previous_partial: HashSet<PartName> = HashSet::new();
         loop {
             let Some(list) = self.client.list(&self.address).await else {
+                self.set_reachable(false);
                 sleep(RETRY_INTERVAL).await;
                 continue;
             };
+            self.record_contact(true);
             let epoch = list.epoch;
             let now_ms = self.now_ms();
             let parts = list.complete.len();
             self.catalog.replace(list.complete, now_ms);
-            self.publish(None);
+            self.publish_all();
             // A part that is still partial since the previous list: its write was aborted, which no event reports.
             let partial: HashSet<PartName> = list.partial.into_iter().collect();
             let stuck: Vec<PartName> = partial.intersection(&previous_partial).cloned().collect();
@@ -246,21 +248,52 @@
 
     /// Withdraws the store's parts from the published index while it does not respond, and publishes them again after.
     fn set_reachable(&mut self, reachable: bool) {
-        if std::mem::replace(&mut self.is_reachable, reachable) == reachable {
+        if !self.record_contact(reachable) {
             return;
         }
-        tracing::info!(event = "store_contact", store = self.address, reachable);
+        if reachable {
+            self.publish_all();
+        } else if self.holds_lease() {
+            self.shared.cluster.publish_store(store_tag(&self.address), Vec::new());
+        }
+    }
+
+    /// Records whether the store responds; returns whether that has changed.
+    fn record_contact(&mut self, reachable: bool) -> bool {
+        let has_changed = std::mem::replace(&mut self.is_reachable, reachable) != reachable;
+        if has_changed {
+            tracing::info!(event = "store_contact", store = self.address, reachable);
+        }
+        has_changed
+    }
+
+    /// Returns whether this node may change stores and publish their content. To be checked right before, since the
+    /// process may have been suspended.
+    fn holds_lease(&self) -> bool {
+        self.shared.lease.fencing().is_some()
+    }
+
+    /// Publishes all parts of the store that may be fetched, and withdraws others that are still published as its.
+    fn publish_all(&mut self) {
+        if !self.holds_lease() {
+            return;
+        }
+        self.catalog.take_changes();
         let store = store_tag(&self.address);
-        let changes = self.catalog.fetchable().map(|(name, tokens)| {
+        let content = self.catalog.fetchable().map(|(name, tokens)| {
             let part = part_hash(&name.scope, &name.id);
-            (part, reachable.then_some(StoredPart { part, store, tokens }))
+            StoredPart { part, store, tokens }
         });
-        self.shared.cluster.publish_stored_parts(changes.collect(), None);
+        self.shared.cluster.publish_store(store, content.collect());
     }
 
     /// Records uses, retires parts and frees those that were retired long enough ago. `clock` is a reading of the
     /// store's clock in ms and the time of it.
     async fn maintain(&mut self, epoch: u64, clock: Option<(u64, BootInstant)>) {
+        // A part must not count as retired before that is published.
+        if !self.holds_lease() {
+            return;
+        }
         let now_ms = self.now_ms();
         let used = std::mem::take(&mut *self.used.borrow_mut());
         self.catalog.record_used(|name| used.contains(&part_hash(&name.scope, &name.id)), now_ms);
@@ -273,8 +306,7 @@
     }
 
     async fn free(&mut self, parts: &[PartName], epoch: u64, until_ms: Option<u64>) {
-        // Checked right before the call, since the process may have been suspended.
-        if parts.is_empty() || self.shared.lease.fencing().is_none() {
+        if parts.is_empty() || !self.holds_lease() {
             return;
         }
         let freed = self.client.free(&self.address, parts, epoch, until_ms).await;
@@ -288,6 +320,9 @@
 
     /// Publishes the changes of the catalog and, if given, a reading of the store's clock.
     fn publish(&mut self, clock: Option<(u64, BootInstant)>) {
+        if !self.holds_lease() {
+            return;
+        }
         let store = store_tag(&self.address);
         let changes = self.catalog.take_changes().into_iter().map(|change| match change {
             CatalogChange::Stored(name, tokens) => {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -281,6 +281,36 @@
         pub stored: Option<StoredPartsUpdate>,
     }
 
+    /// What a control node that answers polls for the leader reports to it.
+    pub struct RelayReport {
+        /// Availability zone of the control node.
+        pub zone: ZoneName,
+        /// Number of entry nodes that recently polled it.
+        pub entry_nodes: u32,
+        /// Total work in flight of these entry nodes, by upstream.
+        pub loads: Vec<UpstreamLoad>,
+        /// Stored parts that they used since the last report.
+        pub used_parts: Vec<u64>,
+    }
+
+    /// The leader's response to a [`RelayReport`].
+    pub struct RelayReply {
+        /// Whether the receiver leads; it ignores the report otherwise.
+        pub is_leader: bool,
+        /// Total work in flight of all entry nodes, by upstream.
+        pub loads: Vec<UpstreamLoad>,
+        /// The control nodes that entry nodes may poll.
+        pub control_nodes: Vec<ControlNode>,
+    }
+
+    /// A control node in contact with the leader, or the leader itself.
+    pub struct ControlNode {
+        /// Its name.
+        pub name: InstanceId,
+        /// Its availability zone.
+        pub zone: ZoneName,
+    }
+
     /// Why a forwarded proposal failed.
     pub enum ForwardError {
         /// The receiver is not the leader; the node given, if any, may be.
@@ -311,4 +341,8 @@
     async fn leader_stopped(term: u64, campaign: bool);
     /// Exchanges heartbeats.
     async fn heartbeat(heartbeat: Heartbeat) -> Heartbeat;
+    /// Reports the soft state of the entry nodes that poll the caller, and returns that of all.
+    async fn relay(report: RelayReport) -> RelayReply;
+    /// Returns the control nodes that entry nodes may poll; empty if unknown.
+    async fn control_nodes() -> Vec<ControlNode>;
 }
--- a/crates/wire/tests/encoded.rs
+++ b/crates/wire/tests/encoded.rs
@@ -22,9 +22,10 @@
     rules::RuleFile,
 };
 use daisysill_wire::peer::{
-    BlockLocation, ConfigDelta, ConfigUpdate, DispatchCount, FollowReply, ForwardError, Heartbeat,
-    HeartbeatEntry, ObserveReply, ObserveRequest, PeerRequest, PeerResponse, PublishedUpstreams, ReportEntry,
-    SoftReport, StoredPart, StoredPartsUpdate, UpstreamCrash, UpstreamEntry, UpstreamLoad,
+    BlockLocation, ConfigDelta, ConfigUpdate, ControlNode, DispatchCount, FollowReply, ForwardError,
+    Heartbeat, HeartbeatEntry, ObserveReply, ObserveRequest, PeerRequest, PeerResponse, PublishedUpstreams,
+    RelayReply, RelayReport, ReportEntry, SoftReport, StoredPart, StoredPartsUpdate, UpstreamCrash,
+    UpstreamEntry, UpstreamLoad,
 };
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -292,3 +293,16 @@
     ];
     assert_message_encoded(&responses, include_str!("encoded/responses.hex"));
 }
+
+/// The same for messages between control nodes, which later builds added.
+#[test]
+fn relay_messages_keep_their_encoding() {
+    let report =
+        RelayReport { zone: "z1".into(), entry_nodes: 91, loads: vec![load()], used_parts: vec![92, 93] };
+    let requests = vec![PeerRequest::Relay { report }, PeerRequest::ControlNodes {}];
+    assert_message_encoded(&requests, include_str!("encoded/relay_requests.hex"));
+    let node = ControlNode { name: "n1".into(), zone: "z2".into() };
+    let reply = RelayReply { is_leader: true, loads: vec![load()], control_nodes: vec![node.clone()] };
+    let responses = vec![PeerResponse::Relay(reply), PeerResponse::ControlNodes(vec![node])];
+    assert_message_encoded(&responses, include_str!("encoded/relay_responses.hex"));
+}
