Judge a response by its id first, and bound what an upstream in trouble sends

Cause: the status of a response was judged before its id, so a late copy of a refusal of an earlier request counted as one of the current request. The caller was told 503, not run, although it had run. A body that nobody needs was read to its end, up to the deadline; informational heads, trailers and responses that end with the connection had no bound in number or time; a stream that was sent single bytes counted as active. A request whose earlier attempt may have run was told 503 when it was blocked for crashes, and could be sent with a key that had become too old to trust.

Ruled out: slow but sound streams that are cut; the test of one passed before.

Change: the id decides first; discarded bodies, informational heads and trailer lines are bounded; the body of a repeatable request has the time limit of an attempt; only whole events count as progress of a resumable stream; refusals after an attempt that may have run never state the opposite.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use daisysill_core::{
     ids::{InstanceId, ServiceName},
+    result_code::ResultCode,
     retry_budget::SendCount,
     routing::{CallKind, Customer, Route},
 };
@@ -13,6 +14,7 @@
 
 use crate::{
     header_codec::{HeaderCodec, RequestHeaders},
+    refusal::Refusal,
     upstreams::{PrefixKey, stable_hash},
 };
 
@@ -92,6 +94,18 @@
     pub(crate) waited: Duration,
 }
 
+impl AttemptHistory {
+    /// Returns the refusal that ends the request now. It states that the request has not run only if that is certain.
+    pub(crate) fn refusal(
+        &self,
+        code: ResultCode,
+        reason: impl Into<String>,
+        retry_after_ms: u64,
+    ) -> Refusal {
+        Refusal::after_attempts(self.may_have_run > 0, code, reason, retry_after_ms)
+    }
+}
+
 /// Returns the urgency of a request from 0, the most urgent, to 9.
 pub(crate) fn urgency(request: &CallerRequest) -> u8 {
     let customer = request.customer.as_ref().and_then(|customer| customer.priority);
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -22,6 +22,10 @@
 const MAX_HEADERS: usize = 64;
 /// Maximum size of a chunk-size line, of the line after a chunk and of a trailer line.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
+/// Maximum number of informational heads before that of the response.
+const MAX_INFORMATIONAL_HEADS: usize = 8;
+/// Maximum number of trailer lines after a chunked body.
+const MAX_TRAILER_LINES: usize = 64;
 /// Space reserved for each read.
 const READ_BYTES: usize = 8 * 1_024;
 /// `TCP_USER_TIMEOUT`: the kernel closes the connection when sent bytes stay unacknowledged for this time.
@@ -60,8 +64,8 @@
     ChunkData(u64),
     /// At the line end that follows the data of a chunk.
     ChunkEnd,
-    /// After the last chunk, at a trailer line or the final empty line.
-    Trailers,
+    /// After the last chunk and this number of trailer lines, at another one or the final empty line.
+    Trailers(usize),
     /// The body ends when the upstream closes the connection.
     UntilClose,
     /// The body was read to its end.
@@ -188,9 +192,14 @@
         method: &str,
         mut inspect: impl FnMut(&[httparse::Header<'_>]) -> T,
     ) -> Result<(ResponseHead, T), ReadError> {
+        let mut informational_heads = 0;
         loop {
             if let Some((head, inspected)) = self.parse_head(method, &mut inspect)? {
                 if head.status.is_informational() {
+                    informational_heads += 1;
+                    if informational_heads > MAX_INFORMATIONAL_HEADS {
+                        return Err(ReadError::Malformed);
+                    }
                     continue;
                 }
                 self.keeps_open = head.keeps_open && head.framing != Framing::UntilClose;
@@ -269,7 +278,7 @@
                 BodyState::ChunkStart => {
                     let line = self.read_line().await?;
                     let size = chunk_size(&line).ok_or(ReadError::Malformed)?;
-                    self.body = if size == 0 { BodyState::Trailers } else { BodyState::ChunkData(size) };
+                    self.body = if size == 0 { BodyState::Trailers(0) } else { BodyState::ChunkData(size) };
                 }
                 BodyState::ChunkEnd => {
                     if !self.read_line().await?.is_empty() {
@@ -277,9 +286,13 @@
                     }
                     self.body = BodyState::ChunkStart;
                 }
-                BodyState::Trailers => {
+                BodyState::Trailers(lines) => {
                     if self.read_line().await?.is_empty() {
                         self.body = BodyState::Complete;
+                    } else if lines >= MAX_TRAILER_LINES {
+                        return Err(ReadError::Malformed);
+                    } else {
+                        self.body = BodyState::Trailers(lines + 1);
                     }
                 }
             }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use actix_web::http::StatusCode;
 use bytes::Bytes;
 use daisysill_core::ids::WeightVersion;
 use tokio::{
@@ -10,7 +11,7 @@
 };
 
 use crate::{
-    connection::ReadError,
+    connection::{ReadError, UpstreamConnection},
     header_codec::{AttemptHeaders, HeaderCodec},
     http_head::ResponseHead,
     pool::{CheckoutError, Pool, PooledConnection},
@@ -19,6 +20,10 @@
 
 /// Responses to other requests that are skipped on one connection.
 const MAX_FOREIGN_RESPONSES: usize = 2;
+/// Maximum size of a body that is read only to keep its connection; a larger one costs more than a new connection.
+const MAX_DISCARDED_BYTES: usize = 64 * 1_024;
+/// Time for such a body to arrive. Short, since the next attempt waits for it.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Why an attempt got no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -152,24 +157,36 @@
         let (head, (is_ours, not_executed, sealed, weight_version)) =
             read.await.map_err(|_| AttemptError::Broken)?;
         in_flight.upstream.record_activity();
-        let code = head.status.as_u16();
-        if code == 421 || (not_executed && !head.status.is_success()) {
-            let misdirected = code == 421;
-            if discard_body(connection).await.is_ok() {
+        if !is_ours {
+            // A late duplicate of a response to an earlier request, whatever it states; ours follows.
+            if !discard_body(connection).await {
+                return Err(AttemptError::Broken);
+            }
+            continue;
+        }
+        let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        if misdirected || (not_executed && !head.status.is_success()) {
+            if discard_body(connection).await {
                 pooled.release();
             }
             return Err(if misdirected { AttemptError::Misdirected } else { AttemptError::Refused });
         }
-        if is_ours {
-            return Ok(UpstreamResponse { head, weight_version, sealed, pooled, in_flight });
-        }
-        // A duplicate response to an earlier request; the one to this request follows.
-        discard_body(connection).await.map_err(|_| AttemptError::Broken)?;
+        return Ok(UpstreamResponse { head, weight_version, sealed, pooled, in_flight });
     }
     Err(AttemptError::Broken)
 }
 
-async fn discard_body(connection: &mut crate::connection::UpstreamConnection) -> Result<(), ReadError> {
-    while connection.read_body().await?.is_some() {}
-    Ok(())
+/// Reads a body that nobody needs; returns whether it was read to its end, so that its connection can be used again.
+async fn discard_body(connection: &mut UpstreamConnection) -> bool {
+    let read_to_end = async {
+        let mut discarded_bytes = 0;
+        while let Some(bytes) = connection.read_body().await? {
+            discarded_bytes += bytes.len();
+            if discarded_bytes > MAX_DISCARDED_BYTES {
+                return Err(ReadError::Malformed);
+            }
+        }
+        Ok(())
+    };
+    matches!(timeout(DISCARD_TIMEOUT, read_to_end).await, Ok(Ok(())))
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -97,7 +97,7 @@
 
 impl std::fmt::Debug for SharedCodec {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("Dialect")
+        f.write_str("SharedCodec")
     }
 }
 
@@ -180,7 +180,7 @@
     ) -> Result<UpstreamResponse, Refusal> {
         if self.crashes_of(request.fingerprint) >= CRASHES_TO_BLOCK {
             let reason = format!("crashed {} upstreams", self.crashes_of(request.fingerprint));
-            return Err(Refusal::not_run(ResultCode::RequestBlocked, reason, NO_UPSTREAM_RETRY_MS));
+            return Err(history.refusal(ResultCode::RequestBlocked, reason, NO_UPSTREAM_RETRY_MS));
         }
         let mut last_error = None;
         loop {
@@ -194,9 +194,9 @@
                 return Err(retry_budget_refusal(history));
             }
             // Checked again right before each send, since the process may have been suspended after admission.
-            if request.customer.is_some() && !self.is_fresh() && history.may_have_run == 0 {
+            if request.customer.is_some() && !self.is_fresh() {
                 let reason = "configuration went stale before the request was sent";
-                return Err(Refusal::not_run(ResultCode::NoQuorum, reason, STALE_RETRY_MS));
+                return Err(history.refusal(ResultCode::NoQuorum, reason, STALE_RETRY_MS));
             }
             let error = match self.try_once(request, history, &chosen, resume_after).await {
                 Ok(response) => return Ok(response),
@@ -289,9 +289,14 @@
         Ok(response)
     }
 
-    /// Returns the time until the head of the response must have arrived. Only an attempt that may be retried ends
-    /// before the request's deadline.
-    fn attempt_timeout(&self, request: &CallerRequest, history: &AttemptHistory, left: Duration) -> Duration {
+    /// Returns the time until the head of the response must have arrived, and then the time for a body that is buffered.
+    /// Only an attempt that may be retried ends before the request's deadline.
+    pub(crate) fn attempt_timeout(
+        &self,
+        request: &CallerRequest,
+        history: &AttemptHistory,
+        left: Duration,
+    ) -> Duration {
         let may_retry = !request.at_most_once() && history.may_have_run + 1 < request.route.max_attempts;
         if !may_retry {
             return left;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -33,11 +33,25 @@
         Self { run_state: RunState::NotRun, retry_after_ms: Some(retry_after_ms), ..Self::new(code, reason) }
     }
 
+    /// Creates a refusal of a request that may have run before, by an earlier attempt, or certainly has not.
+    pub fn after_attempts(
+        may_have_run: bool,
+        code: ResultCode,
+        reason: impl Into<String>,
+        retry_after_ms: u64,
+    ) -> Self {
+        if may_have_run {
+            return Self { run_state: RunState::MayHaveRun, ..Self::new(code, reason) };
+        }
+        Self::not_run(code, reason, retry_after_ms)
+    }
+
     /// Returns the HTTP status. 503 guarantees that the request has not run; otherwise it becomes 502.
     pub fn status(&self) -> StatusCode {
         let own = StatusCode::from_u16(self.code.http_status()).unwrap_or(StatusCode::BAD_GATEWAY);
         match (self.run_state, self.code) {
             (RunState::NotRun, ResultCode::RequestBlocked) => StatusCode::SERVICE_UNAVAILABLE,
+            (RunState::MayHaveRun | RunState::Run, ResultCode::RequestBlocked) => StatusCode::BAD_GATEWAY,
             (RunState::MayHaveRun | RunState::Run, _) if own == StatusCode::SERVICE_UNAVAILABLE => {
                 StatusCode::BAD_GATEWAY
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,8 +15,8 @@
     forward::Gateway,
 };
 
-/// A resumable stream is abandoned at its upstream after a silence of this many times the route's goal for the gap
-/// between events.
+/// A resumable stream is abandoned at its upstream if no event has come for this many times the route's goal for the
+/// gap between events.
 const SILENCE_GAPS: u32 = 3;
 /// Goal for the gap between events on routes that set none.
 const DEFAULT_GAP_GOAL: Duration = Duration::from_millis(500);
@@ -42,6 +42,9 @@
     history: AttemptHistory,
     relayed_bytes: u64,
     started: Instant,
+    /// When bytes were last relayed. Of a resumable stream these are complete events, so that an upstream that sends a
+    /// byte now and then does not count as active.
+    progressed_at: Instant,
     is_done: bool,
 }
 
@@ -70,6 +73,7 @@
         history,
         relayed_bytes: 0,
         started: Instant::now(),
+        progressed_at: Instant::now(),
         is_done: false,
     };
     unfold(relay, |mut relay| async move {
@@ -90,6 +94,7 @@
                         return Some(Err(self.fail("event_too_large")));
                     };
                     if !bytes.is_empty() {
+                        self.progressed_at = Instant::now();
                         self.relayed_bytes += bytes.len() as u64;
                         return Some(Ok(bytes));
                     }
@@ -104,14 +109,14 @@
         }
     }
 
-    /// Reads from the upstream until the request's deadline or, if the stream can be resumed elsewhere, until the
-    /// upstream has been silent for too long.
+    /// Reads from the upstream until the request's deadline or, if the stream can be resumed elsewhere, until no event
+    /// has come for too long.
     async fn read(&mut self) -> ReadOutcome {
         let may_resume = self.may_resume();
         let Some(response) = &mut self.response else { return ReadOutcome::Broken("no_upstream") };
         let Ok(connection) = response.pooled.get() else { return ReadOutcome::Broken("no_connection") };
         let gap = self.request.route.event_gap_goal_ms.map_or(DEFAULT_GAP_GOAL, Duration::from_millis);
-        let silence = Instant::now() + gap * SILENCE_GAPS;
+        let silence = self.progressed_at + gap * SILENCE_GAPS;
         let limit = if may_resume { self.request.deadline.min(silence) } else { self.request.deadline };
         match timeout_at(limit, connection.read_body()).await {
             Ok(Ok(Some(bytes))) => {
@@ -169,6 +174,7 @@
         match resumed {
             Ok(response) if response.head.status.is_success() => {
                 self.response = Some(response);
+                self.progressed_at = Instant::now();
                 true
             }
             Ok(_) | Err(_) => false,
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -6,7 +6,7 @@
 use actix_web::{HttpRequest, HttpResponse, body::BodyStream, http::header::HeaderName, web};
 use bytes::{Bytes, BytesMut};
 use daisysill_core::{result_code::ResultCode, routing::CallKind};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
     caller_request::{AttemptHistory, CallerRequest, encode_head, fingerprint},
@@ -206,7 +206,9 @@
         mut response: UpstreamResponse,
         history: &mut AttemptHistory,
     ) -> Option<HttpResponse> {
-        let body = timeout_at(request.deadline, read_full_body(&mut response)).await.ok().flatten();
+        // A body without end must not use up the time for another attempt.
+        let limit = self.gateway.attempt_timeout(request, history, request.time_left());
+        let body = timeout(limit, read_full_body(&mut response)).await.ok().flatten();
         let upstream = Rc::clone(&response.in_flight.upstream);
         let Some(body) = body else {
             history.may_have_run += 1;
