--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -98,6 +98,7 @@
     pub(crate) async fn run(mut self) {
         let start = Instant::now();
         let mut control_nodes_due = start;
+        let mut last_current: Option<InstanceId> = None;
         loop {
             if self.is_leader() {
                 let _ = timeout(Duration::from_millis(POLL_MS), self.replica.changed()).await;
@@ -112,6 +113,10 @@
             self.sources.record(&source, outcome, elapsed_ms(start));
             let is_current = outcome == PollOutcome::Current;
             self.control_contact.send_if_modified(|known| std::mem::replace(known, is_current) != is_current);
+            if is_current && last_current.as_ref() != Some(&source) {
+                log::info!("follows control node {source}; before: {last_current:?}");
+                last_current = Some(source.clone());
+            }
             if !is_current {
                 sleep(RETRY_DELAY).await;
             } else if !self.has_replica() && Instant::now() >= control_nodes_due {
--- a/crates/cluster/src/relays.rs
+++ b/crates/cluster/src/relays.rs
@@ -86,8 +86,14 @@
         self.lock().named.clone()
     }
 
+    /// Replaces the control nodes that the leader names.
     fn set_named(&self, nodes: Vec<ControlNode>) {
-        self.lock().named = nodes;
+        let mut inner = self.lock();
+        if inner.named != nodes {
+            let names: Vec<&str> = nodes.iter().map(|node| node.name.as_str()).collect();
+            log::info!("control nodes that answer polls: {}", names.join(", "));
+            inner.named = nodes;
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/crates/cluster/tests/cluster/followers.rs
+++ b/crates/cluster/tests/cluster/followers.rs
@@ -159,18 +159,23 @@
 #[tokio::test]
 async fn a_leader_that_leaves_hands_over() {
     let cluster = TestCluster::started(THREE, &["o1/z1"]).await;
+    let start = Instant::now();
     let leader = cluster.leader().unwrap();
     let others: Vec<&str> = cluster.others(&leader);
     let proposals = (0..20).map(|index| {
         let handle = cluster.node("o1").clone();
         async move {
             sleep(Duration::from_millis(50 * index)).await;
-            handle.propose(drain_command(&format!("worker-{index}"))).await
+            let sent_at = start.elapsed();
+            let result = handle.propose(drain_command(&format!("worker-{index}"))).await;
+            (result, sent_at, start.elapsed())
         }
     });
     let proposals = tokio::spawn(futures::future::join_all(proposals.collect::<Vec<_>>()));
     sleep(Duration::from_millis(300)).await;
+    let leaves_at = start.elapsed();
     cluster.node(&leader).leave().await;
+    let left_at = start.elapsed();
     assert_ne!(cluster.node(&leader).status().role, Role::Leader);
     let new_leader = cluster.node(&leader).status().leader.map(|name| name.to_string());
     assert!(new_leader.is_some_and(|name| name != leader && cluster.leader() == Some(name)));
@@ -181,7 +186,10 @@
         })
     };
     cluster.wait("all nodes know that the leader leaves", announced).await;
-    for result in proposals.await.unwrap() {
-        assert!(matches!(result, Ok(daisysill_control::command::Reply::Accepted(_))), "{result:?}");
+    for (result, sent_at, ended_at) in proposals.await.unwrap() {
+        assert!(
+            matches!(result, Ok(daisysill_control::command::Reply::Accepted(_))),
+            "{result:?}, proposed from {sent_at:?} to {ended_at:?}; the leader left from {leaves_at:?} to {left_at:?}"
+        );
     }
 }
--- a/crates/gateway/src/store_manager.rs
+++ b/crates/gateway/src/store_manager.rs
@@ -233,7 +233,7 @@
                 }
             }
             clock = update.clock_ms.map(|clock_ms| (clock_ms, polled_at)).or(clock);
-            self.publish(clock.map(|(clock_ms, _)| (clock_ms, BootInstant::now())));
+            self.publish(update.clock_ms.map(|clock_ms| (clock_ms, BootInstant::now())));
             if Instant::now() >= maintenance_due {
                 maintenance_due = Instant::now() + MAINTENANCE_INTERVAL;
                 self.maintain(epoch, clock).await;
