--- a/crates/cluster/src/view_store.rs
+++ b/crates/cluster/src/view_store.rs
@@ -14,8 +14,11 @@
 
 /// Number of previous configurations retained for deltas: at 2,200 changes a day they span more than 10 minutes.
 const MAX_RECENT_VIEWS: usize = 16;
-/// Maximum number of snapshots sent per second; further followers get `Deferred`.
-const MAX_SNAPSHOTS_PER_SECOND: u32 = 8;
+/// Snapshots are sent at this rate, and at least one a second; further followers get `Deferred`. A wave of nodes that
+/// join must not keep this node from its heartbeats.
+const MAX_SNAPSHOT_BYTES_PER_S: usize = 8 * 1_024 * 1_024;
+/// Size of a snapshot beside its document and rule files.
+const SNAPSHOT_BASE_BYTES: usize = 1_024;
 
 /// The configuration in force, and when it was last confirmed to be the newest.
 #[derive(Debug)]
@@ -29,7 +32,8 @@
     recent: VecDeque<Arc<ConfigView>>,
     confirmed_at: Option<BootInstant>,
     window_start: Instant,
-    snapshots_sent: u32,
+    /// Bytes of the snapshots sent since `window_start`.
+    snapshot_bytes: usize,
 }
 
 impl ViewStore {
@@ -39,7 +43,7 @@
             recent: VecDeque::new(),
             confirmed_at: None,
             window_start: Instant::now(),
-            snapshots_sent: 0,
+            snapshot_bytes: 0,
         };
         Self { sender: watch::channel(Arc::default()).0, inner: Mutex::new(inner) }
     }
@@ -101,12 +105,12 @@
         }
         if inner.window_start.elapsed().as_secs() > 0 {
             inner.window_start = Instant::now();
-            inner.snapshots_sent = 0;
+            inner.snapshot_bytes = 0;
         }
-        if inner.snapshots_sent >= MAX_SNAPSHOTS_PER_SECOND {
+        if inner.snapshot_bytes >= MAX_SNAPSHOT_BYTES_PER_S {
             return ConfigUpdate::Deferred(view.version);
         }
-        inner.snapshots_sent += 1;
+        inner.snapshot_bytes += snapshot_bytes(&view);
         ConfigUpdate::Snapshot(Box::new(view.as_ref().clone()))
     }
 
@@ -121,3 +125,10 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner).confirmed_at
     }
 }
+
+/// Returns the approximate size of a configuration as a message.
+fn snapshot_bytes(view: &ConfigView) -> usize {
+    let document = view.document.as_ref().map_or(0, |document| document.body.len());
+    let rules: usize = view.rules.iter().map(|file| file.name.len() + file.text.len()).sum();
+    SNAPSHOT_BASE_BYTES + document + rules
+}
--- a/crates/cluster/tests/observer.rs
+++ b/crates/cluster/tests/observer.rs
@@ -140,6 +140,27 @@
     assert!(confirmed > 5, "too few checks after the first two seconds");
 }
 
+/// A wave of nodes that join after many changes, as after a power loss. Guards against nodes that wait for seconds for
+/// their turn: 8 of them a second received the configuration, so the last of 60 after 7 s.
+#[tokio::test]
+async fn a_wave_of_new_nodes_gets_the_configuration_at_once() {
+    const NODES: u8 = 60;
+    let nodes = start(7, 0).await;
+    for version in 1..=30 {
+        let document = PublishDocument { version, body: vec![b'x'; 20_000] };
+        nodes.control.propose(Command::PublishDocument(document)).await.unwrap();
+    }
+    let address = |host: u8| SocketAddr::from(([127, 78, 7, host], 8_300));
+    let mut joined = Vec::new();
+    for host in 2..2 + NODES {
+        joined.push(Cluster::start(config(address(host), address(1), None)).await.unwrap().0);
+    }
+    let start = Instant::now();
+    let has_document = |node: &ClusterHandle| node.view().borrow().document.is_some();
+    wait("the document on all nodes", || joined.iter().all(has_document)).await;
+    assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
+}
+
 /// Simultaneous load on several nodes. Guards against a node that does not know the load of the others, or counts its
 /// own in it.
 #[tokio::test]
