Book the links of stores before fetching from them

And nodes did not know of each other's fetches, so that bytes of fetches that timed out were sent for nothing.

Ruled out: evicted or unlisted parts (9 prompts); first readings, which are not priced.

Change: a node books each fetch until its response begins, reports the bookings with its loads, adds the wait at the store to its estimate and timeout, and prefills a part that would wait for over three quarters of the goal. A fetch is late only if the prefill of the rest does not explain the time.

Besides, seen by reading: a share of scarce slots was taken before a candidate was known to have capacity, and an unsealed response counted as two attempts.

--- a/crates/core/src/fetch_backoff.rs
+++ b/crates/core/src/fetch_backoff.rs
@@ -9,6 +9,19 @@
 /// Maximum number of pending skips per store, so that a store's recovery is noticed soon.
 const MAX_SKIPS: u32 = 2;
 
+/// Returns whether a fetch must have been abandoned, judged by when the response began: `past_timeout_ms` after the
+/// fetch timed out. After a fetch that arrived, the engine prefills only what was not fetched, in `rest_ms`; after one
+/// that was abandoned also the fetched part, in `fetched_ms` more.
+///
+/// ```
+/// use daisysill_core::fetch_backoff::is_late;
+/// assert!(!is_late(40.0, 30.0, 100.0), "the prefill of the rest explains the time");
+/// assert!(is_late(90.0, 30.0, 100.0));
+/// ```
+pub fn is_late(past_timeout_ms: f64, rest_ms: f64, fetched_ms: f64) -> bool {
+    past_timeout_ms > rest_ms + fetched_ms / 2.0
+}
+
 /// The fetches that one node has yet to skip, by the store's tag.
 #[derive(Debug, Default)]
 pub struct FetchBackoff {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod ids;
 pub mod ini_check;
 pub mod link;
+pub mod link_booking;
 pub mod liveness;
 pub mod placement;
 pub mod poll_source;
--- a/crates/gateway/src/entry_tasks.rs
+++ b/crates/gateway/src/entry_tasks.rs
@@ -66,7 +66,7 @@
         let has_ended = timeout_at(report_due, gateway.request_ended.notified()).await.is_ok();
         gateway.wake_waiting();
         if !has_ended {
-            gateway.cluster.set_loads(gateway.upstreams.loads());
+            gateway.cluster.set_loads(gateway.load_report());
             report_due = Instant::now() + REPORT_INTERVAL;
         }
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -12,6 +12,7 @@
 use daisysill_core::{
     fetch_backoff::FetchBackoff,
     ids::ServiceName,
+    link_booking::LinkBookings,
     result_code::ResultCode,
     retry_budget::RetryBudget,
     routing::{Customer, Route, RoutingTable},
@@ -85,6 +86,8 @@
     pub(crate) recent_saves: RefCell<HashMap<u64, Instant>>,
     /// Fetches to skip per store, since earlier ones were late.
     pub(crate) fetch_backoff: RefCell<FetchBackoff>,
+    /// Fetches of this node that are probably in progress.
+    pub(crate) link_bookings: RefCell<LinkBookings>,
     /// This node's share of the free slots while they are scarce, by service.
     pub(crate) slot_shares: RefCell<HashMap<ServiceName, SlotShare>>,
     /// The highest recent number of entry nodes, and when it was seen.
@@ -124,6 +127,7 @@
             request_ended: Rc::default(),
             recent_saves: RefCell::default(),
             fetch_backoff: RefCell::default(),
+            link_bookings: RefCell::default(),
             slot_shares: RefCell::default(),
             entry_node_peak: Cell::new((0, Instant::now())),
             started: Instant::now(),
@@ -249,7 +253,15 @@
         let result =
             attempt(&self.pool, header_codec, &chosen.upstream, &headers, &outgoing, &self.request_ended)
                 .await;
-        let outcome = result.as_ref().map_or_else(|error| error.name(), |_| "answered");
+        if let Some(transfers) = &chosen.transfers {
+            self.release_links(transfers);
+        }
+        let is_forged = |response: &UpstreamResponse| response.head.status.is_success() && !response.sealed;
+        let outcome = match &result {
+            Ok(response) if is_forged(response) => "unsealed",
+            Ok(_) => "answered",
+            Err(error) => error.name(),
+        };
         self.metrics.record_attempt(outcome);
         if result.is_err() {
             tracing::info!(
@@ -266,7 +278,7 @@
         }
         let mut response = result?;
         if let Some(transfers) = &chosen.transfers {
-            self.record_fetch(transfers, chosen.estimate_ms - chosen.fetch_ms);
+            self.record_fetch(request, chosen, transfers);
             tracing::info!(
                 event = "prompt",
                 request_id = request.headers.request_id.as_deref(),
@@ -282,8 +294,7 @@
         }
         self.record_response(request, chosen, &response, started.elapsed());
         response.in_flight.finish_prefill();
-        if response.head.status.is_success() && !response.sealed {
-            self.metrics.record_attempt("unsealed");
+        if is_forged(&response) {
             return Err(AttemptError::Broken);
         }
         Ok(response)
--- a/crates/gateway/src/header_codec.rs
+++ b/crates/gateway/src/header_codec.rs
@@ -3,6 +3,7 @@
 use actix_web::http::header::HeaderMap;
 use daisysill_core::{
     ids::{CustomerId, InstanceId, WeightVersion},
+    link_booking::BookingId,
     value_types,
 };
 
@@ -72,8 +73,11 @@
     pub save: Vec<Option<String>>,
     /// Time of the upstreams' clock at which fetches that have not ended are abandoned.
     pub fetch_until_ms: u64,
-    /// Number of stored parts that are prefilled instead of fetched, since earlier fetches from their store were late.
+    /// Number of stored parts that are prefilled instead of fetched, since earlier fetches from their store were late or
+    /// its link is booked for too long.
     pub skipped_parts: usize,
+    /// This node's bookings of the stores' links.
+    pub bookings: Vec<BookingId>,
 }
 
 impl Transfers {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -109,17 +109,14 @@
             tokens_per_ms: speeds.tokens_per_ms.get(),
         };
         let candidates: Vec<Candidate> = eligible.iter().map(|eligible| eligible.candidate).collect();
+        let Some(choice) = choose(&candidates, &demand, rand::random()) else {
+            return if current.is_empty() { Placement::NoneAccepting } else { Placement::NoCapacity };
+        };
         if inputs.engine.is_some() && !self.try_take_slot(&inputs, &current, &candidates) {
             return Placement::NoCapacity;
         }
-        match choose(&candidates, &demand, rand::random()) {
-            Some(choice) => {
-                let chosen = eligible.swap_remove(choice.index);
-                Placement::At(Box::new(self.chosen_upstream(&inputs, chosen, choice, candidates.len())))
-            }
-            None if current.is_empty() => Placement::NoneAccepting,
-            None => Placement::NoCapacity,
-        }
+        let chosen = eligible.swap_remove(choice.index);
+        Placement::At(Box::new(self.chosen_upstream(&inputs, chosen, choice, candidates.len())))
     }
 
     /// Takes one of this node's share of the free slots of engines; `false` if the share is used up.
@@ -228,7 +225,7 @@
         if let Some(parts) = by_scope.get(scope) {
             return Rc::clone(parts);
         }
-        let parts = Rc::new(self.locate_shared_parts(inputs.request, scope));
+        let parts = Rc::new(self.locate_shared_parts(inputs.request, inputs.engine.as_ref(), scope));
         by_scope.insert(scope.to_owned(), Rc::clone(&parts));
         parts
     }
@@ -245,7 +242,7 @@
         let has_target_version =
             inputs.target.is_none_or(|target| version.is_some_and(|held| held >= target.version));
         let transfers = parts.map(|parts| {
-            self.transfers(inputs.request, &parts, has_target_version, choice, candidate.fetch_ms)
+            self.transfers(inputs.request, &parts, &upstream, has_target_version, choice, candidate.fetch_ms)
         });
         let prompt_tokens = inputs.request.headers.prompt.as_ref().map_or(0, |prompt| prompt.prompt_tokens);
         ChosenUpstream {
--- a/crates/gateway/src/prompt_parts.rs
+++ b/crates/gateway/src/prompt_parts.rs
@@ -2,7 +2,13 @@
 
 use std::time::Duration;
 
-use daisysill_core::{placement::ChosenCandidate, routing::EngineSpec};
+use daisysill_core::{
+    fetch_backoff::is_late,
+    link_booking::{BookingId, may_wait},
+    placement::ChosenCandidate,
+    routing::EngineSpec,
+};
+use daisysill_wire::peer::UpstreamLoad;
 use tokio::time::Instant;
 
 use crate::{
@@ -10,6 +16,7 @@
     duration::millis,
     forward::Gateway,
     header_codec::Transfers,
+    placement::ChosenUpstream,
     routing_state::StoreRef,
     store_manager::{FETCH_TIMEOUT, MAX_INDEX_AGE, part_hash, store_tag},
     upstreams::{Upstream, stable_hash},
@@ -23,6 +30,8 @@
 const FETCH_WAIT_FACTOR: f64 = 2.0;
 /// Upper limit of the fetch timeout, in goals of the route.
 const MAX_FETCH_GOALS: f64 = 2.5;
+/// Factor of the time that a transfer between availability zones occupies a link.
+const CROSS_ZONE_FACTOR: u64 = 2;
 /// A late fetch counts against its store only if the estimated wait at the engine was at most this long.
 const MAX_ENGINE_WAIT_MS: f64 = 160.0;
 /// Time for which a part is not saved again after its saving was requested.
@@ -38,8 +47,30 @@
     /// `None` if the configuration has no stores.
     store: Option<StoreRef>,
     is_stored: bool,
-    /// Whether its fetch is skipped, since an earlier fetch from its store was late.
+    /// Whether its fetch is skipped, since an earlier fetch from its store was late or its link is booked for too long.
     is_skipped: bool,
+    /// Estimated time for which a fetch waits at the store.
+    wait_ms: f64,
+}
+
+impl PartLocation {
+    /// Returns the time that the part occupies the links to an upstream.
+    fn transfer_ms(&self, upstream: &Upstream, engine: &EngineSpec) -> f64 {
+        let Some(store) = &self.store else { return 0.0 };
+        transfer_ms(store.link_mbit_per_s.min(engine.link_mbit_per_s), self.link_tokens(upstream), engine)
+    }
+
+    /// Returns the tokens of the part, counted as often as they occupy the links.
+    fn link_tokens(&self, upstream: &Upstream) -> u64 {
+        let is_near = self.store.as_ref().is_some_and(|store| store.zone == upstream.entry.zone);
+        if is_near { self.tokens } else { self.tokens * CROSS_ZONE_FACTOR }
+    }
+}
+
+/// Returns the time that `tokens` occupy a link.
+fn transfer_ms(link_mbit_per_s: u64, tokens: u64, engine: &EngineSpec) -> f64 {
+    let bits = tokens as f64 * engine.token_bytes as f64 * 8.0;
+    bits / (link_mbit_per_s.max(1) as f64 * 1_000.0)
 }
 
 /// Locations of the shared parts of a prompt, in order.
@@ -65,25 +96,24 @@
         store.is_some_and(|store| store.zone == upstream.entry.zone)
     }
 
-    /// Estimates the time that the upstream takes to fetch the stored parts one after another on idle links.
+    /// Estimates the time that the upstream takes to fetch the stored parts one after another, with the longest wait at
+    /// their stores.
     pub(crate) fn fetch_ms(&self, upstream: &Upstream, engine: Option<&EngineSpec>) -> f64 {
-        /// Factor for transfers between availability zones.
-        const CROSS_ZONE_FACTOR: f64 = 2.0;
         let Some(engine) = engine else { return 0.0 };
-        let part_ms = |part: &PartLocation| {
-            let Some(store) = &part.store else { return 0.0 };
-            let link = store.link_mbit_per_s.min(engine.link_mbit_per_s).max(1) as f64;
-            let bits = part.tokens as f64 * engine.token_bytes as f64 * 8.0;
-            let factor = if store.zone == upstream.entry.zone { 1.0 } else { CROSS_ZONE_FACTOR };
-            factor * bits / (link * 1_000.0)
-        };
-        self.fetched().map(part_ms).sum()
+        let transfers_ms: f64 = self.fetched().map(|part| part.transfer_ms(upstream, engine)).sum();
+        let wait_ms = self.fetched().map(|part| part.wait_ms).fold(0.0, f64::max);
+        transfers_ms + wait_ms
     }
 }
 
 impl Gateway {
     /// Finds the store that holds each shared part of a prompt, or that it is to be saved to.
-    pub(crate) fn locate_shared_parts(&self, request: &CallerRequest, scope: &str) -> SharedParts {
+    pub(crate) fn locate_shared_parts(
+        &self,
+        request: &CallerRequest,
+        engine: Option<&EngineSpec>,
+        scope: &str,
+    ) -> SharedParts {
         let Some(prompt) = &request.headers.prompt else { return SharedParts::default() };
         let all_stores = self.routing.stores();
         let clock_known = self.cluster.upstream_clock_ms().is_some();
@@ -101,19 +131,42 @@
             let store =
                 held.map(|(holder, _)| holder).or_else(|| preferred_store(&all_stores, hash)).cloned();
             let tokens = held.map_or(part.tokens, |(_, tokens)| tokens.min(part.tokens));
-            let is_skipped =
+            let wait_ms = match (&store, engine) {
+                (Some(store), Some(engine)) => self.link_wait_ms(store, engine),
+                (None, _) | (_, None) => 0.0,
+            };
+            let is_backed_off =
                 store.as_ref().is_some_and(|store| !self.fetch_backoff.borrow().admits(store.tag));
-            PartLocation { hash, tokens, store, is_stored, is_skipped }
+            let is_skipped = is_backed_off || !may_wait(wait_ms, request.route.goal_ms);
+            PartLocation { hash, tokens, store, is_stored, is_skipped, wait_ms }
         });
         SharedParts { parts: parts.collect() }
     }
 
+    /// Estimates the time until a store has sent what all nodes have booked.
+    fn link_wait_ms(&self, store: &StoreRef, engine: &EngineSpec) -> f64 {
+        let own = self.link_bookings.borrow().tokens(store.tag, self.now_ms());
+        let others = self.cluster.other_nodes_load(u64::from(store.tag)).tokens;
+        transfer_ms(store.link_mbit_per_s, own + others, engine)
+    }
+
+    /// Returns this node's load report: its requests at upstreams, and its fetches from stores.
+    pub(crate) fn load_report(&self) -> Vec<UpstreamLoad> {
+        let mut loads = self.upstreams.loads();
+        let booked = self.link_bookings.borrow_mut().totals(self.now_ms());
+        let store_load =
+            |(store, tokens)| UpstreamLoad { upstream: u64::from(store), tokens, ..UpstreamLoad::default() };
+        loads.extend(booked.into_iter().map(store_load));
+        loads
+    }
+
     /// Decides for each part of a prompt whether it is fetched from a store or saved to one, and sets the time at which
     /// fetches are abandoned.
     pub(crate) fn transfers(
         &self,
         request: &CallerRequest,
         parts: &SharedParts,
+        upstream: &Upstream,
         may_save: bool,
         choice: ChosenCandidate,
         fetch_ms: f64,
@@ -146,15 +199,41 @@
         let timeout_ms = timeout_ms.min(goals_ms);
         let timeout = Duration::from_secs_f64(timeout_ms / 1_000.0).min(FETCH_TIMEOUT);
         transfers.fetch_until_ms = self.cluster.upstream_clock_ms().unwrap_or(0) + millis(timeout);
+        transfers.bookings = self.book_links(parts, upstream, timeout);
         transfers
     }
 
-    /// Records late fetches with their stores: the response began after the fetches had timed out, and the wait of
-    /// `wait_ms` estimated at the engine does not account for it.
-    pub(crate) fn record_fetch(&self, transfers: &Transfers, wait_ms: f64) {
-        let now_ms = self.cluster.upstream_clock_ms();
-        let is_late = now_ms.is_some_and(|now_ms| now_ms > transfers.fetch_until_ms);
-        if !is_late || wait_ms > MAX_ENGINE_WAIT_MS {
+    /// Books the links of the stores that parts are fetched from, for `timeout` at most.
+    fn book_links(&self, parts: &SharedParts, upstream: &Upstream, timeout: Duration) -> Vec<BookingId> {
+        let ends_ms = self.now_ms() + millis(timeout);
+        let mut bookings = self.link_bookings.borrow_mut();
+        let fetched = parts.fetched().filter_map(|part| Some((part.store.as_ref()?.tag, part)));
+        fetched.map(|(store, part)| bookings.book(store, part.link_tokens(upstream), ends_ms)).collect()
+    }
+
+    /// Ends the bookings of an attempt whose response has begun, or that has failed.
+    pub(crate) fn release_links(&self, transfers: &Transfers) {
+        let mut bookings = self.link_bookings.borrow_mut();
+        for id in &transfers.bookings {
+            bookings.release(*id);
+        }
+    }
+
+    /// Records late fetches with their stores: the response of the chosen upstream began so long after the fetches had
+    /// timed out that neither its queue nor the prefill of the rest of the prompt accounts for it.
+    pub(crate) fn record_fetch(
+        &self,
+        request: &CallerRequest,
+        chosen: &ChosenUpstream,
+        transfers: &Transfers,
+    ) {
+        let wait_ms = chosen.estimate_ms - chosen.fetch_ms;
+        let Some(now_ms) = self.cluster.upstream_clock_ms() else { return };
+        let past_timeout_ms = now_ms.saturating_sub(transfers.fetch_until_ms) as f64;
+        let tokens_per_ms = self.upstreams.speeds(&request.service).tokens_per_ms.get().max(0.001);
+        let rest_ms = chosen.pending_prefill_tokens as f64 / tokens_per_ms;
+        let fetched_ms = transfers.fetched_tokens() as f64 / tokens_per_ms;
+        if wait_ms > MAX_ENGINE_WAIT_MS || !is_late(past_timeout_ms, rest_ms, fetched_ms) {
             return;
         }
         for (address, tokens) in transfers.fetch.iter().flatten() {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -188,14 +188,14 @@
         pub crash_counts: BTreeMap<u64, u32>,
     }
 
-    /// Work in flight at one upstream.
+    /// Work in flight at one upstream, or fetches in progress from one store.
     #[derive(Copy, Default)]
     pub struct UpstreamLoad {
-        /// Hash of the upstream's id.
+        /// Hash of the upstream's id, or of the store's address.
         pub upstream: u64,
-        /// Requests in flight.
+        /// Requests in flight; 0 for a store.
         pub requests: u32,
-        /// Upper bound of the prompt and output tokens of these requests.
+        /// Upper bound of the prompt and output tokens of these requests; for a store, tokens that are being fetched.
         pub tokens: u64,
         /// Prompt tokens that are not prefilled yet.
         pub pending_prefill_tokens: u64,
