Poll twice as often when idle, so that entry nodes do not read the platform's list

Cause: entry nodes of the large deployment read the platform's list in quiet seconds, although the leader published it: an idle poll was held for 800 ms, the leader's reads of several pages began 0.9 s after the previous one had ended, and a copy of 1.8 s counted as lost.

Change: idle polls are held for 400 ms, the leader's reads begin every 0.9 s, and an entry node begins its own reads when its list is 2.2 s old.

--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -28,8 +28,9 @@
     view_store::ViewStore,
 };
 
-/// How long a source holds a poll without a change. A fraction of the strictest bound on freshness.
-const POLL_MS: u64 = 800;
+/// How long a source holds a poll without a change. Adds to the age of what the node knows, so it is a fraction of the
+/// age at which the node looks elsewhere.
+const POLL_MS: u64 = 400;
 /// The same for polls of control nodes, whose own followers wait for what they learn.
 const CONTROL_POLL_MS: u64 = 100;
 /// Time between two requests for the list of control nodes.
@@ -38,6 +39,8 @@
 const RESPONSE_GRACE: Duration = Duration::from_millis(500);
 /// Delay before the next poll after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Contact counts as lost after this time without a current source; a single failed poll is not a loss.
+const CONTACT_TIMEOUT: Duration = Duration::from_secs(1);
 /// A source whose configuration or published upstreams are older than this is left for another.
 const MAX_SOURCE_AGE_MS: u64 = 1_500;
 /// Maximum time that a replica waits for a configuration version that a voter already has.
@@ -89,7 +92,7 @@
     /// This node's replica; a node with one installs the configuration from its log only.
     pub(crate) replica: watch::Receiver<ReplicaView>,
     pub(crate) crash_queue: CrashQueue,
-    /// Whether the last poll returned a current configuration and current upstreams; its changes are logged.
+    /// Whether a recent poll returned a current configuration and current upstreams; its changes are logged.
     pub(crate) control_contact: watch::Sender<bool>,
 }
 
@@ -99,6 +102,7 @@
         let start = Instant::now();
         let mut control_nodes_due = start;
         let mut last_current: Option<InstanceId> = None;
+        let mut last_current_at: Option<Instant> = None;
         loop {
             if self.is_leader() {
                 let _ = timeout(Duration::from_millis(POLL_MS), self.replica.changed()).await;
@@ -112,7 +116,11 @@
             let outcome = self.poll_once(&source).await;
             self.sources.record(&source, outcome, elapsed_ms(start));
             let is_current = outcome == PollOutcome::Current;
-            self.control_contact.send_if_modified(|known| std::mem::replace(known, is_current) != is_current);
+            if is_current {
+                last_current_at = Some(Instant::now());
+            }
+            let in_contact = last_current_at.is_some_and(|at| at.elapsed() < CONTACT_TIMEOUT);
+            self.control_contact.send_if_modified(|known| std::mem::replace(known, in_contact) != in_contact);
             if is_current && last_current.as_ref() != Some(&source) {
                 log::info!("follows control node {source}; before: {last_current:?}");
                 last_current = Some(source.clone());
--- a/crates/cluster/src/soft_state_handle.rs
+++ b/crates/cluster/src/soft_state_handle.rs
@@ -98,7 +98,7 @@
         self.inner.gossip.views.confirmed_at().map(BootInstant::elapsed)
     }
 
-    /// Returns a receiver of whether the last poll returned a current configuration and current upstreams.
+    /// Returns a receiver of whether a recent poll returned a current configuration and current upstreams.
     pub fn control_contact(&self) -> watch::Receiver<bool> {
         self.inner.control_contact.subscribe()
     }
--- a/crates/gateway/src/entry_tasks.rs
+++ b/crates/gateway/src/entry_tasks.rs
@@ -10,8 +10,9 @@
     forward::Gateway,
 };
 
-/// If the list published by the leader is older than this, the node reads the platform's list itself.
-const MAX_LIST_AGE: Duration = Duration::from_millis(1_800);
+/// If the list published by the leader is older than this, the node reads the platform's list itself. A published list
+/// gets as old as the interval of the leader's reads, two reads of several pages, and the polls on its way.
+const MAX_LIST_AGE: Duration = Duration::from_millis(2_200);
 /// Time between two own reads of the platform's list, without jitter.
 const OWN_LIST_INTERVAL_MS: u64 = 1_000;
 /// Minimum of the maximum random time added to it.
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -25,7 +25,7 @@
     store_manager::StoreManager,
 };
 
-/// Time between two reads of the list.
+/// Time between the beginnings of two reads of the list.
 const LIST_INTERVAL: Duration = Duration::from_millis(900);
 /// Time between two steps of a rollout.
 const STEP_INTERVAL: Duration = Duration::from_millis(150);
@@ -121,9 +121,10 @@
         let mut state = LeaderState::default();
         let mut list_due = Instant::now();
         while self.cluster.is_leader() {
-            if Instant::now() >= list_due {
+            let now = Instant::now();
+            if now >= list_due {
                 self.read_list(&mut state).await;
-                list_due = Instant::now() + LIST_INTERVAL;
+                list_due = now + LIST_INTERVAL;
             }
             stores.step(routing.table().as_deref(), self.oldest_in_use(&routing));
             let rolling = self.step_rollout(order_lease, &mut state).await;
