--- a/crates/cluster/examples/commit_speed.rs
+++ b/crates/cluster/examples/commit_speed.rs
@@ -4,123 +4,38 @@
 //! current one, selects the disk to measure. With node counts, such as `28,56`, only the idle cost is measured,
 //! without load and with constantly changing soft reports of nearly the maximum size.
 
+#[path = "commit_speed/idle_cost.rs"]
+mod idle_cost;
+#[path = "commit_speed/nodes.rs"]
+mod nodes;
+
 use std::{
     fs,
     io::Write,
-    net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
-    sync::mpsc,
-    thread::JoinHandle,
     time::{Duration, Instant},
 };
 
-use daisysill_cluster::{Cluster, ClusterConfig, ClusterHandle, PeerAddress, Role};
+use daisysill_cluster::ClusterHandle;
 use daisysill_control::command::{Claim, ClaimKey, Command, Reply, SetDrain};
 use daisysill_core::ids::ConfigVersion;
-use daisysill_wire::peer::{DispatchCount, SoftReport};
 use eyre::{WrapErr, eyre};
 use hdrhistogram::Histogram;
-use tokio::{runtime::Builder, sync::oneshot, time::sleep};
+use tokio::{runtime::Builder, time::sleep};
+
+use crate::{
+    idle_cost::{idle, linear_fit},
+    nodes::{Node, TIMEOUT, leader, started},
+};
 
 /// Duration of each measurement under load.
 const LOAD_TIME: Duration = Duration::from_secs(4);
-/// Duration of each measurement of idle cost, and of the wait before it.
-const IDLE_TIME: Duration = Duration::from_secs(10);
-const SETTLE_TIME: Duration = Duration::from_secs(5);
 /// Number of publications measured.
 const PUBLICATIONS: usize = 50;
 /// Number of times that the leader is stopped.
 const LEADER_STOPS: usize = 10;
 /// Bytes of a write outside the log, about the size of a log entry with a claim.
 const BARE_WRITE_BYTES: usize = 256;
-/// Clock ticks per second in `/proc/self/stat`.
-const CLOCK_TICKS: f64 = 100.0;
-/// Bytes of a memory page in `/proc/self/statm`.
-const PAGE_BYTES: f64 = 4_096.0;
-/// Timeout for a cluster to form or a change to arrive.
-const TIMEOUT: Duration = Duration::from_mins(1);
-
-struct Node {
-    config: ClusterConfig,
-    running: Option<(ClusterHandle, oneshot::Sender<()>, JoinHandle<eyre::Result<()>>)>,
-}
-
-impl Node {
-    fn start(&mut self) -> eyre::Result<()> {
-        let config = self.config.clone();
-        let (ready, started) = mpsc::channel();
-        let (stop, stopped) = oneshot::channel();
-        let thread = std::thread::spawn(move || {
-            let runtime = Builder::new_current_thread().enable_all().build()?;
-            runtime.block_on(async move {
-                let (handle, _) = Cluster::start(config).await?;
-                ready.send(handle.clone())?;
-                let _ = stopped.await;
-                handle.stop().await;
-                Ok(())
-            })
-        });
-        let handle = started.recv().wrap_err("a node did not start")?;
-        self.running = Some((handle, stop, thread));
-        Ok(())
-    }
-
-    fn stop(&mut self) -> eyre::Result<()> {
-        let Some((_, stop, thread)) = self.running.take() else { return Ok(()) };
-        let _ = stop.send(());
-        thread.join().map_err(|_| eyre!("a node ended with a panic"))?
-    }
-
-    fn handle(&self) -> eyre::Result<&ClusterHandle> {
-        self.running.as_ref().map(|(handle, ..)| handle).ok_or_else(|| eyre!("the node is not running"))
-    }
-}
-
-/// Prepares three voters and `count - 3` nodes without a replica, in three zones.
-fn nodes(folder: &Path, count: usize) -> eyre::Result<Vec<Node>> {
-    let listeners: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
-    let addresses: Vec<SocketAddr> =
-        listeners.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?;
-    let name = |index: usize| format!("node-{index:02}");
-    let zone = |index: usize| format!("zone-{}", index % 3);
-    let peers = addresses.iter().enumerate().map(|(index, address)| PeerAddress {
-        name: name(index).into(),
-        zone: zone(index).into(),
-        address: *address,
-    });
-    let peers: Vec<PeerAddress> = peers.collect();
-    let config = |index: usize| ClusterConfig {
-        name: name(index).into(),
-        zone: zone(index).into(),
-        data_dir: (index < 3).then(|| folder.join(format!("{count}-{index}"))),
-        peer_listen: addresses[index],
-        peers: peers.clone(),
-        bootstrap_voters: (0..3).map(|voter| name(voter).into()).collect(),
-        trust_disk: false,
-        bootstrap: true,
-        names_are_addresses: false,
-        target_voters: None,
-        secret: "a shared secret".to_owned(),
-    };
-    Ok((0..count).map(|index| Node { config: config(index), running: None }).collect())
-}
-
-async fn started(folder: &Path, count: usize) -> eyre::Result<Vec<Node>> {
-    let mut nodes = nodes(folder, count)?;
-    nodes.iter_mut().try_for_each(Node::start)?;
-    let start = Instant::now();
-    while !nodes.iter().all(|node| node.handle().is_ok_and(|handle| handle.status().current)) {
-        eyre::ensure!(start.elapsed() < TIMEOUT, "{count} nodes did not form a cluster");
-        sleep(Duration::from_millis(20)).await;
-    }
-    Ok(nodes)
-}
-
-fn leader(nodes: &[Node]) -> Option<usize> {
-    let leads = |node: &Node| node.handle().is_ok_and(|handle| handle.status().role == Role::Leader);
-    nodes.iter().position(leads)
-}
 
 fn drain(number: usize) -> Command {
     let upstream = format!("worker-{}", number % 20).into();
@@ -248,112 +163,6 @@
     Ok(())
 }
 
-/// Resources that the process has used, and bytes that its nodes have sent and received.
-struct Usage {
-    cpu_s: f64,
-    rss_bytes: f64,
-    sent: Vec<f64>,
-    received: Vec<f64>,
-}
-
-fn usage(nodes: &[Node]) -> eyre::Result<Usage> {
-    let stat = fs::read_to_string("/proc/self/stat")?;
-    let after_name = stat.rsplit(')').next().unwrap_or_default();
-    let fields: Vec<&str> = after_name.split_whitespace().collect();
-    let ticks = |index: usize| fields.get(index).and_then(|field| field.parse::<f64>().ok()).unwrap_or(0.0);
-    let statm = fs::read_to_string("/proc/self/statm")?;
-    let pages: f64 = statm.split_whitespace().nth(1).unwrap_or("0").parse()?;
-    let mut usage = Usage {
-        cpu_s: (ticks(11) + ticks(12)) / CLOCK_TICKS,
-        rss_bytes: pages * PAGE_BYTES,
-        sent: Vec::new(),
-        received: Vec::new(),
-    };
-    for node in nodes {
-        let metrics = node.handle()?.metrics();
-        usage.sent.push(metrics.total_bytes_out() as f64);
-        usage.received.push(metrics.total_bytes_in() as f64);
-    }
-    Ok(usage)
-}
-
-/// Idle cost at one cluster size: averages per node, and the traffic of the node with the most.
-struct IdleCost {
-    nodes: f64,
-    bytes_per_s: f64,
-    most_bytes_per_s: f64,
-    cpu_share: f64,
-    rss_mb: f64,
-}
-
-async fn idle(folder: &Path, count: usize, busy: bool) -> eyre::Result<IdleCost> {
-    let mut nodes = started(folder, count).await?;
-    change_reports(&nodes, SETTLE_TIME, busy).await?;
-    let before = usage(&nodes)?;
-    change_reports(&nodes, IDLE_TIME, busy).await?;
-    let after = usage(&nodes)?;
-    let mut dead = 0;
-    for node in &nodes {
-        dead += node.handle()?.status().members.iter().filter(|member| !member.alive).count();
-    }
-    let per_node: Vec<f64> = (0..count)
-        .map(|n| after.sent[n] - before.sent[n] + after.received[n] - before.received[n])
-        .map(|bytes| bytes / IDLE_TIME.as_secs_f64())
-        .collect();
-    let cost = IdleCost {
-        nodes: count as f64,
-        bytes_per_s: per_node.iter().sum::<f64>() / count as f64,
-        most_bytes_per_s: per_node.iter().copied().fold(0.0, f64::max),
-        cpu_share: (after.cpu_s - before.cpu_s) / IDLE_TIME.as_secs_f64() / count as f64,
-        rss_mb: after.rss_bytes / 1_048_576.0,
-    };
-    nodes.iter_mut().try_for_each(Node::stop)?;
-    println!(
-        "{count} nodes, {}: {:.0} bytes/s per node in and out (most: {:.0}), {:.2}% of a core per node, \
-         {:.1} MB resident for the process, {dead} of {} considered dead",
-        if busy { "full soft reports" } else { "without load" },
-        cost.bytes_per_s,
-        cost.most_bytes_per_s,
-        100.0 * cost.cpu_share,
-        cost.rss_mb,
-        count * (count - 1),
-    );
-    Ok(cost)
-}
-
-/// Waits for `time`; if `busy`, each node meanwhile changes its soft report of nearly the maximum size four times a
-/// second.
-async fn change_reports(nodes: &[Node], time: Duration, busy: bool) -> eyre::Result<()> {
-    let start = Instant::now();
-    while busy && start.elapsed() < time {
-        for node in nodes {
-            let report = |worker: u64| {
-                (format!("worker-{worker:04}").into(), u64::try_from(start.elapsed().as_micros()))
-            };
-            let mut soft_report = SoftReport::default();
-            for worker in 0..60 {
-                let (name, tokens) = report(worker);
-                soft_report.dispatched.insert(name, DispatchCount { tokens: tokens?, window_ms: 250 });
-            }
-            node.handle()?.set_soft_report(soft_report);
-        }
-        sleep(Duration::from_millis(250)).await;
-    }
-    sleep(time.saturating_sub(start.elapsed())).await;
-    Ok(())
-}
-
-/// Returns the slope of `value` per node and its intercept, by least squares.
-fn linear_fit(costs: &[IdleCost], value: impl Fn(&IdleCost) -> f64) -> (f64, f64) {
-    let count = costs.len() as f64;
-    let mean_x = costs.iter().map(|cost| cost.nodes).sum::<f64>() / count;
-    let mean_y = costs.iter().map(&value).sum::<f64>() / count;
-    let covariance: f64 = costs.iter().map(|cost| (cost.nodes - mean_x) * (value(cost) - mean_y)).sum();
-    let variance: f64 = costs.iter().map(|cost| (cost.nodes - mean_x).powi(2)).sum();
-    let slope = covariance / variance;
-    (slope, mean_y - slope * mean_x)
-}
-
 async fn run(folder: &Path) -> eyre::Result<()> {
     let mut costs = Vec::new();
     for count in [3, 7, 14, 28] {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 mod prefix;
 mod return_history;
 mod scan;
+mod view_instance;
 mod view_row;
 
 pub mod admission;
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -7,13 +7,16 @@
 use crate::{
     backlog::Backlog,
     block::BlockName,
-    ids::{InstanceId, ServiceName, WeightVersion, ZoneName},
+    ids::InstanceId,
     num::{US_PER_MS, US_PER_S},
     piece_index::{Holder, PieceIndex, PieceKey, SHARDS},
     view_row::{FREE_ROW, Row, Rows},
 };
 
-pub use crate::backlog::{LoadBasis, LoadReport, PeerLoad};
+pub use crate::{
+    backlog::{LoadBasis, LoadReport, PeerLoad},
+    view_instance::{StoreView, UpstreamState, UpstreamView},
+};
 
 /// Upstreams per chunk, the unit that is copied if one of them changes while a snapshot is in use.
 pub(crate) const CHUNK: usize = 64;
@@ -25,49 +28,6 @@
 /// Number of calls of `ClusterView::sweep` that visit all pieces once.
 pub const SWEEP_STEPS: usize = SHARDS;
 
-/// Whether an upstream may get new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum UpstreamState {
-    /// Accepts new work.
-    Live,
-    /// Missed a ping; gets new work only if no live upstream is eligible.
-    Suspect,
-    /// Gets no new work; its streams run to their end.
-    Leaving,
-    /// Unreachable; gets no new work.
-    Down,
-}
-
-/// Identity and state of one upstream: a model engine or an instance of a plain service.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct UpstreamView {
-    /// Its instance id, the key in the view.
-    pub id: InstanceId,
-    /// The service it belongs to.
-    pub service: ServiceName,
-    /// The availability zone it runs in.
-    pub zone: ZoneName,
-    /// Whether it may get new work.
-    pub state: UpstreamState,
-    /// The version of the model weights it runs.
-    pub weight_version: WeightVersion,
-}
-
-/// One store and its link.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct StoreView {
-    /// Its instance id, the key in the view.
-    pub id: InstanceId,
-    /// The availability zone it runs in.
-    pub zone: ZoneName,
-    /// Whether it answers; pieces are restored only from reachable stores.
-    pub reachable: bool,
-    /// Share of the link's bandwidth that this node may use, in bytes per second.
-    pub link_bytes_per_s: u64,
-    /// Bytes of transfers booked on the link ahead of a new one.
-    pub booked_bytes: u64,
-}
-
 #[derive(Clone, Debug)]
 struct Entry {
     view: UpstreamView,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod request_handler;
 pub mod rollout;
 pub mod routing_state;
+pub mod service_speeds;
 mod stop;
 mod store_manager;
 pub mod upstreams;
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -14,6 +14,8 @@
 use daisysill_wire::peer::{UpstreamEntry, UpstreamLoad};
 use tokio::{sync::Notify, time::Instant};
 
+use crate::service_speeds::ServiceSpeeds;
+
 /// Time constant of the exponential decay of failures.
 const FAILURE_DECAY: Duration = Duration::from_secs(2);
 /// Backoff after the first failed connection; doubled by each further one.
@@ -27,8 +29,6 @@
 const ACTIVITY_WINDOW: Duration = Duration::from_millis(500);
 /// Maximum number of cached prefixes recorded for each upstream.
 const MAX_CACHED_PREFIXES: usize = 128;
-/// Weight of a new sample in an exponential moving average.
-const SAMPLE_WEIGHT: f64 = 0.1;
 
 /// Identifies the shared prefix of a prompt within one cache scope.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -257,42 +257,6 @@
     }
 }
 
-/// Speeds of a service, as moving averages over its responses.
-#[derive(Debug)]
-pub struct ServiceSpeeds {
-    /// Prefill speed of one upstream.
-    pub tokens_per_ms: Cell<f64>,
-    /// Time of a request, or of relaying its stream.
-    pub request_ms: Cell<f64>,
-}
-
-impl Default for ServiceSpeeds {
-    /// Starts with speeds of common hardware, until there are samples.
-    fn default() -> Self {
-        Self { tokens_per_ms: Cell::new(60.0), request_ms: Cell::new(60.0) }
-    }
-}
-
-impl ServiceSpeeds {
-    /// Adds a sample of the time of a request.
-    pub fn record_request(&self, took: Duration) {
-        update_mean(&self.request_ms, took.as_secs_f64() * 1_000.0);
-    }
-
-    /// Adds a sample of the prefill speed: the time that an upstream took for `tokens`.
-    pub fn record_prefill(&self, tokens: u64, took: Duration) {
-        let took_ms = took.as_secs_f64() * 1_000.0;
-        if took_ms > 0.0 {
-            update_mean(&self.tokens_per_ms, tokens as f64 / took_ms);
-        }
-    }
-}
-
-/// Adds a sample to an exponential moving average.
-fn update_mean(mean: &Cell<f64>, sample: f64) {
-    mean.set(mean.get() * (1.0 - SAMPLE_WEIGHT) + sample * SAMPLE_WEIGHT);
-}
-
 /// All listed upstreams by service.
 #[derive(Debug)]
 pub struct Upstreams {
