Explain the new cluster modules better, and schedule crashes in one place

Read as a newcomer: publishing of crashes was a function beside the store that it changes, with a match whose third arm repeated the second; two constants of the list's jitter had circular descriptions; lost reports had no reason. Moved and reworded; behaviour and values are the same.

--- a/crates/cluster/src/load_table.rs
+++ b/crates/cluster/src/load_table.rs
@@ -39,8 +39,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct LoadTable {
     reports: BTreeMap<InstanceId, Report>,
-    /// Loads of the entry nodes that poll other control nodes, as the leader returned them.
+    /// Loads of the entry nodes that poll other control nodes, from the leader's last reply and its time.
     elsewhere: Option<(BootInstant, Vec<UpstreamLoad>)>,
+    /// The totals as last added up, and when.
     totals: Option<(BootInstant, Vec<UpstreamLoad>)>,
 }
 
--- a/crates/cluster/src/published_upstreams.rs
+++ b/crates/cluster/src/published_upstreams.rs
@@ -37,7 +37,7 @@
     last_polls: BTreeMap<InstanceId, BootInstant>,
     /// Crashed processes, as upstream and start time, by request fingerprint.
     crashes: BTreeMap<u64, BTreeSet<(InstanceId, u64)>>,
-    /// When crashes were last published, or will be.
+    /// When crashes were last published, or will be if this is in the future.
     crashes_due_at: Option<BootInstant>,
 }
 
@@ -66,8 +66,8 @@
         self.lock().current_at.map(BootInstant::elapsed)
     }
 
-    /// Installs what another node published; it was current at `at`. With `None` this node has it already. A control node
-    /// may hand out an older state than another did before; it is ignored.
+    /// Installs what another node published; it was current at `at`. With `None` this node has it already. Control nodes
+    /// lag behind each other, so what one hands out may be older than what this node has; it is then ignored.
     pub(crate) fn adopt(&self, published: Option<Arc<PublishedUpstreams>>, at: BootInstant) {
         let mut inner = self.lock();
         if let Some(published) = published {
@@ -108,31 +108,39 @@
         self.lock().last_polls.insert(node.clone(), BootInstant::now());
     }
 
-    /// Records crashes, and returns the delay after which [`Self::publish_crashes`] is to be called; `None` if it is
-    /// already due to be called.
-    pub(crate) fn record_crashes(&self, crashes: &[UpstreamCrash]) -> Option<Duration> {
+    /// Records crashes that entry nodes report to this node as the leader, and publishes them soon, together with others
+    /// of that time.
+    pub(crate) fn publish_crashes_soon(self: &Arc<Self>, crashes: &[UpstreamCrash]) {
+        if crashes.is_empty() {
+            return;
+        }
+        let Some(delay) = self.record_crashes(crashes) else { return };
+        let store = Arc::clone(self);
+        tokio::spawn(async move {
+            sleep(delay).await;
+            store.publish_crashes();
+        });
+    }
+
+    /// Records crashes and returns the delay after which they are to be published; `None` if a publication that will
+    /// include them is already scheduled.
+    fn record_crashes(&self, crashes: &[UpstreamCrash]) -> Option<Duration> {
         let mut inner = self.lock();
         for crash in crashes {
             let upstreams = inner.crashes.entry(crash.fingerprint).or_default();
             upstreams.insert((crash.upstream.clone(), crash.started_unix_ms));
         }
         let now = BootInstant::now();
-        match inner.crashes_due_at {
-            Some(due_at) if due_at > now => None,
-            Some(published_at) => {
-                let due_at = now.max(published_at + CRASH_INTERVAL);
-                inner.crashes_due_at = Some(due_at);
-                Some(due_at.since(now))
-            }
-            None => {
-                inner.crashes_due_at = Some(now);
-                Some(Duration::ZERO)
-            }
+        if inner.crashes_due_at.is_some_and(|due_at| due_at > now) {
+            return None;
         }
+        let due_at = inner.crashes_due_at.map_or(now, |last| now.max(last + CRASH_INTERVAL));
+        inner.crashes_due_at = Some(due_at);
+        Some(due_at.since(now))
     }
 
     /// Publishes the number of crashes by request fingerprint.
-    pub(crate) fn publish_crashes(&self) {
+    fn publish_crashes(&self) {
         let counts = self.lock().crash_counts();
         self.change(|published| published.crash_counts = counts);
     }
@@ -171,16 +179,3 @@
         counts.into_iter().collect()
     }
 }
-
-/// Records crashes at the leader and publishes them soon, together with others of that time.
-pub(crate) fn publish_crashes_soon(published: &Arc<PublishedStore>, crashes: &[UpstreamCrash]) {
-    if crashes.is_empty() {
-        return;
-    }
-    let Some(delay) = published.record_crashes(crashes) else { return };
-    let published = Arc::clone(published);
-    tokio::spawn(async move {
-        sleep(delay).await;
-        published.publish_crashes();
-    });
-}
--- a/crates/cluster/src/relays.rs
+++ b/crates/cluster/src/relays.rs
@@ -162,6 +162,7 @@
             used_parts,
         };
         let call = |client: PeerClient, context| async move { client.relay(context, report).await }.boxed();
+        // The next report replaces this one; only the uses of stored parts in it are lost, which are hints.
         let Ok(reply) = link.call(CALL_TIMEOUT, call).await else { return false };
         let RelayReply { is_leader: true, loads: totals, control_nodes } = reply else { return false };
         self.soft_state.apply_relay_totals(&totals, &reported);
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -38,7 +38,7 @@
     metrics::ClusterMetrics,
     observer::CrashQueue,
     propose::{Proposal, Proposer},
-    published_upstreams::{PublishedStore, publish_crashes_soon},
+    published_upstreams::PublishedStore,
     relays::Relays,
     soft_state::SoftState,
     view_store::ViewStore,
@@ -266,7 +266,7 @@
     fn record_poll(&self, request: &ObserveRequest) {
         self.published.record_poll(&request.node);
         if self.is_leader() {
-            publish_crashes_soon(&self.published, &request.crashes);
+            self.published.publish_crashes_soon(&request.crashes);
             return;
         }
         request.crashes.iter().for_each(|crash| self.crash_queue.add(crash.clone()));
--- a/crates/cluster/src/soft_state_handle.rs
+++ b/crates/cluster/src/soft_state_handle.rs
@@ -6,7 +6,7 @@
 use daisysill_wire::peer::{PublishedUpstreams, StoredPart, UpstreamCrash, UpstreamEntry, UpstreamLoad};
 use tokio::sync::watch;
 
-use crate::{clock::BootInstant, handle::ClusterHandle, published_upstreams::publish_crashes_soon};
+use crate::{clock::BootInstant, handle::ClusterHandle};
 
 impl ClusterHandle {
     /// Returns a receiver of the upstreams that the leader publishes.
@@ -87,7 +87,7 @@
     pub fn report_crash(&self, crash: UpstreamCrash) {
         if self.is_leader() {
             let _context = self.inner.runtime.enter();
-            return publish_crashes_soon(&self.inner.published, &[crash]);
+            return self.inner.published.publish_crashes_soon(&[crash]);
         }
         self.inner.crash_queue.add(crash);
     }
--- a/crates/cluster/src/stored_parts.rs
+++ b/crates/cluster/src/stored_parts.rs
@@ -107,7 +107,8 @@
         self.publish(changes, None);
     }
 
-    /// Returns the changes after a position; `None` if this node has no current catalog, or an older one than the follower.
+    /// Returns the changes after a position; `None` if this node has no current catalog, or an older one than the
+    /// follower.
     pub(crate) fn changes_since(&self, position: &CatalogPosition) -> Option<StoredPartsUpdate> {
         let max_age = if self.is_maintained { MAX_UNPUBLISHED_AGE } else { MAX_RELAYED_AGE };
         let is_current = self.updated_at.is_some_and(|at| at.elapsed() < max_age);
--- a/crates/core/src/link_booking.rs
+++ b/crates/core/src/link_booking.rs
@@ -6,8 +6,8 @@
 
 use std::collections::BTreeMap;
 
-/// A fetch may wait at its store for this share of the route's goal. Bookings last until the response begins, so that
-/// the wait is overestimated by the time of the prefill.
+/// A fetch may wait at its store for this share of the route's goal. Large, since the estimated wait includes the prefill
+/// of other prompts: a booking lasts until its response begins.
 const MAX_WAIT_GOAL_SHARE: f64 = 0.75;
 
 /// Identifies a booking at one node.
--- a/crates/gateway/src/entry_tasks.rs
+++ b/crates/gateway/src/entry_tasks.rs
@@ -15,11 +15,11 @@
 const MAX_LIST_AGE: Duration = Duration::from_millis(2_200);
 /// Time between two own reads of the platform's list, without jitter.
 const OWN_LIST_INTERVAL_MS: u64 = 1_000;
-/// Minimum of the maximum random time added to it.
-const OWN_LIST_JITTER_MS: u64 = 400;
-/// The maximum random time for each entry node. All nodes lose the leader's list at the same moment, and together must
-/// not flood the platform.
+/// Upper bound of the random time added to it, for each entry node: all of them lose the leader's list at the same
+/// moment, and together must not flood the platform.
 const OWN_LIST_JITTER_PER_NODE_MS: u64 = 20;
+/// The same for all of a few entry nodes.
+const MIN_OWN_LIST_JITTER_MS: u64 = 400;
 /// Time after the start before the first own read, in which the leader's list usually arrives.
 const FIRST_OWN_LIST_DELAY: Duration = Duration::from_secs(1);
 /// Time between two load reports to the other nodes.
@@ -101,7 +101,7 @@
     sleep(FIRST_OWN_LIST_DELAY).await;
     loop {
         let jitter_ms = OWN_LIST_JITTER_PER_NODE_MS * u64::from(gateway.entry_nodes());
-        let pause_ms = OWN_LIST_INTERVAL_MS + rand::random_range(0..jitter_ms.max(OWN_LIST_JITTER_MS));
+        let pause_ms = OWN_LIST_INTERVAL_MS + rand::random_range(0..jitter_ms.max(MIN_OWN_LIST_JITTER_MS));
         sleep(Duration::from_millis(pause_ms)).await;
         if gateway.cluster.published_upstreams_age().is_some_and(|age| age < MAX_LIST_AGE) {
             continue;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -86,7 +86,7 @@
     pub(crate) recent_saves: RefCell<HashMap<u64, Instant>>,
     /// Fetches to skip per store, since earlier ones were late.
     pub(crate) fetch_backoff: RefCell<FetchBackoff>,
-    /// Fetches of this node that are probably in progress.
+    /// This node's fetches in progress.
     pub(crate) link_bookings: RefCell<LinkBookings>,
     /// This node's share of the free slots while they are scarce, by service.
     pub(crate) slot_shares: RefCell<HashMap<ServiceName, SlotShare>>,
