Log and count how the bodies of streams are framed and where they end

Adds framing to answered, a line stream_body_ended for bodies that end with their connection or inside an event, and a counter by framing and place of the end. No behaviour changes: the tracker only observes.

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -1,10 +1,59 @@
-//! Splits a stream of server-sent events so that only complete events are relayed.
+//! Follows streams of server-sent events: tells whether a stream is inside an event, and splits it so that only complete
+//! events are relayed.
 
 use bytes::{Bytes, BytesMut};
 
 /// Maximum size of an incomplete event.
 const MAX_EVENT_BYTES: usize = 256 * 1_024;
 
+/// The line of a stream that is being received.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Line {
+    /// Nothing of the line has arrived.
+    #[default]
+    Empty,
+    /// Starts with a colon and belongs to no event.
+    Comment,
+    /// A field of an event.
+    Field,
+}
+
+/// Knows at each byte of a stream whether it is inside an event. A line ends with LF, CR LF or CR, an event with an empty
+/// line.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct EventTracker {
+    line: Line,
+    /// Whether the event has a field.
+    in_event: bool,
+    after_cr: bool,
+}
+
+impl EventTracker {
+    /// Follows the next bytes.
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            let completes_crlf = *byte == b'\n' && self.after_cr;
+            self.after_cr = *byte == b'\r';
+            match (*byte, self.line) {
+                (b'\n', _) if completes_crlf => {}
+                (b'\n' | b'\r', Line::Empty) => self.in_event = false,
+                (b'\n' | b'\r', _) => self.line = Line::Empty,
+                (b':', Line::Empty) => self.line = Line::Comment,
+                (_, Line::Empty) => {
+                    self.line = Line::Field;
+                    self.in_event = true;
+                }
+                (_, Line::Comment | Line::Field) => {}
+            }
+        }
+    }
+
+    /// Returns whether a stream that ends here breaks off in the middle of an event or a line.
+    pub(crate) fn is_inside_event(self) -> bool {
+        self.in_event || self.line != Line::Empty
+    }
+}
+
 /// Buffers an incomplete event until its end arrives.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
--- a/crates/gateway/src/http_head.rs
+++ b/crates/gateway/src/http_head.rs
@@ -16,6 +16,17 @@
     UntilClose,
 }
 
+impl Framing {
+    /// Returns the `framing` label used in logs and metrics.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Length(_) => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until_close",
+        }
+    }
+}
+
 /// The head of a response, without hop-by-hop headers.
 #[derive(Clone, Debug)]
 pub(crate) struct ResponseHead {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,7 +14,7 @@
     registry::{Registry, Unit},
 };
 
-use crate::logging;
+use crate::{http_head::Framing, logging};
 
 /// Labels of a finished request.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
@@ -30,6 +30,15 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the body of a stream.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct StreamBodyLabels {
+    /// `length`, `chunked` or `until_close`.
+    pub framing: &'static str,
+    /// `event_boundary` or `inside_event`.
+    pub ended_at: &'static str,
+}
+
 /// Metrics with their registry; clones share the values.
 #[derive(Clone, Debug)]
 pub struct GatewayMetrics {
@@ -37,6 +46,8 @@
     pub requests: Family<ResultLabels, Counter>,
     /// Attempts that got a response head or failed.
     pub attempts: Family<AttemptLabels, Counter>,
+    /// Bodies of streams that ended as their framing says, by where they ended.
+    pub stream_bodies: Family<StreamBodyLabels, Counter>,
     /// Connections to upstreams that were begun, also if they failed.
     pub connections_opened: Counter,
     /// Requests of callers in progress.
@@ -61,6 +72,7 @@
     pub fn new(cluster: &ClusterMetrics) -> Self {
         let requests = Family::<ResultLabels, Counter>::default();
         let attempts = Family::<AttemptLabels, Counter>::default();
+        let stream_bodies = Family::<StreamBodyLabels, Counter>::default();
         let connections_opened = Counter::default();
         let in_flight = Gauge::default();
         let dropped_log_lines = Gauge::default();
@@ -72,6 +84,7 @@
         let mut registry = Registry::with_prefix("daisysill_gateway");
         registry.register("requests", "Requests finished", requests.clone());
         registry.register("attempts", "Attempts at upstreams", attempts.clone());
+        registry.register("stream_bodies", "Stream bodies read to their end", stream_bodies.clone());
         registry.register("upstream_connections", "Connections opened", connections_opened.clone());
         registry.register("in_flight", "Requests in progress", in_flight.clone());
         registry.register("dropped_log_lines", "Log lines dropped", dropped_log_lines.clone());
@@ -85,6 +98,7 @@
         Self {
             requests,
             attempts,
+            stream_bodies,
             connections_opened,
             in_flight,
             dropped_log_lines,
@@ -107,6 +121,12 @@
         self.attempts.get_or_create(&AttemptLabels { outcome }).inc();
     }
 
+    /// Counts the body of a stream that ended as its framing says.
+    pub(crate) fn record_stream_body(&self, framing: Framing, is_inside_event: bool) {
+        let ended_at = if is_inside_event { "inside_event" } else { "event_boundary" };
+        self.stream_bodies.get_or_create(&StreamBodyLabels { framing: framing.name(), ended_at }).inc();
+    }
+
     /// Returns all metrics in the `OpenMetrics` text format.
     pub fn render(&self) -> String {
         self.dropped_log_lines.set(i64::try_from(logging::dropped_lines()).unwrap_or(i64::MAX));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,9 +10,10 @@
 
 use crate::{
     caller_request::{AttemptHistory, CallerRequest},
-    event_stream::EventSplitter,
+    event_stream::{EventSplitter, EventTracker},
     exchange::UpstreamResponse,
     forward::Gateway,
+    http_head::Framing,
 };
 
 /// A resumable stream is abandoned at its upstream if no event has come for this many times the route's goal for the
@@ -39,6 +40,8 @@
     response: Option<UpstreamResponse>,
     /// Present if the stream is resumable; then only complete events are relayed.
     splitter: Option<EventSplitter>,
+    /// Where the upstream's stream is, of which complete events may be relayed only.
+    tracker: EventTracker,
     history: AttemptHistory,
     relayed_bytes: u64,
     started: Instant,
@@ -70,6 +73,7 @@
         request,
         response: Some(response),
         splitter,
+        tracker: EventTracker::default(),
         history,
         relayed_bytes: 0,
         started: Instant::now(),
@@ -90,6 +94,7 @@
         loop {
             match self.read().await {
                 ReadOutcome::Bytes(bytes) => {
+                    self.tracker.push(&bytes);
                     let Some(bytes) = self.complete_events(bytes) else {
                         return Some(Err(self.fail("event_too_large")));
                     };
@@ -162,6 +167,7 @@
         }
         let Some(splitter) = &mut self.splitter else { return false };
         splitter.drop_pending();
+        self.tracker = EventTracker::default();
         let after = splitter.last_id().map(str::to_owned);
         let resumed = self.gateway.send(&self.request, &mut self.history, after.as_deref()).await;
         tracing::info!(
@@ -185,6 +191,7 @@
         self.is_done = true;
         let rest = self.splitter.as_mut().map(EventSplitter::finish).filter(|rest| !rest.is_empty());
         if let Some(response) = self.response.take() {
+            self.record_body_end(&response);
             response.in_flight.upstream.record_success();
             self.gateway.record_duration(&self.request, self.started.elapsed());
             response.pooled.release();
@@ -193,6 +200,24 @@
         rest.map(Ok)
     }
 
+    /// Counts a body that ended as its framing says. Logs it if the stream broke off inside an event, or if only the end
+    /// of the connection shows that it is complete.
+    fn record_body_end(&self, response: &UpstreamResponse) {
+        let framing = response.head.framing;
+        let is_inside_event = self.tracker.is_inside_event();
+        self.gateway.metrics.record_stream_body(framing, is_inside_event);
+        if is_inside_event || framing == Framing::UntilClose {
+            tracing::info!(
+                event = "stream_body_ended",
+                request_id = self.request.headers.request_id.as_deref(),
+                upstream = response.in_flight.upstream.entry.id.as_str(),
+                framing = framing.name(),
+                is_inside_event,
+                bytes = self.relayed_bytes,
+            );
+        }
+    }
+
     fn fail(&mut self, reason: &'static str) -> StreamBroken {
         self.is_done = true;
         if let Some(response) = self.response.take() {
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -181,6 +181,7 @@
             customer = request.customer.as_ref().map(|customer| customer.name.as_str()),
             upstream = upstream.entry.id.as_str(),
             status = response.head.status.as_u16(),
+            framing = response.head.framing.name(),
             version = response.weight_version.map(|version| version.0),
             in_flight = upstream.in_flight(),
             waited_ms = history.waited.as_millis(),
