Treat a stream that ends inside an event as broken off, in every framing

Cause: the relay took the end of the body's framing for the end of the stream. A body without length and chunks ends with its connection, so an orderly close in the middle of an event looked complete; the held-back half of the event was even sent on, followed by our own last chunk. A last chunk or a fitting length behind a cut event had the same effect. Class: completeness judged by the transport alone, where the content also tells.

Change: EventTracker knows at each byte whether the stream is inside an event; a body that ends there is a broken one: the stream is resumed elsewhere where the route allows it, the caller's connection is cut otherwise, and the upstream is checked for a crash, which went unnoticed before too. The splitter of resumable streams uses the same tracker, so that both agree on line ends (LF, CR LF, CR, mixed ones were not found). A body declared to be no event stream is passed on as it comes.

Ruled out: our server ending the chunked body after a noticed break (those requests have stream_ended lines and cut connections).

--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -20,8 +20,17 @@
 
 /// Knows at each byte of a stream whether it is inside an event. A line ends with LF, CR LF or CR, an event with an empty
 /// line.
+///
+/// ```
+/// use daisysill_gateway::event_stream::EventTracker;
+/// let mut tracker = EventTracker::default();
+/// assert_eq!(tracker.push(b"id: 1\ndata: la\n\nid: 2\nda"), Some(16));
+/// assert!(tracker.is_inside_event());
+/// assert_eq!(tracker.push(b"ta: la\r\n\r\n"), Some(10));
+/// assert!(!tracker.is_inside_event());
+/// ```
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct EventTracker {
+pub struct EventTracker {
     line: Line,
     /// Whether the event has a field.
     in_event: bool,
@@ -29,14 +38,23 @@
 }
 
 impl EventTracker {
-    /// Follows the next bytes.
-    pub(crate) fn push(&mut self, bytes: &[u8]) {
-        for byte in bytes {
+    /// Follows the next bytes; returns the offset after the last empty line that ends in them.
+    pub fn push(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut end = None;
+        for (at, byte) in bytes.iter().enumerate() {
             let completes_crlf = *byte == b'\n' && self.after_cr;
             self.after_cr = *byte == b'\r';
             match (*byte, self.line) {
-                (b'\n', _) if completes_crlf => {}
-                (b'\n' | b'\r', Line::Empty) => self.in_event = false,
+                (b'\n', Line::Empty) if completes_crlf => {
+                    // Belongs to the CR before it, which may have ended an event.
+                    if !self.in_event {
+                        end = Some(at + 1);
+                    }
+                }
+                (b'\n' | b'\r', Line::Empty) => {
+                    self.in_event = false;
+                    end = Some(at + 1);
+                }
                 (b'\n' | b'\r', _) => self.line = Line::Empty,
                 (b':', Line::Empty) => self.line = Line::Comment,
                 (_, Line::Empty) => {
@@ -46,31 +64,41 @@
                 (_, Line::Comment | Line::Field) => {}
             }
         }
+        end
     }
 
     /// Returns whether a stream that ends here breaks off in the middle of an event or a line.
-    pub(crate) fn is_inside_event(self) -> bool {
+    pub fn is_inside_event(self) -> bool {
         self.in_event || self.line != Line::Empty
     }
 }
 
 /// Buffers an incomplete event until its end arrives.
+///
+/// ```
+/// use daisysill_gateway::event_stream::EventSplitter;
+/// let mut splitter = EventSplitter::after(None);
+/// let events = splitter.push(&"id: 1\ndata: la\n\nid: 2\nda".into());
+/// assert_eq!(events.as_deref(), Some(b"id: 1\ndata: la\n\n".as_slice()));
+/// assert_eq!((splitter.last_id(), splitter.is_inside_event()), (Some("1"), true));
+/// ```
 #[derive(Debug, Default)]
-pub(crate) struct EventSplitter {
+pub struct EventSplitter {
     pending: BytesMut,
+    tracker: EventTracker,
     last_id: Option<String>,
 }
 
 impl EventSplitter {
     /// Starts after the event with this ID, the last one that the caller received; `None` at the start of the stream.
-    pub(crate) fn after(last_id: Option<String>) -> Self {
-        Self { pending: BytesMut::new(), last_id }
+    pub fn after(last_id: Option<String>) -> Self {
+        Self { last_id, ..Self::default() }
     }
 
     /// Adds bytes and returns the events that they complete, which may be none; `None` if an event is too large.
-    pub(crate) fn push(&mut self, bytes: &Bytes) -> Option<Bytes> {
+    pub fn push(&mut self, bytes: &Bytes) -> Option<Bytes> {
+        let end = self.tracker.push(bytes).map_or(0, |end| self.pending.len() + end);
         self.pending.extend_from_slice(bytes);
-        let end = last_event_end(&self.pending);
         if self.pending.len() - end > MAX_EVENT_BYTES {
             return None;
         }
@@ -82,30 +110,29 @@
     }
 
     /// Discards an incomplete event; the upstream that resumes the stream sends it again.
-    pub(crate) fn drop_pending(&mut self) {
+    pub fn drop_pending(&mut self) {
         self.pending.clear();
+        self.tracker = EventTracker::default();
+    }
+
+    /// Returns whether a stream that ends here breaks off in the middle of an event.
+    pub fn is_inside_event(&self) -> bool {
+        self.tracker.is_inside_event()
     }
 
     /// Returns the remaining bytes at the regular end of a stream.
-    pub(crate) fn finish(&mut self) -> Bytes {
+    pub fn finish(&mut self) -> Bytes {
         self.pending.split().freeze()
     }
 
     /// Returns the ID of the last complete event that has one.
-    pub(crate) fn last_id(&self) -> Option<&str> {
+    pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
     }
 }
 
-/// Returns the offset at which the last complete event ends; 0 if there is none.
-fn last_event_end(bytes: &[u8]) -> usize {
-    let by_newlines = bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2);
-    let by_crlf = bytes.windows(4).rposition(|four| four == b"\r\n\r\n").map(|at| at + 4);
-    by_newlines.max(by_crlf).unwrap_or(0)
-}
-
 fn last_id_in(events: &[u8]) -> Option<String> {
-    let mut lines = events.rsplit(|byte| *byte == b'\n');
+    let mut lines = events.rsplit(|byte| matches!(byte, b'\n' | b'\r'));
     let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     Some(String::from_utf8_lossy(id).trim().to_owned())
 }
--- a/crates/gateway/src/http_head.rs
+++ b/crates/gateway/src/http_head.rs
@@ -5,6 +5,9 @@
 use actix_web::http::StatusCode;
 use bytes::Bytes;
 
+/// The content type of server-sent events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Framing {
@@ -42,6 +45,16 @@
     pub(crate) idle_timeout: Option<Duration>,
 }
 
+impl ResponseHead {
+    /// Returns whether the body may be a stream of server-sent events: it is declared as one, or as nothing.
+    pub(crate) fn may_hold_events(&self) -> bool {
+        let content_type = self.headers.iter().find(|(name, _)| name.as_ref() == b"content-type");
+        content_type.is_none_or(|(_, value)| {
+            value.get(..EVENT_STREAM.len()).is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM))
+        })
+    }
+}
+
 /// Why a head cannot be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum HeadError {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,7 @@
 mod duration;
 pub mod entry_node;
 mod entry_tasks;
-mod event_stream;
+pub mod event_stream;
 mod exchange;
 pub mod forward;
 pub mod header_codec;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,7 +13,7 @@
     event_stream::{EventSplitter, EventTracker},
     exchange::UpstreamResponse,
     forward::Gateway,
-    http_head::Framing,
+    http_head::{Framing, ResponseHead},
 };
 
 /// A resumable stream is abandoned at its upstream if no event has come for this many times the route's goal for the
@@ -22,6 +22,9 @@
 /// Goal for the gap between events on routes that set none.
 const DEFAULT_GAP_GOAL: Duration = Duration::from_millis(500);
 
+/// Reason logged for a body that ended inside an event.
+const INSIDE_EVENT: &str = "inside_event";
+
 /// Error of a stream that ended before its last event; it closes the connection to the caller.
 #[derive(Debug)]
 pub(crate) struct StreamBroken;
@@ -34,14 +37,61 @@
 
 impl std::error::Error for StreamBroken {}
 
+/// How the bytes of a stream are passed on.
+enum Passing {
+    /// Of a resumable stream only complete events, since it may have to resume after the last one.
+    WholeEvents(EventSplitter),
+    /// As received.
+    AsReceived(EventTracker),
+    /// As received; the body is declared to be something else than events.
+    Opaque,
+}
+
+impl Passing {
+    fn new(request: &CallerRequest, head: &ResponseHead) -> Self {
+        if !head.may_hold_events() {
+            Self::Opaque
+        } else if matches!(request.route.kind, CallKind::Stream { resumable: true }) {
+            Self::WholeEvents(EventSplitter::after(request.headers.resume_after.clone()))
+        } else {
+            Self::AsReceived(EventTracker::default())
+        }
+    }
+
+    /// Returns the bytes that may be relayed now; `None` if an event is too large.
+    fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
+        match self {
+            Self::WholeEvents(splitter) => splitter.push(&bytes),
+            Self::AsReceived(tracker) => {
+                tracker.push(&bytes);
+                Some(bytes)
+            }
+            Self::Opaque => Some(bytes),
+        }
+    }
+
+    /// Returns the remaining bytes at the end of the stream.
+    fn finish(&mut self) -> Bytes {
+        match self {
+            Self::WholeEvents(splitter) => splitter.finish(),
+            Self::AsReceived(_) | Self::Opaque => Bytes::new(),
+        }
+    }
+
+    fn is_inside_event(&self) -> bool {
+        match self {
+            Self::WholeEvents(splitter) => splitter.is_inside_event(),
+            Self::AsReceived(tracker) => tracker.is_inside_event(),
+            Self::Opaque => false,
+        }
+    }
+}
+
 struct Relay {
     gateway: Rc<Gateway>,
     request: Rc<CallerRequest>,
     response: Option<UpstreamResponse>,
-    /// Present if the stream is resumable; then only complete events are relayed.
-    splitter: Option<EventSplitter>,
-    /// Where the upstream's stream is, of which complete events may be relayed only.
-    tracker: EventTracker,
+    passing: Passing,
     history: AttemptHistory,
     relayed_bytes: u64,
     started: Instant,
@@ -66,14 +116,11 @@
     response: UpstreamResponse,
     history: AttemptHistory,
 ) -> impl Stream<Item = Result<Bytes, StreamBroken>> {
-    let resumable = matches!(request.route.kind, CallKind::Stream { resumable: true });
-    let splitter = resumable.then(|| EventSplitter::after(request.headers.resume_after.clone()));
     let relay = Relay {
+        passing: Passing::new(&request, &response.head),
         gateway,
         request,
         response: Some(response),
-        splitter,
-        tracker: EventTracker::default(),
         history,
         relayed_bytes: 0,
         started: Instant::now(),
@@ -94,8 +141,7 @@
         loop {
             match self.read().await {
                 ReadOutcome::Bytes(bytes) => {
-                    self.tracker.push(&bytes);
-                    let Some(bytes) = self.complete_events(bytes) else {
+                    let Some(bytes) = self.passing.push(bytes) else {
                         return Some(Err(self.fail("event_too_large")));
                     };
                     if !bytes.is_empty() {
@@ -104,6 +150,11 @@
                         return Some(Ok(bytes));
                     }
                 }
+                ReadOutcome::End if self.ended_inside_event() => {
+                    if !self.resume(INSIDE_EVENT).await {
+                        return Some(Err(self.fail(INSIDE_EVENT)));
+                    }
+                }
                 ReadOutcome::End => return self.finish(),
                 ReadOutcome::Broken(reason) => {
                     if !self.resume(reason).await {
@@ -114,6 +165,29 @@
         }
     }
 
+    /// Returns whether the body ended inside an event: the upstream broke off, whatever the framing says. Logs such a
+    /// body, and one that only the end of its connection delimits.
+    fn ended_inside_event(&self) -> bool {
+        let Some(response) = &self.response else { return false };
+        let (framing, upstream) = (response.head.framing, &response.in_flight.upstream);
+        let is_inside_event = self.passing.is_inside_event();
+        self.gateway.metrics.record_stream_body(framing, is_inside_event);
+        if is_inside_event || framing == Framing::UntilClose {
+            tracing::info!(
+                event = "stream_body_ended",
+                request_id = self.request.headers.request_id.as_deref(),
+                upstream = upstream.entry.id.as_str(),
+                framing = framing.name(),
+                is_inside_event,
+                bytes = self.relayed_bytes,
+            );
+        }
+        if is_inside_event {
+            self.gateway.check_for_crash(&self.request, upstream);
+        }
+        is_inside_event
+    }
+
     /// Reads from the upstream until the request's deadline or, if the stream can be resumed elsewhere, until no event
     /// has come for too long.
     async fn read(&mut self) -> ReadOutcome {
@@ -138,18 +212,10 @@
         }
     }
 
-    /// Returns the bytes that may be relayed now; `None` if an event is too large.
-    fn complete_events(&mut self, bytes: Bytes) -> Option<Bytes> {
-        match &mut self.splitter {
-            Some(splitter) => splitter.push(&bytes),
-            None => Some(bytes),
-        }
-    }
-
     fn may_resume(&self) -> bool {
         // The upstream that runs the request now counts as an attempt.
         let used = self.history.may_have_run + u32::from(self.response.is_some());
-        self.splitter.is_some()
+        matches!(self.passing, Passing::WholeEvents(_))
             && used < self.request.route.max_attempts
             && self.request.time_left() > Duration::ZERO
     }
@@ -165,9 +231,8 @@
         if !self.may_resume() {
             return false;
         }
-        let Some(splitter) = &mut self.splitter else { return false };
+        let Passing::WholeEvents(splitter) = &mut self.passing else { return false };
         splitter.drop_pending();
-        self.tracker = EventTracker::default();
         let after = splitter.last_id().map(str::to_owned);
         let resumed = self.gateway.send(&self.request, &mut self.history, after.as_deref()).await;
         tracing::info!(
@@ -189,33 +254,14 @@
 
     fn finish(&mut self) -> Option<Result<Bytes, StreamBroken>> {
         self.is_done = true;
-        let rest = self.splitter.as_mut().map(EventSplitter::finish).filter(|rest| !rest.is_empty());
+        let rest = self.passing.finish();
         if let Some(response) = self.response.take() {
-            self.record_body_end(&response);
             response.in_flight.upstream.record_success();
             self.gateway.record_duration(&self.request, self.started.elapsed());
             response.pooled.release();
         }
         self.gateway.record_stream_end(&self.request, "complete", self.relayed_bytes);
-        rest.map(Ok)
-    }
-
-    /// Counts a body that ended as its framing says. Logs it if the stream broke off inside an event, or if only the end
-    /// of the connection shows that it is complete.
-    fn record_body_end(&self, response: &UpstreamResponse) {
-        let framing = response.head.framing;
-        let is_inside_event = self.tracker.is_inside_event();
-        self.gateway.metrics.record_stream_body(framing, is_inside_event);
-        if is_inside_event || framing == Framing::UntilClose {
-            tracing::info!(
-                event = "stream_body_ended",
-                request_id = self.request.headers.request_id.as_deref(),
-                upstream = response.in_flight.upstream.entry.id.as_str(),
-                framing = framing.name(),
-                is_inside_event,
-                bytes = self.relayed_bytes,
-            );
-        }
+        (!rest.is_empty()).then_some(Ok(rest))
     }
 
     fn fail(&mut self, reason: &'static str) -> StreamBroken {
