Refuse buffered events that stop inside one, instead of answering them as complete

Callers would see: a 200 with a length, whose events stop in the middle of one, on a route that does not stream.

Cause: the same class as in the relay of streams. A buffered body was complete when its framing ended; an orderly close, a fitting length or a last chunk behind a cut event passed. Now a body declared as events must also end between two of them; otherwise the attempt counts as broken, is tried elsewhere where the request may run again, and ends with 502.

The tracker of events moves to core, so that the own interface can use it too.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -146,11 +146,7 @@
     ///
     /// # Errors
     /// Fails with the number of bytes written; with 0, the request has certainly not run.
-    pub(crate) async fn write_request(
-        &mut self,
-        head: &[u8],
-        body: &Bytes,
-    ) -> Result<(), (usize, io::ErrorKind)> {
+    pub async fn write_request(&mut self, head: &[u8], body: &Bytes) -> Result<(), (usize, io::ErrorKind)> {
         self.request_written = false;
         self.body = BodyState::Idle;
         let mut request = Buf::chain(head, body.clone());
@@ -187,7 +183,7 @@
 
     /// Reads the head of the next response, skipping informational ones; also returns what `inspect` makes of all its
     /// headers, hop-by-hop headers included.
-    pub(crate) async fn read_head<T>(
+    pub async fn read_head<T>(
         &mut self,
         method: &str,
         mut inspect: impl FnMut(&[httparse::Header<'_>]) -> T,
@@ -247,7 +243,7 @@
     ///
     /// # Errors
     /// Fails if the connection ends before the body is complete, or its chunks are malformed.
-    pub(crate) async fn read_body(&mut self) -> Result<Option<Bytes>, ReadError> {
+    pub async fn read_body(&mut self) -> Result<Option<Bytes>, ReadError> {
         loop {
             match self.body {
                 BodyState::Complete | BodyState::Idle => return Ok(None),
--- a/crates/gateway/src/http_head.rs
+++ b/crates/gateway/src/http_head.rs
@@ -4,13 +4,14 @@
 
 use actix_web::http::StatusCode;
 use bytes::Bytes;
+use daisysill_core::event_tracker::EventTracker;
 
 /// The content type of server-sent events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Framing {
+pub enum Framing {
     /// By its length in bytes; 0 for responses that have no body.
     Length(u64),
     /// By the chunked transfer encoding.
@@ -21,7 +22,7 @@
 
 impl Framing {
     /// Returns the `framing` label used in logs and metrics.
-    pub(crate) const fn name(self) -> &'static str {
+    pub const fn name(self) -> &'static str {
         match self {
             Self::Length(_) => "length",
             Self::Chunked => "chunked",
@@ -32,32 +33,45 @@
 
 /// The head of a response, without hop-by-hop headers.
 #[derive(Clone, Debug)]
-pub(crate) struct ResponseHead {
+pub struct ResponseHead {
     /// Status, also if it is informational.
-    pub(crate) status: StatusCode,
+    pub status: StatusCode,
     /// Headers to forward, with lower-case names.
-    pub(crate) headers: Vec<(Bytes, Bytes)>,
+    pub headers: Vec<(Bytes, Bytes)>,
     /// Framing of the body that follows.
-    pub(crate) framing: Framing,
+    pub framing: Framing,
     /// Whether the upstream keeps the connection open after the response.
-    pub(crate) keeps_open: bool,
+    pub keeps_open: bool,
     /// Idle timeout of the connection, if the upstream announces one in `keep-alive`.
-    pub(crate) idle_timeout: Option<Duration>,
+    pub idle_timeout: Option<Duration>,
 }
 
 impl ResponseHead {
+    /// Returns whether a body that is read to the end of its framing is declared to hold events and stops inside one.
+    pub fn cuts_event(&self, body: &[u8]) -> bool {
+        let mut tracker = EventTracker::default();
+        tracker.push(body);
+        self.content_type().is_some_and(is_event_stream) && tracker.is_inside_event()
+    }
+
     /// Returns whether the body may be a stream of server-sent events: it is declared as one, or as nothing.
-    pub(crate) fn may_hold_events(&self) -> bool {
+    pub fn may_hold_events(&self) -> bool {
+        self.content_type().is_none_or(is_event_stream)
+    }
+
+    fn content_type(&self) -> Option<&[u8]> {
         let content_type = self.headers.iter().find(|(name, _)| name.as_ref() == b"content-type");
-        content_type.is_none_or(|(_, value)| {
-            value.get(..EVENT_STREAM.len()).is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM))
-        })
+        content_type.map(|(_, value)| value.as_ref())
     }
 }
 
+fn is_event_stream(content_type: &[u8]) -> bool {
+    content_type.get(..EVENT_STREAM.len()).is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM))
+}
+
 /// Why a head cannot be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum HeadError {
+pub enum HeadError {
     /// The status is out of range.
     Malformed,
     /// The framing of the body is invalid, contradictory or unsupported.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,7 +15,7 @@
 mod exchange;
 pub mod forward;
 pub mod header_codec;
-mod http_head;
+pub mod http_head;
 pub mod logging;
 pub mod metrics;
 mod node_share;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,13 +4,13 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use daisysill_core::routing::CallKind;
+use daisysill_core::{event_tracker::EventTracker, routing::CallKind};
 use futures::stream::{Stream, unfold};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
     caller_request::{AttemptHistory, CallerRequest},
-    event_stream::{EventSplitter, EventTracker},
+    event_stream::EventSplitter,
     exchange::UpstreamResponse,
     forward::Gateway,
     http_head::{Framing, ResponseHead},
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -256,5 +256,6 @@
             return None;
         }
     }
-    connection.is_complete().then(|| whole.freeze())
+    let is_whole = connection.is_complete() && !response.head.cuts_event(&whole);
+    is_whole.then(|| whole.freeze())
 }
--- a/crates/gateway/tests/event_stream.rs
+++ b/crates/gateway/tests/event_stream.rs
@@ -3,7 +3,8 @@
 #![allow(clippy::expect_used)]
 
 use bytes::Bytes;
-use daisysill_gateway::event_stream::{EventSplitter, EventTracker};
+use daisysill_core::event_tracker::EventTracker;
+use daisysill_gateway::event_stream::EventSplitter;
 use proptest::{collection::vec, prelude::*, sample::select};
 
 /// Bytes that matter to the boundaries of events, and some that do not.
