Deliver plain services' answers that have neither a length nor chunks

Callers saw: a 200 with an empty body, on the own interface, where a plain service sent an answer that ends with its connection; and events that stop inside one, answered as complete.

Cause: the HTTP client library reads no body of an HTTP/1.1 answer without a length and chunks, and reports it as complete; it also takes an early close for the end of a body, which a check of the last five received bytes made up for.

Change: plain services are reached through the connection that the gateway has for its upstreams, which knows all three framings, refuses a reset answer and bounds heads, bodies and trailers.

Evidence: a_truncated_response_is_an_error (case without framing: empty instead of cue7), events_that_end_inside_an_event_are_an_error (all framings) and a_reset_answer_without_a_length_is_an_error failed before and pass now. The tests of the dispatch deadline and of not_run pass unchanged. Engines of the own interface are not concerned: a stream of theirs is complete only with its [DONE].

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -1,6 +1,6 @@
 //! HTTP client functions that all upstream clients share.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use actix_web::web::Bytes;
 use awc::{
@@ -10,10 +10,13 @@
 };
 use futures::Stream;
 use serde::{Serialize, de::DeserializeOwned};
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{
+    net::{TcpStream, lookup_host},
+    time::timeout,
+};
 
 use crate::{
-    connection::{SendGate, UpstreamConnector},
+    connection::UpstreamConnector,
     upstream_api::{AttemptError, AttemptResult},
 };
 
@@ -22,7 +25,7 @@
 /// Response header that states that the upstream refuses because it is leaving.
 pub const LEAVING_HEADER: &str = "x-leaving";
 /// Limit on opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle time after which a pooled connection is not reused.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Limit on a control request, such as reading the load or the instance list.
@@ -34,12 +37,7 @@
 
 /// Creates a client with a connection pool; it cannot be sent to another thread.
 pub fn client() -> Client {
-    gated_client(None)
-}
-
-/// Creates a client whose connections pass their bytes through a gate, if one is given.
-pub fn gated_client(gate: Option<Rc<SendGate>>) -> Client {
-    let connector = awc::Connector::new().connector(UpstreamConnector::new(gate));
+    let connector = awc::Connector::new().connector(UpstreamConnector::default());
     let connector = connector.timeout(CONNECT_TIMEOUT).limit(0).conn_keep_alive(IDLE_TIMEOUT);
     Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
 }
@@ -58,29 +56,45 @@
 
 /// Classifies an error response: a refusal if it has [`NOT_RUN_HEADER`], else a failure.
 pub fn classify_error_status<S>(response: &ClientResponse<S>) -> AttemptError {
-    let status = response.status();
-    let message = format!("status {}", status.as_u16());
-    let headers = response.headers();
-    if !headers.contains_key(NOT_RUN_HEADER) {
+    classify_error(response.status().as_u16(), |name| response.headers().get(name)?.to_str().ok())
+}
+
+/// Classifies an error response by its status and its headers.
+pub fn classify_error<'a>(status: u16, header: impl Fn(&str) -> Option<&'a str>) -> AttemptError {
+    let message = format!("status {status}");
+    if header(NOT_RUN_HEADER).is_none() {
         return AttemptError::Failed(message);
     }
-    let retry_after_s =
-        headers.get("retry-after").and_then(|v| v.to_str().ok()).and_then(|v| v.parse::<u64>().ok());
+    let retry_after_s = header("retry-after").and_then(|value| value.parse::<u64>().ok());
     AttemptError::Refused {
         message,
-        leaving: headers.contains_key(LEAVING_HEADER),
+        leaving: header(LEAVING_HEADER).is_some(),
         retry_after_ms: retry_after_s.map(|s| s * 1_000),
     }
 }
 
+/// Resolves the host and port of a URL; returns the address, and both as a request's `host` header names them.
+///
+/// # Errors
+/// Fails if the URL is not valid or its host has no address.
+pub async fn resolve(url: &str) -> AttemptResult<(SocketAddr, String)> {
+    let uri = url.parse::<Uri>().map_err(|error| AttemptError::NotSent(error.to_string()))?;
+    let host = uri.host().unwrap_or_default();
+    let authority = uri.authority().map_or_else(String::new, ToString::to_string);
+    let mut addresses = lookup_host((host, uri.port_u16().unwrap_or(DEFAULT_PORT)))
+        .await
+        .map_err(|error| AttemptError::NotSent(error.to_string()))?;
+    let address = addresses.next().ok_or_else(|| AttemptError::NotSent(format!("no address of {host}")))?;
+    Ok((address, authority))
+}
+
 /// Opens a TCP connection to the host and port of a URL and closes it.
 ///
 /// # Errors
 /// Fails if the URL is not valid, or the connection is refused or not open in time.
 pub async fn ping(url: &str) -> AttemptResult<()> {
-    let uri = url.parse::<Uri>().map_err(|error| AttemptError::NotSent(error.to_string()))?;
-    let (host, port) = (uri.host().unwrap_or_default(), uri.port_u16().unwrap_or(DEFAULT_PORT));
-    match timeout(CONNECT_TIMEOUT, TcpStream::connect((host, port))).await {
+    let (address, _) = resolve(url).await?;
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(_)) => Ok(()),
         Ok(Err(error)) => Err(AttemptError::NotSent(error.to_string())),
         Err(_) => Err(AttemptError::Silent),
--- a/crates/node/src/plain_client.rs
+++ b/crates/node/src/plain_client.rs
@@ -1,21 +1,24 @@
 //! HTTP client for plain services.
 
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
-use actix_web::web::Bytes;
-use awc::{
-    Client, ClientResponse,
-    http::{Method, StatusCode, header},
+use actix_web::{
+    http::Method,
+    web::{Bytes, BytesMut},
 };
+use daisysill_gateway::{connection::UpstreamConnection, http_head::ResponseHead};
 use futures::{FutureExt, future::LocalBoxFuture};
 use tokio::time::Instant;
 
 use crate::{
-    connection::SendGate,
     http,
     upstream_api::{AttemptError, AttemptResult, PlainRequest, PlainResponse, PlainService},
 };
 
+/// Error of an answer whose head did not arrive.
+const NO_ANSWER: &str = "the upstream closed the connection without an answer";
+/// Error of an answer whose body did not arrive to its end.
+const ENDED_EARLY: &str = "the answer ended early";
 /// Headers that are not forwarded: hop-by-hop headers, and those that the client or the node sets itself.
 const UNFORWARDED_HEADERS: &[&str] = &[
     "connection",
@@ -26,7 +29,7 @@
     "trailer",
     "transfer-encoding",
     "upgrade",
-    // The HTTP client handles it, and reports a request without a body that carries it as a connect error.
+    // Bodies are sent at once.
     "expect",
     "host",
     "content-length",
@@ -50,70 +53,78 @@
 
 impl HttpPlainService {
     /// Sends a request on a new connection: a pooled one may have gone silent, or been closed while idle.
-    async fn send_gated(
-        url: &str,
-        request: &PlainRequest,
-        traceparent: &str,
-        send_deadline: Instant,
-    ) -> AttemptResult<PlainResponse> {
-        let gate = SendGate::new(send_deadline);
-        let client = http::gated_client(Some(Rc::clone(&gate)));
-        let result = Self::exchange(&client, &gate, url, request, traceparent).await;
-        result.map_err(|error| gate.classify(error))
-    }
-
     async fn exchange(
-        client: &Client,
-        gate: &SendGate,
         url: &str,
         request: &PlainRequest,
         traceparent: &str,
+        send_deadline: Instant,
     ) -> AttemptResult<PlainResponse> {
-        let method = Method::from_bytes(request.method.as_bytes())
-            .map_err(|_| AttemptError::NotSent(format!("method {:?} is not valid", request.method)))?;
-        let mut out = client.request(method, format!("{url}{}", request.path)).no_decompress();
-        out = out.force_close();
-        for (name, value) in &request.headers {
-            out = out.insert_header((name.as_str(), value.as_str()));
-        }
-        if !traceparent.is_empty() {
-            out = out.insert_header(("traceparent", traceparent));
+        let (address, authority) = http::resolve(url).await?;
+        let connected = UpstreamConnection::connect(address, http::CONNECT_TIMEOUT).await;
+        let mut connection = connected.map_err(|error| AttemptError::NotSent(error.to_string()))?;
+        let head = request_head(&authority, request, traceparent)?;
+        // Checked right before the first byte, since the process may have been suspended while it connected.
+        if Instant::now() >= send_deadline {
+            return Err(AttemptError::TooLate);
         }
-        let mut response =
-            out.send_body(request.body.clone()).await.map_err(|e| http::classify_send_error(&e))?;
-        if response.headers().contains_key(http::NOT_RUN_HEADER) {
-            return Err(http::classify_error_status(&response));
+        connection.write_request(&head, &request.body).await.map_err(|(sent_bytes, error)| {
+            let error = error.to_string();
+            if sent_bytes == 0 { AttemptError::NotSent(error) } else { AttemptError::Failed(error) }
+        })?;
+        let head = connection.read_head(&request.method, |_| ()).await;
+        let (head, ()) = head.map_err(|_| AttemptError::Failed(NO_ANSWER.to_owned()))?;
+        let header = |name: &str| {
+            let value = head.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name.as_bytes()));
+            value.and_then(|(_, value)| std::str::from_utf8(value).ok())
+        };
+        if header(http::NOT_RUN_HEADER).is_some() {
+            return Err(http::classify_error(head.status.as_u16(), header));
         }
-        let body = response.body().limit(MAX_RESPONSE_BYTES).await;
-        let body = body.map_err(|error| AttemptError::Failed(error.to_string()))?;
-        if !is_complete(request, &response, &body, gate) {
-            return Err(AttemptError::Failed("the answer ended early".to_owned()));
-        }
-        let headers = response.headers().iter();
-        let headers = headers.filter(|(name, _)| is_end_to_end(name.as_str()));
-        let headers = headers.filter_map(|(n, v)| Some((n.as_str().to_owned(), v.to_str().ok()?.to_owned())));
-        Ok(PlainResponse { status: response.status().as_u16(), headers: headers.collect(), body })
+        let body = read_body(&mut connection, &head).await?;
+        let headers = head.headers.iter().filter_map(|(name, value)| {
+            let (name, value) = (std::str::from_utf8(name).ok()?, std::str::from_utf8(value).ok()?);
+            is_end_to_end(name).then(|| (name.to_owned(), value.to_owned()))
+        });
+        Ok(PlainResponse { status: head.status.as_u16(), headers: headers.collect(), body })
+    }
+}
+
+/// Encodes the head of a request, with the empty line that ends it.
+fn request_head(authority: &str, request: &PlainRequest, traceparent: &str) -> AttemptResult<Vec<u8>> {
+    let PlainRequest { method, path, headers, body } = request;
+    if Method::from_bytes(method.as_bytes()).is_err() {
+        return Err(AttemptError::NotSent(format!("method {method:?} is not valid")));
     }
+    let mut head = format!("{method} {path} HTTP/1.1\r\nhost: {authority}\r\nconnection: close\r\n");
+    let traceparent = (!traceparent.is_empty()).then_some(("traceparent", traceparent));
+    let forwarded = headers.iter().map(|(name, value)| (name.as_str(), value.as_str()));
+    for (name, value) in forwarded.chain(traceparent) {
+        head.extend([name, ": ", value, "\r\n"]);
+    }
+    if !body.is_empty() || matches!(method.as_str(), "POST" | "PUT" | "PATCH") {
+        head.extend(["content-length: ", &body.len().to_string(), "\r\n"]);
+    }
+    head.push_str("\r\n");
+    Ok(head.into_bytes())
 }
 
-/// Returns whether the body is complete. The HTTP client treats an early close of the connection as the end of
-/// the body.
-fn is_complete<S>(
-    request: &PlainRequest,
-    response: &ClientResponse<S>,
-    body: &Bytes,
-    gate: &SendGate,
-) -> bool {
-    let headers = response.headers();
-    let no_body = matches!(response.status(), StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    if no_body || request.method == "HEAD" {
-        return true;
+/// Reads the body to its end, as its framing and, if it holds events, the last of them tell.
+async fn read_body(connection: &mut UpstreamConnection, head: &ResponseHead) -> AttemptResult<Bytes> {
+    let mut body = BytesMut::new();
+    loop {
+        match connection.read_body().await {
+            Ok(Some(bytes)) => body.extend_from_slice(&bytes),
+            Ok(None) => break,
+            Err(_) => return Err(AttemptError::Failed(ENDED_EARLY.to_owned())),
+        }
+        if body.len() > MAX_RESPONSE_BYTES {
+            return Err(AttemptError::Failed("the answer exceeds the limit".to_owned()));
+        }
     }
-    if headers.contains_key(header::TRANSFER_ENCODING) {
-        return gate.ends_chunked_body();
+    if head.cuts_event(&body) {
+        return Err(AttemptError::Failed(ENDED_EARLY.to_owned()));
     }
-    let content_length = headers.get(header::CONTENT_LENGTH).and_then(|value| value.to_str().ok());
-    content_length.is_none_or(|length| length.parse() == Ok(body.len()))
+    Ok(body.freeze())
 }
 
 impl PlainService for HttpPlainService {
@@ -123,7 +134,7 @@
         request: &'a PlainRequest,
         traceparent: &'a str,
     ) -> LocalBoxFuture<'a, AttemptResult<PlainResponse>> {
-        Self::send_gated(url, request, traceparent, Instant::now() + IDEMPOTENT_SEND_TIMEOUT).boxed_local()
+        Self::exchange(url, request, traceparent, Instant::now() + IDEMPOTENT_SEND_TIMEOUT).boxed_local()
     }
 
     fn ping<'a>(&'a self, url: &'a str) -> LocalBoxFuture<'a, AttemptResult<()>> {
@@ -137,6 +148,6 @@
         traceparent: &'a str,
         dispatch_deadline: Instant,
     ) -> LocalBoxFuture<'a, AttemptResult<PlainResponse>> {
-        Self::send_gated(url, request, traceparent, dispatch_deadline).boxed_local()
+        Self::exchange(url, request, traceparent, dispatch_deadline).boxed_local()
     }
 }
--- a/crates/node/tests/upstream_errors.rs
+++ b/crates/node/tests/upstream_errors.rs
@@ -15,6 +15,7 @@
     plain_client::HttpPlainService,
     upstream_api::{AttemptError, PlainRequest, PlainService},
 };
+use socket2::SockRef;
 use tokio::time::Instant;
 
 /// Accepts one connection, reads once, closes it, and sends the number of bytes read to the receiver.
@@ -108,6 +109,7 @@
         ("content-length: 5\r\n\r\ncue7", None),
         ("transfer-encoding: chunked\r\n\r\n4\r\ncue7\r\n0\r\n\r\n", Some("cue7")),
         ("transfer-encoding: chunked\r\n\r\n4\r\ncue7\r\n", None),
+        ("\r\ncue7", Some("cue7")),
     ];
     for (rest, expected) in cases {
         let (url, _bytes) = responding_upstream(String::leak(format!("{HEAD}{rest}")));
@@ -115,3 +117,41 @@
         assert_eq!(result.ok().map(|response| response.body), expected.map(Bytes::from), "{rest:?}");
     }
 }
+
+/// Guards against events that were broken off inside one and are returned as complete, because the framing of the body
+/// ended in order.
+#[actix_rt::test]
+async fn events_that_end_inside_an_event_are_an_error() {
+    const HEAD: &str =
+        "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-type: text/event-stream; charset=utf-8\r\n";
+    for (events, is_whole) in [("id: 1\ndata: a\n\n", true), ("id: 1\ndata: a\n\nid: 2\nda", false)] {
+        let length = events.len();
+        let framings = [
+            format!("content-length: {length}\r\n\r\n{events}"),
+            format!("transfer-encoding: chunked\r\n\r\n{length:x}\r\n{events}\r\n0\r\n\r\n"),
+            format!("\r\n{events}"),
+        ];
+        for rest in framings {
+            let (url, _bytes) = responding_upstream(String::leak(format!("{HEAD}{rest}")));
+            let result = HttpPlainService.send(&url, &request(), "").await;
+            assert_eq!(result.is_ok(), is_whole, "{rest:?}: {result:?}");
+        }
+    }
+}
+
+/// Guards against an answer without a length whose connection was reset, and that is returned as complete.
+#[actix_rt::test]
+async fn a_reset_answer_without_a_length_is_an_error() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 4_096]);
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\ncue");
+        // Gives the bytes time to arrive before the reset.
+        thread::sleep(Duration::from_millis(50));
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+    });
+    let result = HttpPlainService.send(&url, &request(), "").await;
+    assert!(result.is_err(), "{result:?}");
+}
