Name the request and the parts of its prompt when its upstream crashed

That the requests share a part of their prompts can't be confirmed from what the nodes write: crash_seen names a fingerprint only. No behaviour changes.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -66,6 +66,13 @@
         self.headers.prompt.as_ref().map_or(0, |prompt| prompt.prompt_tokens + prompt.max_output_tokens)
     }
 
+    /// Returns the IDs of the parts of the prompt that other requests may share, which are all but the last.
+    pub(crate) fn shared_part_ids(&self) -> impl Iterator<Item = &str> {
+        let parts = self.headers.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| part.id.as_str())
+    }
+
     /// Returns the key and the length in tokens of the shared prefix, which is all parts of the prompt but the last;
     /// `None` if there is no prefix.
     pub(crate) fn prefix(&self, scope: &str) -> Option<(PrefixKey, u64)> {
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -115,11 +115,15 @@
             upstream: upstream.entry.id.clone(),
             started_unix_ms: upstream.entry.started_unix_ms,
         };
+        let request_id = request.headers.request_id.clone();
+        let parts = request.shared_part_ids().collect::<Vec<_>>().join(",");
         actix_rt::spawn(async move {
             sleep(CRASH_CHECK_DELAY).await;
             if UpstreamConnection::connect(address, CRASH_CHECK_TIMEOUT).await.is_err() {
                 tracing::info!(
                     event = "crash_seen",
+                    request_id,
+                    parts,
                     upstream = crash.upstream.as_str(),
                     fingerprint = crash.fingerprint
                 );
