Refuse prompts with a part that crashes upstreams, found from crashes and completed requests

Cause: a request that crashes upstreams was known by a fingerprint over path, caller and body only. Requests that share nothing but one part of their prompts each had their own, so none was ever refused. Class: attribution of a crash to one description of the request, where another description is what repeats.

Change: an entry node reports broken runs with the shared parts of their prompts (all but the last), and completed requests with a part that is under suspicion; control nodes pass both on to the leader, which publishes the blocked parts with the crash counts that every node has already. core::crashing_parts decides: a part is blocked after three crashes in succession, under different requests, each sent after the crash before, with no completed request in between; of several such parts only the fewest that explain the crashes. So a part that sound requests share is cleared when one completes, and is not blocked even if the service collapses before one does; upstreams that end together are no evidence. A block lasts ten minutes after the last crash. It is checked before each attempt, also before a stream is resumed.

Not chosen: a longer fingerprint (all parts): the last part differs each time. Trial requests for blocked parts: each may end a worker, and the nodes would have to agree who tries. The new message is a call of its own at the end of the peer service; the encoding of all others stays.

--- a/crates/cluster/src/handle.rs
+++ b/crates/cluster/src/handle.rs
@@ -37,6 +37,7 @@
     metrics::ClusterMetrics,
     observer::{CrashQueue, Observer},
     outbox::Outbox,
+    outcome_queue::OutcomeQueue,
     propose::{LeaderHint, Proposal, Proposer},
     published_upstreams::PublishedStore,
     relays::{RelayReporter, Relays},
@@ -92,11 +93,13 @@
         let published = Arc::new(PublishedStore::new(&config.name, Arc::clone(&relays)));
         let soft_state = Arc::new(SoftState::default());
         let crash_queue = CrashQueue::default();
+        let outcome_queue = OutcomeQueue::default();
         let state = ServerState {
             published: Arc::clone(&published),
             soft_state: Arc::clone(&soft_state),
             relays: Arc::clone(&relays),
             crash_queue: crash_queue.clone(),
+            outcome_queue: outcome_queue.clone(),
             name: config.name.clone(),
             zone: config.zone.clone(),
             key,
@@ -131,6 +134,7 @@
                 leader: leader.clone(),
                 replica: replica.clone(),
                 crash_queue: crash_queue.clone(),
+                outcome_queue: outcome_queue.clone(),
                 control_contact: control_contact.clone(),
             };
             if parts.is_some() {
@@ -146,10 +150,9 @@
         if let Some(parts) = parts {
             tasks.push(parts.spawn(&config));
         }
-        let runtime = Handle::current();
         let inner = Inner {
             names_are_addresses: config.names_are_addresses,
-            runtime,
+            runtime: Handle::current(),
             proposer,
             gossip,
             leader,
@@ -157,6 +160,7 @@
             published,
             soft_state,
             crash_queue,
+            outcome_queue,
             control_contact,
             caught_up,
             metrics,
@@ -250,6 +254,7 @@
     pub(crate) published: Arc<PublishedStore>,
     pub(crate) soft_state: Arc<SoftState>,
     pub(crate) crash_queue: CrashQueue,
+    pub(crate) outcome_queue: OutcomeQueue,
     pub(crate) control_contact: watch::Sender<bool>,
     caught_up: Arc<watch::Sender<Option<BootInstant>>>,
     metrics: ClusterMetrics,
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod metrics;
 mod observer;
 mod outbox;
+mod outcome_queue;
 mod propose;
 mod published_upstreams;
 mod relays;
--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -49,7 +49,8 @@
             PeerRequest::Follow { .. }
             | PeerRequest::Observe { .. }
             | PeerRequest::Relay { .. }
-            | PeerRequest::ControlNodes { .. } => Purpose::Follow,
+            | PeerRequest::ControlNodes { .. }
+            | PeerRequest::PromptOutcomes { .. } => Purpose::Follow,
             PeerRequest::Heartbeat { .. } => Purpose::Heartbeat,
         }
     }
@@ -64,7 +65,8 @@
                 PeerResponse::Follow(..)
                 | PeerResponse::Observe(..)
                 | PeerResponse::Relay(..)
-                | PeerResponse::ControlNodes(..),
+                | PeerResponse::ControlNodes(..)
+                | PeerResponse::PromptOutcomes(..),
             ) => Purpose::Follow,
             Ok(PeerResponse::Heartbeat(..)) => Purpose::Heartbeat,
             Err(_) => Purpose::Connection,
--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -21,7 +21,8 @@
 use crate::{
     clock::BootInstant,
     driver::ReplicaView,
-    link::{CallError, Links},
+    link::{CallError, Link, Links},
+    outcome_queue::OutcomeQueue,
     propose::LeaderHint,
     published_upstreams::PublishedStore,
     soft_state::SoftState,
@@ -92,6 +93,7 @@
     /// This node's replica; a node with one installs the configuration from its log only.
     pub(crate) replica: watch::Receiver<ReplicaView>,
     pub(crate) crash_queue: CrashQueue,
+    pub(crate) outcome_queue: OutcomeQueue,
     /// Whether a recent poll returned a current configuration and current upstreams; its changes are logged.
     pub(crate) control_contact: watch::Sender<bool>,
 }
@@ -164,6 +166,7 @@
 
     async fn poll(&self, source: &InstanceId) -> Result<ObserveReply, CallError> {
         let link = self.links.get(source).ok_or(CallError::NotSent)?;
+        self.report_outcomes(&link).await;
         let published = self.published.get();
         let crashes = self.crash_queue.take();
         let report = self.soft_state.own_report();
@@ -199,6 +202,20 @@
         reply
     }
 
+    /// Reports the queued outcomes of prompts; if that fails, they are reported with the next poll.
+    async fn report_outcomes(&self, link: &Link) {
+        if self.outcome_queue.is_empty() {
+            return;
+        }
+        let (outcomes, message) = self.outcome_queue.take();
+        let call = |client: PeerClient, context| {
+            async move { client.prompt_outcomes(context, message).await }.boxed()
+        };
+        if link.call(RESPONSE_GRACE, call).await.is_err() {
+            self.outcome_queue.add(outcomes);
+        }
+    }
+
     /// Applies a response; returns whether the source is current. The ages in it were measured after the request was
     /// sent, so they are subtracted from that time.
     async fn apply(&self, reply: &ObserveReply, requested_at: BootInstant) -> bool {
--- a/crates/cluster/src/published_upstreams.rs
+++ b/crates/cluster/src/published_upstreams.rs
@@ -6,25 +6,27 @@
     time::Duration,
 };
 
-use daisysill_core::ids::InstanceId;
+use daisysill_core::{crashing_parts::CrashingParts, ids::InstanceId};
 use daisysill_wire::peer::{PublishedUpstreams, UpstreamCrash, UpstreamEntry};
 use tokio::{sync::watch, time::sleep};
 
-use crate::{clock::BootInstant, relays::Relays};
+use crate::{clock::BootInstant, outcome_queue::TimedOutcome, relays::Relays};
 
 /// An entry node that has not polled for this time is no longer counted.
 const ENTRY_NODE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Minimum time between two publications because of crashes alone. A partition breaks hundreds of connections, and each
 /// publication goes to every node.
 const CRASH_INTERVAL: Duration = Duration::from_millis(250);
-/// Maximum number of request fingerprints published, most crashes first; bounds the size of the message.
-const MAX_FINGERPRINTS: usize = 512;
+/// Maximum number of request fingerprints and parts of prompts published, most crashes first; bounds the size of the message.
+const MAX_CRASH_COUNTS: usize = 512;
 
 /// The published upstreams as this node has them, and when they were last known to be current.
 #[derive(Debug)]
 pub(crate) struct PublishedStore {
     /// Identifies what this process publishes.
     own_source: String,
+    /// Where the times of the evidence begin.
+    start: BootInstant,
     sender: watch::Sender<Arc<PublishedUpstreams>>,
     /// The control nodes that answer the polls of other entry nodes.
     relays: Arc<Relays>,
@@ -37,6 +39,8 @@
     last_polls: BTreeMap<InstanceId, BootInstant>,
     /// Crashed processes, as upstream and start time, by request fingerprint.
     crashes: BTreeMap<u64, BTreeSet<(InstanceId, u64)>>,
+    /// Evidence against parts of prompts.
+    crashing_parts: CrashingParts,
     /// When crashes were last published, or will be if this is in the future.
     crashes_due_at: Option<BootInstant>,
 }
@@ -45,6 +49,7 @@
     /// Creates an empty store on the node `name`. What it publishes is told apart from that of an earlier start.
     pub(crate) fn new(name: &InstanceId, relays: Arc<Relays>) -> Self {
         Self {
+            start: BootInstant::now(),
             own_source: format!("{name} {:x}", rand::random::<u64>()),
             sender: watch::channel(Arc::default()).0,
             relays,
@@ -114,34 +119,42 @@
         if crashes.is_empty() {
             return;
         }
-        let Some(delay) = self.record_crashes(crashes) else { return };
-        let store = Arc::clone(self);
-        tokio::spawn(async move {
-            sleep(delay).await;
-            store.publish_crashes();
-        });
-    }
-
-    /// Records crashes and returns the delay after which they are to be published; `None` if a publication that will
-    /// include them is already scheduled.
-    fn record_crashes(&self, crashes: &[UpstreamCrash]) -> Option<Duration> {
         let mut inner = self.lock();
         for crash in crashes {
             let upstreams = inner.crashes.entry(crash.fingerprint).or_default();
             upstreams.insert((crash.upstream.clone(), crash.started_unix_ms));
         }
-        let now = BootInstant::now();
-        if inner.crashes_due_at.is_some_and(|due_at| due_at > now) {
-            return None;
+        drop(inner);
+        self.schedule_publication();
+    }
+
+    /// Records outcomes of prompts that nodes report to this node as the leader, and publishes what follows soon.
+    pub(crate) fn record_outcomes(self: &Arc<Self>, outcomes: &[TimedOutcome]) {
+        let mut inner = self.lock();
+        for outcome in outcomes {
+            match outcome.broken_run(self.start) {
+                Some(run) => inner.crashing_parts.record_crash(outcome.parts(), &run),
+                None => inner.crashing_parts.record_completion(outcome.parts()),
+            }
         }
-        let due_at = inner.crashes_due_at.map_or(now, |last| now.max(last + CRASH_INTERVAL));
-        inner.crashes_due_at = Some(due_at);
-        Some(due_at.since(now))
+        drop(inner);
+        self.schedule_publication();
     }
 
-    /// Publishes the number of crashes by request fingerprint.
+    /// Publishes crashes soon, together with others of that time.
+    fn schedule_publication(self: &Arc<Self>) {
+        let Some(delay) = self.lock().publication_delay() else { return };
+        let store = Arc::clone(self);
+        tokio::spawn(async move {
+            sleep(delay).await;
+            store.publish_crashes();
+        });
+    }
+
+    /// Publishes the number of crashes by request fingerprint and by part of a prompt.
     fn publish_crashes(&self) {
-        let counts = self.lock().crash_counts();
+        let now_ms = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let counts = self.lock().crash_counts(now_ms);
         self.change(|published| published.crash_counts = counts);
     }
 
@@ -166,16 +179,28 @@
 }
 
 impl Inner {
-    /// Returns the crashes by fingerprint, those with the most only.
-    fn crash_counts(&self) -> BTreeMap<u64, u32> {
+    /// Returns the delay after which crashes are to be published; `None` if a publication is already scheduled.
+    fn publication_delay(&mut self) -> Option<Duration> {
+        let now = BootInstant::now();
+        if self.crashes_due_at.is_some_and(|due_at| due_at > now) {
+            return None;
+        }
+        let due_at = self.crashes_due_at.map_or(now, |last| now.max(last + CRASH_INTERVAL));
+        self.crashes_due_at = Some(due_at);
+        Some(due_at.since(now))
+    }
+
+    /// Returns the crashes by fingerprint and by part of a prompt, those with the most only.
+    fn crash_counts(&mut self, now_ms: u64) -> BTreeMap<u64, u32> {
         let counts = self.crashes.iter();
         let mut counts: Vec<(u64, u32)> = counts
             .map(|(fingerprint, upstreams)| {
                 (*fingerprint, u32::try_from(upstreams.len()).unwrap_or(u32::MAX))
             })
             .collect();
+        counts.extend(self.crashing_parts.counts(now_ms));
         counts.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
-        counts.truncate(MAX_FINGERPRINTS);
+        counts.truncate(MAX_CRASH_COUNTS);
         counts.into_iter().collect()
     }
 }
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -13,7 +13,7 @@
 use daisysill_core::ids::{ConfigVersion, InstanceId, ZoneName};
 use daisysill_wire::peer::{
     ControlNode, FollowReply, ForwardError, Heartbeat, ObserveReply, ObserveRequest, Peer, PeerRequest,
-    PeerResponse, PublishedUpstreams, RelayReply, RelayReport,
+    PeerResponse, PromptOutcome, PublishedUpstreams, RelayReply, RelayReport,
 };
 use futures::{FutureExt, StreamExt};
 use tarpc::{
@@ -37,6 +37,7 @@
     members::Members,
     metrics::ClusterMetrics,
     observer::CrashQueue,
+    outcome_queue::{OutcomeQueue, TimedOutcome},
     propose::{Proposal, Proposer},
     published_upstreams::PublishedStore,
     relays::Relays,
@@ -73,6 +74,8 @@
     pub(crate) relays: Arc<Relays>,
     /// Crashes that entry nodes reported to this node, to be passed on to the leader.
     pub(crate) crash_queue: CrashQueue,
+    /// Outcomes of prompts, likewise.
+    pub(crate) outcome_queue: OutcomeQueue,
     pub(crate) metrics: ClusterMetrics,
 }
 
@@ -240,6 +243,15 @@
         }
     }
 
+    async fn prompt_outcomes(self, _: Context, outcomes: Vec<PromptOutcome>) {
+        let outcomes = outcomes.into_iter().map(TimedOutcome::received);
+        if self.state.is_leader() {
+            self.state.published.record_outcomes(&outcomes.collect::<Vec<_>>());
+        } else {
+            self.state.outcome_queue.add(outcomes);
+        }
+    }
+
     async fn control_nodes(self, _: Context) -> Vec<ControlNode> {
         if self.state.is_leader() {
             return self.state.relays.reporting(self.state.as_control_node());
--- a/crates/cluster/src/soft_state_handle.rs
+++ b/crates/cluster/src/soft_state_handle.rs
@@ -6,7 +6,7 @@
 use daisysill_wire::peer::{PublishedUpstreams, StoredPart, UpstreamCrash, UpstreamEntry, UpstreamLoad};
 use tokio::sync::watch;
 
-use crate::{clock::BootInstant, handle::ClusterHandle};
+use crate::{clock::BootInstant, handle::ClusterHandle, outcome_queue::TimedOutcome};
 
 impl ClusterHandle {
     /// Returns a receiver of the upstreams that the leader publishes.
@@ -92,6 +92,31 @@
         self.inner.crash_queue.add(crash);
     }
 
+    /// Reports that a request with these parts of its prompt was running when its upstream crashed. It was sent at
+    /// `sent_at` or later; its connection broke at `broke_at`.
+    pub fn report_broken_prompt(
+        &self,
+        parts: Vec<u64>,
+        crash: UpstreamCrash,
+        sent_at: BootInstant,
+        broke_at: BootInstant,
+    ) {
+        self.report_outcome(TimedOutcome::broken(parts, crash, sent_at, broke_at));
+    }
+
+    /// Reports that a request with these parts of its prompt has completed.
+    pub fn report_completed_prompt(&self, parts: Vec<u64>) {
+        self.report_outcome(TimedOutcome::completed(parts));
+    }
+
+    fn report_outcome(&self, outcome: TimedOutcome) {
+        if self.is_leader() {
+            let _context = self.inner.runtime.enter();
+            return self.inner.published.record_outcomes(&[outcome]);
+        }
+        self.inner.outcome_queue.add([outcome]);
+    }
+
     /// Returns the time, suspended time included, since this node's configuration was known to be the newest that a
     /// majority agreed on; `None` if it never was.
     pub fn config_age(&self) -> Option<Duration> {
--- a/crates/cluster/tests/observer.rs
+++ b/crates/cluster/tests/observer.rs
@@ -9,7 +9,7 @@
 
 use daisysill_cluster::{BootInstant, Cluster, ClusterConfig, ClusterHandle};
 use daisysill_control::command::{Command, PublishDocument, Reply};
-use daisysill_core::ids::InstanceId;
+use daisysill_core::{crashing_parts::CRASHES_TO_BLOCK, ids::InstanceId};
 use daisysill_wire::peer::{StoredPart, UpstreamCrash, UpstreamEntry, UpstreamLoad};
 use tempfile::TempDir;
 use tokio::time::sleep;
@@ -248,3 +248,34 @@
     wait("the new catalog", || entry.stored_part(4, limit).is_some()).await;
     assert!(entry.stored_part(2, limit).is_none());
 }
+
+/// Guards against a part of a prompt that crashes upstreams and is not blocked at every node, because what different nodes
+/// saw is not put together, and against a sound part that stays suspected after a request with it has completed.
+#[tokio::test]
+async fn part_that_crashes_upstreams_is_blocked_at_every_entry_node() {
+    const SOUND: u64 = 5;
+    const BAD: u64 = 6;
+    let nodes = start(9, 3).await;
+    wait("a leader", || nodes.control.is_leader()).await;
+    nodes.control.publish_upstreams(vec![upstream("i-1")], BootInstant::now());
+    let count = |entry: &ClusterHandle, part: u64| {
+        entry.published_upstreams().borrow().crash_counts.get(&part).copied()
+    };
+    for (fingerprint, entry) in (100..).zip(&nodes.entries) {
+        let sent_at = BootInstant::now();
+        sleep(Duration::from_millis(50)).await;
+        let crash = UpstreamCrash {
+            fingerprint,
+            upstream: format!("i-{fingerprint}").as_str().into(),
+            started_unix_ms: 1,
+        };
+        entry.report_broken_prompt(vec![SOUND, BAD], crash, sent_at, BootInstant::now());
+        let last = &nodes.entries[2];
+        wait("the sound part is suspected", || count(last, SOUND).is_some()).await;
+        last.report_completed_prompt(vec![SOUND]);
+        wait("the sound part is cleared", || count(last, SOUND).is_none()).await;
+    }
+    for entry in &nodes.entries {
+        wait("the block", || count(entry, BAD) == Some(CRASHES_TO_BLOCK)).await;
+    }
+}
--- /dev/null
+++ b/crates/core/src/crashing_parts.rs
@@ -0,0 +1,151 @@
+//! Finds the parts of prompts that crash the upstreams that answer on them.
+//!
+//! A crash breaks all requests at its upstream, most of them sound, and sound requests share the other parts of those that
+//! crash. Three things tell the parts apart: a request that completes clears all its parts; crashes that one part explains
+//! count against no other; and many upstreams that end at the same time are no evidence against what they had in common.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
+
+use crate::ids::InstanceId;
+
+/// Crashes in succession, under different requests, after which a part that none has completed with is blocked.
+pub const CRASHES_TO_BLOCK: u32 = 3;
+/// How long evidence lasts after the last crash under a part, and so how long the part stays blocked.
+const EVIDENCE_TIMEOUT_MS: u64 = 600_000;
+/// Maximum number of parts with evidence; further ones are ignored until evidence expires.
+const MAX_PARTS: usize = 4_096;
+
+/// A process that crashed.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CrashedProcess {
+    /// The upstream.
+    pub upstream: InstanceId,
+    /// Start of the process, in Unix milliseconds.
+    pub started_unix_ms: u64,
+}
+
+/// A request that was running at an upstream when the upstream crashed.
+#[derive(Clone, Debug)]
+pub struct BrokenRun {
+    /// The process that crashed.
+    pub process: CrashedProcess,
+    /// Equal for identical requests.
+    pub fingerprint: u64,
+    /// When the request was sent, in milliseconds of any clock.
+    pub sent_ms: u64,
+    /// When its connection broke, on the same clock.
+    pub broke_ms: u64,
+}
+
+/// Crashes under one part since a request with it completed last.
+#[derive(Clone, Debug, Default)]
+struct Evidence {
+    processes: BTreeSet<CrashedProcess>,
+    /// Requests that were broken; the culprit's part is in fewer than one that many sound requests share.
+    requests: BTreeSet<u64>,
+    /// Crashes under requests that were sent after the crash before.
+    successive: u32,
+    last_fingerprint: u64,
+    last_broke_ms: u64,
+}
+
+/// Evidence against parts of prompts, as the node that decides for all collects it.
+///
+/// ```
+/// use daisysill_core::crashing_parts::{BrokenRun, CRASHES_TO_BLOCK, CrashedProcess, CrashingParts};
+/// let (sound, bad) = (1, 2);
+/// let mut parts = CrashingParts::default();
+/// for number in 0..3 {
+///     let process = CrashedProcess { upstream: format!("i-{number}").as_str().into(), started_unix_ms: 0 };
+///     let run = BrokenRun { process, fingerprint: number, sent_ms: number * 100, broke_ms: number * 100 + 50 };
+///     parts.record_crash(&[sound, bad], &run);
+///     parts.record_completion(&[sound]);
+/// }
+/// assert_eq!(parts.counts(250).get(&bad), Some(&CRASHES_TO_BLOCK));
+/// assert_eq!(parts.counts(250).get(&sound), None);
+/// ```
+#[derive(Debug, Default)]
+pub struct CrashingParts {
+    by_part: BTreeMap<u64, Evidence>,
+}
+
+impl CrashingParts {
+    /// Records a broken run of a request with these parts.
+    pub fn record_crash(&mut self, parts: &[u64], run: &BrokenRun) {
+        for part in parts {
+            if self.by_part.len() >= MAX_PARTS && !self.by_part.contains_key(part) {
+                continue;
+            }
+            self.by_part.entry(*part).or_default().record(run);
+        }
+    }
+
+    /// Records that a request with these parts has completed.
+    pub fn record_completion(&mut self, parts: &[u64]) {
+        for part in parts {
+            self.by_part.remove(part);
+        }
+    }
+
+    /// Returns the crashes by part: [`CRASHES_TO_BLOCK`] or more for those that are blocked, fewer for others. Discards
+    /// expired evidence.
+    pub fn counts(&mut self, now_ms: u64) -> BTreeMap<u64, u32> {
+        self.by_part
+            .retain(|_, evidence| now_ms.saturating_sub(evidence.last_broke_ms) < EVIDENCE_TIMEOUT_MS);
+        let mut counts: BTreeMap<u64, u32> = self
+            .by_part
+            .iter()
+            .map(|(part, evidence)| (*part, evidence.successive.min(CRASHES_TO_BLOCK - 1)))
+            .collect();
+        for part in self.culprits() {
+            counts.insert(part, self.by_part[&part].successive);
+        }
+        counts
+    }
+
+    /// Returns the fewest parts that explain the crashes: again and again the one with the most unexplained crashes.
+    fn culprits(&self) -> Vec<u64> {
+        let is_candidate = |evidence: &Evidence| evidence.successive >= CRASHES_TO_BLOCK;
+        let mut candidates: Vec<(u64, &Evidence)> = self
+            .by_part
+            .iter()
+            .filter(|(_, evidence)| is_candidate(evidence))
+            .map(|(part, evidence)| (*part, evidence))
+            .collect();
+        let mut explained = BTreeSet::new();
+        let mut culprits = Vec::new();
+        loop {
+            let unexplained = |evidence: &Evidence| evidence.processes.difference(&explained).count();
+            let best = candidates
+                .iter()
+                .enumerate()
+                .max_by_key(|(_, (_, evidence))| (unexplained(evidence), Reverse(evidence.requests.len())));
+            let Some((index, (part, evidence))) = best else { return culprits };
+            if unexplained(evidence) < CRASHES_TO_BLOCK as usize {
+                return culprits;
+            }
+            culprits.push(*part);
+            explained.extend(evidence.processes.iter().cloned());
+            candidates.swap_remove(index);
+        }
+    }
+}
+
+impl Evidence {
+    fn record(&mut self, run: &BrokenRun) {
+        self.requests.insert(run.fingerprint);
+        let is_first = self.processes.is_empty();
+        if !self.processes.insert(run.process.clone()) {
+            return;
+        }
+        let follows = run.sent_ms >= self.last_broke_ms && run.fingerprint != self.last_fingerprint;
+        if is_first || follows {
+            self.successive += 1;
+            self.last_fingerprint = run.fingerprint;
+            self.last_broke_ms = run.broke_ms;
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 mod backlog;
 mod candidates;
 mod concurrency;
+pub mod crashing_parts;
 pub mod event_tracker;
 pub mod fetch_backoff;
 mod fill;
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    header_codec::{HeaderCodec, RequestHeaders},
+    header_codec::{HeaderCodec, Prompt, RequestHeaders},
     refusal::Refusal,
     upstreams::{PrefixKey, stable_hash},
 };
@@ -44,6 +44,8 @@
     pub customer: Option<Arc<Customer>>,
     /// Equal for identical requests, also when a caller retries at another node.
     pub fingerprint: u64,
+    /// Hashes of the parts of the prompt that other requests may share, each with its model; equal on all nodes.
+    pub part_keys: Vec<u64>,
     /// Time of arrival.
     pub arrived: Instant,
     /// The response must be complete by this time.
@@ -66,13 +68,6 @@
         self.headers.prompt.as_ref().map_or(0, |prompt| prompt.prompt_tokens + prompt.max_output_tokens)
     }
 
-    /// Returns the IDs of the parts of the prompt that other requests may share, which are all but the last.
-    pub(crate) fn shared_part_ids(&self) -> impl Iterator<Item = &str> {
-        let parts = self.headers.prompt.as_ref().map_or(&[][..], |prompt| &prompt.parts);
-        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        shared.iter().map(|part| part.id.as_str())
-    }
-
     /// Returns the key and the length in tokens of the shared prefix, which is all parts of the prompt but the last;
     /// `None` if there is no prefix.
     pub(crate) fn prefix(&self, scope: &str) -> Option<(PrefixKey, u64)> {
@@ -174,6 +169,14 @@
     )
 }
 
+/// Returns the hashes of the shared parts of a prompt, which are all but the last, each with its model; equal on all nodes
+/// of one build.
+pub fn part_keys(prompt: Option<&Prompt>) -> Vec<u64> {
+    let Some(prompt) = prompt else { return Vec::new() };
+    let shared = prompt.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| stable_hash(&(prompt.model.as_str(), part.id.as_str()))).collect()
+}
+
 /// Returns a hash of a request's path, customer and body, equal on all nodes of one build.
 pub fn fingerprint(path: &str, customer: Option<&Customer>, body: &Bytes) -> u64 {
     stable_hash(&(path, customer.map(|customer| customer.name.as_str()), body.as_ref()))
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -10,6 +10,7 @@
 
 use daisysill_cluster::ClusterHandle;
 use daisysill_core::{
+    crashing_parts,
     fetch_backoff::FetchBackoff,
     ids::ServiceName,
     link_booking::LinkBookings,
@@ -48,6 +49,8 @@
 const CRASHES_TO_BLOCK: u32 = 3;
 /// Retry-after of a blocked request and where no upstream accepts requests.
 const NO_UPSTREAM_RETRY_MS: u64 = 400;
+/// Retry-after where a part of the prompt is blocked; a part that is cleared is served again before.
+const BLOCKED_PART_RETRY_MS: u64 = 10_000;
 /// Retry-after where upstreams are busy, time ran out before a send, or the retry budget is exhausted.
 pub(crate) const BUSY_RETRY_MS: u64 = 250;
 /// Retry-after of a node whose configuration is too old to validate keys or to rule out a route.
@@ -182,12 +185,11 @@
         history: &mut AttemptHistory,
         resume_after: Option<&str>,
     ) -> Result<UpstreamResponse, Refusal> {
-        if self.crashes_of(request.fingerprint) >= CRASHES_TO_BLOCK {
-            let reason = format!("crashed {} upstreams", self.crashes_of(request.fingerprint));
-            return Err(history.refusal(ResultCode::RequestBlocked, reason, NO_UPSTREAM_RETRY_MS));
-        }
         let mut last_error = None;
         loop {
+            if let Some(refusal) = self.block_refusal(request, history) {
+                return Err(refusal);
+            }
             let chosen = match self.place(request, history) {
                 Placement::At(chosen) => chosen,
                 Placement::NoCapacity if self.wait_for_capacity(request, history).await => continue,
@@ -360,8 +362,20 @@
         millis(self.started.elapsed())
     }
 
-    fn crashes_of(&self, fingerprint: u64) -> u32 {
-        self.cluster.published_upstreams().borrow().crash_counts.get(&fingerprint).copied().unwrap_or(0)
+    /// Returns the refusal of a request that crashes upstreams, or that has a part in its prompt on which they crash.
+    fn block_refusal(&self, request: &CallerRequest, history: &AttemptHistory) -> Option<Refusal> {
+        let published = self.cluster.published_upstreams();
+        let published = published.borrow();
+        let crashes_of = |key: &u64| published.crash_counts.get(key).copied().unwrap_or(0);
+        let crashes = crashes_of(&request.fingerprint);
+        if crashes >= CRASHES_TO_BLOCK {
+            let reason = format!("crashed {crashes} upstreams");
+            return Some(history.refusal(ResultCode::RequestBlocked, reason, NO_UPSTREAM_RETRY_MS));
+        }
+        let part =
+            request.part_keys.iter().find(|part| crashes_of(part) >= crashing_parts::CRASHES_TO_BLOCK)?;
+        let reason = format!("part {part} of the prompt crashed upstreams {} times", crashes_of(part));
+        Some(history.refusal(ResultCode::RequestBlocked, reason, BLOCKED_PART_RETRY_MS))
     }
 
     /// Counts a stream that ended, and logs it unless it is complete.
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use daisysill_cluster::BootInstant;
 use daisysill_wire::peer::UpstreamCrash;
 use tokio::time::sleep;
 
@@ -106,7 +107,7 @@
         }
     }
 
-    /// Reports a crash caused by the request if its upstream, whose connection broke, accepts no new connection.
+    /// Reports a crash under the request if its upstream, whose connection broke, accepts no new connection.
     pub(crate) fn check_for_crash(&self, request: &CallerRequest, upstream: &Upstream) {
         let cluster = self.cluster.clone();
         let address = upstream.entry.address;
@@ -116,22 +117,40 @@
             started_unix_ms: upstream.entry.started_unix_ms,
         };
         let request_id = request.headers.request_id.clone();
-        let parts = request.shared_part_ids().collect::<Vec<_>>().join(",");
+        let parts = request.part_keys.clone();
+        let broke_at = BootInstant::now();
+        let sent_at = broke_at.checked_sub(request.arrived.elapsed()).unwrap_or(broke_at);
         actix_rt::spawn(async move {
             sleep(CRASH_CHECK_DELAY).await;
             if UpstreamConnection::connect(address, CRASH_CHECK_TIMEOUT).await.is_err() {
                 tracing::info!(
                     event = "crash_seen",
                     request_id,
-                    parts,
+                    parts = ?parts,
                     upstream = crash.upstream.as_str(),
                     fingerprint = crash.fingerprint
                 );
+                if !parts.is_empty() {
+                    cluster.report_broken_prompt(parts, crash.clone(), sent_at, broke_at);
+                }
                 cluster.report_crash(crash);
             }
         });
     }
 
+    /// Reports that the request completed if crashes were seen under a part of its prompt, which this clears.
+    pub(crate) fn record_completion(&self, request: &CallerRequest) {
+        if request.part_keys.is_empty() {
+            return;
+        }
+        let published = self.cluster.published_upstreams();
+        let is_suspected = |part: &u64| published.borrow().crash_counts.contains_key(part);
+        let parts: Vec<u64> = request.part_keys.iter().copied().filter(is_suspected).collect();
+        if !parts.is_empty() {
+            self.cluster.report_completed_prompt(parts);
+        }
+    }
+
     /// Records the time that a request took.
     pub(crate) fn record_duration(&self, request: &CallerRequest, took: Duration) {
         self.upstreams.speeds(&request.service).record_request(took);
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
-    caller_request::{AttemptHistory, CallerRequest, encode_head, fingerprint},
+    caller_request::{AttemptHistory, CallerRequest, encode_head, fingerprint, part_keys},
     entry_node::EntryState,
     exchange::UpstreamResponse,
     forward::deadline_refusal,
@@ -104,6 +104,7 @@
         let wait_ms = headers.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
         Ok(CallerRequest {
             fingerprint: fingerprint(path, customer.as_deref(), &body),
+            part_keys: part_keys(headers.prompt.as_ref()),
             deadline: arrived + Duration::from_millis(wait_ms),
             headers,
             method,
@@ -220,6 +221,7 @@
         };
         if response.head.status.is_success() {
             upstream.record_success();
+            self.gateway.record_completion(request);
         }
         self.gateway.record_duration(request, request.arrived.elapsed());
         let relayed = self.response_head(&response).body(body);
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -184,7 +184,8 @@
         pub upstreams: Vec<UpstreamEntry>,
         /// Number of entry nodes that recently polled the source.
         pub entry_nodes: u32,
-        /// Crashes of upstreams by the fingerprint of a request that was running there.
+        /// Crashes of upstreams, by the fingerprint of a request that was running there or by the hash of a part of its
+        /// prompt. Only of a part that is blocked there are as many as block it.
         pub crash_counts: BTreeMap<u64, u32>,
     }
 
@@ -260,6 +261,24 @@
         pub started_unix_ms: u64,
     }
 
+    /// What the run of a request showed about the shared parts of its prompt.
+    pub struct PromptOutcome {
+        /// Hashes of the parts, each with its model.
+        pub parts: Vec<u64>,
+        /// The run that a crash broke; `None` if the request completed.
+        pub broken: Option<BrokenPrompt>,
+    }
+
+    /// A run that broke when its upstream crashed.
+    pub struct BrokenPrompt {
+        /// The crash, and the request under it.
+        pub crash: UpstreamCrash,
+        /// Time since the request was sent, at the latest, when this was encoded.
+        pub sent_ms_ago: u64,
+        /// Time since the connection broke when this was encoded.
+        pub broke_ms_ago: u64,
+    }
+
     /// The response to the poll of an entry node.
     pub struct ObserveReply {
         /// Changes since the node's configuration.
@@ -345,4 +364,6 @@
     async fn relay(report: RelayReport) -> RelayReply;
     /// Returns the control nodes that entry nodes may poll; empty if unknown.
     async fn control_nodes() -> Vec<ControlNode>;
+    /// Reports what runs of requests showed about the parts of their prompts; a control node passes them on to the leader.
+    async fn prompt_outcomes(outcomes: Vec<PromptOutcome>);
 }
