Keep what is blocked over a change of leader

Found while the evidence against parts of prompts was built: a new leader published only the crashes that were reported to itself, so with its first publication every node forgot which requests were blocked, and each could take down three more upstreams. The same would hold for blocked parts. Class: a decision that all nodes rely on, kept by one process only.

A node that begins to publish keeps what the publisher before had blocked, for ten minutes, unless a completed request clears a part. a_new_leader_keeps_what_is_blocked failed before (no count after the change of leader) and passes. If all control nodes end together, what was blocked is still lost.

--- a/crates/cluster/src/published_upstreams.rs
+++ b/crates/cluster/src/published_upstreams.rs
@@ -6,7 +6,10 @@
     time::Duration,
 };
 
-use daisysill_core::{crashing_parts::CrashingParts, ids::InstanceId};
+use daisysill_core::{
+    crashing_parts::{CRASHES_TO_BLOCK, CrashingParts, EVIDENCE_TIMEOUT},
+    ids::InstanceId,
+};
 use daisysill_wire::peer::{PublishedUpstreams, UpstreamCrash, UpstreamEntry};
 use tokio::{sync::watch, time::sleep};
 
@@ -41,6 +44,8 @@
     crashes: BTreeMap<u64, BTreeSet<(InstanceId, u64)>>,
     /// Evidence against parts of prompts.
     crashing_parts: CrashingParts,
+    /// What was blocked when this node became the publisher, and when that was.
+    inherited: Option<(BTreeMap<u64, u32>, BootInstant)>,
     /// When crashes were last published, or will be if this is in the future.
     crashes_due_at: Option<BootInstant>,
 }
@@ -134,7 +139,7 @@
         for outcome in outcomes {
             match outcome.broken_run(self.start) {
                 Some(run) => inner.crashing_parts.record_crash(outcome.parts(), &run),
-                None => inner.crashing_parts.record_completion(outcome.parts()),
+                None => inner.record_completion(outcome.parts()),
             }
         }
         drop(inner);
@@ -160,6 +165,10 @@
 
     /// Applies a change. If nothing changes the number stays, so that nodes are not sent the same state again.
     fn change(&self, change: impl FnOnce(&mut PublishedUpstreams)) {
+        let known = self.get();
+        if known.source != self.own_source {
+            self.lock().inherit(&known);
+        }
         self.sender.send_if_modified(|shared| {
             let mut published = PublishedUpstreams::clone(shared);
             change(&mut published);
@@ -179,6 +188,20 @@
 }
 
 impl Inner {
+    /// Keeps what another publisher has blocked.
+    fn inherit(&mut self, known: &PublishedUpstreams) {
+        let blocked = known.crash_counts.iter().filter(|(_, count)| **count >= CRASHES_TO_BLOCK);
+        let blocked = blocked.map(|(key, count)| (*key, *count)).collect();
+        self.inherited = Some((blocked, BootInstant::now()));
+    }
+
+    fn record_completion(&mut self, parts: &[u64]) {
+        self.crashing_parts.record_completion(parts);
+        if let Some((blocked, _)) = &mut self.inherited {
+            blocked.retain(|part, _| !parts.contains(part));
+        }
+    }
+
     /// Returns the delay after which crashes are to be published; `None` if a publication is already scheduled.
     fn publication_delay(&mut self) -> Option<Duration> {
         let now = BootInstant::now();
@@ -192,13 +215,17 @@
 
     /// Returns the crashes by fingerprint and by part of a prompt, those with the most only.
     fn crash_counts(&mut self, now_ms: u64) -> BTreeMap<u64, u32> {
-        let counts = self.crashes.iter();
-        let mut counts: Vec<(u64, u32)> = counts
-            .map(|(fingerprint, upstreams)| {
-                (*fingerprint, u32::try_from(upstreams.len()).unwrap_or(u32::MAX))
-            })
-            .collect();
-        counts.extend(self.crashing_parts.counts(now_ms));
+        let requests = self.crashes.iter().map(|(fingerprint, upstreams)| {
+            (*fingerprint, u32::try_from(upstreams.len()).unwrap_or(u32::MAX))
+        });
+        let mut by_key: BTreeMap<u64, u32> = requests.collect();
+        by_key.extend(self.crashing_parts.counts(now_ms));
+        self.inherited.take_if(|(_, at)| at.elapsed() >= EVIDENCE_TIMEOUT);
+        for (key, inherited) in self.inherited.iter().flat_map(|(blocked, _)| blocked) {
+            let count = by_key.entry(*key).or_default();
+            *count = (*count).max(*inherited);
+        }
+        let mut counts: Vec<(u64, u32)> = by_key.into_iter().collect();
         counts.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
         counts.truncate(MAX_CRASH_COUNTS);
         counts.into_iter().collect()
--- a/crates/cluster/tests/relays.rs
+++ b/crates/cluster/tests/relays.rs
@@ -246,3 +246,36 @@
     sleep(Duration::from_secs(3)).await;
     assert!(entry.stored_part(1, Duration::from_millis(1_500)).is_none(), "the copy must be getting older");
 }
+
+/// Guards against a new leader that forgets which requests and parts of prompts are blocked: each would take down three
+/// more upstreams after every change of leader.
+#[tokio::test]
+async fn a_new_leader_keeps_what_is_blocked() {
+    const REQUEST: u64 = 7;
+    let nodes = TestNodes::start(7).await;
+    nodes.settle().await;
+    let crash = |fingerprint: u64, number: u32| UpstreamCrash {
+        fingerprint,
+        upstream: format!("i-{number}").as_str().into(),
+        started_unix_ms: 1,
+    };
+    let count = |entry: &ClusterHandle, key: u64| {
+        entry.published_upstreams().borrow().crash_counts.get(&key).copied()
+    };
+    for number in 0..3 {
+        nodes.entries[0][0].report_crash(crash(REQUEST, number));
+    }
+    for entry in nodes.all_entries() {
+        wait("the block", || count(entry, REQUEST) == Some(3)).await;
+    }
+    let old_leader = nodes.leader_zone();
+    nodes.controls[old_leader].stop().await;
+    let is_new = |zone: &usize| *zone != old_leader && nodes.controls[*zone].is_leader();
+    wait("a new leader", || (0..nodes.controls.len()).any(|zone| is_new(&zone))).await;
+    let new_leader = (0..nodes.controls.len()).find(is_new).unwrap();
+    nodes.controls[new_leader].publish_upstreams(Vec::new(), BootInstant::now());
+    let entry = &nodes.entries[new_leader][0];
+    entry.report_crash(crash(8, 9));
+    wait("the new leader's count", || count(entry, 8) == Some(1)).await;
+    assert_eq!(count(entry, REQUEST), Some(3));
+}
--- a/crates/core/src/crashing_parts.rs
+++ b/crates/core/src/crashing_parts.rs
@@ -7,6 +7,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
+    time::Duration,
 };
 
 use crate::ids::InstanceId;
@@ -14,7 +15,7 @@
 /// Crashes in succession, under different requests, after which a part that none has completed with is blocked.
 pub const CRASHES_TO_BLOCK: u32 = 3;
 /// How long evidence lasts after the last crash under a part, and so how long the part stays blocked.
-const EVIDENCE_TIMEOUT_MS: u64 = 600_000;
+pub const EVIDENCE_TIMEOUT: Duration = Duration::from_mins(10);
 /// Maximum number of parts with evidence; further ones are ignored until evidence expires.
 const MAX_PARTS: usize = 4_096;
 
@@ -93,8 +94,8 @@
     /// Returns the crashes by part: [`CRASHES_TO_BLOCK`] or more for those that are blocked, fewer for others. Discards
     /// expired evidence.
     pub fn counts(&mut self, now_ms: u64) -> BTreeMap<u64, u32> {
-        self.by_part
-            .retain(|_, evidence| now_ms.saturating_sub(evidence.last_broke_ms) < EVIDENCE_TIMEOUT_MS);
+        let age = |evidence: &Evidence| Duration::from_millis(now_ms.saturating_sub(evidence.last_broke_ms));
+        self.by_part.retain(|_, evidence| age(evidence) < EVIDENCE_TIMEOUT);
         let mut counts: BTreeMap<u64, u32> = self
             .by_part
             .iter()
