--- a/crates/cluster/src/published_upstreams.rs
+++ b/crates/cluster/src/published_upstreams.rs
@@ -44,6 +44,8 @@
     crashes: BTreeMap<u64, BTreeSet<(InstanceId, u64)>>,
     /// Evidence against parts of prompts.
     crashing_parts: CrashingParts,
+    /// Parts of prompts that this node blocks, as last logged.
+    blocked_parts: BTreeSet<u64>,
     /// What was blocked when this node became the publisher, and when that was.
     inherited: Option<(BTreeMap<u64, u32>, BootInstant)>,
     /// When crashes were last published, or will be if this is in the future.
@@ -195,6 +197,17 @@
         self.inherited = Some((blocked, BootInstant::now()));
     }
 
+    /// Logs the parts of prompts that are blocked, if they changed.
+    fn log_blocked_parts(&mut self, counts: &BTreeMap<u64, u32>) {
+        let blocked = counts.iter().filter(|(_, count)| **count >= CRASHES_TO_BLOCK);
+        let blocked: BTreeSet<u64> = blocked.map(|(part, _)| *part).collect();
+        if blocked != self.blocked_parts {
+            let suspected = counts.len() - blocked.len();
+            log::info!("blocked parts of prompts: {blocked:?}; under suspicion: {suspected}");
+            self.blocked_parts = blocked;
+        }
+    }
+
     fn record_completion(&mut self, parts: &[u64]) {
         self.crashing_parts.record_completion(parts);
         if let Some((blocked, _)) = &mut self.inherited {
@@ -219,7 +232,9 @@
             (*fingerprint, u32::try_from(upstreams.len()).unwrap_or(u32::MAX))
         });
         let mut by_key: BTreeMap<u64, u32> = requests.collect();
-        by_key.extend(self.crashing_parts.counts(now_ms));
+        let by_part = self.crashing_parts.counts(now_ms);
+        self.log_blocked_parts(&by_part);
+        by_key.extend(by_part);
         self.inherited.take_if(|(_, at)| at.elapsed() >= EVIDENCE_TIMEOUT);
         for (key, inherited) in self.inherited.iter().flat_map(|(blocked, _)| blocked) {
             let count = by_key.entry(*key).or_default();
