--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -97,7 +97,12 @@
         let stream = timeout(connect_timeout, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-        Ok(Self {
+        Ok(Self::over(stream))
+    }
+
+    /// Uses a connection that is open, with the socket options that it has.
+    pub fn over(stream: TcpStream) -> Self {
+        Self {
             stream,
             input: BytesMut::new(),
             body: BodyState::Idle,
@@ -105,7 +110,7 @@
             keeps_open: true,
             idle_timeout: None,
             idle_since: Instant::now(),
-        })
+        }
     }
 
     /// Returns whether the connection can carry another request: the last response was read to its end, no bytes
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -40,7 +40,8 @@
     }
 }
 
-fn set_options(stream: &TcpStream) -> io::Result<()> {
+/// Sets the options that detect dead peers.
+pub(crate) fn set_options(stream: &TcpStream) -> io::Result<()> {
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&keepalive.with_retries(KEEPALIVE_PROBES))?;
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -1,6 +1,6 @@
 //! HTTP client functions that all upstream clients share.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 
 use actix_web::web::Bytes;
 use awc::{
@@ -16,7 +16,7 @@
 };
 
 use crate::{
-    connection::UpstreamConnector,
+    connection::{UpstreamConnector, set_options},
     upstream_api::{AttemptError, AttemptResult},
 };
 
@@ -25,7 +25,7 @@
 /// Response header that states that the upstream refuses because it is leaving.
 pub const LEAVING_HEADER: &str = "x-leaving";
 /// Limit on opening a connection.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle time after which a pooled connection is not reused.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Limit on a control request, such as reading the load or the instance list.
@@ -88,6 +88,16 @@
     Ok((address, authority))
 }
 
+/// Opens a TCP connection with the options that detect dead peers.
+///
+/// # Errors
+/// Fails if the connection is refused or not open in time.
+pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    set_options(&stream)?;
+    Ok(stream)
+}
+
 /// Opens a TCP connection to the host and port of a URL and closes it.
 ///
 /// # Errors
--- a/crates/node/src/plain_client.rs
+++ b/crates/node/src/plain_client.rs
@@ -60,8 +60,9 @@
         send_deadline: Instant,
     ) -> AttemptResult<PlainResponse> {
         let (address, authority) = http::resolve(url).await?;
-        let connected = UpstreamConnection::connect(address, http::CONNECT_TIMEOUT).await;
-        let mut connection = connected.map_err(|error| AttemptError::NotSent(error.to_string()))?;
+        let connected = http::connect(address).await;
+        let connected = connected.map_err(|error| AttemptError::NotSent(error.to_string()))?;
+        let mut connection = UpstreamConnection::over(connected);
         let head = request_head(&authority, request, traceparent)?;
         // Checked right before the first byte, since the process may have been suspended while it connected.
         if Instant::now() >= send_deadline {
