Count further crashes of an upstream that is back under its old id

An upstream that is back under its id, and is listed with the old start for a while, crashed again without being counted, and a late report of another request could use up a crash.

A run that was sent after the last known crash of its process was broken by another one. The test crashes_of_restarted_upstreams_count_again failed before and passes.

--- a/crates/core/src/crashing_parts.rs
+++ b/crates/core/src/crashing_parts.rs
@@ -41,14 +41,24 @@
     pub broke_ms: u64,
 }
 
+/// One of the crashes of a process, which may be listed with its old start for a while after a restart.
+type CrashId = (CrashedProcess, u32);
+
+/// The latest crash of a process.
+#[derive(Clone, Copy, Debug)]
+struct LatestCrash {
+    number: u32,
+    broke_ms: u64,
+}
+
 /// Crashes under one part since a request with it completed last.
 #[derive(Clone, Debug, Default)]
 struct Evidence {
-    processes: BTreeSet<CrashedProcess>,
+    crashes: BTreeSet<CrashId>,
+    /// Those that counted as successive.
+    counted: BTreeSet<CrashId>,
     /// Requests that were broken; the culprit's part is in fewer than one that many sound requests share.
     requests: BTreeSet<u64>,
-    /// Crashes under requests that were sent after the crash before.
-    successive: u32,
     last_fingerprint: u64,
     last_broke_ms: u64,
 }
@@ -70,20 +80,32 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct CrashingParts {
+    latest_crashes: BTreeMap<CrashedProcess, LatestCrash>,
     by_part: BTreeMap<u64, Evidence>,
 }
 
 impl CrashingParts {
     /// Records a broken run of a request with these parts.
     pub fn record_crash(&mut self, parts: &[u64], run: &BrokenRun) {
+        let crash = self.identify(run);
         for part in parts {
             if self.by_part.len() >= MAX_PARTS && !self.by_part.contains_key(part) {
                 continue;
             }
-            self.by_part.entry(*part).or_default().record(run);
+            self.by_part.entry(*part).or_default().record(run, &crash);
         }
     }
 
+    /// Returns which crash broke the run: a new one if the run was sent after the process crashed before.
+    fn identify(&mut self, run: &BrokenRun) -> CrashId {
+        let first = LatestCrash { number: 0, broke_ms: run.broke_ms };
+        let latest = self.latest_crashes.entry(run.process.clone()).or_insert(first);
+        if run.sent_ms >= latest.broke_ms {
+            *latest = LatestCrash { number: latest.number + 1, broke_ms: run.broke_ms };
+        }
+        (run.process.clone(), latest.number)
+    }
+
     /// Records that a request with these parts has completed.
     pub fn record_completion(&mut self, parts: &[u64]) {
         for part in parts {
@@ -96,20 +118,23 @@
     pub fn counts(&mut self, now_ms: u64) -> BTreeMap<u64, u32> {
         let age = |evidence: &Evidence| Duration::from_millis(now_ms.saturating_sub(evidence.last_broke_ms));
         self.by_part.retain(|_, evidence| age(evidence) < EVIDENCE_TIMEOUT);
+        self.latest_crashes.retain(|_, crash| {
+            Duration::from_millis(now_ms.saturating_sub(crash.broke_ms)) < EVIDENCE_TIMEOUT
+        });
         let mut counts: BTreeMap<u64, u32> = self
             .by_part
             .iter()
-            .map(|(part, evidence)| (*part, evidence.successive.min(CRASHES_TO_BLOCK - 1)))
+            .map(|(part, evidence)| (*part, evidence.successive().min(CRASHES_TO_BLOCK - 1)))
             .collect();
         for part in self.culprits() {
-            counts.insert(part, self.by_part[&part].successive);
+            counts.insert(part, self.by_part[&part].successive());
         }
         counts
     }
 
     /// Returns the fewest parts that explain the crashes: again and again the one with the most unexplained crashes.
     fn culprits(&self) -> Vec<u64> {
-        let is_candidate = |evidence: &Evidence| evidence.successive >= CRASHES_TO_BLOCK;
+        let is_candidate = |evidence: &Evidence| evidence.successive() >= CRASHES_TO_BLOCK;
         let mut candidates: Vec<(u64, &Evidence)> = self
             .by_part
             .iter()
@@ -119,7 +144,7 @@
         let mut explained = BTreeSet::new();
         let mut culprits = Vec::new();
         loop {
-            let unexplained = |evidence: &Evidence| evidence.processes.difference(&explained).count();
+            let unexplained = |evidence: &Evidence| evidence.crashes.difference(&explained).count();
             let best = candidates
                 .iter()
                 .enumerate()
@@ -129,22 +154,23 @@
                 return culprits;
             }
             culprits.push(*part);
-            explained.extend(evidence.processes.iter().cloned());
+            explained.extend(evidence.crashes.iter().cloned());
             candidates.swap_remove(index);
         }
     }
 }
 
 impl Evidence {
-    fn record(&mut self, run: &BrokenRun) {
+    /// Returns the number of crashes under different requests, each sent after the crash before.
+    fn successive(&self) -> u32 {
+        u32::try_from(self.counted.len()).unwrap_or(u32::MAX)
+    }
+
+    fn record(&mut self, run: &BrokenRun, crash: &CrashId) {
         self.requests.insert(run.fingerprint);
-        let is_first = self.processes.is_empty();
-        if !self.processes.insert(run.process.clone()) {
-            return;
-        }
+        self.crashes.insert(crash.clone());
         let follows = run.sent_ms >= self.last_broke_ms && run.fingerprint != self.last_fingerprint;
-        if is_first || follows {
-            self.successive += 1;
+        if (self.counted.is_empty() || follows) && self.counted.insert(crash.clone()) {
             self.last_fingerprint = run.fingerprint;
             self.last_broke_ms = run.broke_ms;
         }
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -118,3 +118,18 @@
         prop_assert!(blocked.iter().all(|part| !completed.contains(part)));
     }
 }
+
+/// Pattern: few upstreams, which come back within a second under the same id, and are listed with their old start for a
+/// while. Guards against crashes of a restarted process that are taken for the one already known.
+#[test]
+fn crashes_of_restarted_upstreams_count_again() {
+    let mut parts = CrashingParts::default();
+    for crash in 0..3 {
+        let (sent_ms, broke_ms) = (crash * 700, crash * 700 + 90);
+        // A sound request is reported before the one that crashed, and was sent long before it.
+        parts.record_crash(&[HOT, BAD], &run(1, 50 + crash, sent_ms.saturating_sub(1), broke_ms));
+        parts.record_crash(&[HOT, BAD], &run(1, crash, sent_ms, broke_ms));
+        parts.record_completion(&[HOT]);
+    }
+    assert_eq!(blocked(&mut parts, 2_000), [BAD]);
+}
