Let only requests that never broke clear the parts of their prompts

That counted as a completed request with the part, and cleared it.

Requests with an attempt that may have run before clear nothing any more.

--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -138,9 +138,10 @@
         });
     }
 
-    /// Reports that the request completed if crashes were seen under a part of its prompt, which this clears.
-    pub(crate) fn record_completion(&self, request: &CallerRequest) {
-        if request.part_keys.is_empty() {
+    /// Reports that the request completed if crashes were seen under a part of its prompt, which this clears. A request
+    /// that broke before clears nothing: resumed near its end, it may complete just before the upstream crashes.
+    pub(crate) fn record_completion(&self, request: &CallerRequest, history: &AttemptHistory) {
+        if request.part_keys.is_empty() || history.may_have_run > 0 {
             return;
         }
         let published = self.cluster.published_upstreams();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -257,7 +257,7 @@
         let rest = self.passing.finish();
         if let Some(response) = self.response.take() {
             response.in_flight.upstream.record_success();
-            self.gateway.record_completion(&self.request);
+            self.gateway.record_completion(&self.request, &self.history);
             self.gateway.record_duration(&self.request, self.started.elapsed());
             response.pooled.release();
         }
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -221,7 +221,7 @@
         };
         if response.head.status.is_success() {
             upstream.record_success();
-            self.gateway.record_completion(request);
+            self.gateway.record_completion(request, history);
         }
         self.gateway.record_duration(request, request.arrived.elapsed());
         let relayed = self.response_head(&response).body(body);
