Log and count the rate limits that upstreams name

Each change of a named limit is a line (limit_named) now, and a gauge counts the upstreams under one. Nothing is decided by it yet. A response without the header lifts the limit only if its request was sent after the limit was named, since responses may overtake each other.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,6 +15,7 @@
     header_codec::{AttemptHeaders, HeaderCodec},
     http_head::ResponseHead,
     pool::{CheckoutError, Pool, PooledConnection},
+    rate_limit::LimitChange,
     upstreams::{InFlight, Upstream},
 };
 
@@ -145,6 +146,7 @@
     outgoing: &OutgoingRequest<'_>,
 ) -> Result<UpstreamResponse, AttemptError> {
     let connection = pooled.get().map_err(|_| AttemptError::NotSent)?;
+    let sent_at = Instant::now();
     if let Err((sent, _)) = connection.write_request(head, outgoing.body).await {
         return Err(if sent == 0 { AttemptError::NotSent } else { AttemptError::Broken });
     }
@@ -152,9 +154,9 @@
         let read = connection.read_head(outgoing.method, |headers| {
             let decoded = header_codec.decode_response(headers);
             let is_ours = decoded.request_id == outgoing.request_id;
-            (is_ours, decoded.not_executed, decoded.sealed, decoded.weight_version)
+            (is_ours, decoded.not_executed, decoded.sealed, decoded.weight_version, decoded.rate_limit_per_s)
         });
-        let (head, (is_ours, not_executed, sealed, weight_version)) =
+        let (head, (is_ours, not_executed, sealed, weight_version, rate_limit_per_s)) =
             read.await.map_err(|_| AttemptError::Broken)?;
         in_flight.upstream.record_activity();
         if !is_ours {
@@ -165,6 +167,10 @@
             continue;
         }
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+        let is_forged = head.status.is_success() && !sealed;
+        if !misdirected && !is_forged {
+            record_rate_limit(&in_flight.upstream, rate_limit_per_s, sent_at);
+        }
         if misdirected || (not_executed && !head.status.is_success()) {
             if discard_body(connection).await {
                 pooled.release();
@@ -176,6 +182,16 @@
     Err(AttemptError::Broken)
 }
 
+/// Records the rate limit that a response names, and logs each change.
+fn record_rate_limit(upstream: &Upstream, named_per_s: Option<f64>, sent_at: Instant) {
+    let Some(change) = upstream.rate_limit().record(named_per_s, sent_at) else { return };
+    let limit_per_s = match change {
+        LimitChange::Named { per_s } => Some(per_s),
+        LimitChange::Lifted => None,
+    };
+    tracing::info!(event = "limit_named", upstream = upstream.entry.id.as_str(), limit_per_s);
+}
+
 /// Reads a body that nobody needs; returns whether it was read to its end, so that its connection can be used again.
 async fn discard_body(connection: &mut UpstreamConnection) -> bool {
     let read_to_end = async {
--- a/crates/gateway/src/header_codec.rs
+++ b/crates/gateway/src/header_codec.rs
@@ -98,6 +98,8 @@
     pub sealed: bool,
     /// The weight version that generated the start of the response.
     pub weight_version: Option<WeightVersion>,
+    /// The requests per second that the upstream takes from all nodes together; `None` if it names no limit.
+    pub rate_limit_per_s: Option<f64>,
 }
 
 /// Translates headers; implemented by the adapter to the deployment's platform.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod placement;
 pub mod pool;
 mod prompt_parts;
+pub mod rate_limit;
 pub mod refusal;
 mod relay;
 mod request_handler;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -62,6 +62,8 @@
     pub late_fetches: Counter,
     /// Waits of requests for capacity at an upstream; one request may wait several times.
     pub waits_for_room: Counter,
+    /// Upstreams that name a rate limit, as this node knows them.
+    pub rate_limited_upstreams: Gauge,
     /// Time from the arrival of a request to the head of the response.
     pub answer_seconds: Histogram,
     registry: Arc<Registry>,
@@ -80,6 +82,7 @@
         let orders = Counter::default();
         let late_fetches = Counter::default();
         let waits_for_room = Counter::default();
+        let rate_limited_upstreams = Gauge::default();
         let answer_seconds = Histogram::new(exponential_buckets(0.002, 2.0, 14));
         let mut registry = Registry::with_prefix("daisysill_gateway");
         registry.register("requests", "Requests finished", requests.clone());
@@ -92,6 +95,8 @@
         registry.register("orders", "Orders sent to upstreams", orders.clone());
         registry.register("late_fetches", "Fetches from stores that came too late", late_fetches.clone());
         registry.register("waits_for_room", "Waits of requests for a place", waits_for_room.clone());
+        let rate_limited = "Upstreams that name a rate limit";
+        registry.register("rate_limited_upstreams", rate_limited, rate_limited_upstreams.clone());
         let time = "Time from arrival to the head of the answer";
         registry.register_with_unit("answer", time, Unit::Seconds, answer_seconds.clone());
         cluster.register(&mut registry);
@@ -106,6 +111,7 @@
             orders,
             late_fetches,
             waits_for_room,
+            rate_limited_upstreams,
             answer_seconds,
             registry: Arc::new(registry),
         }
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -14,7 +14,7 @@
 use daisysill_wire::peer::{UpstreamEntry, UpstreamLoad};
 use tokio::{sync::Notify, time::Instant};
 
-use crate::service_speeds::ServiceSpeeds;
+use crate::{rate_limit::RateLimit, service_speeds::ServiceSpeeds};
 
 /// Time constant of the exponential decay of failures.
 const FAILURE_DECAY: Duration = Duration::from_secs(2);
@@ -70,6 +70,7 @@
     learned_versions: RefCell<HashMap<String, WeightVersion>>,
     /// Cached prefixes with their length in tokens, the most recent one last.
     prefixes: RefCell<VecDeque<(PrefixKey, u64)>>,
+    rate_limit: Rc<RateLimit>,
 }
 
 impl Upstream {
@@ -87,9 +88,15 @@
             replaced: Cell::default(),
             learned_versions: RefCell::default(),
             prefixes: RefCell::default(),
+            rate_limit: Rc::default(),
         }
     }
 
+    /// Returns the rate limit that the upstream names.
+    pub fn rate_limit(&self) -> &RateLimit {
+        &self.rate_limit
+    }
+
     /// Returns the number of this node's requests in flight at the upstream.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.get()
@@ -301,6 +308,12 @@
         all.filter(|upstream| upstream.accepts_requests()).cloned().collect()
     }
 
+    /// Returns the number of upstreams that name a rate limit.
+    pub fn rate_limited(&self) -> usize {
+        let by_service = self.by_service.borrow();
+        by_service.values().flatten().filter(|upstream| upstream.rate_limit().per_s().is_some()).count()
+    }
+
     /// Returns whether no upstream is listed.
     pub fn is_empty(&self) -> bool {
         self.by_service.borrow().is_empty()
@@ -362,6 +375,7 @@
             replaced: Cell::new(self.replaced.get()),
             learned_versions: RefCell::new(self.learned_versions.borrow().clone()),
             prefixes: RefCell::new(self.prefixes.borrow().clone()),
+            rate_limit: Rc::clone(&self.rate_limit),
         }
     }
 }
