Keep to the rate limit that an upstream names for all nodes together

Callers saw nothing; an upstream in need got five to ten times the requests that it takes. Class: an upstream's statement about its own load, for all nodes together, that no node acts on.

Change: each entry node takes an equal part of the rate, as permits at a random phase that expire after a second, so that idle nodes save up nothing. Every send takes a permit, retries and resumed streams too. A node that has used up its share of all upstreams waits if the next permit comes in time, and refuses at once otherwise (1310, not run, with the time to come back). The number of nodes is the highest of the last 20 s, since a new leader knows few at first.

A split by announced demand was not tried: it needs messages, and the service's other upstreams take what a node has no permit for.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod liveness;
 pub mod placement;
 pub mod poll_source;
+pub mod rate_share;
 pub mod result_code;
 pub mod retention;
 pub mod retry;
--- a/crates/core/src/result_code.rs
+++ b/crates/core/src/result_code.rs
@@ -85,6 +85,8 @@
     RetryBudgetExhausted = 1308, 503, MayHaveRun, "retry_budget_exhausted";
     /// The upstream refused the request before executing it.
     UpstreamRefused = 1309, 503, NotRun, "upstream_refused";
+    /// All upstreams name rate limits, and this node's shares of them are used up.
+    UpstreamsRateLimited = 1310, 503, NotRun, "upstreams_rate_limited";
     /// The upstream failed after it may have executed the request.
     UpstreamFailed = 1401, 502, MayHaveRun, "upstream_failed";
     /// The deadline passed while the upstream was working.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -39,6 +39,7 @@
     refusal::Refusal,
     routing_state::RoutingState,
     upstreams::Upstreams,
+    waiting::rate_limit_refusal,
 };
 
 /// Refusals by upstreams that are retried elsewhere; after one more, the request is refused.
@@ -194,6 +195,10 @@
                 Placement::At(chosen) => chosen,
                 Placement::NoCapacity if self.wait_for_capacity(request, history).await => continue,
                 Placement::NoCapacity => return Err(self.no_capacity_refusal(request, history)),
+                Placement::RateLimited(wait) if self.wait_for_rate_limit(request, history, wait).await => {
+                    continue;
+                }
+                Placement::RateLimited(wait) => return Err(rate_limit_refusal(request, history, wait)),
                 Placement::NoneAccepting => return Err(self.no_upstream_refusal(history, last_error)),
             };
             if history.sends.is_retry() && !self.try_take_retry(&request.service) {
--- a/crates/gateway/src/node_share.rs
+++ b/crates/gateway/src/node_share.rs
@@ -1,4 +1,5 @@
-//! This node's share of what all entry nodes share: the retry budget and the connections that upstreams accept.
+//! This node's share of what all entry nodes share: the retry budget and the connections and
+//! request rates that upstreams accept.
 
 use std::time::Duration;
 
@@ -11,7 +12,8 @@
     refusal::Refusal,
 };
 
-/// Time for which the highest number of entry nodes counts; longer than the window of the retry budget.
+/// Time for which the highest number of entry nodes counts; longer than the window of the retry budget and than the span
+/// in which upstreams count requests against their rate limits.
 const NODE_PEAK_WINDOW: Duration = Duration::from_secs(20);
 /// Share of the configured connections that the entry nodes use; the rest is left to other clients.
 const CONNECTION_SHARE: f64 = 0.9;
@@ -23,8 +25,8 @@
     }
 
     /// Returns the highest recent number of entry nodes. A new leader knows only few at first, and with its number each
-    /// entry node would take more than its share of the budget.
-    fn peak_entry_nodes(&self) -> u32 {
+    /// entry node would take more than its share.
+    pub(crate) fn peak_entry_nodes(&self) -> u32 {
         let (known, at) = self.entry_node_peak.get();
         let present = self.entry_nodes();
         if present >= known || at.elapsed() >= NODE_PEAK_WINDOW {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -61,6 +61,8 @@
     At(Box<ChosenUpstream>),
     /// Upstreams accept requests, but none has capacity for this one now.
     NoCapacity,
+    /// All upstreams that accept requests name rate limits, and this node has used up its share of each for this time.
+    RateLimited(Duration),
     /// No untried upstream accepts requests.
     NoneAccepting,
 }
@@ -86,7 +88,8 @@
 }
 
 impl Gateway {
-    /// Chooses an upstream that was not tried yet. For engines, also takes one of this node's share of the free slots.
+    /// Chooses an upstream that was not tried yet. Also takes one of this node's share of the free slots of engines, and
+    /// of the requests that the upstream's rate limit allows.
     pub(crate) fn place(&self, request: &CallerRequest, history: &AttemptHistory) -> Placement {
         let upstreams = self.untried(request, history);
         let speeds = self.upstreams.speeds(&request.service);
@@ -98,8 +101,14 @@
             request_ms: speeds.request_ms.get(),
             parts_by_scope: RefCell::default(),
         };
-        let current: Vec<Rc<Upstream>> =
+        let nodes = self.peak_entry_nodes();
+        let mut current: Vec<Rc<Upstream>> =
             upstreams.into_iter().filter(|upstream| !self.is_outdated(upstream, &inputs)).collect();
+        let shortest_wait = current.iter().map(|upstream| upstream.rate_limit().wait(nodes)).min();
+        if let Some(wait) = shortest_wait.filter(|wait| !wait.is_zero()) {
+            return Placement::RateLimited(wait);
+        }
+        current.retain(|upstream| upstream.rate_limit().wait(nodes).is_zero());
         let mut eligible: Vec<EligibleUpstream> =
             current.iter().filter_map(|upstream| self.eligible(upstream, &inputs)).collect();
         let shared_tokens = eligible.first().and_then(|first| first.prefix).map_or(0, |(_, tokens)| tokens);
@@ -116,6 +125,9 @@
             return Placement::NoCapacity;
         }
         let chosen = eligible.swap_remove(choice.index);
+        if !chosen.upstream.rate_limit().try_take(nodes) {
+            return Placement::NoCapacity;
+        }
         Placement::At(Box::new(self.chosen_upstream(&inputs, chosen, choice, candidates.len())))
     }
 
--- a/crates/gateway/src/rate_limit.rs
+++ b/crates/gateway/src/rate_limit.rs
@@ -1,14 +1,25 @@
-//! The rate limit that an upstream names in its responses, for all nodes together.
+//! The rate limit that an upstream names in its responses, for all nodes together, and this node's share of it.
 
-use std::cell::Cell;
+use std::{cell::Cell, time::Duration};
 
+use daisysill_core::rate_share::RateShare;
 use tokio::time::Instant;
 
+use crate::duration::millis;
+
 /// The rate limit of one upstream, as its responses to this node state it.
 #[derive(Debug, Default)]
 pub struct RateLimit {
-    /// Requests per second, and when a response last named them.
-    named: Cell<Option<(f64, Instant)>>,
+    named: Cell<Option<NamedLimit>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct NamedLimit {
+    per_s: f64,
+    /// When a response first and last named a limit.
+    first_named_at: Instant,
+    last_named_at: Instant,
+    share: RateShare,
 }
 
 /// How a response changed the limit.
@@ -26,7 +37,21 @@
 impl RateLimit {
     /// Returns the requests per second that the upstream takes; `None` if it names no limit.
     pub fn per_s(&self) -> Option<f64> {
-        self.named.get().map(|(per_s, _)| per_s)
+        self.named.get().map(|named| named.per_s)
+    }
+
+    /// Returns the time until this node may send a request, as one of `nodes` nodes; zero if it may now.
+    pub fn wait(&self, nodes: u32) -> Duration {
+        let Some(mut named) = self.named.get() else { return Duration::ZERO };
+        Duration::from_millis(named.share.wait_ms(named.now_ms(), named.per_s, nodes))
+    }
+
+    /// Counts a request that this node, one of `nodes`, sends now; `false` if it may not send one.
+    pub fn try_take(&self, nodes: u32) -> bool {
+        let Some(mut named) = self.named.get() else { return true };
+        let is_taken = named.share.try_take(named.now_ms(), named.per_s, nodes);
+        self.named.set(Some(named));
+        is_taken
     }
 
     /// Records what a response to a request sent at `sent_at` names; returns the change, if it is one.
@@ -36,12 +61,16 @@
     pub fn record(&self, named_per_s: Option<f64>, sent_at: Instant) -> Option<LimitChange> {
         let known = self.named.get();
         match (named_per_s, known) {
-            (Some(per_s), _) => {
-                self.named.set(Some((per_s, Instant::now())));
-                let is_new = known.is_none_or(|(known_per_s, _)| known_per_s.to_bits() != per_s.to_bits());
+            (Some(per_s), Some(known)) => {
+                self.named.set(Some(NamedLimit { per_s, last_named_at: Instant::now(), ..known }));
+                let is_new = known.per_s.to_bits() != per_s.to_bits();
                 is_new.then_some(LimitChange::Named { per_s })
             }
-            (None, Some((_, named_at))) if sent_at >= named_at => {
+            (Some(per_s), None) => {
+                self.named.set(Some(NamedLimit::new(per_s)));
+                Some(LimitChange::Named { per_s })
+            }
+            (None, Some(known)) if sent_at >= known.last_named_at => {
                 self.named.set(None);
                 Some(LimitChange::Lifted)
             }
@@ -49,3 +78,16 @@
         }
     }
 }
+
+impl NamedLimit {
+    fn new(per_s: f64) -> Self {
+        let now = Instant::now();
+        let share = RateShare::new(0, rand::random());
+        Self { per_s, first_named_at: now, last_named_at: now, share }
+    }
+
+    /// Returns the milliseconds since the limit was first named, the clock of the share.
+    fn now_ms(&self) -> u64 {
+        millis(self.first_named_at.elapsed())
+    }
+}
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -5,7 +5,7 @@
 use daisysill_core::{result_code::ResultCode, wait_queue::WaitQueue};
 use tokio::{
     sync::oneshot,
-    time::{Instant, timeout_at},
+    time::{Instant, sleep, timeout_at},
 };
 
 use crate::{
@@ -25,8 +25,7 @@
         request: &CallerRequest,
         history: &mut AttemptHistory,
     ) -> bool {
-        let goal = Duration::from_millis(request.route.goal_ms);
-        let latest = request.arrived + goal.mul_f64(WAIT_GOAL_SHARE);
+        let latest = latest_start(request);
         if Instant::now() >= latest || request.time_left() == Duration::ZERO {
             return false;
         }
@@ -51,6 +50,23 @@
         woken
     }
 
+    /// Waits until the rate limit of an upstream admits a request of this node again; `false` if the wait would make the
+    /// response late.
+    pub(crate) async fn wait_for_rate_limit(
+        &self,
+        request: &CallerRequest,
+        history: &mut AttemptHistory,
+        wait: Duration,
+    ) -> bool {
+        if Instant::now() + wait > latest_start(request) || wait >= request.time_left() {
+            return false;
+        }
+        self.metrics.waits_for_room.inc();
+        sleep(wait).await;
+        history.waited += wait;
+        true
+    }
+
     /// Wakes the first waiting request of each service, since a request that ended frees one slot.
     pub(crate) fn wake_waiting(&self) {
         for queue in self.waiting.borrow_mut().values_mut() {
@@ -69,8 +85,28 @@
         }
         let waiting = self.waiting.borrow().get(&request.service).map_or(0, WaitQueue::len);
         let reason = format!("no upstream has room; {waiting} requests wait");
-        // Spreads the retries of callers that are refused at the same time.
-        let retry_ms = BUSY_RETRY_MS + rand::random_range(0..=request.route.goal_ms.max(1));
-        Refusal::not_run(ResultCode::DeadlineUnreachable, reason, retry_ms)
+        Refusal::not_run(ResultCode::DeadlineUnreachable, reason, spread_retry_ms(request, BUSY_RETRY_MS))
     }
 }
+
+/// Returns the refusal of a request for which no upstream admits a request of this node for `wait`.
+pub(crate) fn rate_limit_refusal(
+    request: &CallerRequest,
+    history: &AttemptHistory,
+    wait: Duration,
+) -> Refusal {
+    let wait_ms = millis(wait);
+    let reason = format!("the rate limits of all upstreams are used up for {wait_ms} ms");
+    let retry_ms = spread_retry_ms(request, wait_ms.max(BUSY_RETRY_MS));
+    history.refusal(ResultCode::UpstreamsRateLimited, reason, retry_ms)
+}
+
+/// Returns the latest time at which an attempt may begin after a wait.
+fn latest_start(request: &CallerRequest) -> Instant {
+    request.arrived + Duration::from_millis(request.route.goal_ms).mul_f64(WAIT_GOAL_SHARE)
+}
+
+/// Spreads the retries of callers that are refused at the same time.
+fn spread_retry_ms(request: &CallerRequest, earliest_ms: u64) -> u64 {
+    earliest_ms + rand::random_range(0..=request.route.goal_ms.max(1))
+}
