Log which software version begins a stream, and which one goes on with it

The platform's list names the software of each upstream; nodes learn it for new upstreams before they adopt a list that contains them, by a message of its own, since the encoding of the list stays as it is. answered has software and resumes, stream_resumed both versions. Nothing is decided by it yet.

--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -25,6 +25,7 @@
 mod server;
 mod soft_state;
 mod soft_state_handle;
+mod software;
 pub mod status;
 mod storage_thread;
 mod stored_parts;
--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -50,7 +50,8 @@
             | PeerRequest::Observe { .. }
             | PeerRequest::Relay { .. }
             | PeerRequest::ControlNodes { .. }
-            | PeerRequest::PromptOutcomes { .. } => Purpose::Follow,
+            | PeerRequest::PromptOutcomes { .. }
+            | PeerRequest::SoftwareOf { .. } => Purpose::Follow,
             PeerRequest::Heartbeat { .. } => Purpose::Heartbeat,
         }
     }
@@ -66,7 +67,8 @@
                 | PeerResponse::Observe(..)
                 | PeerResponse::Relay(..)
                 | PeerResponse::ControlNodes(..)
-                | PeerResponse::PromptOutcomes(..),
+                | PeerResponse::PromptOutcomes(..)
+                | PeerResponse::SoftwareOf(..),
             ) => Purpose::Follow,
             Ok(PeerResponse::Heartbeat(..)) => Purpose::Heartbeat,
             Err(_) => Purpose::Connection,
--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -11,7 +11,9 @@
     ids::{ConfigVersion, InstanceId},
     poll_source::{PollOutcome, PollSources},
 };
-use daisysill_wire::peer::{ConfigUpdate, ObserveReply, ObserveRequest, PeerClient, UpstreamCrash};
+use daisysill_wire::peer::{
+    ConfigUpdate, ObserveReply, ObserveRequest, PeerClient, UpstreamCrash, UpstreamEntry,
+};
 use futures::FutureExt;
 use tokio::{
     sync::watch,
@@ -140,9 +142,26 @@
             return PollOutcome::Unreachable;
         };
         self.sources.add_others(&reply.voters);
+        if let Some(published) = &reply.published_upstreams {
+            self.learn_software(source, &published.upstreams).await;
+        }
         if self.apply(&reply, requested_at).await { PollOutcome::Current } else { PollOutcome::Outdated }
     }
 
+    /// Learns the software versions of new upstreams before they are adopted, so that this node and those that poll it
+    /// never use one of an unknown version. If that fails, they are asked for with the next change of the list.
+    async fn learn_software(&self, source: &InstanceId, listed: &[UpstreamEntry]) {
+        let missing = self.soft_state.software.missing(listed);
+        let Some(link) = self.links.get(source).filter(|_| !missing.is_empty()) else { return };
+        let call =
+            |client: PeerClient, context| async move { client.software_of(context, missing).await }.boxed();
+        match link.call(RESPONSE_GRACE, call).await {
+            Ok(software) => self.soft_state.software.record(software),
+            Err(error) => log::info!("no software versions from {source}: {error:?}"),
+        }
+        self.soft_state.software.prune(listed);
+    }
+
     /// Asks which control nodes may be polled.
     async fn refresh_control_nodes(&mut self, source: &InstanceId) {
         let Some(link) = self.links.get(source) else { return };
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -13,7 +13,8 @@
 use daisysill_core::ids::{ConfigVersion, InstanceId, ZoneName};
 use daisysill_wire::peer::{
     ControlNode, FollowReply, ForwardError, Heartbeat, ObserveReply, ObserveRequest, Peer, PeerRequest,
-    PeerResponse, PromptOutcome, PublishedUpstreams, RelayReply, RelayReport,
+    PeerResponse, PromptOutcome, PublishedUpstreams, RelayReply, RelayReport, UpstreamSoftware,
+    UpstreamStart,
 };
 use futures::{FutureExt, StreamExt};
 use tarpc::{
@@ -252,6 +253,10 @@
         }
     }
 
+    async fn software_of(self, _: Context, upstreams: Vec<UpstreamStart>) -> Vec<UpstreamSoftware> {
+        self.state.soft_state.software.known(upstreams)
+    }
+
     async fn control_nodes(self, _: Context) -> Vec<ControlNode> {
         if self.state.is_leader() {
             return self.state.relays.reporting(self.state.as_control_node());
--- a/crates/cluster/src/soft_state.rs
+++ b/crates/cluster/src/soft_state.rs
@@ -1,4 +1,4 @@
-//! Soft state of entry nodes: their work in flight and the stored prompt parts that they use.
+//! Soft state of a node: work in flight, the stored prompt parts that are used, and the software of upstreams.
 
 use std::{
     collections::HashMap,
@@ -12,6 +12,7 @@
 use crate::{
     clock::BootInstant,
     load_table::{LOAD_TIMEOUT, LoadTable, subtract},
+    software::SoftwareTable,
     stored_parts::{CatalogPosition, StoredPartChange, StoredParts},
 };
 
@@ -44,11 +45,16 @@
 
 /// The soft state of one node.
 #[derive(Debug, Default)]
-pub(crate) struct SoftState(Mutex<Inner>);
+pub(crate) struct SoftState {
+    /// Work in flight and stored parts.
+    inner: Mutex<Inner>,
+    /// The software versions of upstreams.
+    pub(crate) software: SoftwareTable,
+}
 
 impl SoftState {
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records the loads and the used parts that an entry node reports.
--- a/crates/cluster/src/soft_state_handle.rs
+++ b/crates/cluster/src/soft_state_handle.rs
@@ -3,10 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use daisysill_control::Role as ReplicaRole;
-use daisysill_wire::peer::{PublishedUpstreams, StoredPart, UpstreamCrash, UpstreamEntry, UpstreamLoad};
+use daisysill_core::ids::SoftwareVersion;
+use daisysill_wire::peer::{
+    PublishedUpstreams, StoredPart, UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware,
+};
 use tokio::sync::watch;
 
-use crate::{clock::BootInstant, handle::ClusterHandle, outcome_queue::TimedOutcome};
+use crate::{clock::BootInstant, handle::ClusterHandle, outcome_queue::TimedOutcome, software::start_of};
 
 impl ClusterHandle {
     /// Returns a receiver of the upstreams that the leader publishes.
@@ -19,8 +22,19 @@
         self.inner.published.age()
     }
 
+    /// Records the software versions of listed upstreams. To be called before the list is published or used.
+    pub fn record_software(&self, software: Vec<UpstreamSoftware>) {
+        self.inner.soft_state.software.record(software);
+    }
+
+    /// Returns the software version of an upstream; `None` if it is not known.
+    pub fn software_of(&self, upstream: &UpstreamEntry) -> Option<SoftwareVersion> {
+        self.inner.soft_state.software.get(&start_of(upstream))
+    }
+
     /// Publishes upstreams that the platform listed at `at` to all nodes. To be called by the leader only.
     pub fn publish_upstreams(&self, upstreams: Vec<UpstreamEntry>, at: BootInstant) {
+        self.inner.soft_state.software.prune(&upstreams);
         self.inner.published.publish(upstreams, at);
     }
 
--- a/crates/cluster/tests/observer.rs
+++ b/crates/cluster/tests/observer.rs
@@ -10,7 +10,9 @@
 use daisysill_cluster::{BootInstant, Cluster, ClusterConfig, ClusterHandle};
 use daisysill_control::command::{Command, PublishDocument, Reply};
 use daisysill_core::{crashing_parts::CRASHES_TO_BLOCK, ids::InstanceId};
-use daisysill_wire::peer::{StoredPart, UpstreamCrash, UpstreamEntry, UpstreamLoad};
+use daisysill_wire::peer::{
+    StoredPart, UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware, UpstreamStart,
+};
 use tempfile::TempDir;
 use tokio::time::sleep;
 
@@ -279,3 +281,21 @@
         wait("the block", || count(entry, BAD) == Some(CRASHES_TO_BLOCK)).await;
     }
 }
+
+/// Guards against upstreams that an entry node uses before it knows which software they run, and against the software of
+/// an earlier start under the same id.
+#[tokio::test]
+async fn software_versions_are_known_with_the_upstreams() {
+    let nodes = start(10, 1).await;
+    wait("a leader", || nodes.control.is_leader()).await;
+    let entry = &nodes.entries[0];
+    let published = entry.published_upstreams();
+    for (started_unix_ms, version) in [(1, "v1"), (2, "v2")] {
+        let listed = UpstreamEntry { started_unix_ms, ..upstream("i-1") };
+        let start = UpstreamStart { id: "i-1".into(), started_unix_ms };
+        nodes.control.record_software(vec![UpstreamSoftware { start, software: version.into() }]);
+        nodes.control.publish_upstreams(vec![listed.clone()], BootInstant::now());
+        wait("the published upstream", || published.borrow().upstreams.contains(&listed)).await;
+        assert_eq!(entry.software_of(&listed), Some(version.into()));
+    }
+}
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -13,6 +13,8 @@
     ChangeId;
     /// One attempt of one request at one upstream.
     AttemptId;
+    /// A version of an upstream's software, not of its weights.
+    SoftwareVersion;
 }
 
 number_ids! {
--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -6,11 +6,31 @@
 };
 
 use daisysill_core::{
-    ids::{FencingNumber, InstanceId, WeightVersion},
+    ids::{FencingNumber, InstanceId, SoftwareVersion, WeightVersion},
     routing::RoutingSpec,
     store_catalog::PartName,
 };
-use daisysill_wire::peer::UpstreamEntry;
+use daisysill_wire::peer::{UpstreamEntry, UpstreamSoftware, UpstreamStart};
+
+/// An upstream of the platform's list.
+#[derive(Clone, Debug)]
+pub struct ListedUpstream {
+    /// The entry that nodes exchange.
+    pub entry: UpstreamEntry,
+    /// The software version that the upstream runs; empty if none is listed.
+    pub software: SoftwareVersion,
+}
+
+impl ListedUpstream {
+    /// Splits a list into its entries and their software versions.
+    pub(crate) fn split(listed: Vec<Self>) -> (Vec<UpstreamEntry>, Vec<UpstreamSoftware>) {
+        let parts = listed.into_iter().map(|Self { entry, software }| {
+            let start = UpstreamStart { id: entry.id.clone(), started_unix_ms: entry.started_unix_ms };
+            (entry, UpstreamSoftware { start, software })
+        });
+        parts.unzip()
+    }
+}
 
 /// Reads the platform's list of upstreams.
 pub trait Discovery: Clone + 'static {
@@ -18,7 +38,7 @@
     ///
     /// # Errors
     /// Returns why the list could not be read to its end.
-    fn list(&self) -> impl Future<Output = Result<Vec<UpstreamEntry>, String>>;
+    fn list(&self) -> impl Future<Output = Result<Vec<ListedUpstream>, String>>;
 }
 
 /// Parses routing documents.
--- a/crates/gateway/src/entry_tasks.rs
+++ b/crates/gateway/src/entry_tasks.rs
@@ -6,7 +6,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
-    discovery::{Discovery, DocumentFormat},
+    discovery::{Discovery, DocumentFormat, ListedUpstream},
     forward::Gateway,
 };
 
@@ -110,7 +110,9 @@
         }
         gateway.metrics.list_calls.inc();
         match discovery.list().await {
-            Ok(entries) => {
+            Ok(listed) => {
+                let (entries, software) = ListedUpstream::split(listed);
+                gateway.cluster.record_software(software);
                 tracing::info!(event = "own_list", upstreams = entries.len());
                 gateway.upstreams.replace(&entries);
             }
--- a/crates/gateway/src/header_codec.rs
+++ b/crates/gateway/src/header_codec.rs
@@ -40,6 +40,8 @@
         pub prompt: Option<Prompt>,
         /// ID of the last event that the caller received of a broken stream.
         pub resume_after: Option<String>,
+        /// ID of the request that brought the first event of that stream.
+        pub resumes: Option<String>,
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,7 +4,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use daisysill_core::{event_tracker::EventTracker, routing::CallKind};
+use daisysill_core::{event_tracker::EventTracker, ids::SoftwareVersion, routing::CallKind};
 use futures::stream::{Stream, unfold};
 use tokio::time::{Instant, timeout_at};
 
@@ -226,6 +226,7 @@
         self.history.may_have_run += 1;
         response.in_flight.upstream.record_failure();
         self.history.tried.push(response.in_flight.upstream.entry.id.clone());
+        let software = self.gateway.cluster.software_of(&response.in_flight.upstream.entry);
         // Closes the connection, so that the upstream cancels the request.
         drop(response);
         if !self.may_resume() {
@@ -235,11 +236,17 @@
         splitter.drop_pending();
         let after = splitter.last_id().map(str::to_owned);
         let resumed = self.gateway.send(&self.request, &mut self.history, after.as_deref()).await;
+        let software_of = |response: &UpstreamResponse| {
+            self.gateway.cluster.software_of(&response.in_flight.upstream.entry)
+        };
+        let resumed_software = resumed.as_ref().ok().and_then(software_of);
         tracing::info!(
             event = "stream_resumed",
             request_id = self.request.headers.request_id.as_deref(),
             reason,
             after,
+            software = software.as_ref().map(SoftwareVersion::as_str),
+            resumed_software = resumed_software.as_ref().map(SoftwareVersion::as_str),
             outcome = resumed.as_ref().map_or_else(|refusal| refusal.code.name(), |_| "resumed"),
         );
         match resumed {
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -5,7 +5,7 @@
 
 use actix_web::{HttpRequest, HttpResponse, body::BodyStream, http::header::HeaderName, web};
 use bytes::{Bytes, BytesMut};
-use daisysill_core::{result_code::ResultCode, routing::CallKind};
+use daisysill_core::{ids::SoftwareVersion, result_code::ResultCode, routing::CallKind};
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
@@ -135,7 +135,7 @@
                 continue;
             }
             gateway.metrics.answer_seconds.observe(request.arrived.elapsed().as_secs_f64());
-            Self::log_response(&request, &history, &response);
+            self.log_response(&request, &history, &response);
             let streams =
                 matches!(request.route.kind, CallKind::Stream { .. }) && response.head.status.is_success();
             if streams {
@@ -173,8 +173,9 @@
         true
     }
 
-    fn log_response(request: &CallerRequest, history: &AttemptHistory, response: &UpstreamResponse) {
+    fn log_response(&self, request: &CallerRequest, history: &AttemptHistory, response: &UpstreamResponse) {
         let upstream = &response.in_flight.upstream;
+        let software = self.gateway.cluster.software_of(&upstream.entry);
         tracing::info!(
             event = "answered",
             request_id = request.headers.request_id.as_deref(),
@@ -184,6 +185,8 @@
             status = response.head.status.as_u16(),
             framing = response.head.framing.name(),
             version = response.weight_version.map(|version| version.0),
+            software = software.as_ref().map(SoftwareVersion::as_str),
+            resumes = request.headers.resumes.as_deref(),
             in_flight = upstream.in_flight(),
             waited_ms = history.waited.as_millis(),
             after_ms = request.arrived.elapsed().as_millis(),
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -19,7 +19,9 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    discovery::{Discovery, DocumentFormat, LoadOrder, OrderOutcome, OrderSender, StoreClient},
+    discovery::{
+        Discovery, DocumentFormat, ListedUpstream, LoadOrder, OrderOutcome, OrderSender, StoreClient,
+    },
     metrics::GatewayMetrics,
     routing_state::RoutingState,
     store_manager::StoreManager,
@@ -149,7 +151,9 @@
         let begun_at = BootInstant::now();
         self.metrics.list_calls.inc();
         match self.discovery.list().await {
-            Ok(entries) => {
+            Ok(listed) => {
+                let (entries, software) = ListedUpstream::split(listed);
+                self.cluster.record_software(software);
                 if state.listed_at.is_none() {
                     tracing::info!(event = "list_regained", upstreams = entries.len());
                 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -14,7 +14,7 @@
     state::{ConfigView, RoutingDocument},
 };
 use daisysill_core::{
-    ids::{ConfigVersion, InstanceId, ServiceName, WeightVersion, ZoneName},
+    ids::{ConfigVersion, InstanceId, ServiceName, SoftwareVersion, WeightVersion, ZoneName},
     rules::RuleFile,
     value_types,
 };
@@ -173,6 +173,23 @@
         pub models: BTreeMap<String, WeightVersion>,
     }
 
+    /// One start of an upstream.
+    #[derive(PartialOrd, Ord, Hash)]
+    pub struct UpstreamStart {
+        /// The upstream.
+        pub id: InstanceId,
+        /// When it started, in Unix milliseconds.
+        pub started_unix_ms: u64,
+    }
+
+    /// The software version that an upstream runs.
+    pub struct UpstreamSoftware {
+        /// The start of the upstream; a later one may run another version.
+        pub start: UpstreamStart,
+        /// The version; empty if the platform lists none.
+        pub software: SoftwareVersion,
+    }
+
     /// Soft state that the leader publishes to all nodes.
     #[derive(Default)]
     pub struct PublishedUpstreams {
@@ -366,4 +383,6 @@
     async fn control_nodes() -> Vec<ControlNode>;
     /// Reports what runs of requests showed about the parts of their prompts; a control node passes them on to the leader.
     async fn prompt_outcomes(outcomes: Vec<PromptOutcome>);
+    /// Returns the software versions of those upstreams that the receiver knows.
+    async fn software_of(upstreams: Vec<UpstreamStart>) -> Vec<UpstreamSoftware>;
 }
