Keep a stream at the software version that began it

Callers got answers, and streams over several tries, joined from two software versions. Cause: the choice of an upstream knows no software version, and a node at which a caller takes up a stream doesn't know where it began. Class: a hand-over that checks only that the work fits together (service, weights), not that the writers do. Ruled out: a late or wrong list; nodes kept no version from it at all.

Change: a stream goes on only at upstreams of the version that brought its first event. A take-up is looked up by the id of the request that began the stream. The origin could also be kept in the replicated log, which would survive a loss of all nodes, but needs a sync for each stream.

--- a/crates/cluster/src/handle.rs
+++ b/crates/cluster/src/handle.rs
@@ -36,6 +36,7 @@
     membership,
     metrics::ClusterMetrics,
     observer::{CrashQueue, Observer},
+    origins::OriginPeers,
     outbox::Outbox,
     outcome_queue::OutcomeQueue,
     propose::{LeaderHint, Proposal, Proposer},
@@ -81,23 +82,19 @@
         let (status, replica) = watch::channel(ReplicaView::default());
         let parts = start_driver(&config, &links, &views, &metrics, status)?;
         let driver = parts.as_ref().map(|parts| parts.inputs.clone());
-        let proposer = Proposer {
-            name: config.name.clone(),
-            driver: driver.clone(),
-            replica: replica.clone(),
-            links: links.clone(),
-            leader: leader.clone(),
-            bootstrap_voters: config.bootstrap_voters.clone(),
-        };
+        let proposer = Proposer::new(&config, driver, &links, &leader, &replica);
         let relays = Arc::new(Relays::default());
         let published = Arc::new(PublishedStore::new(&config.name, Arc::clone(&relays)));
         let soft_state = Arc::new(SoftState::default());
         let crash_queue = CrashQueue::default();
         let outcome_queue = OutcomeQueue::default();
+        let source = watch::channel(None).0;
+        let origin_peers = OriginPeers::new(&config.name, &links, &replica, source.subscribe());
         let state = ServerState {
             published: Arc::clone(&published),
             soft_state: Arc::clone(&soft_state),
             relays: Arc::clone(&relays),
+            origin_peers: origin_peers.clone(),
             crash_queue: crash_queue.clone(),
             outcome_queue: outcome_queue.clone(),
             name: config.name.clone(),
@@ -136,12 +133,14 @@
                 crash_queue: crash_queue.clone(),
                 outcome_queue: outcome_queue.clone(),
                 control_contact: control_contact.clone(),
+                source,
             };
             if parts.is_some() {
                 let reporter = RelayReporter::new(&observer, config.zone.clone(), relays);
                 tasks.push(tokio::spawn(reporter.run()));
                 tasks.push(tokio::spawn(membership::run(proposer.clone(), replica.clone(), target_voters)));
             }
+            tasks.push(tokio::spawn(origin_peers.clone().run(Arc::clone(&soft_state))));
             tasks.push(tokio::spawn(observer.run()));
         } else {
             tasks.push(tokio::spawn(gossip.clone().run()));
@@ -159,6 +158,7 @@
             replica,
             published,
             soft_state,
+            origin_peers,
             crash_queue,
             outcome_queue,
             control_contact,
@@ -253,6 +253,7 @@
     pub(crate) replica: watch::Receiver<ReplicaView>,
     pub(crate) published: Arc<PublishedStore>,
     pub(crate) soft_state: Arc<SoftState>,
+    pub(crate) origin_peers: OriginPeers,
     pub(crate) crash_queue: CrashQueue,
     pub(crate) outcome_queue: OutcomeQueue,
     pub(crate) control_contact: watch::Sender<bool>,
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -17,6 +17,7 @@
 mod membership;
 pub mod metrics;
 mod observer;
+mod origins;
 mod outbox;
 mod outcome_queue;
 mod propose;
--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -51,7 +51,9 @@
             | PeerRequest::Relay { .. }
             | PeerRequest::ControlNodes { .. }
             | PeerRequest::PromptOutcomes { .. }
-            | PeerRequest::SoftwareOf { .. } => Purpose::Follow,
+            | PeerRequest::SoftwareOf { .. }
+            | PeerRequest::StreamOrigins { .. }
+            | PeerRequest::StreamOrigin { .. } => Purpose::Follow,
             PeerRequest::Heartbeat { .. } => Purpose::Heartbeat,
         }
     }
@@ -68,7 +70,9 @@
                 | PeerResponse::Relay(..)
                 | PeerResponse::ControlNodes(..)
                 | PeerResponse::PromptOutcomes(..)
-                | PeerResponse::SoftwareOf(..),
+                | PeerResponse::SoftwareOf(..)
+                | PeerResponse::StreamOrigins(..)
+                | PeerResponse::StreamOrigin(..),
             ) => Purpose::Follow,
             Ok(PeerResponse::Heartbeat(..)) => Purpose::Heartbeat,
             Err(_) => Purpose::Connection,
--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -98,6 +98,8 @@
     pub(crate) outcome_queue: OutcomeQueue,
     /// Whether a recent poll returned a current configuration and current upstreams; its changes are logged.
     pub(crate) control_contact: watch::Sender<bool>,
+    /// The control node whose poll last succeeded.
+    pub(crate) source: watch::Sender<Option<InstanceId>>,
 }
 
 impl Observer {
@@ -121,6 +123,7 @@
             let is_current = outcome == PollOutcome::Current;
             if is_current {
                 contact.record_current(&source);
+                self.source.send_replace(Some(source.clone()));
             }
             let in_contact = contact.lasts();
             self.control_contact.send_if_modified(|known| std::mem::replace(known, in_contact) != in_contact);
@@ -239,6 +242,7 @@
     /// sent, so they are subtracted from that time.
     async fn apply(&self, reply: &ObserveReply, requested_at: BootInstant) -> bool {
         let at = |age_ms: u64| requested_at.checked_sub(Duration::from_millis(age_ms));
+        let current = |age_ms: Option<u64>| age_ms.is_some_and(|age_ms| age_ms < MAX_SOURCE_AGE_MS);
         let has_replica = self.replica.borrow().status.is_some();
         let newest = match &reply.update {
             ConfigUpdate::Unchanged(version) | ConfigUpdate::Deferred(version) => *version,
@@ -256,11 +260,13 @@
         }
         if let Some(at) = reply.published_age_ms.and_then(at) {
             self.published.adopt(reply.published_upstreams.clone(), at);
+            if has_replica && current(reply.published_age_ms) {
+                self.soft_state.record_listed(&self.published.get().upstreams);
+            }
         }
         if reply.leader.is_some() {
             self.leader.set(reply.leader.clone());
         }
-        let current = |age_ms: Option<u64>| age_ms.is_some_and(|age_ms| age_ms < MAX_SOURCE_AGE_MS);
         current(reply.age_ms) && current(reply.published_age_ms)
     }
 
--- a/crates/cluster/src/propose.rs
+++ b/crates/cluster/src/propose.rs
@@ -18,6 +18,7 @@
 };
 
 use crate::{
+    config::ClusterConfig,
     driver::{DriverInput, ReplicaView},
     link::{CallError, Links},
     status::ProposeError,
@@ -79,6 +80,24 @@
 }
 
 impl Proposer {
+    /// Creates the proposer of a node; `driver` is that of its replica, if it has one.
+    pub(crate) fn new(
+        config: &ClusterConfig,
+        driver: Option<mpsc::Sender<DriverInput>>,
+        links: &Links,
+        leader: &LeaderHint,
+        replica: &watch::Receiver<ReplicaView>,
+    ) -> Self {
+        Self {
+            name: config.name.clone(),
+            driver,
+            replica: replica.clone(),
+            links: links.clone(),
+            leader: leader.clone(),
+            bootstrap_voters: config.bootstrap_voters.clone(),
+        }
+    }
+
     /// Commits a proposal; returns within `FIND_LEADER_TIMEOUT` and `RESULT_TIMEOUT` together.
     pub(crate) async fn propose(&self, proposal: Proposal) -> Result<Reply, ProposeError> {
         let find_deadline = Instant::now() + FIND_LEADER_TIMEOUT;
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -10,11 +10,11 @@
     VoterChange,
     command::{Command, Reply},
 };
-use daisysill_core::ids::{ConfigVersion, InstanceId, ZoneName};
+use daisysill_core::ids::{ConfigVersion, InstanceId, ServiceName, SoftwareVersion, ZoneName};
 use daisysill_wire::peer::{
     ControlNode, FollowReply, ForwardError, Heartbeat, ObserveReply, ObserveRequest, Peer, PeerRequest,
-    PeerResponse, PromptOutcome, PublishedUpstreams, RelayReply, RelayReport, UpstreamSoftware,
-    UpstreamStart,
+    PeerResponse, PromptOutcome, PublishedUpstreams, RelayReply, RelayReport, Spread, StreamOrigin,
+    UpstreamSoftware, UpstreamStart,
 };
 use futures::{FutureExt, StreamExt};
 use tarpc::{
@@ -38,6 +38,7 @@
     members::Members,
     metrics::ClusterMetrics,
     observer::CrashQueue,
+    origins::OriginPeers,
     outcome_queue::{OutcomeQueue, TimedOutcome},
     propose::{Proposal, Proposer},
     published_upstreams::PublishedStore,
@@ -73,6 +74,7 @@
     /// Work in flight and stored parts.
     pub(crate) soft_state: Arc<SoftState>,
     pub(crate) relays: Arc<Relays>,
+    pub(crate) origin_peers: OriginPeers,
     /// Crashes that entry nodes reported to this node, to be passed on to the leader.
     pub(crate) crash_queue: CrashQueue,
     /// Outcomes of prompts, likewise.
@@ -257,6 +259,30 @@
         self.state.soft_state.software.known(upstreams)
     }
 
+    async fn stream_origins(self, _: Context, origins: Vec<StreamOrigin>, spread: Spread) {
+        self.state.soft_state.origins.record(origins, spread);
+    }
+
+    async fn stream_origin(
+        self,
+        _: Context,
+        stream: u64,
+        service: ServiceName,
+        spread: Spread,
+    ) -> Option<SoftwareVersion> {
+        let known = &self.state.soft_state.origins;
+        if let Some(software) = known.find(stream) {
+            return Some(software);
+        }
+        match spread {
+            Spread::None => None,
+            Spread::ToControlNodes => {
+                let found = self.state.origin_peers.ask(stream, &service).await;
+                found.or_else(|| known.sole_version(&service))
+            }
+        }
+    }
+
     async fn control_nodes(self, _: Context) -> Vec<ControlNode> {
         if self.state.is_leader() {
             return self.state.relays.reporting(self.state.as_control_node());
--- a/crates/cluster/src/soft_state.rs
+++ b/crates/cluster/src/soft_state.rs
@@ -1,4 +1,5 @@
-//! Soft state of a node: work in flight, the stored prompt parts that are used, and the software of upstreams.
+//! Soft state of a node: work in flight, the stored prompt parts that are used, the software of upstreams, and
+//! where streams began.
 
 use std::{
     collections::HashMap,
@@ -7,11 +8,12 @@
 };
 
 use daisysill_core::ids::InstanceId;
-use daisysill_wire::peer::{StoredPart, StoredPartsUpdate, UpstreamLoad};
+use daisysill_wire::peer::{StoredPart, StoredPartsUpdate, UpstreamEntry, UpstreamLoad};
 
 use crate::{
     clock::BootInstant,
     load_table::{LOAD_TIMEOUT, LoadTable, subtract},
+    origins::OriginStore,
     software::SoftwareTable,
     stored_parts::{CatalogPosition, StoredPartChange, StoredParts},
 };
@@ -50,6 +52,8 @@
     inner: Mutex<Inner>,
     /// The software versions of upstreams.
     pub(crate) software: SoftwareTable,
+    /// Where streams began.
+    pub(crate) origins: OriginStore,
 }
 
 impl SoftState {
@@ -57,6 +61,12 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records which software versions of each service are listed now.
+    pub(crate) fn record_listed(&self, listed: &[UpstreamEntry]) {
+        let known = self.software.of_listed(listed);
+        self.origins.record_listed(known.iter().map(|(service, software)| (*service, software)));
+    }
+
     /// Records the loads and the used parts that an entry node reports.
     pub(crate) fn record_report(&self, node: &InstanceId, loads: Vec<UpstreamLoad>, used_parts: &[u64]) {
         let mut inner = self.lock();
--- a/crates/cluster/src/soft_state_handle.rs
+++ b/crates/cluster/src/soft_state_handle.rs
@@ -3,14 +3,18 @@
 use std::{sync::Arc, time::Duration};
 
 use daisysill_control::Role as ReplicaRole;
-use daisysill_core::ids::SoftwareVersion;
+use daisysill_core::ids::{ServiceName, SoftwareVersion};
 use daisysill_wire::peer::{
-    PublishedUpstreams, StoredPart, UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware,
+    PublishedUpstreams, Spread, StoredPart, StreamOrigin, UpstreamCrash, UpstreamEntry, UpstreamLoad,
+    UpstreamSoftware,
 };
 use tokio::sync::watch;
 
 use crate::{clock::BootInstant, handle::ClusterHandle, outcome_queue::TimedOutcome, software::start_of};
 
+/// A list read within this time shows which software versions serve now.
+const RECENT_LIST: Duration = Duration::from_millis(1_500);
+
 impl ClusterHandle {
     /// Returns a receiver of the upstreams that the leader publishes.
     pub fn published_upstreams(&self) -> watch::Receiver<Arc<PublishedUpstreams>> {
@@ -32,9 +36,30 @@
         self.inner.soft_state.software.get(&start_of(upstream))
     }
 
+    /// Records that a stream, given by a hash, began at a software version, and reports it to the control nodes.
+    pub fn record_stream_origin(&self, stream: u64, software: SoftwareVersion) {
+        let origins = vec![StreamOrigin { stream, software }];
+        self.inner.soft_state.origins.record(origins, Spread::ToControlNodes);
+    }
+
+    /// Returns the software version at which a stream of a service began, given by its hash; `None` if neither this node nor
+    /// a control node in reach can tell.
+    pub async fn stream_origin(&self, stream: u64, service: &ServiceName) -> Option<SoftwareVersion> {
+        if let Some(software) = self.inner.soft_state.origins.find(stream) {
+            return Some(software);
+        }
+        let (peers, service) = (self.inner.origin_peers.clone(), service.clone());
+        // Runs on the cluster's runtime, to which the connections belong.
+        let question = self.inner.runtime.spawn(async move { peers.ask(stream, &service).await });
+        question.await.ok().flatten()
+    }
+
     /// Publishes upstreams that the platform listed at `at` to all nodes. To be called by the leader only.
     pub fn publish_upstreams(&self, upstreams: Vec<UpstreamEntry>, at: BootInstant) {
         self.inner.soft_state.software.prune(&upstreams);
+        if at.elapsed() < RECENT_LIST {
+            self.inner.soft_state.record_listed(&upstreams);
+        }
         self.inner.published.publish(upstreams, at);
     }
 
--- a/crates/cluster/src/software.rs
+++ b/crates/cluster/src/software.rs
@@ -5,7 +5,7 @@
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
-use daisysill_core::ids::SoftwareVersion;
+use daisysill_core::ids::{ServiceName, SoftwareVersion};
 use daisysill_wire::peer::{UpstreamEntry, UpstreamSoftware, UpstreamStart};
 
 /// Upstreams that are no longer listed are dropped once this many are known for each listed one.
@@ -36,6 +36,17 @@
         known.collect()
     }
 
+    /// Returns the service and the software version of each listed upstream, as far as it is known.
+    pub(crate) fn of_listed<'a>(
+        &self,
+        listed: &'a [UpstreamEntry],
+    ) -> Vec<(&'a ServiceName, SoftwareVersion)> {
+        let table = self.lock();
+        let known =
+            listed.iter().filter_map(|entry| Some((&entry.service, table.get(&start_of(entry))?.clone())));
+        known.collect()
+    }
+
     /// Returns the listed upstreams whose software version is not known.
     pub(crate) fn missing(&self, listed: &[UpstreamEntry]) -> Vec<UpstreamStart> {
         let table = self.lock();
--- a/crates/cluster/tests/relays.rs
+++ b/crates/cluster/tests/relays.rs
@@ -17,6 +17,8 @@
 const ZONES: u8 = 3;
 const ENTRY_NODES_PER_ZONE: u8 = 4;
 const ENTRY_NODES: u32 = (ZONES * ENTRY_NODES_PER_ZONE) as u32;
+/// Time in which a control node passes on what it was told about streams.
+const TIME_TO_COPY: Duration = Duration::from_millis(500);
 const INDEX_LIMIT: Duration = Duration::from_secs(5);
 
 /// A control node and some entry nodes in each zone.
@@ -279,3 +281,46 @@
     wait("the new leader's count", || count(entry, 8) == Some(1)).await;
     assert_eq!(count(entry, REQUEST), Some(3));
 }
+
+/// Waits until an entry node can tell where a stream began.
+async fn wait_for_origin(entry: &ClusterHandle, stream: u64, software: &str) {
+    let start = Instant::now();
+    while entry.stream_origin(stream, &"lyric".into()).await != Some(software.into()) {
+        assert!(start.elapsed() < LIMIT, "stream {stream} does not begin at {software}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against streams whose software version is forgotten when the node that began them and a control node are lost.
+#[tokio::test]
+async fn origin_of_a_stream_outlives_its_entry_node_and_a_control_node() {
+    let nodes = TestNodes::start(9).await;
+    nodes.settle().await;
+    for (zone, stream) in (0..nodes.entries.len()).zip(100..) {
+        nodes.entries[zone][0].record_stream_origin(stream, format!("v{zone}").as_str().into());
+    }
+    for entry in nodes.all_entries() {
+        for (zone, stream) in (0..nodes.entries.len()).zip(100..) {
+            wait_for_origin(entry, stream, &format!("v{zone}")).await;
+        }
+    }
+    sleep(TIME_TO_COPY).await;
+    let lost = nodes.other_zones()[0];
+    nodes.entries[lost][0].stop().await;
+    nodes.controls[lost].stop().await;
+    for entry in nodes.entries.iter().flat_map(|of_zone| &of_zone[1..]) {
+        for (zone, stream) in (0..nodes.entries.len()).zip(100..) {
+            wait_for_origin(entry, stream, &format!("v{zone}")).await;
+        }
+    }
+}
+
+/// Guards against a guess where a stream of unknown origin began, by control nodes that have not seen the list for long.
+#[tokio::test]
+async fn unknown_origin_is_not_guessed() {
+    let nodes = TestNodes::start(10).await;
+    nodes.settle().await;
+    for entry in nodes.all_entries() {
+        assert_eq!(entry.stream_origin(7, &"lyric".into()).await, None);
+    }
+}
--- a/crates/core/src/result_code.rs
+++ b/crates/core/src/result_code.rs
@@ -87,6 +87,8 @@
     UpstreamRefused = 1309, 503, NotRun, "upstream_refused";
     /// All upstreams name rate limits, and this node's shares of them are used up.
     UpstreamsRateLimited = 1310, 503, NotRun, "upstreams_rate_limited";
+    /// No upstream of the software version that began the stream can go on with it, or that version is unknown.
+    StreamNotResumable = 1311, 503, NotRun, "stream_not_resumable";
     /// The upstream failed after it may have executed the request.
     UpstreamFailed = 1401, 502, MayHaveRun, "upstream_failed";
     /// The deadline passed while the upstream was working.
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -5,7 +5,7 @@
 use actix_web::http::header::HeaderMap;
 use bytes::{Bytes, BytesMut};
 use daisysill_core::{
-    ids::{InstanceId, ServiceName},
+    ids::{InstanceId, ServiceName, SoftwareVersion},
     result_code::ResultCode,
     retry_budget::SendCount,
     routing::{CallKind, Customer, Route},
@@ -63,6 +63,12 @@
         matches!(self.route.kind, CallKind::AtMostOnce | CallKind::Stream { resumable: false })
     }
 
+    /// Returns the hash by which all nodes know the stream that a request of this caller began; `None` without an ID.
+    pub(crate) fn stream_key(&self, request_id: Option<&str>) -> Option<u64> {
+        let customer = self.customer.as_ref().map(|customer| customer.name.as_str());
+        request_id.map(|id| stable_hash(&(customer, id)))
+    }
+
     /// Returns the maximum number of tokens that the request occupies at its upstream; 0 without a prompt.
     pub(crate) fn tokens(&self) -> u64 {
         self.headers.prompt.as_ref().map_or(0, |prompt| prompt.prompt_tokens + prompt.max_output_tokens)
@@ -79,6 +85,16 @@
     }
 }
 
+/// The upstreams at which a request may run, by the version of their software.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) enum SoftwareRequirement {
+    /// No event has reached the caller yet.
+    #[default]
+    Any,
+    /// Those of the version that brought the stream's first event; `None` if it is unknown.
+    Same(Option<SoftwareVersion>),
+}
+
 /// The attempts made for a request so far.
 #[derive(Debug, Default)]
 pub(crate) struct AttemptHistory {
@@ -92,6 +108,8 @@
     pub(crate) refusals: u32,
     /// Number of upstreams that could not be reached or had no connection left for this node.
     pub(crate) unreachable: u32,
+    /// The upstreams at which the request may go on.
+    pub(crate) software: SoftwareRequirement,
     /// Total time spent waiting for capacity at an upstream.
     pub(crate) waited: Duration,
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -27,7 +27,7 @@
 };
 
 use crate::{
-    caller_request::{AttemptHistory, CallerRequest, urgency},
+    caller_request::{AttemptHistory, CallerRequest, SoftwareRequirement, urgency},
     config::Bounds,
     duration::millis,
     exchange::{AttemptError, OutgoingRequest, UpstreamResponse, attempt},
@@ -38,6 +38,7 @@
     pool::Pool,
     refusal::Refusal,
     routing_state::RoutingState,
+    stream_origin::version_gone,
     upstreams::Upstreams,
     waiting::rate_limit_refusal,
 };
@@ -353,6 +354,11 @@
         if history.may_have_run > 0 {
             return Refusal::new(ResultCode::UpstreamFailed, "no other upstream is left");
         }
+        if let SoftwareRequirement::Same(software) = &history.software
+            && history.refusals == 0
+        {
+            return version_gone(software.as_ref());
+        }
         let age_ms = self.cluster.published_upstreams_age().map(|age| age.as_millis());
         let last = last_error.map_or("none", AttemptError::name);
         let reason = format!("no upstream takes work; list of age {age_ms:?} ms; last error {last}");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod service_speeds;
 mod stop;
 mod store_manager;
+mod stream_origin;
 pub mod upstreams;
 mod waiting;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -151,11 +151,12 @@
         shares.entry(inputs.request.service.clone()).or_default().try_take(self.now_ms(), &counts)
     }
 
-    /// Returns the upstreams that accept requests and were not tried; those that seem unreachable, by themselves or
+    /// Returns the upstreams that accept requests, may run this one and were not tried; those that seem unreachable, by themselves or
     /// with their zone, only if no other is left.
     fn untried(&self, request: &CallerRequest, history: &AttemptHistory) -> Vec<Rc<Upstream>> {
         let mut untried = self.upstreams.accepting(&request.service);
         untried.retain(|upstream| !history.tried.contains(&upstream.entry.id));
+        untried.retain(|upstream| self.has_required_software(upstream, history));
         if untried.iter().any(|upstream| !self.seems_unreachable(upstream)) {
             untried.retain(|upstream| !self.seems_unreachable(upstream));
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    caller_request::{AttemptHistory, CallerRequest},
+    caller_request::{AttemptHistory, CallerRequest, SoftwareRequirement},
     event_stream::EventSplitter,
     exchange::UpstreamResponse,
     forward::Gateway,
@@ -145,6 +145,9 @@
                         return Some(Err(self.fail("event_too_large")));
                     };
                     if !bytes.is_empty() {
+                        if self.relayed_bytes == 0 {
+                            self.record_origin();
+                        }
                         self.progressed_at = Instant::now();
                         self.relayed_bytes += bytes.len() as u64;
                         return Some(Ok(bytes));
@@ -165,6 +168,15 @@
         }
     }
 
+    /// Remembers where the stream began, right before its first event is relayed.
+    fn record_origin(&self) {
+        if let Some(response) = &self.response
+            && self.request.headers.resume_after.is_none()
+        {
+            self.gateway.record_stream_origin(&self.request, response);
+        }
+    }
+
     /// Returns whether the body ended inside an event: the upstream broke off, whatever the framing says. Logs such a
     /// body, and one that only the end of its connection delimits.
     fn ended_inside_event(&self) -> bool {
@@ -235,6 +247,9 @@
         let Passing::WholeEvents(splitter) = &mut self.passing else { return false };
         splitter.drop_pending();
         let after = splitter.last_id().map(str::to_owned);
+        if after.is_some() {
+            self.history.software = SoftwareRequirement::Same(software.clone());
+        }
         let resumed = self.gateway.send(&self.request, &mut self.history, after.as_deref()).await;
         let software_of = |response: &UpstreamResponse| {
             self.gateway.cluster.software_of(&response.in_flight.upstream.entry)
@@ -244,7 +259,7 @@
             event = "stream_resumed",
             request_id = self.request.headers.request_id.as_deref(),
             reason,
-            after,
+            after = after.as_deref(),
             software = software.as_ref().map(SoftwareVersion::as_str),
             resumed_software = resumed_software.as_ref().map(SoftwareVersion::as_str),
             outcome = resumed.as_ref().map_or_else(|refusal| refusal.code.name(), |_| "resumed"),
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -119,7 +119,8 @@
 
     async fn forward(&self, request: Rc<CallerRequest>) -> Result<HttpResponse, Refusal> {
         let gateway = &self.gateway;
-        let mut history = AttemptHistory::default();
+        let software = gateway.software_requirement(&request).await?;
+        let mut history = AttemptHistory { software, ..AttemptHistory::default() };
         loop {
             let resume_after = request.headers.resume_after.as_deref();
             let sending = gateway.send(&request, &mut history, resume_after);
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -190,6 +190,23 @@
         pub software: SoftwareVersion,
     }
 
+    /// The software version that brought the first event of a stream.
+    pub struct StreamOrigin {
+        /// Hash of the customer and of the ID of the request that began the stream.
+        pub stream: u64,
+        /// The version.
+        pub software: SoftwareVersion,
+    }
+
+    /// Whether the receiver of origins or of a question for one turns to the other control nodes.
+    #[derive(Copy)]
+    pub enum Spread {
+        /// It does: the sender is an entry node.
+        ToControlNodes,
+        /// It does not: the sender is a control node, and turns to them itself.
+        None,
+    }
+
     /// Soft state that the leader publishes to all nodes.
     #[derive(Default)]
     pub struct PublishedUpstreams {
@@ -385,4 +402,8 @@
     async fn prompt_outcomes(outcomes: Vec<PromptOutcome>);
     /// Returns the software versions of those upstreams that the receiver knows.
     async fn software_of(upstreams: Vec<UpstreamStart>) -> Vec<UpstreamSoftware>;
+    /// Reports where streams began.
+    async fn stream_origins(origins: Vec<StreamOrigin>, spread: Spread);
+    /// Returns the software version at which a stream of a service began; `None` if the receiver cannot tell.
+    async fn stream_origin(stream: u64, service: ServiceName, spread: Spread) -> Option<SoftwareVersion>;
 }
--- a/crates/wire/tests/encoded.rs
+++ b/crates/wire/tests/encoded.rs
@@ -24,8 +24,8 @@
 use daisysill_wire::peer::{
     BlockLocation, ConfigDelta, ConfigUpdate, ControlNode, DispatchCount, FollowReply, ForwardError,
     Heartbeat, HeartbeatEntry, ObserveReply, ObserveRequest, PeerRequest, PeerResponse, PublishedUpstreams,
-    RelayReply, RelayReport, ReportEntry, SoftReport, StoredPart, StoredPartsUpdate, UpstreamCrash,
-    UpstreamEntry, UpstreamLoad,
+    RelayReply, RelayReport, ReportEntry, SoftReport, Spread, StoredPart, StoredPartsUpdate, StreamOrigin,
+    UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware, UpstreamStart,
 };
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -306,3 +306,23 @@
     let responses = vec![PeerResponse::Relay(reply), PeerResponse::ControlNodes(vec![node])];
     assert_message_encoded(&responses, include_str!("encoded/relay_responses.hex"));
 }
+
+/// The same for messages about software versions, which later builds added.
+#[test]
+fn software_messages_keep_their_encoding() {
+    let start = UpstreamStart { id: "u7".into(), started_unix_ms: 94 };
+    let origin = StreamOrigin { stream: 95, software: "v1.1".into() };
+    let requests = vec![
+        PeerRequest::SoftwareOf { upstreams: vec![start.clone()] },
+        PeerRequest::StreamOrigins { origins: vec![origin], spread: Spread::ToControlNodes },
+        PeerRequest::StreamOrigin { stream: 96, service: "lyric".into(), spread: Spread::None },
+    ];
+    assert_message_encoded(&requests, include_str!("encoded/software_requests.hex"));
+    let software = UpstreamSoftware { start, software: "v1.1".into() };
+    let responses = vec![
+        PeerResponse::SoftwareOf(vec![software]),
+        PeerResponse::StreamOrigins(()),
+        PeerResponse::StreamOrigin(Some("v1.1".into())),
+    ];
+    assert_message_encoded(&responses, include_str!("encoded/software_responses.hex"));
+}
