Let streams that go on wait longer, and before new requests

Within one answer it was worse: the wait is counted from the arrival of the request, so a stream that broke later was given up at once when no engine had room.

A stream that goes on now waits for up to a second, is as urgent as the most urgent route of its customer, and needs no share of scarce slots.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -63,6 +63,11 @@
         matches!(self.route.kind, CallKind::AtMostOnce | CallKind::Stream { resumable: false })
     }
 
+    /// Returns whether the caller takes up a stream that broke off.
+    pub(crate) fn takes_up_stream(&self) -> bool {
+        matches!(self.route.kind, CallKind::Stream { .. }) && self.headers.resume_after.is_some()
+    }
+
     /// Returns the hash by which all nodes know the stream that a request of this caller began; `None` without an ID.
     pub(crate) fn stream_key(&self, request_id: Option<&str>) -> Option<u64> {
         let customer = self.customer.as_ref().map(|customer| customer.name.as_str());
@@ -110,6 +115,8 @@
     pub(crate) unreachable: u32,
     /// The upstreams at which the request may go on.
     pub(crate) software: SoftwareRequirement,
+    /// When the stream was last taken up after it broke off, by its caller or within one answer; `None` for a new request.
+    pub(crate) resumed_at: Option<Instant>,
     /// Total time spent waiting for capacity at an upstream.
     pub(crate) waited: Duration,
 }
@@ -126,11 +133,13 @@
     }
 }
 
-/// Returns the urgency of a request from 0, the most urgent, to 9.
-pub(crate) fn urgency(request: &CallerRequest) -> u8 {
+/// Returns the urgency of a request from 0, the most urgent, to 9. A stream that goes on is as urgent as the most urgent route
+/// of its customer: its caller has a part of it already.
+pub(crate) fn urgency(request: &CallerRequest, history: &AttemptHistory) -> u8 {
     let customer = request.customer.as_ref().and_then(|customer| customer.priority);
     let customer = customer.unwrap_or(DEFAULT_CUSTOMER_PRIORITY).saturating_mul(ROUTE_PRIORITIES);
-    customer.saturating_add(request.route.priority.min(ROUTE_PRIORITIES - 1)).min(LEAST_URGENT)
+    let route = if history.resumed_at.is_some() { 0 } else { request.route.priority };
+    customer.saturating_add(route.min(ROUTE_PRIORITIES - 1)).min(LEAST_URGENT)
 }
 
 /// Encodes the request line and the headers that are the same for every attempt. Hop-by-hop headers, those named in
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -241,7 +241,7 @@
             customer: request.customer.as_ref().map(|customer| &customer.name),
             cache_scope: chosen.scope.as_deref(),
             weight_version: chosen.version,
-            urgency: chosen.scope.as_ref().map(|_| urgency(request)),
+            urgency: chosen.scope.as_ref().map(|_| urgency(request, history)),
             resume_after,
             transfers: chosen.transfers.as_ref(),
         };
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -121,7 +121,9 @@
         let Some(choice) = choose(&candidates, &demand, rand::random()) else {
             return if current.is_empty() { Placement::NoneAccepting } else { Placement::NoCapacity };
         };
-        if inputs.engine.is_some() && !self.try_take_slot(&inputs, &current, &candidates) {
+        // Streams that go on are few, and their callers wait in the middle of an answer.
+        let shares_slots = inputs.engine.is_some() && history.resumed_at.is_none();
+        if shares_slots && !self.try_take_slot(&inputs, &current, &candidates) {
             return Placement::NoCapacity;
         }
         let chosen = eligible.swap_remove(choice.index);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -249,6 +249,7 @@
         let after = splitter.last_id().map(str::to_owned);
         if after.is_some() {
             self.history.software = SoftwareRequirement::Same(software.clone());
+            self.history.resumed_at = Some(Instant::now());
         }
         let resumed = self.gateway.send(&self.request, &mut self.history, after.as_deref()).await;
         let software_of = |response: &UpstreamResponse| {
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -120,7 +120,8 @@
     async fn forward(&self, request: Rc<CallerRequest>) -> Result<HttpResponse, Refusal> {
         let gateway = &self.gateway;
         let software = gateway.software_requirement(&request).await?;
-        let mut history = AttemptHistory { software, ..AttemptHistory::default() };
+        let resumed_at = request.takes_up_stream().then_some(request.arrived);
+        let mut history = AttemptHistory { software, resumed_at, ..AttemptHistory::default() };
         loop {
             let resume_after = request.headers.resume_after.as_deref();
             let sending = gateway.send(&request, &mut history, resume_after);
--- a/crates/gateway/src/stream_origin.rs
+++ b/crates/gateway/src/stream_origin.rs
@@ -23,8 +23,7 @@
         &self,
         request: &CallerRequest,
     ) -> Result<SoftwareRequirement, Refusal> {
-        let is_stream = matches!(request.route.kind, CallKind::Stream { .. });
-        if !is_stream || request.headers.resume_after.is_none() {
+        if !request.takes_up_stream() {
             return Ok(SoftwareRequirement::Any);
         }
         let first = request.headers.resumes.as_deref();
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -17,6 +17,8 @@
 
 /// Share of a request's goal for which it waits for capacity; after a longer wait its response would be late.
 const WAIT_GOAL_SHARE: f64 = 0.5;
+/// Time for which a stream that goes on waits for capacity; callers leave one that pauses for longer than two seconds.
+const MAX_RESUME_WAIT: Duration = Duration::from_secs(1);
 
 impl Gateway {
     /// Waits until capacity may be free again; `false` if the wait would make the response late.
@@ -25,7 +27,7 @@
         request: &CallerRequest,
         history: &mut AttemptHistory,
     ) -> bool {
-        let latest = latest_start(request);
+        let latest = latest_start(request, history);
         if Instant::now() >= latest || request.time_left() == Duration::ZERO {
             return false;
         }
@@ -39,7 +41,7 @@
         let mut position = None;
         let mut waker = Some(waker);
         with_queue(&mut |queue| {
-            position = waker.take().map(|waker| queue.push(urgency(request), due_ms, now_ms, waker));
+            position = waker.take().map(|waker| queue.push(urgency(request, history), due_ms, now_ms, waker));
         });
         let began = Instant::now();
         let woken = timeout_at(latest, woken).await.is_ok();
@@ -58,7 +60,7 @@
         history: &mut AttemptHistory,
         wait: Duration,
     ) -> bool {
-        if Instant::now() + wait > latest_start(request) || wait >= request.time_left() {
+        if Instant::now() + wait > latest_start(request, history) || wait >= request.time_left() {
             return false;
         }
         self.metrics.waits_for_room.inc();
@@ -102,8 +104,11 @@
 }
 
 /// Returns the latest time at which an attempt may begin after a wait.
-fn latest_start(request: &CallerRequest) -> Instant {
-    request.arrived + Duration::from_millis(request.route.goal_ms).mul_f64(WAIT_GOAL_SHARE)
+fn latest_start(request: &CallerRequest, history: &AttemptHistory) -> Instant {
+    match history.resumed_at {
+        Some(resumed_at) => resumed_at + MAX_RESUME_WAIT,
+        None => request.arrived + Duration::from_millis(request.route.goal_ms).mul_f64(WAIT_GOAL_SHARE),
+    }
 }
 
 /// Spreads the retries of callers that are refused at the same time.
