Vouch for a sole software version only from a recent reading of the list

Read once more: a control node that is cut off could answer for up to 3 s that a service has one version only, from its last reading, while upstreams of a new one begin streams on the other side. It now answers only from a reading of the last 1.5 s; old_reading_tells_nothing failed before. The facts of a response's headers have names instead of a tuple of five, and reasons of refusals have no quoted options.

--- a/crates/cluster/src/origins.rs
+++ b/crates/cluster/src/origins.rs
@@ -154,7 +154,11 @@
 
     /// Asks for the software version at which a stream of a service began; `None` if nobody can tell.
     pub(crate) async fn ask(&self, stream: u64, service: &ServiceName) -> Option<SoftwareVersion> {
-        let (spread, limit) = self.question();
+        let spread = self.spread();
+        let limit = match spread {
+            Spread::ToControlNodes => QUESTION_TIMEOUT,
+            Spread::None => SPREAD_TIMEOUT,
+        };
         let questions = self.targets().into_iter().map(|target| {
             let (links, service) = (&self.links, service.clone());
             async move {
@@ -176,7 +180,7 @@
 
     /// Sends origins to each target; returns whether one has them, or there is none to send them to.
     async fn report(&self, origins: &[StreamOrigin]) -> bool {
-        let (spread, _) = self.question();
+        let spread = self.spread();
         let targets = self.targets();
         let is_alone = targets.is_empty() && self.has_replica();
         let reports = targets.into_iter().map(|target| {
@@ -206,13 +210,9 @@
         }
     }
 
-    /// Returns whether the targets turn to further nodes, and the time for their answers.
-    fn question(&self) -> (Spread, Duration) {
-        if self.has_replica() {
-            (Spread::None, SPREAD_TIMEOUT)
-        } else {
-            (Spread::ToControlNodes, QUESTION_TIMEOUT)
-        }
+    /// Returns whether the targets turn to further nodes.
+    fn spread(&self) -> Spread {
+        if self.has_replica() { Spread::None } else { Spread::ToControlNodes }
     }
 
     fn has_replica(&self) -> bool {
--- a/crates/core/src/software_history.rs
+++ b/crates/core/src/software_history.rs
@@ -11,6 +11,8 @@
 
 /// Longest time between two readings of the list in which no upstream can come and go unseen.
 const MAX_GAP_MS: u64 = 3_000;
+/// A version is the only one if the last reading is no older than this; a node that is cut off does not see new ones.
+const MAX_READING_AGE_MS: u64 = 1_500;
 
 /// The software versions that the list showed, by service.
 #[derive(Debug, Default)]
@@ -28,7 +30,10 @@
         now_ms: u64,
         listed: impl IntoIterator<Item = (&'a ServiceName, &'a SoftwareVersion)>,
     ) {
-        let since_ms = self.since_ms(now_ms).unwrap_or(now_ms);
+        let since_ms = match self.read_ms {
+            Some((since_ms, last_ms)) if now_ms.saturating_sub(last_ms) <= MAX_GAP_MS => since_ms,
+            Some(_) | None => now_ms,
+        };
         self.read_ms = Some((since_ms, now_ms));
         for (service, software) in listed {
             if !self.last_listed_ms.contains_key(service) {
@@ -60,15 +65,10 @@
     /// assert_eq!(history.sole_version(30_000, &lyric), Some(&v1));
     /// ```
     pub fn sole_version(&self, now_ms: u64, service: &ServiceName) -> Option<&SoftwareVersion> {
-        let since_ms = self.since_ms(now_ms)?;
-        let versions = self.last_listed_ms.get(service)?;
-        let is_long_enough = now_ms.saturating_sub(since_ms) >= ORIGIN_LIFETIME_MS;
-        versions.keys().next().filter(|_| is_long_enough && versions.len() == 1)
-    }
-
-    /// Returns since when the list was read without a gap; `None` if the last reading is too old.
-    fn since_ms(&self, now_ms: u64) -> Option<u64> {
         let (since_ms, last_ms) = self.read_ms?;
-        (now_ms.saturating_sub(last_ms) <= MAX_GAP_MS).then_some(since_ms)
+        let is_recent = now_ms.saturating_sub(last_ms) <= MAX_READING_AGE_MS;
+        let is_long_enough = now_ms.saturating_sub(since_ms) >= ORIGIN_LIFETIME_MS;
+        let versions = self.last_listed_ms.get(service)?;
+        versions.keys().next().filter(|_| is_recent && is_long_enough && versions.len() == 1)
     }
 }
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -56,6 +56,15 @@
     assert_eq!(service.sole_version(), Some(&version("v2")));
 }
 
+/// Guards against a node that is cut off and takes the only version that it has seen for the only one there is.
+#[test]
+fn old_reading_tells_nothing() {
+    let mut service = Service::new();
+    service.list(&["v1"], 2 * ORIGIN_LIFETIME_MS);
+    service.now_ms += 2 * READ_MS;
+    assert_eq!(service.sole_version(), None);
+}
+
 /// Guards against a version that came and went while the list could not be read.
 #[test]
 fn gap_in_the_readings_starts_the_history_anew() {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     connection::{ReadError, UpstreamConnection},
-    header_codec::{AttemptHeaders, HeaderCodec},
+    header_codec::{AttemptHeaders, HeaderCodec, ResponseHeaders},
     http_head::ResponseHead,
     pool::{CheckoutError, Pool, PooledConnection},
     rate_limit::LimitChange,
@@ -138,6 +138,28 @@
         .unwrap_or(Err(AttemptError::TimedOut))
 }
 
+/// What the headers of a response state about it, without borrowing from them.
+struct AnswerHeaders {
+    /// Whether it answers the request that was sent.
+    is_ours: bool,
+    not_executed: bool,
+    sealed: bool,
+    weight_version: Option<WeightVersion>,
+    rate_limit_per_s: Option<f64>,
+}
+
+impl AnswerHeaders {
+    fn new(headers: &ResponseHeaders<'_>, request_id: Option<&str>) -> Self {
+        Self {
+            is_ours: headers.request_id == request_id,
+            not_executed: headers.not_executed,
+            sealed: headers.sealed,
+            weight_version: headers.weight_version,
+            rate_limit_per_s: headers.rate_limit_per_s,
+        }
+    }
+}
+
 async fn send_and_read(
     header_codec: &dyn HeaderCodec,
     mut pooled: PooledConnection,
@@ -152,14 +174,11 @@
     }
     for _ in 0..=MAX_FOREIGN_RESPONSES {
         let read = connection.read_head(outgoing.method, |headers| {
-            let decoded = header_codec.decode_response(headers);
-            let is_ours = decoded.request_id == outgoing.request_id;
-            (is_ours, decoded.not_executed, decoded.sealed, decoded.weight_version, decoded.rate_limit_per_s)
+            AnswerHeaders::new(&header_codec.decode_response(headers), outgoing.request_id)
         });
-        let (head, (is_ours, not_executed, sealed, weight_version, rate_limit_per_s)) =
-            read.await.map_err(|_| AttemptError::Broken)?;
+        let (head, answer) = read.await.map_err(|_| AttemptError::Broken)?;
         in_flight.upstream.record_activity();
-        if !is_ours {
+        if !answer.is_ours {
             // A late duplicate of a response to an earlier request, whatever it states; ours follows.
             if !discard_body(connection).await {
                 return Err(AttemptError::Broken);
@@ -167,16 +186,17 @@
             continue;
         }
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
-        let is_forged = head.status.is_success() && !sealed;
+        let is_forged = head.status.is_success() && !answer.sealed;
         if !misdirected && !is_forged {
-            record_rate_limit(&in_flight.upstream, rate_limit_per_s, sent_at);
+            record_rate_limit(&in_flight.upstream, answer.rate_limit_per_s, sent_at);
         }
-        if misdirected || (not_executed && !head.status.is_success()) {
+        if misdirected || (answer.not_executed && !head.status.is_success()) {
             if discard_body(connection).await {
                 pooled.release();
             }
             return Err(if misdirected { AttemptError::Misdirected } else { AttemptError::Refused });
         }
+        let AnswerHeaders { weight_version, sealed, .. } = answer;
         return Ok(UpstreamResponse { head, weight_version, sealed, pooled, in_flight });
     }
     Err(AttemptError::Broken)
--- a/crates/gateway/src/node_share.rs
+++ b/crates/gateway/src/node_share.rs
@@ -1,5 +1,5 @@
-//! This node's share of what all entry nodes share: the retry budget and the connections and
-//! request rates that upstreams accept.
+//! This node's share of what all entry nodes share: the retry budget, and the connections and request rates that
+//! upstreams accept.
 
 use std::time::Duration;
 
--- a/crates/gateway/src/stream_origin.rs
+++ b/crates/gateway/src/stream_origin.rs
@@ -29,10 +29,12 @@
         let first = request.headers.resumes.as_deref();
         // Without the ID no node knows the stream, but a control node may know that there is only one version.
         let stream = request.stream_key(first).unwrap_or_default();
-        match self.cluster.stream_origin(stream, &request.service).await {
-            Some(software) => Ok(SoftwareRequirement::Same(Some(software))),
-            None => Err(not_resumable(format!("no node knows where the stream of request {first:?} began"))),
-        }
+        let Some(software) = self.cluster.stream_origin(stream, &request.service).await else {
+            let first = first.unwrap_or("without an ID");
+            let reason = format!("no node in reach knows where the stream of request {first} began");
+            return Err(not_resumable(reason));
+        };
+        Ok(SoftwareRequirement::Same(Some(software)))
     }
 
     /// Remembers the software version that begins a stream, here and at the control nodes.
@@ -56,8 +58,8 @@
 
 /// Returns the refusal of a stream for which no upstream of its software version accepts requests.
 pub(crate) fn version_gone(software: Option<&SoftwareVersion>) -> Refusal {
-    let name = software.map(SoftwareVersion::as_str);
-    not_resumable(format!("no upstream of the stream's software version {name:?} takes it"))
+    let name = software.map_or("unknown", SoftwareVersion::as_str);
+    not_resumable(format!("no upstream of the stream's software version takes it: {name}"))
 }
 
 fn not_resumable(reason: String) -> Refusal {
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -309,7 +309,7 @@
     }
 
     /// Returns the number of upstreams that name a rate limit.
-    pub fn rate_limited(&self) -> usize {
+    pub fn rate_limited_count(&self) -> usize {
         let by_service = self.by_service.borrow();
         by_service.values().flatten().filter(|upstream| upstream.rate_limit().per_s().is_some()).count()
     }
