Repeat the start check while a voter lacks entries of its peers

A cluster stayed without a leader for good: a voter restarted while the leader was being removed, and learned from it the end of a log that nobody else held. The removed leader does not lead again, so the entries could never arrive, but the voter neither voted nor campaigned before it had them.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -154,10 +154,10 @@
 
     /// Returns the time at which the next [`Input::Tick`] is due; `u64::MAX` for never.
     pub fn next_timer_ms(&self) -> u64 {
-        let retry_ms = match (self.start_check.passed, &self.bootstrap) {
-            (true, None) => u64::MAX,
-            (true, Some(bootstrap)) => bootstrap.retry_ms,
-            (false, _) => self.start_check.retry_ms,
+        let retry_ms = match (self.start_check_continues(), &self.bootstrap) {
+            (false, None) => u64::MAX,
+            (false, Some(bootstrap)) => bootstrap.retry_ms,
+            (true, _) => self.start_check.retry_ms,
         };
         let due_ms = match &self.role_state {
             RoleState::Halted => u64::MAX,
--- a/crates/control/tests/protocol/leadership.rs
+++ b/crates/control/tests/protocol/leadership.rs
@@ -326,3 +326,31 @@
         }
     }
 }
+
+/// Guards against a cluster without a leader for good: a voter that restarts while the leader is being removed learned the
+/// end of the leader's log, and waited for entries that only the removed leader held. Found by `faults_lose_nothing`.
+#[test]
+fn a_voter_does_not_wait_for_entries_of_a_removed_leader() {
+    for seed in 0..300 {
+        let mut sim = Sim::new(&["a", "b", "c"], seed);
+        sim.bootstrap(&["a", "b", "c"]);
+        let (a, b) = ("a".into(), "b".into());
+        sim.crash(&b);
+        sim.change_voters(&a, VoterChange::Remove("a".into()));
+        sim.run_without_faults(20);
+        sim.blocked.insert(("a".into(), "c".into()));
+        for number in 0..10 {
+            sim.propose_drain(&a, &format!("change-{number}"));
+        }
+        sim.start(&b);
+        sim.loss_percent = 30;
+        for _ in 0..100 {
+            sim.pass_time(1);
+            sim.deliver();
+            for name in ["a", "b", "c"] {
+                sim.sync(&name.into());
+            }
+        }
+        sim.heal_and_check();
+    }
+}
