Block prompts that begin like others that crashed engines, on the own interface too

Callers with prompts that differ, but share a beginning under which engines crash, took down 28 engines with 14 prompts; none was refused.

Ruled out: the beginnings as further fingerprints in the reports of before. Each crash of a resent prompt would have its beginnings as other suspects in common, so that it is blocked after three crashes, not two.

Change: nodes report broken runs with the keys of the prompt's beginnings, and completed prompts that have a suspect one, as a new kind of log entry; core::crashing_parts decides in the agreed state as it does for the platform path, and holds the longest beginning responsible that explains the crashes.

--- a/crates/cluster/src/propose.rs
+++ b/crates/cluster/src/propose.rs
@@ -235,5 +235,7 @@
         Command::ReportCrash(_) => true,
         // A run is identified by its attempt; the end of an unknown run changes nothing.
         Command::StartSuspectRun(_) | Command::EndSuspectRun(_) => true,
+        // Times are relative to the report: a copy applied later could count as another crash.
+        Command::ReportPromptRun(report) => report.crash.is_none(),
     }
 }
--- a/crates/cluster/src/published_upstreams.rs
+++ b/crates/cluster/src/published_upstreams.rs
@@ -232,7 +232,8 @@
             (*fingerprint, u32::try_from(upstreams.len()).unwrap_or(u32::MAX))
         });
         let mut by_key: BTreeMap<u64, u32> = requests.collect();
-        let by_part = self.crashing_parts.counts(now_ms);
+        self.crashing_parts.expire(now_ms);
+        let by_part = self.crashing_parts.counts();
         self.log_blocked_parts(&by_part);
         by_key.extend(by_part);
         self.inherited.take_if(|(_, at)| at.elapsed() >= EVIDENCE_TIMEOUT);
--- a/crates/control/src/command.rs
+++ b/crates/control/src/command.rs
@@ -38,6 +38,8 @@
         PublishDocument(PublishDocument),
         /// Sets the target weight version of a model, unless it is the same or higher already.
         SetTargetVersion(SetTargetVersion),
+        /// Reports what a run showed about the parts of its prompt.
+        ReportPromptRun(ReportPromptRun),
     }
 
     /// Replaces the rule files in force.
@@ -167,6 +169,28 @@
         pub block_ms: u64,
     }
 
+    /// Reports what a run showed about the parts of its prompt.
+    pub struct ReportPromptRun {
+        /// Keys of the parts, in the order in which the prompt has them; equal for equal parts of the same customer.
+        pub parts: Vec<u64>,
+        /// The crash that broke the run; `None` if the request completed, which clears its parts.
+        pub crash: Option<PromptCrash>,
+    }
+
+    /// A crash of an upstream during a run.
+    pub struct PromptCrash {
+        /// The crashed upstream.
+        pub upstream: InstanceId,
+        /// Incarnation that crashed.
+        pub incarnation: u64,
+        /// Equal for identical requests.
+        pub fingerprint: u64,
+        /// Time from the start of the run until the report.
+        pub sent_ms_ago: u64,
+        /// Time from the break of the connection until the report.
+        pub broke_ms_ago: u64,
+    }
+
     /// Asks for permission to run a suspect request.
     pub struct StartSuspectRun {
         /// Identifies the run; a resend for a run in progress is permitted again.
--- a/crates/control/src/crashes.rs
+++ b/crates/control/src/crashes.rs
@@ -268,17 +268,25 @@
         Reply::Done
     }
 
+    /// Returns the log time at which the next crash is evaluated, or the next block or evidence ends.
+    pub(crate) fn next_crash_change_ms(&self) -> Option<u64> {
+        self.crashes.next_change_ms().into_iter().chain(self.crashing_parts.next_expiry_ms()).min()
+    }
+
     /// Evaluates the crashes that are due, and lifts expired blocks.
     pub(crate) fn evaluate_crashes(&mut self) {
-        if self.crashes.next_change_ms().is_some_and(|due_ms| due_ms <= self.now_ms) {
+        if self.next_crash_change_ms().is_some_and(|due_ms| due_ms <= self.now_ms) {
             self.crashes.evaluate_due(self.now_ms);
+            self.crashing_parts.expire(self.now_ms);
             self.update_config();
         }
     }
 
     /// Makes blocks and suspects a new configuration version if they have changed.
-    fn update_config(&mut self) {
-        let (blocked, suspects) = (self.crashes.blocked(), self.crashes.suspects());
+    pub(crate) fn update_config(&mut self) {
+        let (mut blocked, mut suspects) = (self.crashes.blocked(), self.crashes.suspects());
+        blocked.extend(self.blocked_parts());
+        suspects.extend(self.suspect_parts());
         if blocked == self.config.blocked && suspects == self.config.suspects {
             return;
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 mod membership;
 mod message;
 mod progress;
+pub mod prompt_runs;
 pub mod replica;
 mod replication;
 mod snapshots;
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -91,7 +91,7 @@
         let log = Log::new(base, recovered.entries);
         let last = log.last();
         let state =
-            recovered.snapshot.as_ref().and_then(|snapshot| postcard::from_bytes(&snapshot.state).ok());
+            recovered.snapshot.as_ref().and_then(|snapshot| AgreedState::decode(&snapshot.state).ok());
         let mut replica = Self {
             now_ms,
             rng,
--- a/crates/control/src/snapshots.rs
+++ b/crates/control/src/snapshots.rs
@@ -112,7 +112,7 @@
             return self.send(from, Message::SnapshotReply { position, received_bytes, echo_ms });
         }
         let valid = crc32fast::hash(&incoming.data) == checksum;
-        let state = postcard::from_bytes(&incoming.data).ok().filter(|_| valid);
+        let state = AgreedState::decode(&incoming.data).ok().filter(|_| valid);
         let Some(state) = state else {
             return self.send(from, Message::SnapshotReply { position, received_bytes: 0, echo_ms });
         };
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -7,6 +7,7 @@
 };
 
 use daisysill_core::{
+    crashing_parts::CrashingParts,
     ids::{ChangeId, ConfigVersion, FencingNumber, InstanceId, ServiceName, WeightVersion},
     rules::{RuleFile, RuleSet},
     value_types,
@@ -107,10 +108,33 @@
         pub change_order: VecDeque<ChangeId>,
         /// Crashes of upstreams, and suspect and blocked requests.
         pub crashes: Crashes,
+        /// Crashes by part of the prompt.
+        pub crashing_parts: CrashingParts,
     }
 }
 
 impl AgreedState {
+    /// Decodes the state of a snapshot. In one of an earlier build the last field is missing; it is empty then.
+    ///
+    /// # Errors
+    /// Fails if the bytes are no encoded state.
+    ///
+    /// ```
+    /// use daisysill_control::state::AgreedState;
+    /// # fn main() -> Result<(), postcard::Error> {
+    /// let bytes = postcard::to_stdvec(&AgreedState::default())?;
+    /// assert_eq!(AgreedState::decode(&bytes)?, AgreedState::default());
+    /// # Ok(())
+    /// # }
+    /// ```
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(bytes).or_else(|_| {
+            let mut completed = bytes.to_vec();
+            completed.extend(postcard::to_stdvec(&CrashingParts::default())?);
+            postcard::from_bytes(&completed)
+        })
+    }
+
     /// Applies the command of the log entry at `index`; `now_ms` is the log time stamped on it.
     ///
     /// ```
@@ -141,6 +165,7 @@
             Command::EndSuspectRun(end) => self.end_suspect_run(end),
             Command::PublishDocument(publish) => self.publish_document(publish),
             Command::SetTargetVersion(target) => self.set_target_version(target),
+            Command::ReportPromptRun(report) => self.report_prompt_run(report),
         };
         if self.config.version == ConfigVersion(index) {
             Arc::make_mut(&mut self.config).log_time_ms = self.now_ms;
@@ -152,7 +177,7 @@
     /// to be evaluated or a block ends.
     pub(crate) fn needs_log_time(&self, time_ms: u64) -> bool {
         self.now_ms < self.last_outcome_due_ms
-            || self.crashes.next_change_ms().is_some_and(|due_ms| due_ms <= time_ms)
+            || self.next_crash_change_ms().is_some_and(|due_ms| due_ms <= time_ms)
     }
 
     fn publish_rules(&mut self, publish: &PublishRules) -> Reply {
--- a/crates/control/tests/crashes.rs
+++ b/crates/control/tests/crashes.rs
@@ -4,8 +4,11 @@
 use std::collections::BTreeMap;
 
 use daisysill_control::{
-    command::{Command, EndSuspectRun, Reply, ReportCrash, RunRefusal, StartSuspectRun},
+    command::{
+        Command, EndSuspectRun, PromptCrash, Reply, ReportCrash, ReportPromptRun, RunRefusal, StartSuspectRun,
+    },
     crashes::{REPORT_WINDOW_MS, suspect_digest},
+    prompt_runs::part_name,
     state::AgreedState,
 };
 
@@ -173,3 +176,39 @@
     assert_eq!(start(&mut state, now_ms, "a2", "bystander", "u3"), taken);
     assert_eq!(start(&mut state, now_ms, "a2", "bystander", "u4"), Reply::RunPermitted);
 }
+
+fn prompt_run(state: &mut AgreedState, now_ms: u64, parts: &[u64], crash: Option<u64>) {
+    let crash = crash.map(|number| PromptCrash {
+        upstream: format!("lyric-{number}").as_str().into(),
+        incarnation: 1,
+        fingerprint: number,
+        sent_ms_ago: 50,
+        broke_ms_ago: 10,
+    });
+    let report = ReportPromptRun { parts: parts.to_vec(), crash };
+    let index = state.applied_index + 1;
+    state.apply(index, now_ms, &Command::ReportPromptRun(report));
+}
+
+/// Guards against prompts that crash one upstream after the other because of a shared part, and against a block of a part
+/// with which requests complete.
+#[test]
+fn a_part_is_blocked_until_its_evidence_expires() {
+    const SOUND: u64 = 1;
+    const BAD: u64 = 2;
+    const EVIDENCE_MS: u64 = 600_000;
+    let mut state = AgreedState::default();
+    for crash in 0..3 {
+        assert!(state.config.blocked.is_empty());
+        let now_ms = 1_000 + crash * 100;
+        prompt_run(&mut state, now_ms, &[SOUND, BAD], Some(crash));
+        assert!(state.config.suspects.contains(&suspect_digest(&part_name(BAD))));
+        prompt_run(&mut state, now_ms + 50, &[SOUND], None);
+        assert!(!state.config.suspects.contains(&suspect_digest(&part_name(SOUND))));
+    }
+    let until_ms = 1_200 - 10 + EVIDENCE_MS;
+    assert_eq!(state.config.blocked, [(part_name(BAD), until_ms)].into());
+    assert!(!pass_time(&mut state, until_ms - 1).is_empty());
+    assert!(pass_time(&mut state, until_ms).is_empty());
+    assert!(state.config.suspects.is_empty());
+}
--- a/crates/core/src/crashing_parts.rs
+++ b/crates/core/src/crashing_parts.rs
@@ -10,6 +10,8 @@
     time::Duration,
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::InstanceId;
 
 /// Crashes in succession, under different requests, after which a part that none has completed with is blocked.
@@ -19,49 +21,56 @@
 /// Maximum number of parts with evidence; further ones are ignored until evidence expires.
 const MAX_PARTS: usize = 4_096;
 
-/// A process that crashed.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct CrashedProcess {
-    /// The upstream.
-    pub upstream: InstanceId,
-    /// Start of the process, in Unix milliseconds.
-    pub started_unix_ms: u64,
-}
+/// Maximum number of crashes and of requests remembered for a part.
+const MAX_CRASHES_OF_PART: usize = 64;
+
+value_types! {
+    /// A process that crashed.
+    #[derive(PartialOrd, Ord)]
+    pub struct CrashedProcess {
+        /// The upstream.
+        pub upstream: InstanceId,
+        /// Start of the process, in Unix milliseconds or as any number that differs from its other starts.
+        pub started_unix_ms: u64,
+    }
 
-/// A request that was running at an upstream when the upstream crashed.
-#[derive(Clone, Debug)]
-pub struct BrokenRun {
-    /// The process that crashed.
-    pub process: CrashedProcess,
-    /// Equal for identical requests.
-    pub fingerprint: u64,
-    /// When the request was sent, in milliseconds of any clock.
-    pub sent_ms: u64,
-    /// When its connection broke, on the same clock.
-    pub broke_ms: u64,
-}
+    /// A request that was running at an upstream when the upstream crashed.
+    pub struct BrokenRun {
+        /// The process that crashed.
+        pub process: CrashedProcess,
+        /// Equal for identical requests.
+        pub fingerprint: u64,
+        /// When the request was sent, in milliseconds of any clock.
+        pub sent_ms: u64,
+        /// When its connection broke, on the same clock.
+        pub broke_ms: u64,
+    }
 
-/// One of the crashes of a process, which may be listed with its old start for a while after a restart.
-type CrashId = (CrashedProcess, u32);
+    /// The latest crash of a process.
+    #[derive(Copy)]
+    struct LatestCrash {
+        number: u32,
+        broke_ms: u64,
+    }
 
-/// The latest crash of a process.
-#[derive(Clone, Copy, Debug)]
-struct LatestCrash {
-    number: u32,
-    broke_ms: u64,
+    /// Crashes under one part since a request with it completed last.
+    #[derive(Default)]
+    struct Evidence {
+        crashes: BTreeSet<CrashId>,
+        /// Those that counted as successive.
+        counted: BTreeSet<CrashId>,
+        /// Requests that were broken; the culprit's part is in fewer than one that many sound requests share.
+        requests: BTreeSet<u64>,
+        /// Highest index of the part in a prompt. If parts are beginnings, the longest one that explains the crashes is held
+        /// responsible.
+        index: u32,
+        last_fingerprint: u64,
+        last_broke_ms: u64,
+    }
 }
 
-/// Crashes under one part since a request with it completed last.
-#[derive(Clone, Debug, Default)]
-struct Evidence {
-    crashes: BTreeSet<CrashId>,
-    /// Those that counted as successive.
-    counted: BTreeSet<CrashId>,
-    /// Requests that were broken; the culprit's part is in fewer than one that many sound requests share.
-    requests: BTreeSet<u64>,
-    last_fingerprint: u64,
-    last_broke_ms: u64,
-}
+/// One of the crashes of a process, which may be listed with its old start for a while after a restart.
+type CrashId = (CrashedProcess, u32);
 
 /// Evidence against parts of prompts, as the node that decides for all collects it.
 ///
@@ -75,24 +84,26 @@
 ///     parts.record_crash(&[sound, bad], &run);
 ///     parts.record_completion(&[sound]);
 /// }
-/// assert_eq!(parts.counts(250).get(&bad), Some(&CRASHES_TO_BLOCK));
-/// assert_eq!(parts.counts(250).get(&sound), None);
+/// assert_eq!(parts.counts().get(&bad), Some(&CRASHES_TO_BLOCK));
+/// assert_eq!(parts.counts().get(&sound), None);
 /// ```
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashingParts {
     latest_crashes: BTreeMap<CrashedProcess, LatestCrash>,
     by_part: BTreeMap<u64, Evidence>,
 }
 
 impl CrashingParts {
-    /// Records a broken run of a request with these parts.
+    /// Records a broken run of a request with these parts, in the order in which its prompt has them.
     pub fn record_crash(&mut self, parts: &[u64], run: &BrokenRun) {
         let crash = self.identify(run);
-        for part in parts {
+        for (index, part) in (0..).zip(parts) {
             if self.by_part.len() >= MAX_PARTS && !self.by_part.contains_key(part) {
                 continue;
             }
-            self.by_part.entry(*part).or_default().record(run, &crash);
+            let evidence = self.by_part.entry(*part).or_default();
+            evidence.index = evidence.index.max(index);
+            evidence.record(run, &crash);
         }
     }
 
@@ -113,14 +124,24 @@
         }
     }
 
-    /// Returns the crashes by part: [`CRASHES_TO_BLOCK`] or more for those that are blocked, fewer for others. Discards
-    /// expired evidence.
-    pub fn counts(&mut self, now_ms: u64) -> BTreeMap<u64, u32> {
-        let age = |evidence: &Evidence| Duration::from_millis(now_ms.saturating_sub(evidence.last_broke_ms));
-        self.by_part.retain(|_, evidence| age(evidence) < EVIDENCE_TIMEOUT);
-        self.latest_crashes.retain(|_, crash| {
-            Duration::from_millis(now_ms.saturating_sub(crash.broke_ms)) < EVIDENCE_TIMEOUT
-        });
+    /// Discards evidence that has expired at `now_ms`, on the clock of the runs.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.by_part.retain(|_, evidence| expiry_ms(evidence.last_broke_ms) > now_ms);
+        self.latest_crashes.retain(|_, crash| expiry_ms(crash.broke_ms) > now_ms);
+    }
+
+    /// Returns when evidence expires next; `None` if there is none.
+    pub fn next_expiry_ms(&self) -> Option<u64> {
+        self.by_part.values().map(|evidence| expiry_ms(evidence.last_broke_ms)).min()
+    }
+
+    /// Returns when the evidence against a part expires unless it crashes another upstream; `None` if there is none.
+    pub fn expiry_of_ms(&self, part: u64) -> Option<u64> {
+        self.by_part.get(&part).map(|evidence| expiry_ms(evidence.last_broke_ms))
+    }
+
+    /// Returns the crashes by part: [`CRASHES_TO_BLOCK`] or more for those that are blocked, fewer for others.
+    pub fn counts(&self) -> BTreeMap<u64, u32> {
         let mut counts: BTreeMap<u64, u32> = self
             .by_part
             .iter()
@@ -145,10 +166,9 @@
         let mut culprits = Vec::new();
         loop {
             let unexplained = |evidence: &Evidence| evidence.crashes.difference(&explained).count();
-            let best = candidates
-                .iter()
-                .enumerate()
-                .max_by_key(|(_, (_, evidence))| (unexplained(evidence), Reverse(evidence.requests.len())));
+            let best = candidates.iter().enumerate().max_by_key(|(_, (_, evidence))| {
+                (unexplained(evidence), Reverse(evidence.requests.len()), evidence.index)
+            });
             let Some((index, (part, evidence))) = best else { return culprits };
             if unexplained(evidence) < CRASHES_TO_BLOCK as usize {
                 return culprits;
@@ -167,12 +187,25 @@
     }
 
     fn record(&mut self, run: &BrokenRun, crash: &CrashId) {
-        self.requests.insert(run.fingerprint);
-        self.crashes.insert(crash.clone());
+        insert_bounded(&mut self.requests, run.fingerprint);
+        insert_bounded(&mut self.crashes, crash.clone());
         let follows = run.sent_ms >= self.last_broke_ms && run.fingerprint != self.last_fingerprint;
-        if (self.counted.is_empty() || follows) && self.counted.insert(crash.clone()) {
+        if (self.counted.is_empty() || follows) && !self.counted.contains(crash) {
+            insert_bounded(&mut self.counted, crash.clone());
             self.last_fingerprint = run.fingerprint;
             self.last_broke_ms = run.broke_ms;
         }
     }
 }
+
+/// Inserts a value unless the set holds [`MAX_CRASHES_OF_PART`].
+fn insert_bounded<T: Ord>(values: &mut BTreeSet<T>, value: T) {
+    if values.len() < MAX_CRASHES_OF_PART {
+        values.insert(value);
+    }
+}
+
+fn expiry_ms(last_broke_ms: u64) -> u64 {
+    let timeout_ms = u64::try_from(EVIDENCE_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
+    last_broke_ms.saturating_add(timeout_ms)
+}
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -19,7 +19,8 @@
 }
 
 fn blocked(parts: &mut CrashingParts, now_ms: u64) -> Vec<u64> {
-    let counts = parts.counts(now_ms);
+    parts.expire(now_ms);
+    let counts = parts.counts();
     counts.into_iter().filter(|(_, count)| *count >= CRASHES_TO_BLOCK).map(|(part, _)| part).collect()
 }
 
@@ -133,3 +134,16 @@
     }
     assert_eq!(blocked(&mut parts, 2_000), [BAD]);
 }
+
+/// Pattern: prompts share a long beginning, known by the names of its ever longer beginnings, and all of them crash their
+/// upstreams. Guards against blocking a shorter beginning, which sound prompts share.
+#[test]
+fn the_longest_beginning_that_explains_the_crashes_is_blocked() {
+    let mut parts = CrashingParts::default();
+    for crash in 0..3 {
+        parts.record_crash(&[9, 7, 8, 100 + crash], &run(crash, crash, crash * 100, crash * 100 + 90));
+    }
+    assert_eq!(blocked(&mut parts, 400), [8]);
+    parts.record_completion(&[9, 7]);
+    assert_eq!(blocked(&mut parts, 400), [8], "a sound prompt that shares less clears less");
+}
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -30,6 +30,7 @@
         self.shared.metrics.attempts.get_or_create(&labels).inc();
         // Read before the attempt: after a crash, the load report may already be that of the new process.
         self.incarnation = self.shared.upstreams.incarnation(&decision.upstream);
+        self.attempt_began = Instant::now();
         let guard = self.shared.upstreams.dispatch(&decision.upstream, decision.recomputed_tokens);
         let names = self.piece_names(decision);
         if !self.restore(&url, decision, &names).await {
@@ -202,6 +203,8 @@
                 upstream,
                 incarnation: self.incarnation,
                 fingerprint: &self.fingerprint,
+                parts: self.parts(),
+                sent_at: self.attempt_began,
                 rules: &self.rules,
             };
             attempt.report_if_crashed(&self.shared, self.engine.as_ref()).await;
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -14,6 +14,7 @@
     ids::{AttemptId, CustomerId, InstanceId, ServiceName},
     rules::ServiceRules,
 };
+use futures::future::join;
 use tokio::time::{Instant, timeout};
 
 use crate::{
@@ -203,6 +204,10 @@
     pub incarnation: u64,
     /// See [`fingerprint`].
     pub fingerprint: &'a str,
+    /// Keys of the prompt's beginnings.
+    pub parts: &'a [u64],
+    /// When the attempt began.
+    pub sent_at: Instant,
     /// The rules of the service.
     pub rules: &'a ServiceRules,
 }
@@ -213,6 +218,7 @@
     /// A crash shows as a new incarnation or as an upstream that accepts no connection. An upstream that is
     /// merely silent is not considered crashed.
     pub async fn report_if_crashed(&self, shared: &Shared, engine: &dyn Engine) {
+        let broke_at = Instant::now();
         let Some(url) = shared.upstreams.url(self.upstream) else { return };
         let crashed = match timeout(LIVENESS_TIMEOUT, engine.load(&url)).await {
             Ok(Ok(load)) => self.incarnation != 0 && load.incarnation != self.incarnation,
@@ -231,8 +237,8 @@
             block_ms: self.rules.crashes.block_s * 1_000,
         };
         // Without a majority the crash is not reported; this node still requires permission for the next run.
-        let proposed = shared.proposer.propose(Command::ReportCrash(report));
-        match timeout(REPORT_TIMEOUT, proposed).await {
+        let proposed = timeout(REPORT_TIMEOUT, shared.proposer.propose(Command::ReportCrash(report)));
+        match join(proposed, self.report_prompt(shared, broke_at)).await.0 {
             Ok(Ok(_)) => {}
             Ok(Err(error)) => log::warn!("crash of {} not committed: {error}", self.upstream),
             Err(_) => log::warn!("crash of {} not committed within {REPORT_TIMEOUT:?}", self.upstream),
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -1,6 +1,6 @@
 //! Serves a prompt: admission, choice of an upstream, attempts, and resumption elsewhere after a failure.
 
-use std::{collections::BTreeMap, rc::Rc, sync::Arc};
+use std::{cell::OnceCell, collections::BTreeMap, rc::Rc, sync::Arc};
 
 use daisysill_control::{command::RunRefusal, crashes::REPORT_WINDOW_MS};
 use daisysill_core::{
@@ -19,6 +19,7 @@
     admission_control::{AdmissionRequest, AdmissionSlot},
     config::ServiceConfig,
     crash::{GrantedRun, PlannedRun, RunPermission, fingerprint},
+    prompt_runs::part_keys,
     refusal::Refusal,
     request::RequestLifecycle,
     shared::Shared,
@@ -94,6 +95,9 @@
     pub(crate) fingerprint: String,
     /// Incarnation of the upstream when the current attempt began; a changed one shows that it crashed.
     pub(crate) incarnation: u64,
+    pub(crate) attempt_began: Instant,
+    /// Keys of the prompt's beginnings, computed when they are first needed.
+    parts: OnceCell<Vec<u64>>,
     /// Whether any attempt failed after it was sent, so that the request may have been executed.
     pub(crate) may_have_run: bool,
 }
@@ -114,6 +118,8 @@
             fingerprint,
             silent_once: Vec::new(),
             incarnation: 0,
+            attempt_began: Instant::now(),
+            parts: OnceCell::new(),
             may_have_run: false,
             rules: shared.rules_of(&lifecycle.service),
             shared: Arc::clone(shared),
@@ -131,8 +137,8 @@
 
     /// Serves the prompt, and retries within the limits of the service's rules.
     pub async fn run(mut self) {
-        if self.is_blocked() {
-            return self.refuse(blocked()).await;
+        if let Some(refusal) = self.block() {
+            return self.refuse(refusal).await;
         }
         let mut slot = match self.admit().await {
             Some(Ok(slot)) => slot,
@@ -148,8 +154,8 @@
         let mut attempts = 0;
         while attempts < self.rules.retries.max_attempts {
             // Checked before each attempt: the request may have crashed the upstream of the last one.
-            if self.is_blocked() {
-                return self.refuse(blocked()).await;
+            if let Some(refusal) = self.block() {
+                return self.refuse(refusal).await;
             }
             let Some(decision) = self.choose() else { break };
             let run = match self.request_permission(&decision).await {
@@ -166,6 +172,7 @@
                     if let Some(run) = run {
                         run.finished();
                     }
+                    self.report_completion();
                     slot.record_served();
                     return self.lifecycle.set_result(ResultCode::Ok);
                 }
@@ -210,9 +217,38 @@
         }
     }
 
-    fn is_blocked(&self) -> bool {
+    /// Returns the refusal of a request that is blocked, or whose prompt has a blocked beginning.
+    fn block(&mut self) -> Option<Refusal> {
         let view = Arc::clone(&self.shared.cluster.view().borrow());
-        self.shared.blocked_requests.contains(&view.blocked, &self.fingerprint, &self.rules)
+        if self.shared.blocked_requests.contains(&view.blocked, &self.fingerprint, &self.rules) {
+            return Some(blocked());
+        }
+        let part = self.blocked_part()?;
+        self.lifecycle.record_decision(&format!("the beginning {part:x} of the prompt is blocked"));
+        let message = "the request is blocked because its prompt begins like others that took down upstreams";
+        Some(Refusal::new(ResultCode::RequestBlocked, message))
+    }
+
+    /// Returns the keys of the prompt's beginnings, which do not depend on a weight version.
+    pub(crate) fn parts(&self) -> &[u64] {
+        self.parts.get_or_init(|| {
+            let scope = self.scope(WeightVersion::default());
+            part_keys(&scope, &self.request.prompt, self.piece_bytes())
+        })
+    }
+
+    fn scope(&self, weight_version: WeightVersion) -> BlockScope<'_> {
+        BlockScope {
+            customer: &self.lifecycle.customer,
+            service: &self.lifecycle.service,
+            adapter: &self.request.adapter,
+            weight_version,
+        }
+    }
+
+    /// Returns the bytes of text of one piece.
+    fn piece_bytes(&self) -> usize {
+        usize::try_from(self.service.piece_tokens * self.service.bytes_per_token).unwrap_or(usize::MAX)
     }
 
     /// Requests permission to run at the chosen upstream, which a request that was part of a crash needs.
@@ -270,18 +306,11 @@
     /// Returns the block names of the prompt's complete pieces for each weight version of the service's upstreams.
     /// Names differ by customer, service, adapter and weight version.
     pub(crate) fn pieces_by_version(&self, view: &ClusterView) -> BTreeMap<WeightVersion, Vec<BlockName>> {
-        let piece_bytes = self.service.piece_tokens * self.service.bytes_per_token;
-        let piece_bytes = usize::try_from(piece_bytes).unwrap_or(usize::MAX);
         let mut pieces = BTreeMap::new();
         for upstream in view.upstreams().filter(|u| u.service == self.lifecycle.service) {
             pieces.entry(upstream.weight_version).or_insert_with(|| {
-                let scope = BlockScope {
-                    customer: &self.lifecycle.customer,
-                    service: &self.lifecycle.service,
-                    adapter: &self.request.adapter,
-                    weight_version: upstream.weight_version,
-                };
-                piece_names(&scope, &self.request.prompt, piece_bytes)
+                let scope = self.scope(upstream.weight_version);
+                piece_names(&scope, &self.request.prompt, self.piece_bytes())
             });
         }
         pieces
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod plain_client;
 pub mod plain_dispatch;
 pub mod platform_client;
+pub mod prompt_runs;
 pub mod proposer;
 pub mod refusal;
 pub mod request;
--- a/crates/wire/tests/encoded.rs
+++ b/crates/wire/tests/encoded.rs
@@ -9,9 +9,9 @@
 use daisysill_control::{
     VoterChange,
     command::{
-        AcquireLease, Claim, ClaimKey, ClaimOutcome, Command, EndSuspectRun, FinishClaim, PublishDocument,
-        PublishRules, Reply, ReportCrash, SetDrain, SetTargetVersion, SetWeights, StartSuspectRun,
-        StoredResponse,
+        AcquireLease, Claim, ClaimKey, ClaimOutcome, Command, EndSuspectRun, FinishClaim, PromptCrash,
+        PublishDocument, PublishRules, Reply, ReportCrash, ReportPromptRun, SetDrain, SetTargetVersion,
+        SetWeights, StartSuspectRun, StoredResponse,
     },
     entry::{DiskId, Entry, HardState, Payload, Position, Snapshot, VoterSet},
     state::{AgreedState, RoutingDocument},
@@ -38,9 +38,13 @@
         .collect()
 }
 
-fn read<T: DeserializeOwned>(recorded: &str) -> T {
+fn bytes(recorded: &str) -> Vec<u8> {
     let byte = |at| u8::from_str_radix(&recorded[at..at + 2], 16).unwrap();
-    postcard::from_bytes(&(0..recorded.len()).step_by(2).map(byte).collect::<Vec<u8>>()).unwrap()
+    (0..recorded.len()).step_by(2).map(byte).collect()
+}
+
+fn read<T: DeserializeOwned>(recorded: &str) -> T {
+    postcard::from_bytes(&bytes(recorded)).unwrap()
 }
 
 /// Fails if `value` is encoded otherwise than in `recorded`, or if the recorded bytes are read as another value.
@@ -139,6 +143,33 @@
     state
 }
 
+/// A completed request, and one that was broken by a crash.
+fn prompt_runs() -> Vec<Command> {
+    let crash = PromptCrash {
+        upstream: "u4".into(),
+        incarnation: 74,
+        fingerprint: 75,
+        sent_ms_ago: 77,
+        broke_ms_ago: 76,
+    };
+    vec![
+        Command::ReportPromptRun(ReportPromptRun { parts: vec![71], crash: None }),
+        Command::ReportPromptRun(ReportPromptRun { parts: vec![72, 73], crash: Some(crash) }),
+    ]
+}
+
+/// Guards against reports on parts of prompts that a later build reads wrongly.
+#[test]
+fn reports_on_parts_of_prompts_keep_their_encoding() {
+    let mut state = AgreedState::default();
+    for (index, command) in (1..).zip(prompt_runs()) {
+        state.apply(index, 100 + index, &command);
+    }
+    assert_encoded(&prompt_runs(), include_str!("encoded/prompt_runs.hex"));
+    assert_encoded(&state.crashing_parts, include_str!("encoded/crashing_parts.hex"));
+    assert_eq!(AgreedState::decode(&bytes(&hex(&state))).unwrap(), state);
+}
+
 /// Guards against a log, vote or snapshot of an earlier build that is read wrongly, or not at all.
 #[test]
 fn stored_values_keep_their_encoding() {
@@ -156,7 +187,10 @@
     assert_encoded(&entries, include_str!("encoded/entries.hex"));
     let hard_state = HardState { disk: DiskId(9), term: 5, voted_for: Some("n2".into()) };
     assert_encoded(&hard_state, include_str!("encoded/hard_state.hex"));
-    assert_encoded(&state(), include_str!("encoded/state.hex"));
+    // Written before the state recorded crashes by part of the prompt, now its last field.
+    let earlier = include_str!("encoded/state.hex").trim_end();
+    assert_eq!(AgreedState::decode(&bytes(earlier)).unwrap(), state());
+    assert_eq!(hex(&state()), format!("{earlier}0000"));
     let snapshot =
         Snapshot { position: Position { term: 6, index: 91 }, voters: voters(), state: vec![1, 2] };
     assert_encoded(&snapshot, include_str!("encoded/snapshot.hex"));
