Let requests wait at an entry node that has just started

Callers whose request reached an entry node right after its start got 503 at once, with 1304 (no configuration yet) or 1303 (no upstream listed yet), although the node knew both some 100 ms later.

Ruled out: the rate limit (the refusal was 1303).

Change: such a request waits for the first configuration and the first list of upstreams, for up to a second and not beyond its deadline. A node that knew them once refuses at once as before.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -200,6 +200,7 @@
                     continue;
                 }
                 Placement::RateLimited(wait) => return Err(rate_limit_refusal(request, history, wait)),
+                Placement::NoneAccepting if self.wait_for_first_list(request).await => continue,
                 Placement::NoneAccepting => return Err(self.no_upstream_refusal(history, last_error)),
             };
             if history.sends.is_retry() && !self.try_take_retry(&request.service) {
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -69,8 +69,7 @@
         arrived: Instant,
     ) -> Result<CallerRequest, Refusal> {
         let gateway = &self.gateway;
-        let table = gateway.routing.table();
-        let limit = table.as_ref().map_or(DEFAULT_BODY_BYTES, |table| table.limits().body_bytes);
+        let limit = gateway.routing.table().map_or(DEFAULT_BODY_BYTES, |table| table.limits().body_bytes);
         let body = match payload.to_bytes_limited(limit).await {
             Ok(Ok(body)) => body,
             Ok(Err(error)) => return Err(Refusal::new(ResultCode::BodyIncomplete, error.to_string())),
@@ -83,7 +82,7 @@
                 STOP_RETRY_MS,
             ));
         }
-        let Some(table) = table else {
+        let Some(table) = gateway.first_table(arrived).await else {
             return Err(Refusal::not_run(ResultCode::NoQuorum, "no configuration yet", 500));
         };
         let headers = gateway
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -273,17 +273,25 @@
     zone_bit: u32,
     by_service: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
     speeds: RefCell<HashMap<ServiceName, Rc<ServiceSpeeds>>>,
+    is_listed: Cell<bool>,
 }
 
 impl Upstreams {
     /// Creates an empty list; `zone` is the availability zone of this node.
     pub fn new(zone: ZoneName) -> Self {
         let zone_bit = 1 << (stable_hash(&zone.as_str()) % u64::from(u32::BITS));
-        Self { zone, zone_bit, by_service: RefCell::default(), speeds: RefCell::default() }
+        Self {
+            zone,
+            zone_bit,
+            by_service: RefCell::default(),
+            speeds: RefCell::default(),
+            is_listed: Cell::default(),
+        }
     }
 
     /// Replaces the list, keeping the state of upstreams that are still listed with the same start time.
     pub fn replace(&self, entries: &[UpstreamEntry]) {
+        self.is_listed.set(true);
         let mut by_service = self.by_service.borrow_mut();
         let old: HashMap<_, _> = by_service
             .drain()
@@ -314,6 +322,11 @@
         by_service.values().flatten().filter(|upstream| upstream.rate_limit().per_s().is_some()).count()
     }
 
+    /// Returns whether the list is known, empty or not.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed.get()
+    }
+
     /// Returns whether no upstream is listed.
     pub fn is_empty(&self) -> bool {
         self.by_service.borrow().is_empty()
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -1,8 +1,8 @@
 //! Requests that wait until an upstream has capacity.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
-use daisysill_core::{result_code::ResultCode, wait_queue::WaitQueue};
+use daisysill_core::{result_code::ResultCode, routing::RoutingTable, wait_queue::WaitQueue};
 use tokio::{
     sync::oneshot,
     time::{Instant, sleep, timeout_at},
@@ -20,6 +20,11 @@
 /// Time for which a stream that goes on waits for capacity; callers leave one that pauses for longer than two seconds.
 const MAX_RESUME_WAIT: Duration = Duration::from_secs(1);
 
+/// Time for which a request waits for the first configuration and list of upstreams after the start of this node.
+const START_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval at which a waiting request checks for them.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 impl Gateway {
     /// Waits until capacity may be free again; `false` if the wait would make the response late.
     pub(crate) async fn wait_for_capacity(
@@ -52,6 +57,21 @@
         woken
     }
 
+    /// Waits until this node, which has just started, knows the listed upstreams; `false` if it knew them before or does not
+    /// learn them in time.
+    pub(crate) async fn wait_for_first_list(&self, request: &CallerRequest) -> bool {
+        if self.upstreams.is_listed() {
+            return false;
+        }
+        let limit = request.deadline.min(request.arrived + START_TIMEOUT);
+        wait_for_first(limit, || self.upstreams.is_listed().then_some(())).await.is_some()
+    }
+
+    /// Returns the routing table. Waits for it if this node has just started; `None` if none arrives in time.
+    pub(crate) async fn first_table(&self, arrived: Instant) -> Option<Rc<RoutingTable>> {
+        wait_for_first(arrived + START_TIMEOUT, || self.routing.table()).await
+    }
+
     /// Waits until the rate limit of an upstream admits a request of this node again; `false` if the wait would make the
     /// response late.
     pub(crate) async fn wait_for_rate_limit(
@@ -91,6 +111,17 @@
     }
 }
 
+/// Returns what `find` finds, as soon as it does; `None` if it finds nothing until `limit`.
+async fn wait_for_first<T>(limit: Instant, find: impl Fn() -> Option<T>) -> Option<T> {
+    loop {
+        let found = find();
+        if found.is_some() || Instant::now() >= limit {
+            return found;
+        }
+        sleep(START_CHECK_INTERVAL).await;
+    }
+}
+
 /// Returns the refusal of a request for which no upstream admits a request of this node for `wait`.
 pub(crate) fn rate_limit_refusal(
     request: &CallerRequest,
