--- a/crates/control/tests/protocol/main.rs
+++ b/crates/control/tests/protocol/main.rs
@@ -1,6 +1,7 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 //! The protocol on simulated disks and a simulated network.
 
+mod checks;
 mod disk;
 mod faults;
 mod leadership;
--- a/crates/control/tests/protocol/sim.rs
+++ b/crates/control/tests/protocol/sim.rs
@@ -21,8 +21,8 @@
     pub(crate) backup: Option<Disk>,
     /// Batch issued and not synced.
     pub(crate) pending: Option<WriteBatch>,
-    commit_index: u64,
-    config_version: u64,
+    pub(crate) commit_index: u64,
+    pub(crate) config_version: u64,
 }
 
 /// A simulated cluster; its random choices depend only on the seed.
@@ -38,17 +38,17 @@
     random: u64,
     next_proposal_id: u64,
     /// Entries applied by any node, by index.
-    committed: BTreeMap<u64, Arc<Entry>>,
+    pub(crate) committed: BTreeMap<u64, Arc<Entry>>,
     /// Leaders by term.
-    leaders: BTreeMap<u64, InstanceId>,
+    pub(crate) leaders: BTreeMap<u64, InstanceId>,
     /// Acknowledged changes, with their index.
-    acknowledged: BTreeMap<String, u64>,
+    pub(crate) acknowledged: BTreeMap<String, u64>,
     /// Changes by proposal.
-    proposed: BTreeMap<u64, String>,
+    pub(crate) proposed: BTreeMap<u64, String>,
     /// Attempts granted a claim, by key.
-    granted_attempts: BTreeMap<String, BTreeSet<String>>,
+    pub(crate) granted_attempts: BTreeMap<String, BTreeSet<String>>,
     /// Keys and attempts by proposal.
-    claims: BTreeMap<u64, (String, String)>,
+    pub(crate) claims: BTreeMap<u64, (String, String)>,
     pub(crate) snapshot_entries: u64,
     pub(crate) message_bytes: usize,
     /// Nodes whose disk the operator trusts.
@@ -169,47 +169,6 @@
         }
     }
 
-    fn record_reply(&mut self, proposal_id: u64, result: Result<Reply, ProposalFailure>) {
-        if let (Ok(Reply::Accepted(version)), Some(change)) = (&result, self.proposed.get(&proposal_id)) {
-            let first = self.acknowledged.entry(change.clone()).or_insert(version.0);
-            assert_eq!(*first, version.0, "a change took effect twice");
-        }
-        if let (Ok(Reply::Claimed), Some((key, attempt))) = (&result, self.claims.get(&proposal_id)) {
-            let attempts = self.granted_attempts.entry(key.clone()).or_default();
-            attempts.insert(attempt.clone());
-            assert_eq!(attempts.len(), 1, "claim {key} granted to two attempts");
-        }
-        assert!(self.replies.insert(proposal_id, result).is_none(), "proposal {proposal_id} got two replies");
-    }
-
-    /// Checks that a term has one leader, committed entries agree, and the commit index does not go back.
-    fn check(&mut self, name: &InstanceId) {
-        let node = self.nodes.get_mut(name).unwrap();
-        let replica = node.replica.as_ref().unwrap();
-        let status = replica.status();
-        assert!(status.commit_index >= node.commit_index, "commit index went back at {name}");
-        node.commit_index = status.commit_index;
-        if status.role == Role::Leader {
-            let leader = self.leaders.entry(status.term).or_insert_with(|| name.clone());
-            assert_eq!(leader, name, "two leaders in term {}", status.term);
-        }
-        // An installed snapshot is applied in memory before it replaces the log on the disk. Until then the synced
-        // index is 0, nothing is reported or acknowledged, and the disk still holds the old log.
-        let applied = status.applied_index.min(status.synced_index);
-        let durable = node.disk.recovered.entries.iter();
-        for entry in durable.filter(|entry| entry.position.index <= applied) {
-            let first = self.committed.entry(entry.position.index).or_insert_with(|| Arc::clone(entry));
-            assert_eq!(first, entry, "{name} applied another entry at {}", entry.position.index);
-        }
-    }
-
-    /// Checks that at most one replica has a leader lease.
-    pub(crate) fn check_leases(&self) {
-        let lease_ends =
-            self.nodes.values().filter_map(|node| node.replica.as_ref()?.status().leader_until_ms);
-        assert!(lease_ends.filter(|until| *until > self.now_ms).count() <= 1, "two leader leases at a time");
-    }
-
     /// Advances time and ticks the replicas with a timer due.
     pub(crate) fn pass_time(&mut self, ms: u64) {
         self.now_ms += ms;
@@ -343,7 +302,7 @@
         self.next_proposal_id
     }
 
-    fn run_until_leader(&mut self) {
+    pub(crate) fn run_until_leader(&mut self) {
         let end_ms = self.now_ms + 6_000;
         self.run_without_faults(300);
         let mut before = self.leader();
@@ -382,46 +341,4 @@
             self.start(name);
         }
     }
-
-    fn describe(&self) -> String {
-        let statuses = self.nodes.values().filter_map(|node| Some(node.replica.as_ref()?.status()));
-        format!("{:#?}", statuses.collect::<Vec<_>>())
-    }
-
-    /// Ends all faults, and checks that a leader is elected, nothing acknowledged is lost and the states agree.
-    pub(crate) fn heal_and_check(&mut self) {
-        self.blocked.clear();
-        self.loss_percent = 0;
-        let names: Vec<_> = self.nodes.keys().cloned().collect();
-        for name in &names {
-            if self.nodes[name].replica.is_none() {
-                self.start(name);
-            }
-        }
-        self.run_until_leader();
-        let leader =
-            self.leader().unwrap_or_else(|| panic!("no leader after all faults ended: {}", self.describe()));
-        self.propose_drain(&leader, "final");
-        self.run_without_faults(400);
-        let replica = self.nodes[&leader].replica.as_ref().unwrap();
-        let state = replica.state();
-        assert!(state.config.draining.contains(&"final".into()), "no progress after all faults ended");
-        for (change, version) in &self.acknowledged {
-            let kept = state.changes.get(&change.as_str().into());
-            assert_eq!(
-                kept.map(|kept| kept.version.0),
-                Some(*version),
-                "acknowledged change {change} is lost"
-            );
-        }
-        for (key, attempts) in &self.granted_attempts {
-            let kept = state.claims.iter().find(|(claim, _)| claim.key == *key).map(|(_, record)| record);
-            let attempt = kept.map(|record| record.attempt.as_str());
-            assert_eq!(attempt, attempts.first().map(String::as_str), "acknowledged claim {key} is lost");
-        }
-        for member in replica.status().voters.members() {
-            let Some(other) = self.nodes[member].replica.as_ref() else { continue };
-            assert_eq!(other.state(), state, "{member} differs from {leader}");
-        }
-    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod prompt_parts;
 pub mod rate_limit;
 pub mod refusal;
+mod refusal_rules;
 mod relay;
 mod request_handler;
 pub mod rollout;
--- a/crates/gateway/src/node_share.rs
+++ b/crates/gateway/src/node_share.rs
@@ -7,9 +7,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    caller_request::AttemptHistory,
-    forward::{BUSY_RETRY_MS, Gateway},
-    refusal::Refusal,
+    caller_request::AttemptHistory, forward::Gateway, refusal::Refusal, refusal_rules::BUSY_RETRY_MS,
 };
 
 /// Time for which the highest number of entry nodes counts; longer than the window of the retry budget and than the span
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -12,8 +12,8 @@
     caller_request::{AttemptHistory, CallerRequest, encode_head, fingerprint, part_keys},
     entry_node::EntryState,
     exchange::UpstreamResponse,
-    forward::deadline_refusal,
     refusal::Refusal,
+    refusal_rules::deadline_refusal,
     relay::relay,
 };
 
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -11,8 +11,9 @@
 use crate::{
     caller_request::{AttemptHistory, CallerRequest, urgency},
     duration::millis,
-    forward::{BUSY_RETRY_MS, Gateway},
+    forward::Gateway,
     refusal::Refusal,
+    refusal_rules::BUSY_RETRY_MS,
 };
 
 /// Share of a request's goal for which it waits for capacity; after a longer wait its response would be late.
