Forget crashes under cleared parts of prompts after their time

The agreed state kept each crash of an upstream for good if a completed request cleared its parts, since evidence was discarded only when some against a part expired. Found by reading, before the code was released.

Change: evidence is discarded with each report. cleared_crashes_are_forgotten failed before, passes now.

--- a/crates/control/src/prompt_runs.rs
+++ b/crates/control/src/prompt_runs.rs
@@ -28,6 +28,7 @@
 
 impl AgreedState {
     pub(crate) fn report_prompt_run(&mut self, report: &ReportPromptRun) -> Reply {
+        self.crashing_parts.expire(self.now_ms);
         let parts = &report.parts[..report.parts.len().min(MAX_PARTS_OF_REPORT)];
         match &report.crash {
             Some(crash) => self.crashing_parts.record_crash(parts, &broken_run(crash, self.now_ms)),
--- a/crates/control/tests/crashes.rs
+++ b/crates/control/tests/crashes.rs
@@ -212,3 +212,17 @@
     assert!(pass_time(&mut state, until_ms).is_empty());
     assert!(state.config.suspects.is_empty());
 }
+
+/// Guards against a state that grows with each crash although a completed request has cleared its parts.
+#[test]
+fn cleared_crashes_are_forgotten() {
+    const LATER_MS: u64 = 700_000;
+    let (mut state, mut fresh) = (AgreedState::default(), AgreedState::default());
+    for crash in 0..50 {
+        prompt_run(&mut state, 1_000 + crash, &[1], Some(crash));
+        prompt_run(&mut state, 1_000 + crash, &[1], None);
+    }
+    prompt_run(&mut state, LATER_MS, &[2], Some(60));
+    prompt_run(&mut fresh, LATER_MS, &[2], Some(60));
+    assert_eq!(state.crashing_parts, fresh.crashing_parts);
+}
