--- a/crates/core/src/crashing_parts.rs
+++ b/crates/core/src/crashing_parts.rs
@@ -61,7 +61,7 @@
         counted: BTreeSet<CrashId>,
         /// Requests that were broken; the culprit's part is in fewer than one that many sound requests share.
         requests: BTreeSet<u64>,
-        /// Highest index of the part in a prompt. If parts are beginnings, the longest one that explains the crashes is held
+        /// Highest index of the part in a prompt. If parts are prefixes, the longest one that explains the crashes is held
         /// responsible.
         index: u32,
         last_fingerprint: u64,
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -135,10 +135,10 @@
     assert_eq!(blocked(&mut parts, 2_000), [BAD]);
 }
 
-/// Pattern: prompts share a long beginning, known by the names of its ever longer beginnings, and all of them crash their
-/// upstreams. Guards against blocking a shorter beginning, which sound prompts share.
+/// Pattern: prompts share a long prefix, known by the names of ever longer ones, and all of them crash their
+/// upstreams. Guards against blocking a shorter prefix, which sound prompts share.
 #[test]
-fn the_longest_beginning_that_explains_the_crashes_is_blocked() {
+fn the_longest_prefix_that_explains_the_crashes_is_blocked() {
     let mut parts = CrashingParts::default();
     for crash in 0..3 {
         parts.record_crash(&[9, 7, 8, 100 + crash], &run(crash, crash, crash * 100, crash * 100 + 90));
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -204,7 +204,7 @@
     pub incarnation: u64,
     /// See [`fingerprint`].
     pub fingerprint: &'a str,
-    /// Keys of the prompt's beginnings.
+    /// Keys of the prompt's prefixes.
     pub parts: &'a [u64],
     /// When the attempt began.
     pub sent_at: Instant,
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -96,7 +96,7 @@
     /// Incarnation of the upstream when the current attempt began; a changed one shows that it crashed.
     pub(crate) incarnation: u64,
     pub(crate) attempt_began: Instant,
-    /// Keys of the prompt's beginnings, computed when they are first needed.
+    /// Keys of the prompt's prefixes, computed when they are first needed.
     parts: OnceCell<Vec<u64>>,
     /// Whether any attempt failed after it was sent, so that the request may have been executed.
     pub(crate) may_have_run: bool,
@@ -217,19 +217,19 @@
         }
     }
 
-    /// Returns the refusal of a request that is blocked, or whose prompt has a blocked beginning.
+    /// Returns the refusal of a request that is blocked, or whose prompt has a blocked prefix.
     fn block(&mut self) -> Option<Refusal> {
         let view = Arc::clone(&self.shared.cluster.view().borrow());
         if self.shared.blocked_requests.contains(&view.blocked, &self.fingerprint, &self.rules) {
             return Some(blocked());
         }
         let part = self.blocked_part()?;
-        self.lifecycle.record_decision(&format!("the beginning {part:x} of the prompt is blocked"));
+        self.lifecycle.record_decision(&format!("the prefix {part:x} of the prompt is blocked"));
         let message = "the request is blocked because its prompt begins like others that took down upstreams";
         Some(Refusal::new(ResultCode::RequestBlocked, message))
     }
 
-    /// Returns the keys of the prompt's beginnings, which do not depend on a weight version.
+    /// Returns the keys of the prompt's prefixes, which do not depend on a weight version.
     pub(crate) fn parts(&self) -> &[u64] {
         self.parts.get_or_init(|| {
             let scope = self.scope(WeightVersion::default());
--- a/crates/node/src/prompt_runs.rs
+++ b/crates/node/src/prompt_runs.rs
@@ -1,4 +1,4 @@
-//! Beginnings of prompts under which upstreams crash: reports what runs show about them, and finds the blocked ones.
+//! Prefixes of prompts under which upstreams crash: reports what runs show about them, and finds the blocked ones.
 
 use std::{sync::Arc, time::Duration};
 
@@ -12,12 +12,12 @@
 
 use crate::{crash::FailedAttempt, dispatch::Dispatch, shared::Shared};
 
-/// Number of pieces from which on only beginnings of twice the length before are named, which bounds the reports.
+/// Number of pieces from which on only prefixes of twice the length before are named, which bounds the reports.
 const FULLY_NAMED_PIECES: usize = 16;
 /// Limit on committing the report of a run.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Returns the keys of a prompt's beginnings, shortest first. Prompts share a key if they share the beginning and its
+/// Returns the keys of a prompt's prefixes, shortest first. Prompts share a key if they share the prefix and its
 /// scope.
 ///
 /// ```
@@ -31,8 +31,8 @@
 pub fn part_keys(scope: &BlockScope<'_>, prompt: &str, piece_bytes: usize) -> Vec<u64> {
     let is_named = |pieces: &usize| *pieces <= FULLY_NAMED_PIECES || pieces.is_power_of_two();
     let names = piece_names(scope, prompt, piece_bytes);
-    let beginnings = (1..).zip(&names).filter(|(pieces, _)| is_named(pieces));
-    beginnings.map(|(_, name)| part_key(name)).collect()
+    let prefixes = (1..).zip(&names).filter(|(pieces, _)| is_named(pieces));
+    prefixes.map(|(_, name)| part_key(name)).collect()
 }
 
 fn part_key(name: &BlockName) -> u64 {
@@ -41,7 +41,7 @@
 }
 
 impl Dispatch {
-    /// Returns the first of the prompt's beginnings that is blocked.
+    /// Returns the first of the prompt's prefixes that is blocked.
     pub(crate) fn blocked_part(&self) -> Option<u64> {
         let view = Arc::clone(&self.shared.cluster.view().borrow());
         if view.blocked.is_empty() {
@@ -52,7 +52,7 @@
         self.parts().iter().copied().find(is_blocked)
     }
 
-    /// Reports that the request completed if upstreams crashed under a beginning of its prompt, which this clears. A
+    /// Reports that the request completed if upstreams crashed under a prefix of its prompt, which this clears. A
     /// request that may have run before clears nothing: its last attempt only generated the rest.
     pub(crate) fn report_completion(&self) {
         let view = Arc::clone(&self.shared.cluster.view().borrow());
@@ -70,12 +70,12 @@
 }
 
 impl FailedAttempt<'_> {
-    /// Reports that the upstream crashed under the beginnings of the prompt; the connection broke at `broke_at`.
+    /// Reports that the upstream crashed under the prefixes of the prompt; the connection broke at `broke_at`.
     pub(crate) async fn report_prompt(&self, shared: &Shared, broke_at: Instant) {
         if self.parts.is_empty() {
             return;
         }
-        log::info!("{} crashed under a prompt with the beginnings {:x?}", self.upstream, self.parts);
+        log::info!("{} crashed under a prompt with the prefixes {:x?}", self.upstream, self.parts);
         let crash = PromptCrash {
             upstream: self.upstream.clone(),
             incarnation: self.incarnation,
@@ -90,8 +90,8 @@
 async fn propose(shared: &Shared, report: ReportPromptRun) {
     match timeout(REPORT_TIMEOUT, shared.proposer.propose(Command::ReportPromptRun(report))).await {
         Ok(Ok(_)) => {}
-        Ok(Err(error)) => log::warn!("report on the beginnings of a prompt not committed: {error}"),
-        Err(_) => log::warn!("report on the beginnings of a prompt not committed within {REPORT_TIMEOUT:?}"),
+        Ok(Err(error)) => log::warn!("report on the prefixes of a prompt not committed: {error}"),
+        Err(_) => log::warn!("report on the prefixes of a prompt not committed within {REPORT_TIMEOUT:?}"),
     }
 }
 
--- a/crates/node/tests/crashes.rs
+++ b/crates/node/tests/crashes.rs
@@ -138,10 +138,10 @@
 }
 
 /// Longer than a piece of the test service, of ten bytes.
-const BEGINNING: &str = "la la la la ";
+const PREFIX: &str = "la la la la ";
 
-/// Returns the keys of the beginning for a customer.
-fn beginning(customer: &str) -> Vec<u64> {
+/// Returns the keys of the prefix for a customer.
+fn prefix(customer: &str) -> Vec<u64> {
     let (customer, service) = (customer.into(), "lyric-llm".into());
     let scope = BlockScope {
         customer: &customer,
@@ -149,11 +149,11 @@
         adapter: "",
         weight_version: WeightVersion::default(),
     };
-    part_keys(&scope, BEGINNING, 10)
+    part_keys(&scope, PREFIX, 10)
 }
 
-/// Makes the cluster know `crashes` crashes in succession under the beginning of customer `opera-a`.
-async fn crash_under_beginning(node: &Node, crashes: u64) {
+/// Makes the cluster know `crashes` crashes in succession under the prefix of customer `opera-a`.
+async fn crash_under_prefix(node: &Node, crashes: u64) {
     for number in 0..crashes {
         let crash = PromptCrash {
             upstream: format!("lyric-{number}").as_str().into(),
@@ -162,7 +162,7 @@
             sent_ms_ago: 0,
             broke_ms_ago: 0,
         };
-        let report = ReportPromptRun { parts: beginning("opera-a"), crash: Some(crash) };
+        let report = ReportPromptRun { parts: prefix("opera-a"), crash: Some(crash) };
         node.shared.cluster.propose(Command::ReportPromptRun(report)).await.unwrap();
     }
 }
@@ -177,45 +177,45 @@
 }
 
 /// Guards against prompts that crash one upstream after the other because they begin alike, and against refusing prompts of
-/// another customer or with another beginning.
+/// another customer or with another prefix.
 #[actix_rt::test]
-async fn prompts_with_a_blocked_beginning_are_refused() {
+async fn prompts_with_a_blocked_prefix_are_refused() {
     let node = Node::start(RULES).await;
-    crash_under_beginning(&node, 3).await;
+    crash_under_prefix(&node, 3).await;
     node.script(&[&[Step::Finish(0)], &[Step::Finish(0)]]);
-    let again = format!("{BEGINNING}again");
+    let again = format!("{PREFIX}again");
     assert_eq!(collect_response(node.prompt("opera-a", &again)).await, (String::new(), Some(1307)));
     assert!(node.engine.attempts.borrow().is_empty());
     assert_eq!(collect_response(node.prompt("opera-b", &again)).await.1, None);
     assert_eq!(collect_response(node.prompt("opera-a", "la la le la la")).await.1, None);
 }
 
-/// Guards against crashes that are not reported with the beginnings of their prompts.
+/// Guards against crashes that are not reported with the prefixes of their prompts.
 #[actix_rt::test]
-async fn a_crash_is_reported_with_the_beginnings_of_its_prompt() {
+async fn a_crash_is_reported_with_the_prefixes_of_its_prompt() {
     let node = Node::start(RULES).await;
     node.script(&[&[Step::Token(0, None), Step::Silence(Duration::from_millis(200)), Step::Cut]]);
-    let receiver = node.prompt("opera-a", &format!("{BEGINNING}0"));
+    let receiver = node.prompt("opera-a", &format!("{PREFIX}0"));
     sleep(Duration::from_millis(20)).await;
     node.engine.incarnation.set(7);
     assert_eq!(collect_response(receiver).await.1, Some(1401));
     let reports = prompt_reports(&node);
     assert_eq!(reports.len(), 1);
-    assert_eq!(reports[0].parts, beginning("opera-a"));
+    assert_eq!(reports[0].parts, prefix("opera-a"));
     let crash = reports[0].crash.as_ref().unwrap();
     assert!(crash.sent_ms_ago >= 180 && crash.sent_ms_ago > crash.broke_ms_ago, "{crash:?}");
 }
 
-/// Guards against a beginning that stays suspect although a prompt with it completed, so that three unrelated crashes would
+/// Guards against a prefix that stays suspect although a prompt with it completed, so that three unrelated crashes would
 /// block it, and against a report of each completed prompt.
 #[actix_rt::test]
-async fn a_completed_prompt_is_reported_if_its_beginning_is_suspect() {
+async fn a_completed_prompt_is_reported_if_its_prefix_is_suspect() {
     let node = Node::start(RULES).await;
     node.script(&[&[Step::Finish(0)], &[Step::Finish(0)]]);
-    let prompt = format!("{BEGINNING}0");
+    let prompt = format!("{PREFIX}0");
     assert_eq!(collect_response(node.prompt("opera-a", &prompt)).await.1, None);
-    crash_under_beginning(&node, 1).await;
+    crash_under_prefix(&node, 1).await;
     assert_eq!(collect_response(node.prompt("opera-a", &prompt)).await.1, None);
     sleep(Duration::from_millis(50)).await;
-    assert_eq!(prompt_reports(&node), [ReportPromptRun { parts: beginning("opera-a"), crash: None }]);
+    assert_eq!(prompt_reports(&node), [ReportPromptRun { parts: prefix("opera-a"), crash: None }]);
 }
--- a/crates/testkit/tests/promises/crashes.rs
+++ b/crates/testkit/tests/promises/crashes.rs
@@ -69,21 +69,21 @@
     }
 }
 
-/// Guards against prompts that crash one engine after the other because of the same beginning, though no two of them are
+/// Guards against prompts that crash one engine after the other because of the same prefix, though no two of them are
 /// alike, and against sound prompts of the same customer that are refused with them.
 #[actix_rt::test]
-async fn prompts_that_share_a_crashing_beginning_are_blocked() {
+async fn prompts_that_share_a_crashing_prefix_are_blocked() {
     const ROUNDS: usize = 14;
     const MAX_CRASHES: u64 = 8;
     let mut config = config(6, 3, 8);
     "poison".clone_into(&mut config.engine.crash_marker);
     config.upstream_proxies = false;
-    // The beginning is longer than a piece, so that the prompts share one.
-    let beginning = "poison ".repeat(2_000);
+    // The prefix is longer than a piece, so that the prompts share one.
+    let prefix = "poison ".repeat(2_000);
     let deployment = start_with(config).await;
     let names = deployment.node_names();
     for (round, node) in (0..ROUNDS).zip(names.iter().cycle()) {
-        send_prompt_as(&deployment, node, "opera-1", &format!("{beginning}{round}")).await;
+        send_prompt_as(&deployment, node, "opera-1", &format!("{prefix}{round}")).await;
         tokio::time::sleep(Duration::from_millis(600)).await;
     }
     let crashes: u64 = deployment.upstreams.engines.values().map(|engine| engine.records().crashes).sum();
