--- a/crates/control/tests/protocol/leadership.rs
+++ b/crates/control/tests/protocol/leadership.rs
@@ -183,6 +183,45 @@
     assert!(sim.leader().is_some());
 }
 
+/// Guards against a leader whose own vote is not durable: after a crash it could lead the same term a second time, with other
+/// entries.
+#[test]
+fn a_candidate_wins_only_with_its_own_durable_vote() {
+    let names = ["a", "b", "c", "d", "e"];
+    for seed in 0..10 {
+        let mut sim = Sim::new(&names, seed);
+        sim.bootstrap(&names);
+        let leader = sim.leader().unwrap();
+        sim.crash(&leader);
+        let others: Vec<InstanceId> =
+            names.iter().map(|name| InstanceId::from(*name)).filter(|name| *name != leader).collect();
+        let votes_for_itself = |sim: &Sim, name: &InstanceId| {
+            let hard_state = sim.nodes[name].pending.as_ref().and_then(|batch| batch.hard_state.as_ref());
+            hard_state.is_some_and(|hard| hard.voted_for.as_ref() == Some(name))
+        };
+        let mut candidate = None;
+        while candidate.is_none() {
+            sim.pass_time(10);
+            while candidate.is_none() && !sim.network.is_empty() {
+                sim.deliver();
+                candidate = others.iter().find(|name| votes_for_itself(&sim, name));
+            }
+        }
+        let candidate = candidate.unwrap();
+        for _ in 0..10 {
+            while !sim.network.is_empty() {
+                sim.deliver();
+            }
+            for name in others.iter().filter(|name| *name != candidate) {
+                sim.sync(name);
+            }
+        }
+        assert_eq!(sim.leader(), None, "seed {seed}: a candidate won without its own vote");
+        sim.sync(candidate);
+        assert_eq!(sim.leader().as_ref(), Some(candidate), "seed {seed}");
+    }
+}
+
 /// Guards against a snapshot that replaces a longer log: acknowledged entries would be lost. Found by
 /// `replaced_disks_lose_nothing`.
 #[test]
