--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -95,6 +95,7 @@
     pub(crate) fingerprint: String,
     /// Incarnation of the upstream when the current attempt began; a changed one shows that it crashed.
     pub(crate) incarnation: u64,
+    /// When the current attempt began, for the evidence of a crash under it.
     pub(crate) attempt_began: Instant,
     /// Keys of the prompt's prefixes, computed when they are first needed.
     parts: OnceCell<Vec<u64>>,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! Types of the HTTP interfaces and the tarpc service between daisysill nodes.
 
 pub mod peer;
+mod soft_state;
 
 /// Types of the HTTP interfaces, generated from `schema/border.json` with
 /// `cargo typify schema/border.json --no-builder --additional-derive PartialEq -o src/generated/border.rs`.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -4,7 +4,6 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
     sync::Arc,
 };
 
@@ -19,6 +18,11 @@
     value_types,
 };
 
+pub use crate::soft_state::{
+    BrokenPrompt, PromptOutcome, PublishedUpstreams, Spread, StoredPart, StoredPartsUpdate, StreamOrigin,
+    UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware, UpstreamStart,
+};
+
 value_types! {
     /// A gossip message: entries about the sender and other nodes, within a byte budget.
     pub struct Heartbeat {
@@ -151,122 +155,6 @@
         pub log_time_ms: u64,
     }
 
-    /// An entry of the platform's list of upstreams.
-    pub struct UpstreamEntry {
-        /// The upstream; each start of it may have another id.
-        pub id: InstanceId,
-        /// When it started, in Unix milliseconds; tells two starts under one id apart.
-        pub started_unix_ms: u64,
-        /// The service it belongs to.
-        pub service: ServiceName,
-        /// Address of its HTTP interface.
-        pub address: SocketAddr,
-        /// Its availability zone.
-        pub zone: ZoneName,
-        /// Maximum number of concurrent requests.
-        pub slots: u32,
-        /// Whether it will stop and must receive no new requests.
-        pub draining: bool,
-        /// Whether it was ordered to load weights; it refuses new requests until they are loaded.
-        pub loading: bool,
-        /// Loaded weight version of each model.
-        pub models: BTreeMap<String, WeightVersion>,
-    }
-
-    /// One start of an upstream.
-    #[derive(PartialOrd, Ord, Hash)]
-    pub struct UpstreamStart {
-        /// The upstream.
-        pub id: InstanceId,
-        /// When it started, in Unix milliseconds.
-        pub started_unix_ms: u64,
-    }
-
-    /// The software version that an upstream runs.
-    pub struct UpstreamSoftware {
-        /// The start of the upstream; a later one may run another version.
-        pub start: UpstreamStart,
-        /// The version; empty if the platform lists none.
-        pub software: SoftwareVersion,
-    }
-
-    /// The software version that brought the first event of a stream.
-    pub struct StreamOrigin {
-        /// Hash of the customer and of the ID of the request that began the stream.
-        pub stream: u64,
-        /// The version.
-        pub software: SoftwareVersion,
-    }
-
-    /// Whether the receiver of origins or of a question for one turns to the other control nodes.
-    #[derive(Copy)]
-    pub enum Spread {
-        /// It does: the sender is an entry node.
-        ToControlNodes,
-        /// It does not: the sender is a control node, and turns to them itself.
-        None,
-    }
-
-    /// Soft state that the leader publishes to all nodes.
-    #[derive(Default)]
-    pub struct PublishedUpstreams {
-        /// Name of the publishing node and a number drawn at its start; empty before the first publication.
-        pub source: String,
-        /// Incremented by the source with each change.
-        pub number: u64,
-        /// The platform's list as the leader last read it.
-        pub upstreams: Vec<UpstreamEntry>,
-        /// Number of entry nodes that recently polled the source.
-        pub entry_nodes: u32,
-        /// Crashes of upstreams, by the fingerprint of a request that was running there or by the hash of a part of its
-        /// prompt. Only of a part that is blocked there are as many as block it.
-        pub crash_counts: BTreeMap<u64, u32>,
-    }
-
-    /// Work in flight at one upstream, or fetches in progress from one store.
-    #[derive(Copy, Default)]
-    pub struct UpstreamLoad {
-        /// Hash of the upstream's id, or of the store's address.
-        pub upstream: u64,
-        /// Requests in flight; 0 for a store.
-        pub requests: u32,
-        /// Upper bound of the prompt and output tokens of these requests; for a store, tokens that are being fetched.
-        pub tokens: u64,
-        /// Prompt tokens that are not prefilled yet.
-        pub pending_prefill_tokens: u64,
-        /// Bit set, by hash, of the availability zones from which it was recently unreachable. In a node's report:
-        /// the node's own zone. In the total: the zones in which two nodes could not reach it.
-        pub unreachable_from: u32,
-    }
-
-    /// A part of a prompt that is completely stored.
-    #[derive(Copy)]
-    pub struct StoredPart {
-        /// Hash of its cache scope and id.
-        pub part: u64,
-        /// Hash of the store's address.
-        pub store: u32,
-        /// Length of the part.
-        pub tokens: u64,
-    }
-
-    /// Changes of the catalog of stored parts.
-    #[derive(Default)]
-    pub struct StoredPartsUpdate {
-        /// Name of the node that maintains the catalog and a number drawn when it opened the catalog.
-        pub source: String,
-        /// Number of the last change included; the follower's next request continues after it.
-        pub number: u64,
-        /// Whether `added` is the complete catalog.
-        pub is_full: bool,
-        /// Parts that may now be fetched.
-        pub added: Vec<StoredPart>,
-        /// Parts that must no longer be fetched.
-        pub removed: Vec<u64>,
-        /// Lower bound of the clock of upstreams and stores when the response was built.
-        pub clock_ms: u64,
-    }
-
     /// A long poll of an entry node, with its soft state.
     pub struct ObserveRequest {
         /// The polling node.
@@ -285,34 +173,6 @@
         pub crashes: Vec<UpstreamCrash>,
     }
 
-    /// A request that was running at an upstream when the upstream crashed.
-    pub struct UpstreamCrash {
-        /// Fingerprint of the request.
-        pub fingerprint: u64,
-        /// The upstream that crashed.
-        pub upstream: InstanceId,
-        /// Start of the crashed process, in Unix milliseconds.
-        pub started_unix_ms: u64,
-    }
-
-    /// What the run of a request showed about the shared parts of its prompt.
-    pub struct PromptOutcome {
-        /// Hashes of the parts, each with its model.
-        pub parts: Vec<u64>,
-        /// The run that a crash broke; `None` if the request completed.
-        pub broken: Option<BrokenPrompt>,
-    }
-
-    /// A run that broke when its upstream crashed.
-    pub struct BrokenPrompt {
-        /// The crash, and the request under it.
-        pub crash: UpstreamCrash,
-        /// Time since the request was sent, at the latest, when this was encoded.
-        pub sent_ms_ago: u64,
-        /// Time since the connection broke when this was encoded.
-        pub broke_ms_ago: u64,
-    }
-
     /// The response to the poll of an entry node.
     pub struct ObserveReply {
         /// Changes since the node's configuration.
