Log the weight version of each prompt, and the age of the one that the operator has set

The nodes' output could not tell the hypotheses about requests on outdated weights apart: no line said for which version a request was sent, nor for how old the node took the operator's version to be. `prompt` now has both.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -276,6 +276,9 @@
             tracing::info!(
                 event = "prompt",
                 request_id = request.headers.request_id.as_deref(),
+                version = chosen.version.map(|version| version.0),
+                target_version = chosen.target.map(|target| target.version.0),
+                target_age_ms = chosen.target.map(|target| target.since.elapsed().as_millis()),
                 shared_tokens = chosen.prefix.map(|(_, tokens)| tokens),
                 cached_tokens = chosen.cached_tokens,
                 fetched_tokens = transfers.fetched_tokens(),
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -38,6 +38,8 @@
     pub(crate) upstream: Rc<Upstream>,
     /// Its weight version, as far as known; `None` without a prompt.
     pub(crate) version: Option<WeightVersion>,
+    /// The version that it should have; `None` without a prompt, and if the operator has set none.
+    pub(crate) target: Option<TargetVersion>,
     /// Cache scope, see [`cache_scope`]; `None` without a prompt.
     pub(crate) scope: Option<String>,
     /// Key and length in tokens of the shared prefix.
@@ -263,6 +265,7 @@
         ChosenUpstream {
             upstream,
             version,
+            target: inputs.target,
             scope,
             prefix,
             pending_prefill_tokens: prompt_tokens.saturating_sub(candidate.cached_tokens),
