Count the age of a target version from when it was set, on every node

Callers' requests began on replaced weights more than 8 s after the new version was confirmed (limits 8 s and 6 s), through an entry node that was in touch with everything.

Cause: an entry node stops using outdated engines 1.5 s before the limit, but counted the age of a version from when it put it in force itself. One that starts, or reconnects, after the version was set is as late as that. It also counted on a clock that stands still while a machine is suspended. Ruled out: unknown weights of an engine (421, and learned from its first answer), a control node that lags behind (polls take 0.4 s at most), the queue of the engine alone (both arrived 1.3 s after the node's own limit).

Nodes with a replica work out the age from log time, so it outlives all processes; entry nodes ask the control node that they poll before they put a version in force, and every two seconds, since a control node that has just started lacks the time of its absence. Ages are kept on the clock that includes suspended time. While a node does not know the age, the version counts as old: waiting for a new engine is right then, using outdated weights may not be.

--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -103,6 +103,8 @@
     storage: StorageThread,
     outbox: Outbox,
     views: Arc<ViewStore>,
+    /// Index of the applied entry up to which the ages of target versions are recorded.
+    ages_index: u64,
     metrics: ClusterMetrics,
     status: watch::Sender<ReplicaView>,
     pending: BTreeMap<u64, oneshot::Sender<ProposalResult>>,
@@ -133,6 +135,7 @@
             storage,
             outbox,
             views,
+            ages_index: 0,
             metrics,
             status,
             pending: BTreeMap::new(),
@@ -151,6 +154,7 @@
         mut inputs: mpsc::Receiver<DriverInput>,
         mut writes: mpsc::UnboundedReceiver<WriteDone>,
     ) {
+        self.record_target_ages();
         self.views.install(&Arc::clone(&self.replica.state().config));
         if !bootstrap_voters.is_empty() {
             // The replica ignores this unless its data folder is empty, and checks those of the other voters.
@@ -257,6 +261,8 @@
     }
 
     fn flush(&mut self) {
+        // Before the configuration is put in force, so that the age of every version in it is known.
+        self.record_target_ages();
         for output in std::mem::take(&mut self.outputs) {
             match output {
                 Output::Send { to, message } => self.outbox.send(&to, message),
@@ -274,6 +280,14 @@
         self.publish_status();
     }
 
+    fn record_target_ages(&mut self) {
+        let state = self.replica.state();
+        if state.applied_index > self.ages_index {
+            self.ages_index = state.applied_index;
+            self.views.target_ages.record_applied(state);
+        }
+    }
+
     fn publish_status(&mut self) {
         let status = self.replica.status();
         let now_ms = self.now_ms();
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod status;
 mod storage_thread;
 mod stored_parts;
+mod target_ages;
 mod view_store;
 
 pub use clock::BootInstant;
--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -3,12 +3,13 @@
 //! Control nodes poll the leader; entry nodes poll a control node, which passes on what it has from the leader.
 
 use std::{
+    collections::BTreeMap,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
 use daisysill_core::{
-    ids::{ConfigVersion, InstanceId},
+    ids::{ConfigVersion, InstanceId, WeightVersion},
     poll_source::{PollOutcome, PollSources},
 };
 use daisysill_wire::peer::{
@@ -131,6 +132,7 @@
                 sleep(RETRY_DELAY).await;
             } else if !self.has_replica() && Instant::now() >= control_nodes_due {
                 self.refresh_control_nodes(&source).await;
+                self.refresh_target_ages(&source).await;
                 control_nodes_due = Instant::now() + CONTROL_NODES_INTERVAL;
             }
         }
@@ -148,6 +150,9 @@
         if let Some(published) = &reply.published_upstreams {
             self.learn_software(source, &published.upstreams).await;
         }
+        if !self.has_replica() {
+            self.learn_target_ages(source, &reply.update).await;
+        }
         if self.apply(&reply, requested_at).await { PollOutcome::Current } else { PollOutcome::Outdated }
     }
 
@@ -165,6 +170,38 @@
         self.soft_state.software.prune(listed);
     }
 
+    /// Learns the ages of target versions before they are put in force, so that this node never takes one for newer than it
+    /// is. If that fails, those that this node has just learned of count from the time at which they were not set yet.
+    async fn learn_target_ages(&self, source: &InstanceId, update: &ConfigUpdate) {
+        let present = self.views.view();
+        let targets = targets_after(update, &present.target_versions);
+        let is_unknown = |(model, version): &(&String, &WeightVersion)| {
+            self.views.target_ages.set_at(model, **version).is_none()
+        };
+        if !targets.iter().any(|target| is_unknown(&target)) {
+            return;
+        }
+        self.refresh_target_ages(source).await;
+        let Some(confirmed_at) = self.views.confirmed_at() else { return };
+        for (model, version) in targets.iter().filter(is_unknown) {
+            if present.target_versions.get(model) != Some(version) {
+                self.views.target_ages.record(model, *version, confirmed_at);
+            }
+        }
+    }
+
+    /// Asks for the ages of target versions. A control node that has just started may take them for newer than they are, so
+    /// they are asked for again from time to time.
+    async fn refresh_target_ages(&self, source: &InstanceId) {
+        let Some(link) = self.links.get(source) else { return };
+        let asked_at = BootInstant::now();
+        let call = |client: PeerClient, context| async move { client.target_ages(context).await }.boxed();
+        match link.call(RESPONSE_GRACE, call).await {
+            Ok(ages) => self.views.target_ages.record_reported(&ages, asked_at),
+            Err(error) => log::info!("no ages of target versions from {source}: {error:?}"),
+        }
+    }
+
     /// Asks which control nodes may be polled.
     async fn refresh_control_nodes(&mut self, source: &InstanceId) {
         let Some(link) = self.links.get(source) else { return };
@@ -279,6 +316,18 @@
     }
 }
 
+/// Returns the target versions in force after an update of a configuration with those of `present`.
+fn targets_after<'a>(
+    update: &'a ConfigUpdate,
+    present: &'a BTreeMap<String, WeightVersion>,
+) -> &'a BTreeMap<String, WeightVersion> {
+    match update {
+        ConfigUpdate::Unchanged(_) | ConfigUpdate::Deferred(_) => present,
+        ConfigUpdate::Delta(delta) => delta.target_versions.as_ref().unwrap_or(present),
+        ConfigUpdate::Snapshot(view) => &view.target_versions,
+    }
+}
+
 /// The last control node that was current, and when.
 #[derive(Debug, Default)]
 struct Contact(Option<(InstanceId, Instant)>);
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -14,7 +14,7 @@
 use daisysill_wire::peer::{
     ControlNode, FollowReply, ForwardError, Heartbeat, ObserveReply, ObserveRequest, Peer, PeerRequest,
     PeerResponse, PromptOutcome, PublishedUpstreams, RelayReply, RelayReport, Spread, StreamOrigin,
-    UpstreamSoftware, UpstreamStart,
+    TargetAge, UpstreamSoftware, UpstreamStart,
 };
 use futures::{FutureExt, StreamExt};
 use tarpc::{
@@ -283,6 +283,10 @@
         }
     }
 
+    async fn target_ages(self, _: Context) -> Vec<TargetAge> {
+        self.state.views.target_ages.ages()
+    }
+
     async fn control_nodes(self, _: Context) -> Vec<ControlNode> {
         if self.state.is_leader() {
             return self.state.relays.reporting(self.state.as_control_node());
--- a/crates/cluster/src/soft_state_handle.rs
+++ b/crates/cluster/src/soft_state_handle.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use daisysill_control::Role as ReplicaRole;
-use daisysill_core::ids::{ServiceName, SoftwareVersion};
+use daisysill_core::ids::{ServiceName, SoftwareVersion, WeightVersion};
 use daisysill_wire::peer::{
     PublishedUpstreams, Spread, StoredPart, StreamOrigin, UpstreamCrash, UpstreamEntry, UpstreamLoad,
     UpstreamSoftware,
@@ -156,6 +156,12 @@
         self.inner.outcome_queue.add([outcome]);
     }
 
+    /// Returns when a model's target version was set, or a newer one; `None` while this node does not know it, as right
+    /// after its start.
+    pub fn target_version_set_at(&self, model: &str, version: WeightVersion) -> Option<BootInstant> {
+        self.inner.gossip.views.target_ages.set_at(model, version)
+    }
+
     /// Returns the time, suspended time included, since this node's configuration was known to be the newest that a
     /// majority agreed on; `None` if it never was.
     pub fn config_age(&self) -> Option<Duration> {
--- a/crates/cluster/src/view_store.rs
+++ b/crates/cluster/src/view_store.rs
@@ -10,7 +10,7 @@
 use daisysill_wire::peer::ConfigUpdate;
 use tokio::{sync::watch, time::Instant};
 
-use crate::{clock::BootInstant, delta};
+use crate::{clock::BootInstant, delta, target_ages::TargetAges};
 
 /// Number of previous configurations retained for deltas: at 2,200 changes a day they span more than 10 minutes.
 const MAX_RECENT_VIEWS: usize = 16;
@@ -23,6 +23,8 @@
 /// The configuration in force, and when it was last confirmed to be the newest.
 #[derive(Debug)]
 pub(crate) struct ViewStore {
+    /// When the target versions in it were set; recorded before it is put in force.
+    pub(crate) target_ages: TargetAges,
     sender: watch::Sender<Arc<ConfigView>>,
     inner: Mutex<Inner>,
 }
@@ -45,7 +47,11 @@
             window_start: Instant::now(),
             snapshot_bytes: 0,
         };
-        Self { sender: watch::channel(Arc::default()).0, inner: Mutex::new(inner) }
+        Self {
+            target_ages: TargetAges::default(),
+            sender: watch::channel(Arc::default()).0,
+            inner: Mutex::new(inner),
+        }
     }
 
     /// Returns a receiver of the configuration in force.
--- a/crates/cluster/tests/observer.rs
+++ b/crates/cluster/tests/observer.rs
@@ -8,8 +8,11 @@
 };
 
 use daisysill_cluster::{BootInstant, Cluster, ClusterConfig, ClusterHandle};
-use daisysill_control::command::{Command, PublishDocument, Reply};
-use daisysill_core::{crashing_parts::CRASHES_TO_BLOCK, ids::InstanceId};
+use daisysill_control::command::{Command, PublishDocument, Reply, SetTargetVersion};
+use daisysill_core::{
+    crashing_parts::CRASHES_TO_BLOCK,
+    ids::{InstanceId, WeightVersion},
+};
 use daisysill_wire::peer::{
     StoredPart, UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware, UpstreamStart,
 };
@@ -299,3 +302,27 @@
         assert_eq!(entry.software_of(&listed), Some(version.into()));
     }
 }
+
+/// Guards against a node that takes a target version for new because it has just started: an entry node has no log, and a
+/// control node reads what was committed before its start.
+#[tokio::test]
+async fn a_node_started_later_knows_the_age_of_a_target_version() {
+    const TOLERANCE: Duration = Duration::from_millis(100);
+    let nodes = start(11, 0).await;
+    let address = |host: u8| SocketAddr::from(([127, 78, 11, host], 8_300));
+    let version = WeightVersion(2);
+    let target = SetTargetVersion { model: "m".to_owned(), version };
+    nodes.control.propose(Command::SetTargetVersion(target)).await.unwrap();
+    let set_by = BootInstant::now();
+    sleep(TOLERANCE * 5).await;
+    let folder = TempDir::new().unwrap();
+    let (entry, _) = Cluster::start(config(address(2), address(1), None)).await.unwrap();
+    let (replica, _) = Cluster::start(config(address(3), address(1), Some(&folder))).await.unwrap();
+    for node in [&entry, &replica] {
+        wait("the target version", || node.view().borrow().target_versions.get("m") == Some(&version)).await;
+        // A replica learns the time since the last entry of its log from the next one.
+        nodes.control.propose(Command::Noop).await.unwrap();
+        let set_at = || node.target_version_set_at("m", version);
+        wait("its age", || set_at().is_some_and(|at| at <= set_by + TOLERANCE)).await;
+    }
+}
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -110,11 +110,14 @@
         pub crashes: Crashes,
         /// Crashes by part of the prompt.
         pub crashing_parts: CrashingParts,
+        /// Log time at which the target version of each model was set.
+        pub target_times_ms: BTreeMap<String, u64>,
     }
 }
 
 impl AgreedState {
-    /// Decodes the state of a snapshot. In one of an earlier build the last field is missing; it is empty then.
+    /// Decodes the state of a snapshot. In one of an earlier build the last field is missing, or the last two; they are
+    /// empty then.
     ///
     /// # Errors
     /// Fails if the bytes are no encoded state.
@@ -128,11 +131,28 @@
     /// # }
     /// ```
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(bytes).or_else(|_| {
-            let mut completed = bytes.to_vec();
-            completed.extend(postcard::to_stdvec(&CrashingParts::default())?);
-            postcard::from_bytes(&completed)
-        })
+        let no_times = postcard::to_stdvec(&BTreeMap::<String, u64>::new())?;
+        let no_crashes = postcard::to_stdvec(&CrashingParts::default())?;
+        let decode_with = |missing: &[&[u8]]| postcard::from_bytes(&[bytes, &missing.concat()].concat());
+        decode_with(&[])
+            .or_else(|_| decode_with(&[&no_times]))
+            .or_else(|_| decode_with(&[&no_crashes, &no_times]))
+    }
+
+    /// Returns the time from the change that set a model's target version to the last applied entry, in ms of log time.
+    /// A version set before log times of these changes were recorded counts from the beginning of the log.
+    ///
+    /// ```
+    /// use daisysill_control::{command::{Command, SetTargetVersion}, state::AgreedState};
+    /// use daisysill_core::ids::WeightVersion;
+    /// let mut state = AgreedState::default();
+    /// let set = SetTargetVersion { model: "m".to_owned(), version: WeightVersion(2) };
+    /// state.apply(1, 500, &Command::SetTargetVersion(set));
+    /// state.apply(2, 800, &Command::Noop);
+    /// assert_eq!(state.target_version_age_ms("m"), 300);
+    /// ```
+    pub fn target_version_age_ms(&self, model: &str) -> u64 {
+        self.now_ms - self.target_times_ms.get(model).copied().unwrap_or(0)
     }
 
     /// Applies the command of the log entry at `index`; `now_ms` is the log time stamped on it.
@@ -219,6 +239,7 @@
             let config = Arc::make_mut(&mut self.config);
             config.target_versions.insert(target.model.clone(), target.version);
             config.version = ConfigVersion(self.applied_index);
+            self.target_times_ms.insert(target.model.clone(), self.now_ms);
         }
         Reply::Done
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -278,7 +278,7 @@
                 request_id = request.headers.request_id.as_deref(),
                 version = chosen.version.map(|version| version.0),
                 target_version = chosen.target.map(|target| target.version.0),
-                target_age_ms = chosen.target.map(|target| target.since.elapsed().as_millis()),
+                target_age_ms = chosen.target.and_then(|target| target.age).map(|age| age.as_millis()),
                 shared_tokens = chosen.prefix.map(|(_, tokens)| tokens),
                 cached_tokens = chosen.cached_tokens,
                 fetched_tokens = transfers.fetched_tokens(),
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -99,7 +99,7 @@
         let inputs = PlacementInputs {
             request,
             engine: self.engine(&request.service),
-            target: prompt.and_then(|prompt| self.routing.target_version(&prompt.model)),
+            target: prompt.and_then(|prompt| self.routing.target_version(&prompt.model, &self.cluster)),
             request_ms: speeds.request_ms.get(),
             parts_by_scope: RefCell::default(),
         };
@@ -184,17 +184,18 @@
         upstream.is_unreachable()
     }
 
-    /// Returns how long an upstream has had older weights than the target version; `None` if it has not.
-    fn outdated_for(upstream: &Upstream, inputs: &PlacementInputs<'_>) -> Option<Duration> {
-        let model = &inputs.request.headers.prompt.as_ref()?.model;
-        let version = upstream.version_of(model)?;
-        inputs.target.filter(|target| version < target.version).map(|target| target.since.elapsed())
+    /// Returns whether an upstream has had older weights than the target version for at least this time.
+    fn is_outdated_for(limit: Duration, upstream: &Upstream, inputs: &PlacementInputs<'_>) -> bool {
+        let version =
+            inputs.request.headers.prompt.as_ref().and_then(|prompt| upstream.version_of(&prompt.model));
+        let Some((version, target)) = version.zip(inputs.target) else { return false };
+        version < target.version && target.is_older_than(limit)
     }
 
     /// Returns whether an upstream gets no new request, since its weights were outdated for almost the rollout limit.
     fn is_outdated(&self, upstream: &Upstream, inputs: &PlacementInputs<'_>) -> bool {
-        let age = Self::outdated_for(upstream, inputs);
-        age.is_some_and(|age| age + OLD_WEIGHTS_MARGIN >= self.bounds.rollout_limit)
+        let limit = self.bounds.rollout_limit.saturating_sub(OLD_WEIGHTS_MARGIN);
+        Self::is_outdated_for(limit, upstream, inputs)
     }
 
     /// Gathers the state of an upstream for the choice; `None` if it has no capacity for the request.
@@ -219,7 +220,7 @@
             }
             Some(_) | None => (0, 0.0),
         };
-        let is_old = Self::outdated_for(upstream, inputs).is_some_and(|age| age > OLD_WEIGHTS_GRACE);
+        let is_old = Self::is_outdated_for(OLD_WEIGHTS_GRACE, upstream, inputs);
         let candidate = Candidate {
             in_flight,
             slots: upstream.entry.slots,
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -141,8 +141,9 @@
     fn oldest_in_use(&self, routing: &RoutingState) -> HashMap<String, WeightVersion> {
         let models = self.cluster.view().borrow().target_versions.clone();
         let rolled_out = models.into_keys().filter_map(|model| {
-            let target = routing.target_version(&model)?;
-            (target.since.elapsed() >= self.rollout_limit).then_some((model, target.version))
+            let target = routing.target_version(&model, &self.cluster)?;
+            let is_rolled_out = target.age.is_some_and(|age| age >= self.rollout_limit);
+            is_rolled_out.then_some((model, target.version))
         });
         rolled_out.collect()
     }
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -1,19 +1,13 @@
 //! The routing table, the stores and the target versions of models in force on this node.
 
-use std::{
-    cell::RefCell,
-    collections::{BTreeMap, HashMap},
-    rc::Rc,
-    sync::Arc,
-};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
-use daisysill_cluster::ClusterHandle;
+use daisysill_cluster::{BootInstant, ClusterHandle};
 use daisysill_control::state::ConfigView;
 use daisysill_core::{
     ids::{WeightVersion, ZoneName},
     routing::RoutingTable,
 };
-use tokio::time::Instant;
 
 use crate::{
     discovery::DocumentFormat,
@@ -25,8 +19,20 @@
 pub struct TargetVersion {
     /// The version set by the operator.
     pub version: WeightVersion,
-    /// When this node learned of it, which may be after it was set.
-    pub since: Instant,
+    /// Time since it was set, suspended time included; `None` while this node does not know it.
+    pub age: Option<Duration>,
+}
+
+impl TargetVersion {
+    fn new(model: &str, version: WeightVersion, cluster: &ClusterHandle) -> Self {
+        Self { version, age: cluster.target_version_set_at(model, version).map(BootInstant::elapsed) }
+    }
+
+    /// Returns whether the version was set at least this long ago. One of unknown age counts as old: this node may have
+    /// just started.
+    pub fn is_older_than(&self, limit: Duration) -> bool {
+        self.age.is_none_or(|age| age >= limit)
+    }
 }
 
 /// A store of the routing table.
@@ -48,8 +54,8 @@
 struct Inner {
     stores: Rc<Vec<StoreRef>>,
     table: Option<Rc<RoutingTable>>,
-    /// By model.
-    targets: HashMap<String, TargetVersion>,
+    /// Target versions by model.
+    targets: BTreeMap<String, WeightVersion>,
 }
 
 /// The configuration in force; clones share it.
@@ -69,15 +75,27 @@
         Rc::clone(&self.inner.borrow().stores)
     }
 
-    /// Returns the weight version that a model is to be served with; `None` if the operator has set none.
-    pub fn target_version(&self, model: &str) -> Option<TargetVersion> {
-        self.inner.borrow().targets.get(model).copied()
+    /// Returns the weight version that a model is to be served with; `None` if the operator has set none. `cluster` knows its
+    /// age.
+    pub fn target_version(&self, model: &str, cluster: &ClusterHandle) -> Option<TargetVersion> {
+        let version = self.inner.borrow().targets.get(model).copied()?;
+        Some(TargetVersion::new(model, version, cluster))
+    }
+
+    /// Puts target versions in force; logs those that are new, with their ages.
+    fn install_targets(&self, targets: &BTreeMap<String, WeightVersion>, cluster: &ClusterHandle) {
+        let mut inner = self.inner.borrow_mut();
+        let raised = targets.iter().filter(|(model, version)| inner.targets.get(*model) < Some(version));
+        for (model, version) in raised {
+            let age_ms = TargetVersion::new(model, *version, cluster).age.map(|age| age.as_millis());
+            tracing::info!(event = "weights_named", model, version = version.0, age_ms);
+        }
+        inner.targets.clone_from(targets);
     }
 
     /// Puts a configuration in force. An older document never replaces a newer one.
     fn install(&self, view: &ConfigView, format: &dyn DocumentFormat) {
         let mut inner = self.inner.borrow_mut();
-        inner.raise_targets(&view.target_versions);
         let Some(document) = &view.document else { return };
         if inner.table.as_ref().is_some_and(|table| table.version() >= document.version) {
             return;
@@ -114,6 +132,7 @@
         let mut views = cluster.view();
         loop {
             let view = Arc::clone(&views.borrow_and_update());
+            self.install_targets(&view.target_versions, &cluster);
             self.install(&view, format.as_ref());
             if views.changed().await.is_err() {
                 return;
@@ -121,16 +140,3 @@
         }
     }
 }
-
-impl Inner {
-    fn raise_targets(&mut self, versions: &BTreeMap<String, WeightVersion>) {
-        for (model, version) in versions {
-            let known = self.targets.get(model).map(|target| target.version);
-            if known.is_none_or(|known| known < *version) {
-                tracing::info!(event = "weights_named", model, version = version.0);
-                self.targets
-                    .insert(model.clone(), TargetVersion { version: *version, since: Instant::now() });
-            }
-        }
-    }
-}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -20,7 +20,7 @@
 
 pub use crate::soft_state::{
     BrokenPrompt, PromptOutcome, PublishedUpstreams, Spread, StoredPart, StoredPartsUpdate, StreamOrigin,
-    UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware, UpstreamStart,
+    TargetAge, UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware, UpstreamStart,
 };
 
 value_types! {
@@ -266,4 +266,6 @@
     async fn stream_origins(origins: Vec<StreamOrigin>, spread: Spread);
     /// Returns the software version at which a stream of a service began; `None` if the receiver cannot tell.
     async fn stream_origin(stream: u64, service: ServiceName, spread: Spread) -> Option<SoftwareVersion>;
+    /// Returns the target weight versions that the receiver knows, with their ages.
+    async fn target_ages() -> Vec<TargetAge>;
 }
--- a/crates/wire/src/soft_state.rs
+++ b/crates/wire/src/soft_state.rs
@@ -125,6 +125,16 @@
         pub clock_ms: u64,
     }
 
+    /// The target weight version of a model, and the time since it was set when this was encoded.
+    pub struct TargetAge {
+        /// The model.
+        pub model: String,
+        /// Its target version.
+        pub version: WeightVersion,
+        /// Time since the version was set; never more than it is.
+        pub age_ms: u64,
+    }
+
     /// A request that was running at an upstream when the upstream crashed.
     pub struct UpstreamCrash {
         /// Fingerprint of the request.
--- a/crates/wire/tests/encoded.rs
+++ b/crates/wire/tests/encoded.rs
@@ -25,7 +25,7 @@
     BlockLocation, ConfigDelta, ConfigUpdate, ControlNode, DispatchCount, FollowReply, ForwardError,
     Heartbeat, HeartbeatEntry, ObserveReply, ObserveRequest, PeerRequest, PeerResponse, PublishedUpstreams,
     RelayReply, RelayReport, ReportEntry, SoftReport, Spread, StoredPart, StoredPartsUpdate, StreamOrigin,
-    UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware, UpstreamStart,
+    TargetAge, UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware, UpstreamStart,
 };
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -187,10 +187,18 @@
     assert_encoded(&entries, include_str!("encoded/entries.hex"));
     let hard_state = HardState { disk: DiskId(9), term: 5, voted_for: Some("n2".into()) };
     assert_encoded(&hard_state, include_str!("encoded/hard_state.hex"));
-    // Written before the state recorded crashes by part of the prompt, now its last field.
+    // Written before the state recorded crashes by part of the prompt and the times of target versions, now its last
+    // fields. The build in between recorded the former.
     let earlier = include_str!("encoded/state.hex").trim_end();
-    assert_eq!(AgreedState::decode(&bytes(earlier)).unwrap(), state());
-    assert_eq!(hex(&state()), format!("{earlier}0000"));
+    let with_crashes = format!("{earlier}0000");
+    let mut without_times = state();
+    without_times.target_times_ms.clear();
+    assert_eq!(AgreedState::decode(&bytes(earlier)).unwrap(), without_times);
+    assert_eq!(AgreedState::decode(&bytes(&with_crashes)).unwrap(), without_times);
+    assert_eq!(AgreedState::decode(&bytes(&hex(&state()))).unwrap(), state());
+    // The model "m" at log time 113, that of the last command.
+    assert_encoded(&state().target_times_ms, "01016d71");
+    assert_eq!(hex(&state()), with_crashes + "01016d71");
     let snapshot =
         Snapshot { position: Position { term: 6, index: 91 }, voters: voters(), state: vec![1, 2] };
     assert_encoded(&snapshot, include_str!("encoded/snapshot.hex"));
@@ -360,3 +368,13 @@
     ];
     assert_message_encoded(&responses, include_str!("encoded/software_responses.hex"));
 }
+
+/// The same for messages about the ages of target versions, which later builds added.
+#[test]
+fn target_messages_keep_their_encoding() {
+    let requests = vec![PeerRequest::TargetAges {}];
+    assert_message_encoded(&requests, include_str!("encoded/target_requests.hex"));
+    let age = TargetAge { model: "m".to_owned(), version: WeightVersion(97), age_ms: 98 };
+    let responses = vec![PeerResponse::TargetAges(vec![age])];
+    assert_message_encoded(&responses, include_str!("encoded/target_responses.hex"));
+}
