Cancel requests that still wait at an engine when its weights become too old

An attempt on outdated weights now ends 0.2 s before the limit unless its response has begun: its connection is closed, and the request goes to another engine where it may. One that must not run twice fails, since it may have begun; such a wait is longer than most goals.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -220,7 +220,7 @@
             self.with_budget(&request.service, RetryBudget::record_first_send);
         }
         let left = request.time_left();
-        let head_timeout = self.attempt_timeout(request, history, left);
+        let head_timeout = self.attempt_timeout(request, history, left).min(self.time_until_outdated(chosen));
         let headers = AttemptHeaders {
             deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
             upstream: &chosen.upstream.entry.id,
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -29,6 +29,8 @@
 const OLD_WEIGHTS_PENALTY: f64 = 3.0;
 /// Upstreams with old weights get no new request in this time before the rollout limit.
 const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(1_500);
+/// Time for a cancelled request to be dropped by its upstream.
+const CANCEL_MARGIN: Duration = Duration::from_millis(200);
 /// Share of an engine's cache memory that requests may occupy; beyond it the engine preempts requests and prefills
 /// them again.
 const MEMORY_SHARE: f64 = 0.9;
@@ -198,6 +200,17 @@
         Self::is_outdated_for(limit, upstream, inputs)
     }
 
+    /// Returns the time within which a chosen upstream must have begun to respond, since its weights are outdated then. The
+    /// attempt is cancelled otherwise, so that it does not begin later.
+    pub(crate) fn time_until_outdated(&self, chosen: &ChosenUpstream) -> Duration {
+        let Some((version, target)) = chosen.version.zip(chosen.target) else { return Duration::MAX };
+        if version >= target.version {
+            return Duration::MAX;
+        }
+        let age = target.age.unwrap_or(Duration::MAX);
+        self.bounds.rollout_limit.saturating_sub(age).saturating_sub(CANCEL_MARGIN)
+    }
+
     /// Gathers the state of an upstream for the choice; `None` if it has no capacity for the request.
     fn eligible(&self, upstream: &Rc<Upstream>, inputs: &PlacementInputs<'_>) -> Option<EligibleUpstream> {
         let request = inputs.request;
