Judge engines by the first version that they lack, not by the newest one

A version may be set before the one before it is in place everywhere; each is judged from its own confirmation. Nodes knew the time of the newest target version only, so each further version gave engines with older weights a whole limit more, on every entry node.

An engine is outdated since the first version newer than its own.

--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -185,7 +185,7 @@
         let Some(confirmed_at) = self.views.confirmed_at() else { return };
         for (model, version) in targets.iter().filter(is_unknown) {
             if present.target_versions.get(model) != Some(version) {
-                self.views.target_ages.record(model, *version, confirmed_at);
+                self.views.target_ages.record_not_before(model, *version, confirmed_at);
             }
         }
     }
--- a/crates/cluster/src/soft_state_handle.rs
+++ b/crates/cluster/src/soft_state_handle.rs
@@ -156,12 +156,17 @@
         self.inner.outcome_queue.add([outcome]);
     }
 
-    /// Returns when a model's target version was set, or a newer one; `None` while this node does not know it, as right
-    /// after its start.
+    /// Returns when a model's target version was set; `None` while this node does not know it, as right after its start.
     pub fn target_version_set_at(&self, model: &str, version: WeightVersion) -> Option<BootInstant> {
         self.inner.gossip.views.target_ages.set_at(model, version)
     }
 
+    /// Returns since when engines with a version of a model's weights are outdated, if they are: when the first newer
+    /// version was set. `None` while this node does not know it.
+    pub fn weights_outdated_since(&self, model: &str, version: WeightVersion) -> Option<BootInstant> {
+        self.inner.gossip.views.target_ages.outdated_since(model, version)
+    }
+
     /// Returns the time, suspended time included, since this node's configuration was known to be the newest that a
     /// majority agreed on; `None` if it never was.
     pub fn config_age(&self) -> Option<Duration> {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -24,6 +24,8 @@
 
 /// Maximum accepted changes remembered to recognise resends; the oldest are dropped.
 const MAX_CHANGES: usize = 10_000;
+/// Time for which the time of a target version is kept after another version has replaced it. Far longer than a rollout.
+const REPLACED_TARGET_MS: u64 = 600_000;
 
 value_types! {
     /// The configuration that every node follows; the part of the agreed state that is sent to all nodes.
@@ -110,8 +112,8 @@
         pub crashes: Crashes,
         /// Crashes by part of the prompt.
         pub crashing_parts: CrashingParts,
-        /// Log time at which the target version of each model was set.
-        pub target_times_ms: BTreeMap<String, u64>,
+        /// Log time at which each target version was set, by model; without those that were replaced long ago.
+        pub target_times_ms: BTreeMap<String, BTreeMap<WeightVersion, u64>>,
     }
 }
 
@@ -131,7 +133,7 @@
     /// # }
     /// ```
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        let no_times = postcard::to_stdvec(&BTreeMap::<String, u64>::new())?;
+        let no_times = postcard::to_stdvec(&BTreeMap::<String, BTreeMap<WeightVersion, u64>>::new())?;
         let no_crashes = postcard::to_stdvec(&CrashingParts::default())?;
         let decode_with = |missing: &[&[u8]]| postcard::from_bytes(&[bytes, &missing.concat()].concat());
         decode_with(&[])
@@ -139,20 +141,29 @@
             .or_else(|_| decode_with(&[&no_crashes, &no_times]))
     }
 
-    /// Returns the time from the change that set a model's target version to the last applied entry, in ms of log time.
-    /// A version set before log times of these changes were recorded counts from the beginning of the log.
+    /// Returns the target versions that were set, each with its model and the time from that change to the last applied
+    /// entry, in ms of log time. A version set before these times were recorded counts from the beginning of the log.
     ///
     /// ```
     /// use daisysill_control::{command::{Command, SetTargetVersion}, state::AgreedState};
     /// use daisysill_core::ids::WeightVersion;
     /// let mut state = AgreedState::default();
-    /// let set = SetTargetVersion { model: "m".to_owned(), version: WeightVersion(2) };
-    /// state.apply(1, 500, &Command::SetTargetVersion(set));
-    /// state.apply(2, 800, &Command::Noop);
-    /// assert_eq!(state.target_version_age_ms("m"), 300);
+    /// let set = |version| {
+    ///     Command::SetTargetVersion(SetTargetVersion { model: "m".to_owned(), version: WeightVersion(version) })
+    /// };
+    /// state.apply(1, 500, &set(2));
+    /// state.apply(2, 800, &set(3));
+    /// let ages: Vec<_> = state.target_ages_ms().collect();
+    /// assert_eq!(ages, [("m", WeightVersion(2), 300), ("m", WeightVersion(3), 0)]);
     /// ```
-    pub fn target_version_age_ms(&self, model: &str) -> u64 {
-        self.now_ms - self.target_times_ms.get(model).copied().unwrap_or(0)
+    pub fn target_ages_ms(&self) -> impl Iterator<Item = (&str, WeightVersion, u64)> {
+        let timed = self.target_times_ms.iter().flat_map(|(model, times)| {
+            times.iter().map(move |(version, set_ms)| (model.as_str(), *version, *set_ms))
+        });
+        let untimed = self.config.target_versions.iter();
+        let untimed = untimed.filter(|(model, _)| !self.target_times_ms.contains_key(*model));
+        let all = timed.chain(untimed.map(|(model, version)| (model.as_str(), *version, 0)));
+        all.map(|(model, version, set_ms)| (model, version, self.now_ms.saturating_sub(set_ms)))
     }
 
     /// Applies the command of the log entry at `index`; `now_ms` is the log time stamped on it.
@@ -239,7 +250,9 @@
             let config = Arc::make_mut(&mut self.config);
             config.target_versions.insert(target.model.clone(), target.version);
             config.version = ConfigVersion(self.applied_index);
-            self.target_times_ms.insert(target.model.clone(), self.now_ms);
+            let times = self.target_times_ms.entry(target.model.clone()).or_default();
+            times.insert(target.version, self.now_ms);
+            drop_replaced(times, self.now_ms);
         }
         Reply::Done
     }
@@ -319,6 +332,15 @@
     }
 }
 
+/// Drops target versions that were replaced long ago: engines still older than those are judged by the next one.
+fn drop_replaced(times_ms: &mut BTreeMap<WeightVersion, u64>, now_ms: u64) {
+    while let Some((_, replaced_ms)) = times_ms.iter().nth(1)
+        && now_ms.saturating_sub(*replaced_ms) > REPLACED_TARGET_MS
+    {
+        times_ms.pop_first();
+    }
+}
+
 /// Hashes the parts with their lengths, so that moving a boundary changes the digest.
 fn content_digest<'a>(parts: impl IntoIterator<Item = &'a str>) -> String {
     let mut hasher = blake3::Hasher::new();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -220,7 +220,7 @@
             self.with_budget(&request.service, RetryBudget::record_first_send);
         }
         let left = request.time_left();
-        let head_timeout = self.attempt_timeout(request, history, left).min(self.time_until_outdated(chosen));
+        let head_timeout = self.attempt_timeout(request, history, left).min(self.time_on_weights(chosen));
         let headers = AttemptHeaders {
             deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
             upstream: &chosen.upstream.entry.id,
@@ -277,8 +277,8 @@
                 event = "prompt",
                 request_id = request.headers.request_id.as_deref(),
                 version = chosen.version.map(|version| version.0),
-                target_version = chosen.target.map(|target| target.version.0),
-                target_age_ms = chosen.target.and_then(|target| target.age).map(|age| age.as_millis()),
+                target_version = chosen.target.map(|target| target.0),
+                outdated_ms = chosen.outdated.and_then(|outdated| outdated.age).map(millis),
                 shared_tokens = chosen.prefix.map(|(_, tokens)| tokens),
                 cached_tokens = chosen.cached_tokens,
                 fetched_tokens = transfers.fetched_tokens(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod metrics;
 mod node_share;
 mod outcomes;
+pub mod outdated;
 mod placement;
 pub mod pool;
 mod prompt_parts;
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -98,10 +98,10 @@
     /// target version by now; otherwise another upstream has its address.
     fn record_misdirected(&self, request: &CallerRequest, chosen: &ChosenUpstream) {
         let model = request.headers.prompt.as_ref().map(|prompt| prompt.model.as_str());
-        let target = model.and_then(|model| self.routing.target_version(model, &self.cluster));
+        let target = model.and_then(|model| self.routing.target_version(model));
         match (model, target, chosen.version) {
-            (Some(model), Some(target), Some(sent)) if sent < target.version => {
-                chosen.upstream.record_version(model, target.version);
+            (Some(model), Some(target), Some(sent)) if sent < target => {
+                chosen.upstream.record_version(model, target);
             }
             _ => chosen.upstream.mark_replaced(),
         }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use daisysill_cluster::BootInstant;
 use daisysill_core::{
     ids::{ServiceName, WeightVersion, ZoneName},
     placement::{Candidate, ChosenCandidate, PrefillDemand, choose},
@@ -18,8 +19,8 @@
     caller_request::{AttemptHistory, CallerRequest},
     forward::Gateway,
     header_codec::Transfers,
+    outdated::OutdatedWeights,
     prompt_parts::SharedParts,
-    routing_state::TargetVersion,
     upstreams::{PrefixKey, Upstream},
 };
 
@@ -41,7 +42,9 @@
     /// Its weight version, as far as known; `None` without a prompt.
     pub(crate) version: Option<WeightVersion>,
     /// The version that it should have; `None` without a prompt, and if the operator has set none.
-    pub(crate) target: Option<TargetVersion>,
+    pub(crate) target: Option<WeightVersion>,
+    /// For how long its weights have been outdated; `None` if they are not.
+    pub(crate) outdated: Option<OutdatedWeights>,
     /// Cache scope, see [`cache_scope`]; `None` without a prompt.
     pub(crate) scope: Option<String>,
     /// Key and length in tokens of the shared prefix.
@@ -76,6 +79,7 @@
     candidate: Candidate,
     upstream: Rc<Upstream>,
     version: Option<WeightVersion>,
+    outdated: Option<OutdatedWeights>,
     scope: Option<String>,
     prefix: Option<(PrefixKey, u64)>,
     parts: Option<Rc<SharedParts>>,
@@ -85,7 +89,7 @@
 struct PlacementInputs<'a> {
     request: &'a CallerRequest,
     engine: Option<EngineSpec>,
-    target: Option<TargetVersion>,
+    target: Option<WeightVersion>,
     request_ms: f64,
     /// Shared parts by cache scope: upstreams with the same weight version have the same.
     parts_by_scope: RefCell<HashMap<String, Rc<SharedParts>>>,
@@ -101,7 +105,7 @@
         let inputs = PlacementInputs {
             request,
             engine: self.engine(&request.service),
-            target: prompt.and_then(|prompt| self.routing.target_version(&prompt.model, &self.cluster)),
+            target: prompt.and_then(|prompt| self.routing.target_version(&prompt.model)),
             request_ms: speeds.request_ms.get(),
             parts_by_scope: RefCell::default(),
         };
@@ -186,29 +190,26 @@
         upstream.is_unreachable()
     }
 
-    /// Returns whether an upstream has had older weights than the target version for at least this time.
-    fn is_outdated_for(limit: Duration, upstream: &Upstream, inputs: &PlacementInputs<'_>) -> bool {
-        let version =
-            inputs.request.headers.prompt.as_ref().and_then(|prompt| upstream.version_of(&prompt.model));
-        let Some((version, target)) = version.zip(inputs.target) else { return false };
-        version < target.version && target.is_older_than(limit)
+    /// Returns for how long the weights of an upstream have been outdated; `None` if they are not.
+    fn outdated(&self, upstream: &Upstream, inputs: &PlacementInputs<'_>) -> Option<OutdatedWeights> {
+        let model = &inputs.request.headers.prompt.as_ref()?.model;
+        let version = upstream.version_of(model)?;
+        inputs.target.filter(|target| version < *target)?;
+        let since = self.cluster.weights_outdated_since(model, version);
+        Some(OutdatedWeights { age: since.map(BootInstant::elapsed) })
     }
 
     /// Returns whether an upstream gets no new request, since its weights were outdated for almost the rollout limit.
     fn is_outdated(&self, upstream: &Upstream, inputs: &PlacementInputs<'_>) -> bool {
         let limit = self.bounds.rollout_limit.saturating_sub(OLD_WEIGHTS_MARGIN);
-        Self::is_outdated_for(limit, upstream, inputs)
+        self.outdated(upstream, inputs).is_some_and(|outdated| outdated.lasts(limit))
     }
 
-    /// Returns the time within which a chosen upstream must have begun to respond, since its weights are outdated then. The
+    /// Returns the time within which a chosen upstream must have begun to respond, since its weights are too old then. The
     /// attempt is cancelled otherwise, so that it does not begin later.
-    pub(crate) fn time_until_outdated(&self, chosen: &ChosenUpstream) -> Duration {
-        let Some((version, target)) = chosen.version.zip(chosen.target) else { return Duration::MAX };
-        if version >= target.version {
-            return Duration::MAX;
-        }
-        let age = target.age.unwrap_or(Duration::MAX);
-        self.bounds.rollout_limit.saturating_sub(age).saturating_sub(CANCEL_MARGIN)
+    pub(crate) fn time_on_weights(&self, chosen: &ChosenUpstream) -> Duration {
+        let limit = self.bounds.rollout_limit.saturating_sub(CANCEL_MARGIN);
+        chosen.outdated.map_or(Duration::MAX, |outdated| outdated.time_until(limit))
     }
 
     /// Gathers the state of an upstream for the choice; `None` if it has no capacity for the request.
@@ -233,7 +234,8 @@
             }
             Some(_) | None => (0, 0.0),
         };
-        let is_old = Self::is_outdated_for(OLD_WEIGHTS_GRACE, upstream, inputs);
+        let outdated = self.outdated(upstream, inputs);
+        let is_old = outdated.is_some_and(|outdated| outdated.lasts(OLD_WEIGHTS_GRACE));
         let candidate = Candidate {
             in_flight,
             slots: upstream.entry.slots,
@@ -247,7 +249,8 @@
             own_zone: self.upstreams.in_own_zone(upstream),
             prefix_rank: prefix.map_or(0, |(key, _)| upstream.prefix_rank(key)),
         };
-        Some(EligibleUpstream { candidate, upstream: Rc::clone(upstream), version, scope, prefix, parts })
+        let upstream = Rc::clone(upstream);
+        Some(EligibleUpstream { candidate, upstream, version, outdated, scope, prefix, parts })
     }
 
     /// Returns the locations of the prompt's shared parts in a cache scope.
@@ -269,9 +272,9 @@
         choice: ChosenCandidate,
         candidates: usize,
     ) -> ChosenUpstream {
-        let EligibleUpstream { candidate, upstream, version, scope, prefix, parts } = eligible;
+        let EligibleUpstream { candidate, upstream, version, outdated, scope, prefix, parts } = eligible;
         let has_target_version =
-            inputs.target.is_none_or(|target| version.is_some_and(|held| held >= target.version));
+            inputs.target.is_none_or(|target| version.is_some_and(|held| held >= target));
         let transfers = parts.map(|parts| {
             self.transfers(inputs.request, &parts, &upstream, has_target_version, choice, candidate.fetch_ms)
         });
@@ -280,6 +283,7 @@
             upstream,
             version,
             target: inputs.target,
+            outdated,
             scope,
             prefix,
             pending_prefill_tokens: prompt_tokens.saturating_sub(candidate.cached_tokens),
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -141,9 +141,10 @@
     fn oldest_in_use(&self, routing: &RoutingState) -> HashMap<String, WeightVersion> {
         let models = self.cluster.view().borrow().target_versions.clone();
         let rolled_out = models.into_keys().filter_map(|model| {
-            let target = routing.target_version(&model, &self.cluster)?;
-            let is_rolled_out = target.age.is_some_and(|age| age >= self.rollout_limit);
-            is_rolled_out.then_some((model, target.version))
+            let target = routing.target_version(&model)?;
+            let set_at = self.cluster.target_version_set_at(&model, target);
+            let is_rolled_out = set_at.is_some_and(|at| at.elapsed() >= self.rollout_limit);
+            is_rolled_out.then_some((model, target))
         });
         rolled_out.collect()
     }
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -1,8 +1,8 @@
 //! The routing table, the stores and the target versions of models in force on this node.
 
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc};
 
-use daisysill_cluster::{BootInstant, ClusterHandle};
+use daisysill_cluster::ClusterHandle;
 use daisysill_control::state::ConfigView;
 use daisysill_core::{
     ids::{WeightVersion, ZoneName},
@@ -14,27 +14,6 @@
     store_manager::{store_tag, stores_of},
 };
 
-/// The weight version that a model is to be served with.
-#[derive(Clone, Copy, Debug)]
-pub struct TargetVersion {
-    /// The version set by the operator.
-    pub version: WeightVersion,
-    /// Time since it was set, suspended time included; `None` while this node does not know it.
-    pub age: Option<Duration>,
-}
-
-impl TargetVersion {
-    fn new(model: &str, version: WeightVersion, cluster: &ClusterHandle) -> Self {
-        Self { version, age: cluster.target_version_set_at(model, version).map(BootInstant::elapsed) }
-    }
-
-    /// Returns whether the version was set at least this long ago. One of unknown age counts as old: this node may have
-    /// just started.
-    pub fn is_older_than(&self, limit: Duration) -> bool {
-        self.age.is_none_or(|age| age >= limit)
-    }
-}
-
 /// A store of the routing table.
 #[derive(Clone, Debug)]
 pub struct StoreRef {
@@ -75,11 +54,9 @@
         Rc::clone(&self.inner.borrow().stores)
     }
 
-    /// Returns the weight version that a model is to be served with; `None` if the operator has set none. `cluster` knows its
-    /// age.
-    pub fn target_version(&self, model: &str, cluster: &ClusterHandle) -> Option<TargetVersion> {
-        let version = self.inner.borrow().targets.get(model).copied()?;
-        Some(TargetVersion::new(model, version, cluster))
+    /// Returns the weight version that a model is to be served with; `None` if the operator has set none.
+    pub fn target_version(&self, model: &str) -> Option<WeightVersion> {
+        self.inner.borrow().targets.get(model).copied()
     }
 
     /// Puts target versions in force; logs those that are new, with their ages.
@@ -87,7 +64,7 @@
         let mut inner = self.inner.borrow_mut();
         let raised = targets.iter().filter(|(model, version)| inner.targets.get(*model) < Some(version));
         for (model, version) in raised {
-            let age_ms = TargetVersion::new(model, *version, cluster).age.map(|age| age.as_millis());
+            let age_ms = cluster.target_version_set_at(model, *version).map(|at| at.elapsed().as_millis());
             tracing::info!(event = "weights_named", model, version = version.0, age_ms);
         }
         inner.targets.clone_from(targets);
--- a/crates/wire/tests/encoded.rs
+++ b/crates/wire/tests/encoded.rs
@@ -196,9 +196,9 @@
     assert_eq!(AgreedState::decode(&bytes(earlier)).unwrap(), without_times);
     assert_eq!(AgreedState::decode(&bytes(&with_crashes)).unwrap(), without_times);
     assert_eq!(AgreedState::decode(&bytes(&hex(&state()))).unwrap(), state());
-    // The model "m" at log time 113, that of the last command.
-    assert_encoded(&state().target_times_ms, "01016d71");
-    assert_eq!(hex(&state()), with_crashes + "01016d71");
+    // Version 62 of the model "m", set at log time 113, that of the last command.
+    assert_encoded(&state().target_times_ms, "01016d013e71");
+    assert_eq!(hex(&state()), with_crashes + "01016d013e71");
     let snapshot =
         Snapshot { position: Position { term: 6, index: 91 }, voters: voters(), state: vec![1, 2] };
     assert_encoded(&snapshot, include_str!("encoded/snapshot.hex"));
