Let others load while engines that were ordered do not answer

Two that fell silent after their order held both places for 4 s, were then ordered again as the first of the list, and so on: the rollout stood still for as long as the list showed them, and callers would have been refused from shortly before the limit on.

The orders are a module of their own now.

--- a/crates/core/src/weight_loading.rs
+++ b/crates/core/src/weight_loading.rs
@@ -12,10 +12,13 @@
     UpToDate,
     /// Was ordered to load the new weights.
     Loading,
+    /// Was ordered and does not answer any more, or refused its last order just now. It is not ordered again yet, and others
+    /// load in its place: it may never come back.
+    Unavailable,
     /// Runs older weights.
     Outdated {
-        /// Requests in flight there, as far as known; the least busy upstream loads first.
-        in_flight: u32,
+        /// Orders in a row after which it did not get the new weights; the upstream with the fewest loads first.
+        failed_orders: u32,
     },
 }
 
@@ -23,8 +26,10 @@
 ///
 /// ```
 /// use daisysill_core::weight_loading::{WeightState, next_to_load};
-/// let outdated = WeightState::Outdated { in_flight: 0 };
+/// let outdated = WeightState::Outdated { failed_orders: 0 };
 /// assert_eq!(next_to_load(&[WeightState::Loading, outdated, outdated]), [1]);
+/// let failed = WeightState::Outdated { failed_orders: 1 };
+/// assert_eq!(next_to_load(&[WeightState::Unavailable, failed, failed, outdated]), [3, 1]);
 /// ```
 pub fn next_to_load(upstreams: &[WeightState]) -> Vec<usize> {
     // `f64` is exact enough for a fraction of a count that fits in memory.
@@ -33,8 +38,8 @@
     let loading = upstreams.iter().filter(|state| **state == WeightState::Loading).count();
     let allowed = fraction.max(MIN_LOADING).saturating_sub(loading);
     let outdated = upstreams.iter().enumerate().filter_map(|(index, state)| match state {
-        WeightState::Outdated { in_flight } => Some((*in_flight, index)),
-        WeightState::UpToDate | WeightState::Loading => None,
+        WeightState::Outdated { failed_orders } => Some((*failed_orders, index)),
+        WeightState::UpToDate | WeightState::Loading | WeightState::Unavailable => None,
     });
     let mut outdated: Vec<(u32, usize)> = outdated.collect();
     outdated.sort_unstable();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod forward;
 pub mod header_codec;
 pub mod http_head;
+mod load_orders;
 pub mod logging;
 pub mod metrics;
 mod node_share;
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -22,6 +22,7 @@
     discovery::{
         Discovery, DocumentFormat, ListedUpstream, LoadOrder, OrderOutcome, OrderSender, StoreClient,
     },
+    load_orders::LoadOrders,
     metrics::GatewayMetrics,
     routing_state::RoutingState,
     store_manager::StoreManager,
@@ -35,10 +36,6 @@
 const LEADER_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for entry nodes to stop sending requests to an upstream before it is ordered to load.
 const ANNOUNCE_TIME: Duration = Duration::from_millis(60);
-/// Time between two reads of the weight versions of an upstream that is loading.
-const REPORT_INTERVAL: Duration = Duration::from_millis(300);
-/// An upstream that does not have its weights after this time is ordered again.
-const LOAD_TIMEOUT: Duration = Duration::from_secs(4);
 /// Role of the lease for orders.
 const ORDER_ROLE: &str = "orders";
 
@@ -47,18 +44,6 @@
 /// Maximum time for which a call to a store under that lease can take effect.
 const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// One run of an upstream: its ID and the time of its start in Unix ms.
-type Incarnation = (InstanceId, u64);
-
-/// An order that was sent but whose weights are not yet in place.
-#[derive(Clone, Debug)]
-struct PendingLoad {
-    version: WeightVersion,
-    ordered_at: Instant,
-    /// When the upstream's weight versions were last read.
-    polled_at: Instant,
-}
-
 /// The tasks that run on a control node while it leads.
 pub struct LeaderTasks<D, O, C> {
     /// Tells whether this node leads, and publishes the list to all nodes.
@@ -88,9 +73,7 @@
     listed: Vec<UpstreamEntry>,
     /// When that read began; `None` before the first success.
     listed_at: Option<BootInstant>,
-    /// Weight versions that upstreams reported, which may be newer than those of the list.
-    reported: HashMap<Incarnation, BTreeMap<String, WeightVersion>>,
-    pending: HashMap<Incarnation, PendingLoad>,
+    orders: LoadOrders,
 }
 
 impl<D: Discovery, O: OrderSender, C: StoreClient> LeaderTasks<D, O, C> {
@@ -172,12 +155,7 @@
         let Some(at) = state.listed_at else { return };
         let entries = state.listed.iter().map(|entry| {
             let mut entry = entry.clone();
-            let incarnation = incarnation(&entry);
-            entry.loading = state.pending.contains_key(&incarnation);
-            for (model, version) in state.reported.get(&incarnation).into_iter().flatten() {
-                let listed = entry.models.entry(model.clone()).or_default();
-                *listed = (*listed).max(*version);
-            }
+            state.orders.complete(&mut entry);
             entry
         });
         self.cluster.publish_upstreams(entries.collect(), at);
@@ -187,7 +165,7 @@
     async fn step_rollout(&self, order_lease: &LeaseHolder, state: &mut LeaderState) -> bool {
         let targets = self.cluster.view().borrow().target_versions.clone();
         self.poll_loads(&targets, state).await;
-        let mut rolling = !state.pending.is_empty();
+        let mut rolling = !state.orders.is_idle();
         for (model, version) in &targets {
             let engines: Vec<UpstreamEntry> = state
                 .listed
@@ -196,7 +174,7 @@
                 .cloned()
                 .collect();
             let states: Vec<WeightState> =
-                engines.iter().map(|engine| state.weight_state(engine, model, *version)).collect();
+                engines.iter().map(|engine| state.orders.weight_state(engine, model, *version)).collect();
             let next = next_to_load(&states);
             rolling |= !next.is_empty();
             if next.is_empty() || order_lease.fencing().is_none() {
@@ -217,10 +195,8 @@
         version: WeightVersion,
         chosen: &[UpstreamEntry],
     ) {
-        let now = Instant::now();
         for entry in chosen {
-            let pending = PendingLoad { version, ordered_at: now, polled_at: now };
-            state.pending.insert(incarnation(entry), pending);
+            state.orders.begin(entry, model, version);
         }
         self.publish(state);
         sleep(ANNOUNCE_TIME).await;
@@ -244,10 +220,8 @@
         for (entry, outcome) in chosen.iter().zip(outcomes) {
             match outcome {
                 Some(OrderOutcome::Accepted | OrderOutcome::Unknown) => {}
-                Some(OrderOutcome::InPlace) => state.record_version(entry, model, version),
-                Some(OrderOutcome::Busy | OrderOutcome::Refused) | None => {
-                    state.pending.remove(&incarnation(entry));
-                }
+                Some(OrderOutcome::InPlace) => drop(state.orders.record_version(entry, model, version)),
+                Some(OrderOutcome::Busy | OrderOutcome::Refused) | None => state.orders.record_refusal(entry),
             }
         }
         self.publish(state);
@@ -256,69 +230,20 @@
     /// Reads the weight versions of upstreams that are loading, and drops loads that are done, timed out or no longer
     /// listed.
     async fn poll_loads(&self, targets: &BTreeMap<String, WeightVersion>, state: &mut LeaderState) {
-        let now = Instant::now();
-        let due: Vec<UpstreamEntry> = state
-            .listed
-            .iter()
-            .filter(|entry| {
-                let pending = state.pending.get(&incarnation(entry));
-                pending.is_some_and(|pending| now.duration_since(pending.polled_at) >= REPORT_INTERVAL)
-            })
-            .cloned()
-            .collect();
+        let due = state.orders.due(&state.listed);
         let reports = join_all(due.iter().map(|entry| self.orders.versions(entry))).await;
         let mut changed = false;
         for (entry, versions) in due.iter().zip(reports) {
-            if let Some(pending) = state.pending.get_mut(&incarnation(entry)) {
-                pending.polled_at = Instant::now();
-            }
+            state.orders.record_poll(entry, versions.is_some());
             for (model, version) in versions.into_iter().flatten() {
-                let reached = targets.get(&model).is_some_and(|target| version >= *target);
-                if reached {
-                    state.record_version(entry, &model, version);
-                    changed = true;
+                if targets.get(&model).is_some_and(|target| version >= *target) {
+                    changed |= state.orders.record_version(entry, &model, version);
                 }
             }
         }
-        let listed: Vec<Incarnation> = state.listed.iter().map(incarnation).collect();
-        let before = state.pending.len();
-        state.pending.retain(|incarnation, pending| {
-            let in_time = pending.ordered_at.elapsed() < LOAD_TIMEOUT;
-            if !in_time {
-                let (upstream, version) = (incarnation.0.as_str(), pending.version.0);
-                tracing::info!(event = "load_timeout", upstream, version);
-            }
-            in_time && listed.contains(incarnation)
-        });
-        state.reported.retain(|incarnation, _| listed.contains(incarnation));
-        if changed || before != state.pending.len() {
+        changed |= state.orders.discard_ended(&state.listed);
+        if changed {
             self.publish(state);
         }
     }
 }
-
-impl LeaderState {
-    fn weight_state(&self, engine: &UpstreamEntry, model: &str, version: WeightVersion) -> WeightState {
-        let incarnation = incarnation(engine);
-        let listed = engine.models.get(model).copied();
-        let reported = self.reported.get(&incarnation).and_then(|versions| versions.get(model)).copied();
-        if listed.max(reported).is_some_and(|held| held >= version) {
-            return WeightState::UpToDate;
-        }
-        if self.pending.contains_key(&incarnation) {
-            return WeightState::Loading;
-        }
-        WeightState::Outdated { in_flight: 0 }
-    }
-
-    /// Records that an upstream has a weight version, which ends its pending load.
-    fn record_version(&mut self, entry: &UpstreamEntry, model: &str, version: WeightVersion) {
-        let incarnation = incarnation(entry);
-        self.pending.remove(&incarnation);
-        self.reported.entry(incarnation).or_default().insert(model.to_owned(), version);
-    }
-}
-
-fn incarnation(entry: &UpstreamEntry) -> Incarnation {
-    (entry.id.clone(), entry.started_unix_ms)
-}
