End a load with the version that was ordered, though a further one was set

A load counted as done only with the newest target version. If a further version was set while engines loaded the one before, they counted as loading until the order timed out after 4 s: no request was sent to them, and the rollout of the further version waited.

An engine's load now ends with the version that it was ordered to load, and every version that an engine reports is published.

--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -2,12 +2,7 @@
 //!
 //! Only the leader of the replicated log runs them. Orders and calls that change stores also need a lease.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
 use daisysill_cluster::{BootInstant, ClusterHandle, LeaseConfig, LeaseHolder};
 use daisysill_core::{
@@ -164,7 +159,7 @@
     /// Runs one step of the rollout of all target versions; returns whether a rollout is in progress.
     async fn step_rollout(&self, order_lease: &LeaseHolder, state: &mut LeaderState) -> bool {
         let targets = self.cluster.view().borrow().target_versions.clone();
-        self.poll_loads(&targets, state).await;
+        self.poll_loads(state).await;
         let mut rolling = !state.orders.is_idle();
         for (model, version) in &targets {
             let engines: Vec<UpstreamEntry> = state
@@ -229,16 +224,14 @@
 
     /// Reads the weight versions of upstreams that are loading, and drops loads that are done, timed out or no longer
     /// listed.
-    async fn poll_loads(&self, targets: &BTreeMap<String, WeightVersion>, state: &mut LeaderState) {
+    async fn poll_loads(&self, state: &mut LeaderState) {
         let due = state.orders.due(&state.listed);
         let reports = join_all(due.iter().map(|entry| self.orders.versions(entry))).await;
         let mut changed = false;
         for (entry, versions) in due.iter().zip(reports) {
             state.orders.record_poll(entry, versions.is_some());
             for (model, version) in versions.into_iter().flatten() {
-                if targets.get(&model).is_some_and(|target| version >= *target) {
-                    changed |= state.orders.record_version(entry, &model, version);
-                }
+                changed |= state.orders.record_version(entry, &model, version);
             }
         }
         changed |= state.orders.discard_ended(&state.listed);
