Read the list past an entry that cannot be decoded

Operators of similar systems saw machines that stopped following the list: one entry was nested very deeply, or held a number too large. Here the reader parsed a page into JSON values, and the parser refuses a whole page for one value that is nested deeper than 128 or over 1e308, for a control character within a string and for an invalid escape. The page is refused again with each read, so no node learns of new upstreams and of those that leave. No process ended: the parser does not recurse further.

Entries stay unparsed until each is decoded on its own, which skips fields that are not used without recursion and whatever their numbers. Bytes that JSON does not allow within a string are marked before, and the entry that holds them is left out. A page of another form, or with NaN in it, is refused as before.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Types of the HTTP interfaces and the tarpc service between daisysill nodes.
 
+pub mod list_items;
 pub mod peer;
 mod soft_state;
 
