Resume a stream only with more of the same

Callers of similar systems found an error's text in the middle of their stream, or the stream ended as complete although it had broken off. Here any response of status 2xx with the proof of origin was taken for the rest of a stream. The bytes of a JSON or text answer, of one with a Content-Encoding, of a 206 or of one that declares no type were relayed as events; after a 204 or an event stream without an event, the stream ended as complete.

Ruled out: an answer of status 500, a refusal and an answer without the proof of origin were not relayed; the caller's connection closes without the last chunk.

The caller has the head of the first response, so the next one must have the same status, kind of body and encoding. A stream that broke off inside an event is complete only after another event. What is not: a stream that broke off between two events and goes on with an empty one still ends as complete, since the last event may have been its last.

--- a/crates/gateway/src/http_head.rs
+++ b/crates/gateway/src/http_head.rs
@@ -59,9 +59,21 @@
         self.content_type().is_none_or(is_event_stream)
     }
 
+    /// Returns whether the body of this response may go on where a body with the head `first` broke off: the caller has
+    /// that head, and reads all bytes as it says.
+    pub fn continues(&self, first: &Self) -> bool {
+        self.status == first.status
+            && self.content_type().map(is_event_stream) == first.content_type().map(is_event_stream)
+            && self.header(b"content-encoding") == first.header(b"content-encoding")
+    }
+
     fn content_type(&self) -> Option<&[u8]> {
-        let content_type = self.headers.iter().find(|(name, _)| name.as_ref() == b"content-type");
-        content_type.map(|(_, value)| value.as_ref())
+        self.header(b"content-type")
+    }
+
+    fn header(&self, name: &[u8]) -> Option<&[u8]> {
+        let header = self.headers.iter().find(|(known, _)| known.as_ref() == name);
+        header.map(|(_, value)| value.as_ref())
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -24,6 +24,8 @@
 
 /// Reason logged for a body that ended inside an event.
 const INSIDE_EVENT: &str = "inside_event";
+/// Reason logged for a resumed body without an event, of a stream that broke off inside one.
+const NO_EVENT: &str = "no_event";
 
 /// Error of a stream that ended before its last event; it closes the connection to the caller.
 #[derive(Debug)]
@@ -91,7 +93,11 @@
     gateway: Rc<Gateway>,
     request: Rc<CallerRequest>,
     response: Option<UpstreamResponse>,
+    /// The head that the caller got, which is that of the first response.
+    first_head: ResponseHead,
     passing: Passing,
+    /// Whether the last run broke off inside an event, so that the next one must bring an event.
+    is_event_due: bool,
     history: AttemptHistory,
     relayed_bytes: u64,
     started: Instant,
@@ -118,6 +124,8 @@
 ) -> impl Stream<Item = Result<Bytes, StreamBroken>> {
     let relay = Relay {
         passing: Passing::new(&request, &response.head),
+        first_head: response.head.clone(),
+        is_event_due: false,
         gateway,
         request,
         response: Some(response),
@@ -148,6 +156,7 @@
                         if self.relayed_bytes == 0 {
                             self.record_origin();
                         }
+                        self.is_event_due = false;
                         self.progressed_at = Instant::now();
                         self.relayed_bytes += bytes.len() as u64;
                         return Some(Ok(bytes));
@@ -158,6 +167,7 @@
                         return Some(Err(self.fail(INSIDE_EVENT)));
                     }
                 }
+                ReadOutcome::End if self.is_event_due => return Some(Err(self.fail(NO_EVENT))),
                 ReadOutcome::End => return self.finish(),
                 ReadOutcome::Broken(reason) => {
                     if !self.resume(reason).await {
@@ -245,6 +255,7 @@
             return false;
         }
         let Passing::WholeEvents(splitter) = &mut self.passing else { return false };
+        self.is_event_due |= splitter.is_inside_event();
         splitter.drop_pending();
         let after = splitter.last_id().map(str::to_owned);
         if after.is_some() {
@@ -263,10 +274,11 @@
             after = after.as_deref(),
             software = software.as_ref().map(SoftwareVersion::as_str),
             resumed_software = resumed_software.as_ref().map(SoftwareVersion::as_str),
+            status = resumed.as_ref().ok().map(|response| response.head.status.as_u16()),
             outcome = resumed.as_ref().map_or_else(|refusal| refusal.code.name(), |_| "resumed"),
         );
         match resumed {
-            Ok(response) if response.head.status.is_success() => {
+            Ok(response) if response.head.continues(&self.first_head) => {
                 self.response = Some(response);
                 self.progressed_at = Instant::now();
                 true
