--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -120,6 +120,20 @@
     read_json(response.map_err(|e| classify_send_error(&e))?).await
 }
 
+/// Sends GET and returns the body of the response.
+///
+/// # Errors
+/// Classifies failures by whether the upstream may have executed the request.
+pub async fn get_body(client: &Client, url: &str) -> AttemptResult<Bytes> {
+    let response = client.get(url).timeout(CONTROL_TIMEOUT).send().await;
+    let mut response = response.map_err(|e| classify_send_error(&e))?;
+    if !response.status().is_success() {
+        return Err(classify_error_status(&response));
+    }
+    let body = response.body().limit(MAX_CONTROL_BODY_BYTES);
+    body.await.map_err(|error| AttemptError::Failed(error.to_string()))
+}
+
 /// Sends JSON with POST and parses the JSON response.
 ///
 /// # Errors
