Test that a refusal after an answer is not that of the next request

For the own interface: an upstream writes a refusal after each answer, and one before the answer to any further request on a connection. a_refusal_after_an_answer_is_no_answer_to_the_next_request passes: each request to a plain service has a connection of its own. No change of code. Not shown failing.

--- a/crates/node/tests/upstream_errors.rs
+++ b/crates/node/tests/upstream_errors.rs
@@ -155,3 +155,35 @@
     let result = HttpPlainService.send(&url, &request(), "").await;
     assert!(result.is_err(), "{result:?}");
 }
+
+/// Writes `first` in response to the first request on each connection, and `later` to each further one.
+fn serve_connections(first: String, later: String) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let (first, later) = (first.clone(), later.clone());
+            thread::spawn(move || {
+                let mut response = first;
+                while matches!(stream.read(&mut [0; 4_096]), Ok(1..)) {
+                    let _ = stream.write_all(response.as_bytes());
+                    response.clone_from(&later);
+                }
+            });
+        }
+    });
+    url
+}
+
+const REFUSAL: &str = "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+
+/// Guards against a refusal that is written once more after an answer, and is taken for the answer to the next request.
+#[actix_rt::test]
+async fn a_refusal_after_an_answer_is_no_answer_to_the_next_request() {
+    let good = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ncue7";
+    let url = serve_connections(format!("{good}{REFUSAL}"), format!("{REFUSAL}{good}"));
+    for _ in 0..3 {
+        let response = HttpPlainService.send(&url, &request(), "").await.unwrap();
+        assert_eq!((response.status, response.body.as_ref()), (200, b"cue7".as_slice()));
+    }
+}
