Test that an answer without events is no rest of an engine's stream

For the own interface: the engine at which a stream resumes answers with JSON, with an empty body, an event that is no token, 204 or 500. an_answer_without_events_is_no_rest_of_a_stream passes: each is a failed attempt, since events are typed and a stream is complete only with its usage. No change of code. Not shown failing.

--- a/crates/node/tests/upstream_errors.rs
+++ b/crates/node/tests/upstream_errors.rs
@@ -1,4 +1,4 @@
-//! How the HTTP client for plain services classifies requests without a response.
+//! How the HTTP clients for plain services and engines classify requests without a sound response.
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
@@ -12,9 +12,13 @@
 
 use actix_web::web::Bytes;
 use daisysill_node::{
+    engine_client::HttpEngine,
+    http,
     plain_client::HttpPlainService,
-    upstream_api::{AttemptError, PlainRequest, PlainService},
+    upstream_api::{AttemptError, Engine, PlainRequest, PlainService},
 };
+use daisysill_wire::http_types::EngineRequest;
+use futures::StreamExt;
 use socket2::SockRef;
 use tokio::time::Instant;
 
@@ -187,3 +191,43 @@
         assert_eq!((response.status, response.body.as_ref()), (200, b"cue7".as_slice()));
     }
 }
+
+fn engine_request() -> EngineRequest {
+    EngineRequest {
+        attempt_id: "att-2".to_owned(),
+        model: "m".to_owned(),
+        adapter: None,
+        prompt: "la".to_owned(),
+        max_tokens: 8,
+        priority: 0,
+        cache_salt: "s".to_owned(),
+        kv_pieces: Vec::new(),
+        resume_from_token: 1,
+        resume_text: Some("la".to_owned()),
+        weight_version: 1,
+    }
+}
+
+/// Guards against a stream that goes on with the text of an error, or ends as complete, because the engine at which it resumes
+/// answered with something else than events.
+#[actix_rt::test]
+async fn an_answer_without_events_is_no_rest_of_a_stream() {
+    let json = "{\"error\":\"not loaded\"}\n\n";
+    let answers = [
+        format!("200 OK\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{json}", json.len()),
+        "200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 0\r\n\r\n".to_owned(),
+        "200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 18\r\n\r\ndata: not loaded\n\n"
+            .to_owned(),
+        "204 No Content\r\n\r\n".to_owned(),
+        "500 Internal Server Error\r\ncontent-length: 6\r\n\r\nfailed".to_owned(),
+    ];
+    for answer in answers {
+        let url = serve_connections(format!("HTTP/1.1 {answer}"), REFUSAL.to_owned());
+        let client = HttpEngine::new(http::client());
+        let failed = match client.generate(&url, &engine_request(), "").await {
+            Ok(mut events) => matches!(events.next().await, Some(Err(AttemptError::Failed(_)))),
+            Err(error) => matches!(error, AttemptError::Failed(_)),
+        };
+        assert!(failed, "{answer:?}");
+    }
+}
