--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -1,6 +1,8 @@
 //! The upstreams as known to this node: the entries of the list, this node's load on them, and what its requests
 //! showed of their state.
 
+mod in_flight;
+
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet, VecDeque},
@@ -12,10 +14,12 @@
 
 use daisysill_core::ids::{ServiceName, WeightVersion, ZoneName};
 use daisysill_wire::peer::{UpstreamEntry, UpstreamLoad};
-use tokio::{sync::Notify, time::Instant};
+use tokio::time::Instant;
 
 use crate::{rate_limit::RateLimit, service_speeds::ServiceSpeeds};
 
+pub use in_flight::InFlight;
+
 /// Time constant of the exponential decay of failures.
 const FAILURE_DECAY: Duration = Duration::from_secs(2);
 /// Backoff after the first failed connection; doubled by each further one.
@@ -214,56 +218,6 @@
     }
 }
 
-/// Counts a request as in flight at its upstream until it is dropped.
-#[derive(Debug)]
-pub struct InFlight {
-    /// The upstream that the request was sent to.
-    pub upstream: Rc<Upstream>,
-    pending_prefill_tokens: u64,
-    tokens: u64,
-    request_ended: Rc<Notify>,
-}
-
-impl InFlight {
-    /// Counts a request with this number of prompt tokens to prefill, which occupies at most `tokens`. `request_ended`
-    /// is notified on drop.
-    pub fn new(
-        upstream: Rc<Upstream>,
-        pending_prefill_tokens: u64,
-        tokens: u64,
-        request_ended: Rc<Notify>,
-    ) -> Self {
-        if upstream.in_flight.get() == 0 {
-            upstream.waiting_since.set(Some(Instant::now()));
-        }
-        upstream.in_flight.set(upstream.in_flight.get() + 1);
-        upstream.pending_prefill_tokens.set(upstream.pending_prefill_tokens.get() + pending_prefill_tokens);
-        upstream.tokens.set(upstream.tokens.get() + tokens);
-        Self { upstream, pending_prefill_tokens, tokens, request_ended }
-    }
-
-    /// Records that the prompt was prefilled.
-    pub fn finish_prefill(&mut self) {
-        let tokens = std::mem::take(&mut self.pending_prefill_tokens);
-        self.upstream
-            .pending_prefill_tokens
-            .set(self.upstream.pending_prefill_tokens.get().saturating_sub(tokens));
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.finish_prefill();
-        self.upstream.tokens.set(self.upstream.tokens.get().saturating_sub(self.tokens));
-        self.request_ended.notify_one();
-        let left = self.upstream.in_flight.get().saturating_sub(1);
-        self.upstream.in_flight.set(left);
-        if left == 0 {
-            self.upstream.waiting_since.set(None);
-        }
-    }
-}
-
 /// All listed upstreams by service.
 #[derive(Debug)]
 pub struct Upstreams {
--- /dev/null
+++ b/crates/gateway/src/upstreams/in_flight.rs
@@ -0,0 +1,57 @@
+//! The requests of this node that are in flight at an upstream.
+
+use std::rc::Rc;
+
+use tokio::{sync::Notify, time::Instant};
+
+use super::Upstream;
+
+/// Counts a request as in flight at its upstream until it is dropped.
+#[derive(Debug)]
+pub struct InFlight {
+    /// The upstream that the request was sent to.
+    pub upstream: Rc<Upstream>,
+    pending_prefill_tokens: u64,
+    tokens: u64,
+    request_ended: Rc<Notify>,
+}
+
+impl InFlight {
+    /// Counts a request with this number of prompt tokens to prefill, which occupies at most `tokens`. `request_ended`
+    /// is notified on drop.
+    pub fn new(
+        upstream: Rc<Upstream>,
+        pending_prefill_tokens: u64,
+        tokens: u64,
+        request_ended: Rc<Notify>,
+    ) -> Self {
+        if upstream.in_flight.get() == 0 {
+            upstream.waiting_since.set(Some(Instant::now()));
+        }
+        upstream.in_flight.set(upstream.in_flight.get() + 1);
+        upstream.pending_prefill_tokens.set(upstream.pending_prefill_tokens.get() + pending_prefill_tokens);
+        upstream.tokens.set(upstream.tokens.get() + tokens);
+        Self { upstream, pending_prefill_tokens, tokens, request_ended }
+    }
+
+    /// Records that the prompt was prefilled.
+    pub fn finish_prefill(&mut self) {
+        let tokens = std::mem::take(&mut self.pending_prefill_tokens);
+        self.upstream
+            .pending_prefill_tokens
+            .set(self.upstream.pending_prefill_tokens.get().saturating_sub(tokens));
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.finish_prefill();
+        self.upstream.tokens.set(self.upstream.tokens.get().saturating_sub(self.tokens));
+        self.request_ended.notify_one();
+        let left = self.upstream.in_flight.get().saturating_sub(1);
+        self.upstream.in_flight.set(left);
+        if left == 0 {
+            self.upstream.waiting_since.set(None);
+        }
+    }
+}
