Keep upstreams from failing that state how few rejections they tolerate

At times the workers of a service fail after more than a few rejections in a second, and say so in all their answers. Nothing read that: plain services got up to two requests a slot, engines as many as they have slots, while each node learns of the others' work some 100 ms late, so upstreams had to reject many requests and failed again and again.

Ruled out: a rate limit alone, and fixed parts of the slots for each node (docs/platform.md says why).

While an upstream of a service names such a limit, a node sends only into slots of that service that it expects to be free (core::rejection_guard), and holds back at an upstream after each rejection. The limit ends with an answer without it to a request that was sent after it was last named.

Not covered: nodes that do not know the others' loads, and hundreds of nodes at an upstream that rejects although its slots seem free.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod placement;
 pub mod poll_source;
 pub mod rate_share;
+pub mod rejection_guard;
 pub mod result_code;
 pub mod retention;
 pub mod retry;
--- a/crates/gateway/src/entry_tasks.rs
+++ b/crates/gateway/src/entry_tasks.rs
@@ -55,8 +55,7 @@
             sleep(SWEEP_INTERVAL).await;
             let listed = gateway.upstreams.addresses();
             gateway.pool.sweep(|address| listed.contains(address));
-            let rate_limited = i64::try_from(gateway.upstreams.rate_limited_count()).unwrap_or(i64::MAX);
-            gateway.metrics.rate_limited_upstreams.set(rate_limited);
+            gateway.update_hint_gauges();
         }
     });
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,10 +12,9 @@
 
 use crate::{
     connection::{ReadError, UpstreamConnection},
-    header_codec::{AttemptHeaders, HeaderCodec, ResponseHeaders},
+    header_codec::{AttemptHeaders, HeaderCodec, ResponseHeaders, ResponseHints},
     http_head::ResponseHead,
     pool::{CheckoutError, Pool, PooledConnection},
-    rate_limit::LimitChange,
     upstreams::{InFlight, Upstream},
 };
 
@@ -103,6 +102,8 @@
     pub(crate) max_connections: usize,
     /// Time until the head of the response must have arrived.
     pub(crate) head_timeout: Duration,
+    /// Entry nodes that share the upstream.
+    pub(crate) entry_nodes: u32,
 }
 
 /// Sends a request to an upstream and reads the head of the response. `request_ended` is notified when the request is
@@ -145,7 +146,7 @@
     not_executed: bool,
     sealed: bool,
     weight_version: Option<WeightVersion>,
-    rate_limit_per_s: Option<f64>,
+    hints: ResponseHints,
 }
 
 impl AnswerHeaders {
@@ -155,7 +156,7 @@
             not_executed: headers.not_executed,
             sealed: headers.sealed,
             weight_version: headers.weight_version,
-            rate_limit_per_s: headers.rate_limit_per_s,
+            hints: headers.hints,
         }
     }
 }
@@ -163,7 +164,7 @@
 async fn send_and_read(
     header_codec: &dyn HeaderCodec,
     mut pooled: PooledConnection,
-    in_flight: InFlight,
+    mut in_flight: InFlight,
     head: &[u8],
     outgoing: &OutgoingRequest<'_>,
 ) -> Result<UpstreamResponse, AttemptError> {
@@ -187,31 +188,27 @@
         }
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         let is_forged = head.status.is_success() && !answer.sealed;
+        let hints = in_flight.upstream.hints();
         if !misdirected && !is_forged {
-            record_rate_limit(&in_flight.upstream, answer.rate_limit_per_s, sent_at);
+            hints.record(in_flight.upstream.entry.id.as_str(), &answer.hints, sent_at);
         }
-        if misdirected || (answer.not_executed && !head.status.is_success()) {
+        let refused = answer.not_executed && !head.status.is_success();
+        if refused && !misdirected {
+            hints.rejections.record_rejection(outgoing.entry_nodes);
+        }
+        if misdirected || refused {
             if discard_body(connection).await {
                 pooled.release();
             }
             return Err(if misdirected { AttemptError::Misdirected } else { AttemptError::Refused });
         }
+        in_flight.mark_run();
         let AnswerHeaders { weight_version, sealed, .. } = answer;
         return Ok(UpstreamResponse { head, weight_version, sealed, pooled, in_flight });
     }
     Err(AttemptError::Broken)
 }
 
-/// Records the rate limit that a response names, and logs each change.
-fn record_rate_limit(upstream: &Upstream, named_per_s: Option<f64>, sent_at: Instant) {
-    let Some(change) = upstream.rate_limit().record(named_per_s, sent_at) else { return };
-    let limit_per_s = match change {
-        LimitChange::Named { per_s } => Some(per_s),
-        LimitChange::Lifted => None,
-    };
-    tracing::info!(event = "limit_named", upstream = upstream.entry.id.as_str(), limit_per_s);
-}
-
 /// Reads a body that nobody needs; returns whether it was read to its end, so that its connection can be used again.
 async fn discard_body(connection: &mut UpstreamConnection) -> bool {
     let read_to_end = async {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -241,6 +241,7 @@
             tokens: request.tokens(),
             max_connections: self.max_connections(&request.service),
             head_timeout,
+            entry_nodes: self.peak_entry_nodes(),
         };
         let started = Instant::now();
         let header_codec = self.header_codec.0.as_ref();
--- a/crates/gateway/src/header_codec.rs
+++ b/crates/gateway/src/header_codec.rs
@@ -100,8 +100,18 @@
     pub sealed: bool,
     /// The weight version that generated the start of the response.
     pub weight_version: Option<WeightVersion>,
+    /// What the upstream states about its own state.
+    pub hints: ResponseHints,
+}
+
+/// What an upstream states about its own state in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ResponseHints {
     /// The requests per second that the upstream takes from all nodes together; `None` if it names no limit.
     pub rate_limit_per_s: Option<f64>,
+    /// The requests per second of all nodes together that the upstream can reject for want of a slot before it fails;
+    /// `None` if it names no limit.
+    pub max_rejections_per_s: Option<f64>,
 }
 
 /// Translates headers; implemented by the adapter to the deployment's platform.
--- /dev/null
+++ b/crates/gateway/src/hints.rs
@@ -0,0 +1,60 @@
+//! What an upstream states about its own state in its responses, as this node knows it.
+
+use std::rc::Rc;
+
+use tokio::time::Instant;
+
+use crate::{
+    forward::Gateway,
+    header_codec::ResponseHints,
+    rate_limit::{LimitChange, RateLimit},
+    rejection_limit::{RejectionLimit, Rejections},
+};
+
+/// What one upstream stated in its responses to this node; shared by all copies of its entry.
+#[derive(Debug)]
+pub struct Hints {
+    /// The rate of requests that it takes.
+    pub rate_limit: RateLimit,
+    /// Rejections by it, and the number that it tolerates.
+    pub rejections: Rejections,
+}
+
+impl Hints {
+    /// Starts without a statement; `rejection_limit` is that of the upstream's service.
+    pub fn new(rejection_limit: Rc<RejectionLimit>) -> Self {
+        Self { rate_limit: RateLimit::default(), rejections: Rejections::new(rejection_limit) }
+    }
+
+    /// Records what a response of the upstream `upstream` to a request sent at `sent_at` states, and logs each change.
+    pub fn record(&self, upstream: &str, stated: &ResponseHints, sent_at: Instant) {
+        if let Some(change) = self.rate_limit.record(stated.rate_limit_per_s, sent_at) {
+            tracing::info!(event = "limit_named", upstream, limit_per_s = named_per_s(change));
+        }
+        if let Some(change) = self.rejections.limit().record(stated.max_rejections_per_s, sent_at) {
+            let max_rejections_per_s = named_per_s(change);
+            tracing::info!(event = "rejection_limit_named", upstream, max_rejections_per_s);
+        }
+    }
+}
+
+/// Returns the limit that is named now; `None` if it was lifted.
+fn named_per_s(change: LimitChange) -> Option<f64> {
+    match change {
+        LimitChange::Named { per_s } => Some(per_s),
+        LimitChange::Lifted => None,
+    }
+}
+
+impl Gateway {
+    /// Updates the gauges of what upstreams state.
+    pub(crate) fn update_hint_gauges(&self) {
+        let count = |is_counted: &dyn Fn(&Hints) -> bool| {
+            i64::try_from(self.upstreams.count_by_hints(is_counted)).unwrap_or(i64::MAX)
+        };
+        let metrics = &self.metrics;
+        metrics.rate_limited_upstreams.set(count(&|hints| hints.rate_limit.per_s().is_some()));
+        let rejection_limited = count(&|hints| hints.rejections.limit().max_per_s().is_some());
+        metrics.rejection_limited_upstreams.set(rejection_limited);
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -64,6 +64,8 @@
     pub waits_for_room: Counter,
     /// Upstreams that name a rate limit, as this node knows them.
     pub rate_limited_upstreams: Gauge,
+    /// Upstreams of services that name a limit on rejections, as this node knows them.
+    pub rejection_limited_upstreams: Gauge,
     /// Time from the arrival of a request to the head of the response.
     pub answer_seconds: Histogram,
     registry: Arc<Registry>,
@@ -83,6 +85,7 @@
         let late_fetches = Counter::default();
         let waits_for_room = Counter::default();
         let rate_limited_upstreams = Gauge::default();
+        let rejection_limited_upstreams = Gauge::default();
         let answer_seconds = Histogram::new(exponential_buckets(0.002, 2.0, 14));
         let mut registry = Registry::with_prefix("daisysill_gateway");
         registry.register("requests", "Requests finished", requests.clone());
@@ -97,6 +100,12 @@
         registry.register("waits_for_room", "Waits of requests for a place", waits_for_room.clone());
         let rate_limited = "Upstreams that name a rate limit";
         registry.register("rate_limited_upstreams", rate_limited, rate_limited_upstreams.clone());
+        let rejection_limited = "Upstreams of services that name a limit on rejections";
+        registry.register(
+            "rejection_limited_upstreams",
+            rejection_limited,
+            rejection_limited_upstreams.clone(),
+        );
         let time = "Time from arrival to the head of the answer";
         registry.register_with_unit("answer", time, Unit::Seconds, answer_seconds.clone());
         cluster.register(&mut registry);
@@ -112,6 +121,7 @@
             late_fetches,
             waits_for_room,
             rate_limited_upstreams,
+            rejection_limited_upstreams,
             answer_seconds,
             registry: Arc::new(registry),
         }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -10,6 +10,7 @@
 use daisysill_core::{
     ids::{ServiceName, WeightVersion, ZoneName},
     placement::{Candidate, ChosenCandidate, PrefillDemand, choose},
+    rejection_guard::SlotUse,
     routing::{Customer, EngineSpec, ServiceSpec},
     slot_share::SlotCounts,
 };
@@ -104,11 +105,11 @@
         let nodes = self.peak_entry_nodes();
         let mut current: Vec<Rc<Upstream>> =
             upstreams.into_iter().filter(|upstream| !self.is_outdated(upstream, &inputs)).collect();
-        let shortest_wait = current.iter().map(|upstream| upstream.rate_limit().wait(nodes)).min();
+        let shortest_wait = current.iter().map(|upstream| upstream.hints().rate_limit.wait(nodes)).min();
         if let Some(wait) = shortest_wait.filter(|wait| !wait.is_zero()) {
             return Placement::RateLimited(wait);
         }
-        current.retain(|upstream| upstream.rate_limit().wait(nodes).is_zero());
+        current.retain(|upstream| upstream.hints().rate_limit.wait(nodes).is_zero());
         let mut eligible: Vec<EligibleUpstream> =
             current.iter().filter_map(|upstream| self.eligible(upstream, &inputs)).collect();
         let shared_tokens = eligible.first().and_then(|first| first.prefix).map_or(0, |(_, tokens)| tokens);
@@ -127,9 +128,10 @@
             return Placement::NoCapacity;
         }
         let chosen = eligible.swap_remove(choice.index);
-        if !chosen.upstream.rate_limit().try_take(nodes) {
+        if !chosen.upstream.hints().rate_limit.try_take(nodes) {
             return Placement::NoCapacity;
         }
+        chosen.upstream.hints().rejections.take();
         Placement::At(Box::new(self.chosen_upstream(&inputs, chosen, choice, candidates.len())))
     }
 
@@ -205,6 +207,15 @@
         if !has_capacity(upstream.entry.slots, memory_tokens, in_flight, tokens) {
             return None;
         }
+        let slots = SlotUse {
+            slots: upstream.entry.slots,
+            own: upstream.in_flight(),
+            others: others.requests,
+            entry_nodes: self.peak_entry_nodes(),
+        };
+        if !upstream.hints().rejections.admits(&slots) {
+            return None;
+        }
         let prompt = request.headers.prompt.as_ref();
         let version = prompt.and_then(|prompt| upstream.version_of(&prompt.model));
         let scope = prompt.map(|prompt| cache_scope(&prompt.model, version, request.customer.as_deref()));
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -16,7 +16,7 @@
 use daisysill_wire::peer::{UpstreamEntry, UpstreamLoad};
 use tokio::time::Instant;
 
-use crate::{rate_limit::RateLimit, service_speeds::ServiceSpeeds};
+use crate::{hints::Hints, rejection_limit::RejectionLimit, service_speeds::ServiceSpeeds};
 
 pub use in_flight::InFlight;
 
@@ -74,11 +74,11 @@
     learned_versions: RefCell<HashMap<String, WeightVersion>>,
     /// Cached prefixes with their length in tokens, the most recent one last.
     prefixes: RefCell<VecDeque<(PrefixKey, u64)>>,
-    rate_limit: Rc<RateLimit>,
+    hints: Rc<Hints>,
 }
 
 impl Upstream {
-    fn new(entry: UpstreamEntry) -> Self {
+    fn new(entry: UpstreamEntry, hints: Hints) -> Self {
         Self {
             tag: stable_hash(&entry.id.as_str()),
             tokens: Rc::default(),
@@ -92,13 +92,13 @@
             replaced: Cell::default(),
             learned_versions: RefCell::default(),
             prefixes: RefCell::default(),
-            rate_limit: Rc::default(),
+            hints: Rc::new(hints),
         }
     }
 
-    /// Returns the rate limit that the upstream names.
-    pub fn rate_limit(&self) -> &RateLimit {
-        &self.rate_limit
+    /// Returns what the upstream states about itself in its responses.
+    pub fn hints(&self) -> &Hints {
+        &self.hints
     }
 
     /// Returns the number of this node's requests in flight at the upstream.
@@ -227,6 +227,7 @@
     zone_bit: u32,
     by_service: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
     speeds: RefCell<HashMap<ServiceName, Rc<ServiceSpeeds>>>,
+    rejection_limits: RefCell<HashMap<ServiceName, Rc<RejectionLimit>>>,
     is_listed: Cell<bool>,
 }
 
@@ -239,6 +240,7 @@
             zone_bit,
             by_service: RefCell::default(),
             speeds: RefCell::default(),
+            rejection_limits: RefCell::default(),
             is_listed: Cell::default(),
         }
     }
@@ -257,7 +259,7 @@
             let upstream = match known {
                 Some(known) if known.entry == *entry => Rc::clone(known),
                 Some(known) => Rc::new(known.with_entry(entry.clone())),
-                None => Rc::new(Upstream::new(entry.clone())),
+                None => Rc::new(Upstream::new(entry.clone(), self.new_hints(&entry.service))),
             };
             by_service.entry(entry.service.clone()).or_default().push(upstream);
         }
@@ -270,10 +272,16 @@
         all.filter(|upstream| upstream.accepts_requests()).cloned().collect()
     }
 
-    /// Returns the number of upstreams that name a rate limit.
-    pub fn rate_limited_count(&self) -> usize {
+    /// Returns the number of listed upstreams with these hints.
+    pub fn count_by_hints(&self, is_counted: impl Fn(&Hints) -> bool) -> usize {
         let by_service = self.by_service.borrow();
-        by_service.values().flatten().filter(|upstream| upstream.rate_limit().per_s().is_some()).count()
+        by_service.values().flatten().filter(|upstream| is_counted(upstream.hints())).count()
+    }
+
+    /// Returns the hints of an upstream that has stated nothing yet.
+    fn new_hints(&self, service: &ServiceName) -> Hints {
+        let mut limits = self.rejection_limits.borrow_mut();
+        Hints::new(Rc::clone(limits.entry(service.clone()).or_default()))
     }
 
     /// Returns whether the list is known, empty or not.
@@ -342,7 +350,7 @@
             replaced: Cell::new(self.replaced.get()),
             learned_versions: RefCell::new(self.learned_versions.borrow().clone()),
             prefixes: RefCell::new(self.prefixes.borrow().clone()),
-            rate_limit: Rc::clone(&self.rate_limit),
+            hints: Rc::clone(&self.hints),
         }
     }
 }
--- a/crates/gateway/src/upstreams/in_flight.rs
+++ b/crates/gateway/src/upstreams/in_flight.rs
@@ -13,6 +13,7 @@
     pub upstream: Rc<Upstream>,
     pending_prefill_tokens: u64,
     tokens: u64,
+    has_run: bool,
     request_ended: Rc<Notify>,
 }
 
@@ -31,7 +32,12 @@
         upstream.in_flight.set(upstream.in_flight.get() + 1);
         upstream.pending_prefill_tokens.set(upstream.pending_prefill_tokens.get() + pending_prefill_tokens);
         upstream.tokens.set(upstream.tokens.get() + tokens);
-        Self { upstream, pending_prefill_tokens, tokens, request_ended }
+        Self { upstream, pending_prefill_tokens, tokens, has_run: false, request_ended }
+    }
+
+    /// Records that the upstream has begun to respond, so that the request occupies a slot until it ends.
+    pub fn mark_run(&mut self) {
+        self.has_run = true;
     }
 
     /// Records that the prompt was prefilled.
@@ -46,6 +52,9 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.finish_prefill();
+        if self.has_run {
+            self.upstream.hints.rejections.record_freed();
+        }
         self.upstream.tokens.set(self.upstream.tokens.get().saturating_sub(self.tokens));
         self.request_ended.notify_one();
         let left = self.upstream.in_flight.get().saturating_sub(1);
