Send nothing more to upstreams that state that they leave

An upstream that leaves says so in all its answers, also while the list still shows it as ready. Nothing read that, so a node went on to send it requests until the list said the same, seconds later.

From the first such answer on, also a refusal, a node chooses that start of the upstream for no new attempt, whatever the list says and whether another is left; an attempt that waits for a connection is withdrawn. What is in flight goes on. Late copies of other answers, 421 and forged answers count for nothing, as with rate limits. Nodes do not tell each other.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -32,6 +32,8 @@
     NotSent,
     /// This node has used its share of the upstream's connections.
     NoConnectionLeft,
+    /// The upstream stated that it takes no more requests while a connection was opened; nothing was written.
+    Withdrawn,
     /// The upstream states that it did not run the request.
     Refused,
     /// The upstream at the address is another one or has other weights than expected; it did not run the request.
@@ -48,6 +50,7 @@
         match self {
             Self::NotSent => "not_sent",
             Self::NoConnectionLeft => "no_connection_left",
+            Self::Withdrawn => "withdrawn",
             Self::Refused => "refused",
             Self::Misdirected => "misdirected",
             Self::Broken => "broken",
@@ -57,12 +60,15 @@
 
     /// Returns whether it is certain that the request has not run.
     pub(crate) const fn has_not_run(self) -> bool {
-        matches!(self, Self::NotSent | Self::NoConnectionLeft | Self::Refused | Self::Misdirected)
+        matches!(
+            self,
+            Self::NotSent | Self::NoConnectionLeft | Self::Withdrawn | Self::Refused | Self::Misdirected
+        )
     }
 
     /// Returns whether the upstream may have received bytes of the request.
     pub(crate) const fn was_sent(self) -> bool {
-        !matches!(self, Self::NotSent | Self::NoConnectionLeft)
+        !matches!(self, Self::NotSent | Self::NoConnectionLeft | Self::Withdrawn)
     }
 }
 
@@ -168,6 +174,10 @@
     head: &[u8],
     outgoing: &OutgoingRequest<'_>,
 ) -> Result<UpstreamResponse, AttemptError> {
+    if !in_flight.upstream.accepts_requests() {
+        pooled.release();
+        return Err(AttemptError::Withdrawn);
+    }
     let connection = pooled.get().map_err(|_| AttemptError::NotSent)?;
     let sent_at = Instant::now();
     if let Err((sent, _)) = connection.write_request(head, outgoing.body).await {
--- a/crates/gateway/src/header_codec.rs
+++ b/crates/gateway/src/header_codec.rs
@@ -112,6 +112,8 @@
     /// The requests per second of all nodes together that the upstream can reject for want of a slot before it fails;
     /// `None` if it names no limit.
     pub max_rejections_per_s: Option<f64>,
+    /// Whether the upstream leaves and must get no new requests.
+    pub is_leaving: bool,
 }
 
 /// Translates headers; implemented by the adapter to the deployment's platform.
--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -1,6 +1,6 @@
 //! What an upstream states about its own state in its responses, as this node knows it.
 
-use std::rc::Rc;
+use std::{cell::Cell, rc::Rc};
 
 use tokio::time::Instant;
 
@@ -18,12 +18,22 @@
     pub rate_limit: RateLimit,
     /// Rejections by it, and the number that it tolerates.
     pub rejections: Rejections,
+    is_leaving: Cell<bool>,
 }
 
 impl Hints {
     /// Starts without a statement; `rejection_limit` is that of the upstream's service.
     pub fn new(rejection_limit: Rc<RejectionLimit>) -> Self {
-        Self { rate_limit: RateLimit::default(), rejections: Rejections::new(rejection_limit) }
+        Self {
+            rate_limit: RateLimit::default(),
+            rejections: Rejections::new(rejection_limit),
+            is_leaving: Cell::default(),
+        }
+    }
+
+    /// Returns whether the upstream has stated that it leaves, which holds until its process ends.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.get()
     }
 
     /// Records what a response of the upstream `upstream` to a request sent at `sent_at` states, and logs each change.
@@ -35,6 +45,9 @@
             let max_rejections_per_s = named_per_s(change);
             tracing::info!(event = "rejection_limit_named", upstream, max_rejections_per_s);
         }
+        if stated.is_leaving && !self.is_leaving.replace(true) {
+            tracing::info!(event = "leaving_stated", upstream);
+        }
     }
 }
 
@@ -56,5 +69,6 @@
         metrics.rate_limited_upstreams.set(count(&|hints| hints.rate_limit.per_s().is_some()));
         let rejection_limited = count(&|hints| hints.rejections.limit().max_per_s().is_some());
         metrics.rejection_limited_upstreams.set(rejection_limited);
+        metrics.leaving_upstreams.set(count(&Hints::is_leaving));
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -66,6 +66,8 @@
     pub rate_limited_upstreams: Gauge,
     /// Upstreams of services that name a limit on rejections, as this node knows them.
     pub rejection_limited_upstreams: Gauge,
+    /// Listed upstreams that have stated that they leave, as this node knows them.
+    pub leaving_upstreams: Gauge,
     /// Time from the arrival of a request to the head of the response.
     pub answer_seconds: Histogram,
     registry: Arc<Registry>,
@@ -86,6 +88,7 @@
         let waits_for_room = Counter::default();
         let rate_limited_upstreams = Gauge::default();
         let rejection_limited_upstreams = Gauge::default();
+        let leaving_upstreams = Gauge::default();
         let answer_seconds = Histogram::new(exponential_buckets(0.002, 2.0, 14));
         let mut registry = Registry::with_prefix("daisysill_gateway");
         registry.register("requests", "Requests finished", requests.clone());
@@ -106,6 +109,8 @@
             rejection_limited,
             rejection_limited_upstreams.clone(),
         );
+        let leaving = "Listed upstreams that have stated that they leave";
+        registry.register("leaving_upstreams", leaving, leaving_upstreams.clone());
         let time = "Time from arrival to the head of the answer";
         registry.register_with_unit("answer", time, Unit::Seconds, answer_seconds.clone());
         cluster.register(&mut registry);
@@ -122,6 +127,7 @@
             waits_for_room,
             rate_limited_upstreams,
             rejection_limited_upstreams,
+            leaving_upstreams,
             answer_seconds,
             registry: Arc::new(registry),
         }
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -72,7 +72,7 @@
                     self.now_ms(),
                 );
             }
-            AttemptError::NoConnectionLeft => history.unreachable += 1,
+            AttemptError::NoConnectionLeft | AttemptError::Withdrawn => history.unreachable += 1,
             AttemptError::Refused => {
                 history.refusals += 1;
                 upstream.record_failure();
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -179,7 +179,7 @@
 
     /// Returns whether new requests may be sent to the upstream, disregarding its capacity and reachability.
     pub fn accepts_requests(&self) -> bool {
-        !self.entry.draining && !self.entry.loading && !self.replaced.get()
+        !self.entry.draining && !self.entry.loading && !self.replaced.get() && !self.hints.is_leaving()
     }
 
     /// Returns the newest weight version of a model that the upstream is known to have.
