Send nothing to upstreams in the pause that they ask for

An upstream that turns a request away with 503 and Retry-After wants nothing from that node for so long. The node read no such header of upstreams and went on to send.

From the answer on, a node chooses that start of the upstream for no attempt until the time is over; an attempt that waits for a connection is withdrawn. If all upstreams pause, requests wait where that is in time, and are refused at once otherwise, as with rate limits.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -174,7 +174,7 @@
     head: &[u8],
     outgoing: &OutgoingRequest<'_>,
 ) -> Result<UpstreamResponse, AttemptError> {
-    if !in_flight.upstream.accepts_requests() {
+    if !in_flight.upstream.accepts_requests() || in_flight.upstream.hints().pause.is_on() {
         pooled.release();
         return Err(AttemptError::Withdrawn);
     }
@@ -202,6 +202,9 @@
         if !misdirected && !is_forged {
             hints.record(in_flight.upstream.entry.id.as_str(), &answer.hints, sent_at);
         }
+        if head.status == StatusCode::SERVICE_UNAVAILABLE {
+            hints.record_unavailable(in_flight.upstream.entry.id.as_str(), answer.hints.retry_after);
+        }
         let refused = answer.not_executed && !head.status.is_success();
         if refused && !misdirected {
             hints.rejections.record_rejection(outgoing.entry_nodes);
--- a/crates/gateway/src/header_codec.rs
+++ b/crates/gateway/src/header_codec.rs
@@ -1,5 +1,7 @@
 //! The meaning of the headers that callers and upstreams send, and the trait that translates them.
 
+use std::time::Duration;
+
 use actix_web::http::header::HeaderMap;
 use daisysill_core::{
     ids::{CustomerId, InstanceId, WeightVersion},
@@ -114,6 +116,8 @@
     pub max_rejections_per_s: Option<f64>,
     /// Whether the upstream leaves and must get no new requests.
     pub is_leaving: bool,
+    /// The time after which a request may be sent again; `None` if none is stated.
+    pub retry_after: Option<Duration>,
 }
 
 /// Translates headers; implemented by the adapter to the deployment's platform.
--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -1,12 +1,13 @@
 //! What an upstream states about its own state in its responses, as this node knows it.
 
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use tokio::time::Instant;
 
 use crate::{
     forward::Gateway,
     header_codec::ResponseHints,
+    pause::Pause,
     rate_limit::{LimitChange, RateLimit},
     rejection_limit::{RejectionLimit, Rejections},
 };
@@ -18,6 +19,8 @@
     pub rate_limit: RateLimit,
     /// Rejections by it, and the number that it tolerates.
     pub rejections: Rejections,
+    /// Pauses that it asks for.
+    pub pause: Pause,
     is_leaving: Cell<bool>,
 }
 
@@ -27,6 +30,7 @@
         Self {
             rate_limit: RateLimit::default(),
             rejections: Rejections::new(rejection_limit),
+            pause: Pause::default(),
             is_leaving: Cell::default(),
         }
     }
@@ -36,6 +40,21 @@
         self.is_leaving.get()
     }
 
+    /// Returns the time until this node, one of `nodes`, may send a request, as far as the rate limit and a pause say; zero if
+    /// it may now.
+    pub fn wait(&self, nodes: u32) -> Duration {
+        self.rate_limit.wait(nodes).max(self.pause.left())
+    }
+
+    /// Records that the upstream `upstream` turned a request away, and asks for a pause if `retry_after` says so.
+    pub fn record_unavailable(&self, upstream: &str, retry_after: Option<Duration>) {
+        let Some(pause) = retry_after.filter(|pause| !pause.is_zero()) else { return };
+        if pause > self.pause.left() {
+            self.pause.extend(pause);
+            tracing::info!(event = "pause_requested", upstream, pause_s = pause.as_secs_f64());
+        }
+    }
+
     /// Records what a response of the upstream `upstream` to a request sent at `sent_at` states, and logs each change.
     pub fn record(&self, upstream: &str, stated: &ResponseHints, sent_at: Instant) {
         if let Some(change) = self.rate_limit.record(stated.rate_limit_per_s, sent_at) {
@@ -69,6 +88,7 @@
         metrics.rate_limited_upstreams.set(count(&|hints| hints.rate_limit.per_s().is_some()));
         let rejection_limited = count(&|hints| hints.rejections.limit().max_per_s().is_some());
         metrics.rejection_limited_upstreams.set(rejection_limited);
+        metrics.paused_upstreams.set(count(&|hints| hints.pause.is_on()));
         metrics.leaving_upstreams.set(count(&Hints::is_leaving));
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod metrics;
 mod node_share;
 mod outcomes;
+pub mod pause;
 mod placement;
 pub mod pool;
 mod prompt_parts;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -68,6 +68,8 @@
     pub rejection_limited_upstreams: Gauge,
     /// Listed upstreams that have stated that they leave, as this node knows them.
     pub leaving_upstreams: Gauge,
+    /// Upstreams that asked this node for a pause which lasts.
+    pub paused_upstreams: Gauge,
     /// Time from the arrival of a request to the head of the response.
     pub answer_seconds: Histogram,
     registry: Arc<Registry>,
@@ -89,6 +91,7 @@
         let rate_limited_upstreams = Gauge::default();
         let rejection_limited_upstreams = Gauge::default();
         let leaving_upstreams = Gauge::default();
+        let paused_upstreams = Gauge::default();
         let answer_seconds = Histogram::new(exponential_buckets(0.002, 2.0, 14));
         let mut registry = Registry::with_prefix("daisysill_gateway");
         registry.register("requests", "Requests finished", requests.clone());
@@ -111,6 +114,8 @@
         );
         let leaving = "Listed upstreams that have stated that they leave";
         registry.register("leaving_upstreams", leaving, leaving_upstreams.clone());
+        let paused = "Upstreams that asked this node for a pause which lasts";
+        registry.register("paused_upstreams", paused, paused_upstreams.clone());
         let time = "Time from arrival to the head of the answer";
         registry.register_with_unit("answer", time, Unit::Seconds, answer_seconds.clone());
         cluster.register(&mut registry);
@@ -128,6 +133,7 @@
             rate_limited_upstreams,
             rejection_limited_upstreams,
             leaving_upstreams,
+            paused_upstreams,
             answer_seconds,
             registry: Arc::new(registry),
         }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -62,7 +62,8 @@
     At(Box<ChosenUpstream>),
     /// Upstreams accept requests, but none has capacity for this one now.
     NoCapacity,
-    /// All upstreams that accept requests name rate limits, and this node has used up its share of each for this time.
+    /// For this time, this node has used up its share of the rate limits of all upstreams that accept requests, or they
+    /// want a pause.
     RateLimited(Duration),
     /// No untried upstream accepts requests.
     NoneAccepting,
@@ -105,11 +106,11 @@
         let nodes = self.peak_entry_nodes();
         let mut current: Vec<Rc<Upstream>> =
             upstreams.into_iter().filter(|upstream| !self.is_outdated(upstream, &inputs)).collect();
-        let shortest_wait = current.iter().map(|upstream| upstream.hints().rate_limit.wait(nodes)).min();
+        let shortest_wait = current.iter().map(|upstream| upstream.hints().wait(nodes)).min();
         if let Some(wait) = shortest_wait.filter(|wait| !wait.is_zero()) {
             return Placement::RateLimited(wait);
         }
-        current.retain(|upstream| upstream.hints().rate_limit.wait(nodes).is_zero());
+        current.retain(|upstream| upstream.hints().wait(nodes).is_zero());
         let mut eligible: Vec<EligibleUpstream> =
             current.iter().filter_map(|upstream| self.eligible(upstream, &inputs)).collect();
         let shared_tokens = eligible.first().and_then(|first| first.prefix).map_or(0, |(_, tokens)| tokens);
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -73,7 +73,7 @@
         wait_for_first(arrived + START_TIMEOUT, || self.routing.table()).await
     }
 
-    /// Waits until the rate limit of an upstream admits a request of this node again; `false` if the wait would make the
+    /// Waits until the rate limit or the pause of an upstream admits a request of this node again; `false` if the wait would make the
     /// response late.
     pub(crate) async fn wait_for_rate_limit(
         &self,
@@ -130,7 +130,7 @@
     wait: Duration,
 ) -> Refusal {
     let wait_ms = millis(wait);
-    let reason = format!("the rate limits of all upstreams are used up for {wait_ms} ms");
+    let reason = format!("no upstream takes a request of this node for {wait_ms} ms: rate limits or pauses");
     let retry_ms = spread_retry_ms(request, wait_ms.max(BUSY_RETRY_MS));
     history.refusal(ResultCode::UpstreamsRateLimited, reason, retry_ms)
 }
