Remember what upstreams stated while a list lacks them

An upstream that is missing from one list and listed again with the same start lost what it had stated: it got requests again although it leaves, pauses or names a rate limit. Such upstreams are now remembered, 256 at most, until they are listed again.

Evidence: upstream_that_leaves_stays_known_while_it_is_not_listed and pause_stays_known_while_the_upstream_is_not_listed (crates/gateway/tests/upstreams.rs) failed before (it accepts requests; a pause of 0 ns instead of 5 s) and pass now.

--- a/crates/gateway/src/hints.rs
+++ b/crates/gateway/src/hints.rs
@@ -40,6 +40,11 @@
         self.is_leaving.get()
     }
 
+    /// Returns whether the upstream has stated anything that restricts the requests which it may get.
+    pub fn restrict_requests(&self) -> bool {
+        self.is_leaving() || self.pause.is_on() || self.rate_limit.per_s().is_some()
+    }
+
     /// Returns the time until this node, one of `nodes`, may send a request, as far as the rate limit and a pause say; zero if
     /// it may now.
     pub fn wait(&self, nodes: u32) -> Duration {
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -5,6 +5,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    cmp::Reverse,
     collections::{HashMap, HashSet, VecDeque},
     hash::{BuildHasher, BuildHasherDefault, DefaultHasher, Hash},
     net::SocketAddr,
@@ -31,6 +32,8 @@
 const UNREACHABLE_REPORT_TIME: Duration = Duration::from_secs(1);
 /// An upstream from which bytes arrived within this time is reachable, whatever other nodes report.
 const ACTIVITY_WINDOW: Duration = Duration::from_millis(500);
+/// Maximum number of upstreams that are remembered although they are not listed.
+const MAX_UNLISTED: usize = 256;
 /// Maximum number of cached prefixes recorded for each upstream.
 const MAX_CACHED_PREFIXES: usize = 128;
 
@@ -226,6 +229,8 @@
     /// Represents the zone in bit sets of zones; two zones may share a bit.
     zone_bit: u32,
     by_service: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
+    /// Upstreams that restrict the requests that they get and are not listed now.
+    unlisted: RefCell<Vec<Rc<Upstream>>>,
     speeds: RefCell<HashMap<ServiceName, Rc<ServiceSpeeds>>>,
     rejection_limits: RefCell<HashMap<ServiceName, Rc<RejectionLimit>>>,
     is_listed: Cell<bool>,
@@ -239,19 +244,22 @@
             zone,
             zone_bit,
             by_service: RefCell::default(),
+            unlisted: RefCell::default(),
             speeds: RefCell::default(),
             rejection_limits: RefCell::default(),
             is_listed: Cell::default(),
         }
     }
 
-    /// Replaces the list, keeping the state of upstreams that are still listed with the same start time.
+    /// Replaces the list, keeping the state of upstreams that are still listed with the same start time. Those that are no longer
+    /// listed are remembered if they have restricted the requests that they get: a list may lack one for a time.
     pub fn replace(&self, entries: &[UpstreamEntry]) {
         self.is_listed.set(true);
         let mut by_service = self.by_service.borrow_mut();
-        let old: HashMap<_, _> = by_service
-            .drain()
-            .flat_map(|(_, upstreams)| upstreams)
+        let mut unlisted = self.unlisted.borrow_mut();
+        let old: HashMap<_, _> = unlisted
+            .drain(..)
+            .chain(by_service.drain().flat_map(|(_, upstreams)| upstreams))
             .map(|upstream| ((upstream.entry.id.clone(), upstream.entry.started_unix_ms), upstream))
             .collect();
         for entry in entries {
@@ -263,6 +271,14 @@
             };
             by_service.entry(entry.service.clone()).or_default().push(upstream);
         }
+        let listed: HashSet<_> = entries.iter().map(|entry| (&entry.id, entry.started_unix_ms)).collect();
+        let is_listed =
+            |upstream: &Upstream| listed.contains(&(&upstream.entry.id, upstream.entry.started_unix_ms));
+        let gone = old.into_values().filter(|upstream| !is_listed(upstream));
+        unlisted.extend(gone.filter(|upstream| upstream.hints.restrict_requests()));
+        // The last ones to start are the most likely to be listed again.
+        unlisted.sort_by_key(|upstream| Reverse(upstream.entry.started_unix_ms));
+        unlisted.truncate(MAX_UNLISTED);
     }
 
     /// Returns the upstreams of a service that accept requests.
--- a/crates/gateway/tests/upstreams.rs
+++ b/crates/gateway/tests/upstreams.rs
@@ -4,15 +4,17 @@
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
-use daisysill_gateway::upstreams::{Upstream, Upstreams};
+use daisysill_gateway::{
+    header_codec::ResponseHints,
+    upstreams::{Upstream, Upstreams},
+};
 use daisysill_wire::peer::{UpstreamEntry, UpstreamLoad};
-use tokio::time::advance;
+use tokio::time::{Instant, advance};
 
-fn start() -> (Upstreams, Rc<Upstream>) {
-    let upstreams = Upstreams::new("bkk-sathorn".into());
-    upstreams.replace(&[UpstreamEntry {
+fn entry(started_unix_ms: u64) -> UpstreamEntry {
+    UpstreamEntry {
         id: "i-1".into(),
-        started_unix_ms: 1,
+        started_unix_ms,
         service: "lyric-llm".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: "bkk-bangna".into(),
@@ -20,7 +22,12 @@
         draining: false,
         loading: false,
         models: BTreeMap::new(),
-    }]);
+    }
+}
+
+fn start() -> (Upstreams, Rc<Upstream>) {
+    let upstreams = Upstreams::new("bkk-sathorn".into());
+    upstreams.replace(&[entry(1)]);
     let upstream = upstreams.accepting(&"lyric-llm".into()).remove(0);
     (upstreams, upstream)
 }
@@ -58,3 +65,29 @@
     advance(Duration::from_millis(300)).await;
     assert!(!upstream.reachability_unknown() && !upstream.is_unreachable());
 }
+
+/// Guards against an upstream that gets requests again, although it stated that it leaves, since a list in between lacked it.
+#[tokio::test(start_paused = true)]
+async fn upstream_that_leaves_stays_known_while_it_is_not_listed() {
+    let (upstreams, upstream) = start();
+    let leaving = ResponseHints { is_leaving: true, ..ResponseHints::default() };
+    upstream.hints().record("i-1", &leaving, Instant::now());
+    upstreams.replace(&[]);
+    upstreams.replace(&[entry(1)]);
+    assert!(upstreams.accepting(&"lyric-llm".into()).is_empty());
+    upstreams.replace(&[entry(2)]);
+    assert_eq!(upstreams.accepting(&"lyric-llm".into()).len(), 1, "a new start takes requests");
+}
+
+/// Guards against an upstream that gets requests in the pause that it asked for, since a list in between lacked it.
+#[tokio::test(start_paused = true)]
+async fn pause_stays_known_while_the_upstream_is_not_listed() {
+    let (upstreams, upstream) = start();
+    upstream.hints().record_unavailable("i-1", Some(Duration::from_secs(5)));
+    upstreams.replace(&[]);
+    upstreams.replace(&[entry(1)]);
+    let listed = upstreams.accepting(&"lyric-llm".into()).remove(0);
+    assert_eq!(listed.hints().wait(1), Duration::from_secs(5));
+    advance(Duration::from_secs(6)).await;
+    assert_eq!(listed.hints().wait(1), Duration::ZERO);
+}
