--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -1,8 +1,11 @@
 //! The upstreams as known to this node: the entries of the list, this node's load on them, and what its requests
 //! showed of their state.
 
+mod in_flight;
+
 use std::{
     cell::{Cell, RefCell},
+    cmp::Reverse,
     collections::{HashMap, HashSet, VecDeque},
     hash::{BuildHasher, BuildHasherDefault, DefaultHasher, Hash},
     net::SocketAddr,
@@ -12,9 +15,11 @@
 
 use daisysill_core::ids::{ServiceName, WeightVersion, ZoneName};
 use daisysill_wire::peer::{UpstreamEntry, UpstreamLoad};
-use tokio::{sync::Notify, time::Instant};
+use tokio::time::Instant;
+
+use crate::{hints::Hints, rejection_limit::RejectionLimit, service_speeds::ServiceSpeeds};
 
-use crate::{rate_limit::RateLimit, service_speeds::ServiceSpeeds};
+pub use in_flight::InFlight;
 
 /// Time constant of the exponential decay of failures.
 const FAILURE_DECAY: Duration = Duration::from_secs(2);
@@ -27,6 +32,8 @@
 const UNREACHABLE_REPORT_TIME: Duration = Duration::from_secs(1);
 /// An upstream from which bytes arrived within this time is reachable, whatever other nodes report.
 const ACTIVITY_WINDOW: Duration = Duration::from_millis(500);
+/// Maximum number of upstreams that are remembered although they are not listed.
+const MAX_UNLISTED: usize = 256;
 /// Maximum number of cached prefixes recorded for each upstream.
 const MAX_CACHED_PREFIXES: usize = 128;
 
@@ -70,11 +77,11 @@
     learned_versions: RefCell<HashMap<String, WeightVersion>>,
     /// Cached prefixes with their length in tokens, the most recent one last.
     prefixes: RefCell<VecDeque<(PrefixKey, u64)>>,
-    rate_limit: Rc<RateLimit>,
+    hints: Rc<Hints>,
 }
 
 impl Upstream {
-    fn new(entry: UpstreamEntry) -> Self {
+    fn new(entry: UpstreamEntry, hints: Hints) -> Self {
         Self {
             tag: stable_hash(&entry.id.as_str()),
             tokens: Rc::default(),
@@ -88,13 +95,13 @@
             replaced: Cell::default(),
             learned_versions: RefCell::default(),
             prefixes: RefCell::default(),
-            rate_limit: Rc::default(),
+            hints: Rc::new(hints),
         }
     }
 
-    /// Returns the rate limit that the upstream names.
-    pub fn rate_limit(&self) -> &RateLimit {
-        &self.rate_limit
+    /// Returns what the upstream states about itself in its responses.
+    pub fn hints(&self) -> &Hints {
+        &self.hints
     }
 
     /// Returns the number of this node's requests in flight at the upstream.
@@ -175,7 +182,7 @@
 
     /// Returns whether new requests may be sent to the upstream, disregarding its capacity and reachability.
     pub fn accepts_requests(&self) -> bool {
-        !self.entry.draining && !self.entry.loading && !self.replaced.get()
+        !self.entry.draining && !self.entry.loading && !self.replaced.get() && !self.hints.is_leaving()
     }
 
     /// Returns the newest weight version of a model that the upstream is known to have.
@@ -214,56 +221,6 @@
     }
 }
 
-/// Counts a request as in flight at its upstream until it is dropped.
-#[derive(Debug)]
-pub struct InFlight {
-    /// The upstream that the request was sent to.
-    pub upstream: Rc<Upstream>,
-    pending_prefill_tokens: u64,
-    tokens: u64,
-    request_ended: Rc<Notify>,
-}
-
-impl InFlight {
-    /// Counts a request with this number of prompt tokens to prefill, which occupies at most `tokens`. `request_ended`
-    /// is notified on drop.
-    pub fn new(
-        upstream: Rc<Upstream>,
-        pending_prefill_tokens: u64,
-        tokens: u64,
-        request_ended: Rc<Notify>,
-    ) -> Self {
-        if upstream.in_flight.get() == 0 {
-            upstream.waiting_since.set(Some(Instant::now()));
-        }
-        upstream.in_flight.set(upstream.in_flight.get() + 1);
-        upstream.pending_prefill_tokens.set(upstream.pending_prefill_tokens.get() + pending_prefill_tokens);
-        upstream.tokens.set(upstream.tokens.get() + tokens);
-        Self { upstream, pending_prefill_tokens, tokens, request_ended }
-    }
-
-    /// Records that the prompt was prefilled.
-    pub fn finish_prefill(&mut self) {
-        let tokens = std::mem::take(&mut self.pending_prefill_tokens);
-        self.upstream
-            .pending_prefill_tokens
-            .set(self.upstream.pending_prefill_tokens.get().saturating_sub(tokens));
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.finish_prefill();
-        self.upstream.tokens.set(self.upstream.tokens.get().saturating_sub(self.tokens));
-        self.request_ended.notify_one();
-        let left = self.upstream.in_flight.get().saturating_sub(1);
-        self.upstream.in_flight.set(left);
-        if left == 0 {
-            self.upstream.waiting_since.set(None);
-        }
-    }
-}
-
 /// All listed upstreams by service.
 #[derive(Debug)]
 pub struct Upstreams {
@@ -272,7 +229,10 @@
     /// Represents the zone in bit sets of zones; two zones may share a bit.
     zone_bit: u32,
     by_service: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
+    /// Upstreams that restrict the requests that they get and are not listed now.
+    unlisted: RefCell<Vec<Rc<Upstream>>>,
     speeds: RefCell<HashMap<ServiceName, Rc<ServiceSpeeds>>>,
+    rejection_limits: RefCell<HashMap<ServiceName, Rc<RejectionLimit>>>,
     is_listed: Cell<bool>,
 }
 
@@ -284,18 +244,22 @@
             zone,
             zone_bit,
             by_service: RefCell::default(),
+            unlisted: RefCell::default(),
             speeds: RefCell::default(),
+            rejection_limits: RefCell::default(),
             is_listed: Cell::default(),
         }
     }
 
-    /// Replaces the list, keeping the state of upstreams that are still listed with the same start time.
+    /// Replaces the list, keeping the state of upstreams that are still listed with the same start time. Those that are no longer
+    /// listed are remembered if they have restricted the requests that they get: a list may lack one for a time.
     pub fn replace(&self, entries: &[UpstreamEntry]) {
         self.is_listed.set(true);
         let mut by_service = self.by_service.borrow_mut();
-        let old: HashMap<_, _> = by_service
-            .drain()
-            .flat_map(|(_, upstreams)| upstreams)
+        let mut unlisted = self.unlisted.borrow_mut();
+        let old: HashMap<_, _> = unlisted
+            .drain(..)
+            .chain(by_service.drain().flat_map(|(_, upstreams)| upstreams))
             .map(|upstream| ((upstream.entry.id.clone(), upstream.entry.started_unix_ms), upstream))
             .collect();
         for entry in entries {
@@ -303,10 +267,18 @@
             let upstream = match known {
                 Some(known) if known.entry == *entry => Rc::clone(known),
                 Some(known) => Rc::new(known.with_entry(entry.clone())),
-                None => Rc::new(Upstream::new(entry.clone())),
+                None => Rc::new(Upstream::new(entry.clone(), self.new_hints(&entry.service))),
             };
             by_service.entry(entry.service.clone()).or_default().push(upstream);
         }
+        let listed: HashSet<_> = entries.iter().map(|entry| (&entry.id, entry.started_unix_ms)).collect();
+        let is_listed =
+            |upstream: &Upstream| listed.contains(&(&upstream.entry.id, upstream.entry.started_unix_ms));
+        let gone = old.into_values().filter(|upstream| !is_listed(upstream));
+        unlisted.extend(gone.filter(|upstream| upstream.hints.restrict_requests()));
+        // The last ones to start are the most likely to be listed again.
+        unlisted.sort_by_key(|upstream| Reverse(upstream.entry.started_unix_ms));
+        unlisted.truncate(MAX_UNLISTED);
     }
 
     /// Returns the upstreams of a service that accept requests.
@@ -316,10 +288,16 @@
         all.filter(|upstream| upstream.accepts_requests()).cloned().collect()
     }
 
-    /// Returns the number of upstreams that name a rate limit.
-    pub fn rate_limited_count(&self) -> usize {
+    /// Returns the number of listed upstreams with these hints.
+    pub fn count_by_hints(&self, is_counted: impl Fn(&Hints) -> bool) -> usize {
         let by_service = self.by_service.borrow();
-        by_service.values().flatten().filter(|upstream| upstream.rate_limit().per_s().is_some()).count()
+        by_service.values().flatten().filter(|upstream| is_counted(upstream.hints())).count()
+    }
+
+    /// Returns the hints of an upstream that has stated nothing yet.
+    fn new_hints(&self, service: &ServiceName) -> Hints {
+        let mut limits = self.rejection_limits.borrow_mut();
+        Hints::new(Rc::clone(limits.entry(service.clone()).or_default()))
     }
 
     /// Returns whether the list is known, empty or not.
@@ -388,7 +366,7 @@
             replaced: Cell::new(self.replaced.get()),
             learned_versions: RefCell::new(self.learned_versions.borrow().clone()),
             prefixes: RefCell::new(self.prefixes.borrow().clone()),
-            rate_limit: Rc::clone(&self.rate_limit),
+            hints: Rc::clone(&self.hints),
         }
     }
 }
