Use an engine again once the list shows other weights

A request refused as misdirected is taken as proof that the engine has the target version; if it has one in between, the next request is refused too, and the node took the address for that of another upstream for as long as the process was listed. No request reached the engine from that node any more.

The mark now ends when the list shows other weights for the upstream. The new test failed before (0 upstreams accept requests, expected 1) and passes now.

--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -353,6 +353,8 @@
 impl Upstream {
     /// Returns this upstream with a newer entry. Its load is shared with the old one, whose requests are still counted.
     fn with_entry(&self, entry: UpstreamEntry) -> Self {
+        // A request may have been refused for weights that the list did not show yet.
+        let has_same_weights = entry.models == self.entry.models;
         Self {
             tag: self.tag,
             tokens: Rc::clone(&self.tokens),
@@ -363,7 +365,7 @@
             failures: Cell::new(self.failures.get()),
             connect_failures: Cell::new(self.connect_failures.get()),
             last_active_at: Cell::new(self.last_active_at.get()),
-            replaced: Cell::new(self.replaced.get()),
+            replaced: Cell::new(self.replaced.get() && has_same_weights),
             learned_versions: RefCell::new(self.learned_versions.borrow().clone()),
             prefixes: RefCell::new(self.prefixes.borrow().clone()),
             hints: Rc::clone(&self.hints),
--- a/crates/gateway/tests/upstreams.rs
+++ b/crates/gateway/tests/upstreams.rs
@@ -4,6 +4,7 @@
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
+use daisysill_core::ids::WeightVersion;
 use daisysill_gateway::{
     header_codec::ResponseHints,
     upstreams::{Upstream, Upstreams},
@@ -91,3 +92,17 @@
     advance(Duration::from_secs(6)).await;
     assert_eq!(listed.hints().wait(1), Duration::ZERO);
 }
+
+/// Guards against an engine that gets no request any more, since requests for weights that it no longer has, and then for
+/// weights that it does not have yet, were refused as misdirected.
+#[tokio::test]
+async fn an_upstream_is_used_again_once_the_list_shows_other_weights() {
+    let (upstreams, upstream) = start();
+    let accepting = || upstreams.accepting(&"lyric-llm".into()).len();
+    upstream.mark_replaced();
+    upstreams.replace(&[UpstreamEntry { slots: 17, ..entry(1) }]);
+    assert_eq!(accepting(), 0);
+    let models = BTreeMap::from([("m".to_owned(), WeightVersion(3))]);
+    upstreams.replace(&[UpstreamEntry { models, ..entry(1) }]);
+    assert_eq!(accepting(), 1);
+}
