Send no request to an engine of unknown weights once a version is set

Other writers leave entries in the list without some fields. An engine whose entry says no weight version counted as up to date, and requests were sent to it without an expected version, so they began on whatever weights it had, also past the limit. Entry nodes learn the version from its responses, but not before the first, and lose it when they are restarted.

Such an engine now counts as outdated for an unknown time, which is too long. Without a target version nothing changes.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -193,11 +193,15 @@
         upstream.is_unreachable()
     }
 
-    /// Returns for how long the weights of an upstream have been outdated; `None` if they are not.
+    /// Returns for how long the weights of an upstream have been outdated; `None` if they are not. Weights of an unknown version
+    /// may be of any age.
     fn outdated(&self, upstream: &Upstream, inputs: &PlacementInputs<'_>) -> Option<OutdatedWeights> {
+        let target = inputs.target?;
         let model = &inputs.request.headers.prompt.as_ref()?.model;
-        let version = upstream.version_of(model)?;
-        inputs.target.filter(|target| version < *target)?;
+        let Some(version) = upstream.version_of(model) else { return Some(OutdatedWeights { age: None }) };
+        if version >= target {
+            return None;
+        }
         let since = self.cluster.weights_outdated_since(model, version);
         Some(OutdatedWeights { age: since.map(BootInstant::elapsed) })
     }
