Log and count when an entry node loses its links to all upstreams

The output of nodes that were partitioned from all upstreams shows connections that time out, but not whether any upstream could be reached at the time: a node that can't reach any looks like one that does not try (backoff, work counted on connections that hang).

core::upstream_contact judges it from failed connections to several upstreams in several zones, none of which succeeded since, and from the bytes that arrive. A node with such a sign connects to up to three upstreams every 200 ms, and to one every 500 ms while requests wait and no upstream sends anything. The line upstream_contact and the gauge lost_upstream_contact show each change, contact_probes the probes. Nothing acts on it yet.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod store_catalog;
 pub mod stream_origins;
 pub mod suspect;
+pub mod upstream_contact;
 pub mod view;
 pub mod voters;
 pub mod wait_queue;
--- a/crates/gateway/src/entry_tasks.rs
+++ b/crates/gateway/src/entry_tasks.rs
@@ -6,6 +6,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
+    contact::watch_contact,
     discovery::{Discovery, DocumentFormat, ListedUpstream},
     forward::Gateway,
 };
@@ -49,6 +50,7 @@
     actix_rt::spawn(follow_published_upstreams(Rc::clone(gateway)));
     actix_rt::spawn(poll_list_fallback(Rc::clone(gateway), discovery));
     actix_rt::spawn(report_loads(Rc::clone(gateway)));
+    actix_rt::spawn(watch_contact(Rc::clone(gateway)));
     let gateway = Rc::clone(gateway);
     actix_rt::spawn(async move {
         loop {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -28,6 +28,7 @@
 use crate::{
     caller_request::{AttemptHistory, CallerRequest, urgency},
     config::Bounds,
+    contact::Contact,
     duration::millis,
     exchange::{AttemptError, OutgoingRequest, UpstreamResponse, attempt},
     header_codec::{AttemptHeaders, HeaderCodec},
@@ -70,6 +71,8 @@
     pub(crate) waiting: RefCell<HashMap<ServiceName, WaitQueue<oneshot::Sender<()>>>>,
     /// Availability zones that are unreachable from this node.
     pub(crate) zone_reachability: RefCell<ZoneReachability>,
+    /// How this node reaches the upstreams.
+    pub(crate) contact: Rc<Contact>,
     /// Notified whenever a request is no longer in flight at its upstream.
     pub(crate) request_ended: Rc<Notify>,
     /// Parts whose saving this node requested recently, and when.
@@ -103,13 +106,15 @@
         upstreams: Upstreams,
         metrics: GatewayMetrics,
     ) -> Self {
+        let contact = Rc::new(Contact::default());
         Self {
             header_codec: SharedCodec(header_codec),
             cluster,
             bounds,
             routing: RoutingState::default(),
             upstreams,
-            pool: Pool::new(metrics.clone()),
+            pool: Pool::new(metrics.connections_opened.clone(), Some(Rc::clone(&contact))),
+            contact,
             metrics,
             budgets: RefCell::default(),
             waiting: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod caller_request;
 pub mod config;
 pub mod connection;
+mod contact;
 pub mod control_node;
 pub mod discovery;
 mod duration;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a connection that only shows whether an upstream can be reached.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct ProbeLabels {
+    /// `connected` or `failed`.
+    pub outcome: &'static str,
+}
+
 /// Labels of the body of a stream.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct StreamBodyLabels {
@@ -64,6 +71,10 @@
     pub waits_for_room: Counter,
     /// Upstreams that name a rate limit, as this node knows them.
     pub rate_limited_upstreams: Gauge,
+    /// 1 while new connections to upstreams fail in all zones, 0 otherwise.
+    pub lost_upstream_contact: Gauge,
+    /// Connections that only showed whether an upstream can be reached.
+    pub contact_probes: Family<ProbeLabels, Counter>,
     /// Time from the arrival of a request to the head of the response.
     pub answer_seconds: Histogram,
     registry: Arc<Registry>,
@@ -83,6 +94,8 @@
         let late_fetches = Counter::default();
         let waits_for_room = Counter::default();
         let rate_limited_upstreams = Gauge::default();
+        let lost_upstream_contact = Gauge::default();
+        let contact_probes = Family::<ProbeLabels, Counter>::default();
         let answer_seconds = Histogram::new(exponential_buckets(0.002, 2.0, 14));
         let mut registry = Registry::with_prefix("daisysill_gateway");
         registry.register("requests", "Requests finished", requests.clone());
@@ -97,6 +110,13 @@
         registry.register("waits_for_room", "Waits of requests for a place", waits_for_room.clone());
         let rate_limited = "Upstreams that name a rate limit";
         registry.register("rate_limited_upstreams", rate_limited, rate_limited_upstreams.clone());
+        let lost_contact = "Whether new connections to upstreams fail in all zones";
+        registry.register("lost_upstream_contact", lost_contact, lost_upstream_contact.clone());
+        registry.register(
+            "contact_probes",
+            "Probes whether upstreams can be reached",
+            contact_probes.clone(),
+        );
         let time = "Time from arrival to the head of the answer";
         registry.register_with_unit("answer", time, Unit::Seconds, answer_seconds.clone());
         cluster.register(&mut registry);
@@ -112,6 +132,8 @@
             late_fetches,
             waits_for_room,
             rate_limited_upstreams,
+            lost_upstream_contact,
+            contact_probes,
             answer_seconds,
             registry: Arc::new(registry),
         }
@@ -127,6 +149,11 @@
         self.attempts.get_or_create(&AttemptLabels { outcome }).inc();
     }
 
+    /// Counts a connection that only showed whether an upstream can be reached.
+    pub(crate) fn record_probe(&self, outcome: &'static str) {
+        self.contact_probes.get_or_create(&ProbeLabels { outcome }).inc();
+    }
+
     /// Counts the body of a stream that ended as its framing says.
     pub(crate) fn record_stream_body(&self, framing: Framing, is_inside_event: bool) {
         let ended_at = if is_inside_event { "inside_event" } else { "event_boundary" };
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -66,6 +66,7 @@
             AttemptError::NotSent => {
                 history.unreachable += 1;
                 upstream.record_unreachable();
+                self.contact.record_failure(upstream, self.now_ms());
                 self.zone_reachability.borrow_mut().record_failure(
                     &upstream.entry.zone,
                     &upstream.entry.id,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,7 +2,9 @@
 
 use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use crate::{connection::UpstreamConnection, metrics::GatewayMetrics};
+use prometheus_client::metrics::counter::Counter;
+
+use crate::{connection::UpstreamConnection, contact::Contact};
 
 /// Below the 1 s after which TCP resends a lost SYN; another upstream is tried sooner.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -39,13 +41,15 @@
 #[derive(Clone, Debug)]
 pub struct Pool {
     addresses: Rc<RefCell<AddressPools>>,
-    metrics: GatewayMetrics,
+    opened: Counter,
+    /// How this node reaches the upstreams; `None` for connections to other nodes.
+    contact: Option<Rc<Contact>>,
 }
 
 impl Pool {
-    /// Creates an empty pool; `metrics` counts the connections it opens.
-    pub fn new(metrics: GatewayMetrics) -> Self {
-        Self { addresses: Rc::default(), metrics }
+    /// Creates an empty pool; `opened` counts the connections it opens.
+    pub(crate) fn new(opened: Counter, contact: Option<Rc<Contact>>) -> Self {
+        Self { addresses: Rc::default(), opened, contact }
     }
 
     /// Takes an idle connection, or opens one if fewer than `max_open` are open to the address.
@@ -73,10 +77,13 @@
         // Dropping `pooled`, also while connecting, decrements `open` again.
         let mut pooled =
             PooledConnection { connection: None, address, addresses: Rc::clone(&self.addresses) };
-        self.metrics.connections_opened.inc();
+        self.opened.inc();
         match UpstreamConnection::connect(address, CONNECT_TIMEOUT).await {
             Ok(connection) => {
                 pooled.connection = Some(connection);
+                if let Some(contact) = &self.contact {
+                    contact.record_connected();
+                }
                 Ok(pooled)
             }
             Err(error) => {
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -63,7 +63,7 @@
     /// Number of failed connections in a row, and the end of the backoff.
     connect_failures: Cell<(u32, Option<Instant>)>,
     /// When bytes last arrived.
-    last_active_at: Cell<Option<Instant>>,
+    pub(crate) last_active_at: Cell<Option<Instant>>,
     /// Whether another upstream responded at its address.
     replaced: Cell<bool>,
     /// Weight versions learned from responses, by model.
@@ -271,7 +271,7 @@
     zone: ZoneName,
     /// Represents the zone in bit sets of zones; two zones may share a bit.
     zone_bit: u32,
-    by_service: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
+    pub(crate) by_service: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
     speeds: RefCell<HashMap<ServiceName, Rc<ServiceSpeeds>>>,
     is_listed: Cell<bool>,
 }
