--- a/crates/testkit/src/proxy.rs
+++ b/crates/testkit/src/proxy.rs
@@ -80,6 +80,8 @@
     listener: Mutex<Option<AbortHandle>>,
     /// Keeps the port reserved while the proxy is closed.
     _reservation: Socket,
+    /// A listener that never accepts, with connections that fill its queue, while new connections hang.
+    full_queue: Mutex<Vec<Socket>>,
 }
 
 #[derive(Debug)]
@@ -115,7 +117,13 @@
         let reservation = reserve_port().unwrap();
         let address = reservation.local_addr().unwrap().as_socket().unwrap();
         let listener = listen(&shared, address).unwrap();
-        Self { address, shared, listener: Mutex::new(Some(listener)), _reservation: reservation }
+        Self {
+            address,
+            shared,
+            listener: Mutex::new(Some(listener)),
+            _reservation: reservation,
+            full_queue: Mutex::default(),
+        }
     }
 
     /// Returns the socket address on which the proxy listens.
@@ -184,11 +192,28 @@
 
     /// Refuses new connections and resets existing ones, as when the target's process is gone.
     pub fn close(&self) {
+        self.refuse_new();
+        self.cut(true);
+    }
+
+    /// Refuses new connections; existing ones go on.
+    pub fn refuse_new(&self) {
         if let Some(listener) = lock(&self.listener).take() {
             listener.abort();
             self.wait_until_refused();
         }
-        self.cut(true);
+    }
+
+    /// Lets new connections hang, as behind a partition; existing ones go on.
+    ///
+    /// # Panics
+    /// Panics if the port cannot be listened on.
+    pub fn hang_new(&self) {
+        self.refuse_new();
+        let mut queue = lock(&self.full_queue);
+        if queue.is_empty() {
+            *queue = fill_queue(self.address).unwrap();
+        }
     }
 
     /// Waits until the aborted task has dropped the listener; until then connections are still accepted.
@@ -199,11 +224,12 @@
         }
     }
 
-    /// Listens on the same port again after `close`; does nothing if the proxy is open.
+    /// Listens on the same port again after `close`, `refuse_new` or `hang_new`; does nothing if the proxy is open.
     ///
     /// # Panics
     /// Panics if the earlier listener does not free the port in time.
     pub fn reopen(&self) {
+        lock(&self.full_queue).clear();
         let mut listener = lock(&self.listener);
         if listener.is_none() {
             *listener = Some(listen(&self.shared, self.address).unwrap());
@@ -254,6 +280,25 @@
     Ok(socket)
 }
 
+/// Binds a listener that never accepts, and fills its queue; the kernel then drops further requests for a connection.
+fn fill_queue(address: SocketAddr) -> std::io::Result<Vec<Socket>> {
+    /// More than fit into the queue of a listener with a backlog of 0.
+    const FILLERS: usize = 4;
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    listener.set_reuse_address(true)?;
+    listener.bind(&address.into())?;
+    listener.listen(0)?;
+    let mut sockets = vec![listener];
+    for _ in 0..FILLERS {
+        let filler = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        filler.set_nonblocking(true)?;
+        // Fails with an error that says the connection is in progress.
+        let _ = filler.connect(&address.into());
+        sockets.push(filler);
+    }
+    Ok(sockets)
+}
+
 /// Binds a listener and serves it. Retries for 2 s, since an aborted earlier listener frees the port a little later.
 fn listen(shared: &Arc<Shared>, address: SocketAddr) -> std::io::Result<AbortHandle> {
     const MAX_BIND_ATTEMPTS: usize = 200;
