Let entry nodes ask for others that reach the upstreams

An entry node that reaches no upstream needs to know other entry nodes; so far each control node knows the ones that poll it and tells nobody but the leader how many there are. An entry node of whose control nodes none is current turns to one that answers.

--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod config;
 mod delta;
 mod driver;
+mod entry_nodes;
 mod follow;
 mod framing;
 mod gossip;
--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -53,7 +53,8 @@
             | PeerRequest::PromptOutcomes { .. }
             | PeerRequest::SoftwareOf { .. }
             | PeerRequest::StreamOrigins { .. }
-            | PeerRequest::StreamOrigin { .. } => Purpose::Follow,
+            | PeerRequest::StreamOrigin { .. }
+            | PeerRequest::EntryNodes { .. } => Purpose::Follow,
             PeerRequest::Heartbeat { .. } => Purpose::Heartbeat,
         }
     }
@@ -72,7 +73,8 @@
                 | PeerResponse::PromptOutcomes(..)
                 | PeerResponse::SoftwareOf(..)
                 | PeerResponse::StreamOrigins(..)
-                | PeerResponse::StreamOrigin(..),
+                | PeerResponse::StreamOrigin(..)
+                | PeerResponse::EntryNodes(..),
             ) => Purpose::Follow,
             Ok(PeerResponse::Heartbeat(..)) => Purpose::Heartbeat,
             Err(_) => Purpose::Connection,
--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -98,7 +98,7 @@
     pub(crate) outcome_queue: OutcomeQueue,
     /// Whether a recent poll returned a current configuration and current upstreams; its changes are logged.
     pub(crate) control_contact: watch::Sender<bool>,
-    /// The control node whose poll last succeeded.
+    /// The control node that this node turns to: the last current one or, while none is, one that answers.
     pub(crate) source: watch::Sender<Option<InstanceId>>,
 }
 
@@ -123,6 +123,10 @@
             let is_current = outcome == PollOutcome::Current;
             if is_current {
                 contact.record_current(&source);
+            }
+            // While no control node is current, one that answers is turned to.
+            let is_answering = outcome == PollOutcome::Outdated && !contact.lasts();
+            if is_current || is_answering {
                 self.source.send_replace(Some(source.clone()));
             }
             let in_contact = contact.lasts();
--- a/crates/cluster/src/origins.rs
+++ b/crates/cluster/src/origins.rs
@@ -119,8 +119,8 @@
 /// The nodes to which a node turns with origins, and with questions for them.
 #[derive(Clone, Debug)]
 pub(crate) struct OriginPeers {
-    name: InstanceId,
-    links: Links,
+    pub(crate) name: InstanceId,
+    pub(crate) links: Links,
     /// This node's replica; entry nodes have none.
     replica: watch::Receiver<ReplicaView>,
     /// The control node that an entry node polls.
@@ -202,7 +202,7 @@
     }
 
     /// Returns the control nodes that this node turns to: an entry node the one that it polls, a control node all others.
-    fn targets(&self) -> Vec<InstanceId> {
+    pub(crate) fn targets(&self) -> Vec<InstanceId> {
         let replica = self.replica.borrow();
         match &replica.status {
             Some(status) => status.voters.voters.keys().filter(|name| **name != self.name).cloned().collect(),
@@ -211,7 +211,7 @@
     }
 
     /// Returns whether the targets turn to further nodes.
-    fn spread(&self) -> Spread {
+    pub(crate) fn spread(&self) -> Spread {
         if self.has_replica() { Spread::None } else { Spread::ToControlNodes }
     }
 
--- a/crates/cluster/src/published_upstreams.rs
+++ b/crates/cluster/src/published_upstreams.rs
@@ -109,10 +109,14 @@
 
     /// Returns the number of entry nodes that recently polled this node.
     pub(crate) fn polling_entry_nodes(&self) -> u32 {
+        u32::try_from(self.polling_names().len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the entry nodes that recently polled this node.
+    pub(crate) fn polling_names(&self) -> Vec<InstanceId> {
         let mut inner = self.lock();
         inner.last_polls.retain(|_, last_poll| last_poll.elapsed() < ENTRY_NODE_TIMEOUT);
-        let entry_nodes = inner.last_polls.keys().filter(|name| !self.relays.is_control_node(name)).count();
-        u32::try_from(entry_nodes).unwrap_or(u32::MAX)
+        inner.last_polls.keys().filter(|name| !self.relays.is_control_node(name)).cloned().collect()
     }
 
     /// Records a poll of an entry node.
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -12,9 +12,9 @@
 };
 use daisysill_core::ids::{ConfigVersion, InstanceId, ServiceName, SoftwareVersion, ZoneName};
 use daisysill_wire::peer::{
-    ControlNode, FollowReply, ForwardError, Heartbeat, ObserveReply, ObserveRequest, Peer, PeerRequest,
-    PeerResponse, PromptOutcome, PublishedUpstreams, RelayReply, RelayReport, Spread, StreamOrigin,
-    UpstreamSoftware, UpstreamStart,
+    ControlNode, EntryNodesQuestion, FollowReply, ForwardError, Heartbeat, ObserveReply, ObserveRequest,
+    Peer, PeerRequest, PeerResponse, PromptOutcome, PublishedUpstreams, RelayReply, RelayReport, Spread,
+    StreamOrigin, UpstreamSoftware, UpstreamStart,
 };
 use futures::{FutureExt, StreamExt};
 use tarpc::{
@@ -32,6 +32,7 @@
 use crate::{
     clock::BootInstant,
     driver::{DriverInput, ReplicaView},
+    entry_nodes::{self, CutOffNodes},
     framing::AuthenticatedTransport,
     handshake::{self, SharedKey},
     link::{CallError, set_options},
@@ -75,6 +76,7 @@
     pub(crate) soft_state: Arc<SoftState>,
     pub(crate) relays: Arc<Relays>,
     pub(crate) origin_peers: OriginPeers,
+    pub(crate) cut_off_nodes: CutOffNodes,
     /// Crashes that entry nodes reported to this node, to be passed on to the leader.
     pub(crate) crash_queue: CrashQueue,
     /// Outcomes of prompts, likewise.
@@ -283,6 +285,11 @@
         }
     }
 
+    async fn entry_nodes(self, _: Context, question: EntryNodesQuestion) -> Vec<InstanceId> {
+        let ServerState { published, cut_off_nodes, origin_peers, .. } = self.state.as_ref();
+        entry_nodes::answer(question, published, cut_off_nodes, origin_peers).await
+    }
+
     async fn control_nodes(self, _: Context) -> Vec<ControlNode> {
         if self.state.is_leader() {
             return self.state.relays.reporting(self.state.as_control_node());
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -19,8 +19,9 @@
 };
 
 pub use crate::soft_state::{
-    BrokenPrompt, PromptOutcome, PublishedUpstreams, Spread, StoredPart, StoredPartsUpdate, StreamOrigin,
-    UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware, UpstreamStart,
+    BrokenPrompt, EntryNodesQuestion, PromptOutcome, PublishedUpstreams, Spread, StoredPart,
+    StoredPartsUpdate, StreamOrigin, UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware,
+    UpstreamStart,
 };
 
 value_types! {
@@ -266,4 +267,6 @@
     async fn stream_origins(origins: Vec<StreamOrigin>, spread: Spread);
     /// Returns the software version at which a stream of a service began; `None` if the receiver cannot tell.
     async fn stream_origin(stream: u64, service: ServiceName, spread: Spread) -> Option<SoftwareVersion>;
+    /// Returns some live entry nodes that have not said that they reach no upstream, without the one that asks.
+    async fn entry_nodes(question: EntryNodesQuestion) -> Vec<InstanceId>;
 }
--- a/crates/wire/src/soft_state.rs
+++ b/crates/wire/src/soft_state.rs
@@ -125,6 +125,16 @@
         pub clock_ms: u64,
     }
 
+    /// An entry node's question for other entry nodes that could serve its callers.
+    pub struct EntryNodesQuestion {
+        /// The node that asks.
+        pub node: InstanceId,
+        /// Whether it reaches no upstream, so that the others must not turn to it.
+        pub is_cut_off: bool,
+        /// Whether the receiver asks the other control nodes too.
+        pub spread: Spread,
+    }
+
     /// A request that was running at an upstream when the upstream crashed.
     pub struct UpstreamCrash {
         /// Fingerprint of the request.
--- a/crates/wire/tests/encoded.rs
+++ b/crates/wire/tests/encoded.rs
@@ -22,10 +22,11 @@
     rules::RuleFile,
 };
 use daisysill_wire::peer::{
-    BlockLocation, ConfigDelta, ConfigUpdate, ControlNode, DispatchCount, FollowReply, ForwardError,
-    Heartbeat, HeartbeatEntry, ObserveReply, ObserveRequest, PeerRequest, PeerResponse, PublishedUpstreams,
-    RelayReply, RelayReport, ReportEntry, SoftReport, Spread, StoredPart, StoredPartsUpdate, StreamOrigin,
-    UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware, UpstreamStart,
+    BlockLocation, ConfigDelta, ConfigUpdate, ControlNode, DispatchCount, EntryNodesQuestion, FollowReply,
+    ForwardError, Heartbeat, HeartbeatEntry, ObserveReply, ObserveRequest, PeerRequest, PeerResponse,
+    PublishedUpstreams, RelayReply, RelayReport, ReportEntry, SoftReport, Spread, StoredPart,
+    StoredPartsUpdate, StreamOrigin, UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware,
+    UpstreamStart,
 };
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -360,3 +361,12 @@
     ];
     assert_message_encoded(&responses, include_str!("encoded/software_responses.hex"));
 }
+
+#[test]
+fn questions_for_entry_nodes_keep_their_encoding() {
+    let question = EntryNodesQuestion { node: "n1".into(), is_cut_off: true, spread: Spread::ToControlNodes };
+    let request = PeerRequest::EntryNodes { question };
+    assert_message_encoded(&request, include_str!("encoded/entry_nodes_request.hex"));
+    let response = PeerResponse::EntryNodes(vec!["n2".into()]);
+    assert_message_encoded(&response, include_str!("encoded/entry_nodes_response.hex"));
+}
