Serve callers of an entry node that reaches no upstream through another entry node

Callers of entry nodes that were partitioned from all upstreams were refused: 32 of 549 first tries served where three nodes were cut off, 1976 of 1994 at the others. Cause: a node that could send a request nowhere had no other way to serve it, and tried one upstream after another, each for the 250 ms of a connection. The requests that waited there counted as load of the upstreams, so that others were refused for want of room, at all nodes. Ruled out: overload by callers that repeat (the nodes use a third of their processor time before the cut), and backoff that outlasts the cut (probes fail all the while).

A node that finds itself cut off, a request that needs a new connection while these fail, and one that found only upstreams that can't be reached are now passed on to another entry node over HTTP/1.1, on the second port of the nodes' own range. That node serves them as if they had come to it (keys, admission, retries, deadline = what is left, the attempts made before) and never passes them on; its answer goes back unchanged, streams as they come. One that can't serve either says so, and up to two others are asked. What may have run already is passed on only if it may be repeated. If the caller leaves, the connection between the nodes is closed, and the other node cancels the request. A body without length or chunks never comes from an entry node, so none is taken for complete. The headers that nodes set between each other are read on that port only.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use actix_web::http::header::HeaderMap;
+use actix_web::{HttpRequest, http::header::HeaderMap};
 use bytes::{Bytes, BytesMut};
 use daisysill_core::{
     ids::{InstanceId, ServiceName, SoftwareVersion},
@@ -14,6 +14,7 @@
 
 use crate::{
     header_codec::{HeaderCodec, Prompt, RequestHeaders},
+    peer_headers::{PassedOn, is_peer_header},
     refusal::Refusal,
     upstreams::{PrefixKey, stable_hash},
 };
@@ -46,6 +47,8 @@
     pub fingerprint: u64,
     /// Hashes of the parts of the prompt that other requests may share, each with its model; equal on all nodes.
     pub part_keys: Vec<u64>,
+    /// What another entry node states that passed the request on; `None` if it came from its caller.
+    pub passed_on: Option<PassedOn>,
     /// Time of arrival.
     pub arrived: Instant,
     /// The response must be complete by this time.
@@ -122,6 +125,17 @@
 }
 
 impl AttemptHistory {
+    /// Returns the history of a request that may have been tried before it was passed on to this node.
+    pub(crate) fn after_passing(passed_on: Option<PassedOn>) -> Self {
+        let mut history = Self::default();
+        let attempts = passed_on.map_or(0, |passed_on| passed_on.attempts);
+        for _ in 0..attempts {
+            history.may_have_run += 1;
+            history.sends.begin();
+        }
+        history
+    }
+
     /// Returns the refusal that ends the request now. It states that the request has not run only if that is certain.
     pub(crate) fn refusal(
         &self,
@@ -150,6 +164,26 @@
     target: &str,
     headers: &HeaderMap,
     body: &Bytes,
+) -> Vec<u8> {
+    encode(method, target, headers, body, |name| header_codec.forwards(name))
+}
+
+/// Encodes the head with which a request is passed on to another entry node, with all headers of its caller but the
+/// hop-by-hop ones.
+pub(crate) fn encode_peer_head(http: &HttpRequest, body: &Bytes, passed_on: PassedOn) -> Vec<u8> {
+    let target = http.uri().path_and_query().map_or(http.uri().path(), |target| target.as_str());
+    let mut head = encode(http.method().as_str(), target, http.headers(), body, |_| true);
+    passed_on.encode(&mut head);
+    head.extend_from_slice(b"\r\n");
+    head
+}
+
+fn encode(
+    method: &str,
+    target: &str,
+    headers: &HeaderMap,
+    body: &Bytes,
+    forwards: impl Fn(&str) -> bool,
 ) -> Vec<u8> {
     let mut head = BytesMut::with_capacity(512);
     for part in [method.as_bytes(), b" ", target.as_bytes(), b" HTTP/1.1\r\n"] {
@@ -160,7 +194,8 @@
         let name = name.as_str();
         if is_hop_by_hop(name)
             || connection_headers.iter().any(|token| token == name)
-            || !header_codec.forwards(name)
+            || is_peer_header(name)
+            || !forwards(name)
         {
             continue;
         }
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -17,6 +17,9 @@
         callers: SocketAddr,
         /// Listens for the load balancer's readiness checks.
         readiness: SocketAddr,
+        /// Listens for requests that other entry nodes pass on, on the same port at all of them; `None` where no port
+        /// is free for that.
+        passed_on: Option<SocketAddr>,
     },
     /// Serves operators and holds the replicated log.
     Control {
--- a/crates/gateway/src/contact.rs
+++ b/crates/gateway/src/contact.rs
@@ -33,11 +33,18 @@
     evidence: RefCell<UpstreamContact>,
     reach: Cell<Reach>,
     changed_at: Cell<Instant>,
+    /// Whether another entry node is known, to which requests can be passed on.
+    has_peers: Rc<Cell<bool>>,
 }
 
 impl Default for Contact {
     fn default() -> Self {
-        Self { evidence: RefCell::default(), reach: Cell::default(), changed_at: Cell::new(Instant::now()) }
+        Self {
+            evidence: RefCell::default(),
+            reach: Cell::default(),
+            changed_at: Cell::new(Instant::now()),
+            has_peers: Rc::default(),
+        }
     }
 }
 
@@ -47,6 +54,22 @@
         self.reach.get()
     }
 
+    /// Returns whether another entry node is known.
+    pub(crate) fn has_peers(&self) -> bool {
+        self.has_peers.get()
+    }
+
+    /// Returns where it is recorded whether another entry node is known.
+    pub(crate) fn peers_flag(&self) -> Rc<Cell<bool>> {
+        Rc::clone(&self.has_peers)
+    }
+
+    /// Returns whether requests may open connections to upstreams. While connections fail, requests that need one are
+    /// passed on at once, and probes show when upstreams can be reached again.
+    pub(crate) fn may_connect(&self) -> bool {
+        self.reach.get() == Reach::InTouch || !self.has_peers.get()
+    }
+
     /// Returns for how long that has been so.
     pub(crate) fn unchanged_for(&self) -> Duration {
         self.changed_at.get().elapsed()
@@ -129,15 +152,12 @@
 
 /// Connects to an upstream, and closes the connection at once.
 async fn probe(gateway: Rc<Gateway>, upstream: Rc<Upstream>) {
-    match UpstreamConnection::connect(upstream.entry.address, PROBE_TIMEOUT).await {
-        Ok(_) => {
-            gateway.metrics.record_probe("connected");
-            gateway.contact.record_connected();
-        }
-        Err(_) => {
-            gateway.metrics.record_probe("failed");
-            gateway.contact.record_failure(&upstream, gateway.now_ms());
-        }
+    if UpstreamConnection::connect(upstream.entry.address, PROBE_TIMEOUT).await.is_ok() {
+        gateway.metrics.record_probe("connected");
+        gateway.contact.record_connected();
+    } else {
+        gateway.metrics.record_probe("failed");
+        gateway.contact.record_failure(&upstream, gateway.now_ms());
     }
 }
 
--- a/crates/gateway/src/entry_node.rs
+++ b/crates/gateway/src/entry_node.rs
@@ -18,6 +18,7 @@
     forward::Gateway,
     header_codec::HeaderCodec,
     metrics::GatewayMetrics,
+    request_handler::Origin,
     stop::{BALANCER_NOTICE, KILL_MARGIN, stop_requested},
     upstreams::Upstreams,
 };
@@ -37,6 +38,7 @@
     pub(crate) gateway: Rc<Gateway>,
     readiness_port: u16,
     metrics_port: u16,
+    passed_on_port: Option<u16>,
     /// Set when the signal to stop arrives.
     pub(crate) stopping: Arc<OnceLock<Instant>>,
     /// Result of the last readiness check.
@@ -58,7 +60,7 @@
     format: Arc<dyn DocumentFormat>,
     discovery: D,
 ) -> eyre::Result<()> {
-    let Role::Entry { callers, readiness } = config.role else {
+    let Role::Entry { callers, readiness, passed_on } = config.role else {
         eyre::bail!("the settings are not those of an entry node");
     };
     let (cluster, peers) = Cluster::start(config.cluster()).await?;
@@ -76,6 +78,7 @@
                 cluster.clone(),
                 config.bounds.clone(),
                 upstreams,
+                passed_on.map(|address| address.port()),
                 metrics.clone(),
             ));
             spawn_tasks(&gateway, Arc::clone(&format), discovery.clone());
@@ -83,6 +86,7 @@
                 gateway,
                 readiness_port: readiness.port(),
                 metrics_port: config.metrics.port(),
+                passed_on_port: passed_on.map(|address| address.port()),
                 stopping: Arc::clone(&stopping),
                 was_ready: Cell::new(false),
             })
@@ -92,7 +96,7 @@
             let state = STATE.with(|state| Rc::clone(state.get_or_init(&start)));
             App::new().app_data(state).default_service(web::to(handle))
         };
-        HttpServer::new(app)
+        let server = HttpServer::new(app)
             .workers(1)
             .backlog(BACKLOG)
             .h1_allow_half_closed(false)
@@ -102,8 +106,11 @@
             .shutdown_timeout(shutdown_timeout.as_secs().max(1))
             .bind(callers)?
             .bind(readiness)?
-            .bind(metrics_address)?
-            .run()
+            .bind(metrics_address)?;
+        match passed_on {
+            Some(address) => server.bind(address)?.run(),
+            None => server.run(),
+        }
     };
     let handle = server.handle();
     let serving = actix_rt::spawn(server);
@@ -133,7 +140,8 @@
             .content_type("text/plain; version=0.0.4")
             .body(state.gateway.metrics.render());
     }
-    state.serve(&request, payload).await
+    let origin = if state.passed_on_port == Some(port) { Origin::EntryNode } else { Origin::Caller };
+    state.serve(&request, payload, origin).await
 }
 
 impl EntryState {
--- /dev/null
+++ b/crates/gateway/src/entry_peers.rs
@@ -0,0 +1,145 @@
+//! The other entry nodes, which serve this node's callers while it does not reach the upstreams.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use daisysill_core::{ids::InstanceId, upstream_contact::Reach};
+use tokio::time::{Instant, sleep};
+
+use crate::{forward::Gateway, metrics::GatewayMetrics, pool::Pool};
+
+/// Interval at which this node checks whether it has to ask for the other entry nodes.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two questions while this node reaches the upstreams.
+const LIST_INTERVAL: Duration = Duration::from_secs(10);
+/// The same while it knows no other entry node.
+const FIRST_LIST_INTERVAL: Duration = Duration::from_secs(2);
+/// The same while it does not reach the upstreams; the answers leave out the nodes that are cut off too.
+const CUT_OFF_LIST_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which a node is not turned to after it could not serve a request, unless no other is left.
+const AVOID_TIME: Duration = Duration::from_secs(1);
+/// Maximum number of this node's requests in progress at one other entry node.
+const MAX_REQUESTS_PER_NODE: usize = 256;
+
+/// The other entry nodes as last listed, with what this node's requests showed of them.
+#[derive(Debug)]
+pub(crate) struct EntryPeers {
+    /// Port on which all entry nodes take requests of each other; `None` if the deployment has none.
+    port: Option<u16>,
+    addresses: RefCell<Vec<SocketAddr>>,
+    /// Number of this node's requests in progress at each.
+    in_flight: Rc<RefCell<HashMap<SocketAddr, usize>>>,
+    /// Until when each is not turned to.
+    avoided: RefCell<HashMap<SocketAddr, Instant>>,
+    pool: Pool,
+    is_known: Rc<Cell<bool>>,
+}
+
+impl EntryPeers {
+    /// Starts without other entry nodes; `is_known` tells whether there are any.
+    pub(crate) fn new(port: Option<u16>, metrics: &GatewayMetrics, is_known: Rc<Cell<bool>>) -> Self {
+        Self {
+            port,
+            addresses: RefCell::default(),
+            in_flight: Rc::default(),
+            avoided: RefCell::default(),
+            pool: Pool::new(metrics.peer_connections.clone(), None),
+            is_known,
+        }
+    }
+
+    /// Returns the connections to the other entry nodes.
+    pub(crate) fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
+    /// Returns the maximum number of connections to one other entry node.
+    pub(crate) const fn max_connections() -> usize {
+        MAX_REQUESTS_PER_NODE
+    }
+
+    /// Chooses an entry node that was not tried: one that could serve requests lately before one that could not, then
+    /// the one with the fewest requests of this node.
+    pub(crate) fn choose(&self, tried: &[SocketAddr]) -> Option<ChosenPeer> {
+        let now = Instant::now();
+        let avoided = self.avoided.borrow();
+        let in_flight = self.in_flight.borrow();
+        let addresses = self.addresses.borrow();
+        let untried = addresses.iter().filter(|address| !tried.contains(address));
+        let load_of = |address: &SocketAddr| in_flight.get(address).copied().unwrap_or(0);
+        let chosen =
+            untried.filter(|address| load_of(address) < MAX_REQUESTS_PER_NODE).min_by_key(|address| {
+                let is_avoided = avoided.get(address).is_some_and(|until| now < *until);
+                (is_avoided, load_of(address), rand::random::<u32>())
+            });
+        let address = *chosen?;
+        drop(in_flight);
+        *self.in_flight.borrow_mut().entry(address).or_default() += 1;
+        Some(ChosenPeer { address, in_flight: Rc::clone(&self.in_flight) })
+    }
+
+    /// Records that an entry node could not serve a request of this node.
+    pub(crate) fn avoid(&self, address: SocketAddr) {
+        self.avoided.borrow_mut().insert(address, Instant::now() + AVOID_TIME);
+    }
+
+    /// Replaces the list by the named nodes; an empty list says only that nobody could be asked.
+    fn replace(&self, names: &[InstanceId]) {
+        let Some(port) = self.port else { return };
+        let parsed = names.iter().filter_map(|name| name.as_str().parse::<SocketAddr>().ok());
+        let addresses: Vec<SocketAddr> = parsed.map(|peer| SocketAddr::new(peer.ip(), port)).collect();
+        if addresses.is_empty() {
+            return;
+        }
+        let listed: HashSet<SocketAddr> = addresses.iter().copied().collect();
+        self.avoided.borrow_mut().retain(|address, _| listed.contains(address));
+        self.is_known.set(true);
+        *self.addresses.borrow_mut() = addresses;
+    }
+}
+
+/// An entry node that was chosen; counts a request as in progress there until it is dropped.
+#[derive(Debug)]
+pub(crate) struct ChosenPeer {
+    pub(crate) address: SocketAddr,
+    in_flight: Rc<RefCell<HashMap<SocketAddr, usize>>>,
+}
+
+impl Drop for ChosenPeer {
+    fn drop(&mut self) {
+        let mut in_flight = self.in_flight.borrow_mut();
+        let Some(count) = in_flight.get_mut(&self.address) else { return };
+        *count -= 1;
+        if *count == 0 {
+            in_flight.remove(&self.address);
+        }
+    }
+}
+
+/// Follows the list of entry nodes until the task is aborted; while this node reaches no upstream, the control nodes learn
+/// so with each question.
+pub(crate) async fn follow_entry_peers(gateway: Rc<Gateway>) {
+    let mut asked: Option<(Instant, Reach)> = None;
+    let peers = &gateway.peers;
+    while peers.port.is_some() {
+        let reach = gateway.contact.reach();
+        let interval = match (reach, peers.is_known.get()) {
+            (Reach::NoNewConnections | Reach::CutOff, _) => CUT_OFF_LIST_INTERVAL,
+            (Reach::InTouch, true) => LIST_INTERVAL,
+            (Reach::InTouch, false) => FIRST_LIST_INTERVAL,
+        };
+        if asked.is_none_or(|(at, before)| at.elapsed() >= interval || before != reach) {
+            asked = Some((Instant::now(), reach));
+            let names = gateway.cluster.entry_nodes(reach != Reach::InTouch).await;
+            peers.replace(&names);
+            let listed = peers.addresses.borrow().clone();
+            peers.pool.sweep(|address| listed.contains(address));
+        }
+        sleep(CHECK_INTERVAL).await;
+    }
+}
--- a/crates/gateway/src/entry_tasks.rs
+++ b/crates/gateway/src/entry_tasks.rs
@@ -8,6 +8,7 @@
 use crate::{
     contact::watch_contact,
     discovery::{Discovery, DocumentFormat, ListedUpstream},
+    entry_peers::follow_entry_peers,
     forward::Gateway,
 };
 
@@ -51,6 +52,7 @@
     actix_rt::spawn(poll_list_fallback(Rc::clone(gateway), discovery));
     actix_rt::spawn(report_loads(Rc::clone(gateway)));
     actix_rt::spawn(watch_contact(Rc::clone(gateway)));
+    actix_rt::spawn(follow_entry_peers(Rc::clone(gateway)));
     let gateway = Rc::clone(gateway);
     actix_rt::spawn(async move {
         loop {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -17,6 +17,7 @@
     retry_budget::RetryBudget,
     routing::{Customer, Route, RoutingTable},
     slot_share::SlotShare,
+    upstream_contact::Reach,
     wait_queue::WaitQueue,
     zone_reachability::ZoneReachability,
 };
@@ -30,6 +31,7 @@
     config::Bounds,
     contact::Contact,
     duration::millis,
+    entry_peers::EntryPeers,
     exchange::{AttemptError, OutgoingRequest, UpstreamResponse, attempt},
     header_codec::{AttemptHeaders, HeaderCodec},
     metrics::GatewayMetrics,
@@ -73,6 +75,8 @@
     pub(crate) zone_reachability: RefCell<ZoneReachability>,
     /// How this node reaches the upstreams.
     pub(crate) contact: Rc<Contact>,
+    /// The other entry nodes.
+    pub(crate) peers: EntryPeers,
     /// Notified whenever a request is no longer in flight at its upstream.
     pub(crate) request_ended: Rc<Notify>,
     /// Parts whose saving this node requested recently, and when.
@@ -98,12 +102,14 @@
 }
 
 impl Gateway {
-    /// Starts without a configuration; `upstreams` is normally still empty.
+    /// Starts without a configuration; `upstreams` is normally still empty. On `peer_port` entry nodes take requests of
+    /// each other.
     pub fn new(
         header_codec: Arc<dyn HeaderCodec>,
         cluster: ClusterHandle,
         bounds: Bounds,
         upstreams: Upstreams,
+        peer_port: Option<u16>,
         metrics: GatewayMetrics,
     ) -> Self {
         let contact = Rc::new(Contact::default());
@@ -114,6 +120,7 @@
             routing: RoutingState::default(),
             upstreams,
             pool: Pool::new(metrics.connections_opened.clone(), Some(Rc::clone(&contact))),
+            peers: EntryPeers::new(peer_port, &metrics, contact.peers_flag()),
             contact,
             metrics,
             budgets: RefCell::default(),
@@ -182,8 +189,14 @@
             if let Some(refusal) = self.block_refusal(request, history) {
                 return Err(refusal);
             }
+            if self.passes_on(request) && self.contact.reach() == Reach::CutOff {
+                return Err(self.no_upstream_refusal(history, last_error));
+            }
             let chosen = match self.place(request, history) {
                 Placement::At(chosen) => chosen,
+                Placement::NoCapacity if self.passes_on(request) => {
+                    return Err(self.no_capacity_refusal(request, history));
+                }
                 Placement::NoCapacity if self.wait_for_capacity(request, history).await => continue,
                 Placement::NoCapacity => return Err(self.no_capacity_refusal(request, history)),
                 Placement::RateLimited(wait) if self.wait_for_rate_limit(request, history, wait).await => {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,6 +37,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a request that was passed on to another entry node.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct PassedOnLabels {
+    /// `answered`, `unable` for each node that could not serve it either, `broken`, `timed_out` or `caller_left`.
+    pub outcome: &'static str,
+}
+
 /// Labels of the body of a stream.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct StreamBodyLabels {
@@ -75,6 +82,12 @@
     pub lost_upstream_contact: Gauge,
     /// Connections that only showed whether an upstream can be reached.
     pub contact_probes: Family<ProbeLabels, Counter>,
+    /// Requests that were passed on to other entry nodes.
+    pub passed_on: Family<PassedOnLabels, Counter>,
+    /// Requests that other entry nodes passed on to this one.
+    pub taken_over: Counter,
+    /// Connections to other entry nodes that were begun, also if they failed.
+    pub peer_connections: Counter,
     /// Time from the arrival of a request to the head of the response.
     pub answer_seconds: Histogram,
     registry: Arc<Registry>,
@@ -96,6 +109,9 @@
         let rate_limited_upstreams = Gauge::default();
         let lost_upstream_contact = Gauge::default();
         let contact_probes = Family::<ProbeLabels, Counter>::default();
+        let passed_on = Family::<PassedOnLabels, Counter>::default();
+        let taken_over = Counter::default();
+        let peer_connections = Counter::default();
         let answer_seconds = Histogram::new(exponential_buckets(0.002, 2.0, 14));
         let mut registry = Registry::with_prefix("daisysill_gateway");
         registry.register("requests", "Requests finished", requests.clone());
@@ -117,6 +133,9 @@
             "Probes whether upstreams can be reached",
             contact_probes.clone(),
         );
+        registry.register("passed_on", "Requests passed on to other entry nodes", passed_on.clone());
+        registry.register("taken_over", "Requests of other entry nodes", taken_over.clone());
+        registry.register("peer_connections", "Connections to other entry nodes", peer_connections.clone());
         let time = "Time from arrival to the head of the answer";
         registry.register_with_unit("answer", time, Unit::Seconds, answer_seconds.clone());
         cluster.register(&mut registry);
@@ -134,6 +153,9 @@
             rate_limited_upstreams,
             lost_upstream_contact,
             contact_probes,
+            passed_on,
+            taken_over,
+            peer_connections,
             answer_seconds,
             registry: Arc::new(registry),
         }
@@ -154,6 +176,11 @@
         self.contact_probes.get_or_create(&ProbeLabels { outcome }).inc();
     }
 
+    /// Counts a request that was passed on to another entry node.
+    pub(crate) fn record_passed_on(&self, outcome: &'static str) {
+        self.passed_on.get_or_create(&PassedOnLabels { outcome }).inc();
+    }
+
     /// Counts the body of a stream that ended as its framing says.
     pub(crate) fn record_stream_body(&self, framing: Framing, is_inside_event: bool) {
         let ended_at = if is_inside_event { "inside_event" } else { "event_boundary" };
--- /dev/null
+++ b/crates/gateway/src/pass_on.rs
@@ -0,0 +1,274 @@
+//! Passes a request on to another entry node while this one does not reach the upstreams, and its response back.
+
+use std::{rc::Rc, time::Duration};
+
+use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder, body::BodyStream, http::header::HeaderName};
+use bytes::{Bytes, BytesMut};
+use daisysill_core::{result_code::ResultCode, upstream_contact::Reach};
+use futures::stream::{Stream, unfold};
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    caller_request::{AttemptHistory, CallerRequest, encode_peer_head},
+    entry_node::EntryState,
+    entry_peers::{ChosenPeer, EntryPeers},
+    forward::Gateway,
+    http_head::{Framing, ResponseHead},
+    peer_headers::{PassedOn, UNABLE, is_peer_header},
+    pool::PooledConnection,
+    refusal::Refusal,
+    refusal_rules::deadline_refusal,
+    relay::StreamBroken,
+    request_handler::{MAX_BUFFERED_RESPONSE_BYTES, may_retry},
+};
+
+/// Entry nodes that are asked to serve one request.
+const MAX_PEERS: usize = 3;
+
+/// What became of a request at another entry node.
+enum PeerOutcome {
+    /// The response, whose body is yet to be read.
+    Answered(Box<PeerResponse>),
+    /// The node could not be reached, or could not serve the request either; nothing has run there.
+    Unable,
+    /// The connection broke; the request may have run.
+    Broken,
+}
+
+/// A response of another entry node.
+struct PeerResponse {
+    head: ResponseHead,
+    pooled: PooledConnection,
+    peer: ChosenPeer,
+}
+
+impl PeerResponse {
+    /// Reads the next bytes of the body, the inner `None` at its end; the outer one if it broke or the deadline passed.
+    async fn read_body(&mut self, deadline: Instant) -> Option<Option<Bytes>> {
+        let connection = self.pooled.get().ok()?;
+        timeout_at(deadline, connection.read_body()).await.ok()?.ok()
+    }
+}
+
+impl Gateway {
+    /// Returns whether requests may be passed on now: this node does not reach the upstreams, and knows another entry node.
+    pub(crate) fn passes_on(&self, request: &CallerRequest) -> bool {
+        request.passed_on.is_none() && self.contact.reach() != Reach::InTouch && self.contact.has_peers()
+    }
+
+    /// Returns whether a refused request may be passed on: upstreams could not be reached, and it may still run.
+    fn may_pass_on(&self, request: &CallerRequest, history: &AttemptHistory, refusal: &Refusal) -> bool {
+        if request.passed_on.is_some() {
+            return false;
+        }
+        let may_run = history.may_have_run == 0
+            || (may_retry(request) && history.may_have_run < request.route.max_attempts);
+        let only_unreachable = history.unreachable > 0 && history.refusals == 0;
+        let for_want_of_upstreams = match refusal.code {
+            ResultCode::NoUpstream | ResultCode::UpstreamFailed | ResultCode::StreamNotResumable => {
+                only_unreachable || self.contact.reach() != Reach::InTouch
+            }
+            ResultCode::DeadlineUnreachable => self.contact.reach() != Reach::InTouch,
+            _ => false,
+        };
+        may_run && for_want_of_upstreams && request.time_left() > Duration::ZERO
+    }
+}
+
+impl EntryState {
+    /// Passes a refused request on where that may help; otherwise returns the refusal.
+    pub(crate) async fn pass_on_refused(
+        &self,
+        http: &HttpRequest,
+        request: &Rc<CallerRequest>,
+        history: &mut AttemptHistory,
+        refusal: Refusal,
+    ) -> Result<HttpResponse, Refusal> {
+        if !self.gateway.may_pass_on(request, history, &refusal) {
+            return Err(refusal);
+        }
+        self.pass_on(http, request, history).await.unwrap_or(Err(refusal))
+    }
+
+    /// Passes a request on to other entry nodes, one after another; `None` if none of them could serve it.
+    pub(crate) async fn pass_on(
+        &self,
+        http: &HttpRequest,
+        request: &Rc<CallerRequest>,
+        history: &mut AttemptHistory,
+    ) -> Option<Result<HttpResponse, Refusal>> {
+        let gateway = &self.gateway;
+        let mut tried = Vec::new();
+        while tried.len() < MAX_PEERS {
+            let peer = gateway.peers.choose(&tried)?;
+            let address = peer.address;
+            tried.push(address);
+            let sent = timeout_at(request.deadline, exchange(gateway, http, request, history, peer)).await;
+            let Ok(outcome) = sent else {
+                gateway.metrics.record_passed_on("timed_out");
+                history.may_have_run += 1;
+                return Some(Err(deadline_refusal(history)));
+            };
+            match outcome {
+                PeerOutcome::Answered(response) => match self.answer(request, *response).await {
+                    Some(answer) => return Some(Ok(answer)),
+                    None => gateway.metrics.record_passed_on("broken"),
+                },
+                PeerOutcome::Unable => {
+                    gateway.metrics.record_passed_on("unable");
+                    gateway.peers.avoid(address);
+                    continue;
+                }
+                PeerOutcome::Broken => {
+                    gateway.metrics.record_passed_on("broken");
+                    gateway.peers.avoid(address);
+                }
+            }
+            history.may_have_run += 1;
+            if !may_retry(request) || history.may_have_run >= request.route.max_attempts {
+                let reason = format!("the connection to entry node {address} broke");
+                return Some(Err(Refusal::new(ResultCode::UpstreamFailed, reason)));
+            }
+        }
+        None
+    }
+
+    /// Returns the response to the caller; `None` if it ended early and nothing of it was sent.
+    async fn answer(&self, request: &Rc<CallerRequest>, response: PeerResponse) -> Option<HttpResponse> {
+        let metrics = &self.gateway.metrics;
+        tracing::info!(
+            event = "passed_on",
+            request_id = request.headers.request_id.as_deref(),
+            to = %response.peer.address,
+            reach = self.gateway.contact.reach().name(),
+            status = response.head.status.as_u16(),
+            framing = response.head.framing.name(),
+            after_ms = request.arrived.elapsed().as_millis(),
+        );
+        let mut builder = self.forwarded_head(&response.head);
+        match response.head.framing {
+            Framing::Chunked => {
+                let body = PeerBody::new(Rc::clone(&self.gateway), request.deadline, response);
+                Some(builder.body(BodyStream::new(Box::pin(body.into_stream()))))
+            }
+            Framing::Length(_) => {
+                let body = read_whole(request.deadline, response).await?;
+                metrics.in_flight.dec();
+                metrics.record_result("passed_on");
+                metrics.record_passed_on("answered");
+                Some(builder.body(body))
+            }
+            // An entry node never sends such a body, whose end could not be told from a broken connection.
+            Framing::UntilClose => None,
+        }
+    }
+
+    /// Starts a response with the status and the headers of an upstream or another entry node.
+    pub(crate) fn forwarded_head(&self, head: &ResponseHead) -> HttpResponseBuilder {
+        let mut builder = HttpResponse::build(head.status);
+        let named = head
+            .headers
+            .iter()
+            .filter_map(|(name, value)| Some((HeaderName::from_bytes(name).ok()?, value.as_ref())));
+        for (name, value) in named.filter(|(name, _)| !is_peer_header(name.as_str())) {
+            builder.append_header((name, value));
+        }
+        if self.closes_connections() {
+            builder.force_close();
+        }
+        builder
+    }
+}
+
+/// Sends a request to another entry node and reads the head of the response.
+async fn exchange(
+    gateway: &Gateway,
+    http: &HttpRequest,
+    request: &CallerRequest,
+    history: &AttemptHistory,
+    peer: ChosenPeer,
+) -> PeerOutcome {
+    let pool = gateway.peers.pool();
+    let checkout = pool.checkout(peer.address, EntryPeers::max_connections(), request.at_most_once());
+    let Ok(mut pooled) = checkout.await else { return PeerOutcome::Unable };
+    let passed_on = PassedOn {
+        deadline_ms: u64::try_from(request.time_left().as_millis()).unwrap_or(u64::MAX),
+        attempts: history.may_have_run,
+    };
+    let head = encode_peer_head(http, &request.body, passed_on);
+    let Ok(connection) = pooled.get() else { return PeerOutcome::Unable };
+    if let Err((sent, _)) = connection.write_request(&head, &request.body).await {
+        return if sent == 0 { PeerOutcome::Unable } else { PeerOutcome::Broken };
+    }
+    let is_unable = |headers: &[httparse::Header<'_>]| {
+        headers.iter().any(|header| header.name.eq_ignore_ascii_case(UNABLE))
+    };
+    match connection.read_head(&request.method, is_unable).await {
+        Ok((_, true)) => PeerOutcome::Unable,
+        Ok((head, false)) => PeerOutcome::Answered(Box::new(PeerResponse { head, pooled, peer })),
+        Err(_) => PeerOutcome::Broken,
+    }
+}
+
+/// Reads the whole body; `None` if it ends early or too late, or is too large.
+async fn read_whole(deadline: Instant, mut response: PeerResponse) -> Option<Bytes> {
+    let mut whole = BytesMut::new();
+    while let Some(bytes) = response.read_body(deadline).await? {
+        whole.extend_from_slice(&bytes);
+        if whole.len() > MAX_BUFFERED_RESPONSE_BYTES {
+            return None;
+        }
+    }
+    response.pooled.release();
+    Some(whole.freeze())
+}
+
+/// The body of another entry node's response, which is sent to the caller as it arrives.
+struct PeerBody {
+    gateway: Rc<Gateway>,
+    deadline: Instant,
+    response: Option<PeerResponse>,
+    outcome: &'static str,
+}
+
+impl PeerBody {
+    fn new(gateway: Rc<Gateway>, deadline: Instant, response: PeerResponse) -> Self {
+        Self { gateway, deadline, response: Some(response), outcome: "caller_left" }
+    }
+
+    fn into_stream(self) -> impl Stream<Item = Result<Bytes, StreamBroken>> {
+        unfold(self, |mut body| async move {
+            let item = body.next().await?;
+            Some((item, body))
+        })
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, StreamBroken>> {
+        let response = self.response.as_mut()?;
+        match response.read_body(self.deadline).await {
+            Some(Some(bytes)) => Some(Ok(bytes)),
+            Some(None) => {
+                self.outcome = "answered";
+                if let Some(response) = self.response.take() {
+                    response.pooled.release();
+                }
+                None
+            }
+            None => {
+                self.outcome = "broken";
+                // Closes the connection, so that the other node cancels the request.
+                self.response = None;
+                Some(Err(StreamBroken))
+            }
+        }
+    }
+}
+
+impl Drop for PeerBody {
+    fn drop(&mut self) {
+        let metrics = &self.gateway.metrics;
+        metrics.in_flight.dec();
+        metrics.record_result(if self.outcome == "answered" { "passed_on" } else { "stream_broken" });
+        metrics.record_passed_on(self.outcome);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peer_headers.rs
@@ -0,0 +1,44 @@
+//! The headers that entry nodes set between each other, in addition to those of the caller and of the upstream.
+//!
+//! They are read from requests on the listener for entry nodes only, and never forwarded to callers or upstreams.
+
+use std::io::Write;
+
+use actix_web::http::header::HeaderMap;
+
+/// Begins the name of each such header.
+const PREFIX: &str = "x-daisysill-peer-";
+/// Time left for the request, in ms.
+const DEADLINE_MS: &str = "x-daisysill-peer-deadline-ms";
+/// Number of upstreams that may have run the request.
+const ATTEMPTS: &str = "x-daisysill-peer-attempts";
+/// In a response: the node could not serve the request, and another may.
+pub(crate) const UNABLE: &str = "x-daisysill-peer-unable";
+
+/// What an entry node states about a request that it passes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PassedOn {
+    /// Time left for the request.
+    pub deadline_ms: u64,
+    /// Number of upstreams that may have run it.
+    pub attempts: u32,
+}
+
+impl PassedOn {
+    /// Reads the headers; `None` if they are missing or invalid.
+    pub(crate) fn decode(headers: &HeaderMap) -> Option<Self> {
+        let text = |name: &str| headers.get(name)?.to_str().ok();
+        Some(Self { deadline_ms: text(DEADLINE_MS)?.parse().ok()?, attempts: text(ATTEMPTS)?.parse().ok()? })
+    }
+
+    /// Appends the header lines, each with its line end.
+    pub(crate) fn encode(&self, out: &mut Vec<u8>) {
+        // Writing to a vector cannot fail.
+        let _ = write!(out, "{DEADLINE_MS}: {}\r\n{ATTEMPTS}: {}\r\n", self.deadline_ms, self.attempts);
+    }
+}
+
+/// Returns whether a header with this lower-case name is one that only entry nodes set.
+pub(crate) fn is_peer_header(name: &str) -> bool {
+    name.starts_with(PREFIX)
+}
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -19,7 +19,7 @@
 pub(crate) enum CheckoutError {
     /// This node has as many open connections to the upstream as it may.
     LimitReached,
-    /// The upstream did not accept a new connection in time.
+    /// The upstream did not accept a new connection in time, or none was tried since all of them fail.
     ConnectFailed,
 }
 
@@ -66,6 +66,9 @@
                 addresses: Rc::clone(&self.addresses),
             });
         }
+        if self.contact.as_ref().is_some_and(|contact| !contact.may_connect()) {
+            return Err(CheckoutError::ConnectFailed);
+        }
         {
             let mut addresses = self.addresses.borrow_mut();
             let pool = addresses.pools.entry(address).or_default();
--- a/crates/gateway/src/refusal_rules.rs
+++ b/crates/gateway/src/refusal_rules.rs
@@ -44,7 +44,9 @@
                 return Some(Refusal::new(ResultCode::UpstreamFailed, error.name()));
             }
         }
-        let refused = history.refusals > MAX_REFUSALS || history.unreachable > MAX_UNREACHABLE;
+        let is_passed_on = error == AttemptError::NotSent && self.passes_on(request);
+        let refused =
+            is_passed_on || history.refusals > MAX_REFUSALS || history.unreachable > MAX_UNREACHABLE;
         refused.then(|| self.no_upstream_refusal(history, Some(error)))
     }
 
@@ -88,6 +90,15 @@
     }
 }
 
+/// Returns the refusal of a request at a node that reaches no upstream, and knows no entry node that does.
+pub(crate) fn cut_off_refusal(history: &AttemptHistory) -> Refusal {
+    history.refusal(
+        ResultCode::NoUpstream,
+        "neither this node nor another one reaches an upstream",
+        NO_UPSTREAM_RETRY_MS,
+    )
+}
+
 /// Returns the refusal of a request whose deadline has passed.
 pub(crate) fn deadline_refusal(history: &AttemptHistory) -> Refusal {
     if history.may_have_run > 0 {
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -3,22 +3,30 @@
 
 use std::{rc::Rc, time::Duration};
 
-use actix_web::{HttpRequest, HttpResponse, body::BodyStream, http::header::HeaderName, web};
+use actix_web::{
+    HttpRequest, HttpResponse,
+    body::BodyStream,
+    http::header::{HeaderName, HeaderValue},
+    web,
+};
 use bytes::{Bytes, BytesMut};
-use daisysill_core::{ids::SoftwareVersion, result_code::ResultCode, routing::CallKind};
+use daisysill_core::{
+    ids::SoftwareVersion, result_code::ResultCode, routing::CallKind, upstream_contact::Reach,
+};
 use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::{
     caller_request::{AttemptHistory, CallerRequest, encode_head, fingerprint, part_keys},
     entry_node::EntryState,
     exchange::UpstreamResponse,
+    peer_headers::{PassedOn, UNABLE},
     refusal::Refusal,
-    refusal_rules::deadline_refusal,
+    refusal_rules::{cut_off_refusal, deadline_refusal},
     relay::relay,
 };
 
 /// Maximum size of a response that is buffered before it is relayed.
-const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
+pub(crate) const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
 /// Maximum size of a request body until the first configuration arrives.
 const DEFAULT_BODY_BYTES: usize = 1_024 * 1_024;
 /// Requests that arrive later than this after the signal to stop are refused: they might not finish before the process
@@ -27,19 +35,33 @@
 /// Short, since the caller's next connection leads to another node.
 const STOP_RETRY_MS: u64 = 20;
 
+/// Where a request came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// Its caller.
+    Caller,
+    /// Another entry node, which passed it on.
+    EntryNode,
+}
+
 impl EntryState {
     /// Returns whether responses close the caller's connection, so that the load balancer can pick another node.
-    fn closes_connections(&self) -> bool {
+    pub(crate) fn closes_connections(&self) -> bool {
         self.stopping.get().is_some() || !self.was_ready.get()
     }
 
-    /// Serves one request; refusals are counted and logged here.
-    pub(crate) async fn serve(&self, http: &HttpRequest, payload: web::Payload) -> HttpResponse {
+    /// Serves one request, which came from `origin`; refusals are counted and logged here.
+    pub(crate) async fn serve(
+        &self,
+        http: &HttpRequest,
+        payload: web::Payload,
+        origin: Origin,
+    ) -> HttpResponse {
         let arrived = Instant::now();
         self.gateway.metrics.in_flight.inc();
         let request_id = http.headers().get("x-request-id").and_then(|id| id.to_str().ok());
-        let result = match self.read_request(http, payload, arrived).await {
-            Ok(request) => self.forward(Rc::new(request)).await,
+        let result = match self.read_request(http, payload, arrived, origin).await {
+            Ok(request) => self.forward(http, Rc::new(request)).await,
             Err(refusal) => Err(refusal),
         };
         match result {
@@ -56,17 +78,33 @@
                     reason = refusal.reason,
                     after_ms = arrived.elapsed().as_millis(),
                 );
-                refusal.response(request_id, self.closes_connections())
+                let mut response = refusal.response(request_id, self.closes_connections());
+                if origin == Origin::EntryNode && self.is_unable(&refusal) {
+                    response
+                        .headers_mut()
+                        .insert(HeaderName::from_static(UNABLE), HeaderValue::from_static("1"));
+                }
+                response
             }
         }
     }
 
+    /// Returns whether a refusal is for a reason of this node only, so that another entry node may serve the request.
+    fn is_unable(&self, refusal: &Refusal) -> bool {
+        match refusal.code {
+            ResultCode::ShuttingDown | ResultCode::NoQuorum => true,
+            ResultCode::NoUpstream => self.gateway.contact.reach() != Reach::InTouch,
+            _ => false,
+        }
+    }
+
     /// Reads the body, then admits the request and picks its service.
     async fn read_request(
         &self,
         http: &HttpRequest,
         payload: web::Payload,
         arrived: Instant,
+        origin: Origin,
     ) -> Result<CallerRequest, Refusal> {
         let gateway = &self.gateway;
         let limit = gateway.routing.table().map_or(DEFAULT_BODY_BYTES, |table| table.limits().body_bytes);
@@ -100,7 +138,15 @@
         let method = http.method().as_str().to_owned();
         let target = http.uri().path_and_query().map_or(path, |target| target.as_str());
         let head = encode_head(gateway.header_codec.0.as_ref(), &method, target, http.headers(), &body);
-        let wait_ms = headers.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+        let passed_on = match origin {
+            Origin::Caller => None,
+            Origin::EntryNode => {
+                gateway.metrics.taken_over.inc();
+                Some(decode_passed_on(http)?)
+            }
+        };
+        let left_ms = passed_on.map_or(u64::MAX, |passed_on| passed_on.deadline_ms);
+        let wait_ms = headers.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms).min(left_ms);
         Ok(CallerRequest {
             fingerprint: fingerprint(path, customer.as_deref(), &body),
             part_keys: part_keys(headers.prompt.as_ref()),
@@ -112,15 +158,27 @@
             route,
             service,
             customer,
+            passed_on,
             arrived,
         })
     }
 
-    async fn forward(&self, request: Rc<CallerRequest>) -> Result<HttpResponse, Refusal> {
+    async fn forward(&self, http: &HttpRequest, request: Rc<CallerRequest>) -> Result<HttpResponse, Refusal> {
         let gateway = &self.gateway;
+        let mut history = AttemptHistory::after_passing(request.passed_on);
+        if gateway.contact.reach() == Reach::CutOff
+            && (request.passed_on.is_some() || gateway.passes_on(&request))
+        {
+            let answer = match request.passed_on {
+                None => self.pass_on(http, &request, &mut history).await,
+                Some(_) => None,
+            };
+            return answer.unwrap_or_else(|| Err(cut_off_refusal(&history)));
+        }
         let software = gateway.software_requirement(&request).await?;
         let resumed_at = request.takes_up_stream().then_some(request.arrived);
-        let mut history = AttemptHistory { software, resumed_at, ..AttemptHistory::default() };
+        history.software = software;
+        history.resumed_at = resumed_at;
         loop {
             let resume_after = request.headers.resume_after.as_deref();
             let sending = gateway.send(&request, &mut history, resume_after);
@@ -129,7 +187,10 @@
                 history.may_have_run += 1;
                 return Err(deadline_refusal(&history));
             };
-            let response = sent?;
+            let response = match sent {
+                Ok(response) => response,
+                Err(refusal) => return self.pass_on_refused(http, &request, &mut history, refusal).await,
+            };
             if response.head.status.is_server_error()
                 && Self::try_elsewhere(&request, &mut history, &response)
             {
@@ -236,23 +297,20 @@
     }
 
     fn response_head(&self, response: &UpstreamResponse) -> actix_web::HttpResponseBuilder {
-        let mut builder = HttpResponse::build(response.head.status);
-        for (name, value) in &response.head.headers {
-            if let Ok(name) = HeaderName::from_bytes(name) {
-                builder.append_header((name, value.as_ref()));
-            }
-        }
-        if self.closes_connections() {
-            builder.force_close();
-        }
-        builder
+        self.forwarded_head(&response.head)
     }
 }
 
-fn may_retry(request: &CallerRequest) -> bool {
+pub(crate) fn may_retry(request: &CallerRequest) -> bool {
     matches!(request.route.kind, CallKind::Idempotent | CallKind::Stream { resumable: true })
 }
 
+/// Reads the statements of the entry node that passed the request on.
+fn decode_passed_on(http: &HttpRequest) -> Result<PassedOn, Refusal> {
+    let missing = || Refusal::new(ResultCode::BodyMalformed, "not passed on by an entry node");
+    PassedOn::decode(http.headers()).ok_or_else(missing)
+}
+
 async fn read_full_body(response: &mut UpstreamResponse) -> Option<Bytes> {
     let connection = response.pooled.get().ok()?;
     let mut whole = BytesMut::new();
