--- a/crates/cluster/tests/relays.rs
+++ b/crates/cluster/tests/relays.rs
@@ -107,6 +107,14 @@
     }
 }
 
+async fn wait_async(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let start = Instant::now();
+    while !condition().await {
+        assert!(start.elapsed() < LIMIT, "timed out: {what}");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
 fn load(requests: u32) -> UpstreamLoad {
     UpstreamLoad { upstream: 9, requests, tokens: 100, pending_prefill_tokens: 10, ..UpstreamLoad::default() }
 }
@@ -324,3 +332,22 @@
         assert_eq!(entry.stream_origin(7, &"lyric".into()).await, None);
     }
 }
+
+/// Guards against an entry node that is cut off from the upstreams and does not learn which others its callers could be
+/// served by, also in other zones, or that turns to one which is cut off too.
+#[tokio::test]
+async fn entry_nodes_learn_of_others_that_reach_the_upstreams() {
+    let nodes = TestNodes::start(11).await;
+    nodes.settle().await;
+    let (asking, cut_off) = (&nodes.entries[0][0], &nodes.entries[1][1]);
+    let expected = |without: usize| (ENTRY_NODES as usize) - without;
+    wait_async("all other entry nodes", async || asking.entry_nodes(true).await.len() == expected(1)).await;
+    let seen_by_cut_off = cut_off.entry_nodes(true).await;
+    assert_eq!(
+        seen_by_cut_off.len(),
+        expected(2),
+        "neither itself nor the one that is cut off: {seen_by_cut_off:?}"
+    );
+    assert_eq!(asking.entry_nodes(false).await.len(), expected(2), "all know which one is cut off");
+    assert_eq!(cut_off.entry_nodes(false).await.len(), expected(1), "the first one is in touch again");
+}
