Report no crash of an upstream whose node has lost its links

A node that loses its links finds that upstreams whose connections broke accept no new ones, and reported each as a crash under the request that ran there. Now the failed check counts as evidence against the node's own links, and a crash is reported only if they are found sound in the next 400 ms.

lost_links_are_no_crashes_of_upstreams failed before (crash_seen for requests that were running when the links were reset).

--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -3,12 +3,14 @@
 use std::{rc::Rc, time::Duration};
 
 use daisysill_cluster::BootInstant;
+use daisysill_core::upstream_contact::Reach;
 use daisysill_wire::peer::UpstreamCrash;
 use tokio::time::sleep;
 
 use crate::{
     caller_request::{AttemptHistory, CallerRequest},
     connection::UpstreamConnection,
+    duration::millis,
     exchange::{AttemptError, UpstreamResponse},
     forward::Gateway,
     placement::ChosenUpstream,
@@ -19,6 +21,8 @@
 const MIN_SAMPLE_TOKENS: u64 = 1_500;
 /// Delay between a broken connection and the check for a crash of its upstream.
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(150);
+/// Time in which this node notices that it has lost its links to all upstreams, which looks the same.
+const LOST_LINKS_CHECK_DELAY: Duration = Duration::from_millis(400);
 /// Time for a new connection in that check.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -108,8 +112,9 @@
         }
     }
 
-    /// Reports a crash under the request if its upstream, whose connection broke, accepts no new connection.
-    pub(crate) fn check_for_crash(&self, request: &CallerRequest, upstream: &Upstream) {
+    /// Reports a crash under the request if its upstream, whose connection broke, accepts no new connection although this
+    /// node reaches others.
+    pub(crate) fn check_for_crash(&self, request: &CallerRequest, upstream: &Rc<Upstream>) {
         let cluster = self.cluster.clone();
         let address = upstream.entry.address;
         let crash = UpstreamCrash {
@@ -121,9 +126,15 @@
         let parts = request.part_keys.clone();
         let broke_at = BootInstant::now();
         let sent_at = broke_at.checked_sub(request.arrived.elapsed()).unwrap_or(broke_at);
+        let (contact, upstream, now_ms) = (Rc::clone(&self.contact), Rc::clone(upstream), self.now_ms());
         actix_rt::spawn(async move {
             sleep(CRASH_CHECK_DELAY).await;
             if UpstreamConnection::connect(address, CRASH_CHECK_TIMEOUT).await.is_err() {
+                contact.record_failure(&upstream, now_ms + millis(broke_at.elapsed()));
+                sleep(LOST_LINKS_CHECK_DELAY).await;
+                if contact.reach() != Reach::InTouch {
+                    return;
+                }
                 tracing::info!(
                     event = "crash_seen",
                     request_id,
