Withhold what a node without links to upstreams says about them

A node that is cut off reported the upstreams that it tried as unreachable; two such nodes of a zone are believed by the others, which then turned to the upstreams that had not been reported. The reports are withheld while its links are lost, and backoffs end when they are back. Seen in the code; no test shows it.

--- a/crates/gateway/src/contact.rs
+++ b/crates/gateway/src/contact.rs
@@ -11,6 +11,7 @@
 use daisysill_core::{
     ids::ZoneName,
     upstream_contact::{Observation, Reach, UpstreamContact},
+    zone_reachability::ZoneReachability,
 };
 use rand::seq::SliceRandom;
 use tokio::time::{Instant, sleep};
@@ -141,8 +142,12 @@
         sleep(CHECK_INTERVAL).await;
         let seen = gateway.upstreams.observe();
         let now_ms = gateway.now_ms();
+        let was_in_touch = gateway.contact.reach() == Reach::InTouch;
         gateway.contact.judge(&seen, now_ms);
         let is_in_touch = gateway.contact.reach() == Reach::InTouch;
+        if is_in_touch && !was_in_touch {
+            gateway.forget_failed_connections();
+        }
         metrics.lost_upstream_contact.set(i64::from(!is_in_touch));
         for upstream in gateway.contact.choose_probes(&gateway.upstreams, &seen, now_ms) {
             actix_rt::spawn(probe(Rc::clone(&gateway), upstream));
@@ -161,6 +166,14 @@
     }
 }
 
+impl Gateway {
+    /// Ends the backoff of upstreams and zones after this node's own links have failed.
+    fn forget_failed_connections(&self) {
+        self.upstreams.all().iter().for_each(|upstream| upstream.connect_failures.set((0, None)));
+        *self.zone_reachability.borrow_mut() = ZoneReachability::default();
+    }
+}
+
 impl Upstreams {
     /// Returns all listed upstreams.
     fn all(&self) -> Vec<Rc<Upstream>> {
--- a/crates/gateway/src/prompt_parts.rs
+++ b/crates/gateway/src/prompt_parts.rs
@@ -7,6 +7,7 @@
     link_booking::{BookingId, may_wait},
     placement::ChosenCandidate,
     routing::EngineSpec,
+    upstream_contact::Reach,
 };
 use daisysill_wire::peer::UpstreamLoad;
 use tokio::time::Instant;
@@ -153,6 +154,10 @@
     /// Returns this node's load report: its requests at upstreams, and its fetches from stores.
     pub(crate) fn load_report(&self) -> Vec<UpstreamLoad> {
         let mut loads = self.upstreams.loads();
+        if self.contact.reach() != Reach::InTouch {
+            // The links of this node are lost; that says nothing about the upstreams.
+            loads.iter_mut().for_each(|load| load.unreachable_from = 0);
+        }
         let booked = self.link_bookings.borrow_mut().totals(self.now_ms());
         let store_load =
             |(store, tokens)| UpstreamLoad { upstream: u64::from(store), tokens, ..UpstreamLoad::default() };
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -61,7 +61,7 @@
     /// The decaying number of failures and when it was last updated.
     failures: Cell<(f64, Option<Instant>)>,
     /// Number of failed connections in a row, and the end of the backoff.
-    connect_failures: Cell<(u32, Option<Instant>)>,
+    pub(crate) connect_failures: Cell<(u32, Option<Instant>)>,
     /// When bytes last arrived.
     pub(crate) last_active_at: Cell<Option<Instant>>,
     /// Whether another upstream responded at its address.
