--- a/crates/core/src/upstream_contact.rs
+++ b/crates/core/src/upstream_contact.rs
@@ -9,12 +9,14 @@
 
 /// Different upstreams, and zones, to which connections must have failed; all if fewer are listed.
 const MIN_FAILED: usize = 3;
+/// The same for probes, while bytes arrive from others: one upstream that crashed is no reason to probe.
+const MIN_FAILED_TO_PROBE: usize = 2;
 /// Failures before this time are no longer evidence; longer than the time between two probes and their timeout.
 const FAILURE_WINDOW_MS: u64 = 1_500;
 /// Time without a byte from any upstream after which the open connections count as lost too, and after which waiting
 /// requests are a reason to probe.
 const SILENCE_MS: u64 = 300;
-/// Time between two probes once a connection has failed.
+/// Time between two probes once connections have failed.
 const PROBE_INTERVAL_MS: u64 = 200;
 /// Time between two probes while no upstream sends anything, but no connection has failed. Upstreams may take seconds to
 /// answer.
@@ -124,10 +126,11 @@
     /// Returns to how many upstreams a connection is to be tried now, only to learn whether they can be reached.
     pub fn probes_due(&mut self, seen: &Observation, now_ms: u64) -> usize {
         let waits = seen.longest_wait_ms >= SILENCE_MS && seen.is_silent();
-        let (probes, interval_ms) = match (self.failures.is_empty(), waits) {
-            (false, _) => (MIN_FAILED, PROBE_INTERVAL_MS),
-            (true, true) => (1, SILENCE_PROBE_INTERVAL_MS),
-            (true, false) => return 0,
+        let min_failed = if seen.is_silent() { 1 } else { MIN_FAILED_TO_PROBE.min(seen.upstreams.max(1)) };
+        let (probes, interval_ms) = match (self.failures.len() >= min_failed, waits) {
+            (true, _) => (MIN_FAILED, PROBE_INTERVAL_MS),
+            (false, true) => (1, SILENCE_PROBE_INTERVAL_MS),
+            (false, false) => return 0,
         };
         if self.probed_at_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < interval_ms) {
             return 0;
--- a/crates/core/tests/upstream_contact.rs
+++ b/crates/core/tests/upstream_contact.rs
@@ -65,9 +65,12 @@
     assert_eq!(contact.probes_due(&SILENT, NOW_MS), 1);
     assert_eq!(contact.probes_due(&SILENT, NOW_MS + 499), 0);
     contact.record_failure(&"a".into(), &"east".into(), NOW_MS + 250);
+    assert_eq!(contact.probes_due(&answers, NOW_MS + 250), 0, "one upstream that crashed");
     assert_eq!(contact.probes_due(&idle, NOW_MS + 250), 3);
     assert_eq!(contact.probes_due(&idle, NOW_MS + 449), 0);
     assert_eq!(contact.probes_due(&idle, NOW_MS + 450), 3);
+    contact.record_failure(&"b".into(), &"east".into(), NOW_MS + 500);
+    assert_eq!(contact.probes_due(&answers, NOW_MS + 650), 3);
 }
 
 /// Guards against probes that go to upstreams and zones that have just failed while others were not tried.
