Pass requests on to nodes with the same or a newer configuration only

A node that lags behind would have handled a request by rules that no longer hold at the node which its caller reached; it now says that it can't serve it, and another one is asked. A request at a node in touch is passed on only if connections to all upstreams of its service failed: one that found the node's own share of connections used up was passed on too, which only moves load. Both seen in the code.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -47,6 +47,8 @@
     pub fingerprint: u64,
     /// Hashes of the parts of the prompt that other requests may share, each with its model; equal on all nodes.
     pub part_keys: Vec<u64>,
+    /// Version of the routing document that admitted it.
+    pub config_version: u64,
     /// What another entry node states that passed the request on; `None` if it came from its caller.
     pub passed_on: Option<PassedOn>,
     /// Time of arrival.
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -4,7 +4,7 @@
 
 use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder, body::BodyStream, http::header::HeaderName};
 use bytes::{Bytes, BytesMut};
-use daisysill_core::{result_code::ResultCode, upstream_contact::Reach};
+use daisysill_core::{ids::ServiceName, result_code::ResultCode, upstream_contact::Reach};
 use futures::stream::{Stream, unfold};
 use tokio::time::{Instant, timeout_at};
 
@@ -56,6 +56,12 @@
         request.passed_on.is_none() && self.contact.reach() != Reach::InTouch && self.contact.has_peers()
     }
 
+    /// Returns whether connections to all upstreams of a service that accept requests failed recently.
+    fn reaches_none_of(&self, service: &ServiceName) -> bool {
+        let accepting = self.upstreams.accepting(service);
+        !accepting.is_empty() && accepting.iter().all(|upstream| upstream.is_unreachable())
+    }
+
     /// Returns whether a refused request may be passed on: upstreams could not be reached, and it may still run.
     fn may_pass_on(&self, request: &CallerRequest, history: &AttemptHistory, refusal: &Refusal) -> bool {
         if request.passed_on.is_some() {
@@ -63,7 +69,7 @@
         }
         let may_run = history.may_have_run == 0
             || (may_retry(request) && history.may_have_run < request.route.max_attempts);
-        let only_unreachable = history.unreachable > 0 && history.refusals == 0;
+        let only_unreachable = history.refusals == 0 && self.reaches_none_of(&request.service);
         let for_want_of_upstreams = match refusal.code {
             ResultCode::NoUpstream | ResultCode::UpstreamFailed | ResultCode::StreamNotResumable => {
                 only_unreachable || self.contact.reach() != Reach::InTouch
@@ -194,6 +200,7 @@
     let passed_on = PassedOn {
         deadline_ms: u64::try_from(request.time_left().as_millis()).unwrap_or(u64::MAX),
         attempts: history.may_have_run,
+        config_version: request.config_version,
     };
     let head = encode_peer_head(http, &request.body, passed_on);
     let Ok(connection) = pooled.get() else { return PeerOutcome::Unable };
--- a/crates/gateway/src/peer_headers.rs
+++ b/crates/gateway/src/peer_headers.rs
@@ -12,6 +12,8 @@
 const DEADLINE_MS: &str = "x-daisysill-peer-deadline-ms";
 /// Number of upstreams that may have run the request.
 const ATTEMPTS: &str = "x-daisysill-peer-attempts";
+/// Version of the routing document by which the request was admitted.
+const CONFIG_VERSION: &str = "x-daisysill-peer-config-version";
 /// In a response: the node could not serve the request, and another may.
 pub(crate) const UNABLE: &str = "x-daisysill-peer-unable";
 
@@ -22,19 +24,29 @@
     pub deadline_ms: u64,
     /// Number of upstreams that may have run it.
     pub attempts: u32,
+    /// Version of the routing document by which it was admitted; a node with an older one must not serve it.
+    pub config_version: u64,
 }
 
 impl PassedOn {
     /// Reads the headers; `None` if they are missing or invalid.
     pub(crate) fn decode(headers: &HeaderMap) -> Option<Self> {
         let text = |name: &str| headers.get(name)?.to_str().ok();
-        Some(Self { deadline_ms: text(DEADLINE_MS)?.parse().ok()?, attempts: text(ATTEMPTS)?.parse().ok()? })
+        Some(Self {
+            deadline_ms: text(DEADLINE_MS)?.parse().ok()?,
+            attempts: text(ATTEMPTS)?.parse().ok()?,
+            config_version: text(CONFIG_VERSION)?.parse().ok()?,
+        })
     }
 
     /// Appends the header lines, each with its line end.
     pub(crate) fn encode(&self, out: &mut Vec<u8>) {
         // Writing to a vector cannot fail.
-        let _ = write!(out, "{DEADLINE_MS}: {}\r\n{ATTEMPTS}: {}\r\n", self.deadline_ms, self.attempts);
+        let _ = write!(
+            out,
+            "{DEADLINE_MS}: {}\r\n{ATTEMPTS}: {}\r\n{CONFIG_VERSION}: {}\r\n",
+            self.deadline_ms, self.attempts, self.config_version
+        );
     }
 }
 
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -21,7 +21,7 @@
     exchange::UpstreamResponse,
     peer_headers::{PassedOn, UNABLE},
     refusal::Refusal,
-    refusal_rules::{cut_off_refusal, deadline_refusal},
+    refusal_rules::{STALE_RETRY_MS, cut_off_refusal, deadline_refusal},
     relay::relay,
 };
 
@@ -123,6 +123,18 @@
         let Some(table) = gateway.first_table(arrived).await else {
             return Err(Refusal::not_run(ResultCode::NoQuorum, "no configuration yet", 500));
         };
+        let passed_on = match origin {
+            Origin::Caller => None,
+            Origin::EntryNode => {
+                gateway.metrics.taken_over.inc();
+                Some(decode_passed_on(http)?)
+            }
+        };
+        if passed_on.is_some_and(|passed_on| passed_on.config_version > table.version()) {
+            let reason =
+                format!("the configuration {} is older than that of the entry node", table.version());
+            return Err(Refusal::not_run(ResultCode::NoQuorum, reason, STALE_RETRY_MS));
+        }
         let headers = gateway
             .header_codec
             .0
@@ -138,13 +150,6 @@
         let method = http.method().as_str().to_owned();
         let target = http.uri().path_and_query().map_or(path, |target| target.as_str());
         let head = encode_head(gateway.header_codec.0.as_ref(), &method, target, http.headers(), &body);
-        let passed_on = match origin {
-            Origin::Caller => None,
-            Origin::EntryNode => {
-                gateway.metrics.taken_over.inc();
-                Some(decode_passed_on(http)?)
-            }
-        };
         let left_ms = passed_on.map_or(u64::MAX, |passed_on| passed_on.deadline_ms);
         let wait_ms = headers.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms).min(left_ms);
         Ok(CallerRequest {
@@ -158,6 +163,7 @@
             route,
             service,
             customer,
+            config_version: table.version(),
             passed_on,
             arrived,
         })
