State that a request may have run once the connection to an entry node broke

If the connection broke and no other entry node could serve the request, the refusal of this node's own attempts was sent, which may state that it has not run.

--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -96,7 +96,8 @@
         self.pass_on(http, request, history).await.unwrap_or(Err(refusal))
     }
 
-    /// Passes a request on to other entry nodes, one after another; `None` if none of them could serve it.
+    /// Passes a request on to other entry nodes, one after another; `None` if none of them could serve it and it has not run
+    /// at any.
     pub(crate) async fn pass_on(
         &self,
         http: &HttpRequest,
@@ -105,8 +106,9 @@
     ) -> Option<Result<HttpResponse, Refusal>> {
         let gateway = &self.gateway;
         let mut tried = Vec::new();
+        let mut may_have_run = false;
         while tried.len() < MAX_PEERS {
-            let peer = gateway.peers.choose(&tried)?;
+            let Some(peer) = gateway.peers.choose(&tried) else { break };
             let address = peer.address;
             tried.push(address);
             let sent = timeout_at(request.deadline, exchange(gateway, http, request, history, peer)).await;
@@ -130,13 +132,16 @@
                     gateway.peers.avoid(address);
                 }
             }
+            may_have_run = true;
             history.may_have_run += 1;
             if !may_retry(request) || history.may_have_run >= request.route.max_attempts {
-                let reason = format!("the connection to entry node {address} broke");
-                return Some(Err(Refusal::new(ResultCode::UpstreamFailed, reason)));
+                break;
             }
         }
-        None
+        may_have_run.then(|| {
+            let reason = format!("the connection to an entry node broke; asked {tried:?}");
+            Err(Refusal::new(ResultCode::UpstreamFailed, reason))
+        })
     }
 
     /// Returns the response to the caller; `None` if it ended early and nothing of it was sent.
