--- a/crates/gateway/src/contact.rs
+++ b/crates/gateway/src/contact.rs
@@ -169,7 +169,9 @@
 impl Gateway {
     /// Ends the backoff of upstreams and zones after this node's own links have failed.
     fn forget_failed_connections(&self) {
-        self.upstreams.all().iter().for_each(|upstream| upstream.connect_failures.set((0, None)));
+        for upstream in self.upstreams.all() {
+            upstream.connect_failures.set((0, None));
+        }
         *self.zone_reachability.borrow_mut() = ZoneReachability::default();
     }
 }
--- a/crates/gateway/src/prompt_parts.rs
+++ b/crates/gateway/src/prompt_parts.rs
@@ -156,7 +156,9 @@
         let mut loads = self.upstreams.loads();
         if self.contact.reach() != Reach::InTouch {
             // The links of this node are lost; that says nothing about the upstreams.
-            loads.iter_mut().for_each(|load| load.unreachable_from = 0);
+            for load in &mut loads {
+                load.unreachable_from = 0;
+            }
         }
         let booked = self.link_bookings.borrow_mut().totals(self.now_ms());
         let store_load =
--- a/crates/testkit/tests/proxy.rs
+++ b/crates/testkit/tests/proxy.rs
@@ -168,3 +168,21 @@
     proxy.reopen();
     assert!(echoes(&mut connect(&proxy), LONG));
 }
+
+/// Guards against a cut that also ends open connections, or that new connections pass.
+#[test]
+fn new_connections_hang_or_are_refused_while_open_ones_work() {
+    let proxy = Proxy::start(Some(start_echo_server()));
+    let mut old = connect(&proxy);
+    assert!(echoes(&mut old, LONG), "the proxy has accepted it");
+    proxy.hang_new();
+    let hangs = TcpStream::connect_timeout(&proxy.address(), SHORT).unwrap_err();
+    assert_eq!(hangs.kind(), ErrorKind::TimedOut);
+    assert!(echoes(&mut old, LONG));
+    proxy.reopen();
+    assert!(echoes(&mut connect(&proxy), LONG));
+    proxy.refuse_new();
+    let refused = TcpStream::connect_timeout(&proxy.address(), LONG).unwrap_err();
+    assert_eq!(refused.kind(), ErrorKind::ConnectionRefused);
+    assert!(echoes(&mut old, LONG));
+}
