--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -54,6 +54,7 @@
             | PeerRequest::SoftwareOf { .. }
             | PeerRequest::StreamOrigins { .. }
             | PeerRequest::StreamOrigin { .. }
+            | PeerRequest::TargetAges { .. }
             | PeerRequest::EntryNodes { .. } => Purpose::Follow,
             PeerRequest::Heartbeat { .. } => Purpose::Heartbeat,
         }
@@ -74,6 +75,7 @@
                 | PeerResponse::SoftwareOf(..)
                 | PeerResponse::StreamOrigins(..)
                 | PeerResponse::StreamOrigin(..)
+                | PeerResponse::TargetAges(..)
                 | PeerResponse::EntryNodes(..),
             ) => Purpose::Follow,
             Ok(PeerResponse::Heartbeat(..)) => Purpose::Heartbeat,
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -14,7 +14,7 @@
 use daisysill_wire::peer::{
     ControlNode, EntryNodesQuestion, FollowReply, ForwardError, Heartbeat, ObserveReply, ObserveRequest,
     Peer, PeerRequest, PeerResponse, PromptOutcome, PublishedUpstreams, RelayReply, RelayReport, Spread,
-    StreamOrigin, UpstreamSoftware, UpstreamStart,
+    StreamOrigin, TargetAge, UpstreamSoftware, UpstreamStart,
 };
 use futures::{FutureExt, StreamExt};
 use tarpc::{
@@ -285,6 +285,10 @@
         }
     }
 
+    async fn target_ages(self, _: Context) -> Vec<TargetAge> {
+        self.state.views.target_ages.ages()
+    }
+
     async fn entry_nodes(self, _: Context, question: EntryNodesQuestion) -> Vec<InstanceId> {
         let ServerState { published, cut_off_nodes, origin_peers, .. } = self.state.as_ref();
         entry_nodes::answer(question, published, cut_off_nodes, origin_peers).await
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,10 +12,9 @@
 
 use crate::{
     connection::{ReadError, UpstreamConnection},
-    header_codec::{AttemptHeaders, HeaderCodec, ResponseHeaders},
+    header_codec::{AttemptHeaders, HeaderCodec, ResponseHeaders, ResponseHints},
     http_head::ResponseHead,
     pool::{CheckoutError, Pool, PooledConnection},
-    rate_limit::LimitChange,
     upstreams::{InFlight, Upstream},
 };
 
@@ -33,6 +32,8 @@
     NotSent,
     /// This node has used its share of the upstream's connections.
     NoConnectionLeft,
+    /// The upstream stated that it takes no more requests while a connection was opened; nothing was written.
+    Withdrawn,
     /// The upstream states that it did not run the request.
     Refused,
     /// The upstream at the address is another one or has other weights than expected; it did not run the request.
@@ -49,6 +50,7 @@
         match self {
             Self::NotSent => "not_sent",
             Self::NoConnectionLeft => "no_connection_left",
+            Self::Withdrawn => "withdrawn",
             Self::Refused => "refused",
             Self::Misdirected => "misdirected",
             Self::Broken => "broken",
@@ -58,12 +60,15 @@
 
     /// Returns whether it is certain that the request has not run.
     pub(crate) const fn has_not_run(self) -> bool {
-        matches!(self, Self::NotSent | Self::NoConnectionLeft | Self::Refused | Self::Misdirected)
+        matches!(
+            self,
+            Self::NotSent | Self::NoConnectionLeft | Self::Withdrawn | Self::Refused | Self::Misdirected
+        )
     }
 
     /// Returns whether the upstream may have received bytes of the request.
     pub(crate) const fn was_sent(self) -> bool {
-        !matches!(self, Self::NotSent | Self::NoConnectionLeft)
+        !matches!(self, Self::NotSent | Self::NoConnectionLeft | Self::Withdrawn)
     }
 }
 
@@ -103,6 +108,8 @@
     pub(crate) max_connections: usize,
     /// Time until the head of the response must have arrived.
     pub(crate) head_timeout: Duration,
+    /// Entry nodes that share the upstream.
+    pub(crate) entry_nodes: u32,
 }
 
 /// Sends a request to an upstream and reads the head of the response. `request_ended` is notified when the request is
@@ -145,7 +152,7 @@
     not_executed: bool,
     sealed: bool,
     weight_version: Option<WeightVersion>,
-    rate_limit_per_s: Option<f64>,
+    hints: ResponseHints,
 }
 
 impl AnswerHeaders {
@@ -155,7 +162,7 @@
             not_executed: headers.not_executed,
             sealed: headers.sealed,
             weight_version: headers.weight_version,
-            rate_limit_per_s: headers.rate_limit_per_s,
+            hints: headers.hints,
         }
     }
 }
@@ -163,10 +170,14 @@
 async fn send_and_read(
     header_codec: &dyn HeaderCodec,
     mut pooled: PooledConnection,
-    in_flight: InFlight,
+    mut in_flight: InFlight,
     head: &[u8],
     outgoing: &OutgoingRequest<'_>,
 ) -> Result<UpstreamResponse, AttemptError> {
+    if !in_flight.upstream.accepts_requests() || in_flight.upstream.hints().pause.is_on() {
+        pooled.release();
+        return Err(AttemptError::Withdrawn);
+    }
     let connection = pooled.get().map_err(|_| AttemptError::NotSent)?;
     let sent_at = Instant::now();
     if let Err((sent, _)) = connection.write_request(head, outgoing.body).await {
@@ -187,31 +198,30 @@
         }
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         let is_forged = head.status.is_success() && !answer.sealed;
+        let hints = in_flight.upstream.hints();
         if !misdirected && !is_forged {
-            record_rate_limit(&in_flight.upstream, answer.rate_limit_per_s, sent_at);
+            hints.record(in_flight.upstream.entry.id.as_str(), &answer.hints, sent_at);
+        }
+        if head.status == StatusCode::SERVICE_UNAVAILABLE {
+            hints.record_unavailable(in_flight.upstream.entry.id.as_str(), answer.hints.retry_after);
+        }
+        let refused = answer.not_executed && !head.status.is_success();
+        if refused && !misdirected {
+            hints.rejections.record_rejection(outgoing.entry_nodes);
         }
-        if misdirected || (answer.not_executed && !head.status.is_success()) {
+        if misdirected || refused {
             if discard_body(connection).await {
                 pooled.release();
             }
             return Err(if misdirected { AttemptError::Misdirected } else { AttemptError::Refused });
         }
+        in_flight.mark_run();
         let AnswerHeaders { weight_version, sealed, .. } = answer;
         return Ok(UpstreamResponse { head, weight_version, sealed, pooled, in_flight });
     }
     Err(AttemptError::Broken)
 }
 
-/// Records the rate limit that a response names, and logs each change.
-fn record_rate_limit(upstream: &Upstream, named_per_s: Option<f64>, sent_at: Instant) {
-    let Some(change) = upstream.rate_limit().record(named_per_s, sent_at) else { return };
-    let limit_per_s = match change {
-        LimitChange::Named { per_s } => Some(per_s),
-        LimitChange::Lifted => None,
-    };
-    tracing::info!(event = "limit_named", upstream = upstream.entry.id.as_str(), limit_per_s);
-}
-
 /// Reads a body that nobody needs; returns whether it was read to its end, so that its connection can be used again.
 async fn discard_body(connection: &mut UpstreamConnection) -> bool {
     let read_to_end = async {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -238,7 +238,7 @@
             self.with_budget(&request.service, RetryBudget::record_first_send);
         }
         let left = request.time_left();
-        let head_timeout = self.attempt_timeout(request, history, left);
+        let head_timeout = self.attempt_timeout(request, history, left).min(self.time_on_weights(chosen));
         let headers = AttemptHeaders {
             deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
             upstream: &chosen.upstream.entry.id,
@@ -259,6 +259,7 @@
             tokens: request.tokens(),
             max_connections: self.max_connections(&request.service),
             head_timeout,
+            entry_nodes: self.peak_entry_nodes(),
         };
         let started = Instant::now();
         let header_codec = self.header_codec.0.as_ref();
@@ -294,6 +295,9 @@
             tracing::info!(
                 event = "prompt",
                 request_id = request.headers.request_id.as_deref(),
+                version = chosen.version.map(|version| version.0),
+                target_version = chosen.target.map(|target| target.0),
+                outdated_ms = chosen.outdated.and_then(|outdated| outdated.age).map(millis),
                 shared_tokens = chosen.prefix.map(|(_, tokens)| tokens),
                 cached_tokens = chosen.cached_tokens,
                 fetched_tokens = transfers.fetched_tokens(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -78,6 +78,12 @@
     pub waits_for_room: Counter,
     /// Upstreams that name a rate limit, as this node knows them.
     pub rate_limited_upstreams: Gauge,
+    /// Upstreams of services that name a limit on rejections, as this node knows them.
+    pub rejection_limited_upstreams: Gauge,
+    /// Listed upstreams that have stated that they leave, as this node knows them.
+    pub leaving_upstreams: Gauge,
+    /// Upstreams that asked this node for a pause which lasts.
+    pub paused_upstreams: Gauge,
     /// 1 while new connections to upstreams fail in all zones, 0 otherwise.
     pub lost_upstream_contact: Gauge,
     /// Connections that only showed whether an upstream can be reached.
@@ -107,6 +113,9 @@
         let late_fetches = Counter::default();
         let waits_for_room = Counter::default();
         let rate_limited_upstreams = Gauge::default();
+        let rejection_limited_upstreams = Gauge::default();
+        let leaving_upstreams = Gauge::default();
+        let paused_upstreams = Gauge::default();
         let lost_upstream_contact = Gauge::default();
         let contact_probes = Family::<ProbeLabels, Counter>::default();
         let passed_on = Family::<PassedOnLabels, Counter>::default();
@@ -126,6 +135,16 @@
         registry.register("waits_for_room", "Waits of requests for a place", waits_for_room.clone());
         let rate_limited = "Upstreams that name a rate limit";
         registry.register("rate_limited_upstreams", rate_limited, rate_limited_upstreams.clone());
+        let rejection_limited = "Upstreams of services that name a limit on rejections";
+        registry.register(
+            "rejection_limited_upstreams",
+            rejection_limited,
+            rejection_limited_upstreams.clone(),
+        );
+        let leaving = "Listed upstreams that have stated that they leave";
+        registry.register("leaving_upstreams", leaving, leaving_upstreams.clone());
+        let paused = "Upstreams that asked this node for a pause which lasts";
+        registry.register("paused_upstreams", paused, paused_upstreams.clone());
         let lost_contact = "Whether new connections to upstreams fail in all zones";
         registry.register("lost_upstream_contact", lost_contact, lost_upstream_contact.clone());
         registry.register(
@@ -151,6 +170,9 @@
             late_fetches,
             waits_for_room,
             rate_limited_upstreams,
+            rejection_limited_upstreams,
+            leaving_upstreams,
+            paused_upstreams,
             lost_upstream_contact,
             contact_probes,
             passed_on,
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -77,7 +77,7 @@
                     self.now_ms(),
                 );
             }
-            AttemptError::NoConnectionLeft => history.unreachable += 1,
+            AttemptError::NoConnectionLeft | AttemptError::Withdrawn => history.unreachable += 1,
             AttemptError::Refused => {
                 history.refusals += 1;
                 upstream.record_failure();
@@ -105,8 +105,8 @@
         let model = request.headers.prompt.as_ref().map(|prompt| prompt.model.as_str());
         let target = model.and_then(|model| self.routing.target_version(model));
         match (model, target, chosen.version) {
-            (Some(model), Some(target), Some(sent)) if sent < target.version => {
-                chosen.upstream.record_version(model, target.version);
+            (Some(model), Some(target), Some(sent)) if sent < target => {
+                chosen.upstream.record_version(model, target);
             }
             _ => chosen.upstream.mark_replaced(),
         }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -7,9 +7,11 @@
     time::Duration,
 };
 
+use daisysill_cluster::BootInstant;
 use daisysill_core::{
     ids::{ServiceName, WeightVersion, ZoneName},
     placement::{Candidate, ChosenCandidate, PrefillDemand, choose},
+    rejection_guard::SlotUse,
     routing::{Customer, EngineSpec, ServiceSpec},
     slot_share::SlotCounts,
 };
@@ -18,8 +20,8 @@
     caller_request::{AttemptHistory, CallerRequest},
     forward::Gateway,
     header_codec::Transfers,
+    outdated::OutdatedWeights,
     prompt_parts::SharedParts,
-    routing_state::TargetVersion,
     upstreams::{PrefixKey, Upstream},
 };
 
@@ -29,6 +31,8 @@
 const OLD_WEIGHTS_PENALTY: f64 = 3.0;
 /// Upstreams with old weights get no new request in this time before the rollout limit.
 const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(1_500);
+/// Time for a cancelled request to be dropped by its upstream.
+const CANCEL_MARGIN: Duration = Duration::from_millis(200);
 /// Share of an engine's cache memory that requests may occupy; beyond it the engine preempts requests and prefills
 /// them again.
 const MEMORY_SHARE: f64 = 0.9;
@@ -38,6 +42,10 @@
     pub(crate) upstream: Rc<Upstream>,
     /// Its weight version, as far as known; `None` without a prompt.
     pub(crate) version: Option<WeightVersion>,
+    /// The version that it should have; `None` without a prompt, and if the operator has set none.
+    pub(crate) target: Option<WeightVersion>,
+    /// For how long its weights have been outdated; `None` if they are not.
+    pub(crate) outdated: Option<OutdatedWeights>,
     /// Cache scope, see [`cache_scope`]; `None` without a prompt.
     pub(crate) scope: Option<String>,
     /// Key and length in tokens of the shared prefix.
@@ -61,7 +69,8 @@
     At(Box<ChosenUpstream>),
     /// Upstreams accept requests, but none has capacity for this one now.
     NoCapacity,
-    /// All upstreams that accept requests name rate limits, and this node has used up its share of each for this time.
+    /// For this time, this node has used up its share of the rate limits of all upstreams that accept requests, or they
+    /// want a pause.
     RateLimited(Duration),
     /// No untried upstream accepts requests.
     NoneAccepting,
@@ -72,6 +81,7 @@
     candidate: Candidate,
     upstream: Rc<Upstream>,
     version: Option<WeightVersion>,
+    outdated: Option<OutdatedWeights>,
     scope: Option<String>,
     prefix: Option<(PrefixKey, u64)>,
     parts: Option<Rc<SharedParts>>,
@@ -81,7 +91,7 @@
 struct PlacementInputs<'a> {
     request: &'a CallerRequest,
     engine: Option<EngineSpec>,
-    target: Option<TargetVersion>,
+    target: Option<WeightVersion>,
     request_ms: f64,
     /// Shared parts by cache scope: upstreams with the same weight version have the same.
     parts_by_scope: RefCell<HashMap<String, Rc<SharedParts>>>,
@@ -104,11 +114,11 @@
         let nodes = self.peak_entry_nodes();
         let mut current: Vec<Rc<Upstream>> =
             upstreams.into_iter().filter(|upstream| !self.is_outdated(upstream, &inputs)).collect();
-        let shortest_wait = current.iter().map(|upstream| upstream.rate_limit().wait(nodes)).min();
+        let shortest_wait = current.iter().map(|upstream| upstream.hints().wait(nodes)).min();
         if let Some(wait) = shortest_wait.filter(|wait| !wait.is_zero()) {
             return Placement::RateLimited(wait);
         }
-        current.retain(|upstream| upstream.rate_limit().wait(nodes).is_zero());
+        current.retain(|upstream| upstream.hints().wait(nodes).is_zero());
         let mut eligible: Vec<EligibleUpstream> =
             current.iter().filter_map(|upstream| self.eligible(upstream, &inputs)).collect();
         let shared_tokens = eligible.first().and_then(|first| first.prefix).map_or(0, |(_, tokens)| tokens);
@@ -127,9 +137,10 @@
             return Placement::NoCapacity;
         }
         let chosen = eligible.swap_remove(choice.index);
-        if !chosen.upstream.rate_limit().try_take(nodes) {
+        if !chosen.upstream.hints().rate_limit.try_take(nodes) {
             return Placement::NoCapacity;
         }
+        chosen.upstream.hints().rejections.take();
         Placement::At(Box::new(self.chosen_upstream(&inputs, chosen, choice, candidates.len())))
     }
 
@@ -182,17 +193,26 @@
         upstream.is_unreachable()
     }
 
-    /// Returns how long an upstream has had older weights than the target version; `None` if it has not.
-    fn outdated_for(upstream: &Upstream, inputs: &PlacementInputs<'_>) -> Option<Duration> {
+    /// Returns for how long the weights of an upstream have been outdated; `None` if they are not.
+    fn outdated(&self, upstream: &Upstream, inputs: &PlacementInputs<'_>) -> Option<OutdatedWeights> {
         let model = &inputs.request.headers.prompt.as_ref()?.model;
         let version = upstream.version_of(model)?;
-        inputs.target.filter(|target| version < target.version).map(|target| target.since.elapsed())
+        inputs.target.filter(|target| version < *target)?;
+        let since = self.cluster.weights_outdated_since(model, version);
+        Some(OutdatedWeights { age: since.map(BootInstant::elapsed) })
     }
 
     /// Returns whether an upstream gets no new request, since its weights were outdated for almost the rollout limit.
     fn is_outdated(&self, upstream: &Upstream, inputs: &PlacementInputs<'_>) -> bool {
-        let age = Self::outdated_for(upstream, inputs);
-        age.is_some_and(|age| age + OLD_WEIGHTS_MARGIN >= self.bounds.rollout_limit)
+        let limit = self.bounds.rollout_limit.saturating_sub(OLD_WEIGHTS_MARGIN);
+        self.outdated(upstream, inputs).is_some_and(|outdated| outdated.lasts(limit))
+    }
+
+    /// Returns the time within which a chosen upstream must have begun to respond, since its weights are too old then. The
+    /// attempt is cancelled otherwise, so that it does not begin later.
+    pub(crate) fn time_on_weights(&self, chosen: &ChosenUpstream) -> Duration {
+        let limit = self.bounds.rollout_limit.saturating_sub(CANCEL_MARGIN);
+        chosen.outdated.map_or(Duration::MAX, |outdated| outdated.time_until(limit))
     }
 
     /// Gathers the state of an upstream for the choice; `None` if it has no capacity for the request.
@@ -205,6 +225,15 @@
         if !has_capacity(upstream.entry.slots, memory_tokens, in_flight, tokens) {
             return None;
         }
+        let slots = SlotUse {
+            slots: upstream.entry.slots,
+            own: upstream.in_flight(),
+            others: others.requests,
+            entry_nodes: self.peak_entry_nodes(),
+        };
+        if !upstream.hints().rejections.admits(&slots) {
+            return None;
+        }
         let prompt = request.headers.prompt.as_ref();
         let version = prompt.and_then(|prompt| upstream.version_of(&prompt.model));
         let scope = prompt.map(|prompt| cache_scope(&prompt.model, version, request.customer.as_deref()));
@@ -217,7 +246,8 @@
             }
             Some(_) | None => (0, 0.0),
         };
-        let is_old = Self::outdated_for(upstream, inputs).is_some_and(|age| age > OLD_WEIGHTS_GRACE);
+        let outdated = self.outdated(upstream, inputs);
+        let is_old = outdated.is_some_and(|outdated| outdated.lasts(OLD_WEIGHTS_GRACE));
         let candidate = Candidate {
             in_flight,
             slots: upstream.entry.slots,
@@ -231,7 +261,8 @@
             own_zone: self.upstreams.in_own_zone(upstream),
             prefix_rank: prefix.map_or(0, |(key, _)| upstream.prefix_rank(key)),
         };
-        Some(EligibleUpstream { candidate, upstream: Rc::clone(upstream), version, scope, prefix, parts })
+        let upstream = Rc::clone(upstream);
+        Some(EligibleUpstream { candidate, upstream, version, outdated, scope, prefix, parts })
     }
 
     /// Returns the locations of the prompt's shared parts in a cache scope.
@@ -253,9 +284,9 @@
         choice: ChosenCandidate,
         candidates: usize,
     ) -> ChosenUpstream {
-        let EligibleUpstream { candidate, upstream, version, scope, prefix, parts } = eligible;
+        let EligibleUpstream { candidate, upstream, version, outdated, scope, prefix, parts } = eligible;
         let has_target_version =
-            inputs.target.is_none_or(|target| version.is_some_and(|held| held >= target.version));
+            inputs.target.is_none_or(|target| version.is_some_and(|held| held >= target));
         let transfers = parts.map(|parts| {
             self.transfers(inputs.request, &parts, &upstream, has_target_version, choice, candidate.fetch_ms)
         });
@@ -263,6 +294,8 @@
         ChosenUpstream {
             upstream,
             version,
+            target: inputs.target,
+            outdated,
             scope,
             prefix,
             pending_prefill_tokens: prompt_tokens.saturating_sub(candidate.cached_tokens),
--- a/crates/gateway/src/routing_state.rs
+++ b/crates/gateway/src/routing_state.rs
@@ -1,11 +1,6 @@
 //! The routing table, the stores and the target versions of models in force on this node.
 
-use std::{
-    cell::RefCell,
-    collections::{BTreeMap, HashMap},
-    rc::Rc,
-    sync::Arc,
-};
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, sync::Arc};
 
 use daisysill_cluster::ClusterHandle;
 use daisysill_control::state::ConfigView;
@@ -13,22 +8,12 @@
     ids::{WeightVersion, ZoneName},
     routing::RoutingTable,
 };
-use tokio::time::Instant;
 
 use crate::{
     discovery::DocumentFormat,
     store_manager::{store_tag, stores_of},
 };
 
-/// The weight version that a model is to be served with.
-#[derive(Clone, Copy, Debug)]
-pub struct TargetVersion {
-    /// The version set by the operator.
-    pub version: WeightVersion,
-    /// When this node learned of it, which may be after it was set.
-    pub since: Instant,
-}
-
 /// A store of the routing table.
 #[derive(Clone, Debug)]
 pub struct StoreRef {
@@ -48,8 +33,8 @@
 struct Inner {
     stores: Rc<Vec<StoreRef>>,
     table: Option<Rc<RoutingTable>>,
-    /// By model.
-    targets: HashMap<String, TargetVersion>,
+    /// Target versions by model.
+    targets: BTreeMap<String, WeightVersion>,
 }
 
 /// The configuration in force; clones share it.
@@ -70,14 +55,24 @@
     }
 
     /// Returns the weight version that a model is to be served with; `None` if the operator has set none.
-    pub fn target_version(&self, model: &str) -> Option<TargetVersion> {
+    pub fn target_version(&self, model: &str) -> Option<WeightVersion> {
         self.inner.borrow().targets.get(model).copied()
     }
 
+    /// Puts target versions in force; logs those that are new, with their ages.
+    fn install_targets(&self, targets: &BTreeMap<String, WeightVersion>, cluster: &ClusterHandle) {
+        let mut inner = self.inner.borrow_mut();
+        let raised = targets.iter().filter(|(model, version)| inner.targets.get(*model) < Some(version));
+        for (model, version) in raised {
+            let age_ms = cluster.target_version_set_at(model, *version).map(|at| at.elapsed().as_millis());
+            tracing::info!(event = "weights_named", model, version = version.0, age_ms);
+        }
+        inner.targets.clone_from(targets);
+    }
+
     /// Puts a configuration in force. An older document never replaces a newer one.
     fn install(&self, view: &ConfigView, format: &dyn DocumentFormat) {
         let mut inner = self.inner.borrow_mut();
-        inner.raise_targets(&view.target_versions);
         let Some(document) = &view.document else { return };
         if inner.table.as_ref().is_some_and(|table| table.version() >= document.version) {
             return;
@@ -114,6 +109,7 @@
         let mut views = cluster.view();
         loop {
             let view = Arc::clone(&views.borrow_and_update());
+            self.install_targets(&view.target_versions, &cluster);
             self.install(&view, format.as_ref());
             if views.changed().await.is_err() {
                 return;
@@ -121,16 +117,3 @@
         }
     }
 }
-
-impl Inner {
-    fn raise_targets(&mut self, versions: &BTreeMap<String, WeightVersion>) {
-        for (model, version) in versions {
-            let known = self.targets.get(model).map(|target| target.version);
-            if known.is_none_or(|known| known < *version) {
-                tracing::info!(event = "weights_named", model, version = version.0);
-                self.targets
-                    .insert(model.clone(), TargetVersion { version: *version, since: Instant::now() });
-            }
-        }
-    }
-}
