--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -54,7 +54,8 @@
             | PeerRequest::SoftwareOf { .. }
             | PeerRequest::StreamOrigins { .. }
             | PeerRequest::StreamOrigin { .. }
-            | PeerRequest::TargetAges { .. } => Purpose::Follow,
+            | PeerRequest::TargetAges { .. }
+            | PeerRequest::EntryNodes { .. } => Purpose::Follow,
             PeerRequest::Heartbeat { .. } => Purpose::Heartbeat,
         }
     }
@@ -74,7 +75,8 @@
                 | PeerResponse::SoftwareOf(..)
                 | PeerResponse::StreamOrigins(..)
                 | PeerResponse::StreamOrigin(..)
-                | PeerResponse::TargetAges(..),
+                | PeerResponse::TargetAges(..)
+                | PeerResponse::EntryNodes(..),
             ) => Purpose::Follow,
             Ok(PeerResponse::Heartbeat(..)) => Purpose::Heartbeat,
             Err(_) => Purpose::Connection,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,20 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a connection that only shows whether an upstream can be reached.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct ProbeLabels {
+    /// `connected` or `failed`.
+    pub outcome: &'static str,
+}
+
+/// Labels of a request that was passed on to another entry node.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct PassedOnLabels {
+    /// `answered`, `unable` for each node that could not serve it either, `broken`, `timed_out` or `caller_left`.
+    pub outcome: &'static str,
+}
+
 /// Labels of the body of a stream.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct StreamBodyLabels {
@@ -70,6 +84,16 @@
     pub leaving_upstreams: Gauge,
     /// Upstreams that asked this node for a pause which lasts.
     pub paused_upstreams: Gauge,
+    /// 1 while new connections to upstreams fail in all zones, 0 otherwise.
+    pub lost_upstream_contact: Gauge,
+    /// Connections that only showed whether an upstream can be reached.
+    pub contact_probes: Family<ProbeLabels, Counter>,
+    /// Requests that were passed on to other entry nodes.
+    pub passed_on: Family<PassedOnLabels, Counter>,
+    /// Requests that other entry nodes passed on to this one.
+    pub taken_over: Counter,
+    /// Connections to other entry nodes that were begun, also if they failed.
+    pub peer_connections: Counter,
     /// Time from the arrival of a request to the head of the response.
     pub answer_seconds: Histogram,
     registry: Arc<Registry>,
@@ -92,6 +116,11 @@
         let rejection_limited_upstreams = Gauge::default();
         let leaving_upstreams = Gauge::default();
         let paused_upstreams = Gauge::default();
+        let lost_upstream_contact = Gauge::default();
+        let contact_probes = Family::<ProbeLabels, Counter>::default();
+        let passed_on = Family::<PassedOnLabels, Counter>::default();
+        let taken_over = Counter::default();
+        let peer_connections = Counter::default();
         let answer_seconds = Histogram::new(exponential_buckets(0.002, 2.0, 14));
         let mut registry = Registry::with_prefix("daisysill_gateway");
         registry.register("requests", "Requests finished", requests.clone());
@@ -116,6 +145,16 @@
         registry.register("leaving_upstreams", leaving, leaving_upstreams.clone());
         let paused = "Upstreams that asked this node for a pause which lasts";
         registry.register("paused_upstreams", paused, paused_upstreams.clone());
+        let lost_contact = "Whether new connections to upstreams fail in all zones";
+        registry.register("lost_upstream_contact", lost_contact, lost_upstream_contact.clone());
+        registry.register(
+            "contact_probes",
+            "Probes whether upstreams can be reached",
+            contact_probes.clone(),
+        );
+        registry.register("passed_on", "Requests passed on to other entry nodes", passed_on.clone());
+        registry.register("taken_over", "Requests of other entry nodes", taken_over.clone());
+        registry.register("peer_connections", "Connections to other entry nodes", peer_connections.clone());
         let time = "Time from arrival to the head of the answer";
         registry.register_with_unit("answer", time, Unit::Seconds, answer_seconds.clone());
         cluster.register(&mut registry);
@@ -134,6 +173,11 @@
             rejection_limited_upstreams,
             leaving_upstreams,
             paused_upstreams,
+            lost_upstream_contact,
+            contact_probes,
+            passed_on,
+            taken_over,
+            peer_connections,
             answer_seconds,
             registry: Arc::new(registry),
         }
@@ -149,6 +193,16 @@
         self.attempts.get_or_create(&AttemptLabels { outcome }).inc();
     }
 
+    /// Counts a connection that only showed whether an upstream can be reached.
+    pub(crate) fn record_probe(&self, outcome: &'static str) {
+        self.contact_probes.get_or_create(&ProbeLabels { outcome }).inc();
+    }
+
+    /// Counts a request that was passed on to another entry node.
+    pub(crate) fn record_passed_on(&self, outcome: &'static str) {
+        self.passed_on.get_or_create(&PassedOnLabels { outcome }).inc();
+    }
+
     /// Counts the body of a stream that ended as its framing says.
     pub(crate) fn record_stream_body(&self, framing: Framing, is_inside_event: bool) {
         let ended_at = if is_inside_event { "inside_event" } else { "event_boundary" };
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,7 +2,9 @@
 
 use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use crate::{connection::UpstreamConnection, metrics::GatewayMetrics};
+use prometheus_client::metrics::counter::Counter;
+
+use crate::{connection::UpstreamConnection, contact::Contact};
 
 /// Below the 1 s after which TCP resends a lost SYN; another upstream is tried sooner.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -17,7 +19,7 @@
 pub(crate) enum CheckoutError {
     /// This node has as many open connections to the upstream as it may.
     LimitReached,
-    /// The upstream did not accept a new connection in time.
+    /// The upstream did not accept a new connection in time, or none was tried since all of them fail.
     ConnectFailed,
 }
 
@@ -39,13 +41,15 @@
 #[derive(Clone, Debug)]
 pub struct Pool {
     addresses: Rc<RefCell<AddressPools>>,
-    metrics: GatewayMetrics,
+    opened: Counter,
+    /// How this node reaches the upstreams; `None` for connections to other nodes.
+    contact: Option<Rc<Contact>>,
 }
 
 impl Pool {
-    /// Creates an empty pool; `metrics` counts the connections it opens.
-    pub fn new(metrics: GatewayMetrics) -> Self {
-        Self { addresses: Rc::default(), metrics }
+    /// Creates an empty pool; `opened` counts the connections it opens.
+    pub(crate) fn new(opened: Counter, contact: Option<Rc<Contact>>) -> Self {
+        Self { addresses: Rc::default(), opened, contact }
     }
 
     /// Takes an idle connection, or opens one if fewer than `max_open` are open to the address.
@@ -62,6 +66,9 @@
                 addresses: Rc::clone(&self.addresses),
             });
         }
+        if self.contact.as_ref().is_some_and(|contact| !contact.may_connect()) {
+            return Err(CheckoutError::ConnectFailed);
+        }
         {
             let mut addresses = self.addresses.borrow_mut();
             let pool = addresses.pools.entry(address).or_default();
@@ -73,10 +80,13 @@
         // Dropping `pooled`, also while connecting, decrements `open` again.
         let mut pooled =
             PooledConnection { connection: None, address, addresses: Rc::clone(&self.addresses) };
-        self.metrics.connections_opened.inc();
+        self.opened.inc();
         match UpstreamConnection::connect(address, CONNECT_TIMEOUT).await {
             Ok(connection) => {
                 pooled.connection = Some(connection);
+                if let Some(contact) = &self.contact {
+                    contact.record_connected();
+                }
                 Ok(pooled)
             }
             Err(error) => {
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -68,9 +68,9 @@
     /// The decaying number of failures and when it was last updated.
     failures: Cell<(f64, Option<Instant>)>,
     /// Number of failed connections in a row, and the end of the backoff.
-    connect_failures: Cell<(u32, Option<Instant>)>,
+    pub(crate) connect_failures: Cell<(u32, Option<Instant>)>,
     /// When bytes last arrived.
-    last_active_at: Cell<Option<Instant>>,
+    pub(crate) last_active_at: Cell<Option<Instant>>,
     /// Whether another upstream responded at its address.
     replaced: Cell<bool>,
     /// Weight versions learned from responses, by model.
@@ -228,7 +228,7 @@
     zone: ZoneName,
     /// Represents the zone in bit sets of zones; two zones may share a bit.
     zone_bit: u32,
-    by_service: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
+    pub(crate) by_service: RefCell<HashMap<ServiceName, Vec<Rc<Upstream>>>>,
     /// Upstreams that restrict the requests that they get and are not listed now.
     unlisted: RefCell<Vec<Rc<Upstream>>>,
     speeds: RefCell<HashMap<ServiceName, Rc<ServiceSpeeds>>>,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -19,8 +19,9 @@
 };
 
 pub use crate::soft_state::{
-    BrokenPrompt, PromptOutcome, PublishedUpstreams, Spread, StoredPart, StoredPartsUpdate, StreamOrigin,
-    TargetAge, UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware, UpstreamStart,
+    BrokenPrompt, EntryNodesQuestion, PromptOutcome, PublishedUpstreams, Spread, StoredPart,
+    StoredPartsUpdate, StreamOrigin, TargetAge, UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware,
+    UpstreamStart,
 };
 
 value_types! {
@@ -268,4 +269,6 @@
     async fn stream_origin(stream: u64, service: ServiceName, spread: Spread) -> Option<SoftwareVersion>;
     /// Returns the target weight versions that the receiver knows, with their ages.
     async fn target_ages() -> Vec<TargetAge>;
+    /// Returns some live entry nodes that have not said that they reach no upstream, without the one that asks.
+    async fn entry_nodes(question: EntryNodesQuestion) -> Vec<InstanceId>;
 }
