Read a pause of any length that an upstream of the own interface asks for

The seconds of a refusal's retry-after were multiplied without a bound: with a number near the largest one, a build with overflow checks panics in the task of the request, and another one takes a wrong time. Found while the same header was looked at on the platform path. The new test failed before with "attempt to multiply with overflow" and passes now.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -69,7 +69,7 @@
     AttemptError::Refused {
         message,
         leaving: header(LEAVING_HEADER).is_some(),
-        retry_after_ms: retry_after_s.map(|s| s * 1_000),
+        retry_after_ms: retry_after_s.map(|s| s.saturating_mul(1_000)),
     }
 }
 
--- a/crates/node/tests/upstream_errors.rs
+++ b/crates/node/tests/upstream_errors.rs
@@ -231,3 +231,12 @@
         assert!(failed, "{answer:?}");
     }
 }
+
+/// Guards against a process that ends because an upstream asks for a pause longer than can be counted in milliseconds.
+#[test]
+fn a_pause_of_any_length_is_read() {
+    let longest = u64::MAX.to_string();
+    let error = http::classify_error(503, |name| (name != "x-leaving").then_some(longest.as_str()));
+    let AttemptError::Refused { retry_after_ms, .. } = error else { panic!("{error:?}") };
+    assert_eq!(retry_after_ms, Some(u64::MAX));
+}
