--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -347,6 +347,7 @@
     pub(crate) fn record_stream_end(&self, request: &CallerRequest, outcome: &'static str, bytes: u64) {
         self.metrics.in_flight.dec();
         self.metrics.record_result(if outcome == "complete" { "relayed" } else { "stream_broken" });
+        self.metrics.record_stream_end(outcome);
         if outcome == "complete" {
             return;
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -53,6 +53,13 @@
     pub ended_at: &'static str,
 }
 
+/// Labels of the end of a stream.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct StreamEndLabels {
+    /// `complete`, or the outcome that `stream_ended` logs.
+    pub outcome: &'static str,
+}
+
 /// Metrics with their registry; clones share the values.
 #[derive(Clone, Debug)]
 pub struct GatewayMetrics {
@@ -62,6 +69,8 @@
     pub attempts: Family<AttemptLabels, Counter>,
     /// Bodies of streams that ended as their framing says, by where they ended.
     pub stream_bodies: Family<StreamBodyLabels, Counter>,
+    /// Streams that ended at their callers.
+    pub stream_ends: Family<StreamEndLabels, Counter>,
     /// Connections to upstreams that were begun, also if they failed.
     pub connections_opened: Counter,
     /// Requests of callers in progress.
@@ -105,6 +114,7 @@
         let requests = Family::<ResultLabels, Counter>::default();
         let attempts = Family::<AttemptLabels, Counter>::default();
         let stream_bodies = Family::<StreamBodyLabels, Counter>::default();
+        let stream_ends = Family::<StreamEndLabels, Counter>::default();
         let connections_opened = Counter::default();
         let in_flight = Gauge::default();
         let dropped_log_lines = Gauge::default();
@@ -126,6 +136,7 @@
         registry.register("requests", "Requests finished", requests.clone());
         registry.register("attempts", "Attempts at upstreams", attempts.clone());
         registry.register("stream_bodies", "Stream bodies read to their end", stream_bodies.clone());
+        registry.register("stream_ends", "Streams ended", stream_ends.clone());
         registry.register("upstream_connections", "Connections opened", connections_opened.clone());
         registry.register("in_flight", "Requests in progress", in_flight.clone());
         registry.register("dropped_log_lines", "Log lines dropped", dropped_log_lines.clone());
@@ -162,6 +173,7 @@
             requests,
             attempts,
             stream_bodies,
+            stream_ends,
             connections_opened,
             in_flight,
             dropped_log_lines,
@@ -209,6 +221,11 @@
         self.stream_bodies.get_or_create(&StreamBodyLabels { framing: framing.name(), ended_at }).inc();
     }
 
+    /// Counts a stream that ended at its caller.
+    pub(crate) fn record_stream_end(&self, outcome: &'static str) {
+        self.stream_ends.get_or_create(&StreamEndLabels { outcome }).inc();
+    }
+
     /// Returns all metrics in the `OpenMetrics` text format.
     pub fn render(&self) -> String {
         self.dropped_log_lines.set(i64::try_from(logging::dropped_lines()).unwrap_or(i64::MAX));
