Leave a silent upstream only for a place that was taken at another one

What callers saw: the answer of a stream ended in the middle, or a request was refused with 502, while its upstream was sound and silent for a moment (LOST).

Cause: a node gave up a silent attempt first and then looked for another upstream. Without a free one, without a retry in the budget (a silent upstream holds many streams at once, and each move is a retry), or without another upstream of the stream's software version it had given up the only answer there would have been. Class: work is given up before it is certain that something else takes it over. The same held for requests without a stream, before the head and within the body, and for a 5xx of an upstream, which was dropped for a retry that could be refused.

Ruled out: the upstream broke off (it goes on, and its connection is closed by the node: stream_resumed with reason silent), the deadline (1.5 s of 3 s had passed).

Change: gateway::silence takes a place and a retry for the request while it still runs; only then the attempt ends. Requests of a node that does not reach the upstreams leave as before, to be passed on. A stream stays for at least 1.5 s, since a sound upstream may be silent for about a second.

Before: the six tests of silent_upstreams failed in each run. After: the whole system test file passes, 68 of 68, beside four builds; it was run once.

--- a/crates/core/src/retry_budget.rs
+++ b/crates/core/src/retry_budget.rs
@@ -51,6 +51,22 @@
     /// assert!(budget.try_take(0, 1) && budget.try_take(0, 1) && !budget.try_take(0, 1));
     /// ```
     pub fn try_take(&mut self, now_ms: u64, nodes: u32) -> bool {
+        let is_left = self.is_left(now_ms, nodes);
+        if is_left {
+            self.current_bucket(now_ms).retries += 1;
+        }
+        is_left
+    }
+
+    /// Returns whether [`Self::try_take`] would take a retry now.
+    ///
+    /// ```
+    /// use daisysill_core::retry_budget::{RetryBudgetPolicy, RetryBudget};
+    /// let policy = RetryBudgetPolicy { ratio: 0.2, window_ms: 10_000, slack: 1.0 };
+    /// let mut budget = RetryBudget::new(policy);
+    /// assert!(budget.is_left(0, 1) && budget.try_take(0, 1) && !budget.is_left(0, 1));
+    /// ```
+    pub fn is_left(&mut self, now_ms: u64, nodes: u32) -> bool {
         let number = self.current_bucket(now_ms).number;
         // The oldest bucket lies partly outside the window: its retries count, its first sends do not.
         let first_sends: u32 = self
@@ -62,11 +78,7 @@
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let allowed =
             self.policy.ratio * f64::from(first_sends) + self.policy.slack / f64::from(nodes.max(1));
-        if f64::from(retries + 1) > allowed {
-            return false;
-        }
-        self.current_bucket(now_ms).retries += 1;
-        true
+        f64::from(retries + 1) <= allowed
     }
 
     /// Returns the current bucket, and drops those that have left the window.
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -106,7 +106,7 @@
 }
 
 /// The attempts made for a request so far.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct AttemptHistory {
     /// Upstreams that are not tried again.
     pub(crate) tried: Vec<InstanceId>,
@@ -138,6 +138,14 @@
         history
     }
 
+    /// Returns the history once the request has left an upstream that may have run it.
+    pub(crate) fn after_leaving(&self, upstream: &InstanceId) -> Self {
+        let mut history = self.clone();
+        history.may_have_run += 1;
+        history.tried.push(upstream.clone());
+        history
+    }
+
     /// Returns the refusal that ends the request now. It states that the request has not run only if that is certain.
     pub(crate) fn refusal(
         &self,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -7,7 +7,7 @@
 use daisysill_core::ids::WeightVersion;
 use tokio::{
     sync::Notify,
-    time::{Instant, timeout},
+    time::{Instant, timeout, timeout_at},
 };
 
 use crate::{
@@ -15,6 +15,7 @@
     header_codec::{AttemptHeaders, HeaderCodec, ResponseHeaders, ResponseHints},
     http_head::ResponseHead,
     pool::{CheckoutError, Pool, PooledConnection},
+    silence::SilenceLimits,
     upstreams::{InFlight, Upstream},
 };
 
@@ -106,30 +107,43 @@
     pub(crate) tokens: u64,
     /// Number of connections that this node may have open to the upstream.
     pub(crate) max_connections: usize,
+    /// Time without the head of the response after which the request leaves the upstream, if it may then.
+    pub(crate) silence_limit: Duration,
     /// Time until the head of the response must have arrived.
     pub(crate) head_timeout: Duration,
     /// Entry nodes that share the upstream.
     pub(crate) entry_nodes: u32,
 }
 
-/// Sends a request to an upstream and reads the head of the response. `request_ended` is notified when the request is
-/// no longer in flight.
+/// The upstream of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttemptTarget<'a> {
+    pub(crate) upstream: &'a Rc<Upstream>,
+    /// Notified when the request is no longer in flight there.
+    pub(crate) ended: &'a Rc<Notify>,
+}
+
+/// Sends a request to an upstream and reads the head of the response. While the upstream is silent, `leave` is asked from
+/// time to time whether the attempt ends.
 pub(crate) async fn attempt(
     pool: &Pool,
     header_codec: &dyn HeaderCodec,
-    upstream: &Rc<Upstream>,
+    target: AttemptTarget<'_>,
     headers: &AttemptHeaders<'_>,
     outgoing: &OutgoingRequest<'_>,
-    request_ended: &Rc<Notify>,
+    leave: &mut dyn FnMut() -> bool,
 ) -> Result<UpstreamResponse, AttemptError> {
     let started = Instant::now();
-    let head_timeout = outgoing.head_timeout;
-    let upstream = Rc::clone(upstream);
-    let address = upstream.entry.address;
-    let in_flight =
-        InFlight::new(upstream, outgoing.pending_prefill_tokens, outgoing.tokens, Rc::clone(request_ended));
+    let end = started + outgoing.head_timeout;
+    let address = target.upstream.entry.address;
+    let in_flight = InFlight::new(
+        Rc::clone(target.upstream),
+        outgoing.pending_prefill_tokens,
+        outgoing.tokens,
+        Rc::clone(target.ended),
+    );
     let pooled =
-        timeout(head_timeout, pool.checkout(address, outgoing.max_connections, outgoing.at_most_once)).await;
+        timeout_at(end, pool.checkout(address, outgoing.max_connections, outgoing.at_most_once)).await;
     let pooled = match pooled {
         Ok(Ok(pooled)) => pooled,
         Ok(Err(CheckoutError::LimitReached)) => return Err(AttemptError::NoConnectionLeft),
@@ -139,10 +153,9 @@
     head.extend_from_slice(outgoing.head);
     header_codec.encode_attempt(headers, &mut head);
     head.extend_from_slice(b"\r\n");
-    let remaining = head_timeout.saturating_sub(started.elapsed());
-    timeout(remaining, send_and_read(header_codec, pooled, in_flight, &head, outgoing))
-        .await
-        .unwrap_or(Err(AttemptError::TimedOut))
+    let exchange = send_and_read(header_codec, pooled, in_flight, &head, outgoing);
+    let limits = SilenceLimits { first: started + outgoing.silence_limit, end };
+    limits.wait(exchange, leave).await.unwrap_or(Err(AttemptError::TimedOut))
 }
 
 /// What the headers of a response state about it, without borrowing from them.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -32,7 +32,7 @@
     contact::Contact,
     duration::millis,
     entry_peers::EntryPeers,
-    exchange::{AttemptError, OutgoingRequest, UpstreamResponse, attempt},
+    exchange::{AttemptError, AttemptTarget, OutgoingRequest, UpstreamResponse, attempt},
     header_codec::{AttemptHeaders, HeaderCodec},
     metrics::GatewayMetrics,
     node_share::retry_budget_refusal,
@@ -41,16 +41,24 @@
     refusal::Refusal,
     refusal_rules::STALE_RETRY_MS,
     routing_state::RoutingState,
+    silence::NextPlace,
     upstreams::Upstreams,
     waiting::rate_limit_refusal,
 };
 
-/// An attempt of a retryable request without a prompt times out after the longer of this share of its goal and this
-/// multiple of the service's mean request time.
-const TIMEOUT_GOAL_SHARE: f64 = 0.6;
-const TIMEOUT_MEAN_FACTOR: f64 = 5.0;
-/// Attempt timeout for prompts, in goals. Longer, since another engine would repeat the prefill from the start.
-const PROMPT_TIMEOUT_GOALS: f64 = 3.0;
+/// Silence limit of a retryable request without a prompt: the longer of this share of its goal and this multiple of the
+/// service's mean request time.
+const SILENCE_GOAL_SHARE: f64 = 0.6;
+const SILENCE_MEAN_FACTOR: f64 = 5.0;
+/// Silence limit of prompts, in goals. Longer, since another engine would repeat the prefill from the start.
+const PROMPT_SILENCE_GOALS: f64 = 3.0;
+
+/// An attempt that got no response.
+struct FailedAttempt {
+    error: AttemptError,
+    /// Where the next attempt is made, if that was found before this one ended.
+    next_place: Option<Box<ChosenUpstream>>,
+}
 
 /// State shared by all requests on this node.
 #[derive(Debug)]
@@ -176,15 +184,42 @@
         self.cluster.config_age().is_some_and(|age| age < self.bounds.max_config_age)
     }
 
-    /// Sends a request until an upstream responds or no further attempt is allowed. A stream resumes after the event
-    /// `resume_after`.
+    /// Sends a request until an upstream responds or no further attempt is allowed; first to `place`, if that was taken
+    /// for it. A stream resumes after the event `resume_after`.
     pub(crate) async fn send(
         self: &Rc<Self>,
         request: &Rc<CallerRequest>,
         history: &mut AttemptHistory,
+        place: Option<Box<ChosenUpstream>>,
         resume_after: Option<&str>,
     ) -> Result<UpstreamResponse, Refusal> {
+        let mut next_place = place;
         let mut last_error = None;
+        loop {
+            let chosen = match next_place.take() {
+                Some(chosen) => chosen,
+                None => self.wait_for_place(request, history, last_error).await?,
+            };
+            let failed = match self.try_once(request, history, &chosen, resume_after).await {
+                Ok(response) => return Ok(response),
+                Err(failed) => failed,
+            };
+            self.record_failure(request, history, &chosen, failed.error);
+            last_error = Some(failed.error);
+            next_place = failed.next_place;
+            if let Some(refusal) = self.final_refusal(request, history, failed.error) {
+                return Err(refusal);
+            }
+        }
+    }
+
+    /// Chooses an upstream for the next attempt; waits for capacity if that helps.
+    async fn wait_for_place(
+        &self,
+        request: &CallerRequest,
+        history: &mut AttemptHistory,
+        last_error: Option<AttemptError>,
+    ) -> Result<Box<ChosenUpstream>, Refusal> {
         loop {
             if let Some(refusal) = self.block_refusal(request, history) {
                 return Err(refusal);
@@ -214,31 +249,23 @@
                 let reason = "configuration went stale before the request was sent";
                 return Err(history.refusal(ResultCode::NoQuorum, reason, STALE_RETRY_MS));
             }
-            let error = match self.try_once(request, history, &chosen, resume_after).await {
-                Ok(response) => return Ok(response),
-                Err(error) => error,
-            };
-            self.record_failure(request, history, &chosen, error);
-            last_error = Some(error);
-            if let Some(refusal) = self.final_refusal(request, history, error) {
-                return Err(refusal);
-            }
+            return Ok(chosen);
         }
     }
 
-    /// Makes one attempt. A successful response without the proof of origin counts as broken.
+    /// Makes one attempt. A successful response without the proof of origin counts as broken. An attempt whose upstream is
+    /// silent for too long ends only once a place at another one was taken.
     async fn try_once(
         self: &Rc<Self>,
         request: &Rc<CallerRequest>,
         history: &mut AttemptHistory,
         chosen: &ChosenUpstream,
         resume_after: Option<&str>,
-    ) -> Result<UpstreamResponse, AttemptError> {
+    ) -> Result<UpstreamResponse, FailedAttempt> {
         if history.sends.begin() {
             self.with_budget(&request.service, RetryBudget::record_first_send);
         }
         let left = request.time_left();
-        let head_timeout = self.attempt_timeout(request, history, left).min(self.time_on_weights(chosen));
         let headers = AttemptHeaders {
             deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
             upstream: &chosen.upstream.entry.id,
@@ -258,14 +285,19 @@
             pending_prefill_tokens: chosen.pending_prefill_tokens,
             tokens: request.tokens(),
             max_connections: self.max_connections(&request.service),
-            head_timeout,
+            silence_limit: self.silence_limit(request, history, left),
+            head_timeout: left.min(self.time_on_weights(chosen)),
             entry_nodes: self.peak_entry_nodes(),
         };
         let started = Instant::now();
         let header_codec = self.header_codec.0.as_ref();
-        let result =
-            attempt(&self.pool, header_codec, &chosen.upstream, &headers, &outgoing, &self.request_ended)
-                .await;
+        let mut next_place = None;
+        let mut leave = || {
+            next_place = self.next_place(request, &history.after_leaving(&chosen.upstream.entry.id));
+            next_place.is_some()
+        };
+        let upstream = AttemptTarget { upstream: &chosen.upstream, ended: &self.request_ended };
+        let result = attempt(&self.pool, header_codec, upstream, &headers, &outgoing, &mut leave).await;
         if let Some(transfers) = &chosen.transfers {
             self.release_links(transfers);
         }
@@ -289,7 +321,8 @@
                 board_age_ms = self.cluster.published_upstreams_age().map(|age| age.as_millis()),
             );
         }
-        let mut response = result?;
+        let next_place = next_place.and_then(NextPlace::upstream);
+        let mut response = result.map_err(|error| FailedAttempt { error, next_place })?;
         if let Some(transfers) = &chosen.transfers {
             self.record_fetch(request, chosen, transfers);
             tracing::info!(
@@ -311,14 +344,15 @@
         self.record_response(request, chosen, &response, started.elapsed());
         response.in_flight.finish_prefill();
         if is_forged(&response) {
-            return Err(AttemptError::Broken);
+            return Err(FailedAttempt { error: AttemptError::Broken, next_place: None });
         }
         Ok(response)
     }
 
-    /// Returns the time until the head of the response must have arrived, and then the time for a body that is buffered.
-    /// Only an attempt that may be retried ends before the request's deadline.
-    pub(crate) fn attempt_timeout(
+    /// Returns the time after which a request leaves an upstream that has not sent the head of its response, and then the
+    /// time for a body that is buffered, if another one can take it. Only an attempt that may be retried has one that ends
+    /// before the request's deadline.
+    pub(crate) fn silence_limit(
         &self,
         request: &CallerRequest,
         history: &AttemptHistory,
@@ -329,13 +363,13 @@
             return left;
         }
         let goal_ms = request.route.goal_ms as f64;
-        let timeout_ms = if request.headers.prompt.is_some() {
-            goal_ms * PROMPT_TIMEOUT_GOALS
+        let limit_ms = if request.headers.prompt.is_some() {
+            goal_ms * PROMPT_SILENCE_GOALS
         } else {
             let mean_ms = self.upstreams.speeds(&request.service).request_ms.get();
-            (goal_ms * TIMEOUT_GOAL_SHARE).max(mean_ms * TIMEOUT_MEAN_FACTOR)
+            (goal_ms * SILENCE_GOAL_SHARE).max(mean_ms * SILENCE_MEAN_FACTOR)
         };
-        left.min(Duration::from_secs_f64(timeout_ms / 1_000.0))
+        left.min(Duration::from_secs_f64(limit_ms / 1_000.0))
     }
 
     /// Returns the milliseconds since this node started.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod rollout;
 pub mod routing_state;
 pub mod service_speeds;
+mod silence;
 mod stop;
 mod store_manager;
 mod stream_origin;
--- a/crates/gateway/src/node_share.rs
+++ b/crates/gateway/src/node_share.rs
@@ -52,6 +52,12 @@
         self.with_budget(service, |budget, now_ms| budget.try_take(now_ms, nodes))
     }
 
+    /// Returns whether the service's budget holds a retry.
+    pub(crate) fn is_retry_left(&self, service: &ServiceName) -> bool {
+        let nodes = self.peak_entry_nodes();
+        self.with_budget(service, |budget, now_ms| budget.is_left(now_ms, nodes))
+    }
+
     /// Calls `act` with the retry budget of a service and the current time in ms.
     pub(crate) fn with_budget<T>(
         &self,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,18 +10,26 @@
 
 use crate::{
     caller_request::{AttemptHistory, CallerRequest, SoftwareRequirement},
+    duration::millis,
     event_stream::EventSplitter,
     exchange::UpstreamResponse,
     forward::Gateway,
     http_head::{Framing, ResponseHead},
+    placement::ChosenUpstream,
+    silence::PLACE_CHECK_INTERVAL,
+    upstreams::Upstream,
 };
 
-/// A resumable stream is abandoned at its upstream if no event has come for this many times the route's goal for the
-/// gap between events.
+/// A resumable stream leaves its upstream, if another one can go on with it, after a time without an event of this many
+/// times the route's goal for the gap between events.
 const SILENCE_GAPS: u32 = 3;
+/// The least such time; a sound upstream may be silent for about a second.
+const MIN_SILENCE: Duration = Duration::from_millis(1_500);
 /// Goal for the gap between events on routes that set none.
 const DEFAULT_GAP_GOAL: Duration = Duration::from_millis(500);
 
+/// Reason logged for an upstream that sent no event for too long.
+const SILENT: &str = "silent";
 /// Reason logged for a body that ended inside an event.
 const INSIDE_EVENT: &str = "inside_event";
 /// Reason logged for a resumed body without an event, of a stream that broke off inside one.
@@ -104,6 +112,8 @@
     /// When bytes were last relayed. Of a resumable stream these are complete events, so that an upstream that sends a
     /// byte now and then does not count as active.
     progressed_at: Instant,
+    /// When a place at another upstream was last looked for since then; `None` if the upstream was not silent for long.
+    checked_at: Option<Instant>,
     is_done: bool,
 }
 
@@ -111,6 +121,8 @@
 enum ReadOutcome {
     Bytes(Bytes),
     End,
+    /// No event has come for so long that the stream leaves the upstream if it can.
+    Silent,
     /// With the reason, as logged in `stream_resumed` and `stream_ended`.
     Broken(&'static str),
 }
@@ -133,6 +145,7 @@
         relayed_bytes: 0,
         started: Instant::now(),
         progressed_at: Instant::now(),
+        checked_at: None,
         is_done: false,
     };
     unfold(relay, |mut relay| async move {
@@ -157,20 +170,27 @@
                             self.record_origin();
                         }
                         self.is_event_due = false;
-                        self.progressed_at = Instant::now();
+                        self.record_progress();
                         self.relayed_bytes += bytes.len() as u64;
                         return Some(Ok(bytes));
                     }
                 }
+                ReadOutcome::Silent => {
+                    if let Some(place) = self.take_next_upstream()
+                        && !self.resume(SILENT, Some(place)).await
+                    {
+                        return Some(Err(self.fail(SILENT)));
+                    }
+                }
                 ReadOutcome::End if self.ended_inside_event() => {
-                    if !self.resume(INSIDE_EVENT).await {
+                    if !self.resume(INSIDE_EVENT, None).await {
                         return Some(Err(self.fail(INSIDE_EVENT)));
                     }
                 }
                 ReadOutcome::End if self.is_event_due => return Some(Err(self.fail(NO_EVENT))),
                 ReadOutcome::End => return self.finish(),
                 ReadOutcome::Broken(reason) => {
-                    if !self.resume(reason).await {
+                    if !self.resume(reason, None).await {
                         return Some(Err(self.fail(reason)));
                     }
                 }
@@ -210,15 +230,30 @@
         is_inside_event
     }
 
-    /// Reads from the upstream until the request's deadline or, if the stream can be resumed elsewhere, until no event
+    /// Records that events were relayed, or that another upstream goes on with the stream.
+    fn record_progress(&mut self) {
+        if self.checked_at.take().is_some() {
+            tracing::info!(
+                event = "silence_ended",
+                request_id = self.request.headers.request_id.as_deref(),
+                silent_ms = millis(self.progressed_at.elapsed()),
+            );
+        }
+        self.progressed_at = Instant::now();
+    }
+
+    /// Reads from the upstream until the request's deadline or, if the stream may be resumed elsewhere, until no event
     /// has come for too long.
     async fn read(&mut self) -> ReadOutcome {
         let may_resume = self.may_resume();
         let Some(response) = &mut self.response else { return ReadOutcome::Broken("no_upstream") };
         let Ok(connection) = response.pooled.get() else { return ReadOutcome::Broken("no_connection") };
         let gap = self.request.route.event_gap_goal_ms.map_or(DEFAULT_GAP_GOAL, Duration::from_millis);
-        let silence = self.progressed_at + gap * SILENCE_GAPS;
-        let limit = if may_resume { self.request.deadline.min(silence) } else { self.request.deadline };
+        let check_at = match self.checked_at {
+            Some(checked_at) => checked_at + PLACE_CHECK_INTERVAL,
+            None => self.progressed_at + MIN_SILENCE.max(gap * SILENCE_GAPS),
+        };
+        let limit = if may_resume { self.request.deadline.min(check_at) } else { self.request.deadline };
         match timeout_at(limit, connection.read_body()).await {
             Ok(Ok(Some(bytes))) => {
                 response.in_flight.upstream.record_activity();
@@ -230,7 +265,35 @@
                 ReadOutcome::Broken("upstream_broke")
             }
             Err(_) if Instant::now() >= self.request.deadline => ReadOutcome::Broken("deadline"),
-            Err(_) => ReadOutcome::Broken("silent"),
+            Err(_) => ReadOutcome::Silent,
+        }
+    }
+
+    /// Takes a place at another upstream for a stream whose upstream is silent; `None` if there is none.
+    fn take_next_upstream(&mut self) -> Option<Box<ChosenUpstream>> {
+        let upstream = Rc::clone(&self.response.as_ref()?.in_flight.upstream);
+        let mut history = self.history.after_leaving(&upstream.entry.id);
+        self.require_software_of(&upstream, &mut history);
+        let place = self.gateway.take_next_upstream(&self.request, &history);
+        if self.checked_at.is_none() {
+            tracing::info!(
+                event = "silent",
+                request_id = self.request.headers.request_id.as_deref(),
+                upstream = upstream.entry.id.as_str(),
+                silent_ms = millis(self.progressed_at.elapsed()),
+                outcome = if place.is_some() { "moves" } else { "waits" },
+            );
+        }
+        self.checked_at = Some(Instant::now());
+        place
+    }
+
+    /// Binds a stream of which the caller has events to the software version of its upstream.
+    fn require_software_of(&self, upstream: &Upstream, history: &mut AttemptHistory) {
+        let Passing::WholeEvents(splitter) = &self.passing else { return };
+        if splitter.last_id().is_some() {
+            history.software = SoftwareRequirement::Same(self.gateway.cluster.software_of(&upstream.entry));
+            history.resumed_at = Some(Instant::now());
         }
     }
 
@@ -242,27 +305,27 @@
             && self.request.time_left() > Duration::ZERO
     }
 
-    /// Resumes the stream at another upstream after the last complete event; `false` if it cannot.
-    async fn resume(&mut self, reason: &'static str) -> bool {
+    /// Resumes the stream at another upstream after the last complete event, first at `place`, if that was taken for it;
+    /// `false` if it cannot.
+    async fn resume(&mut self, reason: &'static str, place: Option<Box<ChosenUpstream>>) -> bool {
         let Some(response) = self.response.take() else { return false };
-        self.history.may_have_run += 1;
-        response.in_flight.upstream.record_failure();
-        self.history.tried.push(response.in_flight.upstream.entry.id.clone());
-        let software = self.gateway.cluster.software_of(&response.in_flight.upstream.entry);
+        let upstream = Rc::clone(&response.in_flight.upstream);
+        upstream.record_failure();
         // Closes the connection, so that the upstream cancels the request.
         drop(response);
+        self.history = self.history.after_leaving(&upstream.entry.id);
         if !self.may_resume() {
             return false;
         }
+        let software = self.gateway.cluster.software_of(&upstream.entry);
+        let mut history = std::mem::take(&mut self.history);
+        self.require_software_of(&upstream, &mut history);
         let Passing::WholeEvents(splitter) = &mut self.passing else { return false };
         self.is_event_due |= splitter.is_inside_event();
         splitter.drop_pending();
         let after = splitter.last_id().map(str::to_owned);
-        if after.is_some() {
-            self.history.software = SoftwareRequirement::Same(software.clone());
-            self.history.resumed_at = Some(Instant::now());
-        }
-        let resumed = self.gateway.send(&self.request, &mut self.history, after.as_deref()).await;
+        let resumed = self.gateway.send(&self.request, &mut history, place, after.as_deref()).await;
+        self.history = history;
         let software_of = |response: &UpstreamResponse| {
             self.gateway.cluster.software_of(&response.in_flight.upstream.entry)
         };
@@ -280,7 +343,7 @@
         match resumed {
             Ok(response) if response.head.continues(&self.first_head) => {
                 self.response = Some(response);
-                self.progressed_at = Instant::now();
+                self.record_progress();
                 true
             }
             Ok(_) | Err(_) => false,
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -13,7 +13,7 @@
 use daisysill_core::{
     ids::SoftwareVersion, result_code::ResultCode, routing::CallKind, upstream_contact::Reach,
 };
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::{
     caller_request::{AttemptHistory, CallerRequest, encode_head, fingerprint, part_keys},
@@ -23,6 +23,7 @@
     refusal::Refusal,
     refusal_rules::{STALE_RETRY_MS, cut_off_refusal, deadline_refusal},
     relay::relay,
+    silence::{NextPlace, SilenceLimits},
 };
 
 /// Maximum size of a response that is buffered before it is relayed.
@@ -44,6 +45,13 @@
     EntryNode,
 }
 
+/// What became of a response that is buffered.
+enum Buffered {
+    Relayed(HttpResponse),
+    /// It did not arrive to its end; with the place of the next attempt, if one was taken before this one ended.
+    Failed(Option<NextPlace>),
+}
+
 impl EntryState {
     /// Returns whether responses close the caller's connection, so that the load balancer can pick another node.
     pub(crate) fn closes_connections(&self) -> bool {
@@ -185,9 +193,10 @@
         let resumed_at = request.takes_up_stream().then_some(request.arrived);
         history.software = software;
         history.resumed_at = resumed_at;
+        let mut next_place = None;
         loop {
             let resume_after = request.headers.resume_after.as_deref();
-            let sending = gateway.send(&request, &mut history, resume_after);
+            let sending = gateway.send(&request, &mut history, next_place.take(), resume_after);
             let Ok(sent) = timeout_at(request.deadline, sending).await else {
                 // The attempt in progress was dropped; its upstream may have run the request.
                 history.may_have_run += 1;
@@ -198,8 +207,9 @@
                 Err(refusal) => return self.pass_on_refused(http, &request, &mut history, refusal).await,
             };
             if response.head.status.is_server_error()
-                && Self::try_elsewhere(&request, &mut history, &response)
+                && let Some(place) = self.try_elsewhere(&request, &mut history, &response)
             {
+                next_place = place.upstream();
                 continue;
             }
             gateway.metrics.answer_seconds.observe(request.arrived.elapsed().as_secs_f64());
@@ -210,35 +220,39 @@
                 return Ok(self.relay_stream(Rc::clone(&request), response, history));
             }
             match self.relay_buffered(&request, response, &mut history).await {
-                Some(relayed) => return Ok(relayed),
-                None if history.may_have_run >= request.route.max_attempts || !may_retry(&request) => {
+                Buffered::Relayed(relayed) => return Ok(relayed),
+                Buffered::Failed(_)
+                    if history.may_have_run >= request.route.max_attempts || !may_retry(&request) =>
+                {
                     return Err(Refusal::new(ResultCode::UpstreamFailed, "the response ended early"));
                 }
-                None => {}
+                Buffered::Failed(place) => next_place = place.and_then(NextPlace::upstream),
             }
         }
     }
 
-    /// Returns whether a request that got a server error is retried at another upstream, and records the failed attempt
-    /// if so.
+    /// Returns where a request that got a server error is retried, and records the failed attempt if it is. Otherwise the error
+    /// is the answer.
     fn try_elsewhere(
+        &self,
         request: &CallerRequest,
         history: &mut AttemptHistory,
         response: &UpstreamResponse,
-    ) -> bool {
+    ) -> Option<NextPlace> {
         let upstream = &response.in_flight.upstream;
-        if !may_retry(request) || history.may_have_run + 1 >= request.route.max_attempts {
-            return false;
+        if !may_retry(request) {
+            return None;
         }
-        history.may_have_run += 1;
-        history.tried.push(upstream.entry.id.clone());
+        let left = history.after_leaving(&upstream.entry.id);
+        let place = self.gateway.next_place(request, &left)?;
+        *history = left;
         tracing::info!(
             event = "failed_answer",
             request_id = request.headers.request_id.as_deref(),
             upstream = upstream.entry.id.as_str(),
             status = response.head.status.as_u16(),
         );
-        true
+        Some(place)
     }
 
     fn log_response(&self, request: &CallerRequest, history: &AttemptHistory, response: &UpstreamResponse) {
@@ -272,23 +286,29 @@
         builder.body(BodyStream::new(Box::pin(body)))
     }
 
-    /// Buffers the whole response and relays it; `None` if it was incomplete, too large or past the deadline.
+    /// Buffers the whole response and relays it, unless it is incomplete, too large or past the deadline.
     async fn relay_buffered(
         &self,
         request: &Rc<CallerRequest>,
         mut response: UpstreamResponse,
         history: &mut AttemptHistory,
-    ) -> Option<HttpResponse> {
-        // A body without end must not use up the time for another attempt.
-        let limit = self.gateway.attempt_timeout(request, history, request.time_left());
-        let body = timeout(limit, read_full_body(&mut response)).await.ok().flatten();
+    ) -> Buffered {
         let upstream = Rc::clone(&response.in_flight.upstream);
+        let left = history.after_leaving(&upstream.entry.id);
+        let mut place = None;
+        let mut leave = || {
+            place = self.gateway.next_place(request, &left);
+            place.is_some()
+        };
+        // A body without end must not use up the time for another attempt.
+        let silence_limit = self.gateway.silence_limit(request, history, request.time_left());
+        let limits = SilenceLimits { first: Instant::now() + silence_limit, end: request.deadline };
+        let body = limits.wait(read_full_body(&mut response), &mut leave).await.flatten();
         let Some(body) = body else {
-            history.may_have_run += 1;
-            history.tried.push(upstream.entry.id.clone());
+            *history = left;
             upstream.record_failure();
             self.gateway.check_for_crash(request, &upstream);
-            return None;
+            return Buffered::Failed(place);
         };
         if response.head.status.is_success() {
             upstream.record_success();
@@ -299,7 +319,7 @@
         response.pooled.release();
         self.gateway.metrics.in_flight.dec();
         self.gateway.metrics.record_result("relayed");
-        Some(relayed)
+        Buffered::Relayed(relayed)
     }
 
     fn response_head(&self, response: &UpstreamResponse) -> actix_web::HttpResponseBuilder {
