Count and log requests whose caller leaves before the answer

A request whose caller disconnected before the answer began stayed in the gauge in_flight for good and had neither a result in the metrics nor a line in the log: the server drops the handler's future, and only its end counted.

A guard now ends such a request as `caller_left`. Ruled out: a guard around the whole response, since streams and passed-on bodies already count their own end.

Without it request_is_cancelled_when_its_caller_disconnects fails: `requests_total{result="caller_left"} 1` is missing and daisysill_gateway_in_flight is 1; with it the gauge is 0.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,5 +43,6 @@
 mod stop;
 mod store_manager;
 mod stream_origin;
+mod unanswered;
 pub mod upstreams;
 mod waiting;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,7 +19,8 @@
 /// Labels of a finished request.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct ResultLabels {
-    /// Name of the result code, or `relayed` for an upstream's own response, or `stream_broken`.
+    /// Name of the result code, `relayed` for an upstream's own response, `passed_on` for that of another entry node,
+    /// `stream_broken`, or `caller_left` if the caller disconnected before the answer.
     pub result: &'static str,
 }
 
@@ -56,7 +57,7 @@
 /// Metrics with their registry; clones share the values.
 #[derive(Clone, Debug)]
 pub struct GatewayMetrics {
-    /// Requests that were refused, or relayed to their end.
+    /// Requests that were refused or relayed to their end, or whose callers disconnected.
     pub requests: Family<ResultLabels, Counter>,
     /// Attempts that got a response head or failed.
     pub attempts: Family<AttemptLabels, Counter>,
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -23,6 +23,7 @@
     refusal::Refusal,
     refusal_rules::{STALE_RETRY_MS, cut_off_refusal, deadline_refusal},
     relay::relay,
+    unanswered::UnansweredRequest,
 };
 
 /// Maximum size of a response that is buffered before it is relayed.
@@ -58,12 +59,13 @@
         origin: Origin,
     ) -> HttpResponse {
         let arrived = Instant::now();
-        self.gateway.metrics.in_flight.inc();
         let request_id = http.headers().get("x-request-id").and_then(|id| id.to_str().ok());
+        let unanswered = UnansweredRequest::new(&self.gateway, request_id, arrived);
         let result = match self.read_request(http, payload, arrived, origin).await {
             Ok(request) => self.forward(http, Rc::new(request)).await,
             Err(refusal) => Err(refusal),
         };
+        unanswered.answered();
         match result {
             Ok(response) => response,
             Err(refusal) => {
