Answer requests that a planned stop of an entry node cannot finish

Callers saw: requests accepted in the notice time of the load balancer whose upstream had not answered when the process exited got no answer, the same for requests that waited for a place at an upstream and for those whose body was still arriving.

Cause: the server was aborted 0.4 s before the kill, with the handlers in progress. Requests are accepted until 2.6 s after the signal, and a route may allow more than the 5 s that are left then.

0.3 s before it exits, the process now tells its requests that the end is near. A request without an answer drops its attempt in progress, so that its upstream cancels it, and gets the result code 1306: 503 with retry-after if no upstream may have run it, 502 otherwise. An answer that is ready goes first. A request that another entry node passed on is marked as one that may be passed on once more only if it has not run here; this holds for all refusals now.

Evidence, on the code before: all four tests in planned_stop fail; requests_that_a_planned_stop_cannot_finish_get_an_answer and waiting_requests_are_refused_at_the_end_of_a_planned_stop with status 0 (no answer) in place of 502 and 503, open_connections_get_answers_until_the_process_exits with "the request whose body was not complete got no answer", and request_that_was_passed_on_to_a_stopping_node_is_not_passed_on_again with 1401, the code for a broken connection, in place of 1306. With the change they pass.

Ruled out: further SIGTERM and SIGHUP during the stop, which are ignored (sent in the first test); requests on kept connections, which are answered until the server closes those that are not in use (passed before too). Streams that have begun cannot be answered and go on until the process exits.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -112,6 +112,10 @@
     pub(crate) tried: Vec<InstanceId>,
     /// Number of upstreams that may have run the request.
     pub(crate) may_have_run: u32,
+    /// How many of them were tried by the entry node that passed the request on.
+    passed_attempts: u32,
+    /// Whether an attempt was begun whose outcome is not recorded yet.
+    pub(crate) is_attempt_open: bool,
     /// Counts sends; all but the first are charged to the retry budget.
     pub(crate) sends: SendCount,
     /// Number of upstreams that refused the request.
@@ -129,15 +133,20 @@
 impl AttemptHistory {
     /// Returns the history of a request that may have been tried before it was passed on to this node.
     pub(crate) fn after_passing(passed_on: Option<PassedOn>) -> Self {
-        let mut history = Self::default();
-        let attempts = passed_on.map_or(0, |passed_on| passed_on.attempts);
-        for _ in 0..attempts {
+        let passed_attempts = passed_on.map_or(0, |passed_on| passed_on.attempts);
+        let mut history = Self { passed_attempts, ..Self::default() };
+        for _ in 0..passed_attempts {
             history.may_have_run += 1;
             history.sends.begin();
         }
         history
     }
 
+    /// Returns whether an attempt of this node may have run the request.
+    pub(crate) fn may_have_run_here(&self) -> bool {
+        self.is_attempt_open || self.may_have_run > self.passed_attempts
+    }
+
     /// Returns the refusal that ends the request now. It states that the request has not run only if that is certain.
     pub(crate) fn refusal(
         &self,
--- a/crates/gateway/src/entry_node.rs
+++ b/crates/gateway/src/entry_node.rs
@@ -3,13 +3,13 @@
 use std::{
     cell::{Cell, OnceCell},
     rc::Rc,
-    sync::{Arc, OnceLock},
+    sync::Arc,
     time::Duration,
 };
 
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use daisysill_cluster::Cluster;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep};
 
 use crate::{
     config::{GatewayConfig, Role},
@@ -19,7 +19,7 @@
     header_codec::HeaderCodec,
     metrics::GatewayMetrics,
     request_handler::Origin,
-    stop::{BALANCER_NOTICE, KILL_MARGIN, stop_requested},
+    stop::{BALANCER_NOTICE, KILL_MARGIN, PlannedStop, stop_requested},
     upstreams::Upstreams,
 };
 
@@ -39,8 +39,8 @@
     readiness_port: u16,
     metrics_port: u16,
     passed_on_port: Option<u16>,
-    /// Set when the signal to stop arrives.
-    pub(crate) stopping: Arc<OnceLock<Instant>>,
+    /// Begins when the signal to stop arrives.
+    pub(crate) stop: PlannedStop,
     /// Result of the last readiness check.
     pub(crate) was_ready: Cell<bool>,
 }
@@ -66,11 +66,11 @@
     let (cluster, peers) = Cluster::start(config.cluster()).await?;
     let metrics = GatewayMetrics::new(cluster.metrics());
     tracing::info!(event = "start", node = config.name, role = "entry", %callers, %peers);
-    let stopping = Arc::new(OnceLock::new());
+    let stop = PlannedStop::default();
     let shutdown_timeout = config.bounds.shutdown_timeout;
     let metrics_address = config.metrics;
     let server = {
-        let (cluster, stopping, config) = (cluster.clone(), Arc::clone(&stopping), config.clone());
+        let (cluster, stop, config) = (cluster.clone(), stop.clone(), config.clone());
         let start = move || {
             let upstreams = Upstreams::new(config.zone.clone());
             let gateway = Rc::new(Gateway::new(
@@ -87,7 +87,7 @@
                 readiness_port: readiness.port(),
                 metrics_port: config.metrics.port(),
                 passed_on_port: passed_on.map(|address| address.port()),
-                stopping: Arc::clone(&stopping),
+                stop: stop.clone(),
                 was_ready: Cell::new(false),
             })
         };
@@ -118,10 +118,10 @@
     stop_requested().await;
     let stop_at = Instant::now() + shutdown_timeout.saturating_sub(KILL_MARGIN);
     tracing::info!(event = "stop", phase = "not_ready");
-    let _ = stopping.set(Instant::now());
+    stop.begin();
     sleep(BALANCER_NOTICE).await;
-    let stopped = timeout_at(stop_at, handle.stop(true)).await;
-    tracing::info!(event = "stop", phase = "end", all_served = stopped.is_ok());
+    let all_served = stop.finish(&handle, stop_at).await;
+    tracing::info!(event = "stop", phase = "end", all_served);
     serving.abort();
     Ok(())
 }
@@ -150,7 +150,7 @@
         let age = self.gateway.cluster.config_age();
         let cut_off = age.is_none_or(|age| age > MAX_READY_AGE);
         let can_serve = self.gateway.routing.table().is_some() && !self.gateway.upstreams.is_empty();
-        let stopping = self.stopping.get().is_some();
+        let stopping = self.stop.has_begun();
         let ready = can_serve && !stopping && !cut_off;
         if self.was_ready.replace(ready) != ready {
             let age_ms = age.map(|age| age.as_millis());
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -234,6 +234,7 @@
         chosen: &ChosenUpstream,
         resume_after: Option<&str>,
     ) -> Result<UpstreamResponse, AttemptError> {
+        history.is_attempt_open = true;
         if history.sends.begin() {
             self.with_budget(&request.service, RetryBudget::record_first_send);
         }
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -63,6 +63,7 @@
         error: AttemptError,
     ) {
         let upstream = &chosen.upstream;
+        history.is_attempt_open = false;
         if !error.was_sent() {
             history.sends.mark_unsent();
         }
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -111,6 +111,7 @@
             let Some(peer) = gateway.peers.choose(&tried) else { break };
             let address = peer.address;
             tried.push(address);
+            history.is_attempt_open = true;
             let sent = timeout_at(request.deadline, exchange(gateway, http, request, history, peer)).await;
             let Ok(outcome) = sent else {
                 gateway.metrics.record_passed_on("timed_out");
@@ -123,6 +124,7 @@
                     None => gateway.metrics.record_passed_on("broken"),
                 },
                 PeerOutcome::Unable => {
+                    history.is_attempt_open = false;
                     gateway.metrics.record_passed_on("unable");
                     gateway.peers.avoid(address);
                     continue;
@@ -133,6 +135,7 @@
                 }
             }
             may_have_run = true;
+            history.is_attempt_open = false;
             history.may_have_run += 1;
             if !may_retry(request) || history.may_have_run >= request.route.max_attempts {
                 break;
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -48,7 +48,7 @@
 impl EntryState {
     /// Returns whether responses close the caller's connection, so that the load balancer can pick another node.
     pub(crate) fn closes_connections(&self) -> bool {
-        self.stopping.get().is_some() || !self.was_ready.get()
+        self.stop.has_begun() || !self.was_ready.get()
     }
 
     /// Serves one request, which came from `origin`; refusals are counted and logged here.
@@ -61,9 +61,17 @@
         let arrived = Instant::now();
         let request_id = http.headers().get("x-request-id").and_then(|id| id.to_str().ok());
         let unanswered = UnansweredRequest::new(&self.gateway, request_id, arrived);
-        let result = match self.read_request(http, payload, arrived, origin).await {
-            Ok(request) => self.forward(http, Rc::new(request)).await,
-            Err(refusal) => Err(refusal),
+        let mut history = AttemptHistory::default();
+        let answer = async {
+            let request = self.read_request(http, payload, arrived, origin).await?;
+            history = AttemptHistory::after_passing(request.passed_on);
+            self.forward(http, Rc::new(request), &mut history).await
+        };
+        let result = tokio::select! {
+            biased;
+            result = answer => result,
+            // Drops the attempt in progress, so that its upstream cancels it.
+            () = self.stop.near_end() => Err(shutdown_refusal(&history)),
         };
         unanswered.answered();
         match result {
@@ -81,7 +89,7 @@
                     after_ms = arrived.elapsed().as_millis(),
                 );
                 let mut response = refusal.response(request_id, self.closes_connections());
-                if origin == Origin::EntryNode && self.is_unable(&refusal) {
+                if origin == Origin::EntryNode && self.is_unable(&refusal) && !history.may_have_run_here() {
                     response
                         .headers_mut()
                         .insert(HeaderName::from_static(UNABLE), HeaderValue::from_static("1"));
@@ -115,12 +123,8 @@
             Ok(Err(error)) => return Err(Refusal::new(ResultCode::BodyIncomplete, error.to_string())),
             Err(_) => return Err(Refusal::new(ResultCode::BodyTooLarge, format!("over {limit} bytes"))),
         };
-        if self.stopping.get().is_some_and(|since| since.elapsed() >= REFUSE_AFTER) {
-            return Err(Refusal::not_run(
-                ResultCode::ShuttingDown,
-                "the node is shutting down",
-                STOP_RETRY_MS,
-            ));
+        if self.stop.elapsed() >= REFUSE_AFTER {
+            return Err(shutdown_refusal(&AttemptHistory::default()));
         }
         let Some(table) = gateway.first_table(arrived).await else {
             return Err(Refusal::not_run(ResultCode::NoQuorum, "no configuration yet", 500));
@@ -171,17 +175,21 @@
         })
     }
 
-    async fn forward(&self, http: &HttpRequest, request: Rc<CallerRequest>) -> Result<HttpResponse, Refusal> {
+    async fn forward(
+        &self,
+        http: &HttpRequest,
+        request: Rc<CallerRequest>,
+        history: &mut AttemptHistory,
+    ) -> Result<HttpResponse, Refusal> {
         let gateway = &self.gateway;
-        let mut history = AttemptHistory::after_passing(request.passed_on);
         if gateway.contact.reach() == Reach::CutOff
             && (request.passed_on.is_some() || gateway.passes_on(&request))
         {
             let answer = match request.passed_on {
-                None => self.pass_on(http, &request, &mut history).await,
+                None => self.pass_on(http, &request, history).await,
                 Some(_) => None,
             };
-            return answer.unwrap_or_else(|| Err(cut_off_refusal(&history)));
+            return answer.unwrap_or_else(|| Err(cut_off_refusal(history)));
         }
         let software = gateway.software_requirement(&request).await?;
         let resumed_at = request.takes_up_stream().then_some(request.arrived);
@@ -189,29 +197,27 @@
         history.resumed_at = resumed_at;
         loop {
             let resume_after = request.headers.resume_after.as_deref();
-            let sending = gateway.send(&request, &mut history, resume_after);
+            let sending = gateway.send(&request, history, resume_after);
             let Ok(sent) = timeout_at(request.deadline, sending).await else {
                 // The attempt in progress was dropped; its upstream may have run the request.
                 history.may_have_run += 1;
-                return Err(deadline_refusal(&history));
+                return Err(deadline_refusal(history));
             };
             let response = match sent {
                 Ok(response) => response,
-                Err(refusal) => return self.pass_on_refused(http, &request, &mut history, refusal).await,
+                Err(refusal) => return self.pass_on_refused(http, &request, history, refusal).await,
             };
-            if response.head.status.is_server_error()
-                && Self::try_elsewhere(&request, &mut history, &response)
-            {
+            if response.head.status.is_server_error() && Self::try_elsewhere(&request, history, &response) {
                 continue;
             }
             gateway.metrics.answer_seconds.observe(request.arrived.elapsed().as_secs_f64());
-            self.log_response(&request, &history, &response);
+            self.log_response(&request, history, &response);
             let streams =
                 matches!(request.route.kind, CallKind::Stream { .. }) && response.head.status.is_success();
             if streams {
-                return Ok(self.relay_stream(Rc::clone(&request), response, history));
+                return Ok(self.relay_stream(Rc::clone(&request), response, std::mem::take(history)));
             }
-            match self.relay_buffered(&request, response, &mut history).await {
+            match self.relay_buffered(&request, response, history).await {
                 Some(relayed) => return Ok(relayed),
                 None if history.may_have_run >= request.route.max_attempts || !may_retry(&request) => {
                     return Err(Refusal::new(ResultCode::UpstreamFailed, "the response ended early"));
@@ -309,6 +315,13 @@
     }
 }
 
+/// Returns the refusal of a request that this node cannot finish before it exits.
+fn shutdown_refusal(history: &AttemptHistory) -> Refusal {
+    let may_have_run = history.may_have_run > 0 || history.is_attempt_open;
+    let reason = "the node is shutting down";
+    Refusal::after_attempts(may_have_run, ResultCode::ShuttingDown, reason, STOP_RETRY_MS)
+}
+
 pub(crate) fn may_retry(request: &CallerRequest) -> bool {
     matches!(request.route.kind, CallKind::Idempotent | CallKind::Stream { resumable: true })
 }
