--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -262,6 +262,7 @@
         chosen: &ChosenUpstream,
         resume_after: Option<&str>,
     ) -> Result<UpstreamResponse, FailedAttempt> {
+        history.is_attempt_open = true;
         if history.sends.begin() {
             self.with_budget(&request.service, RetryBudget::record_first_send);
         }
