Hold a crash after an answer against the request that was answered

All callers that shared a part of their prompts with the crashing requests would have been refused for ten minutes, since nothing clears a part whose requests are all refused.

Cause: the second run of a stream that is resumed near its end completes just before its upstream crashes (in the test after 40 ms, as the crash does). Nobody reports this crash under the request that caused it. A sound request that was sent there meanwhile breaks, and is the only one to explain the crash. Twice in a row, and the shared part has 4 crashes while the crashing one has 2, so the shared part is blocked. Sound requests that completed in between had no effect: those broke before, and clear nothing.

The new core test failed before with "left: [1] right: [] round 1".

Ruled out: a late or lost report (all arrived 0.55 s after the crash), an expired block (ten minutes).

Fix, two parts. An entry node checks the upstream once more after the answer to a request that broke before, and reports a crash under its parts; it doesn't count towards a block of the request itself. And no part is blocked for crashes that another one, in fewer requests, explains and that lacks one crash to be blocked. Requests that are repeated don't hold back a block (second core test, which passed before as well).

--- a/crates/core/src/crashing_parts.rs
+++ b/crates/core/src/crashing_parts.rs
@@ -153,9 +153,10 @@
         counts
     }
 
-    /// Returns the fewest parts that explain the crashes: again and again the one with the most unexplained crashes.
+    /// Returns the fewest parts that explain the crashes: again and again the one with the most unexplained crashes. If
+    /// that one lacks a crash to be blocked, it is waited for, and no other part is blocked for the same crashes.
     fn culprits(&self) -> Vec<u64> {
-        let is_candidate = |evidence: &Evidence| evidence.successive() >= CRASHES_TO_BLOCK;
+        let is_candidate = |evidence: &Evidence| evidence.successive() + 1 >= CRASHES_TO_BLOCK;
         let mut candidates: Vec<(u64, &Evidence)> = self
             .by_part
             .iter()
@@ -173,7 +174,9 @@
             if unexplained(evidence) < CRASHES_TO_BLOCK as usize {
                 return culprits;
             }
-            culprits.push(*part);
+            if evidence.successive() >= CRASHES_TO_BLOCK {
+                culprits.push(*part);
+            }
             explained.extend(evidence.crashes.iter().cloned());
             candidates.swap_remove(index);
         }
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -75,6 +75,36 @@
     assert_eq!(blocked(&mut parts, 20_000), [0_u64; 0]);
 }
 
+/// Pattern: each request with the part crashes one upstream while it is answered, and another one right after its answer,
+/// under a sound request that was sent there meanwhile. Guards against blocking the part that both share, which reaches
+/// the count first.
+#[test]
+fn part_of_fewer_requests_is_waited_for_before_the_shared_one_is_blocked() {
+    let mut parts = CrashingParts::default();
+    for round in 0..3 {
+        let (bad, sound, start_ms) = (round, 100 + round, round * 700);
+        parts.record_crash(&[HOT, BAD], &run(2 * round, bad, start_ms, start_ms + 40));
+        parts.record_crash(&[HOT, BAD], &run(2 * round + 1, bad, start_ms, start_ms + 240));
+        parts.record_crash(&[HOT, RARE], &run(2 * round + 1, sound, start_ms + 100, start_ms + 120));
+        let expected: &[u64] = if round < 2 { &[] } else { &[BAD] };
+        assert_eq!(blocked(&mut parts, start_ms + 600), expected, "round {round}");
+    }
+}
+
+/// Pattern: a repeated request that shares the other part breaks in each crash that one part causes. Guards against
+/// holding back the block of the part because of it.
+#[test]
+fn repeated_request_does_not_hold_back_a_block() {
+    let mut parts = CrashingParts::default();
+    for crash in 0..3 {
+        let (sent_ms, broke_ms) = (crash * 100, crash * 100 + 90);
+        parts.record_crash(&[HOT, RARE], &run(crash, 1_000, sent_ms, broke_ms));
+        parts.record_crash(&[HOT, BAD], &run(crash, crash, sent_ms, broke_ms));
+        parts.record_completion(&[HOT]);
+    }
+    assert_eq!(blocked(&mut parts, 400), [BAD]);
+}
+
 /// Pattern: one request crashes its upstreams and is repeated. Guards against blocking its parts, which sound requests share;
 /// the request itself is blocked elsewhere.
 #[test]
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -26,6 +26,15 @@
 /// Time for a new connection in that check.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// When an upstream crashed, if it did.
+#[derive(Clone, Copy)]
+enum CrashTime {
+    /// When a connection to it broke.
+    At(BootInstant),
+    /// Some time before the check.
+    BeforeCheck,
+}
+
 impl Gateway {
     /// Records the head of a response: reachability, weight version, failures, prefill speed and cached prefix.
     pub(crate) fn record_response(
@@ -115,6 +124,23 @@
     /// Reports a crash under the request if its upstream, whose connection broke, accepts no new connection although this
     /// node reaches others.
     pub(crate) fn check_for_crash(&self, request: &CallerRequest, upstream: &Rc<Upstream>) {
+        self.check_for_crash_since(request, upstream, CrashTime::At(BootInstant::now()));
+    }
+
+    /// Reports a crash of an upstream soon after it has answered a request that broke before, as evidence against the parts
+    /// of its prompt: otherwise only the requests that were sent there meanwhile would explain the crash.
+    pub(crate) fn check_for_crash_after_answer(
+        &self,
+        request: &CallerRequest,
+        history: &AttemptHistory,
+        upstream: &Rc<Upstream>,
+    ) {
+        if history.may_have_run > 0 && !request.part_keys.is_empty() {
+            self.check_for_crash_since(request, upstream, CrashTime::BeforeCheck);
+        }
+    }
+
+    fn check_for_crash_since(&self, request: &CallerRequest, upstream: &Rc<Upstream>, time: CrashTime) {
         let cluster = self.cluster.clone();
         let address = upstream.entry.address;
         let crash = UpstreamCrash {
@@ -124,13 +150,17 @@
         };
         let request_id = request.headers.request_id.clone();
         let parts = request.part_keys.clone();
-        let broke_at = BootInstant::now();
-        let sent_at = broke_at.checked_sub(request.arrived.elapsed()).unwrap_or(broke_at);
+        let now = BootInstant::now();
+        let sent_at = now.checked_sub(request.arrived.elapsed()).unwrap_or(now);
         let (contact, upstream, now_ms) = (Rc::clone(&self.contact), Rc::clone(upstream), self.now_ms());
         actix_rt::spawn(async move {
             sleep(CRASH_CHECK_DELAY).await;
             if UpstreamConnection::connect(address, CRASH_CHECK_TIMEOUT).await.is_err() {
-                contact.record_failure(&upstream, now_ms + millis(broke_at.elapsed()));
+                let broke_at = match time {
+                    CrashTime::At(broke_at) => broke_at,
+                    CrashTime::BeforeCheck => BootInstant::now(),
+                };
+                contact.record_failure(&upstream, now_ms + millis(now.elapsed()));
                 sleep(LOST_LINKS_CHECK_DELAY).await;
                 if contact.reach() != Reach::InTouch {
                     return;
@@ -145,7 +175,10 @@
                 if !parts.is_empty() {
                     cluster.report_broken_prompt(parts, crash.clone(), sent_at, broke_at);
                 }
-                cluster.report_crash(crash);
+                // An answered request isn't blocked itself.
+                if matches!(time, CrashTime::At(_)) {
+                    cluster.report_crash(crash);
+                }
             }
         });
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -293,6 +293,8 @@
         if let Some(response) = self.response.take() {
             response.in_flight.upstream.record_success();
             self.gateway.record_completion(&self.request, &self.history);
+            let upstream = &response.in_flight.upstream;
+            self.gateway.check_for_crash_after_answer(&self.request, &self.history, upstream);
             self.gateway.record_duration(&self.request, self.started.elapsed());
             response.pooled.release();
         }
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -293,6 +293,7 @@
         if response.head.status.is_success() {
             upstream.record_success();
             self.gateway.record_completion(request, history);
+            self.gateway.check_for_crash_after_answer(request, history, &upstream);
         }
         self.gateway.record_duration(request, request.arrived.elapsed());
         let relayed = self.response_head(&response).body(body);
