Keep a silent engine until another one has accepted its request

Callers saw: a stream, or a request that had no token yet, ended with 1401, 1309, 1304 or 1307 although its engine was sound, when that engine was silent for longer than progress_ms and no other one took the request.

Cause: the attempt was cancelled at the progress timeout, before it was known whether another engine would take the prompt. The request then ended if it was the only engine, if no attempt was left, if all others refused, or if the agreed state did not permit another run of a suspect request.

The silent exchange is now kept until the head of another response has arrived. Without another engine the node awaits it, and checks again at each further progress timeout, up to the deadline of the request. A crash of the engine ends the wait. Engines that refused are asked again at these checks.

Ruled out: calls to plain services have no progress timeout and are awaited up to their deadline.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -2,64 +2,58 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use daisysill_core::{block::BlockName, ids::InstanceId, route::Decision};
+use daisysill_core::{block::BlockName, route::Decision};
 use daisysill_wire::http_types::{EngineEvent, EngineRequest};
-use futures::StreamExt;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    crash::FailedAttempt,
+    assignment::Assignment,
     dispatch::{AttemptOutcome, Dispatch, ResponseEvent},
+    exchange::Exchange,
     metrics::ServiceLabels,
     request::new_id,
-    restore::{CancelOnDrop, Restore},
-    upstream_api::{AttemptError, AttemptResult, EngineStream},
+    restore::Restore,
+    upstream_api::{AttemptError, AttemptResult},
 };
 
-/// Limit on the response to a probe on a new connection after another connection went silent.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Shortest time to wait for a silent upstream before checking again whether another one can take over.
+const MIN_SILENCE_CHECK: Duration = Duration::from_millis(500);
 
 impl Dispatch {
     /// Makes one attempt. If the caller disconnects, in any phase, the work at the engine is cancelled.
-    pub(crate) async fn attempt(&mut self, decision: &Decision) -> AttemptOutcome {
-        let Some(url) = self.shared.upstreams.url(&decision.upstream) else {
-            self.lifecycle.apply_event("restored");
-            return AttemptOutcome::Failed(AttemptError::NotSent("the upstream is gone".to_owned()));
-        };
+    pub(crate) async fn attempt(&mut self, assignment: Assignment) -> AttemptOutcome {
         let labels = ServiceLabels { service: self.lifecycle.service.to_string() };
         self.shared.metrics.attempts.get_or_create(&labels).inc();
-        // Read before the attempt: after a crash, the load report may already be that of the new process.
-        self.incarnation = self.shared.upstreams.incarnation(&decision.upstream);
-        self.attempt_began = Instant::now();
-        let guard = self.shared.upstreams.dispatch(&decision.upstream, decision.recomputed_tokens);
+        let decision = &assignment.decision;
         let names = self.piece_names(decision);
-        if !self.restore(&url, decision, &names).await {
-            guard.retract();
+        // Prefill may take its estimated time; the progress timeout starts only after that.
+        let first_timeout = self.progress_timeout() + Duration::from_micros(decision.estimate_us);
+        let request = self.engine_request(decision, &names);
+        if !self.restore(&assignment.url, &assignment.decision, &names).await {
+            if let Some(guard) = assignment.guard {
+                guard.retract();
+            }
             return AttemptOutcome::CallerDisconnected;
         }
-        let request = self.engine_request(decision, &names);
         let span = self.lifecycle.span.child("attempt");
-        span.set("upstream", decision.upstream.as_str());
+        span.set("upstream", assignment.decision.upstream.as_str());
         span.set("attempt_id", request.attempt_id.as_str());
-        let id = Some(request.attempt_id.clone());
-        let mut cancel = CancelOnDrop { engine: Rc::clone(&self.engine), url: url.clone(), id };
-        let result = self.relay(&url, &request, decision, span.traceparent()).await;
-        match result {
-            Ok(true) => {
-                cancel.id = None;
-                self.shared.idle_pieces.record_use(&decision.upstream, &self.lifecycle.service, &names);
-                AttemptOutcome::Finished
-            }
-            Ok(false) => AttemptOutcome::CallerDisconnected,
-            Err(error) => {
-                span.set("error", error.to_string());
-                if error.is_not_run() {
-                    cancel.id = None;
-                    guard.retract();
-                }
-                AttemptOutcome::Failed(error)
-            }
+        let exchange = Exchange::new(Rc::clone(&self.engine), assignment, request, names, span);
+        self.relay(Box::new(exchange), Instant::now() + first_timeout).await
+    }
+
+    /// Waits for an upstream that was silent, until it is time to check again whether another one can take over.
+    pub(crate) async fn await_silent(&mut self, exchange: Box<Exchange>) -> AttemptOutcome {
+        if self.lifecycle.is_choosing() {
+            self.lifecycle.apply_event("chosen");
+            self.lifecycle.apply_event("restored");
         }
+        let check = self.progress_timeout().max(MIN_SILENCE_CHECK);
+        self.relay(exchange, Instant::now() + check).await
+    }
+
+    fn progress_timeout(&self) -> Duration {
+        Duration::from_millis(self.rules.deadlines.progress_ms)
     }
 
     fn piece_names(&self, decision: &Decision) -> Vec<BlockName> {
@@ -106,27 +100,35 @@
         }
     }
 
-    /// Sends the request and relays its tokens to the end; `Ok(false)` means that the caller disconnected.
-    async fn relay(
-        &mut self,
-        url: &str,
-        request: &EngineRequest,
-        decision: &Decision,
-        traceparent: &str,
-    ) -> AttemptResult<bool> {
-        let progress_timeout = Duration::from_millis(self.rules.deadlines.progress_ms);
-        // Prefill may take its estimated time; the progress timeout starts only after that.
-        let first_timeout = progress_timeout + Duration::from_micros(decision.estimate_us);
-        let mut limit = (Instant::now() + first_timeout).min(self.request.deadline);
-        let mut events = tokio::select! {
-            events = timeout_at(limit, self.engine.generate(url, request, traceparent)) => {
-                events.map_err(|_| AttemptError::Silent)??
+    /// Relays the response; the first event must arrive before `limit`.
+    async fn relay(&mut self, mut exchange: Box<Exchange>, limit: Instant) -> AttemptOutcome {
+        match self.relay_tokens(&mut exchange, limit.min(self.request.deadline)).await {
+            Ok(true) => {
+                let service = &self.lifecycle.service;
+                self.shared.idle_pieces.record_use(exchange.upstream(), service, &exchange.piece_names);
+                exchange.finish();
+                AttemptOutcome::Finished
             }
+            Ok(false) => AttemptOutcome::CallerDisconnected,
+            Err(AttemptError::Silent) => AttemptOutcome::Silent(exchange),
+            Err(error) => {
+                exchange.fail(&error);
+                AttemptOutcome::Failed(exchange, error)
+            }
+        }
+    }
+
+    /// Relays the tokens to the end; `Ok(false)` means that the caller disconnected.
+    async fn relay_tokens(&mut self, exchange: &mut Exchange, mut limit: Instant) -> AttemptResult<bool> {
+        tokio::select! {
+            events = exchange.events(limit) => drop(events?),
             () = self.sender.closed() => return Ok(false),
-        };
+        }
+        // The upstream accepted the request, so the silent one before it is cancelled.
+        self.silent = None;
         loop {
-            let Some(event) = self.next_event(&mut events, request, limit).await? else { return Ok(false) };
-            if !self.deliver(&event, decision).await {
+            let Some(event) = self.next_event(exchange, limit).await? else { return Ok(false) };
+            if !self.deliver(&event, &exchange.assignment.decision).await {
                 return Ok(false);
             }
             if let (Some(finish_reason), Some(usage)) = (event.finish_reason, event.usage) {
@@ -135,7 +137,7 @@
             }
             // Set only after the caller accepted the token, so that a slow caller is not counted as a silent
             // upstream.
-            limit = (Instant::now() + progress_timeout).min(self.request.deadline);
+            limit = (Instant::now() + self.progress_timeout()).min(self.request.deadline);
         }
     }
 
@@ -144,18 +146,16 @@
     /// Events of other attempts and of tokens already delivered are dropped and do not extend `limit`.
     async fn next_event(
         &self,
-        events: &mut EngineStream,
-        request: &EngineRequest,
+        exchange: &mut Exchange,
         limit: Instant,
     ) -> AttemptResult<Option<EngineEvent>> {
         loop {
             let event = tokio::select! {
-                event = timeout_at(limit, events.next()) => event.map_err(|_| AttemptError::Silent)?,
+                event = exchange.next_event(limit) => event?,
                 () = self.sender.closed() => return Ok(None),
             };
-            let ended = || Err(AttemptError::Failed("the stream ended early".to_owned()));
-            let event = event.unwrap_or_else(ended)?;
-            if event.attempt_id != request.attempt_id || event.token_index < self.delivered_tokens {
+            let is_stray = event.attempt_id != exchange.request.attempt_id;
+            if is_stray || event.token_index < self.delivered_tokens {
                 self.shared.metrics.stray_events.inc();
                 continue;
             }
@@ -190,43 +190,4 @@
         metrics.computed_tokens.get_or_create(&labels).inc_by(decision.recomputed_tokens);
         metrics.reused_tokens.get_or_create(&labels).inc_by(decision.cached_tokens);
     }
-
-    /// Records a failed attempt, reports a crash, and excludes the upstream unless only its connection failed.
-    pub(crate) async fn handle_failure(&mut self, upstream: &InstanceId, error: &AttemptError) {
-        let labels = ServiceLabels { service: self.lifecycle.service.to_string() };
-        self.shared.metrics.failed_attempts.get_or_create(&labels).inc();
-        self.lifecycle.record_decision(&format!("{upstream}: {error}"));
-        self.lifecycle.apply_event(if self.lifecycle.is_relaying() { "cut" } else { "failed" });
-        if !error.is_not_run() {
-            self.may_have_run = true;
-            let attempt = FailedAttempt {
-                upstream,
-                incarnation: self.incarnation,
-                fingerprint: &self.fingerprint,
-                parts: self.parts(),
-                sent_at: self.attempt_began,
-                rules: &self.rules,
-            };
-            attempt.report_if_crashed(&self.shared, self.engine.as_ref()).await;
-        }
-        match error {
-            AttemptError::Refused { leaving: true, .. } => self.shared.upstreams.event(upstream, "refused"),
-            AttemptError::Refused { .. } | AttemptError::TooLate => {}
-            AttemptError::Silent if self.is_connection_fault(upstream).await => return,
-            _ => self.shared.upstreams.event(upstream, "ping_failed"),
-        }
-        self.excluded.push(upstream.clone());
-    }
-
-    /// Returns whether only the connection failed: the upstream responds on a new one. That counts once for
-    /// each upstream and request; a second silent connection is held against the upstream.
-    async fn is_connection_fault(&mut self, upstream: &InstanceId) -> bool {
-        if self.silent_once.contains(upstream) {
-            return false;
-        }
-        self.silent_once.push(upstream.clone());
-        self.shared.metrics.silent_connections.inc();
-        let Some(url) = self.shared.upstreams.url(upstream) else { return false };
-        matches!(timeout(PROBE_TIMEOUT, self.engine.load(&url)).await, Ok(Ok(_)))
-    }
 }
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -213,20 +213,20 @@
 }
 
 impl FailedAttempt<'_> {
-    /// Checks whether the upstream crashed during the attempt, and reports a crash.
+    /// Checks whether the upstream crashed during the attempt, and reports a crash; returns whether it did.
     ///
     /// A crash shows as a new incarnation or as an upstream that accepts no connection. An upstream that is
     /// merely silent is not considered crashed.
-    pub async fn report_if_crashed(&self, shared: &Shared, engine: &dyn Engine) {
+    pub async fn report_if_crashed(&self, shared: &Shared, engine: &dyn Engine) -> bool {
         let broke_at = Instant::now();
-        let Some(url) = shared.upstreams.url(self.upstream) else { return };
+        let Some(url) = shared.upstreams.url(self.upstream) else { return false };
         let crashed = match timeout(LIVENESS_TIMEOUT, engine.load(&url)).await {
             Ok(Ok(load)) => self.incarnation != 0 && load.incarnation != self.incarnation,
             Ok(Err(AttemptError::NotSent(_))) => true,
             Ok(Err(_)) | Err(_) => false,
         };
         if !crashed {
-            return;
+            return false;
         }
         shared.metrics.crashes.inc();
         shared.blocked_requests.record_crash(self.fingerprint, self.rules);
@@ -243,5 +243,6 @@
             Ok(Err(error)) => log::warn!("crash of {} not committed: {error}", self.upstream),
             Err(_) => log::warn!("crash of {} not committed within {REPORT_TIMEOUT:?}", self.upstream),
         }
+        true
     }
 }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -2,7 +2,6 @@
 
 use std::{cell::OnceCell, collections::BTreeMap, rc::Rc, sync::Arc};
 
-use daisysill_control::{command::RunRefusal, crashes::REPORT_WINDOW_MS};
 use daisysill_core::{
     block::{BlockName, BlockScope, piece_names},
     ids::{InstanceId, WeightVersion},
@@ -17,8 +16,10 @@
 
 use crate::{
     admission_control::{AdmissionRequest, AdmissionSlot},
+    assignment::NextStep,
     config::ServiceConfig,
-    crash::{GrantedRun, PlannedRun, RunPermission, fingerprint},
+    crash::fingerprint,
+    exchange::Exchange,
     prompt_runs::part_keys,
     refusal::Refusal,
     request::RequestLifecycle,
@@ -29,7 +30,7 @@
 /// Routing cost of another availability zone, in microseconds.
 const CROSS_ZONE_US: f64 = 1_000.0;
 /// Suggested retry delay if no upstream is available, or no majority is reachable.
-const NO_UPSTREAM_RETRY_MS: u64 = 1_000;
+pub(crate) const NO_UPSTREAM_RETRY_MS: u64 = 1_000;
 /// Suggested retry delay if every attempt failed.
 const ATTEMPT_FAILED_RETRY_MS: u64 = 500;
 
@@ -62,19 +63,13 @@
     Refused(Refusal),
 }
 
-/// Why a request that was part of a crash must not run at the chosen upstream.
-enum RunDenial {
-    /// It may run at another upstream.
-    TryElsewhere,
-    /// It must not run anywhere now.
-    Refused(Refusal),
-}
-
 /// How an attempt ended.
 pub(crate) enum AttemptOutcome {
     Finished,
     CallerDisconnected,
-    Failed(AttemptError),
+    /// Nothing arrived within the progress timeout; the upstream may still go on.
+    Silent(Box<Exchange>),
+    Failed(Box<Exchange>, AttemptError),
 }
 
 /// Serves one prompt; owns the request's life cycle until the response is complete or refused.
@@ -93,10 +88,13 @@
     /// Upstreams with a silent connection during this request; the next one is held against the upstream.
     pub(crate) silent_once: Vec<InstanceId>,
     pub(crate) fingerprint: String,
-    /// Incarnation of the upstream when the current attempt began; a changed one shows that it crashed.
-    pub(crate) incarnation: u64,
-    /// When the current attempt began, for the evidence of a crash under it.
-    pub(crate) attempt_began: Instant,
+    /// Upstreams that refused this request without leaving; they are excluded until a silent one is awaited further.
+    pub(crate) refused: Vec<InstanceId>,
+    /// An attempt whose upstream is silent; kept until another upstream accepts the request.
+    pub(crate) silent: Option<Box<Exchange>>,
+    /// Attempts that may have run.
+    pub(crate) attempts: u64,
+    last_error: Option<AttemptError>,
     /// Keys of the prompt's prefixes, computed when they are first needed.
     parts: OnceCell<Vec<u64>>,
     /// Whether any attempt failed after it was sent, so that the request may have been executed.
@@ -118,8 +116,10 @@
         Self {
             fingerprint,
             silent_once: Vec::new(),
-            incarnation: 0,
-            attempt_began: Instant::now(),
+            refused: Vec::new(),
+            silent: None,
+            attempts: 0,
+            last_error: None,
             parts: OnceCell::new(),
             may_have_run: false,
             rules: shared.rules_of(&lifecycle.service),
@@ -151,44 +151,30 @@
         };
         self.lifecycle.record_admission(&slot.reason);
         self.lifecycle.apply_event("admitted");
-        let mut last_error = None;
-        let mut attempts = 0;
-        while attempts < self.rules.retries.max_attempts {
-            // Checked before each attempt: the request may have crashed the upstream of the last one.
-            if let Some(refusal) = self.block() {
-                return self.refuse(refusal).await;
-            }
-            let Some(decision) = self.choose() else { break };
-            let run = match self.request_permission(&decision).await {
-                Ok(run) => run,
-                Err(RunDenial::TryElsewhere) => {
-                    self.excluded.push(decision.upstream);
-                    continue;
-                }
-                Err(RunDenial::Refused(refusal)) => return self.refuse(refusal).await,
+        loop {
+            let outcome = match self.next_step().await {
+                NextStep::Attempt(assignment) => self.attempt(*assignment).await,
+                NextStep::AwaitSilent(exchange) => self.await_silent(exchange).await,
+                NextStep::Refuse(refusal) => return self.refuse(refusal).await,
             };
-            self.lifecycle.apply_event("chosen");
-            match self.attempt(&decision).await {
+            match outcome {
                 AttemptOutcome::Finished => {
-                    if let Some(run) = run {
-                        run.finished();
-                    }
                     self.report_completion();
                     slot.record_served();
                     return self.lifecycle.set_result(ResultCode::Ok);
                 }
                 AttemptOutcome::CallerDisconnected => return self.lifecycle.apply_event("disconnected"),
-                AttemptOutcome::Failed(error) => {
-                    // A refusal before execution does not count as an attempt, since all engines that load new
-                    // weights may refuse in turn. The loop still ends, as that upstream is excluded.
-                    attempts += u64::from(!error.is_not_run());
-                    // Reports a crash before the end of the run, so that no other run is permitted in between.
-                    self.handle_failure(&decision.upstream, &error).await;
-                    drop(run);
+                AttemptOutcome::Silent(exchange) => {
+                    self.handle_silence(exchange).await;
+                    self.last_error = Some(AttemptError::Silent);
+                }
+                AttemptOutcome::Failed(exchange, error) => {
+                    // A permitted run ends after the report of a crash, so that no other one is permitted in between.
+                    self.handle_failure(&exchange, &error).await;
                     if matches!(error, AttemptError::Refused { leaving: false, .. }) {
                         slot.record_overload();
                     }
-                    last_error = Some(error);
+                    self.last_error = Some(error);
                 }
             }
             if self.sender.is_closed() {
@@ -199,7 +185,7 @@
                 break;
             }
         }
-        let refusal = self.refusal(last_error);
+        let refusal = self.refusal();
         self.refuse(refusal).await;
     }
 
@@ -218,18 +204,6 @@
         }
     }
 
-    /// Returns the refusal of a request that is blocked, or whose prompt has a blocked prefix.
-    fn block(&mut self) -> Option<Refusal> {
-        let view = Arc::clone(&self.shared.cluster.view().borrow());
-        if self.shared.blocked_requests.contains(&view.blocked, &self.fingerprint, &self.rules) {
-            return Some(blocked());
-        }
-        let part = self.blocked_part()?;
-        self.lifecycle.record_decision(&format!("the prefix {part:x} of the prompt is blocked"));
-        let message = "the request is blocked because its prompt begins like others that took down upstreams";
-        Some(Refusal::new(ResultCode::RequestBlocked, message))
-    }
-
     /// Returns the keys of the prompt's prefixes, which do not depend on a weight version.
     pub(crate) fn parts(&self) -> &[u64] {
         self.parts.get_or_init(|| {
@@ -252,29 +226,7 @@
         usize::try_from(self.service.piece_tokens * self.service.bytes_per_token).unwrap_or(usize::MAX)
     }
 
-    /// Requests permission to run at the chosen upstream, which a request that was part of a crash needs.
-    async fn request_permission(&mut self, decision: &Decision) -> Result<Option<GrantedRun>, RunDenial> {
-        let planned = PlannedRun {
-            upstream: &decision.upstream,
-            fingerprint: &self.fingerprint,
-            rules: &self.rules,
-            deadline: self.request.deadline,
-        };
-        match planned.request_permission(&self.shared).await {
-            RunPermission::NotNeeded => Ok(None),
-            RunPermission::Granted(run) => Ok(Some(run)),
-            RunPermission::Refused(RunRefusal::UpstreamTaken) => {
-                self.lifecycle
-                    .record_decision(&format!("{}: runs another request of a crash", decision.upstream));
-                Err(RunDenial::TryElsewhere)
-            }
-            RunPermission::Refused(RunRefusal::Wait) => Err(RunDenial::Refused(waits_for_crash())),
-            RunPermission::Refused(RunRefusal::Blocked) => Err(RunDenial::Refused(blocked())),
-            RunPermission::NoQuorum => Err(RunDenial::Refused(no_quorum())),
-        }
-    }
-
-    fn choose(&mut self) -> Option<Decision> {
+    pub(crate) fn choose(&mut self) -> Option<Decision> {
         let (view, now_ms) = self.shared.upstreams.view();
         let pieces = self.pieces_by_version(&view);
         let prompt_bytes = self.request.prompt.len() as u64;
@@ -317,9 +269,9 @@
         pieces
     }
 
-    fn refusal(&self, last_error: Option<AttemptError>) -> Refusal {
+    pub(crate) fn refusal(&self) -> Refusal {
         let past_deadline = Instant::now() >= self.request.deadline;
-        match last_error {
+        match &self.last_error {
             Some(error) if past_deadline && !error.is_not_run() => Refusal::new(
                 ResultCode::DeadlineExceeded,
                 "the deadline passed before the answer was complete",
@@ -329,7 +281,7 @@
                     .retry_after_ms(NO_UPSTREAM_RETRY_MS)
             }
             Some(AttemptError::Refused { message, retry_after_ms, .. }) => {
-                Refusal::new(ResultCode::UpstreamRefused, message)
+                Refusal::new(ResultCode::UpstreamRefused, message.as_str())
                     .retry_after_ms(retry_after_ms.unwrap_or(NO_UPSTREAM_RETRY_MS))
             }
             Some(error) => Refusal::new(ResultCode::UpstreamFailed, error.to_string())
@@ -348,17 +300,3 @@
         let _ = self.sender.send(ResponseEvent::Refused(refusal)).await;
     }
 }
-
-fn blocked() -> Refusal {
-    Refusal::new(ResultCode::RequestBlocked, "the request is blocked because it took down upstreams")
-}
-
-fn waits_for_crash() -> Refusal {
-    let message = "the request was part of a crash whose reports are arriving, or is running elsewhere";
-    Refusal::new(ResultCode::RequestBlocked, message).retry_after_ms(REPORT_WINDOW_MS)
-}
-
-fn no_quorum() -> Refusal {
-    let message = "the request was part of a crash, and no majority is in reach to permit another run";
-    Refusal::new(ResultCode::NoQuorum, message).retry_after_ms(NO_UPSTREAM_RETRY_MS)
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,7 +3,9 @@
 pub mod admin_api;
 pub mod admission_control;
 pub mod app;
+mod assignment;
 pub mod attempt;
+mod attempt_failure;
 pub mod auth;
 pub mod caller_api;
 pub mod claim;
@@ -14,6 +16,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod engine_client;
+mod exchange;
 pub mod exit_code;
 pub mod explain;
 pub mod exporter;
--- a/crates/node/src/request.rs
+++ b/crates/node/src/request.rs
@@ -78,6 +78,11 @@
         self.state == "relaying"
     }
 
+    /// Returns whether an upstream has to be chosen.
+    pub fn is_choosing(&self) -> bool {
+        self.state == "choosing"
+    }
+
     /// Returns whether the request is complete, for instance with a stored response.
     pub fn is_answered(&self) -> bool {
         self.state == "answered"
--- a/crates/node/tests/support/fakes.rs
+++ b/crates/node/tests/support/fakes.rs
@@ -145,6 +145,8 @@
     Silence(Duration),
     /// Breaks the connection.
     Cut,
+    /// As the first step: refuses the attempt before it runs, as a full engine does.
+    Refuse,
 }
 
 /// All engines of the node: each attempt, at whichever engine, plays the next script.
@@ -181,6 +183,10 @@
             self.attempts.borrow_mut().push((url.to_owned(), request.clone()));
             tokio::time::sleep(self.start_delay.get()).await;
             let script = self.scripts.borrow_mut().pop_front().unwrap_or_default();
+            if matches!(script.first(), Some(Step::Refuse)) {
+                let message = "status 503".to_owned();
+                return Err(AttemptError::Refused { message, leaving: false, retry_after_ms: None });
+            }
             let (id, pulled) = (request.attempt_id.clone(), Rc::clone(&self.pulled));
             let events =
                 stream::iter(script).filter_map(move |step| play(step, id.clone(), Rc::clone(&pulled)));
@@ -287,6 +293,7 @@
             None
         }
         Step::Cut => Some(Err(AttemptError::Failed("cut".to_owned()))),
+        Step::Refuse => None,
     }
 }
 
--- a/crates/testkit/tests/silent_connections.rs
+++ b/crates/testkit/tests/silent_connections.rs
@@ -8,6 +8,8 @@
 
 const NODE: &str = "sathorn-1";
 const RULES: &str = "[service]\nname = lyric-llm\n[deadlines]\nprogress_ms = 400\n";
+const ONE_ATTEMPT: &str =
+    "[service]\nname = lyric-llm\n[deadlines]\nprogress_ms = 400\n[retries]\nmax_attempts = 1\n";
 
 async fn start(engines: usize) -> Deployment {
     let deployment = Deployment::start(DeploymentConfig::with_engines(engines));
@@ -63,3 +65,27 @@
     assert_eq!(send_lookup(2).await, 200);
     assert!(started.elapsed() < Duration::from_secs(5), "{:?}", started.elapsed());
 }
+
+/// Guards against ending a response because its only engine was silent for a while: before its first token, midway, and
+/// with the last permitted attempt.
+#[actix_rt::test]
+async fn a_request_goes_on_when_its_only_engine_is_silent_for_a_while() {
+    let deployment = start(1).await;
+    let link = deployment.upstream_link(NODE, "lyric-llm-1");
+    // Half a second of prefill, so that the link goes silent before the first token.
+    let long = "la ".repeat(13_333);
+    for (rules, text) in [(RULES, long.as_str()), (RULES, "midway"), (ONE_ATTEMPT, "last attempt")] {
+        assert!(deployment.publish(NODE, &[("lyric.ini", rules)]).await);
+        let silence = async {
+            actix_rt::time::sleep(Duration::from_millis(150)).await;
+            link.set_silent(true);
+            actix_rt::time::sleep(Duration::from_millis(1_600)).await;
+            link.set_silent(false);
+        };
+        let (outcome, ()) = futures::future::join(send_prompt(&deployment, NODE, text, 200), silence).await;
+        assert!(outcome.matches_expected(text, 200), "{outcome:?}");
+        let before_first_token = outcome.first_token > Some(Duration::from_millis(1_500));
+        assert_eq!(before_first_token, text == long, "{:?}", outcome.first_token);
+        assert!(outcome.total > Duration::from_millis(1_500), "{:?}", outcome.total);
+    }
+}
