Answer operators' changes that are in progress when a control node stops

Callers saw: a change sent to a control node that was then stopped ended with a closed connection. Without a majority in reach a change takes up to 5 s, but the server's requests were cut 2 s after the node had left the cluster.

A change still in progress 0.3 s before that end now gets 503, as one whose outcome is unknown: it may come into force, and the operator sends it again.

By reading only: a stop with a majority in reach cuts nothing, since the replica that leaves answers its proposals and the next leader takes them.

--- a/crates/gateway/src/control_node.rs
+++ b/crates/gateway/src/control_node.rs
@@ -9,14 +9,14 @@
     state::RoutingDocument,
 };
 use daisysill_core::{ids::WeightVersion, routing::RoutingTable};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep};
 
 use crate::{
     config::{GatewayConfig, Role},
     discovery::{Discovery, DocumentFormat, OrderSender, StoreClient},
     metrics::GatewayMetrics,
     rollout::LeaderTasks,
-    stop::{KILL_MARGIN, stop_requested},
+    stop::{KILL_MARGIN, PlannedStop, stop_requested},
 };
 
 /// Reads are refused if this node last knew longer ago than this that its configuration was the newest.
@@ -48,6 +48,7 @@
 pub struct ControlPlane {
     cluster: ClusterHandle,
     format: Arc<dyn DocumentFormat>,
+    stop: PlannedStop,
 }
 
 impl ControlPlane {
@@ -87,7 +88,13 @@
     }
 
     async fn propose(&self, command: Command) -> ChangeOutcome {
-        match self.cluster.propose(command).await {
+        let proposed = tokio::select! {
+            biased;
+            proposed = self.cluster.propose(command) => proposed,
+            // The change may still be committed.
+            () = self.stop.near_end() => Err(ProposeError::Uncertain),
+        };
+        match proposed {
             Ok(_) => ChangeOutcome::Accepted,
             Err(ProposeError::NotCommitted | ProposeError::Uncertain) => ChangeOutcome::Unavailable,
         }
@@ -136,7 +143,8 @@
         order_lease: config.bounds.order_lease,
     };
     actix_rt::spawn(leader_tasks.run());
-    let plane = ControlPlane { cluster: cluster.clone(), format };
+    let stop = PlannedStop::default();
+    let plane = ControlPlane { cluster: cluster.clone(), format, stop: stop.clone() };
     let server = HttpServer::new(move || {
         let (api, plane, metrics) = (api.clone(), plane.clone(), metrics.clone());
         App::new()
@@ -168,9 +176,10 @@
     }
     tracing::info!(event = "stop", phase = "begin");
     let stop_at = Instant::now() + config.bounds.shutdown_timeout.saturating_sub(KILL_MARGIN);
+    stop.begin();
     cluster.leave().await;
-    let stopped = timeout_at(stop_at, handle.stop(true)).await;
-    tracing::info!(event = "stop", phase = "end", all_served = stopped.is_ok());
+    let all_served = stop.finish(&handle, stop_at.min(Instant::now() + OPERATOR_STOP_TIMEOUT)).await;
+    tracing::info!(event = "stop", phase = "end", all_served);
     serving.abort();
     Ok(())
 }
