Rule out other software versions only by a list that was read after the question

What callers saw: a stream that had begun at an upstream of a new software version broke, was taken up at a node that had been cut off or had stood still while that version joined, and went on at the version before.

Cause: for a stream that no node in reach knows, a control node answered with the only version of the last 30 s if its last reading of the list was at most 1.5 s old. It counted a reading from when it arrived, not from when the leader began it, so a follower took an old list for new for up to 3 s, or after it had stood still. And even a recent reading tells nothing of a version that joined after it: the entry node that began the stream may have read the list later.

Fix: a reading counts from a lower bound of the time at which it began, and a control node names the only version if a reading shows it that began after the question arrived; it waits for that up to 1.7 s. An entry node first asks what its control node knows itself, so that a lost one costs 250 ms as before. The wait ends with the request's deadline. The leader now sets the content of the published list before its time, which another thread could read in between.

The reading history of a control node is not lost; a known origin is answered as fast as before. The harness of relays.rs is now shared with stream_origins.rs, to which the tests of origins moved; it no longer panics while no node leads.

--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -282,7 +282,8 @@
     /// Applies a response; returns whether the source is current. The ages in it were measured after the request was
     /// sent, so they are subtracted from that time.
     async fn apply(&self, reply: &ObserveReply, requested_at: BootInstant) -> bool {
-        let at = |age_ms: u64| requested_at.checked_sub(Duration::from_millis(age_ms));
+        // An age is less than a millisecond more than it says.
+        let at = |age_ms: u64| requested_at.checked_sub(Duration::from_millis(age_ms.saturating_add(1)));
         let current = |age_ms: Option<u64>| age_ms.is_some_and(|age_ms| age_ms < MAX_SOURCE_AGE_MS);
         let has_replica = self.replica.borrow().status.is_some();
         let newest = match &reply.update {
@@ -301,8 +302,8 @@
         }
         if let Some(at) = reply.published_age_ms.and_then(at) {
             self.published.adopt(reply.published_upstreams.clone(), at);
-            if has_replica && current(reply.published_age_ms) {
-                self.soft_state.record_listed(&self.published.get().upstreams);
+            if has_replica {
+                self.soft_state.record_listed(at, &self.published.get().upstreams);
             }
         }
         if reply.leader.is_some() {
--- a/crates/cluster/src/origins.rs
+++ b/crates/cluster/src/origins.rs
@@ -15,10 +15,15 @@
 use futures::{FutureExt, StreamExt, stream::FuturesUnordered};
 use tokio::{
     sync::{Notify, watch},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
-use crate::{clock::BootInstant, driver::ReplicaView, link::Links, soft_state::SoftState};
+use crate::{
+    clock::BootInstant,
+    driver::ReplicaView,
+    link::{CallError, Links},
+    soft_state::SoftState,
+};
 
 /// Time for which origins are collected before they are reported. Callers take up a stream after it broke, and a new
 /// connection alone takes them some milliseconds.
@@ -27,10 +32,14 @@
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Timeout of a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Timeout of a question that an entry node asks; the caller waits for the answer.
+/// Timeout of a question for what a control node knows itself; the caller waits for the answer.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(250);
-/// Timeout of the questions that a control node asks the others to answer that one.
+/// Timeout of the questions that a control node asks the others.
 const SPREAD_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time in which the next reading of the list reaches all control nodes; the leader begins one about every second.
+const READING_TIMEOUT: Duration = Duration::from_millis(1_700);
+/// Timeout of a question that a control node may answer after that reading only.
+const SEARCH_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of origins queued; further ones are not reported.
 const MAX_QUEUED: usize = 20_000;
 
@@ -46,6 +55,8 @@
 pub(crate) struct OriginStore {
     start: BootInstant,
     has_queued: Notify,
+    /// Notified of each reading of the list.
+    readings: watch::Sender<()>,
     inner: Mutex<Inner>,
 }
 
@@ -56,7 +67,12 @@
             history: SoftwareHistory::default(),
             queued: Vec::new(),
         };
-        Self { start: BootInstant::now(), has_queued: Notify::new(), inner: Mutex::new(inner) }
+        Self {
+            start: BootInstant::now(),
+            has_queued: Notify::new(),
+            readings: watch::Sender::new(()),
+            inner: Mutex::new(inner),
+        }
     }
 }
 
@@ -80,19 +96,33 @@
         self.lock().known.find(now_ms, stream).cloned()
     }
 
-    /// Records a reading of the list: the service and the software version of each upstream.
+    /// Records a reading of the list that began at `begun_at` or later: the service and the software version of each
+    /// upstream.
     pub(crate) fn record_listed<'a>(
         &self,
+        begun_at: BootInstant,
         listed: impl IntoIterator<Item = (&'a ServiceName, &'a SoftwareVersion)>,
     ) {
-        let now_ms = self.now_ms();
-        self.lock().history.record(now_ms, listed);
+        let begun_ms = self.ms_at(begun_at);
+        self.lock().history.record(begun_ms, listed);
+        self.readings.send_replace(());
     }
 
-    /// Returns the only software version at which a recent stream of a service can have begun, if there is one.
-    pub(crate) fn sole_version(&self, service: &ServiceName) -> Option<SoftwareVersion> {
-        let now_ms = self.now_ms();
-        self.lock().history.sole_version(now_ms, service).cloned()
+    /// Returns the only software version at which a stream of a service can have begun that was asked for at `asked_at`.
+    /// Waits for a reading of the list that began later; `None` if it does not arrive or there is no such version.
+    pub(crate) async fn sole_version(
+        &self,
+        asked_at: BootInstant,
+        service: &ServiceName,
+    ) -> Option<SoftwareVersion> {
+        let asked_ms = self.ms_at(asked_at);
+        let mut readings = self.readings.subscribe();
+        let is_decided = |(): &()| {
+            let Inner { history, .. } = &*self.lock();
+            !history.may_be_sole(asked_ms, service) || history.is_read_after(asked_ms)
+        };
+        timeout(READING_TIMEOUT, readings.wait_for(is_decided)).await.ok()?.ok()?;
+        self.lock().history.sole_version(asked_ms, service).cloned()
     }
 
     fn queue(&self, origins: Vec<StreamOrigin>) {
@@ -108,7 +138,11 @@
     }
 
     fn now_ms(&self) -> u64 {
-        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+        self.ms_at(BootInstant::now())
+    }
+
+    fn ms_at(&self, at: BootInstant) -> u64 {
+        u64::try_from(at.since(self.start).as_millis()).unwrap_or(u64::MAX)
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -154,22 +188,8 @@
 
     /// Asks for the software version at which a stream of a service began; `None` if nobody can tell.
     pub(crate) async fn ask(&self, stream: u64, service: &ServiceName) -> Option<SoftwareVersion> {
-        let spread = self.spread();
-        let limit = match spread {
-            Spread::ToControlNodes => QUESTION_TIMEOUT,
-            Spread::None => SPREAD_TIMEOUT,
-        };
-        let questions = self.targets().into_iter().map(|target| {
-            let (links, service) = (&self.links, service.clone());
-            async move {
-                let link = links.get(&target)?;
-                let call = move |client: PeerClient, context| {
-                    async move { client.stream_origin(context, stream, service, spread).await }.boxed()
-                };
-                link.call(limit, call).await.ok().flatten()
-            }
-        });
-        let mut answers: FuturesUnordered<_> = questions.collect();
+        let answers = self.targets().into_iter().map(|target| self.ask_one(target, stream, service));
+        let mut answers: FuturesUnordered<_> = answers.collect();
         while let Some(answer) = answers.next().await {
             if answer.is_some() {
                 return answer;
@@ -178,6 +198,40 @@
         None
     }
 
+    /// Asks one control node. An entry node has it search only if it answers at once that it does not know the stream, since
+    /// a search takes as long as the next reading of the list, and a node that is lost would be waited for.
+    async fn ask_one(
+        &self,
+        target: InstanceId,
+        stream: u64,
+        service: &ServiceName,
+    ) -> Option<SoftwareVersion> {
+        if self.has_replica() {
+            return self.call(&target, stream, service, Spread::None, SPREAD_TIMEOUT).await.ok()?;
+        }
+        let known = self.call(&target, stream, service, Spread::None, QUESTION_TIMEOUT).await.ok()?;
+        if known.is_some() {
+            return known;
+        }
+        self.call(&target, stream, service, Spread::ToControlNodes, SEARCH_TIMEOUT).await.ok()?
+    }
+
+    async fn call(
+        &self,
+        target: &InstanceId,
+        stream: u64,
+        service: &ServiceName,
+        spread: Spread,
+        limit: Duration,
+    ) -> Result<Option<SoftwareVersion>, CallError> {
+        let link = self.links.get(target).ok_or(CallError::NotSent)?;
+        let service = service.clone();
+        let call = move |client: PeerClient, context| {
+            async move { client.stream_origin(context, stream, service, spread).await }.boxed()
+        };
+        link.call(limit, call).await
+    }
+
     /// Sends origins to each target; returns whether one has them, or there is none to send them to.
     async fn report(&self, origins: &[StreamOrigin]) -> bool {
         let spread = self.spread();
--- a/crates/cluster/src/published_upstreams.rs
+++ b/crates/cluster/src/published_upstreams.rs
@@ -99,12 +99,13 @@
 
     /// Publishes upstreams that the platform listed at `at`.
     pub(crate) fn publish(&self, upstreams: Vec<UpstreamEntry>, at: BootInstant) {
-        self.lock().current_at = Some(at);
         let entry_nodes = self.polling_entry_nodes().saturating_add(self.relays.entry_nodes());
         self.change(|published| {
             published.upstreams = upstreams;
             published.entry_nodes = entry_nodes;
         });
+        // After the content, which another thread must not take for newer than it is.
+        self.lock().current_at = Some(at);
     }
 
     /// Returns the number of entry nodes that recently polled this node.
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -272,17 +272,19 @@
         service: ServiceName,
         spread: Spread,
     ) -> Option<SoftwareVersion> {
+        let asked_at = BootInstant::now();
         let known = &self.state.soft_state.origins;
-        if let Some(software) = known.find(stream) {
-            return Some(software);
+        let found = known.find(stream);
+        if found.is_some() || spread == Spread::None {
+            return found;
         }
-        match spread {
-            Spread::None => None,
-            Spread::ToControlNodes => {
-                let found = self.state.origin_peers.ask(stream, &service).await;
-                found.or_else(|| known.sole_version(&service))
-            }
+        let found = self.state.origin_peers.ask(stream, &service).await;
+        if found.is_some() {
+            return found;
         }
+        let sole = known.sole_version(asked_at, &service).await;
+        // Its entry node may have reported it meanwhile.
+        known.find(stream).or(sole)
     }
 
     async fn target_ages(self, _: Context) -> Vec<TargetAge> {
--- a/crates/cluster/src/soft_state.rs
+++ b/crates/cluster/src/soft_state.rs
@@ -61,10 +61,10 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records which software versions of each service are listed now.
-    pub(crate) fn record_listed(&self, listed: &[UpstreamEntry]) {
+    /// Records which software versions of each service a reading of the list showed that began at `begun_at` or later.
+    pub(crate) fn record_listed(&self, begun_at: BootInstant, listed: &[UpstreamEntry]) {
         let known = self.software.of_listed(listed);
-        self.origins.record_listed(known.iter().map(|(service, software)| (*service, software)));
+        self.origins.record_listed(begun_at, known.iter().map(|(service, software)| (*service, software)));
     }
 
     /// Records the loads and the used parts that an entry node reports.
--- a/crates/cluster/src/soft_state_handle.rs
+++ b/crates/cluster/src/soft_state_handle.rs
@@ -12,9 +12,6 @@
 
 use crate::{clock::BootInstant, handle::ClusterHandle, outcome_queue::TimedOutcome, software::start_of};
 
-/// A list read within this time shows which software versions serve now.
-const RECENT_LIST: Duration = Duration::from_millis(1_500);
-
 impl ClusterHandle {
     /// Returns a receiver of the upstreams that the leader publishes.
     pub fn published_upstreams(&self) -> watch::Receiver<Arc<PublishedUpstreams>> {
@@ -57,9 +54,7 @@
     /// Publishes upstreams that the platform listed at `at` to all nodes. To be called by the leader only.
     pub fn publish_upstreams(&self, upstreams: Vec<UpstreamEntry>, at: BootInstant) {
         self.inner.soft_state.software.prune(&upstreams);
-        if at.elapsed() < RECENT_LIST {
-            self.inner.soft_state.record_listed(&upstreams);
-        }
+        self.inner.soft_state.record_listed(at, &upstreams);
         self.inner.published.publish(upstreams, at);
     }
 
--- /dev/null
+++ b/crates/cluster/tests/nodes/mod.rs
@@ -0,0 +1,119 @@
+//! Control nodes and entry nodes in three zones.
+
+#![allow(dead_code, missing_docs, unreachable_pub, reason = "each test file uses a part of it")]
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use daisysill_cluster::{BootInstant, Cluster, ClusterConfig, ClusterHandle};
+use daisysill_core::ids::InstanceId;
+use tempfile::TempDir;
+use tokio::time::sleep;
+
+pub const LIMIT: Duration = Duration::from_secs(15);
+pub const ZONES: u8 = 3;
+pub const ENTRY_NODES_PER_ZONE: u8 = 4;
+pub const ENTRY_NODES: u32 = (ZONES * ENTRY_NODES_PER_ZONE) as u32;
+
+/// A control node and some entry nodes in each zone.
+pub struct TestNodes {
+    pub controls: Vec<ClusterHandle>,
+    /// By zone.
+    pub entries: Vec<Vec<ClusterHandle>>,
+    _folders: Vec<TempDir>,
+}
+
+impl TestNodes {
+    pub async fn start(net: u8) -> Self {
+        let address = |host: u8| SocketAddr::from(([127, 79, net, host], 8_300));
+        let seeds: Vec<InstanceId> = (1..=ZONES).map(|host| address(host).to_string().into()).collect();
+        let config = |host: u8, zone: u8, folder: Option<&TempDir>| ClusterConfig {
+            name: address(host).to_string().into(),
+            zone: format!("z{zone}").into(),
+            data_dir: folder.map(|folder| folder.path().to_owned()),
+            peer_listen: address(host),
+            peers: Vec::new(),
+            bootstrap_voters: seeds.clone(),
+            bootstrap: true,
+            trust_disk: true,
+            names_are_addresses: true,
+            target_voters: Some(3),
+            secret: "test".to_owned(),
+        };
+        let folders: Vec<TempDir> = (0..ZONES).map(|_| TempDir::new().unwrap()).collect();
+        let mut controls = Vec::new();
+        for (zone, folder) in (1..=ZONES).zip(&folders) {
+            controls.push(Cluster::start(config(zone, zone, Some(folder))).await.unwrap().0);
+        }
+        let mut entries = Vec::new();
+        for zone in 1..=ZONES {
+            let mut of_zone = Vec::new();
+            for number in 0..ENTRY_NODES_PER_ZONE {
+                let host = 10 * zone + number;
+                of_zone.push(Cluster::start(config(host, zone, None)).await.unwrap().0);
+            }
+            entries.push(of_zone);
+        }
+        let nodes = Self { controls, entries, _folders: folders };
+        wait("a leader", || nodes.controls.iter().any(ClusterHandle::is_leader)).await;
+        nodes
+    }
+
+    pub fn leader_zone(&self) -> usize {
+        self.controls.iter().position(ClusterHandle::is_leader).unwrap()
+    }
+
+    pub fn leader(&self) -> &ClusterHandle {
+        &self.controls[self.leader_zone()]
+    }
+
+    /// Zones whose control node is not the leader.
+    pub fn other_zones(&self) -> Vec<usize> {
+        (0..self.controls.len()).filter(|zone| *zone != self.leader_zone()).collect()
+    }
+
+    pub fn all_entries(&self) -> impl Iterator<Item = &ClusterHandle> {
+        self.entries.iter().flatten()
+    }
+
+    /// Publishes an empty list, as the leader does about once a second; nothing while there is no leader.
+    fn publish_empty_list(&self) {
+        for leader in self.controls.iter().filter(|control| control.is_leader()) {
+            leader.publish_upstreams(Vec::new(), BootInstant::now());
+        }
+    }
+
+    /// Publishes empty lists, and waits until all nodes have settled.
+    pub async fn settle(&self) {
+        let settled = || {
+            self.publish_empty_list();
+            self.all_entries().all(|entry| entry.published_upstreams().borrow().entry_nodes == ENTRY_NODES)
+        };
+        wait("all entry nodes to be counted once", settled).await;
+        let is_own =
+            |zone: &usize| self.controls[*zone].metrics().followers.get() == i64::from(ENTRY_NODES_PER_ZONE);
+        wait("each zone's entry nodes at its control node", || {
+            self.publish_empty_list();
+            self.controls.iter().any(ClusterHandle::is_leader) && self.other_zones().iter().all(is_own)
+        })
+        .await;
+    }
+}
+
+pub async fn wait(what: &str, mut condition: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < LIMIT, "condition not met within {LIMIT:?}: {what}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+pub async fn wait_async(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let start = Instant::now();
+    while !condition().await {
+        assert!(start.elapsed() < LIMIT, "timed out: {what}");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
--- a/crates/cluster/tests/relays.rs
+++ b/crates/cluster/tests/relays.rs
@@ -2,118 +2,17 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+mod nodes;
 
-use daisysill_cluster::{BootInstant, Cluster, ClusterConfig, ClusterHandle};
-use daisysill_core::ids::InstanceId;
+use std::time::Duration;
+
+use daisysill_cluster::{BootInstant, ClusterHandle};
 use daisysill_wire::peer::{StoredPart, UpstreamCrash, UpstreamLoad};
-use tempfile::TempDir;
 use tokio::time::sleep;
 
-const LIMIT: Duration = Duration::from_secs(15);
-const ZONES: u8 = 3;
-const ENTRY_NODES_PER_ZONE: u8 = 4;
-const ENTRY_NODES: u32 = (ZONES * ENTRY_NODES_PER_ZONE) as u32;
-/// Time in which a control node passes on what it was told about streams.
-const TIME_TO_COPY: Duration = Duration::from_millis(500);
-const INDEX_LIMIT: Duration = Duration::from_secs(5);
-
-/// A control node and some entry nodes in each zone.
-struct TestNodes {
-    controls: Vec<ClusterHandle>,
-    /// By zone.
-    entries: Vec<Vec<ClusterHandle>>,
-    _folders: Vec<TempDir>,
-}
-
-impl TestNodes {
-    async fn start(net: u8) -> Self {
-        let address = |host: u8| SocketAddr::from(([127, 79, net, host], 8_300));
-        let seeds: Vec<InstanceId> = (1..=ZONES).map(|host| address(host).to_string().into()).collect();
-        let config = |host: u8, zone: u8, folder: Option<&TempDir>| ClusterConfig {
-            name: address(host).to_string().into(),
-            zone: format!("z{zone}").into(),
-            data_dir: folder.map(|folder| folder.path().to_owned()),
-            peer_listen: address(host),
-            peers: Vec::new(),
-            bootstrap_voters: seeds.clone(),
-            bootstrap: true,
-            trust_disk: true,
-            names_are_addresses: true,
-            target_voters: Some(3),
-            secret: "test".to_owned(),
-        };
-        let folders: Vec<TempDir> = (0..ZONES).map(|_| TempDir::new().unwrap()).collect();
-        let mut controls = Vec::new();
-        for (zone, folder) in (1..=ZONES).zip(&folders) {
-            controls.push(Cluster::start(config(zone, zone, Some(folder))).await.unwrap().0);
-        }
-        let mut entries = Vec::new();
-        for zone in 1..=ZONES {
-            let mut of_zone = Vec::new();
-            for number in 0..ENTRY_NODES_PER_ZONE {
-                let host = 10 * zone + number;
-                of_zone.push(Cluster::start(config(host, zone, None)).await.unwrap().0);
-            }
-            entries.push(of_zone);
-        }
-        let nodes = Self { controls, entries, _folders: folders };
-        wait("a leader", || nodes.controls.iter().any(ClusterHandle::is_leader)).await;
-        nodes
-    }
-
-    fn leader_zone(&self) -> usize {
-        self.controls.iter().position(ClusterHandle::is_leader).unwrap()
-    }
-
-    fn leader(&self) -> &ClusterHandle {
-        &self.controls[self.leader_zone()]
-    }
-
-    /// Zones whose control node is not the leader.
-    fn other_zones(&self) -> Vec<usize> {
-        (0..self.controls.len()).filter(|zone| *zone != self.leader_zone()).collect()
-    }
-
-    fn all_entries(&self) -> impl Iterator<Item = &ClusterHandle> {
-        self.entries.iter().flatten()
-    }
-
-    /// Publishes an empty list as the leader does about once a second, and waits until all nodes have settled.
-    async fn settle(&self) {
-        let settled = || {
-            self.leader().publish_upstreams(Vec::new(), BootInstant::now());
-            self.all_entries().all(|entry| entry.published_upstreams().borrow().entry_nodes == ENTRY_NODES)
-        };
-        wait("all entry nodes to be counted once", settled).await;
-        let is_own =
-            |zone: &usize| self.controls[*zone].metrics().followers.get() == i64::from(ENTRY_NODES_PER_ZONE);
-        wait("each zone's entry nodes at its control node", || {
-            self.leader().publish_upstreams(Vec::new(), BootInstant::now());
-            self.other_zones().iter().all(is_own)
-        })
-        .await;
-    }
-}
+use crate::nodes::{ENTRY_NODES, ENTRY_NODES_PER_ZONE, TestNodes, ZONES, wait, wait_async};
 
-async fn wait(what: &str, mut condition: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !condition() {
-        assert!(start.elapsed() < LIMIT, "condition not met within {LIMIT:?}: {what}");
-        sleep(Duration::from_millis(20)).await;
-    }
-}
-
-async fn wait_async(what: &str, mut condition: impl AsyncFnMut() -> bool) {
-    let start = Instant::now();
-    while !condition().await {
-        assert!(start.elapsed() < LIMIT, "timed out: {what}");
-        sleep(Duration::from_millis(50)).await;
-    }
-}
+const INDEX_LIMIT: Duration = Duration::from_secs(5);
 
 fn load(requests: u32) -> UpstreamLoad {
     UpstreamLoad { upstream: 9, requests, tokens: 100, pending_prefill_tokens: 10, ..UpstreamLoad::default() }
@@ -290,49 +189,6 @@
     assert_eq!(count(entry, REQUEST), Some(3));
 }
 
-/// Waits until an entry node can tell where a stream began.
-async fn wait_for_origin(entry: &ClusterHandle, stream: u64, software: &str) {
-    let start = Instant::now();
-    while entry.stream_origin(stream, &"lyric".into()).await != Some(software.into()) {
-        assert!(start.elapsed() < LIMIT, "stream {stream} does not begin at {software}");
-        sleep(Duration::from_millis(20)).await;
-    }
-}
-
-/// Guards against streams whose software version is forgotten when the node that began them and a control node are lost.
-#[tokio::test]
-async fn origin_of_a_stream_outlives_its_entry_node_and_a_control_node() {
-    let nodes = TestNodes::start(9).await;
-    nodes.settle().await;
-    for (zone, stream) in (0..nodes.entries.len()).zip(100..) {
-        nodes.entries[zone][0].record_stream_origin(stream, format!("v{zone}").as_str().into());
-    }
-    for entry in nodes.all_entries() {
-        for (zone, stream) in (0..nodes.entries.len()).zip(100..) {
-            wait_for_origin(entry, stream, &format!("v{zone}")).await;
-        }
-    }
-    sleep(TIME_TO_COPY).await;
-    let lost = nodes.other_zones()[0];
-    nodes.entries[lost][0].stop().await;
-    nodes.controls[lost].stop().await;
-    for entry in nodes.entries.iter().flat_map(|of_zone| &of_zone[1..]) {
-        for (zone, stream) in (0..nodes.entries.len()).zip(100..) {
-            wait_for_origin(entry, stream, &format!("v{zone}")).await;
-        }
-    }
-}
-
-/// Guards against a guess where a stream of unknown origin began, by control nodes that have not seen the list for long.
-#[tokio::test]
-async fn unknown_origin_is_not_guessed() {
-    let nodes = TestNodes::start(10).await;
-    nodes.settle().await;
-    for entry in nodes.all_entries() {
-        assert_eq!(entry.stream_origin(7, &"lyric".into()).await, None);
-    }
-}
-
 /// Guards against an entry node that is cut off from the upstreams and does not learn which others its callers could be
 /// served by, also in other zones, or that turns to one which is cut off too.
 #[tokio::test]
--- a/crates/core/tests/stream_origins.rs
+++ b/crates/core/tests/stream_origins.rs
@@ -37,8 +37,13 @@
         }
     }
 
+    /// Returns the only version for a stream that was asked for right before now.
     fn sole_version(&self) -> Option<&SoftwareVersion> {
-        self.history.sole_version(self.now_ms, &self.name)
+        self.sole_version_at(self.now_ms - 1)
+    }
+
+    fn sole_version_at(&self, asked_ms: u64) -> Option<&SoftwareVersion> {
+        self.history.sole_version(asked_ms, &self.name)
     }
 }
 
@@ -65,6 +70,39 @@
     assert_eq!(service.sole_version(), None);
 }
 
+/// Guards against a stream that goes on at the only version of the last reading, although it began at one that joined after
+/// that reading.
+#[test]
+fn reading_before_the_question_tells_nothing() {
+    for (next, expected) in [(vec!["v1"], Some(version("v1"))), (vec!["v1", "v2"], None), (vec!["v2"], None)]
+    {
+        let mut service = Service::new();
+        service.list(&["v1"], 2 * ORIGIN_LIFETIME_MS);
+        let asked_ms = service.now_ms;
+        assert_eq!(service.sole_version_at(asked_ms), None);
+        assert!(service.history.may_be_sole(asked_ms, &service.name));
+        service.list(&next, READ_MS);
+        assert_eq!(service.sole_version_at(asked_ms), expected.as_ref(), "{next:?}");
+    }
+}
+
+/// Guards against an old reading that arrives late, as at a node that stood still, and counts as one of the time at which it
+/// arrived.
+#[test]
+fn reading_counts_from_when_it_began() {
+    let mut service = Service::new();
+    service.list(&["v1"], 2 * ORIGIN_LIFETIME_MS);
+    let asked_ms = service.now_ms;
+    for late_ms in [READ_MS, 1, 0] {
+        service.history.record(asked_ms - late_ms, [(&service.name, &version("v1"))]);
+        assert_eq!(service.sole_version_at(asked_ms), None);
+    }
+    service.history.record(asked_ms + 1, [(&service.name, &version("v1"))]);
+    assert_eq!(service.sole_version_at(asked_ms), Some(&version("v1")));
+    service.history.record(asked_ms - READ_MS, [(&service.name, &version("v2"))]);
+    assert_eq!(service.sole_version_at(asked_ms), None, "an older reading showed another version");
+}
+
 /// Guards against a version that came and went while the list could not be read.
 #[test]
 fn gap_in_the_readings_starts_the_history_anew() {
--- a/crates/gateway/src/stream_origin.rs
+++ b/crates/gateway/src/stream_origin.rs
@@ -1,6 +1,7 @@
 //! Keeps a stream at the software version that began it, also when its caller takes it up at another node.
 
 use daisysill_core::{ids::SoftwareVersion, result_code::ResultCode, routing::CallKind};
+use tokio::time::timeout_at;
 
 use crate::{
     caller_request::{AttemptHistory, CallerRequest, SoftwareRequirement},
@@ -29,7 +30,8 @@
         let first = request.headers.resumes.as_deref();
         // Without the ID no node knows the stream, but a control node may know that there is only one version.
         let stream = request.stream_key(first).unwrap_or_default();
-        let Some(software) = self.cluster.stream_origin(stream, &request.service).await else {
+        let question = self.cluster.stream_origin(stream, &request.service);
+        let Some(software) = timeout_at(request.deadline, question).await.ok().flatten() else {
             let first = first.unwrap_or("without an ID");
             let reason = format!("no node in reach knows where the stream of request {first} began");
             return Err(not_resumable(reason));
