Show that a head that breaks off is no answer

Other operators saw clients get a 200 with an empty or short body, framed as whole, after a worker had stopped in the middle of its answer's head. Impossible here, because a head counts only once the empty line that ends it has arrived: before that, the end of the connection is an error, on all paths that read a head (requests of callers, runs that go on, passing on between entry nodes, the own interface's plain services; engines through awc). The callers get 502, or a stream without its end.

A stand-in for another entry node was not written: passing on reads heads with the same connection, which has its own test.

--- a/crates/node/tests/upstream_errors.rs
+++ b/crates/node/tests/upstream_errors.rs
@@ -232,6 +232,49 @@
     }
 }
 
+/// Accepts one connection, reads once, writes `response`, and closes or resets the connection.
+fn breaking_upstream(response: String, resets: bool) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 4_096]);
+        let _ = stream.write_all(response.as_bytes());
+        if resets {
+            // Gives the bytes time to arrive.
+            thread::sleep(Duration::from_millis(2));
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+    });
+    url
+}
+
+/// Guards against a head that breaks off, after each of its bytes, and is returned as an answer with an empty or short body,
+/// or as one of a request that has not run.
+#[actix_rt::test]
+async fn a_head_that_breaks_off_is_no_answer() {
+    let heads = [
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+    ];
+    let client = HttpEngine::new(http::client());
+    for (head, resets) in heads.iter().flat_map(|head| [(head, false), (head, true)]) {
+        for sent in 0..head.len() {
+            let start = &head[..sent];
+            let url = breaking_upstream(start.to_owned(), resets);
+            let plain = HttpPlainService.send(&url, &request(), "").await.unwrap_err();
+            assert!(!plain.is_not_run(), "{start:?}: {plain}");
+            let url = breaking_upstream(start.to_owned(), resets);
+            let engine = match client.generate(&url, &engine_request(), "").await {
+                Ok(mut events) => events.next().await.unwrap().unwrap_err(),
+                Err(error) => error,
+            };
+            assert!(!engine.is_not_run(), "{start:?}: {engine}");
+        }
+    }
+}
+
 /// Guards against a process that ends because an upstream asks for a pause longer than can be counted in milliseconds.
 #[test]
 fn a_pause_of_any_length_is_read() {
