Take a success without a length and a body for one that broke off

What callers saw: an upstream that sends no length and stops right after the head of its answer made a 200 with `content-length: 0`, or a stream that ends in order without an event; a stream that had broken off between two events and went on at such an upstream looked complete.

Cause: the end of the connection delimits such a body, so none at all counted as an empty one. An upstream whose body is empty can say so by a length, a last chunk or a 204; right after the head the end of the connection tells nothing.

Buffered answers are tried elsewhere or answered 502, streams resumed or cut off. Failures without a body stay as they are. A run that goes on with an empty body of a stated framing still completes the stream: its upstream says that nothing is left.

--- a/crates/gateway/src/http_head.rs
+++ b/crates/gateway/src/http_head.rs
@@ -47,11 +47,19 @@
 }
 
 impl ResponseHead {
-    /// Returns whether a body that is read to the end of its framing is declared to hold events and stops inside one.
-    pub fn cuts_event(&self, body: &[u8]) -> bool {
+    /// Returns whether a body that is read to the end of its framing ended early: it is missing, or it is declared to hold
+    /// events and stops inside one.
+    pub fn ends_early(&self, body: &[u8]) -> bool {
         let mut tracker = EventTracker::default();
         tracker.push(body);
-        self.content_type().is_some_and(is_event_stream) && tracker.is_inside_event()
+        let cuts_event = self.content_type().is_some_and(is_event_stream) && tracker.is_inside_event();
+        cuts_event || (body.is_empty() && self.promises_body())
+    }
+
+    /// Returns whether a body without a byte is missing: the upstream closed the connection right after the head of a success
+    /// that states no length. An empty body has one.
+    pub fn promises_body(&self) -> bool {
+        self.framing == Framing::UntilClose && self.status.is_success()
     }
 
     /// Returns whether the body may be a stream of server-sent events: it is declared as one, or as nothing.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -24,6 +24,8 @@
 
 /// Reason logged for a body that ended inside an event.
 const INSIDE_EVENT: &str = "inside_event";
+/// Reason logged for a body that is missing.
+const NO_BODY: &str = "no_body";
 /// Reason logged for a resumed body without an event, of a stream that broke off inside one.
 const NO_EVENT: &str = "no_event";
 
@@ -99,6 +101,8 @@
     /// Whether the last run broke off inside an event, so that the next one must bring an event.
     is_event_due: bool,
     history: AttemptHistory,
+    /// Whether the present response has brought a byte of its body.
+    has_body: bool,
     relayed_bytes: u64,
     started: Instant,
     /// When bytes were last relayed. Of a resumable stream these are complete events, so that an upstream that sends a
@@ -130,6 +134,7 @@
         request,
         response: Some(response),
         history,
+        has_body: false,
         relayed_bytes: 0,
         started: Instant::now(),
         progressed_at: Instant::now(),
@@ -149,6 +154,7 @@
         loop {
             match self.read().await {
                 ReadOutcome::Bytes(bytes) => {
+                    self.has_body = true;
                     let Some(bytes) = self.passing.push(bytes) else {
                         return Some(Err(self.fail("event_too_large")));
                     };
@@ -167,6 +173,11 @@
                         return Some(Err(self.fail(INSIDE_EVENT)));
                     }
                 }
+                ReadOutcome::End if self.lacks_body() => {
+                    if !self.resume(NO_BODY).await {
+                        return Some(Err(self.fail(NO_BODY)));
+                    }
+                }
                 ReadOutcome::End if self.is_event_due => return Some(Err(self.fail(NO_EVENT))),
                 ReadOutcome::End => return self.finish(),
                 ReadOutcome::Broken(reason) => {
@@ -210,6 +221,17 @@
         is_inside_event
     }
 
+    /// Returns whether the body ended without a byte, though only the end of its connection delimits it: the upstream stopped
+    /// right after the head.
+    fn lacks_body(&self) -> bool {
+        let Some(response) = &self.response else { return false };
+        let lacks_body = !self.has_body && response.head.promises_body();
+        if lacks_body {
+            self.gateway.check_for_crash(&self.request, &response.in_flight.upstream);
+        }
+        lacks_body
+    }
+
     /// Reads from the upstream until the request's deadline or, if the stream can be resumed elsewhere, until no event
     /// has come for too long.
     async fn read(&mut self) -> ReadOutcome {
@@ -280,6 +302,7 @@
         match resumed {
             Ok(response) if response.head.continues(&self.first_head) => {
                 self.response = Some(response);
+                self.has_body = false;
                 self.progressed_at = Instant::now();
                 true
             }
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -326,6 +326,6 @@
             return None;
         }
     }
-    let is_whole = connection.is_complete() && !response.head.cuts_event(&whole);
+    let is_whole = connection.is_complete() && !response.head.ends_early(&whole);
     is_whole.then(|| whole.freeze())
 }
--- a/crates/node/src/plain_client.rs
+++ b/crates/node/src/plain_client.rs
@@ -109,7 +109,7 @@
     Ok(head.into_bytes())
 }
 
-/// Reads the body to its end, as its framing and, if it holds events, the last of them tell.
+/// Reads the body to its end; it is an error if it ends early.
 async fn read_body(connection: &mut UpstreamConnection, head: &ResponseHead) -> AttemptResult<Bytes> {
     let mut body = BytesMut::new();
     loop {
@@ -122,7 +122,7 @@
             return Err(AttemptError::Failed("the answer exceeds the limit".to_owned()));
         }
     }
-    if head.cuts_event(&body) {
+    if head.ends_early(&body) {
         return Err(AttemptError::Failed(ENDED_EARLY.to_owned()));
     }
     Ok(body.freeze())
--- a/crates/node/tests/upstream_errors.rs
+++ b/crates/node/tests/upstream_errors.rs
@@ -275,6 +275,22 @@
     }
 }
 
+/// Guards against an answer without a length that ends with its head, and that is returned as one with an empty body.
+#[actix_rt::test]
+async fn an_answer_without_a_length_and_a_body_is_an_error() {
+    for start in ["HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n"] {
+        for resets in [false, true] {
+            let url = breaking_upstream(start.to_owned(), resets);
+            let result = HttpPlainService.send(&url, &request(), "").await;
+            assert!(result.is_err(), "{start:?}: {result:?}");
+        }
+    }
+    for whole in ["HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n"] {
+        let url = breaking_upstream(whole.to_owned(), false);
+        assert!(HttpPlainService.send(&url, &request(), "").await.unwrap().body.is_empty(), "{whole:?}");
+    }
+}
+
 /// Guards against a process that ends because an upstream asks for a pause longer than can be counted in milliseconds.
 #[test]
 fn a_pause_of_any_length_is_read() {
