--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod outcomes;
 pub mod outdated;
 mod pass_on;
+mod passing;
 pub mod pause;
 pub mod peer_headers;
 mod placement;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,17 +4,17 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use daisysill_core::{event_tracker::EventTracker, ids::SoftwareVersion, routing::CallKind};
+use daisysill_core::ids::SoftwareVersion;
 use futures::stream::{Stream, unfold};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
     caller_request::{AttemptHistory, CallerRequest, SoftwareRequirement},
     duration::millis,
-    event_stream::EventSplitter,
     exchange::UpstreamResponse,
     forward::Gateway,
     http_head::{Framing, ResponseHead},
+    passing::Passing,
     placement::ChosenUpstream,
     silence::PLACE_CHECK_INTERVAL,
     upstreams::Upstream,
@@ -32,6 +32,8 @@
 const SILENT: &str = "silent";
 /// Reason logged for a body that ended inside an event.
 const INSIDE_EVENT: &str = "inside_event";
+/// Reason logged for a body that is missing.
+const NO_BODY: &str = "no_body";
 /// Reason logged for a resumed body without an event, of a stream that broke off inside one.
 const NO_EVENT: &str = "no_event";
 
@@ -47,56 +49,6 @@
 
 impl std::error::Error for StreamBroken {}
 
-/// How the bytes of a stream are passed on.
-enum Passing {
-    /// Of a resumable stream only complete events, since it may have to resume after the last one.
-    WholeEvents(EventSplitter),
-    /// As received.
-    AsReceived(EventTracker),
-    /// As received; the body is declared to be something else than events.
-    Opaque,
-}
-
-impl Passing {
-    fn new(request: &CallerRequest, head: &ResponseHead) -> Self {
-        if !head.may_hold_events() {
-            Self::Opaque
-        } else if matches!(request.route.kind, CallKind::Stream { resumable: true }) {
-            Self::WholeEvents(EventSplitter::after(request.headers.resume_after.clone()))
-        } else {
-            Self::AsReceived(EventTracker::default())
-        }
-    }
-
-    /// Returns the bytes that may be relayed now; `None` if an event is too large.
-    fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
-        match self {
-            Self::WholeEvents(splitter) => splitter.push(&bytes),
-            Self::AsReceived(tracker) => {
-                tracker.push(&bytes);
-                Some(bytes)
-            }
-            Self::Opaque => Some(bytes),
-        }
-    }
-
-    /// Returns the remaining bytes at the end of the stream.
-    fn finish(&mut self) -> Bytes {
-        match self {
-            Self::WholeEvents(splitter) => splitter.finish(),
-            Self::AsReceived(_) | Self::Opaque => Bytes::new(),
-        }
-    }
-
-    fn is_inside_event(&self) -> bool {
-        match self {
-            Self::WholeEvents(splitter) => splitter.is_inside_event(),
-            Self::AsReceived(tracker) => tracker.is_inside_event(),
-            Self::Opaque => false,
-        }
-    }
-}
-
 struct Relay {
     gateway: Rc<Gateway>,
     request: Rc<CallerRequest>,
@@ -107,6 +59,8 @@
     /// Whether the last run broke off inside an event, so that the next one must bring an event.
     is_event_due: bool,
     history: AttemptHistory,
+    /// Whether the present response has brought a byte of its body.
+    has_body: bool,
     relayed_bytes: u64,
     started: Instant,
     /// When bytes were last relayed. Of a resumable stream these are complete events, so that an upstream that sends a
@@ -142,6 +96,7 @@
         request,
         response: Some(response),
         history,
+        has_body: false,
         relayed_bytes: 0,
         started: Instant::now(),
         progressed_at: Instant::now(),
@@ -162,6 +117,7 @@
         loop {
             match self.read().await {
                 ReadOutcome::Bytes(bytes) => {
+                    self.has_body = true;
                     let Some(bytes) = self.passing.push(bytes) else {
                         return Some(Err(self.fail("event_too_large")));
                     };
@@ -187,6 +143,11 @@
                         return Some(Err(self.fail(INSIDE_EVENT)));
                     }
                 }
+                ReadOutcome::End if self.lacks_body() => {
+                    if !self.resume(NO_BODY, None).await {
+                        return Some(Err(self.fail(NO_BODY)));
+                    }
+                }
                 ReadOutcome::End if self.is_event_due => return Some(Err(self.fail(NO_EVENT))),
                 ReadOutcome::End => return self.finish(),
                 ReadOutcome::Broken(reason) => {
@@ -230,6 +191,17 @@
         is_inside_event
     }
 
+    /// Returns whether the body ended without a byte, though only the end of its connection delimits it: the upstream stopped
+    /// right after the head.
+    fn lacks_body(&self) -> bool {
+        let Some(response) = &self.response else { return false };
+        let lacks_body = !self.has_body && response.head.promises_body();
+        if lacks_body {
+            self.gateway.check_for_crash(&self.request, &response.in_flight.upstream);
+        }
+        lacks_body
+    }
+
     /// Records that events were relayed, or that another upstream goes on with the stream.
     fn record_progress(&mut self) {
         if self.checked_at.take().is_some() {
@@ -343,6 +315,7 @@
         match resumed {
             Ok(response) if response.head.continues(&self.first_head) => {
                 self.response = Some(response);
+                self.has_body = false;
                 self.record_progress();
                 true
             }
