Back off from calls that a peer of an older build does not know

Cause: the older side can't decode the call target_ages, and ends the connection that all calls share.

Change: after two such calls in a row that ended the connection, the pause before the next one grows from 2 s to 60 s. One alone tells nothing, since the peer may have been restarted. The same for the question for other entry nodes.

Real processes of two builds were not run with the change yet.

--- a/crates/cluster/src/entry_nodes.rs
+++ b/crates/cluster/src/entry_nodes.rs
@@ -15,7 +15,8 @@
 use rand::seq::SliceRandom;
 
 use crate::{
-    clock::BootInstant, handle::ClusterHandle, origins::OriginPeers, published_upstreams::PublishedStore,
+    clock::BootInstant, handle::ClusterHandle, link::NewerCall, origins::OriginPeers,
+    published_upstreams::PublishedStore,
 };
 
 /// Time for which a node counts as cut off after it has said so; it repeats it more often.
@@ -85,7 +86,7 @@
                 let call = move |client: PeerClient, context| {
                     async move { client.entry_nodes(context, question).await }.boxed()
                 };
-                link.call(limit, call).await.ok()
+                link.call_newer(NewerCall::EntryNodes, limit, call).await.ok()
             }
         });
         join_all(questions).await.into_iter().flatten().flatten().collect()
--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -11,7 +11,10 @@
     time::Duration,
 };
 
-use daisysill_core::ids::{InstanceId, ZoneName};
+use daisysill_core::{
+    call_backoff::CallBackoff,
+    ids::{InstanceId, ZoneName},
+};
 use daisysill_wire::peer::PeerClient;
 use futures::future::BoxFuture;
 use socket2::{SockRef, TcpKeepalive};
@@ -56,6 +59,33 @@
     Uncertain,
 }
 
+/// Calls that peers of older builds do not know; such a peer ends the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum NewerCall {
+    TargetAges,
+    EntryNodes,
+}
+
+/// Why an exchange has no response.
+enum ExchangeError {
+    NotSent,
+    /// No response in time.
+    TimedOut,
+    /// The peer refused the call.
+    Refused,
+    /// The connection ended.
+    Ended,
+}
+
+impl From<ExchangeError> for CallError {
+    fn from(error: ExchangeError) -> Self {
+        match error {
+            ExchangeError::NotSent => Self::NotSent,
+            ExchangeError::TimedOut | ExchangeError::Refused | ExchangeError::Ended => Self::Uncertain,
+        }
+    }
+}
+
 /// Sets the socket options that end a connection to an unresponsive peer.
 pub(crate) fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
@@ -99,6 +129,9 @@
     state: AsyncMutex<ConnectionState>,
     last_use: Mutex<Instant>,
     calls: Semaphore,
+    newer_calls: Mutex<BTreeMap<NewerCall, CallBackoff>>,
+    /// Origin of the backoffs' time.
+    created: Instant,
 }
 
 impl Link {
@@ -108,8 +141,44 @@
     where
         F: FnOnce(PeerClient, Context) -> BoxFuture<'static, Result<T, RpcError>>,
     {
-        let Ok(_permit) = self.calls.try_acquire() else { return Err(CallError::NotSent) };
-        let connection = self.connection().await?;
+        Ok(self.exchange(limit, request).await?)
+    }
+
+    /// Makes a call that the node may not know, unless it ended the connection at the last such calls.
+    pub(crate) async fn call_newer<T, F>(
+        &self,
+        call: NewerCall,
+        limit: Duration,
+        request: F,
+    ) -> Result<T, CallError>
+    where
+        F: FnOnce(PeerClient, Context) -> BoxFuture<'static, Result<T, RpcError>>,
+    {
+        if !self.with_backoff(call, |backoff, now_ms| backoff.admits(now_ms)) {
+            return Err(CallError::NotSent);
+        }
+        let result = self.exchange(limit, request).await;
+        self.with_backoff(call, |backoff, now_ms| match &result {
+            Ok(_) => backoff.record_answered(),
+            Err(ExchangeError::Ended) => backoff.record_connection_ended(now_ms),
+            Err(ExchangeError::NotSent | ExchangeError::TimedOut | ExchangeError::Refused) => {}
+        });
+        Ok(result?)
+    }
+
+    /// Calls `act` with the backoff of a call and the current time in ms.
+    fn with_backoff<T>(&self, call: NewerCall, act: impl FnOnce(&mut CallBackoff, u64) -> T) -> T {
+        let now_ms = u64::try_from(self.created.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let mut backoffs = self.newer_calls.lock().unwrap_or_else(PoisonError::into_inner);
+        act(backoffs.entry(call).or_default(), now_ms)
+    }
+
+    async fn exchange<T, F>(&self, limit: Duration, request: F) -> Result<T, ExchangeError>
+    where
+        F: FnOnce(PeerClient, Context) -> BoxFuture<'static, Result<T, RpcError>>,
+    {
+        let Ok(_permit) = self.calls.try_acquire() else { return Err(ExchangeError::NotSent) };
+        let connection = self.connection().await.map_err(|_| ExchangeError::NotSent)?;
         *self.last_use.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
         let frames_before = connection.frames_in.load(Ordering::Relaxed);
         let mut context = context::current();
@@ -117,17 +186,17 @@
         context.deadline = std::time::Instant::now() + limit * 2;
         match timeout(limit, request(connection.client.clone(), context)).await {
             Ok(Ok(response)) => Ok(response),
-            Ok(Err(RpcError::Send(_))) => Err(CallError::NotSent),
-            Ok(Err(RpcError::Server(_))) => Err(CallError::Uncertain),
+            Ok(Err(RpcError::Send(_))) => Err(ExchangeError::NotSent),
+            Ok(Err(RpcError::Server(_))) => Err(ExchangeError::Refused),
             Ok(Err(_)) => {
                 connection.close();
-                Err(CallError::Uncertain)
+                Err(ExchangeError::Ended)
             }
             Err(_) => {
                 if connection.frames_in.load(Ordering::Relaxed) == frames_before {
                     connection.close();
                 }
-                Err(CallError::Uncertain)
+                Err(ExchangeError::TimedOut)
             }
         }
     }
@@ -278,6 +347,8 @@
             state: AsyncMutex::default(),
             last_use: Mutex::new(Instant::now()),
             calls: Semaphore::new(MAX_CONCURRENT_CALLS),
+            newer_calls: Mutex::default(),
+            created: Instant::now(),
         }
     }
 }
--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -24,7 +24,7 @@
 use crate::{
     clock::BootInstant,
     driver::ReplicaView,
-    link::{CallError, Link, Links},
+    link::{CallError, Link, Links, NewerCall},
     outcome_queue::OutcomeQueue,
     propose::LeaderHint,
     published_upstreams::PublishedStore,
@@ -200,7 +200,7 @@
         let Some(link) = self.links.get(source) else { return };
         let asked_at = BootInstant::now();
         let call = |client: PeerClient, context| async move { client.target_ages(context).await }.boxed();
-        match link.call(RESPONSE_GRACE, call).await {
+        match link.call_newer(NewerCall::TargetAges, RESPONSE_GRACE, call).await {
             Ok(ages) => self.views.target_ages.record_reported(&ages, asked_at),
             Err(error) => log::info!("no ages of target versions from {source}: {error:?}"),
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod admission;
 pub mod block;
 pub mod block_lifecycle;
+pub mod call_backoff;
 pub mod chart;
 pub mod ids;
 pub mod ini_check;
