Serve on after SIGHUP on the own interface

Callers saw: a SIGHUP to a node, as a service manager or a closing terminal sends it, ended the process at once. All requests in progress were cut without an answer, and claims they held were left without an outcome.

Cause: the process handled SIGTERM and SIGINT only, and the default action of SIGHUP ends it.

The signal is logged, as on the users' platform; a SIGHUP before the node has started its listeners still ends it.

--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -230,15 +230,19 @@
     }
 }
 
+/// Waits for SIGTERM or SIGINT. SIGHUP is only logged, since a running process does not apply changed settings.
 async fn wait_for_signal() -> eyre::Result<()> {
     use tokio::signal::unix::{SignalKind, signal};
     let mut terminate = signal(SignalKind::terminate()).wrap_err("cannot handle SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("cannot handle SIGINT")?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    let mut hangup = signal(SignalKind::hangup()).wrap_err("cannot handle SIGHUP")?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => log::info!("SIGHUP: no setting applies while the process runs"),
+        }
     }
-    Ok(())
 }
 
 fn first_address(addresses: &[SocketAddr]) -> eyre::Result<SocketAddr> {
