Count only claimed requests after a holder was suspended

It counted all requests of the round. Those that the holder had not claimed and that the other node refused without running them (1304, 1405 beside load) may be claimed and sent by the holder after it is resumed, with a new dispatch deadline; that is no late send.

The test now counts the requests that the holder had claimed, by the other node's answer that they are in progress, as strictly as before; the others still may not run twice. It also waits until all threads of the holder have stopped: SIGSTOP takes effect late on a busy machine, and others ran on. And it requires that requests were claimed and not sent, in place of only claimed.

--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -183,9 +183,9 @@
         self.start_node(name);
     }
 
-    /// Suspends a node with SIGSTOP.
+    /// Suspends a node with SIGSTOP; it sends nothing more when this returns.
     pub fn suspend(&self, name: &str) {
-        self.node(name).signal("STOP");
+        self.node(name).suspend();
     }
 
     /// Resumes a suspended node with SIGCONT.
--- a/crates/testkit/src/environment.rs
+++ b/crates/testkit/src/environment.rs
@@ -14,6 +14,9 @@
 
 /// Time in which a started process must listen.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time in which a suspended process must have stopped, and the period at which that is checked.
+const SUSPEND_TIMEOUT: Duration = Duration::from_secs(5);
+const SUSPEND_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 /// A temporary folder with the settings, ready files and logs of processes; removed when dropped.
 #[derive(Debug)]
@@ -168,6 +171,29 @@
         assert!(status.unwrap().success());
     }
 
+    /// Sends SIGSTOP and blocks the thread until all threads of the process have stopped, which takes a while on a busy
+    /// machine.
+    ///
+    /// # Panics
+    /// Panics if the signal cannot be sent, or the process does not stop in time.
+    pub fn suspend(&self) {
+        self.signal("STOP");
+        let end = Instant::now() + SUSPEND_TIMEOUT;
+        while !self.is_suspended() {
+            assert!(Instant::now() < end, "the process did not stop in time");
+            thread::sleep(SUSPEND_POLL_INTERVAL);
+        }
+    }
+
+    fn is_suspended(&self) -> bool {
+        let threads = fs::read_dir(format!("/proc/{}/task", self.child.id())).unwrap();
+        threads.map_while(Result::ok).all(|thread| {
+            // The state follows the name, which is in parentheses.
+            let stat = fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+            stat.rsplit(") ").next().is_none_or(|rest| rest.starts_with('T') || rest.is_empty())
+        })
+    }
+
     /// Blocks the thread until the process exits; returns its exit code, or `None` if a signal ended it.
     ///
     /// # Panics
--- a/crates/testkit/tests/promises/at_most_once.rs
+++ b/crates/testkit/tests/promises/at_most_once.rs
@@ -95,35 +95,42 @@
     publish_cue_rules(&deployment).await;
     let holder = "sathorn-2";
     let url = format!("{}/services/booth-app/cues/7/fire", deployment.caller_url(holder));
-    let mut claimed = 0;
+    let mut unsent = 0;
     for round in 0..3 {
         let keys: Vec<String> = (0..100).map(|number| format!("{round} {number}")).collect();
-        let ran = || deployment.upstreams.plain_runs().keys().filter(|(key, _)| keys.contains(key)).count();
+        let ran = |keys: &[&String]| {
+            deployment.upstreams.plain_runs().keys().filter(|(key, _)| keys.contains(&key)).count()
+        };
+        let all: Vec<&String> = keys.iter().collect();
         let requests =
             keys.iter().map(|key| actix_rt::spawn(fire_cue_at(url.clone(), key.clone(), key.clone())));
         let requests: Vec<_> = requests.collect();
         // The claims are granted together, so when the first request has run others are about to be sent.
         let deadline = Instant::now() + Duration::from_secs(10);
-        while ran() == 0 {
+        while ran(&all) == 0 {
             assert!(Instant::now() < deadline, "no request ran");
             actix_rt::time::sleep(Duration::from_millis(1)).await;
         }
         deployment.suspend(holder);
         actix_rt::time::sleep(Duration::from_millis(300)).await;
-        // The other node runs every request that the suspended one has not claimed.
+        // The other node runs the requests that the suspended one has not claimed. Those that it refuses without running
+        // them, the holder may claim and send after it is resumed.
         let others = keys.iter().map(|key| fire_cue(&deployment, "sathorn-1", key, key));
         let mut responses = futures::future::join_all(others).await;
-        claimed += responses.iter().filter(|response| response.code == 1404).count();
-        let before = ran();
+        let others = all.iter().copied().zip(&responses);
+        let claimed: Vec<&String> =
+            others.filter(|(_, response)| response.code == 1404).map(|(key, _)| key).collect();
+        let before = ran(&claimed);
+        unsent += claimed.len() - before;
         actix_rt::time::sleep(PAST_DISPATCH_DEADLINE).await;
         deployment.resume(holder);
         for request in requests {
             responses.push(request.await.unwrap());
         }
-        assert_eq!(ran(), before, "requests were sent after the dispatch deadline");
+        assert_eq!(ran(&claimed), before, "requests were sent after the dispatch deadline");
         check_runs(&deployment, &responses);
     }
-    assert!(claimed > 0, "the holder was never suspended while it held a claim");
+    assert!(unsent > 0, "the holder was never suspended while it was about to send");
 }
 
 /// Fires a cue that hangs in the upstream, kills its holder, and resends it through other nodes until its outcome is
