Let a stream begin with its first event, not with a comment before it

What callers saw: a stream whose first upstream sent a comment and broke off, and whose events came from an upstream of another software version, was taken up at another node and went on at the version that had sent the comment.

Cause: the origin was recorded before the first bytes that were relayed, and a comment is relayed like an event. Now it is recorded with the first event that has an ID, the first after which a stream can go on.

Evidence: stream_begins_with_its_first_event failed on the code before (left: ["v1"], right: ["v2"]) and passes now.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -82,6 +82,14 @@
         }
     }
 
+    /// Returns whether an event was passed on that the stream may resume after.
+    fn has_event_id(&self) -> bool {
+        match self {
+            Self::WholeEvents(splitter) => splitter.last_id().is_some(),
+            Self::AsReceived(_) | Self::Opaque => false,
+        }
+    }
+
     fn is_inside_event(&self) -> bool {
         match self {
             Self::WholeEvents(splitter) => splitter.is_inside_event(),
@@ -155,11 +163,12 @@
             match self.read().await {
                 ReadOutcome::Bytes(bytes) => {
                     self.has_body = true;
+                    let had_event_id = self.passing.has_event_id();
                     let Some(bytes) = self.passing.push(bytes) else {
                         return Some(Err(self.fail("event_too_large")));
                     };
                     if !bytes.is_empty() {
-                        if self.relayed_bytes == 0 {
+                        if !had_event_id && self.passing.has_event_id() {
                             self.record_origin();
                         }
                         self.is_event_due = false;
