--- a/crates/gateway/src/passing.rs
+++ b/crates/gateway/src/passing.rs
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Returns whether an event was passed on that the stream may resume after.
+    pub(crate) fn has_event_id(&self) -> bool {
+        match self {
+            Self::WholeEvents(splitter) => splitter.last_id().is_some(),
+            Self::AsReceived(_) | Self::Opaque => false,
+        }
+    }
+
     /// Returns whether a body that ends here breaks off in the middle of an event.
     pub(crate) fn is_inside_event(&self) -> bool {
         match self {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -118,11 +118,12 @@
             match self.read().await {
                 ReadOutcome::Bytes(bytes) => {
                     self.has_body = true;
+                    let had_event_id = self.passing.has_event_id();
                     let Some(bytes) = self.passing.push(bytes) else {
                         return Some(Err(self.fail("event_too_large")));
                     };
                     if !bytes.is_empty() {
-                        if self.relayed_bytes == 0 {
+                        if !had_event_id && self.passing.has_event_id() {
                             self.record_origin();
                         }
                         self.is_event_due = false;
