Refuse requests that a planned stop of a node cannot finish

Callers of the own interface saw: requests still in progress when stop_timeout_s ended got no answer, so that they did not know whether a call that may not be repeated had run. The outcome of such a claimed call was not recorded either, and stayed open until it was overdue.

0.3 s before that end the node now tells its requests. One that no upstream has got is refused with 1306, not run. A prompt or an idempotent request whose attempt is in progress gets 1401, may have run, as the last event if its stream has begun. A claimed call gets 1403, may have run, or 1306 if it certainly was not sent, and its outcome is recorded. Claimed calls and the others now share one stop_timeout_s; they had one each.

Not shown by a test of its own: a claim that is being committed when the end comes.

--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -1,6 +1,6 @@
 //! Starts a node, serves until a signal arrives, and stops gracefully.
 
-use std::{fs, net::SocketAddr, path::Path, rc::Rc, sync::Arc, time::Duration};
+use std::{fs, net::SocketAddr, path::Path, pin::pin, rc::Rc, sync::Arc, time::Duration};
 
 use actix::Actor;
 use actix_web::{
@@ -12,7 +12,7 @@
 use daisysill_cluster::{Cluster, LeaseHolder};
 use eyre::WrapErr;
 use serde::Serialize;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use crate::{
     admin_api,
@@ -25,6 +25,7 @@
     monitor::UpstreamMonitor,
     options::Options,
     plain_client::HttpPlainService,
+    planned_stop::FINAL_ANSWER_TIME,
     platform_client::HttpPlatform,
     rollout::{self, Rollout},
     shared::Shared,
@@ -190,19 +191,32 @@
         let notice = Duration::from_millis(self.shared.config.node.balancer_notice_ms);
         tokio::time::sleep(notice).await;
         self.callers.pause().await;
-        self.wait_for_claimed_requests().await;
-        // Graceful: waits for requests in progress, up to the shutdown timeout.
-        self.callers.stop(true).await;
+        let end = Instant::now() + Duration::from_secs(self.shared.config.node.stop_timeout_s);
+        self.finish_requests(end).await;
         self.shared.cluster.leave().await;
         self.admin.stop(false).await;
         self.shared.tracing.flush().await;
         self.shared.lifecycle_event("finished");
     }
 
-    /// Waits for claimed requests, which go on after their caller disconnects: stopping the worker threads
-    /// would abort them.
-    async fn wait_for_claimed_requests(&self) {
-        let end = Instant::now() + Duration::from_secs(self.shared.config.node.stop_timeout_s);
+    /// Closes the callers' listener and waits for requests in progress. Those that last longer are answered shortly
+    /// before `end`.
+    async fn finish_requests(&self, end: Instant) {
+        let final_answers_at = end.checked_sub(FINAL_ANSWER_TIME).unwrap_or(end);
+        // Claimed requests go on after their caller disconnects; stopping the worker threads would abort them.
+        self.wait_for_claimed_requests(final_answers_at).await;
+        if self.shared.claimed_requests.count() > 0 {
+            self.shared.planned_stop.announce_end();
+            self.wait_for_claimed_requests(end).await;
+        }
+        let mut stopped = pin!(self.callers.stop(true));
+        if timeout_at(final_answers_at, &mut stopped).await.is_err() {
+            self.shared.planned_stop.announce_end();
+            let _ = timeout_at(end, stopped).await;
+        }
+    }
+
+    async fn wait_for_claimed_requests(&self, end: Instant) {
         while self.shared.claimed_requests.count() > 0 && Instant::now() < end {
             tokio::time::sleep(CLAIMED_REQUEST_CHECK_INTERVAL).await;
         }
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -43,7 +43,9 @@
         span.set("attempt_id", request.attempt_id.as_str());
         let id = Some(request.attempt_id.clone());
         let mut cancel = CancelOnDrop { engine: Rc::clone(&self.engine), url: url.clone(), id };
+        self.is_attempt_open = true;
         let result = self.relay(&url, &request, decision, span.traceparent()).await;
+        self.is_attempt_open = false;
         match result {
             Ok(true) => {
                 cancel.id = None;
--- a/crates/node/src/caller_api.rs
+++ b/crates/node/src/caller_api.rs
@@ -142,7 +142,7 @@
     shared: &Shared,
 ) -> Result<(Customer, T), Refusal> {
     let customer = shared.authenticator.authenticate(request)?.clone();
-    let body = read_body(payload, &shared.config.limits).await?;
+    let body = shared.planned_stop.before_end(read_body(payload, &shared.config.limits)).await?;
     let parsed = serde_json::from_slice(&body).map_err(|error| {
         Refusal::new(ResultCode::BodyMalformed, format!("the body is not valid: {error}"))
     })?;
--- a/crates/node/src/claim.rs
+++ b/crates/node/src/claim.rs
@@ -92,10 +92,20 @@
         let attempt = AttemptId::from(new_id("att"));
         // Measured from before the proposal, so that it ends before any other node considers the outcome overdue.
         let dispatch_deadline = Instant::now() + DISPATCH_WINDOW;
-        let (outcome, result) = match self.claim(guard.key(), &digest, &attempt).await {
+        let shared = Arc::clone(&self.shared);
+        let claimed = tokio::select! {
+            biased;
+            claimed = self.claim(guard.key(), &digest, &attempt) => claimed,
+            () = shared.planned_stop.near_end() => ClaimResult::Uncertain(Refusal::shutting_down()),
+        };
+        let (outcome, result) = match claimed {
             ClaimResult::Granted => {
                 self.lifecycle.apply_event("claimed");
-                let result = self.send_claimed(dispatch_deadline).await;
+                let result = tokio::select! {
+                    biased;
+                    result = self.send_claimed(dispatch_deadline) => result,
+                    () = shared.planned_stop.near_end() => Err(cut_short(self.may_have_run)),
+                };
                 (Some(self.outcome(&result)), result)
             }
             ClaimResult::Stored(response) => {
@@ -103,22 +113,25 @@
                 (None, Ok(response))
             }
             ClaimResult::Refused(refusal) => (None, Err(refusal)),
-            ClaimResult::Uncertain => {
+            ClaimResult::Uncertain(refusal) => {
                 let finish = FinishClaim { key: guard.key().clone(), attempt, outcome: ClaimOutcome::NotRun };
-                let shared = Arc::clone(&self.shared);
                 let retention = Duration::from_secs(self.rules.never_twice.keep_s);
                 // Releases the key even if the claim commits later: the state refuses claims of ended attempts.
                 actix_rt::spawn(async move { record_with_retries(&shared, &finish, retention).await });
-                guard.publish(self.finish(Err(no_quorum())));
+                guard.publish(self.finish(Err(refusal)));
                 return;
             }
         };
-        let shared = Arc::clone(&self.shared);
         let retention = Duration::from_secs(self.rules.never_twice.keep_s);
         let result = self.finish(result);
         let Some(outcome) = outcome else { return guard.publish(result) };
         let finish = FinishClaim { key: guard.key().clone(), attempt, outcome };
-        if propose_outcome(&shared, &finish).await {
+        let is_recorded = tokio::select! {
+            biased;
+            is_recorded = propose_outcome(&shared, &finish) => is_recorded,
+            () = shared.planned_stop.near_end() => false,
+        };
+        if is_recorded {
             return guard.publish(result);
         }
         // The caller waits no longer. Until the outcome is committed, retries get this result here, and meet the
@@ -159,7 +172,7 @@
             ),
             Ok(_) => ClaimResult::Refused(Refusal::new(ResultCode::Internal, "unexpected reply to a claim")),
             Err(ProposeError::NotCommitted) => ClaimResult::Refused(no_quorum()),
-            Err(ProposeError::Uncertain) => ClaimResult::Uncertain,
+            Err(ProposeError::Uncertain) => ClaimResult::Uncertain(no_quorum()),
         }
     }
 
@@ -208,8 +221,8 @@
     Granted,
     Stored(PlainResponse),
     Refused(Refusal),
-    /// The claim may have been committed; the request is not sent.
-    Uncertain,
+    /// The claim may have been committed; the request is not sent, but refused.
+    Uncertain(Refusal),
 }
 
 /// Proposes an outcome; returns whether it was committed in time.
@@ -240,6 +253,15 @@
     Refusal::new(ResultCode::InProgress, "the same call is in progress").retry_after_ms(IN_PROGRESS_RETRY_MS)
 }
 
+/// Returns the refusal of a claimed request that the node cannot finish before it exits.
+fn cut_short(may_have_run: bool) -> Refusal {
+    if !may_have_run {
+        return Refusal::shutting_down();
+    }
+    let message = "the node stopped before the upstream had answered; the call is not sent again";
+    Refusal::new(ResultCode::OutcomeUnknown, message)
+}
+
 fn key_reused() -> Refusal {
     Refusal::new(ResultCode::KeyReused, "the idempotency key was used with another call")
 }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -101,6 +101,8 @@
     parts: OnceCell<Vec<u64>>,
     /// Whether any attempt failed after it was sent, so that the request may have been executed.
     pub(crate) may_have_run: bool,
+    /// Whether an attempt that was sent is in progress.
+    pub(crate) is_attempt_open: bool,
 }
 
 impl Dispatch {
@@ -122,6 +124,7 @@
             attempt_began: Instant::now(),
             parts: OnceCell::new(),
             may_have_run: false,
+            is_attempt_open: false,
             rules: shared.rules_of(&lifecycle.service),
             shared: Arc::clone(shared),
             engine,
@@ -136,18 +139,37 @@
         }
     }
 
-    /// Serves the prompt, and retries within the limits of the service's rules.
+    /// Serves the prompt; ends its response in any case before the process exits.
     pub async fn run(mut self) {
+        let shared = Arc::clone(&self.shared);
+        let refusal = tokio::select! {
+            biased;
+            refusal = self.serve() => refusal,
+            () = shared.planned_stop.near_end() => {
+                Some(Refusal::cut_short(self.may_have_run || self.is_attempt_open))
+            }
+        };
+        if let Some(refusal) = refusal {
+            self.refuse(refusal).await;
+        }
+    }
+
+    /// Serves the prompt, and retries within the limits of the service's rules; returns the refusal of a request that is
+    /// not served.
+    async fn serve(&mut self) -> Option<Refusal> {
         if let Some(refusal) = self.block() {
-            return self.refuse(refusal).await;
+            return Some(refusal);
         }
         let mut slot = match self.admit().await {
             Some(Ok(slot)) => slot,
             Some(Err(refusal)) => {
                 self.lifecycle.record_admission(&refusal.message);
-                return self.refuse(refusal).await;
+                return Some(refusal);
+            }
+            None => {
+                self.lifecycle.apply_event("disconnected");
+                return None;
             }
-            None => return self.lifecycle.apply_event("disconnected"),
         };
         self.lifecycle.record_admission(&slot.reason);
         self.lifecycle.apply_event("admitted");
@@ -156,7 +178,7 @@
         while attempts < self.rules.retries.max_attempts {
             // Checked before each attempt: the request may have crashed the upstream of the last one.
             if let Some(refusal) = self.block() {
-                return self.refuse(refusal).await;
+                return Some(refusal);
             }
             let Some(decision) = self.choose() else { break };
             let run = match self.request_permission(&decision).await {
@@ -165,7 +187,7 @@
                     self.excluded.push(decision.upstream);
                     continue;
                 }
-                Err(RunDenial::Refused(refusal)) => return self.refuse(refusal).await,
+                Err(RunDenial::Refused(refusal)) => return Some(refusal),
             };
             self.lifecycle.apply_event("chosen");
             match self.attempt(&decision).await {
@@ -175,9 +197,13 @@
                     }
                     self.report_completion();
                     slot.record_served();
-                    return self.lifecycle.set_result(ResultCode::Ok);
+                    self.lifecycle.set_result(ResultCode::Ok);
+                    return None;
+                }
+                AttemptOutcome::CallerDisconnected => {
+                    self.lifecycle.apply_event("disconnected");
+                    return None;
                 }
-                AttemptOutcome::CallerDisconnected => return self.lifecycle.apply_event("disconnected"),
                 AttemptOutcome::Failed(error) => {
                     // A refusal before execution does not count as an attempt, since all engines that load new
                     // weights may refuse in turn. The loop still ends, as that upstream is excluded.
@@ -199,8 +225,7 @@
                 break;
             }
         }
-        let refusal = self.refusal(last_error);
-        self.refuse(refusal).await;
+        Some(self.refusal(last_error))
     }
 
     /// Waits for a slot; `None` if the caller disconnected.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod options;
 pub mod plain_client;
 pub mod plain_dispatch;
+pub mod planned_stop;
 pub mod platform_client;
 pub mod prompt_runs;
 pub mod proposer;
--- a/crates/node/src/plain_dispatch.rs
+++ b/crates/node/src/plain_dispatch.rs
@@ -67,7 +67,7 @@
         return Err(Refusal::new(ResultCode::NoQuorum, "the rules in force are not known yet")
             .retry_after_ms(NO_RULES_RETRY_MS));
     }
-    let body = read_body(payload, &shared.config.limits).await?;
+    let body = shared.planned_stop.before_end(read_body(payload, &shared.config.limits)).await?;
     shared.check_capacity()?;
     let rules = shared.rules_of(&service);
     let mut dispatch = PlainDispatch {
@@ -77,6 +77,7 @@
         shared: Arc::clone(shared),
         plain: Rc::clone(&clients.plain),
         rules,
+        may_have_run: false,
         request: PlainRequest {
             method: request.method().to_string(),
             path: received_path(request),
@@ -92,7 +93,11 @@
         let key = key.map(str::to_owned);
         return claim::run(dispatch, key).await;
     }
-    let result = dispatch.run_idempotent().await;
+    let result = tokio::select! {
+        biased;
+        result = dispatch.run_idempotent() => result,
+        () = shared.planned_stop.near_end() => Err(Refusal::cut_short(dispatch.may_have_run)),
+    };
     dispatch.finish(result)
 }
 
@@ -105,6 +110,8 @@
     pub(crate) plain: Rc<dyn PlainService>,
     pub(crate) rules: ServiceRules,
     pub(crate) deadline: Instant,
+    /// Whether an upstream may have run the request; the attempt in progress counts.
+    pub(crate) may_have_run: bool,
     pub(crate) request: PlainRequest,
 }
 
@@ -118,7 +125,7 @@
             slots,
             deadline: self.deadline,
         };
-        let admitted = self.shared.admission.admit(&request).await;
+        let admitted = self.shared.planned_stop.before_end(self.shared.admission.admit(&request)).await;
         let reason = admitted.as_ref().map_or_else(|refusal| &refusal.message, |slot| &slot.reason);
         self.lifecycle.record_admission(reason);
         self.slot = Some(admitted?);
@@ -179,6 +186,7 @@
         let _guard = self.shared.upstreams.dispatch(upstream, 0);
         let span = self.lifecycle.span.child("attempt");
         span.set("upstream", upstream.as_str());
+        let had_run = std::mem::replace(&mut self.may_have_run, true);
         let exchange = match dispatch_deadline {
             Some(deadline) => self.plain.send_before(&url, &self.request, span.traceparent(), deadline),
             None => self.plain.send(&url, &self.request, span.traceparent()),
@@ -186,6 +194,7 @@
         let result = timeout_at(self.deadline, exchange).await.unwrap_or(Err(AttemptError::Silent));
         if let Err(error) = &result {
             span.set("error", error.to_string());
+            self.may_have_run = had_run || !error.is_not_run();
         }
         if let Err(AttemptError::Refused { leaving: true, .. }) = &result {
             self.shared.upstreams.event(upstream, "refused");
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -14,8 +14,8 @@
 use crate::{
     admission_control::AdmissionController, auth::Authenticator, claimed_requests::ClaimedRequests,
     config::Config, crash::BlockedRequests, directory::BlockDirectory, explain::ExplainLog,
-    idle_pieces::IdlePieces, metrics::Metrics, proposer::CommandProposer, refusal::Refusal, trace::Tracing,
-    upstreams::UpstreamTable,
+    idle_pieces::IdlePieces, metrics::Metrics, planned_stop::PlannedStop, proposer::CommandProposer,
+    refusal::Refusal, trace::Tracing, upstreams::UpstreamTable,
 };
 
 /// Retry delay suggested to callers while the node is at its limit of requests.
@@ -47,6 +47,8 @@
     pub idle_pieces: IdlePieces,
     /// Requests refused for a time because upstreams crashed while they ran.
     pub blocked_requests: BlockedRequests,
+    /// Tells requests in progress when a planned stop ends.
+    pub planned_stop: PlannedStop,
     /// Starts the spans of requests.
     pub tracing: Tracing,
     /// State chart of a request.
@@ -95,6 +97,7 @@
             directory,
             idle_pieces: IdlePieces::default(),
             blocked_requests: BlockedRequests::default(),
+            planned_stop: PlannedStop::default(),
             tracing,
             request_chart: Chart::parse(REQUEST_CHART)?,
             lifecycle_chart: Chart::parse(ROLE_CHART)?,
