Never call a plain request not run after an attempt that may have run it

Callers of the own interface saw: an idempotent request ran at one plain service, whose answer was lost, and was then refused by another one; the refusal stated 1309 with `not_run`. Only the last attempt decided the run state.

A request to a plain service now remembers whether any of its attempts may have run, and its refusal says so, as for prompts. Calls that may not be repeated were not affected: they are not sent again after such an attempt.

Evidence: refusal_after_a_lost_answer_does_not_state_that_the_request_has_not_run fails on the code before with `not_run` in place of `may_have_run`, and passes with the change.

--- a/crates/node/src/plain_dispatch.rs
+++ b/crates/node/src/plain_dispatch.rs
@@ -9,7 +9,7 @@
 };
 use daisysill_core::{
     ids::{InstanceId, ServiceName},
-    result_code::ResultCode,
+    result_code::{ResultCode, RunState},
     rules::ServiceRules,
     view::{UpstreamState, UpstreamView},
 };
@@ -205,8 +205,11 @@
     }
 
     /// Records the result in the life cycle and the slot, and returns it.
-    pub(crate) fn finish(mut self, result: Result<PlainResponse, Refusal>) -> Result<PlainResponse, Refusal> {
-        match &result {
+    pub(crate) fn finish(
+        mut self,
+        mut result: Result<PlainResponse, Refusal>,
+    ) -> Result<PlainResponse, Refusal> {
+        match &mut result {
             Ok(_) => {
                 if let Some(slot) = &mut self.slot {
                     slot.record_served();
@@ -217,6 +220,10 @@
                 self.lifecycle.set_result(ResultCode::Ok);
             }
             Err(refusal) => {
+                if self.may_have_run && refusal.run_state == RunState::NotRun {
+                    // An earlier attempt may have been executed although the last one was not.
+                    refusal.run_state = RunState::MayHaveRun;
+                }
                 if let (Some(slot), ResultCode::UpstreamRefused | ResultCode::DeadlineExceeded) =
                     (&mut self.slot, refusal.code)
                 {
--- a/crates/testkit/tests/streams.rs
+++ b/crates/testkit/tests/streams.rs
@@ -71,3 +71,28 @@
     let response = request.send().await.unwrap();
     assert_ne!(response.status().as_u16(), 200);
 }
+
+/// Guards against a refusal that states that a request has not run, although an earlier attempt ran it and only the last
+/// upstream refused it.
+#[actix_rt::test]
+async fn refusal_after_a_lost_answer_does_not_state_that_the_request_has_not_run() {
+    let mut config = DeploymentConfig::small();
+    let mut second = config.upstreams.iter().find(|plan| plan.service == "booth-app").unwrap().clone();
+    second.id = "booth-app-2".to_owned();
+    config.upstreams.push(second);
+    let deployment = Deployment::start(config);
+    deployment.wait_until_live().await;
+    let (ran, refused) =
+        (&deployment.upstreams.plain["booth-app-1"], &deployment.upstreams.plain["booth-app-2"]);
+    ran.set_fault(PlainFault::TruncateResponse);
+    refused.set_fault(PlainFault::RefuseNotRun);
+    for number in 0..12 {
+        let url = format!("{}/services/booth-app/running-order/{number}", deployment.caller_url(NODE));
+        let request = awc::Client::default().post(url).bearer_auth(DeploymentConfig::token("opera-a"));
+        let body = format!("order {number}");
+        let mut response = request.send_body(body.clone()).await.unwrap();
+        let answer: serde_json::Value = response.json().await.unwrap();
+        assert_eq!(ran.runs(&body), 1, "{answer}");
+        assert_eq!(answer["error"]["run_state"], "may_have_run", "{answer}");
+    }
+}
