--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -39,7 +39,10 @@
         span.set("upstream", assignment.decision.upstream.as_str());
         span.set("attempt_id", request.attempt_id.as_str());
         let exchange = Exchange::new(Rc::clone(&self.engine), assignment, request, names, span);
-        self.relay(Box::new(exchange), Instant::now() + first_timeout).await
+        self.is_attempt_open = true;
+        let outcome = self.relay(Box::new(exchange), Instant::now() + first_timeout).await;
+        self.is_attempt_open = false;
+        outcome
     }
 
     /// Waits for an upstream that was silent, until it is time to check again whether another one can take over.
