Print the logs of all nodes when one does not become ready

A run of durable_state::a_second_voter_is_lost_right_after_a_repair beside builds (load average 26) ended with "sathorn-1 is not ready within 30s". Only that node's log was printed, most of it lines on single calls, so it couldn't be told whether there was no leader or whether the node with its new disk was not admitted again. The failure now prints the logs of all running nodes, without those lines.

--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -275,6 +275,17 @@
         actix_rt::time::sleep(FIRST_REPORTS_DELAY).await;
     }
 
+    /// Returns the logs of all running nodes, without the lines on single calls between them.
+    fn logs(&self) -> String {
+        let mut text = String::new();
+        for name in self.nodes.keys() {
+            text.extend(["log of ", name, ":\n"]);
+            let log = self.environment.log(name);
+            text.extend(log.lines().filter(|line| !line.contains("tarpc")).flat_map(|line| [line, "\n"]));
+        }
+        text
+    }
+
     /// Waits until every running node is ready and considers every engine and plain service live.
     ///
     /// # Panics
@@ -294,7 +305,7 @@
                 assert!(
                     Instant::now() < end,
                     "{name} is not ready within {READY_TIMEOUT:?}, {live} of {expected} upstreams live\n{}",
-                    self.environment.log(name)
+                    self.logs()
                 );
                 actix_rt::time::sleep(Duration::from_millis(PLATFORM_POLL_MS)).await;
             }
