Stay at a silent upstream until another one has not refused the stream for a while

What callers saw: a stream was still cut after a silence when the upstream at which a place had been taken could not be reached, or refused the stream.

The silent response was dropped before the other upstream had a connection or had answered, and loads of other nodes are known late, so that slots that seem free may be full.

If the other one refuses, cannot be reached, or answers with something else than events, the stream stays and a further place is looked for. A node that does not reach the upstreams moves no stream, and a 5xx is dropped for another upstream only. Ruled out: keeping the silent response until the other's head, which would have both read the prompt for long.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -151,6 +151,12 @@
         history
     }
 
+    /// Takes back that the request has left an upstream: it stays there, since another one did not take it.
+    pub(crate) fn return_to(&mut self, upstream: &InstanceId) {
+        self.may_have_run = self.may_have_run.saturating_sub(1);
+        self.tried.retain(|tried| tried != upstream);
+    }
+
     /// Returns whether an attempt of this node may have run the request.
     pub(crate) fn may_have_run_here(&self) -> bool {
         self.is_attempt_open || self.may_have_run > self.passed_attempts
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -54,10 +54,10 @@
 const PROMPT_SILENCE_GOALS: f64 = 3.0;
 
 /// An attempt that got no response.
-struct FailedAttempt {
-    error: AttemptError,
+pub(crate) struct FailedAttempt {
+    pub(crate) error: AttemptError,
     /// Where the next attempt is made, if that was found before this one ended.
-    next_place: Option<Box<ChosenUpstream>>,
+    pub(crate) next_place: Option<Box<ChosenUpstream>>,
 }
 
 /// State shared by all requests on this node.
@@ -255,7 +255,7 @@
 
     /// Makes one attempt. A successful response without the proof of origin counts as broken. An attempt whose upstream is
     /// silent for too long ends only once a place at another one was taken.
-    async fn try_once(
+    pub(crate) async fn try_once(
         self: &Rc<Self>,
         request: &Rc<CallerRequest>,
         history: &mut AttemptHistory,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,23 +1,22 @@
 //! Relays a stream of events to its caller. If the stream breaks, resumes it at another upstream where the route allows
 //! it.
 
+mod resume;
+
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use daisysill_core::ids::SoftwareVersion;
 use futures::stream::{Stream, unfold};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    caller_request::{AttemptHistory, CallerRequest, SoftwareRequirement},
+    caller_request::{AttemptHistory, CallerRequest},
     duration::millis,
     exchange::UpstreamResponse,
     forward::Gateway,
     http_head::{Framing, ResponseHead},
     passing::Passing,
-    placement::ChosenUpstream,
     silence::PLACE_CHECK_INTERVAL,
-    upstreams::Upstream,
 };
 
 /// A resumable stream leaves its upstream, if another one can go on with it, after a time without an event of this many
@@ -134,25 +133,25 @@
                 }
                 ReadOutcome::Silent => {
                     if let Some(place) = self.take_next_upstream()
-                        && !self.resume(SILENT, Some(place)).await
+                        && !self.move_to(place).await
                     {
                         return Some(Err(self.fail(SILENT)));
                     }
                 }
                 ReadOutcome::End if self.ended_inside_event() => {
-                    if !self.resume(INSIDE_EVENT, None).await {
+                    if !self.resume(INSIDE_EVENT).await {
                         return Some(Err(self.fail(INSIDE_EVENT)));
                     }
                 }
                 ReadOutcome::End if self.lacks_body() => {
-                    if !self.resume(NO_BODY, None).await {
+                    if !self.resume(NO_BODY).await {
                         return Some(Err(self.fail(NO_BODY)));
                     }
                 }
                 ReadOutcome::End if self.is_event_due => return Some(Err(self.fail(NO_EVENT))),
                 ReadOutcome::End => return self.finish(),
                 ReadOutcome::Broken(reason) => {
-                    if !self.resume(reason, None).await {
+                    if !self.resume(reason).await {
                         return Some(Err(self.fail(reason)));
                     }
                 }
@@ -242,88 +241,6 @@
         }
     }
 
-    /// Takes a place at another upstream for a stream whose upstream is silent; `None` if there is none.
-    fn take_next_upstream(&mut self) -> Option<Box<ChosenUpstream>> {
-        let upstream = Rc::clone(&self.response.as_ref()?.in_flight.upstream);
-        let mut history = self.history.after_leaving(&upstream.entry.id);
-        self.require_software_of(&upstream, &mut history);
-        let place = self.gateway.take_next_upstream(&self.request, &history);
-        if self.checked_at.is_none() {
-            tracing::info!(
-                event = "silent",
-                request_id = self.request.headers.request_id.as_deref(),
-                upstream = upstream.entry.id.as_str(),
-                silent_ms = millis(self.progressed_at.elapsed()),
-                outcome = if place.is_some() { "moves" } else { "waits" },
-            );
-        }
-        self.checked_at = Some(Instant::now());
-        place
-    }
-
-    /// Binds a stream of which the caller has events to the software version of its upstream.
-    fn require_software_of(&self, upstream: &Upstream, history: &mut AttemptHistory) {
-        let Passing::WholeEvents(splitter) = &self.passing else { return };
-        if splitter.last_id().is_some() {
-            history.software = SoftwareRequirement::Same(self.gateway.cluster.software_of(&upstream.entry));
-            history.resumed_at = Some(Instant::now());
-        }
-    }
-
-    fn may_resume(&self) -> bool {
-        // The upstream that runs the request now counts as an attempt.
-        let used = self.history.may_have_run + u32::from(self.response.is_some());
-        matches!(self.passing, Passing::WholeEvents(_))
-            && used < self.request.route.max_attempts
-            && self.request.time_left() > Duration::ZERO
-    }
-
-    /// Resumes the stream at another upstream after the last complete event, first at `place`, if that was taken for it;
-    /// `false` if it cannot.
-    async fn resume(&mut self, reason: &'static str, place: Option<Box<ChosenUpstream>>) -> bool {
-        let Some(response) = self.response.take() else { return false };
-        let upstream = Rc::clone(&response.in_flight.upstream);
-        upstream.record_failure();
-        // Closes the connection, so that the upstream cancels the request.
-        drop(response);
-        self.history = self.history.after_leaving(&upstream.entry.id);
-        if !self.may_resume() {
-            return false;
-        }
-        let software = self.gateway.cluster.software_of(&upstream.entry);
-        let mut history = std::mem::take(&mut self.history);
-        self.require_software_of(&upstream, &mut history);
-        let Passing::WholeEvents(splitter) = &mut self.passing else { return false };
-        self.is_event_due |= splitter.is_inside_event();
-        splitter.drop_pending();
-        let after = splitter.last_id().map(str::to_owned);
-        let resumed = self.gateway.send(&self.request, &mut history, place, after.as_deref()).await;
-        self.history = history;
-        let software_of = |response: &UpstreamResponse| {
-            self.gateway.cluster.software_of(&response.in_flight.upstream.entry)
-        };
-        let resumed_software = resumed.as_ref().ok().and_then(software_of);
-        tracing::info!(
-            event = "stream_resumed",
-            request_id = self.request.headers.request_id.as_deref(),
-            reason,
-            after = after.as_deref(),
-            software = software.as_ref().map(SoftwareVersion::as_str),
-            resumed_software = resumed_software.as_ref().map(SoftwareVersion::as_str),
-            status = resumed.as_ref().ok().map(|response| response.head.status.as_u16()),
-            outcome = resumed.as_ref().map_or_else(|refusal| refusal.code.name(), |_| "resumed"),
-        );
-        match resumed {
-            Ok(response) if response.head.continues(&self.first_head) => {
-                self.response = Some(response);
-                self.has_body = false;
-                self.record_progress();
-                true
-            }
-            Ok(_) | Err(_) => false,
-        }
-    }
-
     fn finish(&mut self) -> Option<Result<Bytes, StreamBroken>> {
         self.is_done = true;
         let rest = self.passing.finish();
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -20,6 +20,7 @@
     entry_node::EntryState,
     exchange::UpstreamResponse,
     peer_headers::{PassedOn, UNABLE},
+    placement::ChosenUpstream,
     refusal::Refusal,
     refusal_rules::{STALE_RETRY_MS, cut_off_refusal, deadline_refusal},
     relay::relay,
@@ -219,7 +220,7 @@
             if response.head.status.is_server_error()
                 && let Some(place) = self.try_elsewhere(&request, history, &response)
             {
-                next_place = place.upstream();
+                next_place = Some(place);
                 continue;
             }
             gateway.metrics.answer_seconds.observe(request.arrived.elapsed().as_secs_f64());
@@ -248,13 +249,13 @@
         request: &CallerRequest,
         history: &mut AttemptHistory,
         response: &UpstreamResponse,
-    ) -> Option<NextPlace> {
+    ) -> Option<Box<ChosenUpstream>> {
         let upstream = &response.in_flight.upstream;
         if !may_retry(request) {
             return None;
         }
         let left = history.after_leaving(&upstream.entry.id);
-        let place = self.gateway.next_place(request, &left)?;
+        let place = self.gateway.take_next_upstream(request, &left)?;
         *history = left;
         tracing::info!(
             event = "failed_answer",
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -1,14 +1,14 @@
 //! What happens while an upstream is silent: a request leaves it only once a place at another one was taken. A sound upstream
 //! may be silent for a second or so and go on, so that silence alone is no reason to end an answer.
 
-use std::{future::Future, pin::pin, time::Duration};
+use std::{future::Future, pin::pin, rc::Rc, time::Duration};
 
-use daisysill_core::upstream_contact::Reach;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
     caller_request::{AttemptHistory, CallerRequest},
-    forward::Gateway,
+    exchange::UpstreamResponse,
+    forward::{FailedAttempt, Gateway},
     placement::{ChosenUpstream, Placement},
 };
 
@@ -72,10 +72,27 @@
         if let Some(chosen) = self.take_next_upstream(request, history) {
             return Some(NextPlace::Upstream(chosen));
         }
-        let passes_on = self.passes_on(request) && history.may_have_run < request.route.max_attempts;
+        let passes_on = self.passes_on(request)
+            && history.may_have_run < request.route.max_attempts
+            && self.is_retry_left(&request.service);
         passes_on.then_some(NextPlace::EntryNode)
     }
 
+    /// Makes one attempt at a place that was taken for it.
+    pub(crate) async fn send_to(
+        self: &Rc<Self>,
+        request: &Rc<CallerRequest>,
+        history: &mut AttemptHistory,
+        place: &ChosenUpstream,
+        resume_after: Option<&str>,
+    ) -> Result<UpstreamResponse, FailedAttempt> {
+        let result = self.try_once(request, history, place, resume_after).await;
+        if let Err(failed) = &result {
+            self.record_failure(request, history, place, failed.error);
+        }
+        result
+    }
+
     /// Takes a place at another upstream for a request that still runs at one, given the history that it has once it has left
     /// that one; `None` if no other upstream takes it now. Does not wait, since the present one may go on meanwhile.
     pub(crate) fn take_next_upstream(
@@ -86,7 +103,7 @@
         let may_go_on = history.may_have_run < request.route.max_attempts
             && request.time_left() > Duration::ZERO
             && self.block_refusal(request, history).is_none()
-            && !(self.passes_on(request) && self.contact.reach() == Reach::CutOff)
+            && !self.passes_on(request)
             && (request.customer.is_none() || self.is_fresh())
             && self.is_retry_left(&request.service);
         if !may_go_on {
