Tell a voter that was removed while nothing reached it

Cause: a leader sends to members only, so a voter that is down, cut off or suspended while it is removed never gets the entry that removes it. Its own log lists it as a voter, so it asks for pre-votes that nobody grants, for good. Class: a member learns of its exclusion only from those who stop sending to it.

Ruled out: that the others refuse to take it back. Once it is added by name it gets the log and votes (a_removed_voter_is_admitted_again_and_votes passed before).

Change: a replica answers a request for a pre-vote or a position with NotAVoter if the sender is no voter in its newest committed set nor in its last one. The sender drops voter sets older than the position that the message names. The message is the last one of its enum, so builds without it drop it. No vote is withheld by the receiver: the sender may have been admitted by an entry that the receiver does not know to be committed.

The 3,000 random cases of the protocol pass.

--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -81,11 +81,11 @@
         }
     }
 
-    /// Returns the last voter set in the entries up to `index`, with the index of its entry.
-    pub(crate) fn latest_voters(&self, index: u64) -> Option<(u64, &VoterSet)> {
+    /// Returns the last voter set in the entries up to `index`, with the position of its entry.
+    pub(crate) fn latest_voters(&self, index: u64) -> Option<(Position, &VoterSet)> {
         let older = self.entries.iter().rev().skip_while(|entry| entry.position.index > index);
         older.into_iter().find_map(|entry| match &entry.payload {
-            Payload::Voters(voters) => Some((entry.position.index, voters)),
+            Payload::Voters(voters) => Some((entry.position, voters)),
             Payload::Command(_) => None,
         })
     }
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -7,7 +7,7 @@
 use crate::{
     api::{ProposalFailure, VoterChange, VoterRefusal},
     command::Reply,
-    entry::{DiskId, Payload, VoterSet},
+    entry::{DiskId, Payload, Position, VoterSet},
     message::Message,
     replica::{Replica, RoleState},
 };
@@ -47,7 +47,7 @@
 
     /// Returns the voter set that a change leads to.
     fn voters_after(&self, change: &VoterChange) -> Result<VoterSet, VoterRefusal> {
-        if self.voters_index > self.commit_index || !self.has_committed_in_term() {
+        if self.voters_position.index > self.commit_index || !self.has_committed_in_term() {
             return Err(VoterRefusal::ChangeInProgress);
         }
         let mut voters = self.voters.clone();
@@ -82,6 +82,30 @@
         progress.disk.filter(|_| progress.match_index >= self.commit_index)
     }
 
+    /// Tells a replica that acts as a voter if it is none in the committed voter set. Its requests are processed all the
+    /// same: it may have become a voter since, by an entry that this replica does not know to be committed.
+    pub(crate) fn tell_if_not_a_voter(&mut self, peer: &InstanceId, disk: DiskId) {
+        let is_voter = |voters: &VoterSet| voters.has_voter(peer, disk);
+        if self.committed_voters().is_none_or(is_voter) || is_voter(&self.voters) {
+            return;
+        }
+        let Some(term) = self.log.term_at(self.commit_index) else { return };
+        let committed = Position { term, index: self.commit_index };
+        self.send(peer, Message::NotAVoter { committed });
+    }
+
+    /// Stops acting as a voter if the own voter set is older than a committed one without this replica. No set between
+    /// the two can be in force: the committed position succeeds or excludes every entry before it.
+    pub(crate) fn on_not_a_voter(&mut self, committed: Position) {
+        if committed <= self.voters_position || !self.is_voter() {
+            return;
+        }
+        self.not_a_voter_at = Some(committed);
+        // A replica that is no voter takes what a leader sends without a check.
+        self.start_check.passed = true;
+        self.become_follower();
+    }
+
     fn is_uninitialized(&self) -> bool {
         self.term == 0 && self.log.last().index == 0
     }
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -36,6 +36,10 @@
         BootstrapProbe,
         /// `empty` tells that the sender has neither a term nor a log.
         BootstrapReply { empty: bool },
+        /// The recipient's disk is not that of a voter in the voter set as of `committed`, a committed position. Sent to a
+        /// replica that acts as a voter: the entry that removed it may never have reached it. Replicas of builds
+        /// without this message drop it.
+        NotAVoter { committed: Position },
     }
 
     /// A range of bytes of an encoded snapshot; `checksum` is the CRC-32 of the whole.
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -52,8 +52,10 @@
     pub(crate) log: Log,
     pub(crate) snapshot: Option<Arc<Snapshot>>,
     pub(crate) voters: VoterSet,
-    /// Index of the entry or snapshot that `voters` is from.
-    pub(crate) voters_index: u64,
+    /// Position of the entry or snapshot that `voters` is from.
+    pub(crate) voters_position: Position,
+    /// A committed position as of which this replica is no voter, as a peer stated; older voter sets do not count.
+    pub(crate) not_a_voter_at: Option<Position>,
     pub(crate) commit_index: u64,
     /// Last index known to agree with the log of the term's leader.
     pub(crate) verified_index: u64,
@@ -107,7 +109,8 @@
             log,
             snapshot: recovered.snapshot,
             voters: VoterSet::default(),
-            voters_index: 0,
+            voters_position: Position::default(),
+            not_a_voter_at: None,
             state: state.unwrap_or_default(),
             reported_version: ConfigVersion::default(),
             writes: Writes::new(last.index, !formatted),
@@ -217,7 +220,10 @@
         }
         let Envelope { disk, term, message } = envelope;
         match message {
-            Message::PreVoteRequest { term, last } => self.on_pre_vote(from, term, last),
+            Message::PreVoteRequest { term, last } => {
+                self.tell_if_not_a_voter(from, disk);
+                self.on_pre_vote(from, term, last);
+            }
             Message::PreVoteReply { term: requested_term, granted } => {
                 self.on_pre_vote_reply(from, disk, term, requested_term, granted);
             }
@@ -233,12 +239,16 @@
             Message::SnapshotReply { position, received_bytes, echo_ms } => {
                 self.on_chunk_reply(from, disk, term, position, received_bytes, echo_ms);
             }
-            Message::PositionRequest { check_id } => self.on_position_request(from, disk, check_id),
+            Message::PositionRequest { check_id } => {
+                self.tell_if_not_a_voter(from, disk);
+                self.on_position_request(from, disk, check_id);
+            }
             Message::PositionReply { check_id, last, acknowledged } => {
                 self.on_position_reply(from, disk, term, check_id, last, acknowledged);
             }
             Message::BootstrapProbe => self.on_bootstrap_probe(from),
             Message::BootstrapReply { empty } => self.on_bootstrap_reply(from, disk, empty),
+            Message::NotAVoter { committed } => self.on_not_a_voter(committed),
         }
     }
 
@@ -278,12 +288,17 @@
     /// replica is not committed, the committed one. Otherwise no leader could be elected if only this replica holds the
     /// removal, since the others vote only for a candidate whose log is as long.
     pub(crate) fn own_voter_set(&self) -> Option<&VoterSet> {
+        if self.not_a_voter_at > Some(self.voters_position) {
+            return None;
+        }
         let includes_self = |voters: &&VoterSet| voters.has_voter(&self.config.name, self.disk);
-        let committed = || {
-            let in_log = self.log.latest_voters(self.commit_index).map(|(_, voters)| voters);
-            in_log.or_else(|| self.snapshot.as_ref().map(|snapshot| &snapshot.voters))
-        };
-        Some(&self.voters).filter(includes_self).or_else(|| committed().filter(includes_self))
+        Some(&self.voters).filter(includes_self).or_else(|| self.committed_voters().filter(includes_self))
+    }
+
+    /// Returns the newest voter set known to be committed; `None` if none is.
+    pub(crate) fn committed_voters(&self) -> Option<&VoterSet> {
+        let in_log = self.log.latest_voters(self.commit_index).map(|(_, voters)| voters);
+        in_log.or_else(|| self.snapshot.as_ref().map(|snapshot| &snapshot.voters))
     }
 
     /// Returns whether this replica is a voter with its present disk.
@@ -294,10 +309,10 @@
     /// Sets the voter set from the last entry that has one, or from the snapshot. A replica that becomes a voter has to
     /// pass the start check.
     pub(crate) fn reload_voters(&mut self) {
-        let in_log = self.log.latest_voters(u64::MAX).map(|(index, voters)| (index, voters.clone()));
-        let from_snapshot = || self.snapshot.as_ref().map(|s| (s.position.index, s.voters.clone()));
+        let in_log = self.log.latest_voters(u64::MAX).map(|(position, voters)| (position, voters.clone()));
+        let from_snapshot = || self.snapshot.as_ref().map(|s| (s.position, s.voters.clone()));
         let was_voter = self.is_voter();
-        (self.voters_index, self.voters) = in_log.or_else(from_snapshot).unwrap_or_default();
+        (self.voters_position, self.voters) = in_log.or_else(from_snapshot).unwrap_or_default();
         if self.is_voter() && !was_voter {
             self.start_check.passed = self.start_check.exempt;
             self.start_check.retry_ms = self.now_ms;
--- a/crates/control/src/replication.rs
+++ b/crates/control/src/replication.rs
@@ -240,8 +240,8 @@
 
     /// Steps down once the removal of this replica is committed.
     pub(crate) fn step_down_if_removed(&mut self) {
-        let removed =
-            !self.voters.has_voter(&self.config.name, self.disk) && self.voters_index <= self.commit_index;
+        let removed = !self.voters.has_voter(&self.config.name, self.disk)
+            && self.voters_position.index <= self.commit_index;
         if removed && matches!(self.role_state, RoleState::Leader(_)) {
             self.become_follower();
         }
--- a/crates/control/tests/protocol/main.rs
+++ b/crates/control/tests/protocol/main.rs
@@ -5,4 +5,5 @@
 mod disk;
 mod faults;
 mod leadership;
+mod removed_voters;
 mod sim;
