Let a voter that no leader sends to request to join

Cause: only a replica that may not vote requested to join. A voter that was removed while all other control machines were replaced at other addresses knows none of those who could tell it; its observer knows the leader all the same.

The request of a present voter changes nothing.

--- a/crates/cluster/src/membership.rs
+++ b/crates/cluster/src/membership.rs
@@ -5,7 +5,7 @@
 use daisysill_control::{ReplicaStatus, Role, VoterChange};
 use daisysill_core::{
     ids::InstanceId,
-    voters::{Member, MembershipChange, next_change, should_request_join},
+    voters::{Member, Membership, MembershipChange, next_change, should_request_join},
 };
 use tokio::{sync::watch, time::sleep};
 
@@ -25,7 +25,14 @@
         let Some(status) = status else { continue };
         let change = match status.role {
             Role::Leader => leader_change(&status, target_voters),
-            Role::Learner => join_request(&status, &proposer.name),
+            Role::Learner if status.voters.learners.contains(&proposer.name) => {
+                join_request(&status, &proposer.name, Membership::Learner)
+            }
+            Role::Learner => join_request(&status, &proposer.name, Membership::None),
+            // While none leads, no request can be accepted.
+            Role::Follower | Role::Candidate if proposer.leader.get().is_some() => {
+                join_request(&status, &proposer.name, Membership::Voter)
+            }
             Role::Follower | Role::Candidate | Role::Halted => None,
         };
         let Some(change) = change else { continue };
@@ -49,9 +56,9 @@
     })
 }
 
-/// Returns the request of this node, which does not vote, to become a learner, if it is due. Before the first
-/// cluster has formed, no leader can accept it.
-fn join_request(status: &ReplicaStatus, name: &InstanceId) -> Option<VoterChange> {
-    let is_due = should_request_join(status.voters.learners.contains(name), status.leader_silent_ms);
+/// Returns the request of this node to become a learner, if it is due. Before the first cluster has formed, no leader can
+/// accept it.
+fn join_request(status: &ReplicaStatus, name: &InstanceId, own: Membership) -> Option<VoterChange> {
+    let is_due = should_request_join(own, status.leader_silent_ms);
     is_due.then(|| VoterChange::AddLearner(name.clone()))
 }
--- a/crates/core/src/voters.rs
+++ b/crates/core/src/voters.rs
@@ -31,20 +31,38 @@
     Remove(InstanceId),
 }
 
-/// Returns whether a replica that may not vote should request to join. `is_learner` is whether its own log lists it
-/// as a learner. The entry that removed it may never have reached it, so it also does so if the leader is silent.
+/// A node's place in the cluster according to its own log, which may lack the entry that removed the node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Membership {
+    /// It votes.
+    Voter,
+    /// It receives the log without a vote.
+    Learner,
+    /// It is no member, or may not vote with its present disk.
+    None,
+}
+
+/// Returns whether a node with a disk should request to join. Its removal may never have reached it, so a member also
+/// does so if no leader sends to it. The request of a present member changes nothing.
 ///
 /// ```
-/// use daisysill_core::voters::should_request_join;
-/// assert!(should_request_join(false, 50) && !should_request_join(true, 50) && should_request_join(true, 5_000));
+/// use daisysill_core::voters::{Membership, should_request_join};
+/// assert!(should_request_join(Membership::None, 50) && !should_request_join(Membership::Learner, 50));
+/// assert!(should_request_join(Membership::Voter, 5_000));
 /// ```
-pub fn should_request_join(is_learner: bool, leader_silent_ms: u64) -> bool {
-    !is_learner || leader_silent_ms >= DEAD_AFTER_MS
+pub fn should_request_join(own: Membership, leader_silent_ms: u64) -> bool {
+    match own {
+        Membership::None => true,
+        Membership::Voter | Membership::Learner => leader_silent_ms >= DEAD_AFTER_MS,
+    }
 }
 
 /// Returns the next change, if one is due. `others` are the members without the leader; `target` is the number of
 /// voters with it.
 ///
+/// No change lowers the number of live voters beyond a majority, that is, how many more may fail. A voter whose disk
+/// refuses writes is silent and counts as dead until it is back.
+///
 /// A voter with another disk is removed first: it counts in the majority but cannot vote. A dead voter is removed
 /// only once its replacement votes, so that the number of copies never falls.
 ///
