Let a halted voter go on once its disk accepts writes

Cause: a failed write halts a replica for good. The own interface left the restart to an operator; the platform path ended the process when a probe write succeeded, and relied on something that starts it again. Class: a state that is entered because of a condition is not left when the condition ends.

Ruled out: the election. With the voters restarted by hand a leader is elected within a second.

The driver goes on with a new replica, as after a restart of the process. Entries of the failed write are removed before, and the hard state is written first after each start, since the kernel may show both although they are not on the disk. A folder that is damaged, shorter than what was synced, or of another disk leaves the voter halted, and the log says so. The platform path no longer ends the process, and its probe no longer blocks the runtime's thread while a disk hangs.

--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use daisysill_control::{
-    Input, Output, ProposalFailure, Replica, ReplicaStatus, Role, VoterChange,
+    Input, Output, ProposalFailure, Recovered, Replica, ReplicaStatus, Role, VoterChange,
     command::{Command, Reply},
 };
 use daisysill_core::ids::InstanceId;
@@ -17,7 +17,7 @@
     clock::BootInstant,
     metrics::ClusterMetrics,
     outbox::Outbox,
-    storage_thread::{StorageThread, WriteDone},
+    storage_thread::{StorageEvent, StorageThread},
     view_store::ViewStore,
 };
 
@@ -28,6 +28,10 @@
 /// Maximum time that a leaving node waits for its proposals in progress.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The first line of the error if the data folder cannot be opened.
+pub(crate) const OPEN_ERROR: &str = "the data folder cannot be used; if a file in it is damaged, keep a copy of the folder, \
+    start this voter with an empty folder, and replace it in the voter set before another voter is lost";
+
 /// The result of a proposal.
 pub(crate) type ProposalResult = Result<Reply, ForwardError>;
 
@@ -112,7 +116,8 @@
     outputs: Vec<Output>,
     /// Set once the node leaves: notified when the replica has stopped, and the deadline of its proposals.
     leaving: Option<(oneshot::Sender<()>, Instant)>,
-    halted: bool,
+    /// Voters of the cluster that this node forms if its data folder is empty; empty on all nodes but one.
+    bootstrap_voters: Vec<InstanceId>,
 }
 
 impl Driver {
@@ -142,7 +147,7 @@
             last_proposal_id: 0,
             outputs: Vec::new(),
             leaving: None,
-            halted: false,
+            bootstrap_voters: Vec::new(),
         }
     }
 
@@ -152,14 +157,10 @@
         mut self,
         bootstrap_voters: Vec<InstanceId>,
         mut inputs: mpsc::Receiver<DriverInput>,
-        mut writes: mpsc::UnboundedReceiver<WriteDone>,
+        mut storage_events: mpsc::UnboundedReceiver<StorageEvent>,
     ) {
-        self.record_target_ages();
-        self.views.install(&Arc::clone(&self.replica.state().config));
-        if !bootstrap_voters.is_empty() {
-            // The replica ignores this unless its data folder is empty, and checks those of the other voters.
-            self.step(Input::Bootstrap { voters: bootstrap_voters });
-        }
+        self.bootstrap_voters = bootstrap_voters;
+        self.start_replica();
         loop {
             self.flush();
             if self.has_settled() {
@@ -171,7 +172,7 @@
             let timer = self.leaving.as_ref().map_or(timer, |(_, limit)| timer.min(*limit));
             tokio::select! {
                 biased;
-                done = writes.recv() => self.handle_write(done),
+                event = storage_events.recv() => self.handle_storage(event),
                 input = inputs.recv() => {
                     let Some(input) = input else { return };
                     self.handle(input);
@@ -186,6 +187,15 @@
         }
     }
 
+    fn start_replica(&mut self) {
+        self.record_target_ages();
+        self.views.install(&Arc::clone(&self.replica.state().config));
+        if !self.bootstrap_voters.is_empty() {
+            // The replica ignores this unless its data folder is empty, and checks those of the other voters.
+            self.step(Input::Bootstrap { voters: self.bootstrap_voters.clone() });
+        }
+    }
+
     fn now_ms(&self) -> u64 {
         u64::try_from(self.boot_started_at.elapsed().as_millis())
             .unwrap_or(u64::MAX)
@@ -248,16 +258,33 @@
             if campaign { 2 * self.config.election_timeout_ms } else { self.config.election_timeout_ms };
     }
 
-    fn handle_write(&mut self, done: Option<WriteDone>) {
-        let Some(done) = done else { return };
-        let Some(error) = done.error else {
-            return self.step(Input::BatchSynced { batch_id: done.batch_id });
-        };
-        if !self.halted {
-            self.halted = true;
-            log::error!("the data folder cannot be written; this voter has halted: {error}");
+    fn handle_storage(&mut self, event: Option<StorageEvent>) {
+        match event {
+            None => {}
+            Some(StorageEvent::Synced { batch_id }) => self.step(Input::BatchSynced { batch_id }),
+            Some(StorageEvent::Failed { batch_id, error }) => {
+                log::error!("the data folder cannot be written; this voter has halted: {error}");
+                self.metrics.failed_writes.inc();
+                self.step(Input::BatchFailed { batch_id });
+            }
+            Some(StorageEvent::Reopened(recovered)) => self.restart_replica(*recovered),
+            Some(StorageEvent::Unusable(error)) => {
+                log::error!("{OPEN_ERROR}: {error}; this voter stays halted");
+            }
         }
-        self.step(Input::BatchFailed { batch_id: done.batch_id });
+    }
+
+    /// Goes on from the data folder as after a restart of the process.
+    fn restart_replica(&mut self, recovered: Recovered) {
+        let entries = recovered.entries.len();
+        self.replica = self.replica.restarted(recovered, self.now_ms(), rand::random());
+        let last_index = self.replica.status().last_index;
+        log::info!(
+            "the data folder can be written again; this voter goes on with {entries} entries up to {last_index}"
+        );
+        self.metrics.disk_recoveries.inc();
+        self.ages_index = 0;
+        self.start_replica();
     }
 
     fn flush(&mut self) {
--- a/crates/cluster/src/handle.rs
+++ b/crates/cluster/src/handle.rs
@@ -27,7 +27,7 @@
 use crate::{
     clock::BootInstant,
     config::ClusterConfig,
-    driver::{Driver, DriverConfig, DriverInput, INPUT_QUEUE_LEN, ReplicaView},
+    driver::{Driver, DriverConfig, DriverInput, INPUT_QUEUE_LEN, OPEN_ERROR, ReplicaView},
     entry_nodes::CutOffNodes,
     follow::Follower,
     gossip::Gossip,
@@ -46,7 +46,7 @@
     server::{self, ServerState},
     soft_state::SoftState,
     status::STALE_AFTER,
-    storage_thread::{StorageThread, WriteDone},
+    storage_thread::{StorageEvent, StorageThread},
     view_store::ViewStore,
 };
 
@@ -57,10 +57,6 @@
 /// Timeout of a proposal in case the proposer's own timeouts do not end it.
 const PROPOSE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// The first line of the error if the data folder cannot be opened.
-const OPEN_ERROR: &str = "the data folder cannot be used; if a file in it is damaged, keep a copy of the folder, \
-    start this voter with an empty folder, and replace it in the voter set before another voter is lost";
-
 /// Starts a node as a cluster member.
 #[derive(Debug)]
 pub struct Cluster;
@@ -176,7 +172,7 @@
     driver: Driver,
     inputs: mpsc::Sender<DriverInput>,
     receiver: mpsc::Receiver<DriverInput>,
-    writes: mpsc::UnboundedReceiver<WriteDone>,
+    storage_events: mpsc::UnboundedReceiver<StorageEvent>,
 }
 
 impl DriverParts {
@@ -184,7 +180,7 @@
     fn spawn(self, config: &ClusterConfig) -> JoinHandle<()> {
         let is_first = config.bootstrap && config.bootstrap_voters.iter().min() == Some(&config.name);
         let voters = if is_first { config.bootstrap_voters.clone() } else { Vec::new() };
-        tokio::spawn(self.driver.run(voters, self.receiver, self.writes))
+        tokio::spawn(self.driver.run(voters, self.receiver, self.storage_events))
     }
 }
 
@@ -221,7 +217,7 @@
         ..ReplicaConfig::new(config.name.clone())
     };
     let replica = Replica::new(replica_config, recovered, 0, rand::random());
-    let (storage, writes) = StorageThread::start(storage, metrics.clone())?;
+    let (storage, storage_events) = StorageThread::start(storage, metrics.clone())?;
     let outbox = Outbox::new(links.clone(), metrics.clone());
     let (inputs, receiver) = mpsc::channel(INPUT_QUEUE_LEN);
     let views = Arc::clone(views);
@@ -230,7 +226,7 @@
     let trusts_leader_contact = config.target_voters.is_none();
     let driver_config = DriverConfig { election_timeout_ms: ELECTION_TIMEOUT_MS, trusts_leader_contact };
     let driver = Driver::new(replica, driver_config, storage, outbox, views, metrics.clone(), status);
-    Ok(Some(DriverParts { driver, inputs, receiver, writes }))
+    Ok(Some(DriverParts { driver, inputs, receiver, storage_events }))
 }
 
 /// Returns the present Unix time, which tells successive starts of this process apart.
--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -105,6 +105,10 @@
     pub refused_connections: Counter,
     /// Number of protocol messages dropped because a queue to a peer or to the replica was full.
     pub dropped_messages: Counter,
+    /// Number of times this voter has halted because its data folder could not be written.
+    pub failed_writes: Counter,
+    /// Number of times this voter has gone on after its data folder could be written again.
+    pub disk_recoveries: Counter,
 }
 
 /// Upper bounds of the buckets of `sync_seconds`, from a fast flash disk to a stalled one.
@@ -122,6 +126,8 @@
             heartbeats_lost: Counter::default(),
             refused_connections: Counter::default(),
             dropped_messages: Counter::default(),
+            failed_writes: Counter::default(),
+            disk_recoveries: Counter::default(),
         }
     }
 }
@@ -146,6 +152,10 @@
         cluster.register("refused_connections", "Connections with a failed handshake", refused);
         let dropped = self.dropped_messages.clone();
         cluster.register("dropped_messages", "Protocol messages dropped from full queues", dropped);
+        let failed = self.failed_writes.clone();
+        cluster.register("failed_writes", "Times this voter halted after a failed write", failed);
+        let recoveries = self.disk_recoveries.clone();
+        cluster.register("disk_recoveries", "Times this voter went on after a failed write", recoveries);
     }
 
     /// Returns the bytes received for all purposes.
--- a/crates/cluster/tests/cluster/replicas.rs
+++ b/crates/cluster/tests/cluster/replicas.rs
@@ -188,6 +188,38 @@
     cluster.wait_version(&["a", "b", "c"], version).await;
 }
 
+/// Guards against a voter that stays halted although its disk accepts writes again: changes are refused for good once a
+/// second voter fails.
+#[tokio::test]
+async fn a_halted_voter_goes_on_once_its_disk_accepts_writes() {
+    let mut cluster = TestCluster::started(THREE, &[]).await;
+    let leader = cluster.leader().unwrap();
+    let others: Vec<String> = cluster.others(&leader).into_iter().map(str::to_owned).collect();
+    let folder = cluster.data_dir(&others[0]);
+    // Folders in place of the files that are written first.
+    let obstacles = ["disk-check", "hard-state.new"].map(|name| folder.join(name));
+    for obstacle in &obstacles {
+        std::fs::create_dir(obstacle).unwrap();
+    }
+    // In the election that this causes each voter must store its vote.
+    cluster.suspend(&leader, Duration::from_secs(3));
+    let is_halted = |cluster: &TestCluster| cluster.node(&others[0]).status().role == Role::Halted;
+    cluster.wait("the voter has halted", is_halted).await;
+    assert_eq!(cluster.node(&others[0]).metrics().failed_writes.get(), 1);
+    cluster.drain(&others[1], "worker-1").await;
+    assert!(is_halted(&cluster), "the voter goes on without its disk");
+    for obstacle in &obstacles {
+        std::fs::remove_dir(obstacle).unwrap();
+    }
+    cluster.wait("the voter goes on", |cluster| !is_halted(cluster)).await;
+    assert_eq!(cluster.node(&others[0]).metrics().disk_recoveries.get(), 1);
+    let has_checked_disk = |cluster: &TestCluster| !cluster.node(&others[0]).status().waits_for_peers;
+    cluster.wait("its disk is confirmed", has_checked_disk).await;
+    cluster.stop(&others[1]);
+    let version = cluster.drain(&others[0], "worker-2").await;
+    cluster.wait_version(&[&leader, &others[0]], version).await;
+}
+
 /// Guards against a cluster of three that cannot recover once one voter is lost and another has restarted, and against
 /// voter changes that are refused without a reason.
 #[tokio::test]
--- a/crates/control/src/log_files.rs
+++ b/crates/control/src/log_files.rs
@@ -124,6 +124,17 @@
         Ok(())
     }
 
+    /// Removes what a failed append left behind the last entry that was synced.
+    pub(crate) fn discard_unsynced(&mut self) -> Result<(), StorageError> {
+        let Some(last) = self.files.last_mut() else { return Ok(()) };
+        let stored = with_path(&last.path, fs::metadata(&last.path))?.len();
+        if stored < last.bytes {
+            let reason = "synced entries are missing at the end";
+            return Err(StorageError::Damaged { path: last.path.clone(), offset: stored, reason });
+        }
+        last.truncate(last.bytes)
+    }
+
     /// Deletes all entries.
     pub(crate) fn reset(&mut self) -> Result<(), StorageError> {
         self.truncate_from(0)
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -131,6 +131,13 @@
         replica
     }
 
+    /// Creates the replica that goes on with the contents of the data folder after it was opened again. Equal to a restart
+    /// of the process.
+    #[must_use]
+    pub fn restarted(&self, recovered: Recovered, now_ms: u64, seed: u64) -> Self {
+        Self::new(self.config.clone(), recovered, now_ms, seed)
+    }
+
     /// Processes an input at `now_ms` on this instance's monotonic clock, and appends the resulting actions to
     /// `outputs`. A halted replica ignores all inputs but proposals, which fail.
     pub fn step(&mut self, now_ms: u64, input: Input, outputs: &mut Vec<Output>) {
--- a/crates/control/src/storage.rs
+++ b/crates/control/src/storage.rs
@@ -9,12 +9,15 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
-    entry::{HardState, Recovered, Snapshot, WriteBatch},
+    entry::{DiskId, HardState, Recovered, Snapshot, WriteBatch},
     log_files::LogFiles,
 };
 
 const HARD_STATE_FILE: &str = "hard-state";
 const SNAPSHOT_FILE: &str = "snapshot";
+const PROBE_FILE: &str = "disk-check";
+/// Size of the write that shows that a disk accepts writes; a smaller one might fit into a partly used block of a full disk.
+const PROBE_BYTES: usize = 64 * 1024;
 
 /// Error of reading or writing the data folder.
 #[derive(Debug)]
@@ -68,6 +71,8 @@
 pub struct Storage {
     folder: PathBuf,
     log: LogFiles,
+    /// The id in the stored hard state; `None` before the first one.
+    disk: Option<DiskId>,
     failed: bool,
 }
 
@@ -112,9 +117,10 @@
         let path = folder.join(HARD_STATE_FILE);
         return Err(StorageError::Damaged { path, offset: 0, reason: "the file is missing beside a log" });
     }
+    let disk = hard_state.as_ref().map(|hard_state| hard_state.disk);
     recovered.hard_state = hard_state;
     recovered.snapshot = snapshot.map(Arc::new);
-    Ok((Storage { folder, log, failed: false }, recovered))
+    Ok((Storage { folder, log, disk, failed: false }, recovered))
 }
 
 impl Storage {
@@ -133,9 +139,42 @@
         Ok(())
     }
 
+    /// Opens the folder again after a failed write and reads its contents. Entries of the failed write are removed: the
+    /// kernel may still show them although they never reached the disk. Blocks while the disk hangs.
+    ///
+    /// # Errors
+    /// Fails with [`StorageError::Io`] while the disk accepts no writes; then it may be called again. Fails with
+    /// [`StorageError::Damaged`] if the folder is damaged or holds the state of another disk.
+    pub fn reopen(&mut self) -> Result<Recovered, StorageError> {
+        self.failed = true;
+        self.probe()?;
+        // Makes removals durable whose sync may have failed.
+        sync_folder(&self.folder)?;
+        self.log.discard_unsynced()?;
+        let (storage, recovered) = open(&self.folder)?;
+        if self.disk.is_some() && storage.disk != self.disk {
+            let path = self.folder.clone();
+            let reason = "it no longer holds the state of this voter";
+            return Err(StorageError::Damaged { path, offset: 0, reason });
+        }
+        *self = storage;
+        Ok(recovered)
+    }
+
+    /// Checks that the disk accepts writes.
+    fn probe(&self) -> Result<(), StorageError> {
+        let path = self.folder.join(PROBE_FILE);
+        let written = fs::write(&path, vec![0; PROBE_BYTES])
+            .and_then(|()| fs::File::open(&path).and_then(|file| file.sync_all()));
+        // Also after a failed write: the part that was written takes space.
+        let removed = fs::remove_file(&path);
+        with_path(&path, written.and(removed))
+    }
+
     fn write_parts(&mut self, batch: &WriteBatch) -> Result<(), StorageError> {
         if let Some(hard_state) = &batch.hard_state {
             write_checked(&self.folder, HARD_STATE_FILE, hard_state)?;
+            self.disk = Some(hard_state.disk);
         }
         if let Some(snapshot) = &batch.snapshot {
             write_checked(&self.folder, SNAPSHOT_FILE, snapshot.as_ref())?;
--- a/crates/control/src/writes.rs
+++ b/crates/control/src/writes.rs
@@ -47,13 +47,15 @@
 }
 
 impl Writes {
+    /// Creates the state after a start. The hard state is written first: what was read may come from a write whose sync
+    /// failed, so that it is not on the disk.
     pub(crate) fn new(last_index: u64, format: bool) -> Self {
         Self {
             formatted: !format,
             synced_index: last_index,
             next_batch_id: 1,
             issued_index: last_index,
-            hard_state_changed: format,
+            hard_state_changed: true,
             truncate_from: None,
             snapshot: None,
             reset_log: false,
--- a/crates/control/tests/protocol/checks.rs
+++ b/crates/control/tests/protocol/checks.rs
@@ -2,11 +2,22 @@
 
 use std::sync::Arc;
 
-use daisysill_control::{ProposalFailure, Role, command::Reply};
+use daisysill_control::{ProposalFailure, ReplicaStatus, Role, command::Reply};
 use daisysill_core::ids::InstanceId;
 
 use crate::sim::Sim;
 
+/// Returns the state of a replica in the chart of voters.
+fn voter_state(name: &InstanceId, status: &ReplicaStatus) -> &'static str {
+    match status.role {
+        Role::Halted => "halted",
+        _ if status.waits_for_peers => "checking",
+        Role::Leader | Role::Candidate | Role::Follower => "voter",
+        Role::Learner if status.voters.learners.contains(name) => "learner",
+        Role::Learner => "outside",
+    }
+}
+
 impl Sim {
     pub(crate) fn record_reply(&mut self, proposal_id: u64, result: Result<Reply, ProposalFailure>) {
         if let (Ok(Reply::Accepted(version)), Some(change)) = (&result, self.proposed.get(&proposal_id)) {
@@ -28,6 +39,15 @@
         let status = replica.status();
         assert!(status.commit_index >= node.commit_index, "commit index went back at {name}");
         node.commit_index = status.commit_index;
+        let state = voter_state(name, &status);
+        let before = node.voter_state.replace(state).filter(|before| *before != state);
+        if let Some(before) = before {
+            let mut declared = self.voter_chart.transitions();
+            assert!(
+                declared.any(|(from, _, to)| (from, to) == (before, state)),
+                "{name}: {before} to {state}"
+            );
+        }
         if status.role == Role::Leader {
             let leader = self.leaders.entry(status.term).or_insert_with(|| name.clone());
             assert_eq!(leader, name, "two leaders in term {}", status.term);
--- a/crates/control/tests/protocol/main.rs
+++ b/crates/control/tests/protocol/main.rs
@@ -4,6 +4,7 @@
 mod checks;
 mod disk;
 mod faults;
+mod full_disks;
 mod leadership;
 mod removed_voters;
 mod sim;
--- a/crates/control/tests/protocol/sim.rs
+++ b/crates/control/tests/protocol/sim.rs
@@ -10,7 +10,10 @@
     command::{Claim, ClaimKey, Command, Reply, SetDrain},
     entry::Entry,
 };
-use daisysill_core::ids::InstanceId;
+use daisysill_core::{
+    chart::{Chart, VOTER_CHART},
+    ids::InstanceId,
+};
 
 use crate::disk::Disk;
 
@@ -23,6 +26,8 @@
     pub(crate) pending: Option<WriteBatch>,
     pub(crate) commit_index: u64,
     pub(crate) config_version: u64,
+    /// Last seen state of the chart of voters; `None` before the first step after a start.
+    pub(crate) voter_state: Option<&'static str>,
 }
 
 /// A simulated cluster; its random choices depend only on the seed.
@@ -55,6 +60,9 @@
     trusted: BTreeSet<InstanceId>,
     /// The batch that each node is syncing slowly, and when it was first seen.
     issued_ms: BTreeMap<InstanceId, (u64, u64)>,
+    /// Nodes whose disk refuses writes.
+    full_disks: BTreeSet<InstanceId>,
+    pub(crate) voter_chart: Chart,
 }
 
 impl Sim {
@@ -79,6 +87,8 @@
             message_bytes: 300,
             trusted: BTreeSet::new(),
             issued_ms: BTreeMap::new(),
+            full_disks: BTreeSet::new(),
+            voter_chart: Chart::parse(VOTER_CHART).unwrap(),
         };
         for name in names {
             sim.add(name);
@@ -101,6 +111,7 @@
             pending: None,
             commit_index: 0,
             config_version: 0,
+            voter_state: None,
         };
         self.nodes.insert(name.into(), node);
         self.start(&name.into());
@@ -119,6 +130,7 @@
         node.replica = Some(Replica::new(config, node.disk.recovered.clone(), now_ms, seed));
         node.commit_index = 0;
         node.config_version = 0;
+        node.voter_state = None;
         self.step(name, Input::Tick);
     }
 
@@ -134,12 +146,40 @@
 
     pub(crate) fn sync(&mut self, name: &InstanceId) {
         let node = self.nodes.get_mut(name).unwrap();
-        if let Some(batch) = node.pending.take() {
+        let Some(batch) = node.pending.take() else { return };
+        if self.full_disks.contains(name) {
+            self.step(name, Input::BatchFailed { batch_id: batch.id });
+        } else {
             node.disk.write(&batch);
             self.step(name, Input::BatchSynced { batch_id: batch.id });
         }
     }
 
+    /// Restarts a node with the setting that its disk is trusted, so that it skips the start check.
+    pub(crate) fn trust_disk(&mut self, name: &str) {
+        self.trusted.insert(name.into());
+        self.crash(&name.into());
+        self.start(&name.into());
+    }
+
+    /// Lets the disk of a node refuse all writes.
+    pub(crate) fn fill_disk(&mut self, name: &InstanceId) {
+        self.full_disks.insert(name.clone());
+    }
+
+    /// Lets the disk of a node accept writes again; a halted replica goes on from what is stored.
+    pub(crate) fn empty_disk(&mut self, name: &InstanceId) {
+        self.full_disks.remove(name);
+        let seed = self.random_below(1 << 31) << 31 | self.random_below(1 << 31);
+        let now_ms = self.now_ms;
+        let node = self.nodes.get_mut(name).unwrap();
+        let halted = node.replica.take_if(|replica| replica.status().role == Role::Halted);
+        let Some(halted) = halted else { return };
+        node.replica = Some(halted.restarted(node.disk.recovered.clone(), now_ms, seed));
+        (node.commit_index, node.config_version) = (0, 0);
+        self.step(name, Input::Tick);
+    }
+
     pub(crate) fn step(&mut self, name: &InstanceId, input: Input) {
         let now_ms = self.now_ms;
         let node = self.nodes.get_mut(name).unwrap();
--- a/crates/control/tests/storage.rs
+++ b/crates/control/tests/storage.rs
@@ -190,6 +190,73 @@
     assert!(matches!(storage.write(&batch(1..=1)), Err(StorageError::Failed)));
 }
 
+/// Makes a folder refuse the writes of a reopened storage, by folders in place of the files that are written first.
+fn set_full(folder: &Path, full: bool) {
+    for name in ["disk-check", "hard-state.new"] {
+        let path = folder.join(name);
+        if full {
+            fs::create_dir(path).unwrap();
+        } else {
+            fs::remove_dir(path).unwrap();
+        }
+    }
+}
+
+/// Guards against a voter that stays halted after its disk has room again, and against entries of the failed write that
+/// count as durable because the kernel still shows them.
+#[test]
+fn a_folder_is_opened_again_once_it_accepts_writes() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut storage, _) = open(folder.path()).unwrap();
+    storage.write(&batch(1..=2)).unwrap();
+    set_full(folder.path(), true);
+    assert!(matches!(storage.write(&batch(3..=3)), Err(StorageError::Io { .. })));
+    // The rest of a write that the disk took in part.
+    let synced = fs::read(log_file(folder.path())).unwrap();
+    let mut torn = synced.clone();
+    torn.extend_from_slice(&synced[..synced.len() / 2]);
+    fs::write(log_file(folder.path()), torn).unwrap();
+    for _ in 0..3 {
+        assert!(matches!(storage.reopen(), Err(StorageError::Io { .. })));
+        assert!(matches!(storage.write(&batch(3..=3)), Err(StorageError::Failed)));
+    }
+    set_full(folder.path(), false);
+    let recovered = storage.reopen().unwrap();
+    assert_eq!(recovered.hard_state.unwrap().disk, DiskId(7));
+    assert_eq!(recovered.entries.len(), 2);
+    assert_eq!(fs::read(log_file(folder.path())).unwrap(), synced);
+    storage.write(&batch(3..=4)).unwrap();
+    assert_eq!(last_index(folder.path()), 4);
+}
+
+/// Guards against a voter that goes on with another disk, with an empty folder or without entries that it has synced.
+#[test]
+fn a_folder_that_lost_synced_state_is_not_opened_again() {
+    let damages: [fn(&Path); 3] = [
+        |folder| fs::write(log_file(folder), b"").unwrap(),
+        |folder| fs::remove_file(folder.join("hard-state")).unwrap(),
+        |folder| {
+            fs::remove_file(folder.join("hard-state")).unwrap();
+            fs::remove_file(log_file(folder)).unwrap();
+            let (mut other, _) = open(folder).unwrap();
+            let hard_state = HardState { disk: DiskId(8), term: 1, voted_for: None };
+            other.write(&WriteBatch { hard_state: Some(hard_state), ..batch(1..=2) }).unwrap();
+        },
+    ];
+    for damage in damages {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut storage, _) = open(folder.path()).unwrap();
+        storage.write(&batch(1..=2)).unwrap();
+        set_full(folder.path(), true);
+        assert!(storage.write(&batch(3..=3)).is_err());
+        set_full(folder.path(), false);
+        damage(folder.path());
+        let error = storage.reopen().unwrap_err();
+        assert!(matches!(error, StorageError::Damaged { .. }), "{error}");
+        assert!(matches!(storage.write(&batch(3..=3)), Err(StorageError::Failed)));
+    }
+}
+
 fn drain(change: u64) -> Command {
     let change = change.to_string();
     Command::SetDrain(SetDrain { change: change.as_str().into(), upstream: "u".into(), draining: true })
--- a/crates/core/src/chart.rs
+++ b/crates/core/src/chart.rs
@@ -11,6 +11,9 @@
 /// Life cycle of a daisysill process.
 pub const ROLE_CHART: &str = include_str!("../charts/role.ini");
 
+/// Life cycle of a node in the replicated log: outside, learner, voter, and what follows a failed write.
+pub const VOTER_CHART: &str = include_str!("../charts/voter.ini");
+
 /// A set of states and the transitions between them.
 #[derive(Clone, Debug)]
 pub struct Chart {
--- a/crates/core/tests/charts.rs
+++ b/crates/core/tests/charts.rs
@@ -3,14 +3,18 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use daisysill_core::{
-    chart::{Chart, REQUEST_CHART, ROLE_CHART, UPSTREAM_CHART},
+    chart::{Chart, REQUEST_CHART, ROLE_CHART, UPSTREAM_CHART, VOTER_CHART},
     ini_check::IniFile,
     rules::{RuleFile, RuleSet},
 };
 use proptest::{prelude::*, test_runner::Config};
 
-const CHARTS: &[(&str, &str, usize)] =
-    &[(REQUEST_CHART, "received", 9), (UPSTREAM_CHART, "unknown", 6), (ROLE_CHART, "starting", 6)];
+const CHARTS: &[(&str, &str, usize)] = &[
+    (REQUEST_CHART, "received", 9),
+    (UPSTREAM_CHART, "unknown", 6),
+    (ROLE_CHART, "starting", 6),
+    (VOTER_CHART, "outside", 6),
+];
 
 /// Guards against transitions and states that cannot be reached from the first state.
 #[test]
--- a/crates/gateway/src/control_node.rs
+++ b/crates/gateway/src/control_node.rs
@@ -1,6 +1,6 @@
 //! A control node: holds the replicated log, serves operators, and runs the leader's tasks while it is the leader.
 
-use std::{fs, path::Path, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use actix_web::{App, HttpResponse, HttpServer, web};
 use daisysill_cluster::{Cluster, ClusterHandle, ProposeError};
@@ -25,10 +25,6 @@
 const MAX_DOCUMENT_BYTES: usize = 16 * 1_024 * 1_024;
 /// Time between two checks whether the voter has halted because of its disk.
 const HALT_POLL_INTERVAL: Duration = Duration::from_millis(200);
-/// Time between two probe writes to a failed disk.
-const DISK_RETRY_INTERVAL: Duration = Duration::from_millis(400);
-/// Size of a probe write; a smaller one might fit into a partly used block of a full disk.
-const DISK_PROBE_BYTES: usize = 64 * 1_024;
 /// Time for operators' requests in progress to finish when the process stops.
 const OPERATOR_STOP_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -110,7 +106,7 @@
 /// Runs a control node until SIGTERM, then leaves the cluster.
 ///
 /// # Errors
-/// Fails if the role is another one, an address cannot be bound, or the data folder cannot be used any more.
+/// Fails if the role is another one, an address cannot be bound, or the data folder cannot be opened.
 pub async fn run<D, O, C, A>(
     config: GatewayConfig,
     format: Arc<dyn DocumentFormat>,
@@ -125,7 +121,7 @@
     C: StoreClient,
     A: OperatorApi,
 {
-    let Role::Control { operators, data_dir } = config.role.clone() else {
+    let Role::Control { operators, .. } = config.role.clone() else {
         eyre::bail!("the settings are not those of a control node");
     };
     let (cluster, peers) = Cluster::start(config.cluster()).await?;
@@ -143,6 +139,7 @@
         order_lease: config.bounds.order_lease,
     };
     actix_rt::spawn(leader_tasks.run());
+    actix_rt::spawn(log_halts(cluster.clone()));
     let stop = PlannedStop::default();
     let plane = ControlPlane { cluster: cluster.clone(), format, stop: stop.clone() };
     let server = HttpServer::new(move || {
@@ -166,14 +163,7 @@
     .run();
     let handle = server.handle();
     let serving = actix_rt::spawn(server);
-    tokio::select! {
-        () = stop_requested() => {}
-        () = halted(&cluster) => {
-            tracing::error!(event = "halted", reason = "the data folder cannot be written");
-            wait_for_disk(&data_dir).await;
-            eyre::bail!("the data folder cannot be written");
-        }
-    }
+    stop_requested().await;
     tracing::info!(event = "stop", phase = "begin");
     let stop_at = Instant::now() + config.bounds.shutdown_timeout.saturating_sub(KILL_MARGIN);
     stop.begin();
@@ -184,23 +174,17 @@
     Ok(())
 }
 
-/// Waits until the disk accepts writes again. The process then exits and is restarted from its durable state.
-async fn wait_for_disk(data_dir: &Path) {
-    let probe = data_dir.join("disk-check");
+/// Logs each time the voter halts because its data folder cannot be written, and when it goes on.
+async fn log_halts(cluster: ClusterHandle) {
+    let mut was_halted = false;
     loop {
-        sleep(DISK_RETRY_INTERVAL).await;
-        let written = fs::write(&probe, vec![0; DISK_PROBE_BYTES]);
-        let removed = fs::remove_file(&probe);
-        if written.is_ok() && removed.is_ok() {
+        sleep(HALT_POLL_INTERVAL).await;
+        let is_halted = cluster.has_halted();
+        if is_halted && !was_halted {
+            tracing::error!(event = "halted", reason = "the data folder cannot be written");
+        } else if was_halted && !is_halted {
             tracing::info!(event = "disk_regained");
-            return;
         }
-    }
-}
-
-/// Waits until the voter has halted.
-async fn halted(cluster: &ClusterHandle) {
-    while !cluster.has_halted() {
-        sleep(HALT_POLL_INTERVAL).await;
+        was_halted = is_halted;
     }
 }
