Stop a voter in time while its disk hangs

Operators saw: a node that got SIGTERM while its disk hung stopped answering everything, until it was killed.

Cause: the driver waited on the runtime's thread for the thread that writes, when the replica had stopped.

Change: a leaving driver closes the queue and waits 500 ms for the end of the write in progress without blocking; then it leaves the thread to itself. A driver that is dropped otherwise still waits, so that the data folder can be opened again in the process.

a_voter_whose_disk_hangs_leaves_in_time failed before (the node's tasks answered nothing while its disk hung) and passes.

--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -10,7 +10,7 @@
 use daisysill_wire::peer::ForwardError;
 use tokio::{
     sync::{mpsc, oneshot, watch},
-    time::{Instant, sleep_until},
+    time::{Instant, sleep_until, timeout},
 };
 
 use crate::{
@@ -28,6 +28,9 @@
 /// Maximum time that a leaving node waits for its proposals in progress.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum time that a leaving node waits for the write in progress; a disk may hang.
+const LAST_WRITE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The first line of the error if the data folder cannot be opened.
 pub(crate) const OPEN_ERROR: &str = "the data folder cannot be used; if a file in it is damaged, keep a copy of the folder, \
     start this voter with an empty folder, and replace it in the voter set before another voter is lost";
@@ -164,8 +167,7 @@
         loop {
             self.flush();
             if self.has_settled() {
-                self.finish();
-                return;
+                return self.finish(storage_events).await;
             }
             let timer_ms = self.replica.next_timer_ms().saturating_sub(self.clock_offset_ms);
             let timer = self.start + Duration::from_millis(timer_ms);
@@ -360,8 +362,16 @@
     }
 
     /// Stops the replica. The other voters then elect a leader as after a crash, but no proposal is in progress.
-    fn finish(self) {
+    async fn finish(mut self, mut storage_events: mpsc::UnboundedReceiver<StorageEvent>) {
         self.status.send_replace(ReplicaView::default());
+        self.storage.close();
+        let last_write = async { while storage_events.recv().await.is_some() {} };
+        if timeout(LAST_WRITE_TIMEOUT, last_write).await.is_err() {
+            log::warn!(
+                "the disk has not ended the last write after {LAST_WRITE_TIMEOUT:?}; this voter stops without it"
+            );
+            self.storage.detach();
+        }
         if let Some((stopped, _)) = self.leaving {
             let _ = stopped.send(());
         }
--- a/crates/cluster/src/storage_thread.rs
+++ b/crates/cluster/src/storage_thread.rs
@@ -62,12 +62,23 @@
     pub(crate) fn write(&self, batch: WriteBatch) -> bool {
         self.batches.as_ref().is_some_and(|batches| batches.send(batch).is_ok())
     }
+
+    /// Lets the thread end after the queued writes; the receiver of the events is closed then.
+    pub(crate) fn close(&mut self) {
+        self.batches = None;
+    }
+
+    /// Leaves the thread to itself, so that nothing waits for a disk that hangs. Its data folder must not be opened again in
+    /// this process.
+    pub(crate) fn detach(&mut self) {
+        self.thread = None;
+    }
 }
 
 impl Drop for StorageThread {
     /// Waits for the queued writes, so that the data folder can be reopened afterwards.
     fn drop(&mut self) {
-        self.batches = None;
+        self.close();
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
--- a/crates/cluster/tests/cluster/followers.rs
+++ b/crates/cluster/tests/cluster/followers.rs
@@ -155,6 +155,28 @@
     cluster.wait("only o4 considered dead", dead).await;
 }
 
+/// Guards against a planned stop that waits for a disk that hangs, and stops all other tasks of the node meanwhile.
+#[tokio::test]
+async fn a_voter_whose_disk_hangs_leaves_in_time() {
+    let cluster = TestCluster::started(THREE, &[]).await;
+    let leader = cluster.leader().unwrap();
+    let others: Vec<&str> = cluster.others(&leader);
+    // Opening a pipe for writing blocks until something reads it.
+    let pipe = cluster.data_dir(others[0]).join("hard-state.new");
+    assert!(std::process::Command::new("mkfifo").arg(&pipe).status().unwrap().success());
+    // In the election that this causes each voter must store its vote.
+    cluster.suspend(&leader, Duration::from_secs(3));
+    cluster.drain(others[1], "worker-1").await;
+    cluster.node(others[0]).leave().await;
+    // Answered by the tasks of the node that leaves, while its disk still hangs.
+    let proposed = cluster.try_drain(others[0], "worker-2").await;
+    // Lets the blocked write go on and fail, whatever the outcome.
+    let renamed = pipe.with_extension("renamed");
+    std::fs::rename(&pipe, &renamed).unwrap();
+    std::fs::read(&renamed).unwrap();
+    assert!(matches!(proposed, Ok(daisysill_control::command::Reply::Accepted(_))), "{proposed:?}");
+}
+
 /// Guards against a planned stop of the leader that loses proposals or is not announced.
 #[tokio::test]
 async fn a_leader_that_leaves_hands_over() {
