Forget a silent leader also on a replica that may not campaign

What callers saw: a node whose replica is a learner, for example a voter that was started with an empty disk, named its leader for good after that leader had fallen silent. Such a node asks no other node for the configuration, so 6 s later it was isolated and refused requests, although it reached the other voters.

Cause: a replica cleared its leader only when it started to request pre-votes. A learner, a voter whose start check waits and a voter that lacks entries of its peers never do. The last of these is a follower by role, and a follower that names a leader takes its configuration for the newest: cut off from all others, it went on reporting an old configuration as current.

Ruled out: a voter in contact that loses its leader by this. The election timeout is reset by every message of a leader, and a voter that may campaign cleared its leader at the same time before.

Change: the leader is cleared whenever the election timeout ends.

Before: both tests of silent_leaders.rs fail, Some("a") instead of None. After: they pass, and so do the 21 tests of tests/protocol with their 3,000 random cases (one run).

--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -21,13 +21,14 @@
             return;
         }
         self.reset_election_timer();
+        // Also if this replica may not campaign: its node takes a named leader for one that is in contact.
+        self.leader = None;
         if !self.may_vote()
             || self.log.last() < self.start_check.min_position
             || !self.writes.hard_state_is_durable()
         {
             return;
         }
-        self.leader = None;
         let votes = match &mut self.role_state {
             RoleState::Candidate { votes, .. } => mem::take(votes),
             RoleState::Follower | RoleState::Leader(_) | RoleState::Halted => BTreeMap::new(),
--- a/crates/control/tests/protocol/main.rs
+++ b/crates/control/tests/protocol/main.rs
@@ -6,4 +6,5 @@
 mod faults;
 mod leadership;
 mod removed_voters;
+mod silent_leaders;
 mod sim;
