Keep the configuration of a learner current

What callers saw: a voter that was started with an empty disk was ready, and isolated about 6 s later for good (seen once in a_second_voter_is_lost_right_after_a_repair, "sathorn-1 is not ready within 30s"), while its leader sent it the log. The same holds for every learner of `daisysill voters add`, and for a voter whose start check waits for peers.

Cause: the follow task pauses while the replica names a leader, since a voter in contact with one confirms the configuration itself. The replica of a learner names a leader too, but confirms nothing, so 6 s after the start nothing had confirmed the configuration. The test normally ends before that; beside load it does not.

Ruled out: that it was not admitted again. Without automatic membership a voter with a new disk stays a learner until an operator replaces it; the others commit without it. Nor was there no leader: the node named one all the time.

Change: only the replica of a voter that knows a leader pauses the follow task. A learner polls the leader that its replica names, then other voters. It is not made to trust its contact with the leader as a voter does: during a transfer of the log it may lack most of it.

Before: both tests of learners.rs fail 6.8 s after the start of the observation.

--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -76,9 +76,12 @@
 }
 
 impl ReplicaView {
-    /// Returns whether the replica knows a leader and has not halted.
+    /// Returns whether the replica leads, or is a voter that knows a leader; then it confirms the configuration. A learner
+    /// does not: it may still lack most of the log.
     pub(crate) fn has_leader(&self) -> bool {
-        self.status.as_ref().is_some_and(|s| s.leader.is_some() && s.role != Role::Halted)
+        self.status
+            .as_ref()
+            .is_some_and(|s| s.leader.is_some() && matches!(s.role, Role::Leader | Role::Follower))
     }
 }
 
--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -1,4 +1,4 @@
-//! Polls another node for the configuration while this node has no replica that knows a leader.
+//! Polls another node for the configuration while this node has no voter's replica that knows a leader.
 
 use std::{sync::Arc, time::Duration};
 
@@ -175,6 +175,11 @@
             let any = if same_zone.is_empty() { all.iter().collect() } else { same_zone };
             return any.get(rand::random_range(0..any.len().max(1))).map(|link| Arc::clone(link));
         }
+        if failures == 0
+            && let Some(leader) = self.leader_of_replica()
+        {
+            return Some(leader);
+        }
         let relays = self.relays(&voters);
         // A voter that has halted or lost its leader follows another voter.
         let follows_voter = relays.contains(&self.name) || voters.contains(&self.name);
@@ -184,6 +189,13 @@
         self.pick(&relays, failures)
     }
 
+    /// Returns the link to the leader that the replica names. A learner polls it before any other node: two learners
+    /// that followed each other would confirm nothing.
+    fn leader_of_replica(&self) -> Option<Arc<Link>> {
+        let leader = self.replica.borrow().status.as_ref()?.leader.clone()?;
+        self.links.get(&leader)
+    }
+
     /// Returns the relays of the zone: the first live nodes by name without a replica, this node included in the
     /// ranking.
     fn relays(&self, voters: &[InstanceId]) -> Vec<InstanceId> {
--- a/crates/cluster/tests/cluster/main.rs
+++ b/crates/cluster/tests/cluster/main.rs
@@ -5,6 +5,7 @@
 mod common;
 mod followers;
 mod heartbeats;
+mod learners;
 mod leases;
 mod replicas;
 mod transport;
