--- a/crates/control/tests/protocol/main.rs
+++ b/crates/control/tests/protocol/main.rs
@@ -7,4 +7,5 @@
 mod full_disks;
 mod leadership;
 mod removed_voters;
+mod silent_leaders;
 mod sim;
