Follow the configuration on a control node that has halted

Operators saw: a control node whose disk refuses writes answers reads with 503 as soon as the configuration changes, although it reaches the leader; the entry nodes of its zone have to follow another one.

Cause: a node with a replica installs the configuration from its log only, also when no entry arrives there: while the replica has halted, or before it is a member.

Change: such a node installs what its source hands out, like a node without a replica.

--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use daisysill_control::Role as ReplicaRole;
 use daisysill_core::{
     ids::{ConfigVersion, InstanceId, WeightVersion},
     poll_source::{PollOutcome, PollSources},
@@ -93,7 +94,7 @@
     /// Work in flight and stored parts.
     pub(crate) soft_state: Arc<SoftState>,
     pub(crate) leader: LeaderHint,
-    /// This node's replica; a node with one installs the configuration from its log only.
+    /// This node's replica; a node that receives the log installs the configuration from it only.
     pub(crate) replica: watch::Receiver<ReplicaView>,
     pub(crate) crash_queue: CrashQueue,
     pub(crate) outcome_queue: OutcomeQueue,
@@ -163,7 +164,7 @@
         if let Some(published) = &reply.published_upstreams {
             self.learn_software(source, &published.upstreams).await;
         }
-        if !self.has_replica() {
+        if !self.receives_log() {
             self.learn_target_ages(source, &reply.update).await;
         }
         if self.apply(&reply, requested_at).await { PollOutcome::Current } else { PollOutcome::Outdated }
@@ -231,6 +232,18 @@
         self.replica.borrow().status.is_some()
     }
 
+    /// Returns whether this node installs the configuration from its log: not without a replica, with a halted one, or if
+    /// it is no member, since no leader sends to it then.
+    fn receives_log(&self) -> bool {
+        let view = self.replica.borrow();
+        let Some(status) = &view.status else { return false };
+        match status.role {
+            ReplicaRole::Halted => false,
+            ReplicaRole::Learner => status.voters.members().any(|member| *member == self.name),
+            ReplicaRole::Leader | ReplicaRole::Follower | ReplicaRole::Candidate => true,
+        }
+    }
+
     fn is_leader(&mut self) -> bool {
         let view = self.replica.borrow_and_update();
         view.status.as_ref().is_some_and(|status| status.leader.as_ref() == Some(&self.name))
@@ -294,14 +307,14 @@
         // An age is less than a millisecond more than it says.
         let at = |age_ms: u64| requested_at.checked_sub(Duration::from_millis(age_ms.saturating_add(1)));
         let current = |age_ms: Option<u64>| age_ms.is_some_and(|age_ms| age_ms < MAX_SOURCE_AGE_MS);
-        let has_replica = self.replica.borrow().status.is_some();
+        let receives_log = self.receives_log();
         let newest = match &reply.update {
             ConfigUpdate::Unchanged(version) | ConfigUpdate::Deferred(version) => *version,
             ConfigUpdate::Delta(delta) => delta.version,
             ConfigUpdate::Snapshot(view) => view.version,
         };
-        let installed = match (&reply.update, has_replica) {
-            // A replica installs the configuration from its log, which arrives shortly.
+        let installed = match (&reply.update, receives_log) {
+            // The entry arrives shortly.
             (_, true) => self.reaches_version(newest).await,
             (ConfigUpdate::Unchanged(_), false) => self.views.version() >= newest,
             (update, false) => self.views.install_update(update),
@@ -311,7 +324,7 @@
         }
         if let Some(at) = reply.published_age_ms.and_then(at) {
             self.published.adopt(reply.published_upstreams.clone(), at);
-            if has_replica {
+            if self.has_replica() {
                 self.soft_state.record_listed(at, &self.published.get().upstreams);
             }
         }
