Report a folder without its synced log as damaged

Operators saw: a voter whose log file was gone when its disk accepted writes again stayed halted without a line that says so.

Cause: the missing file was an I/O error like those of a full disk, so the folder was tried for good.

Change: a log file that is missing counts as one without its synced entries.

a_folder_without_its_synced_log_is_damaged_when_it_is_opened_again failed before and passes.

--- a/crates/control/src/log_files.rs
+++ b/crates/control/src/log_files.rs
@@ -5,7 +5,7 @@
 
 use std::{
     fs::{self, File, OpenOptions},
-    io::{Seek, SeekFrom, Write},
+    io::{self, Seek, SeekFrom, Write},
     path::{Path, PathBuf},
     sync::Arc,
 };
@@ -127,7 +127,10 @@
     /// Removes what a failed append left behind the last entry that was synced.
     pub(crate) fn discard_unsynced(&mut self) -> Result<(), StorageError> {
         let Some(last) = self.files.last_mut() else { return Ok(()) };
-        let stored = with_path(&last.path, fs::metadata(&last.path))?.len();
+        let stored = match fs::metadata(&last.path) {
+            Err(error) if error.kind() == io::ErrorKind::NotFound => 0,
+            result => with_path(&last.path, result)?.len(),
+        };
         if stored < last.bytes {
             let reason = "synced entries are missing at the end";
             return Err(StorageError::Damaged { path: last.path.clone(), offset: stored, reason });
--- a/crates/control/tests/storage.rs
+++ b/crates/control/tests/storage.rs
@@ -257,6 +257,30 @@
     }
 }
 
+/// Guards against a voter that tries for ever to open a folder whose synced log is gone, for example because an empty disk was
+/// mounted in its place, and never says that an operator has to replace it.
+#[test]
+fn a_folder_without_its_synced_log_is_damaged_when_it_is_opened_again() {
+    let losses: [fn(&Path); 2] = [
+        |folder| fs::remove_file(log_file(folder)).unwrap(),
+        |folder| {
+            fs::remove_file(log_file(folder)).unwrap();
+            fs::remove_file(folder.join("hard-state")).unwrap();
+        },
+    ];
+    for lose in losses {
+        let folder = tempfile::tempdir().unwrap();
+        let (mut storage, _) = open(folder.path()).unwrap();
+        storage.write(&batch(1..=2)).unwrap();
+        set_full(folder.path(), true);
+        assert!(storage.write(&batch(3..=3)).is_err());
+        set_full(folder.path(), false);
+        lose(folder.path());
+        let error = storage.reopen().unwrap_err();
+        assert!(matches!(error, StorageError::Damaged { .. }), "{error}");
+    }
+}
+
 fn drain(change: u64) -> Command {
     let change = change.to_string();
     Command::SetDrain(SetDrain { change: change.as_str().into(), upstream: "u".into(), draining: true })
