--- a/crates/cluster/tests/cluster/replicas.rs
+++ b/crates/cluster/tests/cluster/replicas.rs
@@ -280,3 +280,67 @@
     let version = cluster.drain("d", "after").await;
     cluster.wait_version(&["a", "b", "d"], version).await;
 }
+
+/// Guards against a learner that was removed and keeps the configuration of that time for good: no leader sends to it any more,
+/// and it does not follow another node either.
+#[tokio::test]
+async fn a_removed_learner_follows_the_configuration() {
+    let mut cluster = TestCluster::new(THREE, &["d/z3"]);
+    let folder = cluster.data_dir("d");
+    cluster.config("d").data_dir = Some(folder);
+    for name in ["a", "b", "c", "d"] {
+        cluster.start(name);
+    }
+    cluster.wait("all current", |c| ["a", "b", "c", "d"].iter().all(|n| c.node(n).status().current)).await;
+    let node = cluster.node("a").clone();
+    let change = async |change: VoterChange| {
+        let start = Instant::now();
+        while node.change_voters(change.clone()).await != Ok(Reply::Done) {
+            assert!(start.elapsed() < Duration::from_secs(10), "{change:?}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    change(VoterChange::AddLearner("d".into())).await;
+    cluster.wait("d is a learner", |c| c.node("d").status().learners.contains(&"d".into())).await;
+    let version = cluster.drain("a", "before").await;
+    cluster.wait_version(&["d"], version).await;
+    change(VoterChange::Remove("d".into())).await;
+    let version = cluster.drain("a", "after").await;
+    cluster.wait_version(&["a", "b", "c", "d"], version).await;
+}
+
+/// Guards against a learner that was removed while it was cut off and asks the leader of that time, which has ended, to join
+/// again, for good: no voter can be replaced.
+#[tokio::test]
+async fn a_removed_learner_joins_again_after_a_change_of_leader() {
+    const NODES: [&str; 4] = ["a", "b", "c", "d"];
+    let mut cluster = TestCluster::new(THREE, &["d/z3"]);
+    let folder = cluster.data_dir("d");
+    cluster.config("d").data_dir = Some(folder);
+    for name in NODES {
+        cluster.config(name).target_voters = Some(3);
+        cluster.config(name).trust_disk = true;
+        cluster.start(name);
+    }
+    let knows_leader = |c: &TestCluster| c.leader().is_some() && c.leader() == leader_of(c, "d");
+    cluster.wait("d is a learner of the leader", knows_leader).await;
+    let ended = cluster.leader().unwrap();
+    cluster.cut("d", &["a", "b", "c"]);
+    cluster.stop(&ended);
+    cluster.wait("a new leader", |c| c.leader().is_some()).await;
+    let removed = |c: &TestCluster| {
+        c.leader().is_some_and(|leader| !c.node(&leader).status().learners.contains(&"d".into()))
+    };
+    cluster.wait("d is removed", removed).await;
+    cluster.restore("d", &["a", "b", "c"]);
+    let votes = |c: &TestCluster| {
+        c.leader().is_some_and(|leader| c.node(&leader).status().voters.contains(&"d".into()))
+    };
+    cluster.wait("d votes in place of the node that ended", votes).await;
+}
+
+fn leader_of(cluster: &TestCluster, name: &str) -> Option<String> {
+    let status = cluster.node(name).status();
+    let is_learner = status.learners.iter().any(|learner| learner.as_str() == name);
+    status.leader.filter(|_| is_learner).map(|leader| leader.to_string())
+}
--- a/crates/control/tests/protocol/removed_voters.rs
+++ b/crates/control/tests/protocol/removed_voters.rs
@@ -141,3 +141,44 @@
         sim.heal_and_check();
     });
 }
+
+/// Guards against a member that names its last leader for good after it was excluded: its proposals, with them its request to
+/// join, go to that node only, and it does not follow the configuration of others.
+#[test]
+fn a_learner_that_no_leader_sends_to_names_none() {
+    for seed in 1..=5 {
+        let mut sim = Sim::new(&VOTERS, seed);
+        sim.bootstrap(&VOTERS[..3]);
+        change_until_done(&mut sim, &VoterChange::AddLearner("d".into()));
+        sim.run_without_faults(500);
+        assert_eq!(status(&sim, "d").leader, sim.leader());
+        change_until_done(&mut sim, &VoterChange::Remove("d".into()));
+        sim.run_without_faults(5_000);
+        assert_eq!(status(&sim, "d").leader, None, "{:?}", status(&sim, "d"));
+    }
+}
+
+/// Guards against the same for a voter that was removed before its start check had passed.
+#[test]
+fn a_voter_removed_during_its_start_check_names_no_leader() {
+    for seed in 1..=5 {
+        let mut sim = Sim::new(&VOTERS, seed);
+        sim.bootstrap(&VOTERS);
+        let leader = sim.leader().unwrap();
+        let absent = *VOTERS.iter().find(|name| **name != leader.as_str()).unwrap();
+        let others: Vec<&str> = VOTERS.into_iter().filter(|name| *name != absent).collect();
+        // It hears the leader, but too few peers to confirm its disk.
+        sim.crash(&absent.into());
+        for name in others.iter().filter(|name| **name != leader.as_str()) {
+            sim.blocked.insert(((*name).into(), absent.into()));
+        }
+        sim.start(&absent.into());
+        sim.run_without_faults(500);
+        let checking = status(&sim, absent);
+        assert!(checking.waits_for_peers && checking.leader.is_some(), "{checking:?}");
+        change_until_done(&mut sim, &VoterChange::Remove(absent.into()));
+        sim.run_without_faults(5_000);
+        let removed = status(&sim, absent);
+        assert_eq!((removed.role, &removed.leader), (Role::Learner, &None), "{removed:?}");
+    }
+}
