Replace a leader whose disk hangs

Callers saw: no change is answered while the disk of the leader hangs, although the other voters could commit.

Cause: a leader counts and applies only what its own disk has, but goes on to lead as long as a majority answers it. Class: a state is not left when what it relies on has ended.

Ruled out: disks that are all slow.

Change: such a leader follows, and a replica with such a write does not campaign.

--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -26,6 +26,7 @@
         if !self.may_vote()
             || self.log.last() < self.start_check.min_position
             || !self.writes.hard_state_is_durable()
+            || self.write_is_stalled()
         {
             return;
         }
--- a/crates/control/src/replication.rs
+++ b/crates/control/src/replication.rs
@@ -152,7 +152,8 @@
         }
     }
 
-    /// Sends the heartbeats that are due; steps down after twice the minimum election timeout without a majority.
+    /// Sends the heartbeats that are due. Steps down after twice the minimum election timeout without a majority, and if the
+    /// others commit entries that its own stalled write keeps it from applying.
     pub(crate) fn tick_leader(&mut self) {
         let quorum_ms = self.quorum_contact_ms();
         let limit_ms = 2 * self.config.election_timeout_ms;
@@ -160,6 +161,10 @@
         if self.now_ms > quorum_ms.max(leadership.started_ms) + limit_ms {
             return self.become_follower();
         }
+        if self.commit_index > self.writes.synced_index && self.write_is_stalled() {
+            return self.become_follower();
+        }
+        let RoleState::Leader(leadership) = &mut self.role_state else { return };
         if self.now_ms < leadership.heartbeat_due_ms {
             return;
         }
--- a/crates/control/src/writes.rs
+++ b/crates/control/src/writes.rs
@@ -11,6 +11,9 @@
     replica::{Replica, RoleState},
 };
 
+/// Number of minimum election timeouts after which a write counts as stalled.
+const STALLED_ELECTION_TIMEOUTS: u64 = 4;
+
 /// Actions to perform once a batch is durable.
 #[derive(Debug, Default)]
 struct AfterSync {
@@ -25,6 +28,7 @@
     /// Last entry that is durable once the batch is synced.
     last_index: u64,
     has_hard_state: bool,
+    issued_ms: u64,
     after_sync: AfterSync,
 }
 
@@ -74,6 +78,11 @@
         !self.hard_state_changed && !is_being_written
     }
 
+    /// Returns how long the batch in flight has been written; 0 if there is none.
+    fn in_flight_ms(&self, now_ms: u64) -> u64 {
+        self.in_flight.as_ref().map_or(0, |batch| now_ms.saturating_sub(batch.issued_ms))
+    }
+
     /// Records that the log was truncated from `index` onwards.
     pub(crate) fn log_truncated(&mut self, index: u64) {
         if self.issued_index >= index {
@@ -147,6 +156,7 @@
             id: batch.id,
             last_index,
             has_hard_state: batch.hard_state.is_some(),
+            issued_ms: self.now_ms,
             after_sync: mem::take(&mut writes.after_sync),
         });
         writes.next_batch_id += 1;
@@ -154,6 +164,11 @@
         self.outputs.push(Output::Write(batch));
     }
 
+    /// Returns whether the disk may hang: the batch in flight has been written for longer than an election takes.
+    pub(crate) fn write_is_stalled(&self) -> bool {
+        self.writes.in_flight_ms(self.now_ms) >= STALLED_ELECTION_TIMEOUTS * self.config.election_timeout_ms
+    }
+
     pub(crate) fn batch_synced(&mut self, batch_id: u64) {
         let Some(in_flight) = self.writes.in_flight.take_if(|batch| batch.id == batch_id) else { return };
         self.writes.formatted = true;
--- a/crates/control/tests/protocol/full_disks.rs
+++ b/crates/control/tests/protocol/full_disks.rs
@@ -154,3 +154,22 @@
         sim.heal_and_check();
     }
 }
+
+/// Guards against a leader that goes on to lead while a write to its disk hangs: it answers no change, although the other voters
+/// could.
+#[test]
+fn a_leader_with_a_hanging_disk_is_replaced() {
+    for seed in 1..=5 {
+        let mut sim = Sim::new(&NODES[..3], seed);
+        sim.bootstrap(&NODES[..3]);
+        let hanging = sim.leader().unwrap();
+        let lost = sim.propose_drain(&hanging, "at the hanging leader");
+        let sync_ms = |name: &InstanceId| if *name == hanging { 10_000 } else { 0 };
+        sim.run_with_slow_syncs(RECOVERY_MS, sync_ms);
+        let leader = sim.leader().unwrap();
+        let proposal_id = sim.propose_drain(&leader, "after four seconds");
+        sim.run_with_slow_syncs(1_000, sync_ms);
+        let replies = [lost, proposal_id].map(|id| sim.replies.get(&id).cloned());
+        assert!(matches!(replies[1], Some(Ok(_))), "{leader} leads, {hanging} hangs: {replies:?}");
+    }
+}
