--- a/crates/control/tests/protocol/full_disks.rs
+++ b/crates/control/tests/protocol/full_disks.rs
@@ -1,6 +1,6 @@
 //! Disks that refuse writes for seconds, one after another, with voters that are kept by the rules of automatic membership.
 
-use daisysill_control::{ReplicaStatus, Role, VoterChange};
+use daisysill_control::{Input, ReplicaStatus, Role, VoterChange};
 use daisysill_core::{
     ids::InstanceId,
     voters::{Member, MembershipChange, next_change},
@@ -173,3 +173,46 @@
         assert!(matches!(replies[1], Some(Ok(_))), "{leader} leads, {hanging} hangs: {replies:?}");
     }
 }
+
+/// Guards against a first voter that forms its cluster twice in one term: its first write failed, and late replies of the first
+/// attempt to form the cluster reach the replica that goes on.
+#[test]
+fn a_cluster_is_formed_once_although_the_first_write_fails() {
+    let mut sim = Sim::new(&NODES[..3], 1);
+    sim.run_without_faults(100);
+    let first: InstanceId = "a".into();
+    let bootstrap = |sim: &mut Sim| {
+        let voters = NODES[..3].iter().map(|name| (*name).into()).collect();
+        sim.step(&"a".into(), Input::Bootstrap { voters });
+    };
+    bootstrap(&mut sim);
+    let probes = std::mem::take(&mut sim.network);
+    for (from, to, message) in probes.iter().chain(&probes).cloned() {
+        sim.step(&to, Input::Receive { from, message });
+    }
+    let mut replies = std::mem::take(&mut sim.network);
+    let late = replies.split_off(2);
+    for (from, to, message) in replies {
+        sim.step(&to, Input::Receive { from, message });
+    }
+    assert_eq!(sim.leader(), Some(first.clone()));
+    sim.propose_drain(&first, "of the first leadership");
+    for _ in 0..6 {
+        for (from, to, message) in std::mem::take(&mut sim.network) {
+            sim.step(&to, Input::Receive { from, message });
+        }
+        for name in &NODES[1..3] {
+            sim.sync(&(*name).into());
+        }
+    }
+    sim.fill_disk(&first);
+    sim.sync(&first);
+    sim.empty_disk(&first);
+    bootstrap(&mut sim);
+    for (from, to, message) in late {
+        sim.step(&to, Input::Receive { from, message });
+    }
+    sim.propose_drain(&first, "of the second leadership");
+    sim.run_without_faults(100);
+    sim.heal_and_check();
+}
