--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -83,9 +83,12 @@
 }
 
 impl ReplicaView {
-    /// Returns whether the replica knows a leader and has not halted.
+    /// Returns whether the replica leads, or is a voter that knows a leader; then it confirms the configuration. A learner
+    /// does not: it may still lack most of the log.
     pub(crate) fn has_leader(&self) -> bool {
-        self.status.as_ref().is_some_and(|s| s.leader.is_some() && s.role != Role::Halted)
+        self.status
+            .as_ref()
+            .is_some_and(|s| s.leader.is_some() && matches!(s.role, Role::Leader | Role::Follower))
     }
 }
 
@@ -119,8 +122,6 @@
     outputs: Vec<Output>,
     /// Set once the node leaves: notified when the replica has stopped, and the deadline of its proposals.
     leaving: Option<(oneshot::Sender<()>, Instant)>,
-    /// Voters of the cluster that this node forms if its data folder is empty; empty on all nodes but one.
-    bootstrap_voters: Vec<InstanceId>,
 }
 
 impl Driver {
@@ -150,7 +151,6 @@
             last_proposal_id: 0,
             outputs: Vec::new(),
             leaving: None,
-            bootstrap_voters: Vec::new(),
         }
     }
 
@@ -162,8 +162,11 @@
         mut inputs: mpsc::Receiver<DriverInput>,
         mut storage_events: mpsc::UnboundedReceiver<StorageEvent>,
     ) {
-        self.bootstrap_voters = bootstrap_voters;
         self.start_replica();
+        if !bootstrap_voters.is_empty() {
+            // The replica ignores this unless its data folder is empty, and checks those of the other voters.
+            self.step(Input::Bootstrap { voters: bootstrap_voters });
+        }
         loop {
             self.flush();
             if self.has_settled() {
@@ -192,10 +195,6 @@
     fn start_replica(&mut self) {
         self.record_target_ages();
         self.views.install(&Arc::clone(&self.replica.state().config));
-        if !self.bootstrap_voters.is_empty() {
-            // The replica ignores this unless its data folder is empty, and checks those of the other voters.
-            self.step(Input::Bootstrap { voters: self.bootstrap_voters.clone() });
-        }
     }
 
     fn now_ms(&self) -> u64 {
@@ -276,7 +275,8 @@
         }
     }
 
-    /// Goes on from the data folder as after a restart of the process.
+    /// Goes on from the data folder as after a restart of the process, but forms no new cluster: late replies of the
+    /// first attempt could count for the second one.
     fn restart_replica(&mut self, recovered: Recovered) {
         let entries = recovered.entries.len();
         self.replica = self.replica.restarted(recovered, self.now_ms(), rand::random());
