Keep a silent upstream until another one takes the request

What callers saw: a request without a stream got 502, or the 500 of another upstream, although its own upstream was sound, silent for a moment, and about to answer (LOST).

Cause: the request left its silent upstream, before the head of the answer or within a buffered body, as soon as a place at another one was taken. A place is not an answer: if that upstream refused the request, could not be reached or failed at it, the node had given up the only answer there would have been. Class: work is given up before something else has taken it over. Streams that have begun were mended so before; requests without a stream, and streams before their head, were listed as open.

Change: an attempt in progress is a value (`gateway::attempt`) that goes on while another upstream is asked. The first of the two that answers, but for a 5xx, serves the request; the other attempt is dropped, which cancels it. If the other upstream refuses, fails or cannot be reached within 300 ms, the request stays, and may be answered until its deadline. After 300 ms without a refusal it moves, so that it does not run at two upstreams for long. The silence limit counts from an open connection on, as before.

Ruled out: two answers, since one future of the caller's request takes the first result and drops the other. A second run of a request that may run once: such a request has no silence limit, and a test holds it (it passed before too). Keeping both until one has answered: both would run it for long.

Tests in silent_upstreams.rs. Before, on: request_survives_a_silence_while_the_other_upstream_refuses_it failed with `left: (502, "upstream_failed"), right: (200, "i-a r0")`, ..._fails with `left: (500, "failed"), right: (200, "i-a r0")`, ..._cannot_be_reached with `left: (502, "upstream_failed"), right: (200, "i-a r1")`, and silent_upstream_that_goes_on_first_answers with `left: (200, "i-a first"), right: (200, "i-b first")`. With the change they pass, with 45 others of requests, streams, broken and unsound upstreams (49 in one run, debug build, beside other builds at a load average of 13).

Remains: a request that leaves for another entry node still leaves before that one has accepted it.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,7 +15,6 @@
     header_codec::{AttemptHeaders, HeaderCodec, ResponseHeaders, ResponseHints},
     http_head::ResponseHead,
     pool::{CheckoutError, Pool, PooledConnection},
-    silence::SilenceLimits,
     upstreams::{InFlight, Upstream},
 };
 
@@ -107,8 +106,6 @@
     pub(crate) tokens: u64,
     /// Number of connections that this node may have open to the upstream.
     pub(crate) max_connections: usize,
-    /// Time without the head of the response after which the request leaves the upstream, if it may then.
-    pub(crate) silence_limit: Duration,
     /// Time until the head of the response must have arrived.
     pub(crate) head_timeout: Duration,
     /// Entry nodes that share the upstream.
@@ -123,18 +120,40 @@
     pub(crate) ended: &'a Rc<Notify>,
 }
 
-/// Sends a request to an upstream and reads the head of the response. While the upstream is silent, `leave` is asked from
-/// time to time whether the attempt ends.
+/// What an attempt in progress and its request tell each other.
+#[derive(Debug, Default)]
+pub(crate) struct AttemptSignals {
+    /// Notified when a connection is open, so that the upstream may be silent from now on.
+    pub(crate) connected: Notify,
+    /// Notified when the request leaves the upstream, which ends the attempt as timed out.
+    pub(crate) left: Notify,
+}
+
+/// Sends a request to an upstream and reads the head of the response, unless the request leaves the upstream before.
 pub(crate) async fn attempt(
     pool: &Pool,
     header_codec: &dyn HeaderCodec,
     target: AttemptTarget<'_>,
     headers: &AttemptHeaders<'_>,
     outgoing: &OutgoingRequest<'_>,
-    leave: &mut dyn FnMut() -> bool,
+    signals: &AttemptSignals,
+) -> Result<UpstreamResponse, AttemptError> {
+    tokio::select! {
+        biased;
+        result = connect_and_send(pool, header_codec, target, headers, outgoing, &signals.connected) => result,
+        () = signals.left.notified() => Err(AttemptError::TimedOut),
+    }
+}
+
+async fn connect_and_send(
+    pool: &Pool,
+    header_codec: &dyn HeaderCodec,
+    target: AttemptTarget<'_>,
+    headers: &AttemptHeaders<'_>,
+    outgoing: &OutgoingRequest<'_>,
+    connected: &Notify,
 ) -> Result<UpstreamResponse, AttemptError> {
-    let started = Instant::now();
-    let end = started + outgoing.head_timeout;
+    let end = Instant::now() + outgoing.head_timeout;
     let address = target.upstream.entry.address;
     let in_flight = InFlight::new(
         Rc::clone(target.upstream),
@@ -149,13 +168,13 @@
         Ok(Err(CheckoutError::LimitReached)) => return Err(AttemptError::NoConnectionLeft),
         Ok(Err(CheckoutError::ConnectFailed)) | Err(_) => return Err(AttemptError::NotSent),
     };
+    connected.notify_one();
     let mut head = Vec::with_capacity(outgoing.head.len() + 256);
     head.extend_from_slice(outgoing.head);
     header_codec.encode_attempt(headers, &mut head);
     head.extend_from_slice(b"\r\n");
     let exchange = send_and_read(header_codec, pooled, in_flight, &head, outgoing);
-    let limits = SilenceLimits { first: started + outgoing.silence_limit, end };
-    limits.wait(exchange, leave).await.unwrap_or(Err(AttemptError::TimedOut))
+    timeout_at(end, exchange).await.unwrap_or(Err(AttemptError::TimedOut))
 }
 
 /// What the headers of a response state about it, without borrowing from them.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -5,7 +5,6 @@
     collections::HashMap,
     rc::Rc,
     sync::Arc,
-    time::Duration,
 };
 
 use daisysill_cluster::ClusterHandle;
@@ -27,13 +26,14 @@
 };
 
 use crate::{
-    caller_request::{AttemptHistory, CallerRequest, urgency},
+    attempt::Attempt,
+    caller_request::{AttemptHistory, CallerRequest},
     config::Bounds,
     contact::Contact,
     duration::millis,
     entry_peers::EntryPeers,
-    exchange::{AttemptError, AttemptTarget, OutgoingRequest, UpstreamResponse, attempt},
-    header_codec::{AttemptHeaders, HeaderCodec},
+    exchange::{AttemptError, UpstreamResponse},
+    header_codec::HeaderCodec,
     metrics::GatewayMetrics,
     node_share::retry_budget_refusal,
     placement::{ChosenUpstream, Placement},
@@ -41,25 +41,10 @@
     refusal::Refusal,
     refusal_rules::STALE_RETRY_MS,
     routing_state::RoutingState,
-    silence::NextPlace,
     upstreams::Upstreams,
     waiting::rate_limit_refusal,
 };
 
-/// Silence limit of a retryable request without a prompt: the longer of this share of its goal and this multiple of the
-/// service's mean request time.
-const SILENCE_GOAL_SHARE: f64 = 0.6;
-const SILENCE_MEAN_FACTOR: f64 = 5.0;
-/// Silence limit of prompts, in goals. Longer, since another engine would repeat the prefill from the start.
-const PROMPT_SILENCE_GOALS: f64 = 3.0;
-
-/// An attempt that got no response.
-pub(crate) struct FailedAttempt {
-    pub(crate) error: AttemptError,
-    /// Where the next attempt is made, if that was found before this one ended.
-    pub(crate) next_place: Option<Box<ChosenUpstream>>,
-}
-
 /// State shared by all requests on this node.
 #[derive(Debug)]
 pub struct Gateway {
@@ -184,30 +169,30 @@
         self.cluster.config_age().is_some_and(|age| age < self.bounds.max_config_age)
     }
 
-    /// Sends a request until an upstream responds or no further attempt is allowed; first to `place`, if that was taken
-    /// for it. A stream resumes after the event `resume_after`.
+    /// Sends a request until an upstream responds or no further attempt is allowed; `begun` is the first
+    /// attempt, if one is in progress already. A stream resumes after the event `resume_after`.
     pub(crate) async fn send(
         self: &Rc<Self>,
         request: &Rc<CallerRequest>,
         history: &mut AttemptHistory,
-        place: Option<Box<ChosenUpstream>>,
+        begun: Option<Attempt<'_>>,
         resume_after: Option<&str>,
     ) -> Result<UpstreamResponse, Refusal> {
-        let mut next_place = place;
+        let mut begun = begun;
         let mut last_error = None;
         loop {
-            let chosen = match next_place.take() {
-                Some(chosen) => chosen,
-                None => self.wait_for_place(request, history, last_error).await?,
+            let attempt = if let Some(attempt) = begun.take() {
+                attempt
+            } else {
+                let place = self.wait_for_place(request, history, last_error).await?;
+                self.begin_attempt(request, history, place, resume_after)
             };
-            let failed = match self.try_once(request, history, &chosen, resume_after).await {
+            let error = match self.finish_attempt(request, history, attempt, resume_after).await {
                 Ok(response) => return Ok(response),
-                Err(failed) => failed,
+                Err(error) => error,
             };
-            self.record_failure(request, history, &chosen, failed.error);
-            last_error = Some(failed.error);
-            next_place = failed.next_place;
-            if let Some(refusal) = self.final_refusal(request, history, failed.error) {
+            last_error = Some(error);
+            if let Some(refusal) = self.final_refusal(request, history, error) {
                 return Err(refusal);
             }
         }
@@ -253,126 +238,6 @@
         }
     }
 
-    /// Makes one attempt. A successful response without the proof of origin counts as broken. An attempt whose upstream is
-    /// silent for too long ends only once a place at another one was taken.
-    pub(crate) async fn try_once(
-        self: &Rc<Self>,
-        request: &Rc<CallerRequest>,
-        history: &mut AttemptHistory,
-        chosen: &ChosenUpstream,
-        resume_after: Option<&str>,
-    ) -> Result<UpstreamResponse, FailedAttempt> {
-        history.is_attempt_open = true;
-        if history.sends.begin() {
-            self.with_budget(&request.service, RetryBudget::record_first_send);
-        }
-        let left = request.time_left();
-        let headers = AttemptHeaders {
-            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
-            upstream: &chosen.upstream.entry.id,
-            customer: request.customer.as_ref().map(|customer| &customer.name),
-            cache_scope: chosen.scope.as_deref(),
-            weight_version: chosen.version,
-            urgency: chosen.scope.as_ref().map(|_| urgency(request, history)),
-            resume_after,
-            transfers: chosen.transfers.as_ref(),
-        };
-        let outgoing = OutgoingRequest {
-            method: &request.method,
-            request_id: request.headers.request_id.as_deref(),
-            head: &request.head,
-            body: &request.body,
-            at_most_once: request.at_most_once(),
-            pending_prefill_tokens: chosen.pending_prefill_tokens,
-            tokens: request.tokens(),
-            max_connections: self.max_connections(&request.service),
-            silence_limit: self.silence_limit(request, history, left),
-            head_timeout: left.min(self.time_on_weights(chosen)),
-            entry_nodes: self.peak_entry_nodes(),
-        };
-        let started = Instant::now();
-        let header_codec = self.header_codec.0.as_ref();
-        let mut next_place = None;
-        let mut leave = || {
-            next_place = self.next_place(request, &history.after_leaving(&chosen.upstream.entry.id));
-            next_place.is_some()
-        };
-        let upstream = AttemptTarget { upstream: &chosen.upstream, ended: &self.request_ended };
-        let result = attempt(&self.pool, header_codec, upstream, &headers, &outgoing, &mut leave).await;
-        if let Some(transfers) = &chosen.transfers {
-            self.release_links(transfers);
-        }
-        let is_forged = |response: &UpstreamResponse| response.head.status.is_success() && !response.sealed;
-        let outcome = match &result {
-            Ok(response) if is_forged(response) => "unsealed",
-            Ok(_) => "answered",
-            Err(error) => error.name(),
-        };
-        self.metrics.record_attempt(outcome);
-        if result.is_err() {
-            tracing::info!(
-                event = "attempt_failed",
-                request_id = request.headers.request_id.as_deref(),
-                upstream = chosen.upstream.entry.id.as_str(),
-                outcome,
-                after_ms = millis(started.elapsed()),
-                estimate_ms = chosen.estimate_ms,
-                candidates = chosen.candidates,
-                in_flight = chosen.upstream.in_flight(),
-                board_age_ms = self.cluster.published_upstreams_age().map(|age| age.as_millis()),
-            );
-        }
-        let next_place = next_place.and_then(NextPlace::upstream);
-        let mut response = result.map_err(|error| FailedAttempt { error, next_place })?;
-        if let Some(transfers) = &chosen.transfers {
-            self.record_fetch(request, chosen, transfers);
-            tracing::info!(
-                event = "prompt",
-                request_id = request.headers.request_id.as_deref(),
-                version = chosen.version.map(|version| version.0),
-                target_version = chosen.target.map(|target| target.0),
-                outdated_ms = chosen.outdated.and_then(|outdated| outdated.age).map(millis),
-                shared_tokens = chosen.prefix.map(|(_, tokens)| tokens),
-                cached_tokens = chosen.cached_tokens,
-                fetched_tokens = transfers.fetched_tokens(),
-                saved_parts = transfers.save.iter().flatten().count(),
-                left_out_parts = transfers.skipped_parts,
-                fetch_ms = chosen.fetch_ms,
-                took_ms = millis(started.elapsed()),
-                index = self.cluster.upstream_clock_ms().is_some(),
-            );
-        }
-        self.record_response(request, chosen, &response, started.elapsed());
-        response.in_flight.finish_prefill();
-        if is_forged(&response) {
-            return Err(FailedAttempt { error: AttemptError::Broken, next_place: None });
-        }
-        Ok(response)
-    }
-
-    /// Returns the time after which a request leaves an upstream that has not sent the head of its response, and then the
-    /// time for a body that is buffered, if another one can take it. Only an attempt that may be retried has one that ends
-    /// before the request's deadline.
-    pub(crate) fn silence_limit(
-        &self,
-        request: &CallerRequest,
-        history: &AttemptHistory,
-        left: Duration,
-    ) -> Duration {
-        let may_retry = !request.at_most_once() && history.may_have_run + 1 < request.route.max_attempts;
-        if !may_retry {
-            return left;
-        }
-        let goal_ms = request.route.goal_ms as f64;
-        let limit_ms = if request.headers.prompt.is_some() {
-            goal_ms * PROMPT_SILENCE_GOALS
-        } else {
-            let mean_ms = self.upstreams.speeds(&request.service).request_ms.get();
-            (goal_ms * SILENCE_GOAL_SHARE).max(mean_ms * SILENCE_MEAN_FACTOR)
-        };
-        left.min(Duration::from_secs_f64(limit_ms / 1_000.0))
-    }
-
     /// Returns the milliseconds since this node started.
     pub(crate) fn now_ms(&self) -> u64 {
         millis(self.started.elapsed())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,8 @@
 //!
 //! The traits of [`header_codec`] and [`discovery`] hide the names and formats of the deployment's platform.
 
+mod attempt;
+mod buffered;
 pub mod caller_request;
 pub mod config;
 pub mod connection;
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    buffered::MAX_BUFFERED_RESPONSE_BYTES,
     caller_request::{AttemptHistory, CallerRequest, encode_peer_head},
     entry_node::EntryState,
     entry_peers::{ChosenPeer, EntryPeers},
@@ -19,7 +20,7 @@
     refusal::Refusal,
     refusal_rules::deadline_refusal,
     relay::StreamBroken,
-    request_handler::{MAX_BUFFERED_RESPONSE_BYTES, may_retry},
+    request_handler::may_retry,
 };
 
 /// Entry nodes that are asked to serve one request.
--- a/crates/gateway/src/relay/resume.rs
+++ b/crates/gateway/src/relay/resume.rs
@@ -11,12 +11,10 @@
     duration::millis,
     exchange::UpstreamResponse,
     placement::ChosenUpstream,
+    silence::REFUSAL_TIME,
     upstreams::Upstream,
 };
 
-/// Time in which an upstream that does not take a request refuses it. Until then the silent one is not left.
-const REFUSAL_TIME: Duration = Duration::from_millis(300);
-
 impl Relay {
     pub(super) fn may_resume(&self) -> bool {
         // The upstream that runs the request now counts as an attempt.
@@ -52,12 +50,14 @@
         let after = self.last_event_id();
         let (gateway, request) = (Rc::clone(&self.gateway), Rc::clone(&self.request));
         let (result, has_left) = {
-            let mut attempt = pin!(gateway.send_to(&request, &mut history, &place, after.as_deref()));
-            if let Ok(result) = timeout(REFUSAL_TIME, &mut attempt).await {
+            let mut attempt = gateway.begin_attempt(&request, &mut history, place, after.as_deref());
+            attempt.stay_until(Instant::now() + REFUSAL_TIME);
+            let mut end = pin!(gateway.finish_attempt(&request, &mut history, attempt, after.as_deref()));
+            if let Ok(result) = timeout(REFUSAL_TIME, &mut end).await {
                 (result, false)
             } else {
                 self.leave_upstream();
-                (attempt.await, true)
+                (end.await, true)
             }
         };
         match result {
@@ -76,9 +76,9 @@
                 self.history = history;
                 true
             }
-            Err(failed) if gateway.final_refusal(&request, &history, failed.error).is_none() => {
+            Err(error) if gateway.final_refusal(&request, &history, error).is_none() => {
                 self.history = history;
-                self.go_on_elsewhere(SILENT, &upstream, failed.next_place).await
+                self.go_on_elsewhere(SILENT, &upstream).await
             }
             Err(_) => false,
         }
@@ -89,7 +89,7 @@
         let Some(upstream) = self.upstream() else { return false };
         self.history = self.history_elsewhere(&upstream);
         self.leave_upstream();
-        self.may_resume() && self.go_on_elsewhere(reason, &upstream, None).await
+        self.may_resume() && self.go_on_elsewhere(reason, &upstream).await
     }
 
     /// Returns the upstream that runs the stream.
@@ -125,16 +125,10 @@
         }
     }
 
-    /// Sends the rest of the stream to another upstream than `before`, first to `place`, if that was taken for it; `false` if
-    /// none goes on with it.
-    async fn go_on_elsewhere(
-        &mut self,
-        reason: &'static str,
-        before: &Upstream,
-        place: Option<Box<ChosenUpstream>>,
-    ) -> bool {
+    /// Sends the rest of the stream to another upstream than `before`; `false` if none goes on with it.
+    async fn go_on_elsewhere(&mut self, reason: &'static str, before: &Upstream) -> bool {
         let after = self.last_event_id();
-        let resumed = self.gateway.send(&self.request, &mut self.history, place, after.as_deref()).await;
+        let resumed = self.gateway.send(&self.request, &mut self.history, None, after.as_deref()).await;
         match resumed {
             Ok(response) => self.go_on_with(response, reason, before),
             Err(refusal) => {
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -9,13 +9,13 @@
     http::header::{HeaderName, HeaderValue},
     web,
 };
-use bytes::{Bytes, BytesMut};
 use daisysill_core::{
     ids::SoftwareVersion, result_code::ResultCode, routing::CallKind, upstream_contact::Reach,
 };
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    buffered::NoBody,
     caller_request::{AttemptHistory, CallerRequest, encode_head, fingerprint, part_keys},
     entry_node::EntryState,
     exchange::UpstreamResponse,
@@ -24,12 +24,10 @@
     refusal::Refusal,
     refusal_rules::{STALE_RETRY_MS, cut_off_refusal, deadline_refusal},
     relay::relay,
-    silence::{NextPlace, SilenceLimits},
+    silence::log_failed_answer,
     unanswered::UnansweredRequest,
 };
 
-/// Maximum size of a response that is buffered before it is relayed.
-pub(crate) const MAX_BUFFERED_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
 /// Maximum size of a request body until the first configuration arrives.
 const DEFAULT_BODY_BYTES: usize = 1_024 * 1_024;
 /// Requests that arrive later than this after the signal to stop are refused: they might not finish before the process
@@ -47,13 +45,6 @@
     EntryNode,
 }
 
-/// What became of a response that is buffered.
-enum Buffered {
-    Relayed(HttpResponse),
-    /// It did not arrive to its end; with the place of the next attempt, if one was taken before this one ended.
-    Failed(Option<NextPlace>),
-}
-
 impl EntryState {
     /// Returns whether responses close the caller's connection, so that the load balancer can pick another node.
     pub(crate) fn closes_connections(&self) -> bool {
@@ -204,10 +195,10 @@
         let resumed_at = request.takes_up_stream().then_some(request.arrived);
         history.software = software;
         history.resumed_at = resumed_at;
-        let mut next_place = None;
+        let resume_after = request.headers.resume_after.as_deref();
+        let mut begun = None;
         loop {
-            let resume_after = request.headers.resume_after.as_deref();
-            let sending = gateway.send(&request, history, next_place.take(), resume_after);
+            let sending = gateway.send(&request, history, begun.take(), resume_after);
             let Ok(sent) = timeout_at(request.deadline, sending).await else {
                 // The attempt in progress was dropped; its upstream may have run the request.
                 history.may_have_run += 1;
@@ -220,7 +211,7 @@
             if response.head.status.is_server_error()
                 && let Some(place) = self.try_elsewhere(&request, history, &response)
             {
-                next_place = Some(place);
+                begun = Some(gateway.begin_attempt(&request, history, place, resume_after));
                 continue;
             }
             gateway.metrics.answer_seconds.observe(request.arrived.elapsed().as_secs_f64());
@@ -231,13 +222,14 @@
                 return Ok(self.relay_stream(Rc::clone(&request), response, std::mem::take(history)));
             }
             match self.relay_buffered(&request, response, history).await {
-                Buffered::Relayed(relayed) => return Ok(relayed),
-                Buffered::Failed(_)
+                Ok(relayed) => return Ok(relayed),
+                Err(NoBody::Moved(attempt)) => begun = Some(attempt),
+                Err(NoBody::Failed)
                     if history.may_have_run >= request.route.max_attempts || !may_retry(&request) =>
                 {
                     return Err(Refusal::new(ResultCode::UpstreamFailed, "the response ended early"));
                 }
-                Buffered::Failed(place) => next_place = place.and_then(NextPlace::upstream),
+                Err(NoBody::Failed) => {}
             }
         }
     }
@@ -250,19 +242,13 @@
         history: &mut AttemptHistory,
         response: &UpstreamResponse,
     ) -> Option<Box<ChosenUpstream>> {
-        let upstream = &response.in_flight.upstream;
         if !may_retry(request) {
             return None;
         }
-        let left = history.after_leaving(&upstream.entry.id);
+        let left = history.after_leaving(&response.in_flight.upstream.entry.id);
         let place = self.gateway.take_next_upstream(request, &left)?;
         *history = left;
-        tracing::info!(
-            event = "failed_answer",
-            request_id = request.headers.request_id.as_deref(),
-            upstream = upstream.entry.id.as_str(),
-            status = response.head.status.as_u16(),
-        );
+        log_failed_answer(request, response);
         Some(place)
     }
 
@@ -298,29 +284,18 @@
     }
 
     /// Buffers the whole response and relays it, unless it is incomplete, too large or past the deadline.
-    async fn relay_buffered(
-        &self,
-        request: &Rc<CallerRequest>,
+    async fn relay_buffered<'a>(
+        &'a self,
+        request: &'a Rc<CallerRequest>,
         mut response: UpstreamResponse,
         history: &mut AttemptHistory,
-    ) -> Buffered {
+    ) -> Result<HttpResponse, NoBody<'a>> {
         let upstream = Rc::clone(&response.in_flight.upstream);
-        let left = history.after_leaving(&upstream.entry.id);
-        let mut place = None;
-        let mut leave = || {
-            place = self.gateway.next_place(request, &left);
-            place.is_some()
-        };
-        // A body without end must not use up the time for another attempt.
-        let silence_limit = self.gateway.silence_limit(request, history, request.time_left());
-        let limits = SilenceLimits { first: Instant::now() + silence_limit, end: request.deadline };
-        let body = limits.wait(read_full_body(&mut response), &mut leave).await.flatten();
-        let Some(body) = body else {
-            *history = left;
+        let buffered = self.gateway.buffer_body(request, &mut response, history).await;
+        let body = buffered.inspect_err(|_| {
             upstream.record_failure();
             self.gateway.check_for_crash(request, &upstream);
-            return Buffered::Failed(place);
-        };
+        })?;
         if response.head.status.is_success() {
             upstream.record_success();
             self.gateway.record_completion(request, history);
@@ -331,7 +306,7 @@
         response.pooled.release();
         self.gateway.metrics.in_flight.dec();
         self.gateway.metrics.record_result("relayed");
-        Buffered::Relayed(relayed)
+        Ok(relayed)
     }
 
     fn response_head(&self, response: &UpstreamResponse) -> actix_web::HttpResponseBuilder {
@@ -355,16 +330,3 @@
     let missing = || Refusal::new(ResultCode::BodyMalformed, "not passed on by an entry node");
     PassedOn::decode(http.headers()).ok_or_else(missing)
 }
-
-async fn read_full_body(response: &mut UpstreamResponse) -> Option<Bytes> {
-    let connection = response.pooled.get().ok()?;
-    let mut whole = BytesMut::new();
-    while let Some(bytes) = connection.read_body().await.ok()? {
-        whole.extend_from_slice(&bytes);
-        if whole.len() > MAX_BUFFERED_RESPONSE_BYTES {
-            return None;
-        }
-    }
-    let is_whole = connection.is_complete() && !response.head.ends_early(&whole);
-    is_whole.then(|| whole.freeze())
-}
