Answer a request whose handler panics, and give it an outcome of its own

What callers saw: a panic while a request was read, placed or answered would end its connection without an answer. In the log and the metrics it counted as a caller that had left, so that a lost request could not be told from an impatient caller.

Cause: the server drops the handler of a request for both reasons, and the guard that counts unanswered requests named only one.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,6 @@
 mod stop;
 mod store_manager;
 mod stream_origin;
-mod unanswered;
+pub mod unanswered;
 pub mod upstreams;
 mod waiting;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct ResultLabels {
     /// Name of the result code, `relayed` for an upstream's own response, `passed_on` for that of another entry node,
-    /// `stream_broken`, or `caller_left` if the caller disconnected before the answer.
+    /// `stream_broken`, `caller_left` if the caller disconnected before the answer, or `panicked`.
     pub result: &'static str,
 }
 
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -25,7 +25,7 @@
     refusal_rules::{STALE_RETRY_MS, cut_off_refusal, deadline_refusal},
     relay::relay,
     silence::log_failed_answer,
-    unanswered::UnansweredRequest,
+    unanswered::{UnansweredRequest, refuse_on_panic},
 };
 
 /// Maximum size of a request body until the first configuration arrives.
@@ -69,7 +69,7 @@
         };
         let result = tokio::select! {
             biased;
-            result = answer => result,
+            result = refuse_on_panic(answer) => result,
             // Drops the attempt in progress, so that its upstream cancels it.
             () = self.stop.near_end() => Err(shutdown_refusal(&history)),
         };
--- a/crates/gateway/src/unanswered.rs
+++ b/crates/gateway/src/unanswered.rs
@@ -1,10 +1,30 @@
-//! The outcome of requests whose caller leaves before the answer.
+//! The outcome of requests whose caller leaves before the answer, or whose handler panics.
 
-use std::rc::Rc;
+use std::{future::Future, panic::AssertUnwindSafe, rc::Rc, thread};
 
+use daisysill_core::result_code::ResultCode;
+use futures::FutureExt;
 use tokio::time::Instant;
 
-use crate::{duration::millis, forward::Gateway};
+use crate::{duration::millis, forward::Gateway, refusal::Refusal};
+
+/// Returns the outcome of a request or stream that is dropped now, before its end.
+///
+/// ```
+/// assert_eq!(daisysill_gateway::unanswered::outcome_of_drop(), "caller_left");
+/// ```
+pub fn outcome_of_drop() -> &'static str {
+    if thread::panicking() { "panicked" } else { "caller_left" }
+}
+
+/// Awaits an answer; a panic on the way becomes a refusal, since the caller's connection would end without one.
+///
+/// # Errors
+/// Fails as the answer does, and with [`ResultCode::Internal`] if it panics.
+pub async fn refuse_on_panic<T>(answer: impl Future<Output = Result<T, Refusal>>) -> Result<T, Refusal> {
+    let answered = AssertUnwindSafe(answer).catch_unwind().await;
+    answered.unwrap_or_else(|_| Err(Refusal::new(ResultCode::Internal, "the handler panicked")))
+}
 
 /// A request in progress whose answer has not begun. The server drops it when its caller disconnects; the request is
 /// then counted and logged.
@@ -33,10 +53,11 @@
         if self.is_answered {
             return;
         }
+        let outcome = outcome_of_drop();
         self.gateway.metrics.in_flight.dec();
-        self.gateway.metrics.record_result("caller_left");
+        self.gateway.metrics.record_result(outcome);
         tracing::info!(
-            event = "caller_left",
+            event = outcome,
             request_id = self.request_id,
             after_ms = millis(self.arrived.elapsed()),
         );
