Record the streams that the end of a planned stop cuts

What callers saw: nothing new; a stream that still runs 0.4 s before the kill is cut, since it can't be answered. Operators saw no line for it, and the counters none of it, so that the cuts of a planned stop were missing from the record of lost answers.

Cause: the process ended with the relays of these streams undropped, and only a relay that ends or is dropped recorded its end.

Change: a node keeps its streams in progress (`gateway::open_streams`), those passed on to other entry nodes included. Ruled out: a signal to each relay, since a relay whose caller does not read is not run.

The counter can't be read once the process has exited; no test reads it.

--- a/crates/gateway/src/entry_node.rs
+++ b/crates/gateway/src/entry_node.rs
@@ -82,6 +82,8 @@
                 metrics.clone(),
             ));
             spawn_tasks(&gateway, Arc::clone(&format), discovery.clone());
+            let streams = Rc::clone(&gateway);
+            actix_rt::spawn(stop.clone().record_cut_streams(move || streams.end_open_streams()));
             Rc::new(EntryState {
                 gateway,
                 readiness_port: readiness.port(),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -36,6 +36,7 @@
     header_codec::HeaderCodec,
     metrics::GatewayMetrics,
     node_share::retry_budget_refusal,
+    open_streams::OpenStreams,
     placement::{ChosenUpstream, Placement},
     pool::Pool,
     refusal::Refusal,
@@ -82,6 +83,8 @@
     pub(crate) slot_shares: RefCell<HashMap<ServiceName, SlotShare>>,
     /// The highest recent number of entry nodes, and when it was seen.
     pub(crate) entry_node_peak: Cell<(u32, Instant)>,
+    /// Streams on their way to callers.
+    pub(crate) open_streams: OpenStreams,
     started: Instant,
 }
 
@@ -125,6 +128,7 @@
             link_bookings: RefCell::default(),
             slot_shares: RefCell::default(),
             entry_node_peak: Cell::new((0, Instant::now())),
+            open_streams: OpenStreams::default(),
             started: Instant::now(),
         }
     }
@@ -242,21 +246,4 @@
     pub(crate) fn now_ms(&self) -> u64 {
         millis(self.started.elapsed())
     }
-
-    /// Counts a stream that ended, and logs it unless it is complete.
-    pub(crate) fn record_stream_end(&self, request: &CallerRequest, outcome: &'static str, bytes: u64) {
-        self.metrics.in_flight.dec();
-        self.metrics.record_result(if outcome == "complete" { "relayed" } else { "stream_broken" });
-        self.metrics.record_stream_end(outcome);
-        if outcome == "complete" {
-            return;
-        }
-        tracing::info!(
-            event = "stream_ended",
-            request_id = request.headers.request_id.as_deref(),
-            outcome,
-            bytes,
-            after_ms = millis(request.arrived.elapsed()),
-        );
-    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod logging;
 pub mod metrics;
 mod node_share;
+mod open_streams;
 mod outcomes;
 pub mod outdated;
 mod pass_on;
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -15,6 +15,7 @@
     entry_peers::{ChosenPeer, EntryPeers},
     forward::Gateway,
     http_head::{Framing, ResponseHead},
+    open_streams::{COMPLETE, OpenStream},
     peer_headers::{PassedOn, UNABLE, is_peer_header},
     pool::PooledConnection,
     refusal::Refusal,
@@ -163,7 +164,7 @@
         let mut builder = self.forwarded_head(&response.head);
         match response.head.framing {
             Framing::Chunked => {
-                let body = PeerBody::new(Rc::clone(&self.gateway), request.deadline, response);
+                let body = PeerBody::new(&self.gateway, request, response);
                 Some(builder.body(BodyStream::new(Box::pin(body.into_stream()))))
             }
             Framing::Length(_) => {
@@ -244,12 +245,19 @@
     gateway: Rc<Gateway>,
     deadline: Instant,
     response: Option<PeerResponse>,
+    record: OpenStream,
     outcome: &'static str,
 }
 
 impl PeerBody {
-    fn new(gateway: Rc<Gateway>, deadline: Instant, response: PeerResponse) -> Self {
-        Self { gateway, deadline, response: Some(response), outcome: "caller_left" }
+    fn new(gateway: &Rc<Gateway>, request: &Rc<CallerRequest>, response: PeerResponse) -> Self {
+        Self {
+            gateway: Rc::clone(gateway),
+            deadline: request.deadline,
+            response: Some(response),
+            record: OpenStream::new(gateway, request, "passed_on"),
+            outcome: "caller_left",
+        }
     }
 
     fn into_stream(self) -> impl Stream<Item = Result<Bytes, StreamBroken>> {
@@ -262,9 +270,13 @@
     async fn next(&mut self) -> Option<Result<Bytes, StreamBroken>> {
         let response = self.response.as_mut()?;
         match response.read_body(self.deadline).await {
-            Some(Some(bytes)) => Some(Ok(bytes)),
+            Some(Some(bytes)) => {
+                self.record.record_bytes(bytes.len());
+                Some(Ok(bytes))
+            }
             Some(None) => {
                 self.outcome = "answered";
+                self.record.end(COMPLETE);
                 if let Some(response) = self.response.take() {
                     response.pooled.release();
                 }
@@ -272,6 +284,7 @@
             }
             None => {
                 self.outcome = "broken";
+                self.record.end("entry_node_broke");
                 // Closes the connection, so that the other node cancels the request.
                 self.response = None;
                 Some(Err(StreamBroken))
@@ -282,9 +295,6 @@
 
 impl Drop for PeerBody {
     fn drop(&mut self) {
-        let metrics = &self.gateway.metrics;
-        metrics.in_flight.dec();
-        metrics.record_result(if self.outcome == "answered" { "passed_on" } else { "stream_broken" });
-        metrics.record_passed_on(self.outcome);
+        self.gateway.metrics.record_passed_on(self.outcome);
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,6 +15,7 @@
     exchange::UpstreamResponse,
     forward::Gateway,
     http_head::{Framing, ResponseHead},
+    open_streams::{COMPLETE, OpenStream},
     passing::Passing,
     silence::PLACE_CHECK_INTERVAL,
 };
@@ -60,7 +61,7 @@
     history: AttemptHistory,
     /// Whether the present response has brought a byte of its body.
     has_body: bool,
-    relayed_bytes: u64,
+    record: OpenStream,
     started: Instant,
     /// When bytes were last relayed. Of a resumable stream these are complete events, so that an upstream that sends a
     /// byte now and then does not count as active.
@@ -91,12 +92,12 @@
         passing: Passing::new(&request, &response.head),
         first_head: response.head.clone(),
         is_event_due: false,
+        record: OpenStream::new(&gateway, &request, "relayed"),
         gateway,
         request,
         response: Some(response),
         history,
         has_body: false,
-        relayed_bytes: 0,
         started: Instant::now(),
         progressed_at: Instant::now(),
         checked_at: None,
@@ -127,7 +128,7 @@
                         }
                         self.is_event_due = false;
                         self.record_progress();
-                        self.relayed_bytes += bytes.len() as u64;
+                        self.record.record_bytes(bytes.len());
                         return Some(Ok(bytes));
                     }
                 }
@@ -182,7 +183,7 @@
                 upstream = upstream.entry.id.as_str(),
                 framing = framing.name(),
                 is_inside_event,
-                bytes = self.relayed_bytes,
+                bytes = self.record.relayed_bytes(),
             );
         }
         if is_inside_event {
@@ -252,7 +253,7 @@
             self.gateway.record_duration(&self.request, self.started.elapsed());
             response.pooled.release();
         }
-        self.gateway.record_stream_end(&self.request, "complete", self.relayed_bytes);
+        self.record.end(COMPLETE);
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
@@ -261,15 +262,7 @@
         if let Some(response) = self.response.take() {
             response.in_flight.upstream.record_failure();
         }
-        self.gateway.record_stream_end(&self.request, reason, self.relayed_bytes);
+        self.record.end(reason);
         StreamBroken
     }
 }
-
-impl Drop for Relay {
-    fn drop(&mut self) {
-        if !self.is_done {
-            self.gateway.record_stream_end(&self.request, "caller_left", self.relayed_bytes);
-        }
-    }
-}
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -6,7 +6,7 @@
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
     sync::watch,
-    time::{Instant, timeout_at},
+    time::{Instant, timeout, timeout_at},
 };
 
 /// Time between reporting not ready and closing the listeners. The load balancer checks once a second and removes a
@@ -17,6 +17,8 @@
 
 /// Time before the process exits at which requests in progress are answered. They need it to reach their callers.
 const FINAL_ANSWER_TIME: Duration = Duration::from_millis(300);
+/// Time for the streams that the end of the process cuts to be recorded.
+const RECORD_TIME: Duration = Duration::from_millis(100);
 
 /// The planned stop of this process; clones share it.
 #[derive(Clone, Debug, Default)]
@@ -28,6 +30,8 @@
 struct Progress {
     began: Option<Instant>,
     is_near_end: bool,
+    has_ended: bool,
+    are_streams_recorded: bool,
 }
 
 impl PlannedStop {
@@ -61,9 +65,21 @@
             return true;
         }
         self.progress.send_modify(|progress| progress.is_near_end = true);
-        let _ = timeout_at(end, stopped).await;
+        if timeout_at(end, stopped).await.is_err() {
+            self.progress.send_modify(|progress| progress.has_ended = true);
+            let mut progress = self.progress.subscribe();
+            let _ = timeout(RECORD_TIME, progress.wait_for(|progress| progress.are_streams_recorded)).await;
+        }
         false
     }
+
+    /// Calls `record` for the streams in progress if the process exits before they end.
+    pub(crate) async fn record_cut_streams(self, record: impl FnOnce()) {
+        if self.progress.subscribe().wait_for(|progress| progress.has_ended).await.is_ok() {
+            record();
+            self.progress.send_modify(|progress| progress.are_streams_recorded = true);
+        }
+    }
 }
 
 /// Waits for SIGTERM. SIGHUP is only logged, since a running process does not apply changed settings.
