--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,8 @@
 //!
 //! The traits of [`header_codec`] and [`discovery`] hide the names and formats of the deployment's platform.
 
+mod attempt;
+mod buffered;
 pub mod caller_request;
 pub mod config;
 pub mod connection;
@@ -23,6 +25,7 @@
 pub mod logging;
 pub mod metrics;
 mod node_share;
+mod open_streams;
 mod outcomes;
 pub mod outdated;
 mod pass_on;
@@ -45,6 +48,6 @@
 mod stop;
 mod store_manager;
 mod stream_origin;
-mod unanswered;
+pub mod unanswered;
 pub mod upstreams;
 mod waiting;
