Report the loads of entry nodes from a halted control node

Callers saw: upstreams that are filled beyond their slots, since the entry nodes of a zone whose control node has halted are not known to the others.

Cause: such a node answers polls as current, but reported to the leader that its replica names, and a halted one names none.

Change: it reports to the leader that its own polls name.

loads_pass_a_halted_control_node failed before (the entry nodes of the zone were not counted within 15 s) and passes.

--- a/crates/cluster/src/relays.rs
+++ b/crates/cluster/src/relays.rs
@@ -15,7 +15,7 @@
 use tokio::{sync::watch, time::sleep};
 
 use crate::{
-    clock::BootInstant, driver::ReplicaView, link::Links, observer::Observer,
+    clock::BootInstant, driver::ReplicaView, link::Links, observer::Observer, propose::LeaderHint,
     published_upstreams::PublishedStore, soft_state::SoftState,
 };
 
@@ -118,6 +118,8 @@
     soft_state: Arc<SoftState>,
     relays: Arc<Relays>,
     replica: watch::Receiver<ReplicaView>,
+    /// The leader as the polls report it, while the replica knows none because it has halted.
+    leader: LeaderHint,
 }
 
 impl RelayReporter {
@@ -131,6 +133,7 @@
             soft_state: Arc::clone(&observer.soft_state),
             relays,
             replica: observer.replica.clone(),
+            leader: observer.leader.clone(),
         }
     }
 
@@ -146,8 +149,8 @@
     }
 
     fn leader(&self) -> Option<InstanceId> {
-        let replica = self.replica.borrow();
-        replica.status.as_ref()?.leader.clone().filter(|leader| *leader != self.name)
+        let known = self.replica.borrow().status.as_ref()?.leader.clone();
+        known.or_else(|| self.leader.get()).filter(|leader| *leader != self.name)
     }
 
     /// Reports to the leader; returns whether entry nodes have work in flight.
--- a/crates/cluster/tests/cluster/replicas.rs
+++ b/crates/cluster/tests/cluster/replicas.rs
@@ -344,3 +344,25 @@
     let is_learner = status.learners.iter().any(|learner| learner.as_str() == name);
     status.leader.filter(|_| is_learner).map(|leader| leader.to_string())
 }
+
+/// Guards against a cluster that is never formed because the disk of the first voter refused writes when it started.
+#[tokio::test]
+async fn a_cluster_is_formed_although_the_first_disk_is_full_at_the_start() {
+    let mut cluster = TestCluster::new(THREE, &[]);
+    let folder = cluster.data_dir("a");
+    // Folders in place of the files that are written first.
+    let obstacles = ["disk-check", "hard-state.new"].map(|name| folder.join(name));
+    for obstacle in &obstacles {
+        std::fs::create_dir_all(obstacle).unwrap();
+    }
+    for name in ["a", "b", "c"] {
+        cluster.start(name);
+    }
+    let is_halted = |cluster: &TestCluster| cluster.node("a").status().role == Role::Halted;
+    cluster.wait("the first voter has halted", is_halted).await;
+    for obstacle in &obstacles {
+        std::fs::remove_dir(obstacle).unwrap();
+    }
+    cluster.wait("the first voter goes on", |cluster| !is_halted(cluster)).await;
+    cluster.wait("a leader", |cluster| cluster.leader().is_some()).await;
+}
--- a/crates/cluster/tests/halted_control_node.rs
+++ b/crates/cluster/tests/halted_control_node.rs
@@ -2,18 +2,18 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+mod nodes;
+
+use std::{net::SocketAddr, time::Duration};
 
 use daisysill_cluster::{Cluster, ClusterConfig, ClusterHandle};
 use daisysill_control::command::{Command, PublishDocument};
 use daisysill_core::ids::InstanceId;
+use daisysill_wire::peer::UpstreamLoad;
 use tempfile::TempDir;
-use tokio::time::sleep;
 
-const LIMIT: Duration = Duration::from_secs(10);
+use crate::nodes::{TestNodes, wait};
+
 /// Maximum age of a configuration that operators read.
 const MAX_READ_AGE: Duration = Duration::from_millis(1_500);
 
@@ -37,14 +37,6 @@
     }
 }
 
-async fn wait(what: &str, mut condition: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !condition() {
-        assert!(start.elapsed() < LIMIT, "condition not met within {LIMIT:?}: {what}");
-        sleep(Duration::from_millis(20)).await;
-    }
-}
-
 /// Guards against a halted control node that keeps the configuration of the time at which its disk failed: it refuses operators'
 /// reads, and the entry nodes of its zone have to look elsewhere, although it reaches the leader.
 #[tokio::test]
@@ -76,3 +68,19 @@
     })
     .await;
 }
+
+/// Guards against entry nodes whose work the others do not know of, since their control node has halted and reports nothing to
+/// the leader.
+#[tokio::test]
+async fn loads_pass_a_halted_control_node() {
+    let mut nodes = TestNodes::start(12).await;
+    nodes.settle().await;
+    let zone = nodes.other_zones()[0];
+    nodes.restart_with_full_disk(zone).await;
+    nodes.settle().await;
+    let load = UpstreamLoad { upstream: 9, requests: 1, tokens: 100, ..UpstreamLoad::default() };
+    nodes.entries[zone][0].set_loads(vec![load]);
+    let other = &nodes.entries[nodes.leader_zone()][0];
+    wait("the load in another zone", || other.other_nodes_load(9).requests == 1).await;
+    assert!(nodes.controls[zone].has_halted());
+}
--- a/crates/cluster/tests/nodes/mod.rs
+++ b/crates/cluster/tests/nodes/mod.rs
@@ -8,7 +8,6 @@
 };
 
 use daisysill_cluster::{BootInstant, Cluster, ClusterConfig, ClusterHandle};
-use daisysill_core::ids::InstanceId;
 use tempfile::TempDir;
 use tokio::time::sleep;
 
@@ -22,7 +21,25 @@
     pub controls: Vec<ClusterHandle>,
     /// By zone.
     pub entries: Vec<Vec<ClusterHandle>>,
-    _folders: Vec<TempDir>,
+    folders: Vec<TempDir>,
+    net: u8,
+}
+
+fn config(net: u8, host: u8, zone: u8, folder: Option<&TempDir>) -> ClusterConfig {
+    let address = |host: u8| SocketAddr::from(([127, 79, net, host], 8_300));
+    ClusterConfig {
+        name: address(host).to_string().into(),
+        zone: format!("z{zone}").into(),
+        data_dir: folder.map(|folder| folder.path().to_owned()),
+        peer_listen: address(host),
+        peers: Vec::new(),
+        bootstrap_voters: (1..=ZONES).map(|host| address(host).to_string().into()).collect(),
+        bootstrap: true,
+        trust_disk: true,
+        names_are_addresses: true,
+        target_voters: Some(3),
+        secret: "test".to_owned(),
+    }
 }
 
 impl TestNodes {
@@ -32,40 +49,38 @@
 
     /// Starts a control node and this many entry nodes in each zone.
     pub async fn start_with(net: u8, entry_nodes_per_zone: u8) -> Self {
-        let address = |host: u8| SocketAddr::from(([127, 79, net, host], 8_300));
-        let seeds: Vec<InstanceId> = (1..=ZONES).map(|host| address(host).to_string().into()).collect();
-        let config = |host: u8, zone: u8, folder: Option<&TempDir>| ClusterConfig {
-            name: address(host).to_string().into(),
-            zone: format!("z{zone}").into(),
-            data_dir: folder.map(|folder| folder.path().to_owned()),
-            peer_listen: address(host),
-            peers: Vec::new(),
-            bootstrap_voters: seeds.clone(),
-            bootstrap: true,
-            trust_disk: true,
-            names_are_addresses: true,
-            target_voters: Some(3),
-            secret: "test".to_owned(),
-        };
         let folders: Vec<TempDir> = (0..ZONES).map(|_| TempDir::new().unwrap()).collect();
         let mut controls = Vec::new();
         for (zone, folder) in (1..=ZONES).zip(&folders) {
-            controls.push(Cluster::start(config(zone, zone, Some(folder))).await.unwrap().0);
+            controls.push(Cluster::start(config(net, zone, zone, Some(folder))).await.unwrap().0);
         }
         let mut entries = Vec::new();
         for zone in 1..=ZONES {
             let mut of_zone = Vec::new();
             for number in 0..entry_nodes_per_zone {
                 let host = 10 * zone + number;
-                of_zone.push(Cluster::start(config(host, zone, None)).await.unwrap().0);
+                of_zone.push(Cluster::start(config(net, host, zone, None)).await.unwrap().0);
             }
             entries.push(of_zone);
         }
-        let nodes = Self { controls, entries, _folders: folders };
+        let nodes = Self { controls, entries, folders, net };
         wait("a leader", || nodes.controls.iter().any(ClusterHandle::is_leader)).await;
         nodes
     }
 
+    /// Restarts the control node of a zone with a disk that refuses writes, so that its voter halts.
+    pub async fn restart_with_full_disk(&mut self, zone: usize) {
+        self.controls[zone].stop().await;
+        // Folders in place of the files that are written first.
+        for name in ["disk-check", "hard-state.new"] {
+            std::fs::create_dir(self.folders[zone].path().join(name)).unwrap();
+        }
+        let number = u8::try_from(zone + 1).unwrap();
+        let config = config(self.net, number, number, Some(&self.folders[zone]));
+        self.controls[zone] = Cluster::start(config).await.unwrap().0;
+        wait("the voter has halted", || self.controls[zone].has_halted()).await;
+    }
+
     pub fn leader_zone(&self) -> usize {
         self.controls.iter().position(ClusterHandle::is_leader).unwrap()
     }
