--- a/crates/control/src/storage.rs
+++ b/crates/control/src/storage.rs
@@ -74,6 +74,8 @@
     /// The id in the stored hard state; `None` before the first one.
     disk: Option<DiskId>,
     failed: bool,
+    /// Whether the log may hold entries of a failed write.
+    has_unsynced: bool,
 }
 
 /// Opens a data folder and reads its contents; creates the folder if it is missing.
@@ -120,7 +122,7 @@
     let disk = hard_state.as_ref().map(|hard_state| hard_state.disk);
     recovered.hard_state = hard_state;
     recovered.snapshot = snapshot.map(Arc::new);
-    Ok((Storage { folder, log, disk, failed: false }, recovered))
+    Ok((Storage { folder, log, disk, failed: false, has_unsynced: false }, recovered))
 }
 
 impl Storage {
@@ -134,8 +136,10 @@
             return Err(StorageError::Failed);
         }
         self.failed = true;
+        self.has_unsynced = true;
         self.write_parts(batch)?;
         self.failed = false;
+        self.has_unsynced = false;
         Ok(())
     }
 
@@ -150,7 +154,11 @@
         self.probe()?;
         // Makes removals durable whose sync may have failed.
         sync_folder(&self.folder)?;
-        self.log.discard_unsynced()?;
+        if self.has_unsynced {
+            self.log.discard_unsynced()?;
+            // Opening may delete files before it fails, so that `log` no longer tells what must be there.
+            self.has_unsynced = false;
+        }
         let (storage, recovered) = open(&self.folder)?;
         if self.disk.is_some() && storage.disk != self.disk {
             let path = self.folder.clone();
