Form a cluster also after the first disk was full at the start

Operators saw: no cluster forms, with all processes running, if the disk of the first voter refuses its first write.

Cause: ended every attempt to form a cluster once the data folder was opened again, so that late replies of a first attempt can't count for a second one in the same term. It also ended the first one.

Change: the replica that goes on may form a cluster unless the one before it had begun one; the driver asks for it after each opening.

--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -122,6 +122,8 @@
     outputs: Vec<Output>,
     /// Set once the node leaves: notified when the replica has stopped, and the deadline of its proposals.
     leaving: Option<(oneshot::Sender<()>, Instant)>,
+    /// Voters of the cluster that this node forms if its data folder is empty; empty on all nodes but one.
+    bootstrap_voters: Vec<InstanceId>,
 }
 
 impl Driver {
@@ -151,6 +153,7 @@
             last_proposal_id: 0,
             outputs: Vec::new(),
             leaving: None,
+            bootstrap_voters: Vec::new(),
         }
     }
 
@@ -162,11 +165,8 @@
         mut inputs: mpsc::Receiver<DriverInput>,
         mut storage_events: mpsc::UnboundedReceiver<StorageEvent>,
     ) {
+        self.bootstrap_voters = bootstrap_voters;
         self.start_replica();
-        if !bootstrap_voters.is_empty() {
-            // The replica ignores this unless its data folder is empty, and checks those of the other voters.
-            self.step(Input::Bootstrap { voters: bootstrap_voters });
-        }
         loop {
             self.flush();
             if self.has_settled() {
@@ -195,6 +195,10 @@
     fn start_replica(&mut self) {
         self.record_target_ages();
         self.views.install(&Arc::clone(&self.replica.state().config));
+        if !self.bootstrap_voters.is_empty() {
+            // The replica ignores this unless its data folder is empty, and checks those of the other voters.
+            self.step(Input::Bootstrap { voters: self.bootstrap_voters.clone() });
+        }
     }
 
     fn now_ms(&self) -> u64 {
@@ -275,8 +279,7 @@
         }
     }
 
-    /// Goes on from the data folder as after a restart of the process, but forms no new cluster: late replies of the
-    /// first attempt could count for the second one.
+    /// Goes on from the data folder as after a restart of the process.
     fn restart_replica(&mut self, recovered: Recovered) {
         let entries = recovered.entries.len();
         self.replica = self.replica.restarted(recovered, self.now_ms(), rand::random());
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -106,14 +106,14 @@
         self.become_follower();
     }
 
-    fn is_uninitialized(&self) -> bool {
+    pub(crate) fn is_uninitialized(&self) -> bool {
         self.term == 0 && self.log.last().index == 0
     }
 
     /// Starts the bootstrap of a cluster if this is the first voter by name and has neither a term nor a log.
     pub(crate) fn start_bootstrap(&mut self, voters: Vec<InstanceId>) {
         let voters: BTreeSet<InstanceId> = voters.into_iter().collect();
-        if self.is_uninitialized() && voters.first() == Some(&self.config.name) {
+        if self.may_form && self.is_uninitialized() && voters.first() == Some(&self.config.name) {
             let retry_ms = self.now_ms;
             self.bootstrap = Some(Bootstrap { voters, disks: BTreeMap::new(), retry_ms });
             self.tick_bootstrap();
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -68,6 +68,9 @@
     pub(crate) acknowledged: BTreeMap<InstanceId, (DiskId, Position)>,
     pub(crate) incoming: Option<IncomingSnapshot>,
     pub(crate) bootstrap: Option<Bootstrap>,
+    /// Whether it may form a new cluster: not after an attempt in this process, whose late replies could count for another
+    /// one in the same term.
+    pub(crate) may_form: bool,
     pub(crate) outputs: Vec<Output>,
 }
 
@@ -118,6 +121,7 @@
             acknowledged: BTreeMap::new(),
             incoming: None,
             bootstrap: None,
+            may_form: true,
             outputs: Vec::new(),
             config,
         };
@@ -135,7 +139,8 @@
     /// of the process.
     #[must_use]
     pub fn restarted(&self, recovered: Recovered, now_ms: u64, seed: u64) -> Self {
-        Self::new(self.config.clone(), recovered, now_ms, seed)
+        let may_form = self.may_form && self.is_uninitialized();
+        Self { may_form, ..Self::new(self.config.clone(), recovered, now_ms, seed) }
     }
 
     /// Processes an input at `now_ms` on this instance's monotonic clock, and appends the resulting actions to
