Send heartbeats without waiting for earlier responses

What callers saw: beside load, changes and cues were refused with 1304 or ended uncertain with 1504, while voters that had contact with a live leader started elections or deposed it.

Cause: the outbox sent the next messages to a peer only after the response to the call before, and the response carries nothing. A trace (16 runs of the tests durable_state, rules_in_force and blocks, load average 24 to 49 on 8 cores) shows calls of 200 to 600 ms, so that a heartbeat waited for one round trip before it was sent: followers that had heard nothing for 400 to 800 ms became candidates. 96 of 237 followed the same leader again in the same term.

Ruled out as the main cause, in the 8 runs without the change: syncs (61 of more than 100 ms, 13 of more than 400 ms), the driver's thread (69 timers more than 400 ms late), split votes (66 of 95 raised terms had a leader).

Change: up to 8 calls to a peer are on the way, as many as heartbeats fit in the longest election timeout. Beyond that messages wait and share a call, as before. Calls keep their order on the connection; the protocol tolerates another one.

Before: heartbeats_do_not_wait_for_responses fails with 11 elections in 5 s (5, 2 and 4). After: none in 7 of 7 runs, and the 33 tests of tests/cluster pass. What remains is the wait for a processor and, after a restart, the backoff of the links to a voter that listens again.

The forwarders of the test cluster have a file of their own.

--- a/crates/cluster/src/outbox.rs
+++ b/crates/cluster/src/outbox.rs
@@ -8,7 +8,7 @@
 
 use daisysill_core::ids::InstanceId;
 use daisysill_wire::peer::PeerClient;
-use futures::FutureExt;
+use futures::{FutureExt, StreamExt, stream::FuturesUnordered};
 use tokio::{
     sync::Notify,
     task::{AbortHandle, JoinSet},
@@ -23,6 +23,9 @@
 const MAX_QUEUE_BYTES: usize = 4 * 1_024 * 1_024;
 /// Maximum bytes of the messages in one call; a larger message is sent alone.
 const MAX_CALL_BYTES: usize = 1_024 * 1_024;
+/// Maximum calls to one peer without a response; further messages wait. A response carries nothing, so a heartbeat must
+/// not wait for it: heartbeats of the longest election timeout (800 ms) can be on the way.
+const MAX_CALLS_IN_FLIGHT: usize = 8;
 /// Timeout of a call, in addition to its transfer time.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Lowest transfer rate assumed; a slower connection counts as unresponsive.
@@ -82,22 +85,30 @@
 }
 
 async fn deliver(link: Arc<Link>, peer: Arc<PeerQueue>) {
+    let mut calls = FuturesUnordered::new();
     loop {
-        let messages = take_batch(&peer);
-        if messages.is_empty() {
-            peer.filled.notified().await;
+        let has_capacity = calls.len() < MAX_CALLS_IN_FLIGHT;
+        let messages = if has_capacity { take_batch(&peer) } else { Vec::new() };
+        if !messages.is_empty() {
+            calls.push(replicate(&link, messages));
             continue;
         }
-        let bytes: usize = messages.iter().map(Vec::len).sum();
-        let transfer_time = Duration::from_millis((bytes / MIN_BYTES_PER_MS) as u64);
-        let call = move |client: PeerClient, context| {
-            async move { client.replicate(context, messages).await }.boxed()
-        };
-        // A failed call loses its messages, which the protocol tolerates.
-        let _ = link.call(CALL_TIMEOUT + transfer_time, call).await;
+        tokio::select! {
+            Some(()) = calls.next() => {}
+            () = peer.filled.notified(), if has_capacity => {}
+        }
     }
 }
 
+async fn replicate(link: &Link, messages: Vec<Vec<u8>>) {
+    let bytes: usize = messages.iter().map(Vec::len).sum();
+    let transfer_time = Duration::from_millis((bytes / MIN_BYTES_PER_MS) as u64);
+    let call =
+        move |client: PeerClient, context| async move { client.replicate(context, messages).await }.boxed();
+    // A failed call loses its messages, which the protocol tolerates.
+    let _ = link.call(CALL_TIMEOUT + transfer_time, call).await;
+}
+
 fn take_batch(peer: &PeerQueue) -> Vec<Vec<u8>> {
     let mut queue = peer.queue.lock().unwrap_or_else(PoisonError::into_inner);
     let mut batch = Vec::new();
--- a/crates/cluster/tests/cluster/common.rs
+++ b/crates/cluster/tests/cluster/common.rs
@@ -1,14 +1,9 @@
-//! Test clusters: each node runs on its own thread; TCP forwarders between them inject network faults.
+//! Test clusters: each node runs on its own thread, behind forwarders that inject network faults.
 
 use std::{
     collections::BTreeMap,
-    net::SocketAddr,
     path::PathBuf,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU8, AtomicU64, Ordering},
-        mpsc as blocking,
-    },
+    sync::{Arc, atomic::Ordering, mpsc as blocking},
     thread::JoinHandle,
     time::Duration,
 };
@@ -17,97 +12,17 @@
 use daisysill_control::command::{Command, Reply, SetDrain};
 use daisysill_core::ids::{ConfigVersion, InstanceId};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::TcpListener,
     runtime::Builder,
     sync::mpsc,
     time::{Instant, sleep},
 };
 
+use crate::forwarder::{CUT, Fault, Forwarder, OPEN, SILENT};
+
 /// Timeout for steps that normally take a second or two; generous because the machine may be busy.
 pub const SOON: Duration = Duration::from_secs(15);
 
-const OPEN: u8 = 0;
-const CUT: u8 = 1;
-const SILENT: u8 = 2;
-
-/// A fault in one chunk of bytes on its way from the node that connected.
-#[derive(Clone, Copy)]
-pub enum Fault {
-    /// Flips the lowest bit of the chunk's last byte.
-    Flip,
-    /// Sends the chunk twice.
-    Repeat,
-}
-
-/// Forwards the connections that one node opens to another.
-pub struct Forwarder {
-    mode: AtomicU8,
-    next_connection: AtomicU64,
-    stalled_before: AtomicU64,
-    target: Mutex<Option<SocketAddr>>,
-    fault: Mutex<Option<Fault>>,
-}
-
-impl Forwarder {
-    async fn run(self: Arc<Self>, listener: TcpListener) {
-        loop {
-            let (stream, _) = listener.accept().await.unwrap();
-            tokio::spawn(Arc::clone(&self).forward(stream));
-        }
-    }
-
-    async fn forward(self: Arc<Self>, near: TcpStream) {
-        let number = self.next_connection.fetch_add(1, Ordering::SeqCst);
-        let target = *self.target.lock().unwrap();
-        let (Some(target), false) = (target, self.mode.load(Ordering::SeqCst) == CUT) else { return };
-        let Ok(far) = TcpStream::connect(target).await else { return };
-        near.set_nodelay(true).unwrap();
-        far.set_nodelay(true).unwrap();
-        let (near_read, near_write) = near.into_split();
-        let (far_read, far_write) = far.into_split();
-        let there = self.forward_bytes(number, true, near_read, far_write);
-        let back = self.forward_bytes(number, false, far_read, near_write);
-        tokio::select! {
-            () = there => {}
-            () = back => {}
-            () = self.is_cut() => {}
-        }
-    }
-
-    async fn is_cut(&self) {
-        while self.mode.load(Ordering::SeqCst) != CUT {
-            sleep(Duration::from_millis(10)).await;
-        }
-    }
-
-    async fn forward_bytes(
-        &self,
-        number: u64,
-        faulty: bool,
-        mut from: tokio::net::tcp::OwnedReadHalf,
-        mut to: tokio::net::tcp::OwnedWriteHalf,
-    ) {
-        let mut buffer = vec![0; 65_536];
-        while let Ok(mut count) = from.read(&mut buffer[..32_768]).await {
-            let silent = self.mode.load(Ordering::SeqCst) != OPEN
-                || number < self.stalled_before.load(Ordering::SeqCst);
-            if let Some(fault) = self.fault.lock().unwrap().take_if(|_| faulty && count > 0) {
-                match fault {
-                    Fault::Flip => buffer[count - 1] ^= 1,
-                    Fault::Repeat => {
-                        buffer.copy_within(0..count, count);
-                        count *= 2;
-                    }
-                }
-            }
-            if count == 0 || (!silent && to.write_all(&buffer[..count]).await.is_err()) {
-                return;
-            }
-        }
-    }
-}
-
 enum ThreadCommand {
     Suspend(Duration),
     Stop,
@@ -146,13 +61,7 @@
                 listener.set_nonblocking(true).unwrap();
                 let listener = TcpListener::from_std(listener).unwrap();
                 let address = listener.local_addr().unwrap();
-                let forwarder = Arc::new(Forwarder {
-                    mode: AtomicU8::new(OPEN),
-                    next_connection: AtomicU64::new(0),
-                    stalled_before: AtomicU64::new(0),
-                    target: Mutex::new(None),
-                    fault: Mutex::new(None),
-                });
+                let forwarder = Arc::new(Forwarder::default());
                 tokio::spawn(Arc::clone(&forwarder).run(listener));
                 forwarders.insert((name.clone(), other.clone()), forwarder);
                 let zone = other_zone.as_str().into();
@@ -287,6 +196,14 @@
         }
     }
 
+    /// Delays the responses to all calls between nodes, but no call.
+    pub fn delay_responses(&self, delay: Duration) {
+        let delay_ms = u64::try_from(delay.as_millis()).unwrap();
+        for forwarder in self.forwarders.values() {
+            forwarder.response_delay_ms.store(delay_ms, Ordering::SeqCst);
+        }
+    }
+
     /// Injects a fault into the next chunk that one node sends on a connection that it opened to another.
     pub fn inject(&self, from: &str, to: &str, fault: Fault) {
         *self.forwarders[&(from.to_owned(), to.to_owned())].fault.lock().unwrap() = Some(fault);
--- a/crates/cluster/tests/cluster/main.rs
+++ b/crates/cluster/tests/cluster/main.rs
@@ -4,6 +4,7 @@
 
 mod common;
 mod followers;
+mod forwarder;
 mod heartbeats;
 mod learners;
 mod leases;
--- a/crates/cluster/tests/cluster/transport.rs
+++ b/crates/cluster/tests/cluster/transport.rs
@@ -10,7 +10,10 @@
     time::{Instant, sleep, timeout},
 };
 
-use crate::common::{SOON, TestCluster};
+use crate::{
+    common::{SOON, TestCluster},
+    forwarder::Fault,
+};
 
 const THREE: &[&str] = &["a/z1", "b/z2", "c/z3"];
 
@@ -86,7 +89,7 @@
     let mut cluster = TestCluster::started(THREE, &["o1/z1"]).await;
     let connections = |cluster: &TestCluster| cluster.connections("o1", "a");
     let version = cluster.drain("o1", "worker-1").await;
-    for fault in [crate::common::Fault::Flip, crate::common::Fault::Repeat] {
+    for fault in [Fault::Flip, Fault::Repeat] {
         let before = connections(&cluster);
         cluster.inject("o1", "a", fault);
         cluster.wait("a new connection is opened", |cluster| connections(cluster) > before).await;
@@ -128,3 +131,16 @@
     cluster.wait("replicate", |cluster| counted(cluster, &leader, Purpose::Replicate)).await;
     assert!(cluster.node(&leader).metrics().commits.get() > 0);
 }
+
+/// Guards against heartbeats that wait for the responses to earlier messages, so that voters in contact with their leader
+/// start elections.
+#[tokio::test]
+async fn heartbeats_do_not_wait_for_responses() {
+    let cluster = TestCluster::started(THREE, &[]).await;
+    let elections = || ["a", "b", "c"].map(|name| cluster.node(name).metrics().elections.get());
+    let before = elections();
+    // Longer than the shortest election timeout, shorter than the timeout of a call.
+    cluster.delay_responses(Duration::from_millis(700));
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(elections(), before);
+}
