Let tests fill the disk of one running process

No test could let the disk of a single real process refuse writes for a while: full disks of voters stood under "Not run" in docs/PROMISES.md.

The limit on file sizes of the running process is lowered to zero with prlimit(2) and raised again, so that its writes fail with EFBIG in place of ENOSPC. This needs neither root nor a mount. Opening and truncating files still works, as on most full disks. The signal of the limit is ignored from the start, as it ends a process by default.

Logs of test processes are files and would fall under the limit, so they pass through a pipe now.

--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -193,6 +193,19 @@
         self.node(name).signal("CONT");
     }
 
+    /// Sets whether the disk of a running node refuses all writes.
+    pub fn set_disk_full(&self, name: &str, full: bool) {
+        self.node(name).set_disk_full(full);
+    }
+
+    /// Returns whether a node that was started has exited by itself.
+    ///
+    /// # Panics
+    /// Panics if the node was not started, or was killed or stopped since.
+    pub fn has_ended(&mut self, name: &str) -> bool {
+        self.nodes.get_mut(name).unwrap().has_ended()
+    }
+
     /// Returns the path of a node's data folder; only voters have one.
     pub fn data_dir(&self, name: &str) -> PathBuf {
         self.environment.path().join(format!("{name}.data"))
@@ -276,7 +289,7 @@
     }
 
     /// Returns the logs of all running nodes, without the lines on single calls between them.
-    fn logs(&self) -> String {
+    pub fn logs(&self) -> String {
         let mut text = String::new();
         for name in self.nodes.keys() {
             text.extend(["log of ", name, ":\n"]);
--- a/crates/testkit/src/environment.rs
+++ b/crates/testkit/src/environment.rs
@@ -5,13 +5,15 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, Output, Stdio},
-    thread,
+    thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
 
 use serde::Deserialize;
 use tempfile::TempDir;
 
+use crate::full_disk;
+
 /// Time in which a started process must listen.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time in which a suspended process must have stopped, and the period at which that is checked.
@@ -39,6 +41,8 @@
 #[derive(Debug)]
 pub struct NodeProcess {
     child: Child,
+    /// Ends once the log is complete.
+    log: Option<JoinHandle<()>>,
     /// Addresses on which it listens.
     pub addresses: NodeAddresses,
 }
@@ -84,15 +88,17 @@
         let settings = settings.replace("READY_FILE", &ready.display().to_string());
         let path = self.write(&format!("{name}.ini"), &settings);
         let log = fs::File::options().create(true).append(true).open(self.path().join(format!("{name}.log")));
-        let child = Command::new(binary("daisysilld"))
+        let mut child = full_disk::command(&binary("daisysilld"))
             .arg("--config")
             .arg(path)
             .stdin(Stdio::null())
-            .stderr(log.unwrap())
+            .stderr(Stdio::piped())
             .spawn()
             .unwrap();
+        let log = full_disk::copy_output(child.stderr.take().unwrap(), log.unwrap());
         let mut process = NodeProcess {
             child,
+            log: Some(log),
             addresses: NodeAddresses {
                 caller: SocketAddr::from(([127, 0, 0, 1], 0)),
                 admin: SocketAddr::from(([127, 0, 0, 1], 0)),
@@ -106,8 +112,10 @@
                 process.addresses = addresses;
                 return process;
             }
-            let exited = process.child.try_wait().unwrap();
-            assert!(exited.is_none(), "{name} exited before it listened: {exited:?}\n{}", self.log(name));
+            if let Some(status) = process.child.try_wait().unwrap() {
+                process.wait_for_log();
+                panic!("{name} exited before it listened: {status}\n{}", self.log(name));
+            }
             assert!(
                 Instant::now() < end,
                 "{name} does not listen within {START_TIMEOUT:?}\n{}",
@@ -202,6 +210,7 @@
         let end = Instant::now() + timeout;
         loop {
             if let Some(status) = self.child.try_wait().unwrap() {
+                self.wait_for_log();
                 return status.code();
             }
             assert!(Instant::now() < end, "the process does not exit within {timeout:?}");
@@ -221,12 +230,28 @@
     pub fn id(&self) -> u32 {
         self.child.id()
     }
+
+    /// Sets whether its disk refuses all writes.
+    ///
+    /// # Panics
+    /// Panics if the process has ended.
+    pub fn set_disk_full(&self, full: bool) {
+        full_disk::set_full(self.id(), full);
+    }
+
+    /// Waits until the log of the process, which has ended, is complete.
+    fn wait_for_log(&mut self) {
+        if let Some(log) = self.log.take() {
+            let _ = log.join();
+        }
+    }
 }
 
 impl Drop for NodeProcess {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        self.wait_for_log();
     }
 }
 
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod engine_run;
 pub mod engine_transfer;
 pub mod environment;
+pub mod full_disk;
 pub mod measure_checks;
 pub mod measure_config;
 pub mod measure_load;
