Leave a removed voter out of the voters that it reports

Cause: NotAVoter makes the replica drop the voter set of its log for its own decisions only; the status still has that set.

--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -200,7 +200,7 @@
             synced_index: self.writes.synced_index,
             commit_index: self.commit_index,
             applied_index: self.state.applied_index,
-            voters: self.voters.clone(),
+            voters: self.reported_voters(),
             leader_silent_ms: self.now_ms.saturating_sub(self.leader_contact_ms),
             peers: self.peer_status(),
             waits_for_peers: self.is_voter() && !self.start_check.passed,
@@ -302,6 +302,15 @@
         Some(&self.voters).filter(includes_self).or_else(|| self.committed_voters().filter(includes_self))
     }
 
+    /// Returns the voter set as far as it is known, without this replica if a peer has told that it was removed.
+    fn reported_voters(&self) -> VoterSet {
+        let mut voters = self.voters.clone();
+        if self.not_a_voter_at > Some(self.voters_position) {
+            voters.voters.remove(&self.config.name);
+        }
+        voters
+    }
+
     /// Returns the newest voter set known to be committed; `None` if none is.
     pub(crate) fn committed_voters(&self) -> Option<&VoterSet> {
         let in_log = self.log.latest_voters(self.commit_index).map(|(_, voters)| voters);
--- a/crates/testkit/tests/full_disks.rs
+++ b/crates/testkit/tests/full_disks.rs
@@ -188,10 +188,7 @@
 /// Checks that a removed voter reports in time that it votes no more, and that this stays so.
 async fn check_removed(deployment: &Deployment, name: &str, when: &str) {
     let start = Instant::now();
-    let is_removed = |status: &NodeStatus| {
-        matches!(status.role.as_str(), "learner" | "observer")
-            && !status.voters.iter().any(|voter| voter == name)
-    };
+    let is_removed = |status: &NodeStatus| matches!(status.role.as_str(), "learner" | "observer");
     let mut learned_after = None;
     while learned_after.is_none_or(|after: Duration| start.elapsed() < after + REMOVED_PERIOD) {
         let status = deployment.status(name).await.unwrap();
@@ -258,5 +255,34 @@
 async fn publish_and_follow(deployment: &Deployment, through: &str, numbers: &Cell<u64>) {
     let deadline = Instant::now() + VOTERS_TIMEOUT;
     let version = publish_until(deployment, through, numbers, deadline).await.unwrap();
-    wait_until_in_force(deployment, version, Instant::now() + IN_FORCE_TIMEOUT).await.unwrap();
+    let in_force = wait_until_in_force(deployment, version, Instant::now() + IN_FORCE_TIMEOUT).await;
+    in_force.unwrap_or_else(|error| panic!("{error}\n{}", deployment.logs()));
+}
+
+/// Waits until a node lists itself no more among the voters; fails after the time that a removed voter has to learn of it.
+async fn wait_until_unlisted(deployment: &Deployment, name: &str, when: &str) {
+    let start = Instant::now();
+    loop {
+        let status = deployment.status(name).await.unwrap();
+        if !status.voters.iter().any(|voter| voter == name) {
+            assert_eq!(status.disk, "none", "{when}");
+            println!("{when}: unlisted after {:?}", start.elapsed());
+            return;
+        }
+        assert!(start.elapsed() < REMOVAL_TIMEOUT, "{when}: {name} lists the voters {:?}", status.voters);
+        actix_rt::time::sleep(RETRY_DELAY).await;
+    }
+}
+
+/// Guards against a removed voter that lists itself as a voter for good, because the entry that removed it never came.
+#[actix_rt::test]
+async fn a_voter_removed_while_suspended_does_not_list_itself() {
+    let mut deployment = start().await;
+    let (leader, removed) = leader_and_follower(&deployment).await;
+    deployment.suspend(&removed);
+    change_voters(&deployment, &leader, "remove", &removed).await;
+    deployment.resume(&removed);
+    wait_until_unlisted(&deployment, &removed, "resumed").await;
+    deployment.restart(&removed);
+    wait_until_unlisted(&deployment, &removed, "restarted").await;
 }
