--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -31,7 +31,7 @@
 /// Maximum time that a leaving node waits for the write in progress; a disk may hang.
 const LAST_WRITE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The first line of the error if the data folder cannot be opened.
+/// The first line of the error if the data folder cannot be opened, at the start or after a failed write.
 pub(crate) const OPEN_ERROR: &str = "the data folder cannot be used; if a file in it is damaged, keep a copy of the folder, \
     start this voter with an empty folder, and replace it in the voter set before another voter is lost";
 
--- a/crates/cluster/src/membership.rs
+++ b/crates/cluster/src/membership.rs
@@ -28,7 +28,7 @@
             Role::Learner if status.voters.learners.contains(&proposer.name) => {
                 join_request(&status, &proposer.name, Membership::Learner)
             }
-            Role::Learner => join_request(&status, &proposer.name, Membership::None),
+            Role::Learner => join_request(&status, &proposer.name, Membership::Outside),
             // While none leads, no request can be accepted.
             Role::Follower | Role::Candidate if proposer.leader.get().is_some() => {
                 join_request(&status, &proposer.name, Membership::Voter)
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -298,7 +298,8 @@
 
     /// Returns the voter set that makes this replica with its disk a voter: the last one or, while the removal of this
     /// replica is not committed, the committed one. Otherwise no leader could be elected if only this replica holds the
-    /// removal, since the others vote only for a candidate whose log is as long.
+    /// removal, since the others vote only for a candidate whose log is as long. `None` if a peer has told that this replica
+    /// was removed since.
     pub(crate) fn own_voter_set(&self) -> Option<&VoterSet> {
         if self.not_a_voter_at > Some(self.voters_position) {
             return None;
--- a/crates/control/src/storage.rs
+++ b/crates/control/src/storage.rs
@@ -49,7 +49,9 @@
             Self::Damaged { path, offset, reason } => {
                 write!(f, "{} is damaged at offset {offset}: {reason}", path.display())
             }
-            Self::Failed => f.write_str("an earlier write to the data folder failed; open the folder again"),
+            Self::Failed => f.write_str(
+                "an earlier write to the data folder failed; it is opened again once it accepts writes",
+            ),
         }
     }
 }
--- a/crates/core/src/voters.rs
+++ b/crates/core/src/voters.rs
@@ -39,7 +39,7 @@
     /// It receives the log without a vote.
     Learner,
     /// It is no member, or may not vote with its present disk.
-    None,
+    Outside,
 }
 
 /// Returns whether a node with a disk should request to join. Its removal may never have reached it, so a member also
@@ -47,12 +47,12 @@
 ///
 /// ```
 /// use daisysill_core::voters::{Membership, should_request_join};
-/// assert!(should_request_join(Membership::None, 50) && !should_request_join(Membership::Learner, 50));
+/// assert!(should_request_join(Membership::Outside, 50) && !should_request_join(Membership::Learner, 50));
 /// assert!(should_request_join(Membership::Voter, 5_000));
 /// ```
 pub fn should_request_join(own: Membership, leader_silent_ms: u64) -> bool {
     match own {
-        Membership::None => true,
+        Membership::Outside => true,
         Membership::Voter | Membership::Learner => leader_silent_ms >= DEAD_AFTER_MS,
     }
 }
@@ -60,8 +60,8 @@
 /// Returns the next change, if one is due. `others` are the members without the leader; `target` is the number of
 /// voters with it.
 ///
-/// No change lowers the number of live voters beyond a majority, that is, how many more may fail. A voter whose disk
-/// refuses writes is silent and counts as dead until it is back.
+/// No change lowers the number of voters that may still fail before there is no majority. A voter whose disk refuses
+/// writes is silent and counts as dead until it is back.
 ///
 /// A voter with another disk is removed first: it counts in the majority but cannot vote. A dead voter is removed
 /// only once its replacement votes, so that the number of copies never falls.
--- a/crates/core/tests/voters.rs
+++ b/crates/core/tests/voters.rs
@@ -49,7 +49,7 @@
 /// lost disks in a row: the second left one voter of two).
 #[test]
 fn a_replica_that_may_not_vote_requests_to_join_until_a_leader_sends_to_it() {
-    assert!(should_request_join(Membership::None, 10));
+    assert!(should_request_join(Membership::Outside, 10));
     assert!(!should_request_join(Membership::Learner, 10));
     assert!(should_request_join(Membership::Learner, 2_500));
 }
