Read a silent engine on while another one is asked

Callers saw a refusal with code 1402 at the deadline of a request, or a stream that ended with it, although the engine had gone on and sent the rest in time.

Cause: while another engine was asked, nothing read the silent one; with little of the deadline left, the node waited for the head of the other one, and refused without a look at what had arrived. A silent engine was also given up for one that sent no more than a head. Ruled out: an answer of both (each event is matched by its attempt, and the one that is not read is cancelled).

Both are now read until one of them sends the next token; that one goes on alone, and the other one is cancelled. An attempt that is overtaken counts as one that may have run. At the deadline, what the silent engine has sent is still delivered if it completes the answer. If the other one accepts the request and falls silent too, it takes the place of the silent one, as before.

an_engine_that_goes_on_while_another_one_is_asked_is_read: left ("t0 ", Some(1402)), right ("t0 t1 t2 ", None) an_engine_that_goes_on_while_another_one_sends_no_token_is_read: left ("t0 ", Some(1402)), right ("t0 t1 t2 ", None) an_answer_that_arrives_during_a_probe_at_the_deadline_is_read: left ("", Some(1402)), right ("t0 t1 ", None)

After: all 14 tests of the file pass. a_stream_that_another_engine_goes_on_with_has_no_token_of_the_silent_one and a_stream_with_slow_tokens_ends_at_its_deadline guard the change itself; the first also passes before.

--- a/crates/node/src/assignment.rs
+++ b/crates/node/src/assignment.rs
@@ -4,6 +4,7 @@
 
 use daisysill_control::{command::RunRefusal, crashes::REPORT_WINDOW_MS};
 use daisysill_core::{result_code::ResultCode, route::Decision};
+use futures::FutureExt;
 use tokio::time::Instant;
 
 use crate::{
@@ -50,6 +51,11 @@
     /// Chooses the next attempt within the limits of the service's rules. Without one, waits for the silent upstream
     /// if there is one.
     pub(crate) async fn next_step(&mut self) -> NextStep {
+        if self.silent_has_news()
+            && let Some(exchange) = self.silent.take()
+        {
+            return NextStep::AwaitSilent(exchange);
+        }
         let refusal = loop {
             // Checked before each attempt: the request may have crashed the upstream of the last one.
             if let Some(refusal) = self.block() {
@@ -75,6 +81,12 @@
         self.silent.take().map_or(NextStep::Refuse(refusal), NextStep::AwaitSilent)
     }
 
+    /// Returns whether the silent attempt went on or failed meanwhile.
+    fn silent_has_news(&mut self) -> bool {
+        let index = self.delivered_tokens;
+        self.silent.as_mut().is_some_and(|exchange| exchange.arrival(index).now_or_never().is_some())
+    }
+
     /// Returns whether the silent attempt is a permitted run: no other one is permitted before its end.
     fn awaits_permitted_run(&self) -> bool {
         self.silent.as_ref().is_some_and(|exchange| exchange.assignment.run.is_some())
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -4,6 +4,7 @@
 
 use daisysill_core::{block::BlockName, route::Decision};
 use daisysill_wire::http_types::{EngineEvent, EngineRequest};
+use futures::future::OptionFuture;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
@@ -13,12 +14,20 @@
     metrics::ServiceLabels,
     request::new_id,
     restore::Restore,
-    upstream_api::{AttemptError, AttemptResult},
+    upstream_api::AttemptError,
 };
 
 /// Shortest time to wait for a silent upstream before checking again whether another one can take over.
 const MIN_SILENCE_CHECK: Duration = Duration::from_millis(500);
 
+/// Why the relay of a response ended before the response did.
+enum RelayEnd {
+    CallerDisconnected,
+    /// The silent attempt went on first.
+    Overtaken,
+    Failed(AttemptError),
+}
+
 impl Dispatch {
     /// Makes one attempt. If the caller disconnects, in any phase, the work at the engine is cancelled.
     pub(crate) async fn attempt(&mut self, assignment: Assignment) -> AttemptOutcome {
@@ -38,7 +47,8 @@
         let span = self.lifecycle.span.child("attempt");
         span.set("upstream", assignment.decision.upstream.as_str());
         span.set("attempt_id", request.attempt_id.as_str());
-        let exchange = Exchange::new(Rc::clone(&self.engine), assignment, request, names, span);
+        let stray_events = self.shared.metrics.stray_events.clone();
+        let exchange = Exchange::new(Rc::clone(&self.engine), assignment, request, names, span, stray_events);
         self.is_attempt_open = true;
         let outcome = self.relay(Box::new(exchange), Instant::now() + first_timeout).await;
         self.is_attempt_open = false;
@@ -55,6 +65,12 @@
         self.relay(exchange, Instant::now() + check).await
     }
 
+    /// Relays what has arrived of the silent attempt at the deadline; returns whether the response is complete with it.
+    pub(crate) async fn finish_silent(&mut self) -> bool {
+        let Some(exchange) = self.silent.take() else { return false };
+        matches!(self.await_silent(exchange).await, AttemptOutcome::Finished)
+    }
+
     fn progress_timeout(&self) -> Duration {
         Duration::from_millis(self.rules.deadlines.progress_ms)
     }
@@ -106,37 +122,35 @@
     /// Relays the response; the first event must arrive before `limit`.
     async fn relay(&mut self, mut exchange: Box<Exchange>, limit: Instant) -> AttemptOutcome {
         match self.relay_tokens(&mut exchange, limit.min(self.request.deadline)).await {
-            Ok(true) => {
+            Ok(()) => {
                 let service = &self.lifecycle.service;
                 self.shared.idle_pieces.record_use(exchange.upstream(), service, &exchange.piece_names);
                 exchange.finish();
                 AttemptOutcome::Finished
             }
-            Ok(false) => AttemptOutcome::CallerDisconnected,
-            Err(AttemptError::Silent) => AttemptOutcome::Silent(exchange),
-            Err(error) => {
+            Err(RelayEnd::CallerDisconnected) => AttemptOutcome::CallerDisconnected,
+            Err(RelayEnd::Overtaken) => AttemptOutcome::Overtaken,
+            Err(RelayEnd::Failed(AttemptError::Silent)) => AttemptOutcome::Silent(exchange),
+            Err(RelayEnd::Failed(error)) => {
                 exchange.fail(&error);
                 AttemptOutcome::Failed(exchange, error)
             }
         }
     }
 
-    /// Relays the tokens to the end; `Ok(false)` means that the caller disconnected.
-    async fn relay_tokens(&mut self, exchange: &mut Exchange, mut limit: Instant) -> AttemptResult<bool> {
-        tokio::select! {
-            events = exchange.events(limit) => drop(events?),
-            () = self.sender.closed() => return Ok(false),
-        }
-        // The upstream accepted the request, so the silent one before it is cancelled.
-        self.silent = None;
+    /// Relays the tokens to the end.
+    async fn relay_tokens(&mut self, exchange: &mut Exchange, mut limit: Instant) -> Result<(), RelayEnd> {
         loop {
-            let Some(event) = self.next_event(exchange, limit).await? else { return Ok(false) };
+            let event = self.next_token(exchange, limit).await?;
+            // The stream goes on here, so the silent attempt before it is cancelled.
+            self.silent = None;
             if !self.deliver(&event, &exchange.assignment.decision).await {
-                return Ok(false);
+                return Err(RelayEnd::CallerDisconnected);
             }
             if let (Some(finish_reason), Some(usage)) = (event.finish_reason, event.usage) {
                 self.lifecycle.apply_event("finished");
-                return Ok(self.send(ResponseEvent::Finished { finish_reason, usage }).await);
+                let sent = self.send(ResponseEvent::Finished { finish_reason, usage }).await;
+                return if sent { Ok(()) } else { Err(RelayEnd::CallerDisconnected) };
             }
             // Set only after the caller accepted the token, so that a slow caller is not counted as a silent
             // upstream.
@@ -144,28 +158,15 @@
         }
     }
 
-    /// Returns the event with the next token; `None` if the caller disconnected.
-    ///
-    /// Events of other attempts and of tokens already delivered are dropped and do not extend `limit`.
-    async fn next_event(
-        &self,
-        exchange: &mut Exchange,
-        limit: Instant,
-    ) -> AttemptResult<Option<EngineEvent>> {
-        loop {
-            let event = tokio::select! {
-                event = exchange.next_event(limit) => event?,
-                () = self.sender.closed() => return Ok(None),
-            };
-            let is_stray = event.attempt_id != exchange.request.attempt_id;
-            if is_stray || event.token_index < self.delivered_tokens {
-                self.shared.metrics.stray_events.inc();
-                continue;
-            }
-            if event.token_index > self.delivered_tokens {
-                return Err(AttemptError::Failed("the stream skipped a token".to_owned()));
-            }
-            return Ok(Some(event));
+    /// Returns the event with the next token of the exchange, unless the silent attempt before it goes on first.
+    async fn next_token(&mut self, exchange: &mut Exchange, limit: Instant) -> Result<EngineEvent, RelayEnd> {
+        let index = self.delivered_tokens;
+        let silent = self.silent.as_mut();
+        tokio::select! {
+            biased;
+            Some(()) = OptionFuture::from(silent.map(|silent| silent.progress(index))) => Err(RelayEnd::Overtaken),
+            event = exchange.next_token(index, limit) => event.map_err(RelayEnd::Failed),
+            () = self.sender.closed() => Err(RelayEnd::CallerDisconnected),
         }
     }
 
--- a/crates/node/src/attempt_failure.rs
+++ b/crates/node/src/attempt_failure.rs
@@ -35,8 +35,8 @@
 
     /// Records that an upstream is silent, and keeps the exchange, since another upstream may not take over.
     ///
-    /// An upstream that crashed is not waited for. If one is kept already, it is further than this one, which has not
-    /// accepted the request.
+    /// An upstream that crashed is not waited for. If one is kept already, it is replaced by an upstream that accepted
+    /// the request later.
     pub(crate) async fn handle_silence(&mut self, mut exchange: Box<Exchange>) {
         self.may_have_run = true;
         let crashed = self.report_if_crashed(&exchange).await;
@@ -51,7 +51,7 @@
         }
         if crashed {
             self.end_attempt();
-        } else if self.silent.is_none() {
+        } else if self.silent.is_none() || exchange.is_accepted() {
             self.silent = Some(exchange);
         }
     }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -69,6 +69,8 @@
     CallerDisconnected,
     /// Nothing arrived within the progress timeout; the upstream may still go on.
     Silent(Box<Exchange>),
+    /// The silent attempt before it went on first.
+    Overtaken,
     Failed(Box<Exchange>, AttemptError),
 }
 
@@ -90,7 +92,7 @@
     pub(crate) fingerprint: String,
     /// Upstreams that refused this request without leaving; they are excluded until a silent one is awaited further.
     pub(crate) refused: Vec<InstanceId>,
-    /// An attempt whose upstream is silent; kept until another upstream accepts the request.
+    /// An attempt whose upstream is silent; kept until another upstream sends the next token.
     pub(crate) silent: Option<Box<Exchange>>,
     /// Attempts that may have run.
     pub(crate) attempts: u64,
@@ -181,9 +183,7 @@
             };
             match outcome {
                 AttemptOutcome::Finished => {
-                    self.report_completion();
-                    slot.record_served();
-                    self.lifecycle.set_result(ResultCode::Ok);
+                    self.complete(slot);
                     return None;
                 }
                 AttemptOutcome::CallerDisconnected => {
@@ -194,6 +194,8 @@
                     self.handle_silence(exchange).await;
                     self.last_error = Some(AttemptError::Silent);
                 }
+                // It may have run, and counts against the limit of attempts.
+                AttemptOutcome::Overtaken => self.attempts += 1,
                 AttemptOutcome::Failed(exchange, error) => {
                     // A permitted run ends after the report of a crash, so that no other one is permitted in between.
                     self.handle_failure(&exchange, &error).await;
@@ -207,6 +209,10 @@
                 break;
             }
             if Instant::now() >= self.request.deadline {
+                if self.finish_silent().await {
+                    self.complete(slot);
+                    return None;
+                }
                 slot.record_overload();
                 break;
             }
@@ -214,6 +220,13 @@
         Some(self.refusal())
     }
 
+    /// Records that the response is complete.
+    fn complete(&mut self, mut slot: AdmissionSlot) {
+        self.report_completion();
+        slot.record_served();
+        self.lifecycle.set_result(ResultCode::Ok);
+    }
+
     /// Waits for a slot; `None` if the caller disconnected.
     async fn admit(&self) -> Option<Result<AdmissionSlot, Refusal>> {
         let request = AdmissionRequest {
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -4,7 +4,11 @@
 
 use daisysill_core::{block::BlockName, ids::InstanceId};
 use daisysill_wire::http_types::{EngineEvent, EngineRequest};
-use futures::{FutureExt, StreamExt, future::LocalBoxFuture};
+use futures::{
+    FutureExt, StreamExt,
+    future::{LocalBoxFuture, pending},
+};
+use prometheus_client::metrics::counter::Counter;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
@@ -31,6 +35,10 @@
     /// Whether it went without progress for a progress timeout before.
     pub(crate) was_silent: bool,
     response: Response,
+    /// What was read last, if it has not been returned.
+    arrived: Option<AttemptResult<EngineEvent>>,
+    /// Counts the events that belong to another attempt or to an earlier token.
+    stray_events: Counter,
     span: TraceSpan,
     cancel: Option<CancelOnDrop>,
 }
@@ -43,18 +51,21 @@
         request: EngineRequest,
         piece_names: Vec<BlockName>,
         span: TraceSpan,
+        stray_events: Counter,
     ) -> Self {
         let id = Some(request.attempt_id.clone());
         let cancel = CancelOnDrop { engine: Rc::clone(&engine), url: assignment.url.clone(), id };
         let (url, sent) = (assignment.url.clone(), request.clone());
         let traceparent = span.traceparent().to_owned();
-        let pending = async move { engine.generate(&url, &sent, &traceparent).await };
+        let head = async move { engine.generate(&url, &sent, &traceparent).await };
         Self {
             assignment,
             request,
             piece_names,
             was_silent: false,
-            response: Response::Pending(pending.boxed_local()),
+            response: Response::Pending(head.boxed_local()),
+            arrived: None,
+            stray_events,
             span,
             cancel: Some(cancel),
         }
@@ -65,29 +76,62 @@
         &self.assignment.decision.upstream
     }
 
-    /// Waits for the head of the response, and returns the events.
+    /// Returns whether the upstream accepted the request, that is, whether the head of its response has arrived.
+    pub(crate) const fn is_accepted(&self) -> bool {
+        matches!(self.response, Response::Open(_))
+    }
+
+    /// Returns the event with the token at `index`.
+    ///
+    /// Events of other attempts and of earlier tokens are dropped and do not extend `limit`.
     ///
     /// # Errors
-    /// `Silent` if the head does not arrive before `limit`; it can still be awaited then.
-    pub(crate) async fn events(&mut self, limit: Instant) -> AttemptResult<&mut EngineStream> {
-        if let Response::Pending(pending) = &mut self.response {
-            let opened = timeout_at(limit, pending).await.map_err(|_| AttemptError::Silent)?;
-            self.response = Response::Open(opened?);
+    /// `Silent` if it does not arrive before `limit`; it can still be awaited then.
+    pub(crate) async fn next_token(&mut self, index: u64, limit: Instant) -> AttemptResult<EngineEvent> {
+        timeout_at(limit, self.arrival(index)).await.map_err(|_| AttemptError::Silent)?;
+        self.arrived.take().unwrap_or(Err(AttemptError::Silent))
+    }
+
+    /// Waits until the token at `index` has arrived, or the response has failed; [`Self::next_token`] returns either.
+    pub(crate) async fn arrival(&mut self, index: u64) {
+        if self.arrived.is_none() {
+            self.arrived = Some(self.read_token(index).await);
         }
-        match &mut self.response {
-            Response::Open(events) => Ok(events),
-            Response::Pending(_) => Err(AttemptError::Silent),
+    }
+
+    /// Waits until the token at `index` has arrived; does not end if the response has failed.
+    pub(crate) async fn progress(&mut self, index: u64) {
+        self.arrival(index).await;
+        if matches!(self.arrived, Some(Err(_))) {
+            pending::<()>().await;
+        }
+    }
+
+    async fn read_token(&mut self, index: u64) -> AttemptResult<EngineEvent> {
+        loop {
+            let event = self.read_event().await?;
+            if event.attempt_id != self.request.attempt_id || event.token_index < index {
+                self.stray_events.inc();
+                continue;
+            }
+            if event.token_index > index {
+                return Err(AttemptError::Failed("the stream skipped a token".to_owned()));
+            }
+            return Ok(event);
         }
     }
 
     /// Returns the next event, which may belong to another attempt.
-    ///
-    /// # Errors
-    /// `Silent` if none arrives before `limit`; it can still be awaited then.
-    pub(crate) async fn next_event(&mut self, limit: Instant) -> AttemptResult<EngineEvent> {
-        let events = self.events(limit).await?;
-        let event = timeout_at(limit, events.next()).await.map_err(|_| AttemptError::Silent)?;
-        event.unwrap_or_else(|| Err(AttemptError::Failed("the stream ended early".to_owned())))
+    async fn read_event(&mut self) -> AttemptResult<EngineEvent> {
+        loop {
+            match &mut self.response {
+                Response::Pending(head) => self.response = Response::Open(head.await?),
+                Response::Open(events) => {
+                    let ended = || Err(AttemptError::Failed("the stream ended early".to_owned()));
+                    return events.next().await.unwrap_or_else(ended);
+                }
+            }
+        }
     }
 
     /// Ends the exchange after the last event.
--- a/crates/node/tests/silent_engines.rs
+++ b/crates/node/tests/silent_engines.rs
@@ -180,3 +180,93 @@
     assert_eq!(node.engine.attempts.borrow().len(), 1);
     assert!(!node.proposer.proposed.lock().unwrap().is_empty(), "no other run was asked for");
 }
+
+/// Rules by which little of the deadline is left when silence shows.
+const LATE_RULES: &str =
+    "[service]\nname = lyric-llm\n[deadlines]\nprogress_ms = 20000\n[retries]\nmax_attempts = 3\n";
+/// A stream that goes on after its silence has shown, before its deadline.
+const LATE: &[Step] = &[
+    Step::Token(0, None),
+    Step::Silence(Duration::from_secs(22)),
+    Step::Token(1, None),
+    Step::Silence(Duration::from_secs(1)),
+    Step::Finish(2),
+];
+
+/// Dispatches a prompt whose first engine plays `LATE`, and checks that its tokens arrive though another engine is asked
+/// meanwhile, which sends its head after `start_delay`.
+async fn assert_late_engine_is_read(second: &[Step], start_delay: Duration) {
+    let node = Node::start(LATE_RULES).await;
+    tokio::time::pause();
+    node.script(&[LATE, second]);
+    let receiver = node.prompt("opera-a", "la la");
+    sleep(Duration::from_millis(50)).await;
+    node.engine.start_delay.set(start_delay);
+    assert_eq!(collect_response(receiver).await, ("t0 t1 t2 ".to_owned(), None));
+    sleep(Duration::from_millis(50)).await;
+    let attempts = node.engine.attempts.borrow();
+    assert_eq!(attempts.len(), 2, "no other engine was asked, or more than one");
+    assert_eq!(*node.engine.cancelled.borrow(), [attempts[1].1.attempt_id.clone()]);
+}
+
+/// Guards against a complete answer that is not read, because another engine was asked and sends no head until the deadline.
+#[actix_rt::test]
+async fn an_engine_that_goes_on_while_another_one_is_asked_is_read() {
+    assert_late_engine_is_read(&[], Duration::from_mins(10)).await;
+}
+
+/// Guards against giving up a silent engine for one that accepts the request and then sends nothing.
+#[actix_rt::test]
+async fn an_engine_that_goes_on_while_another_one_sends_no_token_is_read() {
+    assert_late_engine_is_read(STALLED_HEAD, Duration::ZERO).await;
+}
+
+/// A stream that stays silent after its head.
+const STALLED_HEAD: &[Step] = &[Step::Silence(Duration::from_mins(10)), Step::Token(1, None)];
+
+/// Guards against a stream of two engines' tokens, and against tokens that are sent twice: once another engine has gone on
+/// with the stream, the silent one is not read any more.
+#[actix_rt::test]
+async fn a_stream_that_another_engine_goes_on_with_has_no_token_of_the_silent_one() {
+    let node = Node::start(LATE_RULES).await;
+    tokio::time::pause();
+    let pause = Duration::from_millis(1_500);
+    node.script(&[
+        LATE,
+        &[
+            Step::Token(1, None),
+            Step::Silence(pause),
+            Step::Token(2, None),
+            Step::Silence(pause),
+            Step::Finish(3),
+        ],
+    ]);
+    let response = collect_response(node.prompt("opera-a", "la la")).await;
+    assert_eq!(response, ("t0 t1 t2 t3 ".to_owned(), None));
+    sleep(Duration::from_millis(50)).await;
+    let attempts = node.engine.attempts.borrow();
+    assert_eq!(*node.engine.cancelled.borrow(), [attempts[0].1.attempt_id.clone()]);
+}
+
+/// Guards against a stream that goes on after its deadline, for as long as its engine sends tokens between probes.
+#[actix_rt::test]
+async fn a_stream_with_slow_tokens_ends_at_its_deadline() {
+    let node = start_with_one_engine(RULES).await;
+    let mut steps = Vec::new();
+    for index in 0..1_000 {
+        steps.extend([Step::Token(index, None), Step::Silence(Duration::from_millis(400))]);
+    }
+    node.script(&[&steps]);
+    let start = Instant::now();
+    assert_eq!(collect_response(node.prompt("opera-a", "la la")).await.1, Some(1402));
+    let elapsed = start.elapsed();
+    assert!(elapsed >= DEADLINE && elapsed < DEADLINE + Duration::from_secs(2), "{elapsed:?}");
+}
+
+/// Guards against refusing a request whose engine went on while the node probed it, shortly before the deadline.
+#[actix_rt::test]
+async fn an_answer_that_arrives_during_a_probe_at_the_deadline_is_read() {
+    let node = start_with_one_engine(&LATE_RULES.replace("20000", "29300")).await;
+    node.script(&[&[Step::Silence(Duration::from_millis(29_600)), Step::Token(0, None), Step::Finish(1)]]);
+    assert_complete(&node).await;
+}
