Pause before an engine that refused a request is asked again

What callers saw was not tied to this; engines did: while one engine was silent, each other one was asked for the same request at every further progress deadline, also within the pause that its Retry-After asked for, until the request's deadline.

Cause: each check of a silent attempt released all engines that had refused. Ruled out: requests without a silent one (an engine that refused stays excluded, and the request ends).

An engine that has room again still takes over.

--- a/crates/node/src/attempt_failure.rs
+++ b/crates/node/src/attempt_failure.rs
@@ -26,7 +26,7 @@
         }
         match error {
             AttemptError::Refused { leaving: true, .. } => self.shared.upstreams.event(upstream, "refused"),
-            AttemptError::Refused { .. } => self.refused.push(upstream.clone()),
+            AttemptError::Refused { retry_after_ms, .. } => self.pauses.begin(upstream, *retry_after_ms),
             AttemptError::TooLate => {}
             _ => self.shared.upstreams.event(upstream, "ping_failed"),
         }
@@ -42,8 +42,8 @@
         let crashed = self.report_if_crashed(&exchange).await;
         if exchange.was_silent {
             // Upstreams that were full may have room now.
-            let refused = std::mem::take(&mut self.refused);
-            self.excluded.retain(|upstream| !refused.contains(upstream));
+            let ended = self.pauses.take_ended();
+            self.excluded.retain(|upstream| !ended.contains(upstream));
         } else {
             exchange.was_silent = true;
             self.attempts += 1;
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -25,6 +25,7 @@
     request::RequestLifecycle,
     shared::Shared,
     upstream_api::{AttemptError, Engine},
+    upstream_pauses::UpstreamPauses,
 };
 
 /// Routing cost of another availability zone, in microseconds.
@@ -90,8 +91,8 @@
     /// Upstreams with a silent connection during this request; the next one is held against the upstream.
     pub(crate) silent_once: Vec<InstanceId>,
     pub(crate) fingerprint: String,
-    /// Upstreams that refused this request without leaving; they are excluded until a silent one is awaited further.
-    pub(crate) refused: Vec<InstanceId>,
+    /// Upstreams that refused this request; they are excluded until their pause has ended while a silent one is awaited.
+    pub(crate) pauses: UpstreamPauses,
     /// An attempt whose upstream is silent; kept until another upstream sends the next token.
     pub(crate) silent: Option<Box<Exchange>>,
     /// Attempts that may have run.
@@ -120,7 +121,7 @@
         Self {
             fingerprint,
             silent_once: Vec::new(),
-            refused: Vec::new(),
+            pauses: UpstreamPauses::default(),
             silent: None,
             attempts: 0,
             last_error: None,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -43,5 +43,6 @@
 pub mod trace;
 pub mod upstream_api;
 mod upstream_entry;
+mod upstream_pauses;
 mod upstream_reports;
 pub mod upstreams;
--- a/crates/node/tests/support/fakes.rs
+++ b/crates/node/tests/support/fakes.rs
@@ -147,6 +147,8 @@
     Cut,
     /// As the first step: refuses the attempt before it runs, as a full engine does.
     Refuse,
+    /// As [`Self::Refuse`], and asks for a pause of this many milliseconds.
+    RefuseFor(u64),
 }
 
 /// All engines of the node: each attempt, at whichever engine, plays the next script.
@@ -183,9 +185,8 @@
             self.attempts.borrow_mut().push((url.to_owned(), request.clone()));
             tokio::time::sleep(self.start_delay.get()).await;
             let script = self.scripts.borrow_mut().pop_front().unwrap_or_default();
-            if matches!(script.first(), Some(Step::Refuse)) {
-                let message = "status 503".to_owned();
-                return Err(AttemptError::Refused { message, leaving: false, retry_after_ms: None });
+            if let Some(refusal) = refusal(&script) {
+                return Err(refusal);
             }
             let (id, pulled) = (request.attempt_id.clone(), Rc::clone(&self.pulled));
             let events =
@@ -293,10 +294,20 @@
             None
         }
         Step::Cut => Some(Err(AttemptError::Failed("cut".to_owned()))),
-        Step::Refuse => None,
+        Step::Refuse | Step::RefuseFor(_) => None,
     }
 }
 
+/// Returns the refusal with which a script begins.
+fn refusal(script: &[Step]) -> Option<AttemptError> {
+    let retry_after_ms = match script.first()? {
+        Step::Refuse => None,
+        Step::RefuseFor(retry_after_ms) => Some(*retry_after_ms),
+        _ => return None,
+    };
+    Some(AttemptError::Refused { message: "status 503".to_owned(), leaving: false, retry_after_ms })
+}
+
 /// A platform whose list a test can change.
 #[derive(Default)]
 pub struct FakePlatform {
