Run a request that becomes suspect at its silent engine only

A request that was part of a crash elsewhere, while its first engine was silent, was sent to a second engine beside the first one; a caller that sent it again had it run at a third one. A prompt that crashes engines so took down more of them, and a stream ended with 1307 instead of going on at its engine.

Cause: the first attempt had needed no permission, so the agreed state did not know its run and permitted the next one. Ruled out: requests that were suspect before (their silent attempt is a permitted run, and the only one).

Before another engine is asked, the run at the silent one is now reported to the agreed state, if the request has become suspect. No other engine is asked then, and the agreed state refuses runs elsewhere. Since such a run began before the crash, its completion does not clear the request.

--- a/crates/node/src/assignment.rs
+++ b/crates/node/src/assignment.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use daisysill_control::{command::RunRefusal, crashes::REPORT_WINDOW_MS};
-use daisysill_core::{result_code::ResultCode, route::Decision};
+use daisysill_core::{ids::InstanceId, result_code::ResultCode, route::Decision};
 use futures::FutureExt;
 use tokio::time::Instant;
 
@@ -63,7 +63,8 @@
             }
             // A refusal before execution does not count as an attempt, since all engines that load new weights may
             // refuse in turn. The loop still ends, as that upstream is excluded.
-            let may_attempt = self.attempts < self.rules.retries.max_attempts && !self.awaits_permitted_run();
+            let may_attempt =
+                self.attempts < self.rules.retries.max_attempts && !self.awaits_only_run().await;
             let decision = if may_attempt { self.choose() } else { None };
             let Some(decision) = decision else { break self.refusal() };
             match self.assign(decision).await {
@@ -87,9 +88,33 @@
         self.silent.as_mut().is_some_and(|exchange| exchange.arrival(index).now_or_never().is_some())
     }
 
-    /// Returns whether the silent attempt is a permitted run: no other one is permitted before its end.
-    fn awaits_permitted_run(&self) -> bool {
-        self.silent.as_ref().is_some_and(|exchange| exchange.assignment.run.is_some())
+    /// Returns whether the request was part of a crash, so that it may run at its silent upstream only.
+    ///
+    /// If that became known after the attempt began, its run is reported, so that no other node permits one meanwhile.
+    async fn awaits_only_run(&mut self) -> bool {
+        let Some(silent) = &self.silent else { return false };
+        if silent.assignment.run.is_some() {
+            return true;
+        }
+        let run = match self.planned_run(silent.upstream()).request_permission(&self.shared).await {
+            RunPermission::NotNeeded => return false,
+            RunPermission::Granted(run) => Some(run.began_before()),
+            // Requested again at the next check.
+            RunPermission::Refused(_) | RunPermission::NoQuorum => None,
+        };
+        if let Some(silent) = &mut self.silent {
+            silent.assignment.run = run;
+        }
+        true
+    }
+
+    fn planned_run<'a>(&'a self, upstream: &'a InstanceId) -> PlannedRun<'a> {
+        PlannedRun {
+            upstream,
+            fingerprint: &self.fingerprint,
+            rules: &self.rules,
+            deadline: self.request.deadline,
+        }
     }
 
     /// Prepares an attempt; an upstream that may not run the request is excluded.
@@ -128,13 +153,7 @@
 
     /// Requests permission to run at the chosen upstream, which a request that was part of a crash needs.
     async fn request_permission(&mut self, decision: &Decision) -> Result<Option<GrantedRun>, RunDenial> {
-        let planned = PlannedRun {
-            upstream: &decision.upstream,
-            fingerprint: &self.fingerprint,
-            rules: &self.rules,
-            deadline: self.request.deadline,
-        };
-        match planned.request_permission(&self.shared).await {
+        match self.planned_run(&decision.upstream).request_permission(&self.shared).await {
             RunPermission::NotNeeded => Ok(None),
             RunPermission::Granted(run) => Ok(Some(run)),
             RunPermission::Refused(RunRefusal::UpstreamTaken) => {
--- a/crates/node/src/crash.rs
+++ b/crates/node/src/crash.rs
@@ -115,6 +115,8 @@
     shared: Arc<Shared>,
     end: Option<EndSuspectRun>,
     fingerprint: String,
+    /// Whether its completion clears the request of the crashes reported before the permission.
+    clears: bool,
 }
 
 impl GrantedRun {
@@ -123,8 +125,17 @@
         self.end = None;
     }
 
+    /// Marks a run that began before the request became suspect.
+    pub(crate) fn began_before(mut self) -> Self {
+        self.clears = false;
+        self
+    }
+
     /// Ends the run and clears the request of the crash, since the upstream completed it.
     pub(crate) fn finished(mut self) {
+        if !self.clears {
+            return;
+        }
         if let Some(end) = &mut self.end {
             end.finished = true;
         }
@@ -182,6 +193,7 @@
             shared: Arc::clone(shared),
             end: Some(EndSuspectRun { attempt, finished: false, block_ms }),
             fingerprint: self.fingerprint.to_owned(),
+            clears: true,
         };
         let proposed = shared.proposer.propose(Command::StartSuspectRun(start));
         match timeout(PERMISSION_TIMEOUT, proposed).await {
--- a/crates/node/tests/silent_engines.rs
+++ b/crates/node/tests/silent_engines.rs
@@ -151,7 +151,45 @@
         fingerprints: vec![fingerprint(&"opera-a".into(), &"lyric-llm".into(), "", "la la")],
         block_ms: 60_000,
     };
-    node.shared.cluster.propose(Command::ReportCrash(report)).await.unwrap();
+    let report = Command::ReportCrash(report);
+    node.shared.cluster.propose(report.clone()).await.unwrap();
+    let mut state = node.proposer.state.lock().unwrap();
+    let index = state.applied_index + 1;
+    state.apply(index, 0, &report);
+}
+
+/// Guards against a second run of a request that became suspect while its first engine was silent: at another engine, or by
+/// a caller that sent it again.
+#[actix_rt::test]
+async fn a_request_that_becomes_suspect_runs_at_its_silent_engine_only() {
+    let node = Node::start(RULES).await;
+    node.script(&[PAUSED, &[Step::Finish(1)], &[Step::Finish(1)]]);
+    let receiver = node.prompt("opera-a", "la la");
+    sleep(Duration::from_millis(50)).await;
+    crash_elsewhere(&node).await;
+    sleep(Duration::from_millis(1_500)).await;
+    let resent = collect_response(node.prompt("opera-a", "la la")).await;
+    assert_eq!(collect_response(receiver).await, ("t0 t1 ".to_owned(), None));
+    assert_eq!(node.engine.attempts.borrow().len(), 1);
+    assert_eq!(resent, (String::new(), Some(1307)));
+}
+
+/// Guards against clearing a request of a crash by a run that began before it.
+#[actix_rt::test]
+async fn a_run_that_began_before_a_crash_clears_its_request_of_none() {
+    let node = Node::start(RULES).await;
+    node.script(&[PAUSED]);
+    let receiver = node.prompt("opera-a", "la la");
+    sleep(Duration::from_millis(50)).await;
+    crash_elsewhere(&node).await;
+    assert_eq!(collect_response(receiver).await, ("t0 t1 ".to_owned(), None));
+    sleep(Duration::from_millis(50)).await;
+    let proposed = node.proposer.proposed.lock().unwrap();
+    let ends = proposed.iter().filter_map(|command| match command {
+        Command::EndSuspectRun(end) => Some(end.finished),
+        _ => None,
+    });
+    assert_eq!(ends.collect::<Vec<_>>(), [false]);
 }
 
 /// Guards against ending the response of a suspect request, which may not run at another engine meanwhile.
