Report the crash of a silent engine though another one takes over

What callers saw was not tied to this. An engine that crashed while it was silent, and while another one was asked, was not reported: the one that took over ended the attempt unread. A prompt that takes down engines so has one crash too few against it.

Cause: whoever took over dropped the silent attempt without a look at how it stood. Ruled out: silence itself (the node checks for a crash when it shows).

The silent attempt is now read until then, so its failure is known; if it has failed, the node checks its engine for a crash, as after any other failed attempt.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -142,8 +142,8 @@
     async fn relay_tokens(&mut self, exchange: &mut Exchange, mut limit: Instant) -> Result<(), RelayEnd> {
         loop {
             let event = self.next_token(exchange, limit).await?;
-            // The stream goes on here, so the silent attempt before it is cancelled.
-            self.silent = None;
+            // The stream goes on here.
+            self.leave_silent().await;
             if !self.deliver(&event, &exchange.assignment.decision).await {
                 return Err(RelayEnd::CallerDisconnected);
             }
--- a/crates/node/src/attempt_failure.rs
+++ b/crates/node/src/attempt_failure.rs
@@ -56,6 +56,14 @@
         }
     }
 
+    /// Cancels the silent attempt. If its response has failed meanwhile, its upstream may have crashed, which is reported.
+    pub(crate) async fn leave_silent(&mut self) {
+        let Some(silent) = self.silent.take() else { return };
+        if silent.has_failed() {
+            self.report_if_crashed(&silent).await;
+        }
+    }
+
     /// Excludes an upstream that is silent for the first time unless only its connection failed.
     async fn judge_silence(&mut self, upstream: &InstanceId) {
         self.record_failure(upstream, &AttemptError::Silent);
--- a/crates/node/src/exchange.rs
+++ b/crates/node/src/exchange.rs
@@ -81,6 +81,11 @@
         matches!(self.response, Response::Open(_))
     }
 
+    /// Returns whether an error was read that [`Self::next_token`] has not returned yet.
+    pub(crate) const fn has_failed(&self) -> bool {
+        matches!(self.arrived, Some(Err(_)))
+    }
+
     /// Returns the event with the token at `index`.
     ///
     /// Events of other attempts and of earlier tokens are dropped and do not extend `limit`.
@@ -102,7 +107,7 @@
     /// Waits until the token at `index` has arrived; does not end if the response has failed.
     pub(crate) async fn progress(&mut self, index: u64) {
         self.arrival(index).await;
-        if matches!(self.arrived, Some(Err(_))) {
+        if self.has_failed() {
             pending::<()>().await;
         }
     }
--- a/crates/node/tests/silent_engines.rs
+++ b/crates/node/tests/silent_engines.rs
@@ -174,6 +174,23 @@
     assert_eq!(resent, (String::new(), Some(1307)));
 }
 
+/// Guards against a crash that is not reported, because another engine was asked when it showed and took over.
+#[actix_rt::test]
+async fn a_crash_of_a_silent_engine_is_reported_though_another_one_takes_over() {
+    let node = Node::start(RULES).await;
+    node.script(&[
+        &[Step::Token(0, None), Step::Silence(Duration::from_millis(1_500)), Step::Cut],
+        &[Step::Silence(Duration::from_millis(900)), Step::Finish(1)],
+    ]);
+    let receiver = node.prompt("opera-a", "la la");
+    sleep(Duration::from_millis(1_300)).await;
+    assert_eq!(node.engine.attempts.borrow().len(), 2);
+    node.engine.incarnation.set(7);
+    assert_eq!(collect_response(receiver).await, ("t0 t1 ".to_owned(), None));
+    let proposed = node.proposer.proposed.lock().unwrap();
+    assert_eq!(proposed.iter().filter(|command| matches!(command, Command::ReportCrash(_))).count(), 1);
+}
+
 /// Guards against clearing a request of a crash by a run that began before it.
 #[actix_rt::test]
 async fn a_run_that_began_before_a_crash_clears_its_request_of_none() {
