Search the events of a stream for their ends once

What callers saw was not tied to this. An engine that sent an event byte by byte, or many small ones at once, kept a node's thread busy, so that its other requests waited.

Cause: each read searched the whole buffered event again from its start, and each event moved the rest of the buffer. Ruled out: memory (an event is limited to 1 MiB).

The search goes on where it ended, and a read moves the buffer once.

--- a/crates/node/src/sse.rs
+++ b/crates/node/src/sse.rs
@@ -15,6 +15,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: Vec<u8>,
+    /// Bytes at the start of `buffer` that are known to hold no end of an event.
+    searched_bytes: usize,
 }
 
 impl EventSplitter {
@@ -33,19 +35,32 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<String>, EventTooLarge> {
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
-        while let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\n\n") {
-            let event: Vec<u8> = self.buffer.drain(..end + 2).collect();
-            let text = String::from_utf8_lossy(&event);
-            let data = text.lines().filter_map(|line| line.strip_prefix("data:"));
-            let data: Vec<&str> = data.map(str::trim_start).collect();
-            if !data.is_empty() {
-                events.push(data.join("\n"));
-            }
+        let mut start = 0;
+        while let Some(end) = end_of_event(&self.buffer, self.searched_bytes.max(start)) {
+            events.extend(event_data(&self.buffer[start..end]));
+            start = end;
         }
+        self.buffer.drain(..start);
+        // The last byte may begin the end of an event.
+        self.searched_bytes = self.buffer.len().saturating_sub(1);
         if self.buffer.len() > MAX_EVENT_BYTES { Err(EventTooLarge) } else { Ok(events) }
     }
 }
 
+/// Returns the position after the first event that ends at or after `from`.
+fn end_of_event(bytes: &[u8], from: usize) -> Option<usize> {
+    let end = bytes.get(from..)?.windows(2).position(|pair| pair == b"\n\n")?;
+    Some(from + end + 2)
+}
+
+/// Returns the data of an event; `None` if it has none.
+fn event_data(event: &[u8]) -> Option<String> {
+    let text = String::from_utf8_lossy(event);
+    let data = text.lines().filter_map(|line| line.strip_prefix("data:"));
+    let data: Vec<&str> = data.map(str::trim_start).collect();
+    (!data.is_empty()).then(|| data.join("\n"))
+}
+
 /// Returns an event with the value as JSON, or with empty data if it cannot be serialized.
 pub fn json_event<T: Serialize>(value: &T) -> String {
     let json = serde_json::to_string(value).unwrap_or_default();
