Limit polls of engines, stores and the platform to the end of their bodies

A platform or an engine that sent the body of its answer byte by byte kept the poll going; a node knows instances, load and cache events only from the polls.

Cause: the limit of the HTTP client ends with the head of the answer. Ruled out, by tests: heads of single bytes, bytes without end in heads and bodies, and malformed bodies, heads and events.

A poll now ends 4 s after its start, and a posted control request at its own limit, body included.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -30,6 +30,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Limit on a control request, such as reading the load or the instance list.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Limit on a control request to the end of the response's body, which may be long.
+const CONTROL_BODY_TIMEOUT: Duration = Duration::from_secs(4);
 /// Port of a URL without one.
 const DEFAULT_PORT: u16 = 80;
 /// Largest body of a JSON response.
@@ -116,8 +118,16 @@
 /// # Errors
 /// Classifies failures by whether the upstream may have executed the request.
 pub async fn get_json<T: DeserializeOwned>(client: &Client, url: &str) -> AttemptResult<T> {
-    let response = client.get(url).timeout(CONTROL_TIMEOUT).send().await;
-    read_json(response.map_err(|e| classify_send_error(&e))?).await
+    let exchange = async {
+        let response = client.get(url).timeout(CONTROL_TIMEOUT).send().await;
+        read_json(response.map_err(|e| classify_send_error(&e))?).await
+    };
+    within(CONTROL_BODY_TIMEOUT, exchange).await
+}
+
+/// Limits the time of an exchange to the end of its body, which the client's own limit does not.
+async fn within<T>(limit: Duration, exchange: impl Future<Output = AttemptResult<T>>) -> AttemptResult<T> {
+    timeout(limit, exchange).await.unwrap_or(Err(AttemptError::Silent))
 }
 
 /// Sends GET and returns the body of the response.
@@ -125,13 +135,16 @@
 /// # Errors
 /// Classifies failures by whether the upstream may have executed the request.
 pub async fn get_body(client: &Client, url: &str) -> AttemptResult<Bytes> {
-    let response = client.get(url).timeout(CONTROL_TIMEOUT).send().await;
-    let mut response = response.map_err(|e| classify_send_error(&e))?;
-    if !response.status().is_success() {
-        return Err(classify_error_status(&response));
-    }
-    let body = response.body().limit(MAX_CONTROL_BODY_BYTES);
-    body.await.map_err(|error| AttemptError::Failed(error.to_string()))
+    let exchange = async {
+        let response = client.get(url).timeout(CONTROL_TIMEOUT).send().await;
+        let mut response = response.map_err(|e| classify_send_error(&e))?;
+        if !response.status().is_success() {
+            return Err(classify_error_status(&response));
+        }
+        let body = response.body().limit(MAX_CONTROL_BODY_BYTES);
+        body.await.map_err(|error| AttemptError::Failed(error.to_string()))
+    };
+    within(CONTROL_BODY_TIMEOUT, exchange).await
 }
 
 /// Sends JSON with POST and parses the JSON response.
@@ -144,8 +157,11 @@
     body: &B,
     timeout: Duration,
 ) -> AttemptResult<T> {
-    let response = client.post(url).timeout(timeout).send_json(body).await;
-    read_json(response.map_err(|e| classify_send_error(&e))?).await
+    let exchange = async {
+        let response = client.post(url).timeout(timeout).send_json(body).await;
+        read_json(response.map_err(|e| classify_send_error(&e))?).await
+    };
+    within(timeout, exchange).await
 }
 
 /// Sends DELETE and ignores the body of the response; status 404 counts as success.
