--- a/crates/node/src/attempt_failure.rs
+++ b/crates/node/src/attempt_failure.rs
@@ -26,7 +26,7 @@
         }
         match error {
             AttemptError::Refused { leaving: true, .. } => self.shared.upstreams.event(upstream, "refused"),
-            AttemptError::Refused { .. } => self.refused.push(upstream.clone()),
+            AttemptError::Refused { retry_after_ms, .. } => self.pauses.begin(upstream, *retry_after_ms),
             AttemptError::TooLate => {}
             _ => self.shared.upstreams.event(upstream, "ping_failed"),
         }
@@ -35,15 +35,15 @@
 
     /// Records that an upstream is silent, and keeps the exchange, since another upstream may not take over.
     ///
-    /// An upstream that crashed is not waited for. If one is kept already, it is further than this one, which has not
-    /// accepted the request.
+    /// An upstream that crashed is not waited for. If one is kept already, it is replaced by an upstream that accepted
+    /// the request later.
     pub(crate) async fn handle_silence(&mut self, mut exchange: Box<Exchange>) {
         self.may_have_run = true;
         let crashed = self.report_if_crashed(&exchange).await;
         if exchange.was_silent {
             // Upstreams that were full may have room now.
-            let refused = std::mem::take(&mut self.refused);
-            self.excluded.retain(|upstream| !refused.contains(upstream));
+            let ended = self.pauses.take_ended();
+            self.excluded.retain(|upstream| !ended.contains(upstream));
         } else {
             exchange.was_silent = true;
             self.attempts += 1;
@@ -51,11 +51,19 @@
         }
         if crashed {
             self.end_attempt();
-        } else if self.silent.is_none() {
+        } else if self.silent.is_none() || exchange.is_accepted() {
             self.silent = Some(exchange);
         }
     }
 
+    /// Cancels the silent attempt. If its response has failed meanwhile, its upstream may have crashed, which is reported.
+    pub(crate) async fn leave_silent(&mut self) {
+        let Some(silent) = self.silent.take() else { return };
+        if silent.has_failed() {
+            self.report_if_crashed(&silent).await;
+        }
+    }
+
     /// Excludes an upstream that is silent for the first time unless only its connection failed.
     async fn judge_silence(&mut self, upstream: &InstanceId) {
         self.record_failure(upstream, &AttemptError::Silent);
--- a/crates/node/tests/silent_engines.rs
+++ b/crates/node/tests/silent_engines.rs
@@ -151,7 +151,62 @@
         fingerprints: vec![fingerprint(&"opera-a".into(), &"lyric-llm".into(), "", "la la")],
         block_ms: 60_000,
     };
-    node.shared.cluster.propose(Command::ReportCrash(report)).await.unwrap();
+    let report = Command::ReportCrash(report);
+    node.shared.cluster.propose(report.clone()).await.unwrap();
+    let mut state = node.proposer.state.lock().unwrap();
+    let index = state.applied_index + 1;
+    state.apply(index, 0, &report);
+}
+
+/// Guards against a second run of a request that became suspect while its first engine was silent: at another engine, or by
+/// a caller that sent it again.
+#[actix_rt::test]
+async fn a_request_that_becomes_suspect_runs_at_its_silent_engine_only() {
+    let node = Node::start(RULES).await;
+    node.script(&[PAUSED, &[Step::Finish(1)], &[Step::Finish(1)]]);
+    let receiver = node.prompt("opera-a", "la la");
+    sleep(Duration::from_millis(50)).await;
+    crash_elsewhere(&node).await;
+    sleep(Duration::from_millis(1_500)).await;
+    let resent = collect_response(node.prompt("opera-a", "la la")).await;
+    assert_eq!(collect_response(receiver).await, ("t0 t1 ".to_owned(), None));
+    assert_eq!(node.engine.attempts.borrow().len(), 1);
+    assert_eq!(resent, (String::new(), Some(1307)));
+}
+
+/// Guards against a crash that is not reported, because another engine was asked when it showed and took over.
+#[actix_rt::test]
+async fn a_crash_of_a_silent_engine_is_reported_though_another_one_takes_over() {
+    let node = Node::start(RULES).await;
+    node.script(&[
+        &[Step::Token(0, None), Step::Silence(Duration::from_millis(1_500)), Step::Cut],
+        &[Step::Silence(Duration::from_millis(900)), Step::Finish(1)],
+    ]);
+    let receiver = node.prompt("opera-a", "la la");
+    sleep(Duration::from_millis(1_300)).await;
+    assert_eq!(node.engine.attempts.borrow().len(), 2);
+    node.engine.incarnation.set(7);
+    assert_eq!(collect_response(receiver).await, ("t0 t1 ".to_owned(), None));
+    let proposed = node.proposer.proposed.lock().unwrap();
+    assert_eq!(proposed.iter().filter(|command| matches!(command, Command::ReportCrash(_))).count(), 1);
+}
+
+/// Guards against clearing a request of a crash by a run that began before it.
+#[actix_rt::test]
+async fn a_run_that_began_before_a_crash_clears_its_request_of_none() {
+    let node = Node::start(RULES).await;
+    node.script(&[PAUSED]);
+    let receiver = node.prompt("opera-a", "la la");
+    sleep(Duration::from_millis(50)).await;
+    crash_elsewhere(&node).await;
+    assert_eq!(collect_response(receiver).await, ("t0 t1 ".to_owned(), None));
+    sleep(Duration::from_millis(50)).await;
+    let proposed = node.proposer.proposed.lock().unwrap();
+    let ends = proposed.iter().filter_map(|command| match command {
+        Command::EndSuspectRun(end) => Some(end.finished),
+        _ => None,
+    });
+    assert_eq!(ends.collect::<Vec<_>>(), [false]);
 }
 
 /// Guards against ending the response of a suspect request, which may not run at another engine meanwhile.
@@ -180,3 +235,93 @@
     assert_eq!(node.engine.attempts.borrow().len(), 1);
     assert!(!node.proposer.proposed.lock().unwrap().is_empty(), "no other run was asked for");
 }
+
+/// Rules by which little of the deadline is left when silence shows.
+const LATE_RULES: &str =
+    "[service]\nname = lyric-llm\n[deadlines]\nprogress_ms = 20000\n[retries]\nmax_attempts = 3\n";
+/// A stream that goes on after its silence has shown, before its deadline.
+const LATE: &[Step] = &[
+    Step::Token(0, None),
+    Step::Silence(Duration::from_secs(22)),
+    Step::Token(1, None),
+    Step::Silence(Duration::from_secs(1)),
+    Step::Finish(2),
+];
+
+/// Dispatches a prompt whose first engine plays `LATE`, and checks that its tokens arrive though another engine is asked
+/// meanwhile, which sends its head after `start_delay`.
+async fn assert_late_engine_is_read(second: &[Step], start_delay: Duration) {
+    let node = Node::start(LATE_RULES).await;
+    tokio::time::pause();
+    node.script(&[LATE, second]);
+    let receiver = node.prompt("opera-a", "la la");
+    sleep(Duration::from_millis(50)).await;
+    node.engine.start_delay.set(start_delay);
+    assert_eq!(collect_response(receiver).await, ("t0 t1 t2 ".to_owned(), None));
+    sleep(Duration::from_millis(50)).await;
+    let attempts = node.engine.attempts.borrow();
+    assert_eq!(attempts.len(), 2, "no other engine was asked, or more than one");
+    assert_eq!(*node.engine.cancelled.borrow(), [attempts[1].1.attempt_id.clone()]);
+}
+
+/// Guards against a complete answer that is not read, because another engine was asked and sends no head until the deadline.
+#[actix_rt::test]
+async fn an_engine_that_goes_on_while_another_one_is_asked_is_read() {
+    assert_late_engine_is_read(&[], Duration::from_mins(10)).await;
+}
+
+/// Guards against giving up a silent engine for one that accepts the request and then sends nothing.
+#[actix_rt::test]
+async fn an_engine_that_goes_on_while_another_one_sends_no_token_is_read() {
+    assert_late_engine_is_read(STALLED_HEAD, Duration::ZERO).await;
+}
+
+/// A stream that stays silent after its head.
+const STALLED_HEAD: &[Step] = &[Step::Silence(Duration::from_mins(10)), Step::Token(1, None)];
+
+/// Guards against a stream of two engines' tokens, and against tokens that are sent twice: once another engine has gone on
+/// with the stream, the silent one is not read any more.
+#[actix_rt::test]
+async fn a_stream_that_another_engine_goes_on_with_has_no_token_of_the_silent_one() {
+    let node = Node::start(LATE_RULES).await;
+    tokio::time::pause();
+    let pause = Duration::from_millis(1_500);
+    node.script(&[
+        LATE,
+        &[
+            Step::Token(1, None),
+            Step::Silence(pause),
+            Step::Token(2, None),
+            Step::Silence(pause),
+            Step::Finish(3),
+        ],
+    ]);
+    let response = collect_response(node.prompt("opera-a", "la la")).await;
+    assert_eq!(response, ("t0 t1 t2 t3 ".to_owned(), None));
+    sleep(Duration::from_millis(50)).await;
+    let attempts = node.engine.attempts.borrow();
+    assert_eq!(*node.engine.cancelled.borrow(), [attempts[0].1.attempt_id.clone()]);
+}
+
+/// Guards against a stream that goes on after its deadline, for as long as its engine sends tokens between probes.
+#[actix_rt::test]
+async fn a_stream_with_slow_tokens_ends_at_its_deadline() {
+    let node = start_with_one_engine(RULES).await;
+    let mut steps = Vec::new();
+    for index in 0..1_000 {
+        steps.extend([Step::Token(index, None), Step::Silence(Duration::from_millis(400))]);
+    }
+    node.script(&[&steps]);
+    let start = Instant::now();
+    assert_eq!(collect_response(node.prompt("opera-a", "la la")).await.1, Some(1402));
+    let elapsed = start.elapsed();
+    assert!(elapsed >= DEADLINE && elapsed < DEADLINE + Duration::from_secs(2), "{elapsed:?}");
+}
+
+/// Guards against refusing a request whose engine went on while the node probed it, shortly before the deadline.
+#[actix_rt::test]
+async fn an_answer_that_arrives_during_a_probe_at_the_deadline_is_read() {
+    let node = start_with_one_engine(&LATE_RULES.replace("20000", "29300")).await;
+    node.script(&[&[Step::Silence(Duration::from_millis(29_600)), Step::Token(0, None), Step::Finish(1)]]);
+    assert_complete(&node).await;
+}
