--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -68,6 +68,9 @@
     pub(crate) acknowledged: BTreeMap<InstanceId, (DiskId, Position)>,
     pub(crate) incoming: Option<IncomingSnapshot>,
     pub(crate) bootstrap: Option<Bootstrap>,
+    /// Whether it may form a new cluster: not after an attempt in this process, whose late replies could count for another
+    /// one in the same term.
+    pub(crate) may_form: bool,
     pub(crate) outputs: Vec<Output>,
 }
 
@@ -118,6 +121,7 @@
             acknowledged: BTreeMap::new(),
             incoming: None,
             bootstrap: None,
+            may_form: true,
             outputs: Vec::new(),
             config,
         };
@@ -135,7 +139,8 @@
     /// of the process.
     #[must_use]
     pub fn restarted(&self, recovered: Recovered, now_ms: u64, seed: u64) -> Self {
-        Self::new(self.config.clone(), recovered, now_ms, seed)
+        let may_form = self.may_form && self.is_uninitialized();
+        Self { may_form, ..Self::new(self.config.clone(), recovered, now_ms, seed) }
     }
 
     /// Processes an input at `now_ms` on this instance's monotonic clock, and appends the resulting actions to
@@ -200,7 +205,7 @@
             synced_index: self.writes.synced_index,
             commit_index: self.commit_index,
             applied_index: self.state.applied_index,
-            voters: self.voters.clone(),
+            voters: self.reported_voters(),
             leader_silent_ms: self.now_ms.saturating_sub(self.leader_contact_ms),
             peers: self.peer_status(),
             waits_for_peers: self.is_voter() && !self.start_check.passed,
@@ -293,7 +298,8 @@
 
     /// Returns the voter set that makes this replica with its disk a voter: the last one or, while the removal of this
     /// replica is not committed, the committed one. Otherwise no leader could be elected if only this replica holds the
-    /// removal, since the others vote only for a candidate whose log is as long.
+    /// removal, since the others vote only for a candidate whose log is as long. `None` if a peer has told that this replica
+    /// was removed since.
     pub(crate) fn own_voter_set(&self) -> Option<&VoterSet> {
         if self.not_a_voter_at > Some(self.voters_position) {
             return None;
@@ -302,6 +308,15 @@
         Some(&self.voters).filter(includes_self).or_else(|| self.committed_voters().filter(includes_self))
     }
 
+    /// Returns the voter set as far as it is known, without this replica if a peer has told that it was removed.
+    fn reported_voters(&self) -> VoterSet {
+        let mut voters = self.voters.clone();
+        if self.not_a_voter_at > Some(self.voters_position) {
+            voters.voters.remove(&self.config.name);
+        }
+        voters
+    }
+
     /// Returns the newest voter set known to be committed; `None` if none is.
     pub(crate) fn committed_voters(&self) -> Option<&VoterSet> {
         let in_log = self.log.latest_voters(self.commit_index).map(|(_, voters)| voters);
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -25,6 +25,7 @@
     request::RequestLifecycle,
     shared::Shared,
     upstream_api::{AttemptError, Engine},
+    upstream_pauses::UpstreamPauses,
 };
 
 /// Routing cost of another availability zone, in microseconds.
@@ -69,6 +70,8 @@
     CallerDisconnected,
     /// Nothing arrived within the progress timeout; the upstream may still go on.
     Silent(Box<Exchange>),
+    /// The silent attempt before it went on first.
+    Overtaken,
     Failed(Box<Exchange>, AttemptError),
 }
 
@@ -88,9 +91,9 @@
     /// Upstreams with a silent connection during this request; the next one is held against the upstream.
     pub(crate) silent_once: Vec<InstanceId>,
     pub(crate) fingerprint: String,
-    /// Upstreams that refused this request without leaving; they are excluded until a silent one is awaited further.
-    pub(crate) refused: Vec<InstanceId>,
-    /// An attempt whose upstream is silent; kept until another upstream accepts the request.
+    /// Upstreams that refused this request; they are excluded until their pause has ended while a silent one is awaited.
+    pub(crate) pauses: UpstreamPauses,
+    /// An attempt whose upstream is silent; kept until another upstream sends the next token.
     pub(crate) silent: Option<Box<Exchange>>,
     /// Attempts that may have run.
     pub(crate) attempts: u64,
@@ -118,7 +121,7 @@
         Self {
             fingerprint,
             silent_once: Vec::new(),
-            refused: Vec::new(),
+            pauses: UpstreamPauses::default(),
             silent: None,
             attempts: 0,
             last_error: None,
@@ -181,9 +184,7 @@
             };
             match outcome {
                 AttemptOutcome::Finished => {
-                    self.report_completion();
-                    slot.record_served();
-                    self.lifecycle.set_result(ResultCode::Ok);
+                    self.complete(slot);
                     return None;
                 }
                 AttemptOutcome::CallerDisconnected => {
@@ -194,6 +195,8 @@
                     self.handle_silence(exchange).await;
                     self.last_error = Some(AttemptError::Silent);
                 }
+                // It may have run, and counts against the limit of attempts.
+                AttemptOutcome::Overtaken => self.attempts += 1,
                 AttemptOutcome::Failed(exchange, error) => {
                     // A permitted run ends after the report of a crash, so that no other one is permitted in between.
                     self.handle_failure(&exchange, &error).await;
@@ -207,6 +210,10 @@
                 break;
             }
             if Instant::now() >= self.request.deadline {
+                if self.finish_silent().await {
+                    self.complete(slot);
+                    return None;
+                }
                 slot.record_overload();
                 break;
             }
@@ -214,6 +221,13 @@
         Some(self.refusal())
     }
 
+    /// Records that the response is complete.
+    fn complete(&mut self, mut slot: AdmissionSlot) {
+        self.report_completion();
+        slot.record_served();
+        self.lifecycle.set_result(ResultCode::Ok);
+    }
+
     /// Waits for a slot; `None` if the caller disconnected.
     async fn admit(&self) -> Option<Result<AdmissionSlot, Refusal>> {
         let request = AdmissionRequest {
