--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -279,13 +279,13 @@
         }
     }
 
-    /// Goes on from the data folder as after a restart of the process.
+    /// Continues from the data folder as after a restart of the process.
     fn restart_replica(&mut self, recovered: Recovered) {
         let entries = recovered.entries.len();
         self.replica = self.replica.restarted(recovered, self.now_ms(), rand::random());
         let last_index = self.replica.status().last_index;
         log::info!(
-            "the data folder can be written again; this voter goes on with {entries} entries up to {last_index}"
+            "the data folder can be written again; this voter resumes with {entries} entries up to {last_index}"
         );
         self.metrics.disk_recoveries.inc();
         self.ages_index = 0;
--- a/crates/cluster/src/storage_thread.rs
+++ b/crates/cluster/src/storage_thread.rs
@@ -116,7 +116,7 @@
     }
 
     /// Opens the folder again once the disk accepts writes; returns `false` if the thread is to end. A halted replica
-    /// issues no batches, so that the channel only tells the end.
+    /// issues no batches, so that the channel only reports the end.
     fn reopen(&mut self) -> bool {
         let Some(storage) = &mut self.storage else { return true };
         loop {
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -82,9 +82,9 @@
         progress.disk.filter(|_| progress.match_index >= self.commit_index)
     }
 
-    /// Tells a replica that acts as a voter if it is none in the committed voter set. Its requests are processed all the
+    /// Notifies a replica that acts as a voter if it is none in the committed voter set. Its requests are processed all the
     /// same: it may have become a voter since, by an entry that this replica does not know to be committed.
-    pub(crate) fn tell_if_not_a_voter(&mut self, peer: &InstanceId, disk: DiskId) {
+    pub(crate) fn notify_if_not_a_voter(&mut self, peer: &InstanceId, disk: DiskId) {
         let is_voter = |voters: &VoterSet| voters.has_voter(peer, disk);
         if self.committed_voters().is_none_or(is_voter) || is_voter(&self.voters) {
             return;
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -135,7 +135,7 @@
         replica
     }
 
-    /// Creates the replica that goes on with the contents of the data folder after it was opened again. Equal to a restart
+    /// Creates the replica that continues with the contents of the data folder after it was opened again. Equal to a restart
     /// of the process.
     #[must_use]
     pub fn restarted(&self, recovered: Recovered, now_ms: u64, seed: u64) -> Self {
@@ -233,7 +233,7 @@
         let Envelope { disk, term, message } = envelope;
         match message {
             Message::PreVoteRequest { term, last } => {
-                self.tell_if_not_a_voter(from, disk);
+                self.notify_if_not_a_voter(from, disk);
                 self.on_pre_vote(from, term, last);
             }
             Message::PreVoteReply { term: requested_term, granted } => {
@@ -252,7 +252,7 @@
                 self.on_chunk_reply(from, disk, term, position, received_bytes, echo_ms);
             }
             Message::PositionRequest { check_id } => {
-                self.tell_if_not_a_voter(from, disk);
+                self.notify_if_not_a_voter(from, disk);
                 self.on_position_request(from, disk, check_id);
             }
             Message::PositionReply { check_id, last, acknowledged } => {
@@ -298,7 +298,7 @@
 
     /// Returns the voter set that makes this replica with its disk a voter: the last one or, while the removal of this
     /// replica is not committed, the committed one. Otherwise no leader could be elected if only this replica holds the
-    /// removal, since the others vote only for a candidate whose log is as long. `None` if a peer has told that this replica
+    /// removal, since the others vote only for a candidate whose log is as long. `None` if a peer has reported that this replica
     /// was removed since.
     pub(crate) fn own_voter_set(&self) -> Option<&VoterSet> {
         if self.not_a_voter_at > Some(self.voters_position) {
@@ -308,7 +308,7 @@
         Some(&self.voters).filter(includes_self).or_else(|| self.committed_voters().filter(includes_self))
     }
 
-    /// Returns the voter set as far as it is known, without this replica if a peer has told that it was removed.
+    /// Returns the voter set as far as it is known, without this replica if a peer has reported its removal.
     fn reported_voters(&self) -> VoterSet {
         let mut voters = self.voters.clone();
         if self.not_a_voter_at > Some(self.voters_position) {
--- a/crates/control/src/storage.rs
+++ b/crates/control/src/storage.rs
@@ -158,7 +158,7 @@
         sync_folder(&self.folder)?;
         if self.has_unsynced {
             self.log.discard_unsynced()?;
-            // Opening may delete files before it fails, so that `log` no longer tells what must be there.
+            // Opening may delete files before it fails, so that `log` no longer states what must be there.
             self.has_unsynced = false;
         }
         let (storage, recovered) = open(&self.folder)?;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,4 +1,4 @@
-//! An attempt in progress. It goes on while another upstream is asked to take over its request.
+//! An attempt in progress. It continues while another upstream is asked to take over its request.
 
 use std::{future::Future, pin::Pin, rc::Rc};
 
--- a/crates/gateway/src/control_node.rs
+++ b/crates/gateway/src/control_node.rs
@@ -174,7 +174,7 @@
     Ok(())
 }
 
-/// Logs each time the voter halts because its data folder cannot be written, and when it goes on.
+/// Logs each time the voter halts because its data folder cannot be written, and when it resumes.
 async fn log_halts(cluster: ClusterHandle) {
     let mut was_halted = false;
     loop {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -120,7 +120,7 @@
     pub(crate) ended: &'a Rc<Notify>,
 }
 
-/// What an attempt in progress and its request tell each other.
+/// Signals between an attempt in progress and its request.
 #[derive(Debug, Default)]
 pub(crate) struct AttemptSignals {
     /// Notified when a connection is open, so that the upstream may be silent from now on.
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -50,7 +50,7 @@
 enum First<T> {
     Silent(T),
     Other(Box<AttemptResult>),
-    /// Neither was heard of in the time in which an upstream refuses.
+    /// Neither has answered in the time in which an upstream refuses.
     Neither,
 }
 
@@ -132,7 +132,7 @@
     }
 
     /// Asks another upstream to take a request that still runs at one which is silent, and waits until the other one answers, has not
-    /// refused for a while, or the silent one goes on. `silent` is what that one is to send, and `is_answer` tells whether it will do.
+    /// refused for a while, or the silent one resumes. `silent` is what that one is to send, and `is_answer` returns whether it is an answer.
     pub(crate) async fn ask_another<'a, T>(
         self: &'a Rc<Self>,
         request: &'a Rc<CallerRequest>,
--- a/crates/node/src/assignment.rs
+++ b/crates/node/src/assignment.rs
@@ -51,7 +51,7 @@
     /// Chooses the next attempt within the limits of the service's rules. Without one, waits for the silent upstream
     /// if there is one.
     pub(crate) async fn next_step(&mut self) -> NextStep {
-        if self.silent_has_news()
+        if self.silent_has_progressed()
             && let Some(exchange) = self.silent.take()
         {
             return NextStep::AwaitSilent(exchange);
@@ -83,7 +83,7 @@
     }
 
     /// Returns whether the silent attempt went on or failed meanwhile.
-    fn silent_has_news(&mut self) -> bool {
+    fn silent_has_progressed(&mut self) -> bool {
         let index = self.delivered_tokens;
         self.silent.as_mut().is_some_and(|exchange| exchange.arrival(index).now_or_never().is_some())
     }
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -142,7 +142,7 @@
     async fn relay_tokens(&mut self, exchange: &mut Exchange, mut limit: Instant) -> Result<(), RelayEnd> {
         loop {
             let event = self.next_token(exchange, limit).await?;
-            // The stream goes on here.
+            // The stream continues here.
             self.leave_silent().await;
             if !self.deliver(&event, &exchange.assignment.decision).await {
                 return Err(RelayEnd::CallerDisconnected);
@@ -158,7 +158,7 @@
         }
     }
 
-    /// Returns the event with the next token of the exchange, unless the silent attempt before it goes on first.
+    /// Returns the event with the next token of the exchange, unless the silent attempt before it resumes first.
     async fn next_token(&mut self, exchange: &mut Exchange, limit: Instant) -> Result<EngineEvent, RelayEnd> {
         let index = self.delivered_tokens;
         let silent = self.silent.as_mut();
