--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -25,7 +25,7 @@
 /// Time in which an upstream that does not take a request refuses it. Until then the silent one is not left.
 pub(crate) const REFUSAL_TIME: Duration = Duration::from_millis(300);
 
-/// Where a request goes on once it has left an upstream.
+/// Where a request continues once it has left an upstream.
 pub(crate) enum NextPlace {
     /// At another upstream, whose place and retry were taken for it.
     Upstream(Box<ChosenUpstream>),
@@ -164,7 +164,7 @@
         asked
     }
 
-    /// Decides at which upstream a request goes on once another one was asked, and leaves that one if it is not it.
+    /// Decides at which of the two upstreams a request continues, and leaves the other one.
     async fn settle<'a, T>(
         &self,
         request: &Rc<CallerRequest>,
