review: show that taking the last key away opens all routes

CONFIG: no request may run that was sent later than revoke_ms after the confirmation of a config that took its key away. ROUTE: no request may run whose key no config ever held.

With two tenants of one key each, two configs take both keys away.

RoutingTable::needs_keys takes an empty index of keys for a config without customers.

--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -3,10 +3,12 @@
 //! `stand-in CASE RECORD TROUBLE` plays one case, writes what was sent, answered and run to the file RECORD, and exits with 1 if
 //! the rule was broken, 0 if it held, and 2 if the case could not run. With `0` for TROUBLE the disruption is left out.
 
+mod blocked;
 mod http;
 mod late_orders;
 mod nodes;
 mod record;
+mod revoked;
 
 use std::process::ExitCode;
 
@@ -28,6 +30,8 @@
     let is_disrupted = trouble != "0";
     let played = match case.as_str() {
         "late-orders" => late_orders::play(&record, is_disrupted),
+        "blocked" => blocked::play(&record, is_disrupted),
+        "revoked" => revoked::play(&record, is_disrupted),
         other => Err(format!("there is no case {other:?}")),
     };
     match played {
