review: show that an isolated tenant's older KV cache stays shared

WALL: no request may use KV cache that a request of another tenant made if one of the two is isolated.

A config makes a tenant isolated after its requests have filled the shared cache scope. Without the change neither tenant is isolated, and the rule holds.

--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -5,6 +5,7 @@
 
 mod blocked;
 mod http;
+mod isolated;
 mod late_orders;
 mod nodes;
 mod record;
@@ -32,6 +33,7 @@
         "late-orders" => late_orders::play(&record, is_disrupted),
         "blocked" => blocked::play(&record, is_disrupted),
         "revoked" => revoked::play(&record, is_disrupted),
+        "isolated" => isolated::play(&record, is_disrupted),
         other => Err(format!("there is no case {other:?}")),
     };
     match played {
