review: show that a thawed node runs requests with a revoked key

CONFIG: no request may run that was sent later than revoke_ms after the confirmation of a config that took its key away, at any machine.

An entry node is frozen for 7 s and a key is taken away meanwhile. When the node reaches a control node again, up to 29 requests run whose key was taken away more than 5 s before they were sent.

The freshness of the configuration is read where it is recorded, but the routing table is replaced by a task that runs later on the callers' thread.

--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -13,6 +13,8 @@
 
 use std::process::ExitCode;
 
+mod thawed;
+
 use record::Record;
 
 /// How a case ended.
@@ -34,6 +36,7 @@
         "blocked" => blocked::play(&record, is_disrupted),
         "revoked" => revoked::play(&record, is_disrupted),
         "isolated" => isolated::play(&record, is_disrupted),
+        "thawed" => thawed::play(&record, is_disrupted),
         other => Err(format!("there is no case {other:?}")),
     };
     match played {
--- a/review/stand-in/nodes.rs
+++ b/review/stand-in/nodes.rs
@@ -12,6 +12,14 @@
 
 use crate::{http::call, record::Record};
 
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
+
+extern "C" {
+    /// Sends a signal to a process, from the C library that every program is linked to.
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
 const PROGRAM: &str = "target/release/daisysilld";
 const OPERATORS_PORT: u16 = 8_000;
 const CALLERS_PORT: u16 = 8_005;
@@ -102,12 +110,12 @@
         Ok(())
     }
 
-    /// Sends a signal to the process of a machine, by its name without `SIG`.
-    #[allow(dead_code)]
-    pub fn signal(&self, host: u8, name: &str) {
+    /// Sends a signal to the process of a machine.
+    pub fn signal(&self, host: u8, signal: i32) {
         let processes = self.processes.lock().unwrap();
-        if let Some((_, child)) = processes.iter().find(|(known, _)| *known == host) {
-            let _ = Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status();
+        if let Some(id) = processes.iter().find(|(known, _)| *known == host).and_then(|(_, child)| i32::try_from(child.id()).ok()) {
+            // SAFETY: the process was started here and was not waited for, so that its id is not in use again.
+            unsafe { kill(id, signal) };
         }
     }
 
