review: show that a node cut off behind open connections serves nothing

RECOVER: from contact_ms after machines were cut off from all workers, first tries there may not be served less than two thirds as often as elsewhere, with more than 10 + 1 in 50 of all failing there.

An accepted connection counts as contact, and a broken attempt does not count against it.

--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -4,6 +4,7 @@
 //! the rule was broken, 0 if it held, and 2 if the case could not run. With `0` for TROUBLE the disruption is left out.
 
 mod blocked;
+mod cut_off;
 mod http;
 mod isolated;
 mod late_orders;
@@ -37,6 +38,7 @@
         "revoked" => revoked::play(&record, is_disrupted),
         "isolated" => isolated::play(&record, is_disrupted),
         "thawed" => thawed::play(&record, is_disrupted),
+        "cut-off" => cut_off::play(&record, is_disrupted),
         other => Err(format!("there is no case {other:?}")),
     };
     match played {
--- a/review/stand-in/nodes.rs
+++ b/review/stand-in/nodes.rs
@@ -110,6 +110,12 @@
         Ok(())
     }
 
+    /// Returns the id of the process of a machine; 0 if it has none.
+    pub fn process(&self, host: u8) -> u32 {
+        let processes = self.processes.lock().unwrap();
+        processes.iter().find(|(known, _)| *known == host).map_or(0, |(_, child)| child.id())
+    }
+
     /// Sends a signal to the process of a machine.
     pub fn signal(&self, host: u8, signal: i32) {
         let processes = self.processes.lock().unwrap();
