--- a/review/stand-in/blocked.rs
+++ b/review/stand-in/blocked.rs
@@ -13,6 +13,7 @@
 use crate::{
     Verdict,
     http::{self, Connection, Message},
+    names::{EXPECT_INSTANCE, NOT_EXECUTED, PUT_CONFIG, SEAL},
     nodes::{Nodes, address, free_network},
     record::Record,
 };
@@ -67,38 +68,46 @@
         let id = self.id(number);
         self.record.line(&format!("{id} starts"));
         let world = Arc::clone(self);
-        thread::spawn(move || loop {
-            let worker = &world.workers[usize::from(number)];
-            if worker.connections.lock().unwrap().is_none() {
-                return;
-            }
-            let Ok((stream, _)) = listener.accept() else {
-                sleep(Duration::from_millis(1));
-                continue;
-            };
-            let _ = stream.set_nonblocking(false);
-            let Ok(copy) = stream.try_clone() else { continue };
-            match worker.connections.lock().unwrap().as_mut() {
-                Some(open) => open.push(copy),
-                None => return,
-            }
-            let (world, id) = (Arc::clone(&world), id.clone());
-            thread::spawn(move || {
-                let mut connection = Connection::over(stream);
-                while let Ok(Some(request)) = connection.read() {
-                    if world.serve(number, &id, &request, &mut connection).is_err() {
-                        return;
-                    }
+        thread::spawn(move || {
+            loop {
+                let worker = &world.workers[usize::from(number)];
+                if worker.connections.lock().unwrap().is_none() {
+                    return;
+                }
+                let Ok((stream, _)) = listener.accept() else {
+                    sleep(Duration::from_millis(1));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                let Ok(copy) = stream.try_clone() else { continue };
+                match worker.connections.lock().unwrap().as_mut() {
+                    Some(open) => open.push(copy),
+                    None => return,
                 }
-            });
+                let (world, id) = (Arc::clone(&world), id.clone());
+                thread::spawn(move || {
+                    let mut connection = Connection::over(stream);
+                    while let Ok(Some(request)) = connection.read() {
+                        if world.serve(number, &id, &request, &mut connection).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
         });
     }
 
-    fn serve(&self, number: u8, id: &str, request: &Message, connection: &mut Connection) -> std::io::Result<()> {
+    fn serve(
+        &self,
+        number: u8,
+        id: &str,
+        request: &Message,
+        connection: &mut Connection,
+    ) -> std::io::Result<()> {
         let worker = &self.workers[usize::from(number)];
         let request_id = request.header("x-request-id").unwrap_or("").to_owned();
-        if request.header("x-expect-instance").is_some_and(|expected| expected != id) {
-            let headers = [("x-request-id", request_id.as_str()), ("x-not-executed", "1")];
+        if request.header(EXPECT_INSTANCE).is_some_and(|expected| expected != id) {
+            let headers = [("x-request-id", request_id.as_str()), (NOT_EXECUTED, "1")];
             return connection.write("HTTP/1.1 421 Misdirected", &headers, b"");
         }
         if request.path() == "/healthz" {
@@ -113,7 +122,7 @@
         if is_counted {
             worker.running.fetch_sub(1, Ordering::SeqCst);
         }
-        let headers = [("x-request-id", request_id.as_str()), ("x-response-seal", "seal"), ("content-type", "text/plain")];
+        let headers = [("x-request-id", request_id.as_str()), (SEAL, "seal"), ("content-type", "text/plain")];
         connection.write("HTTP/1.1 200 OK", &headers, b"the running order")
     }
 
@@ -167,13 +176,20 @@
     counts.asked.fetch_add(1, Ordering::SeqCst);
     for attempt in 0..2_u32 {
         let id = format!("{tenant}-{number}-{attempt}");
-        let headers =
-            [("host", "a.example"), ("x-request-id", &id), ("x-deadline-ms", "3000"), ("authorization", &key)];
+        let headers = [
+            ("host", "a.example"),
+            ("x-request-id", &id),
+            ("x-deadline-ms", "3000"),
+            ("authorization", &key),
+        ];
         let entry = ((number + attempt) % u32::from(ENTRIES)) as u8;
         let answer = http::call(nodes.callers(entry), "GET", &path, &headers, "", Duration::from_secs(3));
         let header = |name: &str| answer.as_ref().and_then(|answer| answer.header(name));
         let status = answer.as_ref().map_or(0, Message::status);
-        record.line(&format!("client: {id} answered {status} {}", header("x-daisysill-result-code").unwrap_or("-")));
+        record.line(&format!(
+            "client: {id} answered {status} {}",
+            header("x-daisysill-result-code").unwrap_or("-")
+        ));
         if status == 200 {
             counts.served.fetch_add(1, Ordering::SeqCst);
             return;
@@ -212,13 +228,15 @@
         connection.write("HTTP/1.1 200 OK", &[("content-type", "application/json")], text.as_bytes())
     });
     let seen = Arc::clone(&world);
-    thread::spawn(move || loop {
-        let now = seen.list_text();
-        sleep(LIST_LAG);
-        *listed.lock().unwrap() = now;
+    thread::spawn(move || {
+        loop {
+            let now = seen.list_text();
+            sleep(LIST_LAG);
+            *listed.lock().unwrap() = now;
+        }
     });
     let nodes = Nodes::start(network, 3, ENTRIES, list)?;
-    nodes.order(record, "/config/put", CONFIG)?;
+    nodes.order(record, PUT_CONFIG, CONFIG)?;
     for entry in 0..ENTRIES {
         nodes.wait_until_ready(entry)?;
     }
--- a/review/stand-in/cut_off.rs
+++ b/review/stand-in/cut_off.rs
@@ -14,6 +14,7 @@
 use crate::{
     Verdict,
     http::{self, Connection, Message},
+    names::{EXPECT_INSTANCE, NOT_EXECUTED, PUT_CONFIG, SEAL},
     nodes::{Nodes, address, free_network},
     record::Record,
 };
@@ -41,12 +42,16 @@
 /// Returns whether the other end of a connection belongs to a process on this machine.
 fn belongs_to(peer: SocketAddr, own: SocketAddr, process: u64) -> bool {
     let hex = |address: SocketAddr| match address {
-        SocketAddr::V4(address) => format!("{:08X}:{:04X}", u32::from_le_bytes(address.ip().octets()), address.port()),
+        SocketAddr::V4(address) => {
+            format!("{:08X}:{:04X}", u32::from_le_bytes(address.ip().octets()), address.port())
+        }
         SocketAddr::V6(_) => String::new(),
     };
     let ends = format!("{} {}", hex(peer), hex(own));
     let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-    let Some(inode) = table.lines().find(|line| line.contains(&ends)).and_then(|line| line.split_whitespace().nth(9)) else {
+    let Some(inode) =
+        table.lines().find(|line| line.contains(&ends)).and_then(|line| line.split_whitespace().nth(9))
+    else {
         return false;
     };
     let socket = format!("socket:[{inode}]");
@@ -95,13 +100,13 @@
     fn answer(&self, number: u8, request: &Message, connection: &mut Connection) -> std::io::Result<()> {
         let id = format!("i-{number}");
         let request_id = request.header("x-request-id").unwrap_or("").to_owned();
-        if request.header("x-expect-instance").is_some_and(|expected| expected != id) {
-            let headers = [("x-request-id", request_id.as_str()), ("x-not-executed", "1")];
+        if request.header(EXPECT_INSTANCE).is_some_and(|expected| expected != id) {
+            let headers = [("x-request-id", request_id.as_str()), (NOT_EXECUTED, "1")];
             return connection.write("HTTP/1.1 421 Misdirected", &headers, b"");
         }
         self.record.line(&format!("{id}: {request_id} runs"));
         sleep(Duration::from_millis(40));
-        let headers = [("x-request-id", request_id.as_str()), ("x-response-seal", "seal"), ("content-type", "text/plain")];
+        let headers = [("x-request-id", request_id.as_str()), (SEAL, "seal"), ("content-type", "text/plain")];
         connection.write("HTTP/1.1 200 OK", &headers, b"done")
     }
 
@@ -133,7 +138,8 @@
                 let path = if number % 3 == 0 { "/order/7" } else { "/cues/7" };
                 let id = format!("e{entry}-{number}");
                 let headers = [("host", "a.example"), ("x-request-id", &id), ("x-deadline-ms", "3000")];
-                let answer = http::call(nodes.callers(entry), "POST", path, &headers, "x", Duration::from_secs(3));
+                let answer =
+                    http::call(nodes.callers(entry), "POST", path, &headers, "x", Duration::from_secs(3));
                 let status = answer.as_ref().map_or(0, Message::status);
                 record.line(&format!("client: {id} {path} answered {status}"));
                 if is_counted {
@@ -177,7 +183,7 @@
     });
     let nodes = Nodes::start(network, 3, ENTRIES, list)?;
     world.process.store(nodes.process(11 + CUT_OFF).into(), Ordering::SeqCst);
-    nodes.order(record, "/config/put", CONFIG)?;
+    nodes.order(record, PUT_CONFIG, CONFIG)?;
     for entry in 0..ENTRIES {
         nodes.wait_until_ready(entry)?;
     }
@@ -201,7 +207,9 @@
     let mut others = (0, 0);
     for (entry, tries) in (0..).zip(&tries) {
         let (asked, served) = count(tries);
-        record.line(&format!("entry node {entry}: {served} of {asked} first tries served from contact_ms after the cut began"));
+        record.line(&format!(
+            "entry node {entry}: {served} of {asked} first tries served from contact_ms after the cut began"
+        ));
         if entry != CUT_OFF {
             others = (others.0 + asked, others.1 + served);
         }
--- a/review/stand-in/http.rs
+++ b/review/stand-in/http.rs
@@ -141,7 +141,10 @@
 }
 
 /// Serves connections, each on a thread of its own, until the process ends.
-pub fn serve(address: SocketAddr, handle: impl Fn(&Message, &mut Connection) -> io::Result<()> + Send + Sync + 'static) {
+pub fn serve(
+    address: SocketAddr,
+    handle: impl Fn(&Message, &mut Connection) -> io::Result<()> + Send + Sync + 'static,
+) {
     let listener = TcpListener::bind(address).expect("an address is in use");
     let handle = Arc::new(handle);
     thread::spawn(move || {
@@ -175,7 +178,10 @@
     all.retain(|(name, _)| !headers.iter().any(|(given, _)| given == name));
     all.extend_from_slice(headers);
     connection.write(&format!("{method} {path} HTTP/1.1"), &all, body.as_bytes()).ok()?;
-    connection.stream.set_read_timeout(Some(end.saturating_duration_since(Instant::now()).max(Duration::from_millis(1)))).ok()?;
+    connection
+        .stream
+        .set_read_timeout(Some(end.saturating_duration_since(Instant::now()).max(Duration::from_millis(1))))
+        .ok()?;
     connection.read().ok()?
 }
 
--- a/review/stand-in/isolated.rs
+++ b/review/stand-in/isolated.rs
@@ -10,6 +10,7 @@
 use crate::{
     Verdict,
     http::{self, Connection, Message},
+    names::{CACHE_SCOPE, EXPECT_INSTANCE, NOT_EXECUTED, PROMPT_PARTS, PUT_CONFIG, SEAL, TOKENS},
     nodes::{Nodes, address, free_network},
     record::Record,
 };
@@ -23,7 +24,7 @@
 
 struct World {
     record: Record,
-    /// By worker, text of `X-Cache-Salt` and part: the tenant whose request made the KV cache.
+    /// By worker, cache scope and part: the tenant whose request made the KV cache.
     made_by: Mutex<BTreeMap<(u8, String, String), String>>,
     /// Uses of KV cache that a request of another tenant made.
     foreign: Mutex<u32>,
@@ -33,17 +34,21 @@
     fn serve(&self, number: u8, request: &Message, connection: &mut Connection) -> std::io::Result<()> {
         let id = format!("i-{number}");
         let request_id = request.header("x-request-id").unwrap_or("").to_owned();
-        if request.header("x-expect-instance").is_some_and(|expected| expected != id) {
-            let headers = [("x-request-id", request_id.as_str()), ("x-not-executed", "1")];
+        if request.header(EXPECT_INSTANCE).is_some_and(|expected| expected != id) {
+            let headers = [("x-request-id", request_id.as_str()), (NOT_EXECUTED, "1")];
             return connection.write("HTTP/1.1 421 Misdirected", &headers, b"");
         }
         if request.method() == "GET" {
             let body = "{\"born\":1,\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"busy\":false,\"seq\":0}";
-            return connection.write("HTTP/1.1 200 OK", &[("content-type", "application/json")], body.as_bytes());
+            return connection.write(
+                "HTTP/1.1 200 OK",
+                &[("content-type", "application/json")],
+                body.as_bytes(),
+            );
         }
         let tenant = request.header("x-tenant").unwrap_or("none").to_owned();
-        let salt = request.header("x-cache-salt").unwrap_or("").to_owned();
-        let parts = request.header("x-prompt-prefix").unwrap_or("").to_owned();
+        let salt = request.header(CACHE_SCOPE).unwrap_or("").to_owned();
+        let parts = request.header(PROMPT_PARTS).unwrap_or("").to_owned();
         self.record.line(&format!("{id}: {request_id} of {tenant} runs, salt {salt:?}, parts {parts}"));
         let mut made_by = self.made_by.lock().unwrap();
         // Found if all parts before it were found too.
@@ -54,7 +59,9 @@
                 Some(maker) if all_found => {
                     if *maker != tenant {
                         *self.foreign.lock().unwrap() += 1;
-                        self.record.line(&format!("{id}: {request_id} of {tenant} uses part {part} that a request of {maker} made"));
+                        self.record.line(&format!(
+                            "{id}: {request_id} of {tenant} uses part {part} that a request of {maker} made"
+                        ));
                     }
                 }
                 _ => {
@@ -67,7 +74,7 @@
         sleep(Duration::from_millis(20));
         let headers = [
             ("x-request-id", request_id.as_str()),
-            ("x-response-seal", "seal"),
+            (SEAL, "seal"),
             ("x-weight-versions", "1"),
             ("content-type", "text/event-stream"),
         ];
@@ -87,11 +94,12 @@
                 ("x-deadline-ms", "3000"),
                 ("authorization", bearer.as_str()),
                 ("x-model", "m"),
-                ("x-token-usage", "900,10"),
-                ("x-prompt-prefix", parts.as_str()),
+                (TOKENS, "900,10"),
+                (PROMPT_PARTS, parts.as_str()),
             ];
             let entry = (number % u32::from(ENTRIES)) as u8;
-            let answer = http::call(nodes.callers(entry), "POST", "/ask/", &headers, "ask", Duration::from_secs(3));
+            let answer =
+                http::call(nodes.callers(entry), "POST", "/ask/", &headers, "ask", Duration::from_secs(3));
             let status = answer.map_or(0, |answer| answer.status());
             served += u32::from(status == 200);
             self.record.line(&format!("client: {id} answered {status}"));
@@ -141,7 +149,7 @@
         connection.write("HTTP/1.1 200 OK", &[("content-type", "application/json")], text.as_bytes())
     });
     let nodes = Nodes::start(network, 3, ENTRIES, list)?;
-    nodes.order(record, "/config/put", &config(1, false))?;
+    nodes.order(record, PUT_CONFIG, &config(1, false))?;
     for entry in 0..ENTRIES {
         nodes.wait_until_ready(entry)?;
     }
@@ -149,7 +157,7 @@
     if world.ask(&nodes, "red") == 0 {
         return Err("no request of the tenant red was served".to_owned());
     }
-    nodes.order(record, "/config/put", &config(2, is_disrupted))?;
+    nodes.order(record, PUT_CONFIG, &config(2, is_disrupted))?;
     sleep(APPLY_LIMIT + Duration::from_secs(1));
     let before = *world.foreign.lock().unwrap();
     if world.ask(&nodes, "blue") == 0 {
@@ -157,7 +165,9 @@
     }
     let foreign = *world.foreign.lock().unwrap() - before;
     let state = if is_disrupted { "isolated" } else { "not isolated" };
-    record.line(&format!("red is {state}; requests of blue used KV cache that requests of red made {foreign} times"));
+    record.line(&format!(
+        "red is {state}; requests of blue used KV cache that requests of red made {foreign} times"
+    ));
     // WALL: a request uses KV cache that a request of another tenant made, and one of the two is isolated.
     Ok(if is_disrupted && foreign > 0 { Verdict::Broken } else { Verdict::Held })
 }
--- a/review/stand-in/late_orders.rs
+++ b/review/stand-in/late_orders.rs
@@ -12,6 +12,9 @@
 use crate::{
     Verdict,
     http::{self, Connection, Message, json_field},
+    names::{
+        EXPECT_INSTANCE, EXPECT_VERSION, NOT_EXECUTED, PROMPT_PARTS, PUT_CONFIG, PUT_VERSION, SEAL, TOKENS,
+    },
     nodes::{Nodes, address, free_network},
     record::Record,
 };
@@ -54,7 +57,9 @@
     fn begin(&self, number: usize, order: &str) -> u16 {
         let worker = &self.workers[number];
         let field = |name: &str| json_field(order, name);
-        let Some(version) = field("version").and_then(|version| version.parse::<u64>().ok()) else { return 400 };
+        let Some(version) = field("version").and_then(|version| version.parse::<u64>().ok()) else {
+            return 400;
+        };
         if field("holder").is_none() || field("fence").is_none() {
             return 400;
         }
@@ -83,19 +88,29 @@
         self.record.line(&format!("{}: weights {before} -> {version}", worker.id));
     }
 
-    fn order(self: &Arc<Self>, number: usize, request: &Message, connection: &mut Connection) -> std::io::Result<()> {
+    fn order(
+        self: &Arc<Self>,
+        number: usize,
+        request: &Message,
+        connection: &mut Connection,
+    ) -> std::io::Result<()> {
         let worker = &self.workers[number];
         let order = request.text();
         if self.is_disrupted.load(Ordering::SeqCst) {
             self.orders.fetch_add(1, Ordering::SeqCst);
             if worker.leaves_next.swap(false, Ordering::SeqCst) {
                 self.left.fetch_add(1, Ordering::SeqCst);
-                self.record.line(&format!("{}: order {order} gets no answer, is carried out in {LATE:?}", worker.id));
+                self.record.line(&format!(
+                    "{}: order {order} gets no answer, is carried out in {LATE:?}",
+                    worker.id
+                ));
                 let world = Arc::clone(self);
                 thread::spawn(move || {
                     sleep(LATE);
                     let status = world.begin(number, &order);
-                    world.record.line(&format!("{}: late order {order} -> {status}", world.workers[number].id));
+                    world
+                        .record
+                        .line(&format!("{}: late order {order} -> {status}", world.workers[number].id));
                     if status == 202 {
                         world.carry_out(number, &order);
                     }
@@ -114,13 +129,22 @@
         connection.write(&format!("HTTP/1.1 {status} Order"), &[("x-instance-id", &worker.id)], b"")
     }
 
-    fn serve(self: &Arc<Self>, number: usize, request: &Message, connection: &mut Connection) -> std::io::Result<()> {
+    fn serve(
+        self: &Arc<Self>,
+        number: usize,
+        request: &Message,
+        connection: &mut Connection,
+    ) -> std::io::Result<()> {
         let worker = &self.workers[number];
         let id = request.header("x-request-id").unwrap_or("").to_owned();
-        let expected = request.header("x-expect-instance");
+        let expected = request.header(EXPECT_INSTANCE);
         let version = worker.version.load(Ordering::SeqCst).to_string();
         if expected.is_some_and(|expected| expected != worker.id) {
-            return connection.write("HTTP/1.1 421 Misdirected", &[("x-request-id", &id), ("x-not-executed", "1")], b"");
+            return connection.write(
+                "HTTP/1.1 421 Misdirected",
+                &[("x-request-id", &id), (NOT_EXECUTED, "1")],
+                b"",
+            );
         }
         match (request.method(), request.path()) {
             ("GET", "/healthz") => connection.write("HTTP/1.1 200 OK", &[("x-instance-id", &worker.id)], b""),
@@ -136,10 +160,17 @@
             }
             ("POST", "/order") => self.order(number, request, connection),
             _ => {
-                let expected = request.header("x-expect-version");
-                let not_run = [("x-request-id", id.as_str()), ("x-not-executed", "1"), ("x-weight-versions", version.as_str())];
+                let expected = request.header(EXPECT_VERSION);
+                let not_run = [
+                    ("x-request-id", id.as_str()),
+                    (NOT_EXECUTED, "1"),
+                    ("x-weight-versions", version.as_str()),
+                ];
                 if expected.is_some_and(|expected| expected != version) {
-                    self.record.line(&format!("{}: request {id} for weights {expected:?}, has {version}: 421", worker.id));
+                    self.record.line(&format!(
+                        "{}: request {id} for weights {expected:?}, has {version}: 421",
+                        worker.id
+                    ));
                     return connection.write("HTTP/1.1 421 Misdirected", &not_run, b"");
                 }
                 if worker.is_loading.load(Ordering::SeqCst) {
@@ -149,7 +180,7 @@
                 sleep(RUN);
                 let headers = [
                     ("x-request-id", id.as_str()),
-                    ("x-response-seal", "seal"),
+                    (SEAL, "seal"),
                     ("x-weight-versions", version.as_str()),
                     ("content-type", "text/event-stream"),
                 ];
@@ -189,11 +220,12 @@
             ("x-request-id", id.as_str()),
             ("x-deadline-ms", "8000"),
             ("x-model", "m"),
-            ("x-token-usage", "100,10"),
-            ("x-prompt-prefix", "a1:60,b2:40"),
+            (TOKENS, "100,10"),
+            (PROMPT_PARTS, "a1:60,b2:40"),
         ];
         let entry = (number % 2) as u8;
-        let answer = http::call(nodes.callers(entry), "POST", "/ask/", &headers, "ask", Duration::from_secs(8));
+        let answer =
+            http::call(nodes.callers(entry), "POST", "/ask/", &headers, "ask", Duration::from_secs(8));
         let status = answer.map_or(0, |answer| answer.status());
         record.line(&format!("client: {id} answered {status}"));
         sleep(Duration::from_millis(100));
@@ -232,14 +264,16 @@
         connection.write("HTTP/1.1 200 OK", &[("content-type", "application/json")], text.as_bytes())
     });
     let seen = Arc::clone(&world);
-    thread::spawn(move || loop {
-        let now = seen.list_text(network);
-        sleep(LIST_LAG);
-        *listed.lock().unwrap() = now;
+    thread::spawn(move || {
+        loop {
+            let now = seen.list_text(network);
+            sleep(LIST_LAG);
+            *listed.lock().unwrap() = now;
+        }
     });
 
     let nodes = Nodes::start(network, 3, 2, list)?;
-    nodes.order(record, "/config/put", CONFIG)?;
+    nodes.order(record, PUT_CONFIG, CONFIG)?;
     for entry in 0..2 {
         nodes.wait_until_ready(entry)?;
     }
@@ -250,9 +284,9 @@
     let confirmed_at = thread::scope(|scope| {
         scope.spawn(|| send_requests(record, &nodes, ends));
         world.is_disrupted.store(is_disrupted, Ordering::SeqCst);
-        nodes.order(record, "/version-put", r#"{"model":"m","version":2}"#)?;
+        nodes.order(record, PUT_VERSION, r#"{"model":"m","version":2}"#)?;
         sleep(Duration::from_secs(3));
-        let confirmed_at = nodes.order(record, "/version-put", r#"{"model":"m","version":3}"#);
+        let confirmed_at = nodes.order(record, PUT_VERSION, r#"{"model":"m","version":3}"#);
         sleep(Duration::from_secs(4));
         // The disruption has lasted 7 s, as long as in a standard day.
         world.is_disrupted.store(false, Ordering::SeqCst);
--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod isolated;
 mod late_orders;
+mod names;
 mod nodes;
 mod record;
 mod revoked;
--- a/review/stand-in/nodes.rs
+++ b/review/stand-in/nodes.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{http::call, record::Record};
+use crate::{http::call, names::SETTINGS_VARIABLE, record::Record};
 
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
@@ -42,9 +42,8 @@
         let number = start.wrapping_mul(31).wrapping_add(step * 7);
         let network = (90 + (number % 100) as u8, ((number / 100) % 250) as u8);
         let ports = [OPERATORS_PORT, CALLERS_PORT, READY_PORT, METRICS_PORT, 7_700, 7_701];
-        let is_free = (1..=60).all(|host| {
-            ports.iter().all(|port| TcpListener::bind(address(network, host, *port)).is_ok())
-        });
+        let is_free = (1..=60)
+            .all(|host| ports.iter().all(|port| TcpListener::bind(address(network, host, *port)).is_ok()));
         if is_free {
             return Ok(network);
         }
@@ -72,7 +71,8 @@
     pub fn start_process(&self, host: u8, bootstrap: bool) -> Result<(), String> {
         let is_entry = host > 10;
         let at = |host: u8, port: u16| address(self.network, host, port);
-        let seeds: Vec<String> = (1..=self.control.min(3)).map(|host| at(host, OPERATORS_PORT).to_string()).collect();
+        let seeds: Vec<String> =
+            (1..=self.control.min(3)).map(|host| at(host, OPERATORS_PORT).to_string()).collect();
         let data = self.folder.join(format!("data-{host}"));
         let zone = ["zone-a", "zone-b", "zone-c"][usize::from(host - 1) % 10 % 3];
         let mut text = format!(
@@ -91,9 +91,17 @@
             list = self.list,
         );
         text += &if is_entry {
-            format!("machine_class=edge\nserves=edge\nlisten.front={}\nlisten.ready={}\n", at(host, CALLERS_PORT), at(host, READY_PORT))
+            format!(
+                "machine_class=edge\nserves=edge\nlisten.front={}\nlisten.ready={}\n",
+                at(host, CALLERS_PORT),
+                at(host, READY_PORT)
+            )
         } else {
-            format!("machine_class=core\nserves=control\nlisten.control={}\ndata_dir={}\n", at(host, OPERATORS_PORT), data.display())
+            format!(
+                "machine_class=core\nserves=control\nlisten.control={}\ndata_dir={}\n",
+                at(host, OPERATORS_PORT),
+                data.display()
+            )
         };
         let settings = self.folder.join(format!("settings-{host}"));
         fs::write(&settings, text).map_err(|error| error.to_string())?;
@@ -104,7 +112,7 @@
             .map_err(|error| error.to_string())?;
         let mut command = Command::new(PROGRAM);
         command.arg("--platform").env_clear().env("PATH", std::env::var("PATH").unwrap_or_default());
-        command.env("DAISYSILL_NODE_FILE", &settings).stdin(Stdio::null()).stdout(log).stderr(Stdio::null());
+        command.env(SETTINGS_VARIABLE, &settings).stdin(Stdio::null()).stdout(log).stderr(Stdio::null());
         let child = command.spawn().map_err(|error| format!("{PROGRAM}: {error}"))?;
         self.processes.lock().unwrap().push((host, child));
         Ok(())
@@ -119,7 +127,11 @@
     /// Sends a signal to the process of a machine.
     pub fn signal(&self, host: u8, signal: i32) {
         let processes = self.processes.lock().unwrap();
-        if let Some(id) = processes.iter().find(|(known, _)| *known == host).and_then(|(_, child)| i32::try_from(child.id()).ok()) {
+        if let Some(id) = processes
+            .iter()
+            .find(|(known, _)| *known == host)
+            .and_then(|(_, child)| i32::try_from(child.id()).ok())
+        {
             // SAFETY: the process was started here and was not waited for, so that its id is not in use again.
             unsafe { kill(id, signal) };
         }
@@ -167,7 +179,10 @@
                 let answer = call(address, "POST", path, &json, body, Duration::from_secs(1));
                 match answer.map(|answer| answer.status()) {
                     Some(200) => {
-                        record.line(&format!("operator: {path} {} confirmed by {address}", &body[..body.len().min(60)]));
+                        record.line(&format!(
+                            "operator: {path} {} confirmed by {address}",
+                            &body[..body.len().min(60)]
+                        ));
                         return Ok(Instant::now());
                     }
                     Some(status @ 400..=499) => return Err(format!("{path} was refused with {status}")),
--- a/review/stand-in/revoked.rs
+++ b/review/stand-in/revoked.rs
@@ -10,6 +10,7 @@
 use crate::{
     Verdict,
     http::{self, Connection, Message},
+    names::{EXPECT_INSTANCE, NOT_EXECUTED, PUT_CONFIG, SEAL},
     nodes::{Nodes, address, free_network},
     record::Record,
 };
@@ -36,15 +37,15 @@
             return connection.write("HTTP/1.1 200 OK", &[("x-instance-id", &id)], b"");
         }
         let request_id = request.header("x-request-id").unwrap_or("").to_owned();
-        if request.header("x-expect-instance").is_some_and(|expected| expected != id) {
-            let headers = [("x-request-id", request_id.as_str()), ("x-not-executed", "1")];
+        if request.header(EXPECT_INSTANCE).is_some_and(|expected| expected != id) {
+            let headers = [("x-request-id", request_id.as_str()), (NOT_EXECUTED, "1")];
             return connection.write("HTTP/1.1 421 Misdirected", &headers, b"");
         }
         let tenant = request.header("x-tenant").unwrap_or("none").to_owned();
         self.record.line(&format!("{id}: {request_id} runs, tenant {tenant}"));
         self.ran.lock().unwrap().insert(request_id.clone());
         sleep(Duration::from_millis(20));
-        let headers = [("x-request-id", request_id.as_str()), ("x-response-seal", "seal"), ("content-type", "text/plain")];
+        let headers = [("x-request-id", request_id.as_str()), (SEAL, "seal"), ("content-type", "text/plain")];
         connection.write("HTTP/1.1 200 OK", &headers, b"fired")
     }
 
@@ -54,14 +55,20 @@
         for number in 0..REQUESTS {
             let id = format!("{phase}-{key}-{number}");
             let bearer = format!("Bearer {key}");
-            let headers =
-                [("host", "a.example"), ("x-request-id", &id), ("x-deadline-ms", "3000"), ("authorization", &bearer)];
+            let headers = [
+                ("host", "a.example"),
+                ("x-request-id", &id),
+                ("x-deadline-ms", "3000"),
+                ("authorization", &bearer),
+            ];
             let entry = (number % u32::from(ENTRIES)) as u8;
-            let answer = http::call(nodes.callers(entry), "POST", "/cues/7", &headers, "fire", Duration::from_secs(3));
+            let answer =
+                http::call(nodes.callers(entry), "POST", "/cues/7", &headers, "fire", Duration::from_secs(3));
             let status = answer.map_or(0, |answer| answer.status());
             let has_run = self.ran.lock().unwrap().contains(&id);
             ran += u32::from(has_run);
-            self.record.line(&format!("client: {id} to entry node {entry} answered {status}, has run: {has_run}"));
+            self.record
+                .line(&format!("client: {id} to entry node {entry} answered {status}, has run: {has_run}"));
             sleep(Duration::from_millis(50));
         }
         ran
@@ -107,7 +114,7 @@
         connection.write("HTTP/1.1 200 OK", &[("content-type", "application/json")], text.as_bytes())
     });
     let nodes = Nodes::start(network, 3, ENTRIES, list)?;
-    nodes.order(record, "/config/put", &config(1, "key-house", "key-office"))?;
+    nodes.order(record, PUT_CONFIG, &config(1, "key-house", "key-office"))?;
     for entry in 0..ENTRIES {
         nodes.wait_until_ready(entry)?;
     }
@@ -121,9 +128,9 @@
         return Err("requests with a key that nobody holds ran from the start".to_owned());
     }
     let (house, office) = if is_disrupted { ("", "") } else { ("key-house", "key-office") };
-    nodes.order(record, "/config/put", &config(2, "key-house", office))?;
+    nodes.order(record, PUT_CONFIG, &config(2, "key-house", office))?;
     sleep(GAP);
-    let confirmed_at: Instant = nodes.order(record, "/config/put", &config(3, house, office))?;
+    let confirmed_at: Instant = nodes.order(record, PUT_CONFIG, &config(3, house, office))?;
     sleep((REVOKE_LIMIT + Duration::from_secs(1)).saturating_sub(confirmed_at.elapsed()));
     // CONFIG: a request sent later than `revoke_ms` after the confirmation of a config that took its key away runs.
     let mut taken_away = 0;
--- a/review/stand-in/thawed.rs
+++ b/review/stand-in/thawed.rs
@@ -13,6 +13,7 @@
 use crate::{
     Verdict,
     http::{self, Connection, Message},
+    names::{EXPECT_INSTANCE, NOT_EXECUTED, PUT_CONFIG, SEAL},
     nodes::{Nodes, SIGCONT, SIGSTOP, address, free_network},
     record::Record,
 };
@@ -38,15 +39,15 @@
     fn serve(&self, number: u8, request: &Message, connection: &mut Connection) -> std::io::Result<()> {
         let id = format!("i-{number}");
         let request_id = request.header("x-request-id").unwrap_or("").to_owned();
-        if request.header("x-expect-instance").is_some_and(|expected| expected != id) {
-            let headers = [("x-request-id", request_id.as_str()), ("x-not-executed", "1")];
+        if request.header(EXPECT_INSTANCE).is_some_and(|expected| expected != id) {
+            let headers = [("x-request-id", request_id.as_str()), (NOT_EXECUTED, "1")];
             return connection.write("HTTP/1.1 421 Misdirected", &headers, b"");
         }
         let tenant = request.header("x-tenant").unwrap_or("none").to_owned();
         self.record.line(&format!("{id}: {request_id} runs, tenant {tenant}"));
         self.ran.lock().unwrap().insert(request_id.clone());
         sleep(Duration::from_millis(20));
-        let headers = [("x-request-id", request_id.as_str()), ("x-response-seal", "seal"), ("content-type", "text/plain")];
+        let headers = [("x-request-id", request_id.as_str()), (SEAL, "seal"), ("content-type", "text/plain")];
         connection.write("HTTP/1.1 200 OK", &headers, b"fired")
     }
 }
@@ -141,10 +142,11 @@
         connection.write("HTTP/1.1 200 OK", &[("content-type", "application/json")], text.as_bytes())
     });
     let nodes = Nodes::start(network, 3, 1, list)?;
-    nodes.order(record, "/config/put", &config(1, 1))?;
+    nodes.order(record, PUT_CONFIG, &config(1, 1))?;
     nodes.wait_until_ready(0)?;
     sleep(Duration::from_secs(1));
-    let allotment = Allotment { host: 11, is_frozen: AtomicBool::new(false), has_ended: AtomicBool::new(false) };
+    let allotment =
+        Allotment { host: 11, is_frozen: AtomicBool::new(false), has_ended: AtomicBool::new(false) };
     thread::scope(|scope| {
         scope.spawn(|| allotment.run(&nodes));
         let played = (1..=ROUNDS).try_fold(0, |ran, round| match ran {
@@ -183,7 +185,7 @@
             record.line("the entry node is frozen");
         }
         sleep(Duration::from_millis(300));
-        let confirmed = nodes.order(record, "/config/put", &config(round + 1, round + 1));
+        let confirmed = nodes.order(record, PUT_CONFIG, &config(round + 1, round + 1));
         *thaws_at.lock().unwrap() = Some(frozen_at + FREEZE);
         sleep(FREEZE.saturating_sub(frozen_at.elapsed()));
         allotment.is_frozen.store(false, Ordering::SeqCst);
@@ -198,6 +200,8 @@
     })?;
     let late = format!("late-{round}-");
     let ran = world.ran.lock().unwrap().iter().filter(|id| id.starts_with(&late)).count();
-    record.line(&format!("{ran} of {CLIENTS} requests ran that were sent later than {REVOKE_LIMIT:?} after the confirmation"));
+    record.line(&format!(
+        "{ran} of {CLIENTS} requests ran that were sent later than {REVOKE_LIMIT:?} after the confirmation"
+    ));
     Ok(ran)
 }
