--- a/review/stand-in/thawed.rs
+++ b/review/stand-in/thawed.rs
@@ -19,6 +19,8 @@
 };
 
 const WORKERS: u8 = 3;
+/// Entry nodes, as in the site; one of them is frozen.
+const ENTRIES: u8 = 6;
 const REVOKE_LIMIT: Duration = Duration::from_millis(5_000);
 const FREEZE: Duration = Duration::from_millis(7_000);
 /// Rounds of freeze and revocation; the first in which the rule is broken is the last.
@@ -141,7 +143,7 @@
     http::serve(list, move |_, connection| {
         connection.write("HTTP/1.1 200 OK", &[("content-type", "application/json")], text.as_bytes())
     });
-    let nodes = Nodes::start(network, 3, 1, list)?;
+    let nodes = Nodes::start(network, 3, ENTRIES, list)?;
     nodes.order(record, PUT_CONFIG, &config(1, 1))?;
     nodes.wait_until_ready(0)?;
     sleep(Duration::from_secs(1));
