--- a/review/stand-in/nodes.rs
+++ b/review/stand-in/nodes.rs
@@ -3,6 +3,7 @@
 use std::{
     fs::{self, File},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    os::unix::process::CommandExt,
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::Mutex,
@@ -14,10 +15,16 @@
 
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
+const SIGKILL: u64 = 9;
+/// Has a process get a signal once the thread that started it has ended.
+const PR_SET_PDEATHSIG: i32 = 1;
 
 extern "C" {
     /// Sends a signal to a process, from the C library that every program is linked to.
     fn kill(process: i32, signal: i32) -> i32;
+
+    /// Changes a property of the calling process.
+    fn prctl(option: i32, argument: u64, ...) -> i32;
 }
 
 const PROGRAM: &str = "target/release/daisysilld";
@@ -113,6 +120,14 @@
         let mut command = Command::new(PROGRAM);
         command.arg("--platform").env_clear().env("PATH", std::env::var("PATH").unwrap_or_default());
         command.env(SETTINGS_VARIABLE, &settings).stdin(Stdio::null()).stdout(log).stderr(Stdio::null());
+        // All processes are started on the main thread, so that they end with the stand-in however that ends.
+        // SAFETY: the closure only makes a system call.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
         let child = command.spawn().map_err(|error| format!("{PROGRAM}: {error}"))?;
         self.processes.lock().unwrap().push((host, child));
         Ok(())
