Require keys also once the last one was taken away

Cause: whether keys are required was derived from the index of customers by key. It is empty for a config without customers, for one with an empty list, and for one whose customers have no keys; only the first needs no key.

Ruled out: nodes with an older config (an unknown key ran too; version 3 was installed everywhere).

Change: the document says whether it names customers at all, and a key that a request carries must be known also where none is required. So the answer follows from the config in force alone, after a restart and under a new leader too.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -136,8 +136,9 @@
         pub routes: Vec<Route>,
         /// The services that routes refer to, and stores.
         pub services: Vec<Service>,
-        /// The customers; without any, requests need no key.
-        pub customers: Vec<Customer>,
+        /// The customers; `None` if the document names none at all, so that requests need no key. An empty list still
+        /// requires one, which no customer has.
+        pub customers: Option<Vec<Customer>>,
         /// The limits on requests of all callers.
         pub limits: CallerLimits,
     }
@@ -200,6 +201,7 @@
     version: u64,
     by_host: HashMap<String, HashMap<String, Arc<Route>>>,
     customers: HashMap<String, Arc<Customer>>,
+    requires_keys: bool,
     services: BTreeMap<ServiceName, Arc<Service>>,
     limits: CallerLimits,
 }
@@ -224,8 +226,9 @@
             }
             routes.insert(route.path_prefix.clone(), Arc::new(route));
         }
-        let customers = index_customers(spec.customers)?;
-        Ok(Self { version: spec.version, by_host, customers, services, limits: spec.limits })
+        let requires_keys = spec.customers.is_some();
+        let customers = index_customers(spec.customers.unwrap_or_default())?;
+        Ok(Self { version: spec.version, by_host, customers, requires_keys, services, limits: spec.limits })
     }
 
     /// Returns the document's version.
@@ -251,9 +254,9 @@
         None
     }
 
-    /// Returns whether routes that are not public require a key.
-    pub fn needs_keys(&self) -> bool {
-        !self.customers.is_empty()
+    /// Returns whether routes that are not public require a key, which they also do once no customer has one any more.
+    pub const fn requires_keys(&self) -> bool {
+        self.requires_keys
     }
 
     /// Returns the customer that a key identifies, `None` if the key is unknown.
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -35,7 +35,7 @@
         version: 7,
         routes,
         services: vec![service("booth"), service("draft")],
-        customers,
+        customers: Some(customers),
         limits: CallerLimits {
             header_bytes: 16_384,
             body_bytes: 1_000,
@@ -94,3 +94,16 @@
     assert_eq!(picked(0.999_999), "draft");
     assert_eq!(picked(1.0), "draft");
 }
+
+/// Guards against routes that are open to everyone since the last key, or the last customer, was taken away.
+#[test]
+fn keys_are_required_even_if_no_customer_has_one() {
+    let requires_keys = |customers: Option<Vec<Customer>>| {
+        let spec = RoutingSpec { customers, ..spec(vec![route("a", "/a/", &[("booth", 1)])], Vec::new()) };
+        RoutingTable::build(spec).unwrap().requires_keys()
+    };
+    assert!(requires_keys(Some(vec![customer("x", &["k1"])])));
+    assert!(requires_keys(Some(vec![customer("x", &[]), customer("y", &[])])), "the last key was taken away");
+    assert!(requires_keys(Some(Vec::new())), "the last customer was removed");
+    assert!(!requires_keys(None), "the document names no customers");
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -155,7 +155,8 @@
             let unknown = Refusal::new(ResultCode::RouteUnknown, format!("version {}", table.version()));
             return Err(if fresh { unknown } else { stale() });
         };
-        if route.public || !table.needs_keys() {
+        // A key identifies its customer even where none is required: one that was taken away must not be accepted.
+        if route.public || (key.is_none() && !table.requires_keys()) {
             return Ok((Arc::clone(route), None));
         }
         if !fresh {
