Keep late orders from undoing newer ones, and notice engines that went back

Cause: orders did not name the number of orders that the engine had accepted before, by which it tells a late one; and leader and entry nodes kept the highest version that an engine ever had, so that neither a list nor a report could show that it had gone back.

Ruled out: a leader that sends the older order again (one order for version 2 at each of the two in its log).

Change: each order names that number, which the leader counts or reads. The last report of an engine counts, not the highest; where a list that was read 2 s later shows older weights, the engine is asked again and ordered again. Entry nodes follow a list that shows older weights than before, and try an engine that answered 421 again after 5 s.

The first half alone does not help after a restart of an engine under its id, which clears the count; so both are needed.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -9,6 +9,7 @@
     ids::{FencingNumber, InstanceId, SoftwareVersion, WeightVersion},
     routing::RoutingSpec,
     store_catalog::PartName,
+    value_types,
 };
 use daisysill_wire::peer::{UpstreamEntry, UpstreamSoftware, UpstreamStart};
 
@@ -61,6 +62,20 @@
     pub holder: InstanceId,
     /// Fencing number of the lease, by which engines can refuse orders of a former holder.
     pub fencing: FencingNumber,
+    /// Number of orders that the engine has accepted before this one. It refuses the order if the number differs when it is
+    /// carried out, so that a late order cannot undo a newer one; `None` if the engine does not report the number.
+    pub orders_before: Option<u64>,
+}
+
+value_types! {
+    /// What an engine reports of itself.
+    #[derive(Default)]
+    pub struct EngineReport {
+        /// Its weight versions by model.
+        pub versions: BTreeMap<String, WeightVersion>,
+        /// Number of orders that it has accepted since its start; `None` if it does not say.
+        pub accepted_orders: Option<u64>,
+    }
 }
 
 /// The response of an upstream to an order.
@@ -70,7 +85,7 @@
     Accepted,
     /// The upstream has the weights already.
     InPlace,
-    /// Another order is in progress.
+    /// Another order is in progress, or the engine has accepted another number of orders than the order says.
     Busy,
     /// The engine rejected the order.
     Refused,
@@ -78,14 +93,10 @@
     Unknown,
 }
 
-/// Sends orders to engines and reads their weight versions.
+/// Sends orders to engines and reads their reports.
 pub trait OrderSender: Clone + 'static {
-    /// Reads an engine's weight versions by model; `None` if it does not respond, or if another one or a later start
-    /// of it responds.
-    fn versions(
-        &self,
-        upstream: &UpstreamEntry,
-    ) -> impl Future<Output = Option<BTreeMap<String, WeightVersion>>>;
+    /// Reads an engine's report; `None` if it does not respond, or if another one or a later start of it responds.
+    fn report(&self, upstream: &UpstreamEntry) -> impl Future<Output = Option<EngineReport>>;
 
     /// Orders an engine to load weights.
     fn load(&self, upstream: &UpstreamEntry, order: &LoadOrder) -> impl Future<Output = OrderOutcome>;
--- a/crates/gateway/src/load_orders.rs
+++ b/crates/gateway/src/load_orders.rs
@@ -1,10 +1,11 @@
-//! The orders to load weights that a leader has sent, and what came of them.
+//! The orders to load weights that a leader has sent, what came of them, and what engines have reported since.
 
 use std::{
     collections::{BTreeMap, HashMap},
     time::Duration,
 };
 
+use daisysill_cluster::BootInstant;
 use daisysill_core::{
     ids::{InstanceId, WeightVersion},
     weight_loading::WeightState,
@@ -12,6 +13,8 @@
 use daisysill_wire::peer::UpstreamEntry;
 use tokio::time::Instant;
 
+use crate::discovery::{EngineReport, LoadOrder, OrderOutcome};
+
 /// Time between two reads of the weight versions of an upstream that is loading.
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
 /// An upstream that does not have its weights after this time is ordered again.
@@ -20,6 +23,9 @@
 const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 /// Time until an upstream that refused an order is ordered again.
 const REFUSED_PAUSE: Duration = Duration::from_millis(600);
+/// A list that was read this long after a report is expected to show what the upstream reported. If it shows older weights, the
+/// upstream is asked again: it may have gone back to them.
+const LIST_LAG: Duration = Duration::from_secs(2);
 
 /// One run of an upstream: its ID and the time of its start in Unix ms.
 pub(crate) type Incarnation = (InstanceId, u64);
@@ -41,6 +47,20 @@
     answered_at: Instant,
 }
 
+/// A weight version that an upstream reported.
+#[derive(Clone, Copy, Debug)]
+struct ReportedVersion {
+    version: WeightVersion,
+    at: BootInstant,
+}
+
+impl ReportedVersion {
+    /// Returns whether a list that was read from `listed_at` on should show the version.
+    fn is_listed_by(&self, listed_at: BootInstant) -> bool {
+        self.at.elapsed().saturating_sub(listed_at.elapsed()) >= LIST_LAG
+    }
+}
+
 /// Orders in a row that did not bring their weights.
 #[derive(Clone, Copy, Debug, Default)]
 struct FailedOrders {
@@ -52,8 +72,10 @@
 /// The orders of one leader, lost when it stops leading.
 #[derive(Debug, Default)]
 pub(crate) struct LoadOrders {
-    /// Weight versions that upstreams reported, which may be newer than those of the list.
-    reported: HashMap<Incarnation, BTreeMap<String, WeightVersion>>,
+    /// Weight versions that upstreams reported last, by model. They may be newer than those of the list.
+    reported: HashMap<Incarnation, BTreeMap<String, ReportedVersion>>,
+    /// Number of orders that upstreams have accepted, where it is certain.
+    accepted: HashMap<Incarnation, u64>,
     pending: HashMap<Incarnation, PendingLoad>,
     failed: HashMap<Incarnation, FailedOrders>,
 }
@@ -72,21 +94,56 @@
         self.pending.insert(incarnation(entry), pending);
     }
 
-    /// Records that an upstream did not take its order.
+    /// Returns the number of orders that an upstream has accepted; `None` if it has to be asked.
+    pub(crate) fn accepted_orders(&self, entry: &UpstreamEntry) -> Option<u64> {
+        self.accepted.get(&incarnation(entry)).copied()
+    }
+
+    /// Records what came of an order that was sent after `orders_before` others.
+    pub(crate) fn record_outcome(&mut self, entry: &UpstreamEntry, order: &LoadOrder, outcome: OrderOutcome) {
+        let incarnation = incarnation(entry);
+        match (outcome, order.orders_before) {
+            (OrderOutcome::InPlace, _) => drop(self.record_version(entry, &order.model, order.version)),
+            (OrderOutcome::Accepted, Some(before)) => drop(self.accepted.insert(incarnation, before + 1)),
+            // Whether the order counts is not known.
+            (OrderOutcome::Accepted | OrderOutcome::Unknown, _) => drop(self.accepted.remove(&incarnation)),
+            (OrderOutcome::Busy | OrderOutcome::Refused, _) => self.record_refusal(entry),
+        }
+    }
+
+    /// Records that an upstream did not take its order, or was sent none.
     pub(crate) fn record_refusal(&mut self, entry: &UpstreamEntry) {
         let incarnation = incarnation(entry);
         self.pending.remove(&incarnation);
+        self.accepted.remove(&incarnation);
         self.record_failure(incarnation, Some(Instant::now() + REFUSED_PAUSE));
     }
 
+    /// Records the answer to a question for an upstream's report, which is `None` if it did not answer. Returns whether it
+    /// changes what is known of its weights.
+    pub(crate) fn record_report(&mut self, entry: &UpstreamEntry, report: Option<&EngineReport>) -> bool {
+        self.record_poll(entry, report.is_some());
+        let Some(report) = report else {
+            // The next question has the same pause as after an answer.
+            let unconfirmed = self.reported.get_mut(&incarnation(entry)).into_iter().flatten();
+            unconfirmed.for_each(|(_, reported)| reported.at = BootInstant::now());
+            return false;
+        };
+        if let Some(reported) = report.accepted_orders {
+            // A report is a moment old, so that it may miss an order that was accepted since.
+            let known = self.accepted.entry(incarnation(entry)).or_default();
+            *known = (*known).max(reported);
+        }
+        let mut changed = false;
+        for (model, version) in &report.versions {
+            changed |= self.record_version(entry, model, *version);
+        }
+        changed
+    }
+
     /// Records a version that an upstream has, which ends the load of that version or of an older one. Returns whether it
     /// changes what is known.
-    pub(crate) fn record_version(
-        &mut self,
-        entry: &UpstreamEntry,
-        model: &str,
-        version: WeightVersion,
-    ) -> bool {
+    fn record_version(&mut self, entry: &UpstreamEntry, model: &str, version: WeightVersion) -> bool {
         let incarnation = incarnation(entry);
         let is_loaded = |pending: &PendingLoad| pending.model == model && version >= pending.version;
         let ends_load = self.pending.get(&incarnation).is_some_and(is_loaded);
@@ -94,14 +151,23 @@
             self.pending.remove(&incarnation);
             self.failed.remove(&incarnation);
         }
-        let known = self.reported.entry(incarnation).or_default().entry(model.to_owned()).or_default();
-        let is_newer = *known < version;
-        *known = (*known).max(version);
-        ends_load || is_newer
+        let reported = ReportedVersion { version, at: BootInstant::now() };
+        let known = self.reported.entry(incarnation).or_default().insert(model.to_owned(), reported);
+        let known = known.map(|known| known.version);
+        if known.is_some_and(|known| version < known) {
+            tracing::warn!(
+                event = "weights_went_back",
+                upstream = entry.id.as_str(),
+                model,
+                from = known.map(|known| known.0),
+                to = version.0,
+            );
+        }
+        ends_load || known != Some(version)
     }
 
-    /// Records that an upstream has been asked for its versions, and whether it answered.
-    pub(crate) fn record_poll(&mut self, entry: &UpstreamEntry, has_answered: bool) {
+    /// Records that an upstream has been asked for its report, and whether it answered.
+    fn record_poll(&mut self, entry: &UpstreamEntry, has_answered: bool) {
         let Some(pending) = self.pending.get_mut(&incarnation(entry)) else { return };
         pending.polled_at = Instant::now();
         if has_answered {
@@ -109,15 +175,24 @@
         }
     }
 
-    /// Returns the upstreams whose versions are to be asked for now.
-    pub(crate) fn due(&self, listed: &[UpstreamEntry]) -> Vec<UpstreamEntry> {
-        let is_due = |entry: &&UpstreamEntry| {
-            let pending = self.pending.get(&incarnation(entry));
-            pending.is_some_and(|pending| pending.polled_at.elapsed() >= REPORT_INTERVAL)
+    /// Returns the upstreams whose reports are to be read now, given the list that was read from `listed_at` on.
+    pub(crate) fn due(&self, listed: &[UpstreamEntry], listed_at: BootInstant) -> Vec<UpstreamEntry> {
+        let is_due = |entry: &&UpstreamEntry| match self.pending.get(&incarnation(entry)) {
+            Some(pending) => pending.polled_at.elapsed() >= REPORT_INTERVAL,
+            None => self.is_contradicted(entry, listed_at),
         };
         listed.iter().filter(is_due).cloned().collect()
     }
 
+    /// Returns whether the list shows older weights of an upstream than it reported, though it should show those by now.
+    fn is_contradicted(&self, entry: &UpstreamEntry, listed_at: BootInstant) -> bool {
+        let reported = self.reported.get(&incarnation(entry)).into_iter().flatten();
+        reported.into_iter().any(|(model, reported)| {
+            let is_older = entry.models.get(model).is_some_and(|listed| *listed < reported.version);
+            is_older && reported.is_listed_by(listed_at)
+        })
+    }
+
     /// Drops loads that took too long, and everything about upstreams that are no longer listed. Returns whether a load was
     /// dropped.
     pub(crate) fn discard_ended(&mut self, listed: &[UpstreamEntry]) -> bool {
@@ -135,10 +210,16 @@
         }
         self.pending.retain(|run, _| listed.contains(run));
         self.reported.retain(|run, _| listed.contains(run));
+        self.accepted.retain(|run, _| listed.contains(run));
         self.failed.retain(|run, _| listed.contains(run));
         before != self.pending.len()
     }
 
+    /// Returns whether an upstream is being ordered, or has not loaded yet what it was ordered to.
+    pub(crate) fn is_pending(&self, entry: &UpstreamEntry) -> bool {
+        self.pending.contains_key(&incarnation(entry))
+    }
+
     /// Returns whether no load is in progress.
     pub(crate) fn is_idle(&self) -> bool {
         self.pending.is_empty()
@@ -147,10 +228,10 @@
     /// Adds to an entry of the list whether it is loading, and newer versions that it reported.
     pub(crate) fn complete(&self, entry: &mut UpstreamEntry) {
         let incarnation = incarnation(entry);
-        entry.loading = self.pending.contains_key(&incarnation);
-        for (model, version) in self.reported.get(&incarnation).into_iter().flatten() {
+        entry.loading = self.is_pending(entry);
+        for (model, reported) in self.reported.get(&incarnation).into_iter().flatten() {
             let listed = entry.models.entry(model.clone()).or_default();
-            *listed = (*listed).max(*version);
+            *listed = (*listed).max(reported.version);
         }
     }
 
@@ -163,8 +244,8 @@
     ) -> WeightState {
         let incarnation = incarnation(engine);
         let listed = engine.models.get(model).copied();
-        let reported = self.reported.get(&incarnation).and_then(|versions| versions.get(model)).copied();
-        if listed.max(reported).is_some_and(|held| held >= version) {
+        let reported = self.reported.get(&incarnation).and_then(|versions| versions.get(model));
+        if listed.max(reported.map(|reported| reported.version)).is_some_and(|held| held >= version) {
             return WeightState::UpToDate;
         }
         if let Some(pending) = self.pending.get(&incarnation) {
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -194,45 +194,65 @@
             state.orders.begin(entry, model, version);
         }
         self.publish(state);
-        sleep(ANNOUNCE_TIME).await;
-        let sent = chosen.iter().map(|entry| async move {
+        tokio::join!(sleep(ANNOUNCE_TIME), self.count_accepted_orders(state, chosen));
+        let outdated = chosen.iter().filter(|entry| state.orders.is_pending(entry));
+        let outdated: Vec<(&UpstreamEntry, Option<u64>)> =
+            outdated.map(|entry| (entry, state.orders.accepted_orders(entry))).collect();
+        let sent = outdated.into_iter().map(|(entry, orders_before)| async move {
             // Checked right before each order, since the process may have been suspended.
-            let fencing = order_lease.fencing()?;
-            let order = LoadOrder { model: model.to_owned(), version, holder: self.name.clone(), fencing };
-            self.metrics.orders.inc();
-            let outcome = self.orders.load(entry, &order).await;
-            tracing::info!(
-                event = "order",
-                upstream = entry.id.as_str(),
-                model,
-                version = version.0,
-                fencing = fencing.0,
-                outcome = ?outcome,
-            );
-            Some(outcome)
+            let Some(fencing) = order_lease.fencing() else { return (entry, None) };
+            let (model, holder) = (model.to_owned(), self.name.clone());
+            let order = LoadOrder { model, version, holder, fencing, orders_before };
+            let outcome = self.send_order(entry, &order).await;
+            (entry, Some((order, outcome)))
         });
-        let outcomes = join_all(sent).await;
-        for (entry, outcome) in chosen.iter().zip(outcomes) {
-            match outcome {
-                Some(OrderOutcome::Accepted | OrderOutcome::Unknown) => {}
-                Some(OrderOutcome::InPlace) => drop(state.orders.record_version(entry, model, version)),
-                Some(OrderOutcome::Busy | OrderOutcome::Refused) | None => state.orders.record_refusal(entry),
+        for (entry, sent) in join_all(sent).await {
+            match sent {
+                Some((order, outcome)) => state.orders.record_outcome(entry, &order, outcome),
+                None => state.orders.record_refusal(entry),
             }
         }
         self.publish(state);
     }
 
-    /// Reads the weight versions of upstreams that are loading, and drops loads that are done, timed out or no longer
-    /// listed.
+    /// Reads the reports of upstreams that are about to be ordered, where it is not known how many orders they have accepted.
+    /// Those that do not answer are not ordered now.
+    async fn count_accepted_orders(&self, state: &mut LeaderState, chosen: &[UpstreamEntry]) {
+        let unknown: Vec<&UpstreamEntry> =
+            chosen.iter().filter(|entry| state.orders.accepted_orders(entry).is_none()).collect();
+        let reports = join_all(unknown.iter().map(|entry| self.orders.report(entry))).await;
+        for (entry, report) in unknown.into_iter().zip(reports) {
+            state.orders.record_report(entry, report.as_ref());
+            if report.is_none() {
+                state.orders.record_refusal(entry);
+            }
+        }
+    }
+
+    async fn send_order(&self, entry: &UpstreamEntry, order: &LoadOrder) -> OrderOutcome {
+        self.metrics.orders.inc();
+        let outcome = self.orders.load(entry, order).await;
+        tracing::info!(
+            event = "order",
+            upstream = entry.id.as_str(),
+            model = order.model,
+            version = order.version.0,
+            fencing = order.fencing.0,
+            orders_before = order.orders_before,
+            outcome = ?outcome,
+        );
+        outcome
+    }
+
+    /// Reads the reports of upstreams that are loading or seem to have gone back to older weights, and drops loads that are
+    /// done, timed out or no longer listed.
     async fn poll_loads(&self, state: &mut LeaderState) {
-        let due = state.orders.due(&state.listed);
-        let reports = join_all(due.iter().map(|entry| self.orders.versions(entry))).await;
+        let Some(listed_at) = state.listed_at else { return };
+        let due = state.orders.due(&state.listed, listed_at);
+        let reports = join_all(due.iter().map(|entry| self.orders.report(entry))).await;
         let mut changed = false;
-        for (entry, versions) in due.iter().zip(reports) {
-            state.orders.record_poll(entry, versions.is_some());
-            for (model, version) in versions.into_iter().flatten() {
-                changed |= state.orders.record_version(entry, &model, version);
-            }
+        for (entry, report) in due.iter().zip(reports) {
+            changed |= state.orders.record_report(entry, report.as_ref());
         }
         changed |= state.orders.discard_ended(&state.listed);
         if changed {
--- a/crates/gateway/src/upstreams.rs
+++ b/crates/gateway/src/upstreams.rs
@@ -32,6 +32,8 @@
 const UNREACHABLE_REPORT_TIME: Duration = Duration::from_secs(1);
 /// An upstream from which bytes arrived within this time is reachable, whatever other nodes report.
 const ACTIVITY_WINDOW: Duration = Duration::from_millis(500);
+/// Time after which an upstream that was replaced at its address, or had other weights than expected, is tried again.
+const REPLACED_PAUSE: Duration = Duration::from_secs(5);
 /// Maximum number of upstreams that are remembered although they are not listed.
 const MAX_UNLISTED: usize = 256;
 /// Maximum number of cached prefixes recorded for each upstream.
@@ -71,8 +73,8 @@
     pub(crate) connect_failures: Cell<(u32, Option<Instant>)>,
     /// When bytes last arrived.
     pub(crate) last_active_at: Cell<Option<Instant>>,
-    /// Whether another upstream responded at its address.
-    replaced: Cell<bool>,
+    /// When another upstream, or one with other weights, last responded at its address.
+    replaced_at: Cell<Option<Instant>>,
     /// Weight versions learned from responses, by model.
     learned_versions: RefCell<HashMap<String, WeightVersion>>,
     /// Cached prefixes with their length in tokens, the most recent one last.
@@ -92,7 +94,7 @@
             failures: Cell::default(),
             connect_failures: Cell::default(),
             last_active_at: Cell::default(),
-            replaced: Cell::default(),
+            replaced_at: Cell::default(),
             learned_versions: RefCell::default(),
             prefixes: RefCell::default(),
             hints: Rc::new(hints),
@@ -175,14 +177,19 @@
         self.connect_failures.get().1.is_some_and(|until| Instant::now() < until + UNREACHABLE_REPORT_TIME)
     }
 
-    /// Records that another upstream responded at this one's address; it gets no new requests.
+    /// Records that another upstream, or one with other weights, responded at this one's address. It gets no new requests until
+    /// the list shows other weights of it, or for a pause: it may have gone to other weights and back in between.
     pub fn mark_replaced(&self) {
-        self.replaced.set(true);
+        self.replaced_at.set(Some(Instant::now()));
+    }
+
+    fn is_replaced(&self) -> bool {
+        self.replaced_at.get().is_some_and(|at| at.elapsed() < REPLACED_PAUSE)
     }
 
     /// Returns whether new requests may be sent to the upstream, disregarding its capacity and reachability.
     pub fn accepts_requests(&self) -> bool {
-        !self.entry.draining && !self.entry.loading && !self.replaced.get() && !self.hints.is_leaving()
+        !self.entry.draining && !self.entry.loading && !self.is_replaced() && !self.hints.is_leaving()
     }
 
     /// Returns the newest weight version of a model that the upstream is known to have.
@@ -354,7 +361,10 @@
     /// Returns this upstream with a newer entry. Its load is shared with the old one, whose requests are still counted.
     fn with_entry(&self, entry: UpstreamEntry) -> Self {
         // A request may have been refused for weights that the list did not show yet.
-        let has_same_weights = entry.models == self.entry.models;
+        let replaced_at = self.replaced_at.get().filter(|_| entry.models == self.entry.models);
+        let mut learned_versions = self.learned_versions.borrow().clone();
+        // The leader has read from its report that it went back to older weights.
+        learned_versions.retain(|model, _| entry.models.get(model) >= self.entry.models.get(model));
         Self {
             tag: self.tag,
             tokens: Rc::clone(&self.tokens),
@@ -365,8 +375,8 @@
             failures: Cell::new(self.failures.get()),
             connect_failures: Cell::new(self.connect_failures.get()),
             last_active_at: Cell::new(self.last_active_at.get()),
-            replaced: Cell::new(self.replaced.get() && has_same_weights),
-            learned_versions: RefCell::new(self.learned_versions.borrow().clone()),
+            replaced_at: Cell::new(replaced_at),
+            learned_versions: RefCell::new(learned_versions),
             prefixes: RefCell::new(self.prefixes.borrow().clone()),
             hints: Rc::clone(&self.hints),
         }
--- a/crates/gateway/tests/upstreams.rs
+++ b/crates/gateway/tests/upstreams.rs
@@ -106,3 +106,35 @@
     upstreams.replace(&[UpstreamEntry { models, ..entry(1) }]);
     assert_eq!(accepting(), 1);
 }
+
+/// Guards against an upstream that is never used again since it once answered with other weights than expected.
+#[tokio::test(start_paused = true)]
+async fn upstream_with_other_weights_than_expected_is_tried_again() {
+    let (upstreams, upstream) = start();
+    upstream.mark_replaced();
+    assert!(upstreams.accepting(&"lyric-llm".into()).is_empty());
+    advance(Duration::from_secs(5)).await;
+    assert_eq!(upstreams.accepting(&"lyric-llm".into()).len(), 1);
+}
+
+/// Guards against weights that an upstream had once and that are expected of it for good: the list shows that it went back.
+#[tokio::test(start_paused = true)]
+async fn list_with_older_weights_replaces_what_was_learned() {
+    let with_version = |version| UpstreamEntry {
+        models: BTreeMap::from([("m".to_owned(), WeightVersion(version))]),
+        ..entry(1)
+    };
+    let version_of = |upstreams: &Upstreams| upstreams.accepting(&"lyric-llm".into())[0].version_of("m");
+    let (upstreams, _) = start();
+    upstreams.replace(&[with_version(2)]);
+    upstreams.accepting(&"lyric-llm".into())[0].record_version("m", WeightVersion(3));
+    upstreams.replace(&[with_version(2)]);
+    assert_eq!(
+        version_of(&upstreams),
+        Some(WeightVersion(3)),
+        "an older list says nothing of what was learned since"
+    );
+    upstreams.replace(&[with_version(3)]);
+    upstreams.replace(&[with_version(1)]);
+    assert_eq!(version_of(&upstreams), Some(WeightVersion(1)));
+}
