Keep customers apart from what an isolated one made before it was isolated

Cause: the cache scope was model, weight version and, for an isolated customer, its name. Isolating a customer moved that one elsewhere and left what it had made in the scope of all others.

Ruled out: entry nodes with the older config (the isolated customer's requests went to a scope of their own).

Change: beside isolated customers, the others share in a scope that names these by a digest, so that no scope in use was ever used by one of them. It follows from the config in force alone, is equal on all nodes, and outlives restarts. A request that waits is sent with the scope of the config in force then, not at its arrival.

The own interface has the customer in each block name and was sound.

Price: shared parts are read again when the set of isolated customers becomes one that has not been before.

--- a/crates/core/src/routing.rs
+++ b/crates/core/src/routing.rs
@@ -1,7 +1,7 @@
 //! The routing document (routes, services, customers and limits) and the lookup of a request's route in it.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     fmt,
     sync::Arc,
 };
@@ -195,6 +195,21 @@
 
 impl std::error::Error for RoutingError {}
 
+/// Number of hexadecimal digits of [`CachePartition::SharedBeside`].
+const PARTITION_DIGITS: usize = 16;
+
+/// The customers among which cached prompts are shared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CachePartition<'a> {
+    /// All customers.
+    Shared,
+    /// All but those that are isolated, which this digest names: what a customer left in the cache before it became isolated
+    /// must not be found afterwards.
+    SharedBeside(&'a str),
+    /// Only this customer.
+    Isolated(&'a CustomerId),
+}
+
 /// A valid routing document, indexed for lookups.
 #[derive(Debug)]
 pub struct RoutingTable {
@@ -202,6 +217,9 @@
     by_host: HashMap<String, HashMap<String, Arc<Route>>>,
     customers: HashMap<String, Arc<Customer>>,
     requires_keys: bool,
+    isolated: BTreeSet<CustomerId>,
+    /// Digest of the names of all isolated customers; `None` if there are none.
+    isolated_digest: Option<String>,
     services: BTreeMap<ServiceName, Arc<Service>>,
     limits: CallerLimits,
 }
@@ -227,8 +245,22 @@
             routes.insert(route.path_prefix.clone(), Arc::new(route));
         }
         let requires_keys = spec.customers.is_some();
-        let customers = index_customers(spec.customers.unwrap_or_default())?;
-        Ok(Self { version: spec.version, by_host, customers, requires_keys, services, limits: spec.limits })
+        let customers = spec.customers.unwrap_or_default();
+        let isolated: BTreeSet<CustomerId> = customers
+            .iter()
+            .filter(|customer| customer.isolated)
+            .map(|customer| customer.name.clone())
+            .collect();
+        Ok(Self {
+            version: spec.version,
+            by_host,
+            customers: index_customers(customers)?,
+            requires_keys,
+            isolated_digest: digest_of(&isolated),
+            isolated,
+            services,
+            limits: spec.limits,
+        })
     }
 
     /// Returns the document's version.
@@ -264,6 +296,34 @@
         self.customers.get(key)
     }
 
+    /// Returns the customers with which a request of `customer` shares cached prompts. A customer that was isolated when the
+    /// request was admitted stays apart for it, also if this newer document does not isolate it.
+    ///
+    /// ```
+    /// use daisysill_core::routing::{CachePartition, CallerLimits, Customer, RoutingError, RoutingSpec, RoutingTable};
+    /// let customer = |name: &str, isolated| Customer { name: name.into(), keys: vec![], priority: None, isolated };
+    /// let (red, blue) = (customer("red", true), customer("blue", false));
+    /// let table = RoutingTable::build(RoutingSpec {
+    ///     version: 1,
+    ///     routes: vec![],
+    ///     services: vec![],
+    ///     customers: Some(vec![red.clone(), blue.clone()]),
+    ///     limits: CallerLimits { header_bytes: 1, body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 },
+    /// })?;
+    /// assert_eq!(table.cache_partition(Some(&red)), CachePartition::Isolated(&red.name));
+    /// assert!(matches!(table.cache_partition(Some(&blue)), CachePartition::SharedBeside(_)));
+    /// # Ok::<(), RoutingError>(())
+    /// ```
+    pub fn cache_partition<'a>(&'a self, customer: Option<&'a Customer>) -> CachePartition<'a> {
+        match (customer, self.isolated_digest.as_deref()) {
+            (Some(customer), _) if customer.isolated || self.isolated.contains(&customer.name) => {
+                CachePartition::Isolated(&customer.name)
+            }
+            (_, Some(digest)) => CachePartition::SharedBeside(digest),
+            (_, None) => CachePartition::Shared,
+        }
+    }
+
     /// Returns a service by name.
     pub fn service(&self, name: &ServiceName) -> Option<&Arc<Service>> {
         self.services.get(name)
@@ -305,6 +365,19 @@
     Ok(())
 }
 
+/// Returns a digest of names, each with its length, so that no two sets have the same; `None` without names.
+fn digest_of(names: &BTreeSet<CustomerId>) -> Option<String> {
+    if names.is_empty() {
+        return None;
+    }
+    let mut hasher = blake3::Hasher::new();
+    for name in names {
+        hasher.update(&(name.as_str().len() as u64).to_le_bytes());
+        hasher.update(name.as_str().as_bytes());
+    }
+    Some(hasher.finalize().to_hex()[..PARTITION_DIGITS].to_owned())
+}
+
 fn index_customers(customers: Vec<Customer>) -> Result<HashMap<String, Arc<Customer>>, RoutingError> {
     let mut by_key = HashMap::new();
     for customer in customers {
--- a/crates/core/tests/routing.rs
+++ b/crates/core/tests/routing.rs
@@ -3,8 +3,8 @@
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 use daisysill_core::routing::{
-    CallKind, CallerLimits, Customer, Route, RoutingError, RoutingSpec, RoutingTable, Service, ServiceSpec,
-    Target,
+    CachePartition, CallKind, CallerLimits, Customer, Route, RoutingError, RoutingSpec, RoutingTable,
+    Service, ServiceSpec, Target,
 };
 
 fn route(name: &str, prefix: &str, targets: &[(&str, u32)]) -> Route {
@@ -107,3 +107,32 @@
     assert!(requires_keys(Some(Vec::new())), "the last customer was removed");
     assert!(!requires_keys(None), "the document names no customers");
 }
+
+/// Guards against cached prompts that a customer left before it became isolated, and that others find afterwards.
+#[test]
+fn customers_share_with_none_that_was_among_them_before_it_became_isolated() {
+    let table = |isolated: &[&str]| {
+        let customer =
+            |name: &str| Customer { isolated: isolated.contains(&name), ..customer(name, &[name]) };
+        RoutingTable::build(spec(Vec::new(), ["red", "blue", "green"].map(customer).to_vec())).unwrap()
+    };
+    let green = customer("green", &[]);
+    let shared = |table: &RoutingTable| match table.cache_partition(Some(&green)) {
+        CachePartition::Shared => "all".to_owned(),
+        CachePartition::SharedBeside(digest) => digest.to_owned(),
+        CachePartition::Isolated(customer) => panic!("{customer} is not isolated"),
+    };
+    let none = table(&[]);
+    let (red, blue, both) = (table(&["red"]), table(&["blue"]), table(&["red", "blue"]));
+    let partitions = [&none, &red, &blue, &both].map(shared);
+    for (index, partition) in partitions.iter().enumerate() {
+        assert!(!partitions[..index].contains(partition), "{partitions:?}");
+    }
+    assert_eq!(shared(&table(&["blue", "red"])), partitions[3], "equal on all nodes");
+    assert_eq!(none.cache_partition(None), CachePartition::Shared);
+    assert_eq!(red.cache_partition(None), red.cache_partition(Some(&green)), "requests without a customer");
+    // Admitted before the change, sent after it, and the other way round.
+    let (before, after) = (customer("red", &[]), Customer { isolated: true, ..customer("red", &[]) });
+    assert_eq!(red.cache_partition(Some(&before)), CachePartition::Isolated(&"red".into()));
+    assert_eq!(none.cache_partition(Some(&after)), CachePartition::Isolated(&"red".into()));
+}
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -12,7 +12,7 @@
     ids::{ServiceName, WeightVersion, ZoneName},
     placement::{Candidate, ChosenCandidate, PrefillDemand, choose},
     rejection_guard::SlotUse,
-    routing::{Customer, EngineSpec, ServiceSpec},
+    routing::{CachePartition, EngineSpec, RoutingTable, ServiceSpec},
     slot_share::SlotCounts,
 };
 
@@ -33,6 +33,8 @@
 const OLD_WEIGHTS_MARGIN: Duration = Duration::from_millis(1_500);
 /// Time for a cancelled request to be dropped by its upstream.
 const CANCEL_MARGIN: Duration = Duration::from_millis(200);
+/// Follows the weight version in the scope of customers that share their cached prompts beside isolated ones.
+pub(crate) const PARTITION_SIGN: char = '@';
 /// Share of an engine's cache memory that requests may occupy; beyond it the engine preempts requests and prefills
 /// them again.
 const MEMORY_SHARE: f64 = 0.9;
@@ -90,6 +92,8 @@
 /// Inputs of the choice that are the same for every upstream.
 struct PlacementInputs<'a> {
     request: &'a CallerRequest,
+    /// The routing table in force now, which may be newer than the one that admitted the request.
+    table: Option<Rc<RoutingTable>>,
     engine: Option<EngineSpec>,
     target: Option<WeightVersion>,
     request_ms: f64,
@@ -97,6 +101,14 @@
     parts_by_scope: RefCell<HashMap<String, Rc<SharedParts>>>,
 }
 
+impl PlacementInputs<'_> {
+    /// Returns the customers with which the request shares cached prompts.
+    fn partition(&self) -> CachePartition<'_> {
+        let customer = self.request.customer.as_deref();
+        self.table.as_ref().map_or(CachePartition::Shared, |table| table.cache_partition(customer))
+    }
+}
+
 impl Gateway {
     /// Chooses an upstream that was not tried yet. Also takes one of this node's share of the free slots of engines, and
     /// of the requests that the upstream's rate limit allows.
@@ -106,6 +118,7 @@
         let prompt = request.headers.prompt.as_ref();
         let inputs = PlacementInputs {
             request,
+            table: self.routing.table(),
             engine: self.engine(&request.service),
             target: prompt.and_then(|prompt| self.routing.target_version(&prompt.model)),
             request_ms: speeds.request_ms.get(),
@@ -240,7 +253,7 @@
         }
         let prompt = request.headers.prompt.as_ref();
         let version = prompt.and_then(|prompt| upstream.version_of(&prompt.model));
-        let scope = prompt.map(|prompt| cache_scope(&prompt.model, version, request.customer.as_deref()));
+        let scope = prompt.map(|prompt| cache_scope(&prompt.model, version, inputs.partition()));
         let prefix = scope.as_deref().and_then(|scope| request.prefix(scope));
         let parts = scope.as_deref().map(|scope| self.shared_parts(inputs, scope));
         let cached_tokens = prefix.map_or(0, |(key, _)| upstream.cached_tokens(key));
@@ -330,12 +343,13 @@
     in_flight < slots && (in_flight == 0 || tokens as f64 <= memory_tokens as f64 * MEMORY_SHARE)
 }
 
-/// Returns the scope within which cached prompts may be shared: one model, one weight version and, for an isolated
-/// customer, that customer only.
-fn cache_scope(model: &str, version: Option<WeightVersion>, customer: Option<&Customer>) -> String {
+/// Returns the scope within which cached prompts may be shared: one model, one weight version, and the customers of a partition.
+fn cache_scope(model: &str, version: Option<WeightVersion>, partition: CachePartition<'_>) -> String {
     let version = version.unwrap_or_default();
-    match customer.filter(|customer| customer.isolated) {
-        Some(customer) => format!("{model}/{version}/{}", customer.name),
-        None => format!("{model}/{version}"),
+    match partition {
+        CachePartition::Shared => format!("{model}/{version}"),
+        // Told apart by the sign after the version, since a customer's name may be any text.
+        CachePartition::SharedBeside(isolated) => format!("{model}/{version}{PARTITION_SIGN}{isolated}"),
+        CachePartition::Isolated(customer) => format!("{model}/{version}/{customer}"),
     }
 }
--- a/crates/gateway/src/store_manager.rs
+++ b/crates/gateway/src/store_manager.rs
@@ -20,7 +20,7 @@
     time::{Instant, sleep},
 };
 
-use crate::{discovery::StoreClient, duration::millis, upstreams::stable_hash};
+use crate::{discovery::StoreClient, duration::millis, placement::PARTITION_SIGN, upstreams::stable_hash};
 
 /// Entry nodes start no fetch based on an index older than this.
 pub(crate) const MAX_INDEX_AGE: Duration = Duration::from_secs(5);
@@ -343,6 +343,7 @@
 fn is_in_use(scope: &str, oldest: &HashMap<String, WeightVersion>) -> bool {
     let mut parts = scope.split('/');
     let (Some(model), Some(version)) = (parts.next(), parts.next()) else { return false };
+    let version = version.split_once(PARTITION_SIGN).map_or(version, |(version, _)| version);
     let Ok(version) = version.parse() else { return false };
     oldest.get(model).is_none_or(|oldest| WeightVersion(version) >= *oldest)
 }
