Bound the bytes of all requests of an entry node together

Operators of similar systems saw a machine that kept the endless bytes of a faulty worker run out of memory, and the requests of others end with it.

Here each answer, body, event and head had a bound of its own, and nothing added them up: 90 answers of 7 MB at once took the process to 258 MB, 90 unread answers of 4 MB to 361 MB and 90 request bodies of 4 MB to 412 MB, where the settings gave 110 MB (debug build). limits.memory_mb was not read.

Change: a quarter of it is a budget for the bytes of all requests and answers. A holder may grow to as much as what is left beside it, so the sum stays within the budget, large ones are refused first and small ones find room. A request without room is refused at once as not run (503, 1312); an answer without room ends its attempt. A whole answer is handed to its caller in pieces and stays reserved until the last was taken. Heads, chunk lines and events are reserved too.

Open: the own interface, which has no bound for all either (by reading).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fetch_backoff;
 mod fill;
 mod link_queue;
+pub mod memory_budget;
 mod num;
 mod piece_index;
 mod prefix;
--- a/crates/core/src/result_code.rs
+++ b/crates/core/src/result_code.rs
@@ -89,6 +89,8 @@
     UpstreamsRateLimited = 1310, 503, NotRun, "upstreams_rate_limited";
     /// No upstream of the software version that began the stream can go on with it, or that version is unknown.
     StreamNotResumable = 1311, 503, NotRun, "stream_not_resumable";
+    /// The node's memory for the bodies of requests is used up.
+    MemoryExhausted = 1312, 503, NotRun, "memory_exhausted";
     /// The upstream failed after it may have executed the request.
     UpstreamFailed = 1401, 502, MayHaveRun, "upstream_failed";
     /// The deadline passed while the upstream was working.
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -2,11 +2,12 @@
 
 use std::{cell::Cell, pin::pin, rc::Rc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
     attempt::Attempt,
+    body_buffer::{BodyBuffer, BufferError, BufferedBody},
     caller_request::{AttemptHistory, CallerRequest},
     exchange::UpstreamResponse,
     forward::Gateway,
@@ -37,12 +38,12 @@
         request: &'a Rc<CallerRequest>,
         response: &mut UpstreamResponse,
         history: &mut AttemptHistory,
-    ) -> Result<Bytes, NoBody<'a>> {
+    ) -> Result<BufferedBody, NoBody<'a>> {
         let upstream = Rc::clone(&response.in_flight.upstream);
         let progress = BodyProgress::new(response.head.framing, request.deadline);
         let silence_limit = self.silence_limit(request, history);
         let mut check_at = silence_limit.map_or(request.deadline, |limit| progress.may_go_on_until(limit));
-        let mut body = pin!(read_whole_body(response, &progress));
+        let mut body = pin!(self.read_whole_body(request, response, &progress));
         let failed = loop {
             match timeout_at(check_at.min(request.deadline), &mut body).await {
                 Ok(Some(whole)) => return Ok(whole),
@@ -68,6 +69,46 @@
     }
 }
 
+impl Gateway {
+    /// Reads the body to its end; `None` if it ends early, is too large, or finds no memory.
+    async fn read_whole_body(
+        &self,
+        request: &CallerRequest,
+        response: &mut UpstreamResponse,
+        progress: &BodyProgress,
+    ) -> Option<BufferedBody> {
+        let mut buffer = BodyBuffer::new(&self.memory, MAX_BUFFERED_RESPONSE_BYTES);
+        let announced = progress.length.unwrap_or_default();
+        let mut error = (announced > MAX_BUFFERED_RESPONSE_BYTES as u64).then_some(BufferError::TooLarge);
+        let connection = response.pooled.get().ok()?;
+        while error.is_none()
+            && let Some(bytes) = connection.read_body().await.ok()?
+        {
+            progress.record(&bytes);
+            error = buffer.push(&bytes).err();
+        }
+        if let Some(error) = error {
+            let upstream = response.in_flight.upstream.entry.id.as_str();
+            self.record_dropped_body(request, upstream, error);
+            return None;
+        }
+        let whole = buffer.finish();
+        (connection.is_complete() && !response.head.ends_early(whole.as_ref())).then_some(whole)
+    }
+
+    /// Counts and logs a body from `source` that is not kept.
+    pub(crate) fn record_dropped_body(&self, request: &CallerRequest, source: &str, error: BufferError) {
+        self.metrics.record_dropped_body(error);
+        tracing::info!(
+            event = "body_dropped",
+            request_id = request.headers.request_id.as_deref(),
+            source,
+            reason = error.name(),
+            reserved_bytes = self.memory.used_bytes(),
+        );
+    }
+}
+
 /// How much of a body has arrived, and when.
 struct BodyProgress {
     began: Instant,
@@ -114,17 +155,3 @@
         self.deadline.saturating_duration_since(self.began)
     }
 }
-
-async fn read_whole_body(response: &mut UpstreamResponse, progress: &BodyProgress) -> Option<Bytes> {
-    let connection = response.pooled.get().ok()?;
-    let mut whole = BytesMut::new();
-    while let Some(bytes) = connection.read_body().await.ok()? {
-        progress.record(&bytes);
-        whole.extend_from_slice(&bytes);
-        if whole.len() > MAX_BUFFERED_RESPONSE_BYTES {
-            return None;
-        }
-    }
-    let is_whole = connection.is_complete() && !response.head.ends_early(&whole);
-    is_whole.then(|| whole.freeze())
-}
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -43,6 +43,8 @@
     pub order_lease: Duration,
     /// Time within which engines must serve new weights.
     pub rollout_limit: Duration,
+    /// Memory of the process; the platform kills one that uses more.
+    pub memory_bytes: usize,
 }
 
 /// Settings of a process.
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -7,6 +7,7 @@
 };
 
 use bytes::{Buf, Bytes, BytesMut};
+use daisysill_core::memory_budget::MemoryReservation;
 use socket2::SockRef;
 use tokio::{
     io::AsyncReadExt,
@@ -78,6 +79,8 @@
     stream: TcpStream,
     /// Bytes received but not parsed yet.
     input: BytesMut,
+    /// The memory that `input` occupies; `None` if only its own limits bound it.
+    memory: Option<MemoryReservation>,
     body: BodyState,
     /// Whether the whole request was written.
     request_written: bool,
@@ -105,6 +108,7 @@
         Self {
             stream,
             input: BytesMut::new(),
+            memory: None,
             body: BodyState::Idle,
             request_written: true,
             keeps_open: true,
@@ -113,6 +117,13 @@
         }
     }
 
+    /// Reserves the memory of received bytes from now on. If there is none, reads fail with
+    /// [`io::ErrorKind::OutOfMemory`].
+    #[must_use]
+    pub fn with_memory(self, reservation: MemoryReservation) -> Self {
+        Self { memory: Some(reservation), ..self }
+    }
+
     /// Returns whether the connection can carry another request: the last response was read to its end, no bytes
     /// followed it, and the upstream has not closed the connection.
     pub fn is_reusable(&mut self) -> bool {
@@ -130,6 +141,9 @@
     pub fn set_idle(&mut self) {
         self.idle_since = Instant::now();
         self.input = BytesMut::new();
+        if let Some(memory) = &mut self.memory {
+            memory.release();
+        }
     }
 
     /// Returns whether the connection has been idle for so long that the upstream may be about to close it.
@@ -343,6 +357,11 @@
     /// Receives more bytes; returns 0 at the end of the connection.
     async fn read_more(&mut self) -> io::Result<usize> {
         self.input.reserve(READ_BYTES);
+        if let Some(memory) = &mut self.memory
+            && !memory.try_resize(self.input.capacity())
+        {
+            return Err(io::ErrorKind::OutOfMemory.into());
+        }
         self.stream.read_buf(&mut self.input).await
     }
 }
--- a/crates/gateway/src/entry_peers.rs
+++ b/crates/gateway/src/entry_peers.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use daisysill_core::{ids::InstanceId, upstream_contact::Reach};
+use daisysill_core::{ids::InstanceId, memory_budget::MemoryBudget, upstream_contact::Reach};
 use tokio::time::{Instant, sleep};
 
 use crate::{forward::Gateway, metrics::GatewayMetrics, pool::Pool};
@@ -42,13 +42,18 @@
 
 impl EntryPeers {
     /// Starts without other entry nodes; `is_known` tells whether there are any.
-    pub(crate) fn new(port: Option<u16>, metrics: &GatewayMetrics, is_known: Rc<Cell<bool>>) -> Self {
+    pub(crate) fn new(
+        port: Option<u16>,
+        metrics: &GatewayMetrics,
+        is_known: Rc<Cell<bool>>,
+        memory: MemoryBudget,
+    ) -> Self {
         Self {
             port,
             addresses: RefCell::default(),
             in_flight: Rc::default(),
             avoided: RefCell::default(),
-            pool: Pool::new(metrics.peer_connections.clone(), None),
+            pool: Pool::new(metrics.peer_connections.clone(), None, memory),
             is_known,
         }
     }
--- a/crates/gateway/src/event_stream.rs
+++ b/crates/gateway/src/event_stream.rs
@@ -42,6 +42,11 @@
         Some(complete)
     }
 
+    /// Returns the memory that an incomplete event occupies.
+    pub fn pending_bytes(&self) -> usize {
+        if self.pending.is_empty() { 0 } else { self.pending.capacity() }
+    }
+
     /// Discards an incomplete event; the upstream that resumes the stream sends it again.
     pub fn drop_pending(&mut self) {
         self.pending.clear();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -12,6 +12,7 @@
     fetch_backoff::FetchBackoff,
     ids::ServiceName,
     link_booking::LinkBookings,
+    memory_budget::MemoryBudget,
     result_code::ResultCode,
     retry_budget::RetryBudget,
     routing::{Customer, Route, RoutingTable},
@@ -46,6 +47,10 @@
     waiting::rate_limit_refusal,
 };
 
+/// One part in this many of the node's memory is for the bytes of requests and responses. The rest is for the program, its state,
+/// the buffers of the callers' connections and of the kernel.
+const REQUEST_MEMORY_FRACTION: usize = 4;
+
 /// State shared by all requests on this node.
 #[derive(Debug)]
 pub struct Gateway {
@@ -85,6 +90,8 @@
     pub(crate) entry_node_peak: Cell<(u32, Instant)>,
     /// Streams on their way to callers.
     pub(crate) open_streams: OpenStreams,
+    /// Memory for the bytes of all requests and responses.
+    pub(crate) memory: MemoryBudget,
     started: Instant,
 }
 
@@ -109,14 +116,15 @@
         metrics: GatewayMetrics,
     ) -> Self {
         let contact = Rc::new(Contact::default());
+        let memory = MemoryBudget::new(bounds.memory_bytes / REQUEST_MEMORY_FRACTION);
         Self {
             header_codec: SharedCodec(header_codec),
             cluster,
             bounds,
             routing: RoutingState::default(),
             upstreams,
-            pool: Pool::new(metrics.connections_opened.clone(), Some(Rc::clone(&contact))),
-            peers: EntryPeers::new(peer_port, &metrics, contact.peers_flag()),
+            pool: Pool::new(metrics.connections_opened.clone(), Some(Rc::clone(&contact)), memory.clone()),
+            peers: EntryPeers::new(peer_port, &metrics, contact.peers_flag(), memory.clone()),
             contact,
             metrics,
             budgets: RefCell::default(),
@@ -129,6 +137,7 @@
             slot_shares: RefCell::default(),
             entry_node_peak: Cell::new((0, Instant::now())),
             open_streams: OpenStreams::default(),
+            memory,
             started: Instant::now(),
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! The traits of [`header_codec`] and [`discovery`] hide the names and formats of the deployment's platform.
 
 mod attempt;
+pub mod body_buffer;
 mod buffered;
 pub mod caller_request;
 pub mod config;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,7 +14,7 @@
     registry::{Registry, Unit},
 };
 
-use crate::{http_head::Framing, logging};
+use crate::{body_buffer::BufferError, http_head::Framing, logging};
 
 /// Labels of a finished request.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
@@ -54,6 +54,13 @@
     pub ended_at: &'static str,
 }
 
+/// Labels of a body, or an event of a stream, that was not kept in memory.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct DroppedBodyLabels {
+    /// `too_large` or `no_memory`.
+    pub reason: &'static str,
+}
+
 /// Labels of the end of a stream.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct StreamEndLabels {
@@ -72,6 +79,8 @@
     pub stream_bodies: Family<StreamBodyLabels, Counter>,
     /// Streams that ended at their callers.
     pub stream_ends: Family<StreamEndLabels, Counter>,
+    /// Bodies of requests and responses, and events of streams, that were not kept in memory.
+    pub dropped_bodies: Family<DroppedBodyLabels, Counter>,
     /// Connections to upstreams that were begun, also if they failed.
     pub connections_opened: Counter,
     /// Requests of callers in progress.
@@ -116,6 +125,7 @@
         let attempts = Family::<AttemptLabels, Counter>::default();
         let stream_bodies = Family::<StreamBodyLabels, Counter>::default();
         let stream_ends = Family::<StreamEndLabels, Counter>::default();
+        let dropped_bodies = Family::<DroppedBodyLabels, Counter>::default();
         let connections_opened = Counter::default();
         let in_flight = Gauge::default();
         let dropped_log_lines = Gauge::default();
@@ -138,6 +148,7 @@
         registry.register("attempts", "Attempts at upstreams", attempts.clone());
         registry.register("stream_bodies", "Stream bodies read to their end", stream_bodies.clone());
         registry.register("stream_ends", "Streams ended", stream_ends.clone());
+        registry.register("dropped_bodies", "Bodies not kept in memory", dropped_bodies.clone());
         registry.register("upstream_connections", "Connections opened", connections_opened.clone());
         registry.register("in_flight", "Requests in progress", in_flight.clone());
         registry.register("dropped_log_lines", "Log lines dropped", dropped_log_lines.clone());
@@ -175,6 +186,7 @@
             attempts,
             stream_bodies,
             stream_ends,
+            dropped_bodies,
             connections_opened,
             in_flight,
             dropped_log_lines,
@@ -222,6 +234,11 @@
         self.stream_bodies.get_or_create(&StreamBodyLabels { framing: framing.name(), ended_at }).inc();
     }
 
+    /// Counts a body or an event that was not kept in memory.
+    pub(crate) fn record_dropped_body(&self, error: BufferError) {
+        self.dropped_bodies.get_or_create(&DroppedBodyLabels { reason: error.name() }).inc();
+    }
+
     /// Counts a stream that ended at its caller.
     pub(crate) fn record_stream_end(&self, outcome: &'static str) {
         self.stream_ends.get_or_create(&StreamEndLabels { outcome }).inc();
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -3,12 +3,13 @@
 use std::{rc::Rc, time::Duration};
 
 use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder, body::BodyStream, http::header::HeaderName};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use daisysill_core::{ids::ServiceName, result_code::ResultCode, upstream_contact::Reach};
 use futures::stream::{Stream, unfold};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    body_buffer::{BodyBuffer, BufferedBody},
     buffered::MAX_BUFFERED_RESPONSE_BYTES,
     caller_request::{AttemptHistory, CallerRequest, encode_peer_head},
     entry_node::EntryState,
@@ -168,7 +169,7 @@
                 Some(builder.body(BodyStream::new(Box::pin(body.into_stream()))))
             }
             Framing::Length(_) => {
-                let body = read_whole(request.deadline, response).await?;
+                let body = self.read_whole(request, response).await?;
                 metrics.in_flight.dec();
                 metrics.record_result("passed_on");
                 metrics.record_passed_on("answered");
@@ -179,6 +180,19 @@
         }
     }
 
+    /// Reads the whole body; `None` if it ends early or too late, is too large, or finds no memory.
+    async fn read_whole(&self, request: &CallerRequest, mut response: PeerResponse) -> Option<BufferedBody> {
+        let mut buffer = BodyBuffer::new(&self.gateway.memory, MAX_BUFFERED_RESPONSE_BYTES);
+        while let Some(bytes) = response.read_body(request.deadline).await? {
+            if let Err(error) = buffer.push(&bytes) {
+                self.gateway.record_dropped_body(request, &response.peer.address.to_string(), error);
+                return None;
+            }
+        }
+        response.pooled.release();
+        Some(buffer.finish())
+    }
+
     /// Starts a response with the status and the headers of an upstream or another entry node.
     pub(crate) fn forwarded_head(&self, head: &ResponseHead) -> HttpResponseBuilder {
         let mut builder = HttpResponse::build(head.status);
@@ -227,19 +241,6 @@
     }
 }
 
-/// Reads the whole body; `None` if it ends early or too late, or is too large.
-async fn read_whole(deadline: Instant, mut response: PeerResponse) -> Option<Bytes> {
-    let mut whole = BytesMut::new();
-    while let Some(bytes) = response.read_body(deadline).await? {
-        whole.extend_from_slice(&bytes);
-        if whole.len() > MAX_BUFFERED_RESPONSE_BYTES {
-            return None;
-        }
-    }
-    response.pooled.release();
-    Some(whole.freeze())
-}
-
 /// The body of another entry node's response, which is sent to the caller as it arrives.
 struct PeerBody {
     gateway: Rc<Gateway>,
--- a/crates/gateway/src/passing.rs
+++ b/crates/gateway/src/passing.rs
@@ -39,6 +39,14 @@
         }
     }
 
+    /// Returns the memory that bytes occupy which may not be relayed yet.
+    pub(crate) fn pending_bytes(&self) -> usize {
+        match self {
+            Self::WholeEvents(splitter) => splitter.pending_bytes(),
+            Self::AsReceived(_) | Self::Opaque => 0,
+        }
+    }
+
     /// Returns the remaining bytes at the end of the stream.
     pub(crate) fn finish(&mut self) -> Bytes {
         match self {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
+use daisysill_core::memory_budget::MemoryBudget;
 use prometheus_client::metrics::counter::Counter;
 
 use crate::{connection::UpstreamConnection, contact::Contact};
@@ -44,12 +45,14 @@
     opened: Counter,
     /// How this node reaches the upstreams; `None` for connections to other nodes.
     contact: Option<Rc<Contact>>,
+    /// For the bytes that connections have received.
+    memory: MemoryBudget,
 }
 
 impl Pool {
     /// Creates an empty pool; `opened` counts the connections it opens.
-    pub(crate) fn new(opened: Counter, contact: Option<Rc<Contact>>) -> Self {
-        Self { addresses: Rc::default(), opened, contact }
+    pub(crate) fn new(opened: Counter, contact: Option<Rc<Contact>>, memory: MemoryBudget) -> Self {
+        Self { addresses: Rc::default(), opened, contact, memory }
     }
 
     /// Takes an idle connection, or opens one if fewer than `max_open` are open to the address.
@@ -83,7 +86,7 @@
         self.opened.inc();
         match UpstreamConnection::connect(address, CONNECT_TIMEOUT).await {
             Ok(connection) => {
-                pooled.connection = Some(connection);
+                pooled.connection = Some(connection.with_memory(self.memory.reservation()));
                 if let Some(contact) = &self.contact {
                     contact.record_connected();
                 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,10 +6,12 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use daisysill_core::memory_budget::MemoryReservation;
 use futures::stream::{Stream, unfold};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    body_buffer::BufferError,
     caller_request::{AttemptHistory, CallerRequest},
     duration::millis,
     exchange::UpstreamResponse,
@@ -56,6 +58,8 @@
     /// The head that the caller got, which is that of the first response.
     first_head: ResponseHead,
     passing: Passing,
+    /// The memory of bytes that may not be relayed yet.
+    memory: MemoryReservation,
     /// Whether the last run broke off inside an event, so that the next one must bring an event.
     is_event_due: bool,
     history: AttemptHistory,
@@ -90,6 +94,7 @@
 ) -> impl Stream<Item = Result<Bytes, StreamBroken>> {
     let relay = Relay {
         passing: Passing::new(&request, &response.head),
+        memory: gateway.memory.reservation(),
         first_head: response.head.clone(),
         is_event_due: false,
         record: OpenStream::new(&gateway, &request, "relayed"),
@@ -120,8 +125,11 @@
                     self.has_body = true;
                     let had_event_id = self.passing.has_event_id();
                     let Some(bytes) = self.passing.push(bytes) else {
-                        return Some(Err(self.fail("event_too_large")));
+                        return Some(Err(self.fail_unkept(BufferError::TooLarge)));
                     };
+                    if !self.memory.try_resize(self.passing.pending_bytes()) {
+                        return Some(Err(self.fail_unkept(BufferError::NoMemory)));
+                    }
                     if !bytes.is_empty() {
                         if !had_event_id && self.passing.has_event_id() {
                             self.record_origin();
@@ -257,6 +265,15 @@
         (!rest.is_empty()).then_some(Ok(rest))
     }
 
+    /// Ends the stream since an event of it is not kept.
+    fn fail_unkept(&mut self, error: BufferError) -> StreamBroken {
+        self.gateway.metrics.record_dropped_body(error);
+        self.fail(match error {
+            BufferError::TooLarge => "event_too_large",
+            BufferError::NoMemory => "no_memory",
+        })
+    }
+
     fn fail(&mut self, reason: &'static str) -> StreamBroken {
         self.is_done = true;
         if let Some(response) = self.response.take() {
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -12,9 +12,11 @@
 use daisysill_core::{
     ids::SoftwareVersion, result_code::ResultCode, routing::CallKind, upstream_contact::Reach,
 };
+use futures::StreamExt;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    body_buffer::{BodyBuffer, BufferError, BufferedBody},
     buffered::NoBody,
     caller_request::{AttemptHistory, CallerRequest, encode_head, fingerprint, part_keys},
     entry_node::EntryState,
@@ -36,6 +38,9 @@
 /// Short, since the caller's next connection leads to another node.
 const STOP_RETRY_MS: u64 = 20;
 
+/// Time for requests in progress to end and give their memory back.
+const NO_MEMORY_RETRY_MS: u64 = 500;
+
 /// Where a request came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Origin {
@@ -118,11 +123,7 @@
     ) -> Result<CallerRequest, Refusal> {
         let gateway = &self.gateway;
         let limit = gateway.routing.table().map_or(DEFAULT_BODY_BYTES, |table| table.limits().body_bytes);
-        let body = match payload.to_bytes_limited(limit).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(error)) => return Err(Refusal::new(ResultCode::BodyIncomplete, error.to_string())),
-            Err(_) => return Err(Refusal::new(ResultCode::BodyTooLarge, format!("over {limit} bytes"))),
-        };
+        let (body, memory) = self.read_body(payload, limit).await?.into_parts();
         if self.stop.elapsed() >= REFUSE_AFTER {
             return Err(shutdown_refusal(&AttemptHistory::default()));
         }
@@ -166,6 +167,7 @@
             method,
             head,
             body,
+            memory,
             route,
             service,
             customer,
@@ -175,6 +177,27 @@
         })
     }
 
+    /// Reads the whole body of a request.
+    async fn read_body(&self, mut payload: web::Payload, limit: usize) -> Result<BufferedBody, Refusal> {
+        let mut buffer = BodyBuffer::new(&self.gateway.memory, limit);
+        while let Some(bytes) = payload.next().await {
+            let bytes = bytes.map_err(|error| Refusal::new(ResultCode::BodyIncomplete, error.to_string()))?;
+            buffer.push(&bytes).map_err(|error| {
+                self.gateway.metrics.record_dropped_body(error);
+                match error {
+                    BufferError::TooLarge => {
+                        Refusal::new(ResultCode::BodyTooLarge, format!("over {limit} bytes"))
+                    }
+                    BufferError::NoMemory => {
+                        let reason = format!("{} bytes are reserved", self.gateway.memory.used_bytes());
+                        Refusal::not_run(ResultCode::MemoryExhausted, reason, NO_MEMORY_RETRY_MS)
+                    }
+                }
+            })?;
+        }
+        Ok(buffer.finish())
+    }
+
     async fn forward(
         &self,
         http: &HttpRequest,
