Bound the bytes of all requests of the own interface together

Change: [limits] memory_bytes (256 MiB by default) is the budget of a node. Bytes that were buffered carry their reservation themselves, until the last part of them is dropped, so that no caller of the buffer has to keep it; the platform path uses the same now.

--- a/crates/core/src/memory_budget.rs
+++ b/crates/core/src/memory_budget.rs
@@ -32,6 +32,11 @@
         Self { limit_bytes, used_bytes: Arc::default() }
     }
 
+    /// Creates a budget that grants everything.
+    pub fn unlimited() -> Self {
+        Self::new(usize::MAX)
+    }
+
     /// Starts a reservation of no bytes.
     pub fn reservation(&self) -> MemoryReservation {
         MemoryReservation { budget: self.clone(), bytes: 0 }
@@ -50,6 +55,12 @@
     bytes: usize,
 }
 
+impl Default for MemoryBudget {
+    fn default() -> Self {
+        Self::unlimited()
+    }
+}
+
 impl MemoryReservation {
     /// Changes the size to `bytes`. Returns `false`, and changes nothing, if it would grow to more than what is left of the
     /// budget beside it.
--- a/crates/gateway/src/body_buffer.rs
+++ b/crates/gateway/src/body_buffer.rs
@@ -10,8 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use daisysill_core::memory_budget::{MemoryBudget, MemoryReservation};
 
-/// Size of the pieces in which a body is handed to its connection. The server takes the next one only once it has sent most of
-/// those before, so that the memory of the body stays reserved for as long as a slow caller takes to read it.
+/// Size of the pieces in which a body is handed to its connection.
 const PIECE_BYTES: usize = 32 * 1_024;
 /// The least memory that is reserved for a body.
 const MIN_CAPACITY_BYTES: usize = 1_024;
@@ -54,8 +53,10 @@
     /// assert_eq!(body.push(b"cue"), Ok(()));
     /// assert_eq!(body.push(&[0; 98]), Err(BufferError::TooLarge));
     /// assert_eq!(BodyBuffer::new(&budget, usize::MAX).push(&[0; 9_000]), Err(BufferError::NoMemory));
-    /// let (bytes, memory) = body.finish().into_parts();
-    /// assert_eq!((bytes.as_ref(), memory.bytes()), (b"cue".as_slice(), 1_024));
+    /// let bytes = body.finish();
+    /// assert_eq!((bytes.as_ref(), budget.used_bytes()), (b"cue".as_slice(), 1_024));
+    /// drop(bytes);
+    /// assert_eq!(budget.used_bytes(), 0);
     /// ```
     pub fn new(budget: &MemoryBudget, max_bytes: usize) -> Self {
         Self { bytes: BytesMut::new(), max_bytes, memory: budget.reservation() }
@@ -81,45 +82,49 @@
         Ok(())
     }
 
-    /// Returns the body once it is whole.
-    pub fn finish(self) -> BufferedBody {
-        BufferedBody { bytes: self.bytes.freeze(), memory: self.memory }
+    /// Returns the body once it is whole. Its memory stays reserved for as long as the returned bytes or a part of them are kept.
+    pub fn finish(self) -> Bytes {
+        Bytes::from_owner(ReservedBytes { bytes: self.bytes.freeze(), _memory: self.memory })
     }
 }
 
-/// A whole body, with its memory, which is reserved until the last piece was taken.
-#[derive(Debug)]
-pub struct BufferedBody {
+/// Bytes that own the reservation of their memory.
+struct ReservedBytes {
     bytes: Bytes,
-    memory: MemoryReservation,
+    _memory: MemoryReservation,
 }
 
-impl BufferedBody {
-    /// Returns the bytes, and the reservation to be kept for as long as they are.
-    pub fn into_parts(self) -> (Bytes, MemoryReservation) {
-        (self.bytes, self.memory)
+impl AsRef<[u8]> for ReservedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
     }
 }
 
-impl AsRef<[u8]> for BufferedBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
+/// The body of a response that is handed over in pieces. The server takes the next one only once it has sent most of those before,
+/// so that a caller who reads slowly holds the memory of the body, and not that of a copy.
+#[derive(Debug)]
+pub struct BodyInPieces(Bytes);
+
+impl BodyInPieces {
+    /// Starts at the beginning of a body.
+    pub const fn new(body: Bytes) -> Self {
+        Self(body)
     }
 }
 
-impl MessageBody for BufferedBody {
+impl MessageBody for BodyInPieces {
     type Error = Infallible;
 
     fn size(&self) -> BodySize {
-        BodySize::Sized(self.bytes.len() as u64)
+        BodySize::Sized(self.0.len() as u64)
     }
 
     fn poll_next(
         mut self: Pin<&mut Self>,
         _context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, Self::Error>>> {
-        let count = self.bytes.len().min(PIECE_BYTES);
-        let piece = self.bytes.split_to(count);
+        let count = self.0.len().min(PIECE_BYTES);
+        let piece = self.0.split_to(count);
         Poll::Ready((!piece.is_empty()).then_some(Ok(piece)))
     }
 }
--- a/crates/gateway/src/buffered.rs
+++ b/crates/gateway/src/buffered.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     attempt::Attempt,
-    body_buffer::{BodyBuffer, BufferError, BufferedBody},
+    body_buffer::{BodyBuffer, BufferError},
     caller_request::{AttemptHistory, CallerRequest},
     exchange::UpstreamResponse,
     forward::Gateway,
@@ -38,7 +38,7 @@
         request: &'a Rc<CallerRequest>,
         response: &mut UpstreamResponse,
         history: &mut AttemptHistory,
-    ) -> Result<BufferedBody, NoBody<'a>> {
+    ) -> Result<Bytes, NoBody<'a>> {
         let upstream = Rc::clone(&response.in_flight.upstream);
         let progress = BodyProgress::new(response.head.framing, request.deadline);
         let silence_limit = self.silence_limit(request, history);
@@ -76,7 +76,7 @@
         request: &CallerRequest,
         response: &mut UpstreamResponse,
         progress: &BodyProgress,
-    ) -> Option<BufferedBody> {
+    ) -> Option<Bytes> {
         let mut buffer = BodyBuffer::new(&self.memory, MAX_BUFFERED_RESPONSE_BYTES);
         let announced = progress.length.unwrap_or_default();
         let mut error = (announced > MAX_BUFFERED_RESPONSE_BYTES as u64).then_some(BufferError::TooLarge);
@@ -93,7 +93,7 @@
             return None;
         }
         let whole = buffer.finish();
-        (connection.is_complete() && !response.head.ends_early(whole.as_ref())).then_some(whole)
+        (connection.is_complete() && !response.head.ends_early(&whole)).then_some(whole)
     }
 
     /// Counts and logs a body from `source` that is not kept.
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -6,7 +6,6 @@
 use bytes::{Bytes, BytesMut};
 use daisysill_core::{
     ids::{InstanceId, ServiceName, SoftwareVersion},
-    memory_budget::MemoryReservation,
     result_code::ResultCode,
     retry_budget::SendCount,
     routing::{CallKind, Customer, Route},
@@ -38,8 +37,6 @@
     pub head: Vec<u8>,
     /// Complete body.
     pub body: Bytes,
-    /// The memory of the body, reserved until the request ends.
-    pub memory: MemoryReservation,
     /// Matching route.
     pub route: Arc<Route>,
     /// Service picked among the targets of the route.
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    body_buffer::{BodyBuffer, BufferedBody},
+    body_buffer::{BodyBuffer, BodyInPieces},
     buffered::MAX_BUFFERED_RESPONSE_BYTES,
     caller_request::{AttemptHistory, CallerRequest, encode_peer_head},
     entry_node::EntryState,
@@ -173,7 +173,7 @@
                 metrics.in_flight.dec();
                 metrics.record_result("passed_on");
                 metrics.record_passed_on("answered");
-                Some(builder.body(body))
+                Some(builder.body(BodyInPieces::new(body)))
             }
             // An entry node never sends such a body, whose end could not be told from a broken connection.
             Framing::UntilClose => None,
@@ -181,7 +181,7 @@
     }
 
     /// Reads the whole body; `None` if it ends early or too late, is too large, or finds no memory.
-    async fn read_whole(&self, request: &CallerRequest, mut response: PeerResponse) -> Option<BufferedBody> {
+    async fn read_whole(&self, request: &CallerRequest, mut response: PeerResponse) -> Option<Bytes> {
         let mut buffer = BodyBuffer::new(&self.gateway.memory, MAX_BUFFERED_RESPONSE_BYTES);
         while let Some(bytes) = response.read_body(request.deadline).await? {
             if let Err(error) = buffer.push(&bytes) {
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -9,6 +9,7 @@
     http::header::{HeaderName, HeaderValue},
     web,
 };
+use bytes::Bytes;
 use daisysill_core::{
     ids::SoftwareVersion, result_code::ResultCode, routing::CallKind, upstream_contact::Reach,
 };
@@ -16,7 +17,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    body_buffer::{BodyBuffer, BufferError, BufferedBody},
+    body_buffer::{BodyBuffer, BodyInPieces, BufferError},
     buffered::NoBody,
     caller_request::{AttemptHistory, CallerRequest, encode_head, fingerprint, part_keys},
     entry_node::EntryState,
@@ -123,7 +124,7 @@
     ) -> Result<CallerRequest, Refusal> {
         let gateway = &self.gateway;
         let limit = gateway.routing.table().map_or(DEFAULT_BODY_BYTES, |table| table.limits().body_bytes);
-        let (body, memory) = self.read_body(payload, limit).await?.into_parts();
+        let body = self.read_body(payload, limit).await?;
         if self.stop.elapsed() >= REFUSE_AFTER {
             return Err(shutdown_refusal(&AttemptHistory::default()));
         }
@@ -167,7 +168,6 @@
             method,
             head,
             body,
-            memory,
             route,
             service,
             customer,
@@ -178,7 +178,7 @@
     }
 
     /// Reads the whole body of a request.
-    async fn read_body(&self, mut payload: web::Payload, limit: usize) -> Result<BufferedBody, Refusal> {
+    async fn read_body(&self, mut payload: web::Payload, limit: usize) -> Result<Bytes, Refusal> {
         let mut buffer = BodyBuffer::new(&self.gateway.memory, limit);
         while let Some(bytes) = payload.next().await {
             let bytes = bytes.map_err(|error| Refusal::new(ResultCode::BodyIncomplete, error.to_string()))?;
@@ -325,7 +325,7 @@
             self.gateway.check_for_crash_after_answer(request, history, &upstream);
         }
         self.gateway.record_duration(request, request.arrived.elapsed());
-        let relayed = self.response_head(&response).body(body);
+        let relayed = self.response_head(&response).body(BodyInPieces::new(body));
         response.pooled.release();
         self.gateway.metrics.in_flight.dec();
         self.gateway.metrics.record_result("relayed");
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -113,8 +113,9 @@
     let shared = Arc::new(Shared::new(config, cluster)?);
     shared.lifecycle_event("settings_checked");
     let client = http::client();
-    let engine = Rc::new(HttpEngine::new(client.clone()));
-    let plain = Rc::new(HttpPlainService);
+    let memory = shared.memory.clone();
+    let engine = Rc::new(HttpEngine::new(client.clone()).with_memory(memory.clone()));
+    let plain = Rc::new(HttpPlainService::new(memory.clone()));
     let platform = Rc::new(HttpPlatform::new(client));
     UpstreamMonitor::new(Arc::clone(&shared), engine.clone(), engine.clone(), plain, platform).start();
     Exporter::new(Arc::clone(&shared), engine.clone(), engine.clone()).start();
@@ -133,8 +134,8 @@
     let callers = HttpServer::new(move || {
         let client = http::client();
         let clients = UpstreamClients {
-            engine: Rc::new(HttpEngine::new(client.clone())),
-            plain: Rc::new(HttpPlainService),
+            engine: Rc::new(HttpEngine::new(client.clone()).with_memory(memory.clone())),
+            plain: Rc::new(HttpPlainService::new(memory.clone())),
         };
         let shared = Arc::clone(&data);
         let app = App::new().app_data(data.clone()).app_data(Data::new(clients));
--- a/crates/node/src/caller_api.rs
+++ b/crates/node/src/caller_api.rs
@@ -7,7 +7,12 @@
     error::PayloadError,
     web::{self, Bytes, Data, Payload, ServiceConfig as Routes},
 };
-use daisysill_core::{ids::ServiceName, result_code::ResultCode};
+use daisysill_core::{
+    ids::ServiceName,
+    memory_budget::{MemoryBudget, MemoryReservation},
+    result_code::ResultCode,
+};
+use daisysill_gateway::body_buffer::{BodyBuffer, BufferError};
 use daisysill_wire::http_types::{ChatCompletionRequest, CompletionRequest, Model, ModelList};
 use futures::{StreamExt, stream};
 use serde::de::DeserializeOwned;
@@ -33,6 +38,8 @@
 const DEFAULT_MAX_TOKENS: u32 = 256;
 /// Longest deadline that a request may ask for; rule files have the same limit.
 const MAX_DEADLINE_MS: u64 = 3_600_000;
+/// Time for requests in progress to end and give their memory back.
+const NO_MEMORY_RETRY_MS: u64 = 500;
 /// Tokens buffered for a slow caller before reading from its upstream pauses.
 const RELAY_BUFFER_TOKENS: usize = 64;
 
@@ -67,18 +74,19 @@
 ) -> HttpResponse {
     let shared = shared.into_inner();
     let parsed = authenticate_and_parse::<ChatCompletionRequest>(&request, payload, &shared).await;
-    let (customer, body) = match parsed {
+    let ParsedRequest { customer, parsed, body } = match parsed {
         Ok(parsed) => parsed,
         Err(refusal) => return refusal.response(),
     };
     let params = PromptParams {
         kind: ResponseKind::Chat,
-        prompt: chat_prompt(&body),
-        model: body.model,
-        stream: body.stream,
-        max_tokens: body.max_tokens,
-        adapter: body.adapter,
-        deadline_ms: body.deadline_ms,
+        body,
+        prompt: chat_prompt(&parsed),
+        model: parsed.model,
+        stream: parsed.stream,
+        max_tokens: parsed.max_tokens,
+        adapter: parsed.adapter,
+        deadline_ms: parsed.deadline_ms,
     };
     serve_prompt(&request, &shared, &clients, customer, params).await
 }
@@ -91,18 +99,19 @@
 ) -> HttpResponse {
     let shared = shared.into_inner();
     let parsed = authenticate_and_parse::<CompletionRequest>(&request, payload, &shared).await;
-    let (customer, body) = match parsed {
+    let ParsedRequest { customer, parsed, body } = match parsed {
         Ok(parsed) => parsed,
         Err(refusal) => return refusal.response(),
     };
     let params = PromptParams {
         kind: ResponseKind::Text,
-        prompt: body.prompt,
-        model: body.model,
-        stream: body.stream,
-        max_tokens: body.max_tokens,
-        adapter: body.adapter,
-        deadline_ms: body.deadline_ms,
+        body,
+        prompt: parsed.prompt,
+        model: parsed.model,
+        stream: parsed.stream,
+        max_tokens: parsed.max_tokens,
+        adapter: parsed.adapter,
+        deadline_ms: parsed.deadline_ms,
     };
     serve_prompt(&request, &shared, &clients, customer, params).await
 }
@@ -128,6 +137,8 @@
 /// The parameters that chat and text requests have in common.
 struct PromptParams {
     kind: ResponseKind,
+    /// Kept until the request ends, for the memory that is reserved with it.
+    body: Bytes,
     prompt: String,
     model: String,
     stream: bool,
@@ -136,40 +147,56 @@
     deadline_ms: Option<u64>,
 }
 
+/// A request whose body was parsed, and the body, which holds the memory that is reserved for it.
+struct ParsedRequest<T> {
+    customer: Customer,
+    parsed: T,
+    body: Bytes,
+}
+
 async fn authenticate_and_parse<T: DeserializeOwned>(
     request: &HttpRequest,
     payload: Payload,
     shared: &Shared,
-) -> Result<(Customer, T), Refusal> {
+) -> Result<ParsedRequest<T>, Refusal> {
     let customer = shared.authenticator.authenticate(request)?.clone();
-    let body = shared.planned_stop.before_end(read_body(payload, &shared.config.limits)).await?;
+    let body =
+        shared.planned_stop.before_end(read_body(payload, &shared.config.limits, &shared.memory)).await?;
     let parsed = serde_json::from_slice(&body).map_err(|error| {
         Refusal::new(ResultCode::BodyMalformed, format!("the body is not valid: {error}"))
     })?;
-    Ok((customer, parsed))
+    Ok(ParsedRequest { customer, parsed, body })
 }
 
-/// Reads a request body of at most `limits.body_bytes`.
+/// Reads a request body of at most `limits.body_bytes`, whose memory stays reserved for as long as it is kept.
 ///
 /// # Errors
-/// Refuses a body that is too large, ends early or pauses for longer than `limits.body_timeout_ms`.
-pub async fn read_body(mut payload: Payload, limits: &LimitConfig) -> Result<Bytes, Refusal> {
+/// Refuses a body that is too large, ends early, pauses for longer than `limits.body_timeout_ms` or finds no memory.
+pub async fn read_body(
+    mut payload: Payload,
+    limits: &LimitConfig,
+    memory: &MemoryBudget,
+) -> Result<Bytes, Refusal> {
     let limit_bytes = limits.body_bytes;
     let max_pause = Duration::from_millis(limits.body_timeout_ms);
-    let mut body = web::BytesMut::new();
+    let mut body = BodyBuffer::new(memory, limit_bytes);
     loop {
         let chunk = timeout(max_pause, payload.next()).await.map_err(|_| {
             Refusal::new(ResultCode::BodyIncomplete, "the rest of the body did not arrive in time")
         })?;
         let Some(chunk) = chunk else { break };
         let chunk = chunk.map_err(|error| classify_payload_error(&error))?;
-        if body.len() + chunk.len() > limit_bytes {
-            let message = format!("the body exceeds {limit_bytes} bytes");
-            return Err(Refusal::new(ResultCode::BodyTooLarge, message));
-        }
-        body.extend_from_slice(&chunk);
+        body.push(&chunk).map_err(|error| match error {
+            BufferError::TooLarge => {
+                Refusal::new(ResultCode::BodyTooLarge, format!("the body exceeds {limit_bytes} bytes"))
+            }
+            BufferError::NoMemory => {
+                let message = "the bodies of all requests take up the node's memory for them";
+                Refusal::new(ResultCode::MemoryExhausted, message).retry_after_ms(NO_MEMORY_RETRY_MS)
+            }
+        })?;
     }
-    Ok(body.freeze())
+    Ok(body.finish())
 }
 
 fn classify_payload_error(error: &PayloadError) -> Refusal {
@@ -206,11 +233,14 @@
     };
     let (sender, receiver) = channel(RELAY_BUFFER_TOKENS);
     let dispatch = Dispatch::new(shared, Rc::clone(&clients.engine), lifecycle, prompt, config, sender);
-    actix_rt::spawn(dispatch.run());
+    actix_rt::spawn(async move {
+        dispatch.run().await;
+        drop(params.body);
+    });
     if params.stream {
         streamed_response(writer, receiver).await
     } else {
-        full_response(&writer, receiver).await
+        full_response(&writer, receiver, shared.memory.reservation()).await
     }
 }
 
@@ -233,11 +263,22 @@
     request.headers().get("traceparent").and_then(|v| v.to_str().ok()).unwrap_or_default()
 }
 
-async fn full_response(writer: &ResponseWriter, mut receiver: Receiver<ResponseEvent>) -> HttpResponse {
+/// Collects the whole text; `memory` is reserved for it.
+async fn full_response(
+    writer: &ResponseWriter,
+    mut receiver: Receiver<ResponseEvent>,
+    mut memory: MemoryReservation,
+) -> HttpResponse {
     let mut text = String::new();
     while let Some(event) = receiver.recv().await {
         match event {
-            ResponseEvent::Token(token) => text.push_str(&token),
+            ResponseEvent::Token(token) => {
+                text.push_str(&token);
+                if !memory.try_resize(text.capacity()) {
+                    let message = "the node has no memory for the answer";
+                    return Refusal::new(ResultCode::UpstreamFailed, message).response();
+                }
+            }
             ResponseEvent::Refused(refusal) => return refusal.response(),
             ResponseEvent::Finished { finish_reason, usage } => {
                 return match writer.full_body(&text, &finish_reason, &usage) {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -69,6 +69,8 @@
     pub body_timeout_ms: u64,
     /// Maximum number of requests in progress on this node.
     pub in_flight_requests: usize,
+    /// Memory for the bytes of all requests and answers together.
+    pub memory_bytes: usize,
 }
 
 /// Where the platform lists its instances (section `[platform]`).
@@ -247,7 +249,11 @@
 }
 
 fn parse_limits(ini: &mut IniFile<'_>) -> LimitConfig {
-    ini.check_keys("limits", &["body_bytes", "header_timeout_ms", "body_timeout_ms", "in_flight_requests"]);
+    ini.check_keys(
+        "limits",
+        &["body_bytes", "header_timeout_ms", "body_timeout_ms", "in_flight_requests", "memory_bytes"],
+    );
+    let memory_bytes = ini.number("limits", "memory_bytes", 268_435_456, 1_048_576, 1_099_511_627_776);
     let body_bytes = ini.number("limits", "body_bytes", 8_388_608, 1_024, 1_073_741_824);
     let in_flight = ini.number("limits", "in_flight_requests", 4_096, 1, 1_000_000);
     LimitConfig {
@@ -255,6 +261,7 @@
         header_timeout_ms: ini.number("limits", "header_timeout_ms", 5_000, MIN_HEADER_TIMEOUT_MS, 600_000),
         body_timeout_ms: ini.number("limits", "body_timeout_ms", 10_000, 100, 600_000),
         in_flight_requests: usize::try_from(in_flight).unwrap_or(usize::MAX),
+        memory_bytes: usize::try_from(memory_bytes).unwrap_or(usize::MAX),
     }
 }
 
--- a/crates/node/src/engine_client.rs
+++ b/crates/node/src/engine_client.rs
@@ -3,6 +3,7 @@
 use std::{collections::VecDeque, time::Duration};
 
 use awc::Client;
+use daisysill_core::memory_budget::{MemoryBudget, MemoryReservation};
 use daisysill_wire::http_types::{
     CacheEvents, EngineEvent, EngineLoad, EngineOrder, EngineRequest, ExportReply, ExportRequest,
     ImportReply, ImportRequest, StoreUsage,
@@ -27,12 +28,20 @@
     client: Client,
     /// Opens a connection for each request, so that none is sent on a pooled connection that went silent.
     unpooled: Client,
+    /// For events that are not complete yet.
+    memory: MemoryBudget,
 }
 
 impl HttpEngine {
     /// Uses `client` and its pool for all requests but generation and the retry of a load poll.
     pub fn new(client: Client) -> Self {
-        Self { client, unpooled: http::client() }
+        Self { client, unpooled: http::client(), memory: MemoryBudget::unlimited() }
+    }
+
+    /// Reserves the memory of incomplete events in `memory`; a stream that finds no room fails.
+    #[must_use]
+    pub fn with_memory(self, memory: MemoryBudget) -> Self {
+        Self { memory, ..self }
     }
 
     async fn start_generation(
@@ -49,7 +58,8 @@
         if !response.status().is_success() {
             return Err(http::classify_error_status(&response));
         }
-        Ok(events(response.map(|chunk| chunk.map_err(|e| AttemptError::Failed(e.to_string())))).boxed_local())
+        let bytes = response.map(|chunk| chunk.map_err(|e| AttemptError::Failed(e.to_string())));
+        Ok(events(bytes, self.memory.reservation()).boxed_local())
     }
 }
 
@@ -139,13 +149,15 @@
     }
 }
 
-/// Decodes the body of an engine's response into events; a stream that ends without `[DONE]` is an error.
-fn events<S>(bytes: S) -> impl Stream<Item = AttemptResult<EngineEvent>>
+/// Decodes the body of an engine's response into events; a stream that ends without `[DONE]` is an error. `memory` is reserved for an
+/// event that is not complete.
+fn events<S>(bytes: S, memory: MemoryReservation) -> impl Stream<Item = AttemptResult<EngineEvent>>
 where
     S: Stream<Item = AttemptResult<actix_web::web::Bytes>> + Unpin,
 {
-    let state = (bytes, EventSplitter::default(), VecDeque::<String>::new(), false);
-    stream::unfold(state, |(mut bytes, mut splitter, mut ready, mut ended)| async move {
+    let splitter = (EventSplitter::default(), memory);
+    let state = (bytes, splitter, VecDeque::<String>::new(), false);
+    stream::unfold(state, |(mut bytes, (mut splitter, mut memory), mut ready, mut ended)| async move {
         loop {
             if ended {
                 return None;
@@ -158,20 +170,24 @@
                     AttemptError::Failed(format!("event is not the expected JSON: {error}"))
                 });
                 ended = event.is_err();
-                return Some((event, (bytes, splitter, ready, ended)));
+                return Some((event, (bytes, (splitter, memory), ready, ended)));
             }
             match bytes.next().await {
                 Some(Ok(chunk)) => {
                     let Ok(events) = splitter.push(&chunk) else {
                         let error = AttemptError::Failed("event exceeds the limit".to_owned());
-                        return Some((Err(error), (bytes, splitter, ready, true)));
+                        return Some((Err(error), (bytes, (splitter, memory), ready, true)));
                     };
+                    if !memory.try_resize(splitter.pending_bytes()) {
+                        let error = AttemptError::Failed("the node has no memory for the event".to_owned());
+                        return Some((Err(error), (bytes, (splitter, memory), ready, true)));
+                    }
                     ready.extend(events);
                 }
-                Some(Err(error)) => return Some((Err(error), (bytes, splitter, ready, true))),
+                Some(Err(error)) => return Some((Err(error), (bytes, (splitter, memory), ready, true))),
                 None => {
                     let error = AttemptError::Failed("the stream ended early".to_owned());
-                    return Some((Err(error), (bytes, splitter, ready, true)));
+                    return Some((Err(error), (bytes, (splitter, memory), ready, true)));
                 }
             }
         }
--- a/crates/node/src/plain_client.rs
+++ b/crates/node/src/plain_client.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
-use actix_web::{
-    http::Method,
-    web::{Bytes, BytesMut},
+use actix_web::{http::Method, web::Bytes};
+use daisysill_core::memory_budget::MemoryBudget;
+use daisysill_gateway::{
+    body_buffer::{BodyBuffer, BufferError},
+    connection::UpstreamConnection,
+    http_head::ResponseHead,
 };
-use daisysill_gateway::{connection::UpstreamConnection, http_head::ResponseHead};
 use futures::{FutureExt, future::LocalBoxFuture};
 use tokio::time::Instant;
 
@@ -48,12 +50,20 @@
 const IDEMPOTENT_SEND_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// HTTP client for plain services.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct HttpPlainService;
+#[derive(Clone, Debug, Default)]
+pub struct HttpPlainService {
+    memory: MemoryBudget,
+}
 
 impl HttpPlainService {
+    /// Reserves the memory of answers in `memory`; an answer that finds no room fails.
+    pub const fn new(memory: MemoryBudget) -> Self {
+        Self { memory }
+    }
+
     /// Sends a request on a new connection: a pooled one may have gone silent, or been closed while idle.
     async fn exchange(
+        &self,
         url: &str,
         request: &PlainRequest,
         traceparent: &str,
@@ -62,7 +72,7 @@
         let (address, authority) = http::resolve(url).await?;
         let connected = http::connect(address).await;
         let connected = connected.map_err(|error| AttemptError::NotSent(error.to_string()))?;
-        let mut connection = UpstreamConnection::over(connected);
+        let mut connection = UpstreamConnection::over(connected).with_memory(self.memory.reservation());
         let head = request_head(&authority, request, traceparent)?;
         // Checked right before the first byte, since the process may have been suspended while it connected.
         if Instant::now() >= send_deadline {
@@ -81,7 +91,7 @@
         if header(http::NOT_RUN_HEADER).is_some() {
             return Err(http::classify_error(head.status.as_u16(), header));
         }
-        let body = read_body(&mut connection, &head).await?;
+        let body = read_body(&mut connection, &head, &self.memory).await?;
         let headers = head.headers.iter().filter_map(|(name, value)| {
             let (name, value) = (std::str::from_utf8(name).ok()?, std::str::from_utf8(value).ok()?);
             is_end_to_end(name).then(|| (name.to_owned(), value.to_owned()))
@@ -110,22 +120,29 @@
 }
 
 /// Reads the body to its end; it is an error if it ends early.
-async fn read_body(connection: &mut UpstreamConnection, head: &ResponseHead) -> AttemptResult<Bytes> {
-    let mut body = BytesMut::new();
+async fn read_body(
+    connection: &mut UpstreamConnection,
+    head: &ResponseHead,
+    memory: &MemoryBudget,
+) -> AttemptResult<Bytes> {
+    let mut body = BodyBuffer::new(memory, MAX_RESPONSE_BYTES);
     loop {
         match connection.read_body().await {
-            Ok(Some(bytes)) => body.extend_from_slice(&bytes),
+            Ok(Some(bytes)) => body.push(&bytes).map_err(|error| {
+                AttemptError::Failed(match error {
+                    BufferError::TooLarge => "the answer exceeds the limit".to_owned(),
+                    BufferError::NoMemory => "the node has no memory for the answer".to_owned(),
+                })
+            })?,
             Ok(None) => break,
             Err(_) => return Err(AttemptError::Failed(ENDED_EARLY.to_owned())),
         }
-        if body.len() > MAX_RESPONSE_BYTES {
-            return Err(AttemptError::Failed("the answer exceeds the limit".to_owned()));
-        }
     }
+    let body = body.finish();
     if head.ends_early(&body) {
         return Err(AttemptError::Failed(ENDED_EARLY.to_owned()));
     }
-    Ok(body.freeze())
+    Ok(body)
 }
 
 impl PlainService for HttpPlainService {
@@ -135,7 +152,7 @@
         request: &'a PlainRequest,
         traceparent: &'a str,
     ) -> LocalBoxFuture<'a, AttemptResult<PlainResponse>> {
-        Self::exchange(url, request, traceparent, Instant::now() + IDEMPOTENT_SEND_TIMEOUT).boxed_local()
+        self.exchange(url, request, traceparent, Instant::now() + IDEMPOTENT_SEND_TIMEOUT).boxed_local()
     }
 
     fn ping<'a>(&'a self, url: &'a str) -> LocalBoxFuture<'a, AttemptResult<()>> {
@@ -149,6 +166,6 @@
         traceparent: &'a str,
         dispatch_deadline: Instant,
     ) -> LocalBoxFuture<'a, AttemptResult<PlainResponse>> {
-        Self::exchange(url, request, traceparent, dispatch_deadline).boxed_local()
+        self.exchange(url, request, traceparent, dispatch_deadline).boxed_local()
     }
 }
--- a/crates/node/src/plain_dispatch.rs
+++ b/crates/node/src/plain_dispatch.rs
@@ -13,6 +13,7 @@
     rules::ServiceRules,
     view::{UpstreamState, UpstreamView},
 };
+use daisysill_gateway::body_buffer::BodyInPieces;
 use rand::seq::IndexedRandom;
 use tokio::time::{Instant, timeout_at};
 
@@ -67,7 +68,8 @@
         return Err(Refusal::new(ResultCode::NoQuorum, "the rules in force are not known yet")
             .retry_after_ms(NO_RULES_RETRY_MS));
     }
-    let body = shared.planned_stop.before_end(read_body(payload, &shared.config.limits)).await?;
+    let body =
+        shared.planned_stop.before_end(read_body(payload, &shared.config.limits, &shared.memory)).await?;
     shared.check_capacity()?;
     let rules = shared.rules_of(&service);
     let mut dispatch = PlainDispatch {
@@ -267,7 +269,7 @@
     for (name, value) in &response.headers {
         builder.insert_header((name.as_str(), value.as_str()));
     }
-    builder.body(response.body.clone())
+    builder.body(BodyInPieces::new(response.body.clone()))
 }
 
 /// Returns the path and query as received, without `/services/{service}`.
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -6,6 +6,7 @@
 use daisysill_core::{
     chart::{Chart, REQUEST_CHART, ROLE_CHART, UPSTREAM_CHART},
     ids::{ConfigVersion, ServiceName},
+    memory_budget::MemoryBudget,
     result_code::ResultCode,
     rules::{RuleSet, ServiceRules},
 };
@@ -47,6 +48,8 @@
     pub idle_pieces: IdlePieces,
     /// Requests refused for a time because upstreams crashed while they ran.
     pub blocked_requests: BlockedRequests,
+    /// Memory for the bytes of all requests and answers.
+    pub memory: MemoryBudget,
     /// Tells requests in progress when a planned stop ends.
     pub planned_stop: PlannedStop,
     /// Starts the spans of requests.
@@ -81,6 +84,7 @@
         let directory = Arc::<BlockDirectory>::default();
         let chart = Chart::parse(UPSTREAM_CHART)?;
         let upstreams = UpstreamTable::new(chart, Arc::clone(&metrics), Arc::clone(&directory));
+        let memory = MemoryBudget::new(config.limits.memory_bytes);
         let dropped = metrics.dropped_spans.clone();
         let tracing = config.node.trace_file.as_ref().map(|path| Tracing::to_file(path, dropped));
         let tracing = tracing.transpose().wrap_err("cannot open the trace file")?.unwrap_or_default();
@@ -97,6 +101,7 @@
             directory,
             idle_pieces: IdlePieces::default(),
             blocked_requests: BlockedRequests::default(),
+            memory,
             planned_stop: PlannedStop::default(),
             tracing,
             request_chart: Chart::parse(REQUEST_CHART)?,
--- a/crates/node/src/sse.rs
+++ b/crates/node/src/sse.rs
@@ -45,6 +45,11 @@
         self.searched_bytes = self.buffer.len().saturating_sub(1);
         if self.buffer.len() > MAX_EVENT_BYTES { Err(EventTooLarge) } else { Ok(events) }
     }
+
+    /// Returns the memory that an incomplete event occupies.
+    pub fn pending_bytes(&self) -> usize {
+        if self.buffer.is_empty() { 0 } else { self.buffer.capacity() }
+    }
 }
 
 /// Returns the position after the first event that ends at or after `from`.
--- a/crates/node/tests/unsound_engines.rs
+++ b/crates/node/tests/unsound_engines.rs
@@ -165,7 +165,7 @@
         assert_eq!(polls_that_do_not_fail(&url).await, [""; 0], "{head:?}");
         let client = HttpEngine::new(http::client());
         assert!(timeout(SOON, generate(&client, &url)).await.unwrap().is_err(), "{head:?}");
-        let plain = timeout(SOON, HttpPlainService.send(&url, &plain_request(), "")).await;
+        let plain = timeout(SOON, HttpPlainService::default().send(&url, &plain_request(), "")).await;
         assert!(plain.unwrap().is_err(), "{head:?}");
     }
 }
@@ -199,7 +199,7 @@
         // The node limits the time of both, and closes their connections then.
         let stream = timeout(LIMIT, generate(&client, &url)).await;
         assert!(!matches!(stream, Ok(Ok(()))), "answer {number}: stream");
-        let plain = timeout(LIMIT, HttpPlainService.send(&url, &plain_request(), "")).await;
+        let plain = timeout(LIMIT, HttpPlainService::default().send(&url, &plain_request(), "")).await;
         assert!(!matches!(plain, Ok(Ok(_))), "answer {number}: plain service");
         assert_eq!(polls_that_do_not_fail(&url).await, [""; 0], "answer {number}");
         drop(client);
--- a/crates/node/tests/upstream_errors.rs
+++ b/crates/node/tests/upstream_errors.rs
@@ -55,7 +55,7 @@
 /// a connect error.
 #[actix_rt::test]
 async fn a_request_on_a_connection_closed_after_sending_may_have_run() {
-    let service = HttpPlainService;
+    let service = HttpPlainService::default();
     let (url, bytes) = closing_upstream();
     let error = service.send(&url, &request(), "").await.unwrap_err();
     assert!(bytes.recv().unwrap() > 0);
@@ -71,7 +71,7 @@
 /// Guards against a first byte after the dispatch deadline, which passes while the connection is opened.
 #[actix_rt::test]
 async fn no_byte_is_sent_after_the_dispatch_deadline() {
-    let service = HttpPlainService;
+    let service = HttpPlainService::default();
     let (url, bytes) = closing_upstream();
     let error = service.send_before(&url, &request(), "", Instant::now()).await.unwrap_err();
     assert_eq!(error, AttemptError::TooLate);
@@ -81,7 +81,7 @@
 /// Guards against a late first byte from a process that was suspended while connecting.
 #[actix_rt::test]
 async fn a_process_suspended_while_connecting_sends_nothing() {
-    let service = HttpPlainService;
+    let service = HttpPlainService::default();
     let (url, bytes) = closing_upstream();
     let (request, deadline) = (request(), Instant::now() + Duration::from_millis(100));
     let mut sending = service.send_before(&url, &request, "", deadline);
@@ -95,7 +95,7 @@
 /// Guards against `may_have_run` for a request whose connection was refused.
 #[actix_rt::test]
 async fn a_request_with_a_refused_connection_did_not_run() {
-    let service = HttpPlainService;
+    let service = HttpPlainService::default();
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let url = format!("http://{}", listener.local_addr().unwrap());
     drop(listener);
@@ -117,7 +117,7 @@
     ];
     for (rest, expected) in cases {
         let (url, _bytes) = responding_upstream(String::leak(format!("{HEAD}{rest}")));
-        let result = HttpPlainService.send(&url, &request(), "").await;
+        let result = HttpPlainService::default().send(&url, &request(), "").await;
         assert_eq!(result.ok().map(|response| response.body), expected.map(Bytes::from), "{rest:?}");
     }
 }
@@ -137,7 +137,7 @@
         ];
         for rest in framings {
             let (url, _bytes) = responding_upstream(String::leak(format!("{HEAD}{rest}")));
-            let result = HttpPlainService.send(&url, &request(), "").await;
+            let result = HttpPlainService::default().send(&url, &request(), "").await;
             assert_eq!(result.is_ok(), is_whole, "{rest:?}: {result:?}");
         }
     }
@@ -156,7 +156,7 @@
         thread::sleep(Duration::from_millis(50));
         SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
     });
-    let result = HttpPlainService.send(&url, &request(), "").await;
+    let result = HttpPlainService::default().send(&url, &request(), "").await;
     assert!(result.is_err(), "{result:?}");
 }
 
@@ -187,7 +187,7 @@
     let good = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ncue7";
     let url = serve_connections(format!("{good}{REFUSAL}"), format!("{REFUSAL}{good}"));
     for _ in 0..3 {
-        let response = HttpPlainService.send(&url, &request(), "").await.unwrap();
+        let response = HttpPlainService::default().send(&url, &request(), "").await.unwrap();
         assert_eq!((response.status, response.body.as_ref()), (200, b"cue7".as_slice()));
     }
 }
@@ -263,7 +263,7 @@
         for sent in 0..head.len() {
             let start = &head[..sent];
             let url = breaking_upstream(start.to_owned(), resets);
-            let plain = HttpPlainService.send(&url, &request(), "").await.unwrap_err();
+            let plain = HttpPlainService::default().send(&url, &request(), "").await.unwrap_err();
             assert!(!plain.is_not_run(), "{start:?}: {plain}");
             let url = breaking_upstream(start.to_owned(), resets);
             let engine = match client.generate(&url, &engine_request(), "").await {
@@ -281,13 +281,16 @@
     for start in ["HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n"] {
         for resets in [false, true] {
             let url = breaking_upstream(start.to_owned(), resets);
-            let result = HttpPlainService.send(&url, &request(), "").await;
+            let result = HttpPlainService::default().send(&url, &request(), "").await;
             assert!(result.is_err(), "{start:?}: {result:?}");
         }
     }
     for whole in ["HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n"] {
         let url = breaking_upstream(whole.to_owned(), false);
-        assert!(HttpPlainService.send(&url, &request(), "").await.unwrap().body.is_empty(), "{whole:?}");
+        assert!(
+            HttpPlainService::default().send(&url, &request(), "").await.unwrap().body.is_empty(),
+            "{whole:?}"
+        );
     }
 }
 
