--- a/crates/gateway/src/load_orders.rs
+++ b/crates/gateway/src/load_orders.rs
@@ -119,12 +119,12 @@
         self.record_failure(incarnation, Some(Instant::now() + REFUSED_PAUSE));
     }
 
-    /// Records the answer to a question for an upstream's report, which is `None` if it did not answer. Returns whether it
-    /// changes what is known of its weights.
+    /// Records the response to a poll of an upstream's report, `None` if there was none. Returns whether it changes what is known
+    /// of its weights.
     pub(crate) fn record_report(&mut self, entry: &UpstreamEntry, report: Option<&EngineReport>) -> bool {
         self.record_poll(entry, report.is_some());
         let Some(report) = report else {
-            // The next question has the same pause as after an answer.
+            // The next poll follows after the same time as one with a response.
             let unconfirmed = self.reported.get_mut(&incarnation(entry)).into_iter().flatten();
             unconfirmed.for_each(|(_, reported)| reported.at = BootInstant::now());
             return false;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -348,7 +348,7 @@
     let version = version.unwrap_or_default();
     match partition {
         CachePartition::Shared => format!("{model}/{version}"),
-        // Told apart by the sign after the version, since a customer's name may be any text.
+        // The sign after the version keeps this from being equal to the scope of a customer, whose name may be any text.
         CachePartition::SharedBeside(isolated) => format!("{model}/{version}{PARTITION_SIGN}{isolated}"),
         CachePartition::Isolated(customer) => format!("{model}/{version}/{customer}"),
     }
