--- a/crates/node/tests/floods.rs
+++ b/crates/node/tests/floods.rs
@@ -2,6 +2,10 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+mod support {
+    pub(crate) mod upstream_requests;
+}
+
 use std::{
     fs,
     io::{Read, Write},
@@ -18,10 +22,10 @@
     engine_client::HttpEngine,
     http,
     plain_client::HttpPlainService,
-    upstream_api::{Engine, PlainRequest, PlainService},
+    upstream_api::{Engine, PlainService},
 };
-use daisysill_wire::http_types::EngineRequest;
 use futures::{StreamExt, future::join_all};
+use support::upstream_requests::{engine_request, plain_request};
 use tokio::time::timeout;
 
 const MEMORY_BYTES: usize = 16_000_000;
@@ -50,31 +54,6 @@
     }
 }
 
-fn plain_request() -> PlainRequest {
-    PlainRequest {
-        method: "GET".to_owned(),
-        path: "/x".to_owned(),
-        headers: Vec::new(),
-        body: web::Bytes::new(),
-    }
-}
-
-fn engine_request() -> EngineRequest {
-    EngineRequest {
-        attempt_id: "att-1".to_owned(),
-        model: "m".to_owned(),
-        adapter: None,
-        prompt: "la".to_owned(),
-        max_tokens: 8,
-        priority: 0,
-        cache_salt: "s".to_owned(),
-        kv_pieces: Vec::new(),
-        resume_from_token: 0,
-        resume_text: None,
-        weight_version: 1,
-    }
-}
-
 /// Returns the most memory that this process has used at any time, in bytes.
 fn peak_memory_bytes() -> usize {
     let status = fs::read_to_string("/proc/self/status").unwrap();
--- a/crates/node/tests/unsound_engines.rs
+++ b/crates/node/tests/unsound_engines.rs
@@ -2,6 +2,10 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
+mod support {
+    pub(crate) mod upstream_requests;
+}
+
 use std::{
     io::{Read, Write},
     net::{TcpListener, TcpStream},
@@ -18,10 +22,10 @@
     http,
     plain_client::HttpPlainService,
     platform_client::HttpPlatform,
-    upstream_api::{AttemptError, AttemptResult, Engine, PlainRequest, PlainService, Platform, Store},
+    upstream_api::{AttemptError, AttemptResult, Engine, PlainService, Platform, Store},
 };
-use daisysill_wire::http_types::EngineRequest;
 use futures::StreamExt;
+use support::upstream_requests::{engine_request, plain_request};
 use tokio::time::{Instant, timeout};
 
 /// Longer than any limit on a poll.
@@ -82,31 +86,6 @@
     Answer { start: start.as_bytes().to_vec(), rest: rest.to_vec(), pause: Duration::ZERO }
 }
 
-fn engine_request() -> EngineRequest {
-    EngineRequest {
-        attempt_id: "att-1".to_owned(),
-        model: "m".to_owned(),
-        adapter: None,
-        prompt: "la".to_owned(),
-        max_tokens: 8,
-        priority: 0,
-        cache_salt: "s".to_owned(),
-        kv_pieces: Vec::new(),
-        resume_from_token: 0,
-        resume_text: None,
-        weight_version: 1,
-    }
-}
-
-fn plain_request() -> PlainRequest {
-    PlainRequest {
-        method: "GET".to_owned(),
-        path: "/x".to_owned(),
-        headers: Vec::new(),
-        body: actix_web::web::Bytes::new(),
-    }
-}
-
 /// Reads the stream of an attempt to its first error.
 async fn generate(client: &HttpEngine, url: &str) -> AttemptResult<()> {
     let mut events = client.generate(url, &engine_request(), "").await?;
