--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,5 +1,7 @@
 //! Settings of one node, read from an INI file; every error is reported at once.
 
+mod limits;
+
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -14,6 +16,8 @@
 
 use crate::tls::TlsConfig;
 
+pub use limits::LimitConfig;
+
 /// Settings of one node.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -58,21 +62,6 @@
     pub stop_timeout_s: u64,
 }
 
-/// Limits on requests (section `[limits]`).
-#[derive(Clone, Debug)]
-pub struct LimitConfig {
-    /// Maximum size of a request body.
-    pub body_bytes: usize,
-    /// Time in which a request's headers must arrive.
-    pub header_timeout_ms: u64,
-    /// Maximum time between two parts of a request body.
-    pub body_timeout_ms: u64,
-    /// Maximum number of requests in progress on this node.
-    pub in_flight_requests: usize,
-    /// Memory for the bytes of all requests and answers together.
-    pub memory_bytes: usize,
-}
-
 /// Where the platform lists its instances (section `[platform]`).
 #[derive(Clone, Debug)]
 pub struct PlatformConfig {
@@ -123,10 +112,6 @@
     pub link_bytes_per_s: u64,
 }
 
-/// The HTTP server measures this timeout with a clock that it reads every 500 ms; with 300 ms it answered
-/// some requests with status 408 as soon as their connection was open.
-const MIN_HEADER_TIMEOUT_MS: u64 = 1_000;
-
 const SECTIONS: &[&str] =
     &["node", "limits", "cluster", "platform", "peer.NAME", "customer.NAME", "service.NAME"];
 
@@ -159,7 +144,7 @@
         check_sections(&mut ini);
         let node = parse_node(&mut ini);
         let config = Self {
-            limits: parse_limits(&mut ini),
+            limits: limits::parse(&mut ini),
             cluster: parse_cluster(&mut ini, &node),
             platform: parse_platform(&mut ini),
             customers: parse_customers(&mut ini),
@@ -248,23 +233,6 @@
     }
 }
 
-fn parse_limits(ini: &mut IniFile<'_>) -> LimitConfig {
-    ini.check_keys(
-        "limits",
-        &["body_bytes", "header_timeout_ms", "body_timeout_ms", "in_flight_requests", "memory_bytes"],
-    );
-    let memory_bytes = ini.number("limits", "memory_bytes", 268_435_456, 1_048_576, 1_099_511_627_776);
-    let body_bytes = ini.number("limits", "body_bytes", 8_388_608, 1_024, 1_073_741_824);
-    let in_flight = ini.number("limits", "in_flight_requests", 4_096, 1, 1_000_000);
-    LimitConfig {
-        body_bytes: usize::try_from(body_bytes).unwrap_or(usize::MAX),
-        header_timeout_ms: ini.number("limits", "header_timeout_ms", 5_000, MIN_HEADER_TIMEOUT_MS, 600_000),
-        body_timeout_ms: ini.number("limits", "body_timeout_ms", 10_000, 100, 600_000),
-        in_flight_requests: usize::try_from(in_flight).unwrap_or(usize::MAX),
-        memory_bytes: usize::try_from(memory_bytes).unwrap_or(usize::MAX),
-    }
-}
-
 fn parse_cluster(ini: &mut IniFile<'_>, node: &NodeConfig) -> ClusterConfig {
     ini.check_keys("cluster", &["peer_listen", "data_dir", "secret", "bootstrap_voters", "trust_disk"]);
     let voters = split_list(ini.raw("cluster", "bootstrap_voters"));
