Log the connection of each attempt, and answers that are discarded

Cause: the log of a request that ran in spite of a refusal names neither the connection of an attempt, nor whether that one had carried the request before, nor answers that belong to no request.

Change: connections have a number and remember which requests they carried; attempt_failed and answered name the connection, answer_discarded each answer too many, and refused the attempts that its run state rests on. Two metrics: discarded_answers by kind, and repeats_on_connections. What is sent and answered is unchanged.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 mod view_instance;
 mod view_row;
 
+pub mod carried_requests;
 pub mod connection_table;
 pub mod crashing_parts;
 pub mod evacuation;
--- a/crates/core/src/result_code.rs
+++ b/crates/core/src/result_code.rs
@@ -14,6 +14,22 @@
     Run,
 }
 
+impl RunState {
+    /// Returns the name used in JSON bodies and logs.
+    ///
+    /// ```
+    /// use daisysill_core::result_code::RunState;
+    /// assert_eq!(RunState::MayHaveRun.name(), "may_have_run");
+    /// ```
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::MayHaveRun => "may_have_run",
+            Self::Run => "run",
+        }
+    }
+}
+
 macro_rules! result_codes {
     ($($(#[$meta:meta])* $name:ident = $number:literal, $status:literal, $run:ident, $text:literal;)*) => {
         /// The outcome of a request or a change, as reported to callers, operators and metrics.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,7 +8,10 @@
 use crate::{
     caller_request::{AttemptHistory, CallerRequest, urgency},
     duration::millis,
-    exchange::{AttemptError, AttemptSignals, AttemptTarget, OutgoingRequest, UpstreamResponse, attempt},
+    exchange::{
+        AttemptContext, AttemptError, AttemptSignals, AttemptTarget, OutgoingRequest, UpstreamResponse,
+        attempt,
+    },
     forward::Gateway,
     header_codec::AttemptHeaders,
     placement::ChosenUpstream,
@@ -126,9 +129,10 @@
             send_permit: &chosen.send_permit,
         };
         let started = Instant::now();
-        let header_codec = self.header_codec.0.as_ref();
+        let context =
+            AttemptContext { pool: &self.pool, header_codec: &self.header_codec, metrics: &self.metrics };
         let upstream = AttemptTarget { upstream: &chosen.upstream, ended: &self.request_ended };
-        let result = attempt(&self.pool, header_codec, upstream, &headers, &outgoing, signals).await;
+        let result = attempt(context, upstream, &headers, &outgoing, signals).await;
         if let Some(transfers) = &chosen.transfers {
             self.release_links(transfers);
         }
@@ -139,12 +143,20 @@
             Err(error) => error.name(),
         };
         self.metrics.record_attempt(outcome);
+        let used = signals.trace.connection_use.get();
+        if used.is_some_and(|used| used.is_repeat) {
+            self.metrics.repeats_on_connections.inc();
+        }
         if result.is_err() {
             tracing::info!(
                 event = "attempt_failed",
                 request_id = request.headers.request_id.as_deref(),
                 upstream = chosen.upstream.entry.id.as_str(),
+                address = %chosen.upstream.entry.address,
                 outcome,
+                connection = used.map(|used| used.connection),
+                connection_requests = used.map(|used| used.requests),
+                is_repeat_on_connection = used.map(|used| used.is_repeat),
                 after_ms = millis(started.elapsed()),
                 estimate_ms = chosen.estimate_ms,
                 candidates = chosen.candidates,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -3,11 +3,12 @@
 use std::{
     io::{self, IoSlice},
     net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
     time::Duration,
 };
 
 use bytes::{Buf, Bytes, BytesMut};
-use daisysill_core::memory_budget::MemoryReservation;
+use daisysill_core::{carried_requests::CarriedRequests, memory_budget::MemoryReservation};
 use socket2::SockRef;
 use tokio::{
     io::AsyncReadExt,
@@ -32,6 +33,9 @@
 /// `TCP_USER_TIMEOUT`: the kernel closes the connection when sent bytes stay unacknowledged for this time.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// The number of the next connection of this process.
+static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
+
 /// Why a response could not be read.
 #[derive(Debug)]
 pub enum ReadError {
@@ -77,6 +81,9 @@
 #[derive(Debug)]
 pub struct UpstreamConnection {
     stream: TcpStream,
+    /// Its number in the logs of this process.
+    number: u64,
+    carried: CarriedRequests,
     /// Bytes received but not parsed yet.
     input: BytesMut,
     /// The memory that `input` occupies; `None` if only its own limits bound it.
@@ -107,6 +114,8 @@
     pub fn over(stream: TcpStream) -> Self {
         Self {
             stream,
+            number: NEXT_NUMBER.fetch_add(1, Ordering::Relaxed),
+            carried: CarriedRequests::default(),
             input: BytesMut::new(),
             memory: None,
             body: BodyState::Idle,
@@ -124,6 +133,16 @@
         Self { memory: Some(reservation), ..self }
     }
 
+    /// Returns its number in the logs of this process.
+    pub const fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Returns the requests that it has carried.
+    pub const fn carried(&self) -> &CarriedRequests {
+        &self.carried
+    }
+
     /// Returns whether the connection can carry another request: the last response was read to its end, no bytes
     /// followed it, and the upstream has not closed the connection.
     pub fn is_reusable(&mut self) -> bool {
@@ -160,12 +179,18 @@
         self.idle_since.elapsed()
     }
 
-    /// Writes a request. Stops early if response bytes arrive before the whole request is written; the connection is
+    /// Writes a request with this ID. Stops early if response bytes arrive before the whole request is written; the connection is
     /// then not reused.
     ///
     /// # Errors
     /// Fails with the number of bytes written; with 0, the request has certainly not run.
-    pub async fn write_request(&mut self, head: &[u8], body: &Bytes) -> Result<(), (usize, io::ErrorKind)> {
+    pub async fn write_request(
+        &mut self,
+        request_id: Option<&str>,
+        head: &[u8],
+        body: &Bytes,
+    ) -> Result<(), (usize, io::ErrorKind)> {
+        self.carried.begin(request_id);
         self.request_written = false;
         self.body = BodyState::Idle;
         let mut request = Buf::chain(head, body.clone());
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,10 +12,13 @@
 };
 
 use crate::{
+    attempt_trace::{AttemptTrace, ConnectionUse, DiscardedAnswer},
     connection::{ReadError, UpstreamConnection},
     expected_work::AttemptExpectation,
-    header_codec::{AttemptHeaders, HeaderCodec, ResponseHeaders, ResponseHints},
+    forward::SharedCodec,
+    header_codec::{AttemptHeaders, ResponseHeaders, ResponseHints},
     http_head::ResponseHead,
+    metrics::GatewayMetrics,
     permits::SendPermit,
     pool::{CheckoutError, Pool, PooledConnection},
     upstreams::{InFlight, Upstream},
@@ -137,12 +140,20 @@
     pub(crate) connected: Notify,
     /// Notified when the request leaves the upstream, which ends the attempt as timed out.
     pub(crate) left: Notify,
+    pub(crate) trace: AttemptTrace,
+}
+
+/// What attempts use of their gateway.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttemptContext<'a> {
+    pub(crate) pool: &'a Pool,
+    pub(crate) header_codec: &'a SharedCodec,
+    pub(crate) metrics: &'a GatewayMetrics,
 }
 
 /// Sends a request to an upstream and reads the head of the response, unless the request leaves the upstream before.
 pub(crate) async fn attempt(
-    pool: &Pool,
-    header_codec: &dyn HeaderCodec,
+    context: AttemptContext<'_>,
     target: AttemptTarget<'_>,
     headers: &AttemptHeaders<'_>,
     outgoing: &OutgoingRequest<'_>,
@@ -150,18 +161,17 @@
 ) -> Result<UpstreamResponse, AttemptError> {
     tokio::select! {
         biased;
-        result = connect_and_send(pool, header_codec, target, headers, outgoing, &signals.connected) => result,
+        result = connect_and_send(context, target, headers, outgoing, signals) => result,
         () = signals.left.notified() => Err(AttemptError::TimedOut),
     }
 }
 
 async fn connect_and_send(
-    pool: &Pool,
-    header_codec: &dyn HeaderCodec,
+    context: AttemptContext<'_>,
     target: AttemptTarget<'_>,
     headers: &AttemptHeaders<'_>,
     outgoing: &OutgoingRequest<'_>,
-    connected: &Notify,
+    signals: &AttemptSignals,
 ) -> Result<UpstreamResponse, AttemptError> {
     let end = Instant::now() + outgoing.head_timeout;
     let address = target.upstream.entry.address;
@@ -173,19 +183,18 @@
     )
     .with_work(outgoing.expected_work)
     .with_place(outgoing.held_place.take());
-    let pooled =
-        timeout_at(end, pool.checkout(address, outgoing.max_connections, outgoing.at_most_once)).await;
-    let pooled = match pooled {
+    let checkout = context.pool.checkout(address, outgoing.max_connections, outgoing.at_most_once);
+    let pooled = match timeout_at(end, checkout).await {
         Ok(Ok(pooled)) => pooled,
         Ok(Err(CheckoutError::LimitReached)) => return Err(AttemptError::NoConnectionLeft),
         Ok(Err(CheckoutError::ConnectFailed)) | Err(_) => return Err(AttemptError::NotSent),
     };
-    connected.notify_one();
+    signals.connected.notify_one();
     let mut head = Vec::with_capacity(outgoing.head.len() + 256);
     head.extend_from_slice(outgoing.head);
-    header_codec.encode_attempt(headers, &mut head);
+    context.header_codec.0.encode_attempt(headers, &mut head);
     head.extend_from_slice(b"\r\n");
-    let exchange = send_and_read(header_codec, pooled, in_flight, &head, outgoing);
+    let exchange = send_and_read(context, pooled, in_flight, &head, outgoing, &signals.trace);
     timeout_at(end, exchange).await.unwrap_or(Err(AttemptError::TimedOut))
 }
 
@@ -212,11 +221,12 @@
 }
 
 async fn send_and_read(
-    header_codec: &dyn HeaderCodec,
+    context: AttemptContext<'_>,
     mut pooled: PooledConnection,
     mut in_flight: InFlight,
     head: &[u8],
     outgoing: &OutgoingRequest<'_>,
+    trace: &AttemptTrace,
 ) -> Result<UpstreamResponse, AttemptError> {
     if !in_flight.upstream.accepts_requests() || in_flight.upstream.hints().pause.is_on() {
         pooled.release();
@@ -229,17 +239,28 @@
     }
     let connection = pooled.get().map_err(|_| AttemptError::NotSent)?;
     let sent_at = Instant::now();
-    if let Err((sent, _)) = connection.write_request(head, outgoing.body).await {
+    trace.connection_use.set(Some(ConnectionUse::before_sending(connection, outgoing.request_id)));
+    if let Err((sent, _)) = connection.write_request(outgoing.request_id, head, outgoing.body).await {
         return Err(if sent == 0 { AttemptError::NotSent } else { AttemptError::Broken });
     }
     for _ in 0..=MAX_FOREIGN_RESPONSES {
         let read = connection.read_head(outgoing.method, |headers| {
-            AnswerHeaders::new(&header_codec.decode_response(headers), outgoing.request_id)
+            AnswerHeaders::new(&context.header_codec.0.decode_response(headers), outgoing.request_id)
         });
         let (head, answer) = read.await.map_err(|_| AttemptError::Broken)?;
         in_flight.upstream.record_activity();
         if !answer.is_ours {
             // A late duplicate of a response to an earlier request, whatever it states; ours follows.
+            let discarded = DiscardedAnswer::new(head.status, answer.not_executed);
+            context.metrics.record_discarded_answer(discarded);
+            tracing::info!(
+                event = "answer_discarded",
+                request_id = outgoing.request_id,
+                upstream = in_flight.upstream.entry.id.as_str(),
+                connection = connection.number(),
+                kind = discarded.name(),
+                status = head.status.as_u16(),
+            );
             if !discard_body(connection).await {
                 return Err(AttemptError::Broken);
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! The traits of [`header_codec`] and [`discovery`] hide the names and formats of the deployment's platform.
 
 mod attempt;
+mod attempt_trace;
 pub mod body_buffer;
 mod buffered;
 pub mod caller_request;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,7 +14,10 @@
     registry::{Metric, Registry, Unit},
 };
 
-use crate::{body_buffer::BufferError, callers::ConnectionMetrics, http_head::Framing, logging};
+use crate::{
+    attempt_trace::DiscardedAnswer, body_buffer::BufferError, callers::ConnectionMetrics, http_head::Framing,
+    logging,
+};
 
 /// Labels of a finished request.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
@@ -31,6 +34,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of an answer that belongs to no request in progress.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct DiscardedAnswerLabels {
+    /// `not_run` if it states that its request has not run, `success` or `failure`.
+    pub kind: &'static str,
+}
+
 /// Labels of a connection that only shows whether an upstream can be reached.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct ProbeLabels {
@@ -89,6 +99,10 @@
     pub requests: Family<ResultLabels, Counter>,
     /// Attempts that got a response head or failed.
     pub attempts: Family<AttemptLabels, Counter>,
+    /// Answers on connections to upstreams that belong to no request in progress.
+    pub discarded_answers: Family<DiscardedAnswerLabels, Counter>,
+    /// Attempts whose connection had carried the same request before.
+    pub repeats_on_connections: Counter,
     /// Bodies of streams that ended as their framing says, by where they ended.
     pub stream_bodies: Family<StreamBodyLabels, Counter>,
     /// Streams that ended at their callers.
@@ -167,6 +181,12 @@
         Self {
             requests: registered(all, "requests", "Requests finished"),
             attempts: registered(all, "attempts", "Attempts at upstreams"),
+            discarded_answers: registered(all, "discarded_answers", "Answers of upstreams too many"),
+            repeats_on_connections: registered(
+                all,
+                "repeats_on_connections",
+                "Attempts on connections that carried the request before",
+            ),
             stream_bodies: registered(all, "stream_bodies", "Stream bodies read to their end"),
             stream_ends: registered(all, "stream_ends", "Streams ended"),
             dropped_bodies: registered(all, "dropped_bodies", "Bodies not kept in memory"),
@@ -246,6 +266,11 @@
         self.attempts.get_or_create(&AttemptLabels { outcome }).inc();
     }
 
+    /// Counts an answer that belongs to no request in progress.
+    pub(crate) fn record_discarded_answer(&self, answer: DiscardedAnswer) {
+        self.discarded_answers.get_or_create(&DiscardedAnswerLabels { kind: answer.name() }).inc();
+    }
+
     /// Counts a connection that only showed whether an upstream can be reached.
     pub(crate) fn record_probe(&self, outcome: &'static str) {
         self.contact_probes.get_or_create(&ProbeLabels { outcome }).inc();
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -236,7 +236,8 @@
         config_version: request.config_version,
     };
     let head = encode_peer_head(http, &request.body, passed_on);
-    if let Err((sent, _)) = connection.write_request(&head, &request.body).await {
+    let request_id = request.headers.request_id.as_deref();
+    if let Err((sent, _)) = connection.write_request(request_id, &head, &request.body).await {
         return if sent == 0 { PeerOutcome::Unable } else { PeerOutcome::Broken };
     }
     let is_unable = |headers: &[httparse::Header<'_>]| {
--- a/crates/gateway/src/peer_zones.rs
+++ b/crates/gateway/src/peer_zones.rs
@@ -57,7 +57,7 @@
 /// can't be used.
 async fn ask_on(connection: &mut UpstreamConnection) -> Option<ZoneName> {
     let head = format!("GET / HTTP/1.1\r\nHost: entry-node\r\n{ZONE_QUESTION}: 1\r\n\r\n");
-    connection.write_request(head.as_bytes(), &Bytes::new()).await.ok()?;
+    connection.write_request(None, head.as_bytes(), &Bytes::new()).await.ok()?;
     let zone_of = |headers: &[httparse::Header<'_>]| {
         let zone = headers.iter().find(|header| header.name.eq_ignore_ascii_case(ZONE))?;
         std::str::from_utf8(zone.value).ok().map(ZoneName::from)
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -139,6 +139,11 @@
         self.connection.as_mut().ok_or(io::ErrorKind::NotConnected)
     }
 
+    /// Returns the number of the connection in the logs; `None` while it is still being opened.
+    pub(crate) fn number(&self) -> Option<u64> {
+        self.connection.as_ref().map(UpstreamConnection::number)
+    }
+
     /// Returns the connection to the pool if it can be used again.
     pub(crate) fn release(mut self) {
         let Some(mut connection) = self.connection.take() else { return };
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -113,6 +113,11 @@
                     status = refusal.status().as_u16(),
                     retry_after_ms = refusal.retry_after_ms,
                     reason = refusal.reason,
+                    run_state = refusal.run_state.name(),
+                    may_have_run = history.may_have_run,
+                    is_attempt_open = history.is_attempt_open,
+                    refusals = history.refusals,
+                    unreachable = history.unreachable,
                     after_ms = arrived.elapsed().as_millis(),
                 );
                 let mut response = refusal.response(request_id);
@@ -311,7 +316,10 @@
             route = request.route.name,
             customer = request.customer.as_ref().map(|customer| customer.name.as_str()),
             upstream = upstream.entry.id.as_str(),
+            connection = response.pooled.number(),
             status = response.head.status.as_u16(),
+            may_have_run = history.may_have_run,
+            refusals = history.refusals,
             framing = response.head.framing.name(),
             version = response.weight_version.map(|version| version.0),
             software = software.as_ref().map(SoftwareVersion::as_str),
--- a/crates/gateway/tests/connection.rs
+++ b/crates/gateway/tests/connection.rs
@@ -47,7 +47,7 @@
 
 /// Sends a request; returns whether the head of an answer was read.
 async fn reads_head(connection: &mut UpstreamConnection) -> bool {
-    connection.write_request(REQUEST, &Bytes::from_static(b"go")).await.unwrap();
+    connection.write_request(None, REQUEST, &Bytes::from_static(b"go")).await.unwrap();
     connection.read_head("POST", |_| ()).await.is_ok()
 }
 
--- a/crates/node/src/plain_client.rs
+++ b/crates/node/src/plain_client.rs
@@ -84,7 +84,7 @@
         if !may_send() {
             return Err(AttemptError::NotSent(ZONE_EVACUATED.to_owned()));
         }
-        connection.write_request(&head, &request.body).await.map_err(|(sent_bytes, error)| {
+        connection.write_request(None, &head, &request.body).await.map_err(|(sent_bytes, error)| {
             let error = error.to_string();
             if sent_bytes == 0 { AttemptError::NotSent(error) } else { AttemptError::Failed(error) }
         })?;
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -41,7 +41,7 @@
                 name: self.code.name().to_owned(),
                 message: self.message.clone(),
                 type_: error_type(self.code).to_owned(),
-                run_state: run_state_name(self.run_state).to_owned(),
+                run_state: self.run_state.name().to_owned(),
                 retry_after_ms: self.retry_after_ms,
             },
         }
@@ -69,11 +69,3 @@
         _ => "server_error",
     }
 }
-
-const fn run_state_name(state: RunState) -> &'static str {
-    match state {
-        RunState::NotRun => "not_run",
-        RunState::MayHaveRun => "may_have_run",
-        RunState::Run => "run",
-    }
-}
