Send no request twice on one connection

What callers saw: a request that must run once was answered 503 (1309, not run) and ran, or went on at another upstream and ran twice.

Cause: answers were matched with requests by ID, on connections that are known by their address. When an upstream was listed under a new ID at its old address, a request that it had refused was sent again on the same connection; a late copy of the refusal then bore the ID of the request in progress. Class: an identifier that is taken to be unique for an exchange, but belongs to something that lasts longer.

Change: core::carried_requests holds the invariant that a connection carries each request ID once. The pool chooses only connections that admit the ID, the write of a request fails without a byte if it was carried before, and answers are matched there. A connection carries 1,024 requests at most, so its memory is bounded. An idle connection is closed for a new one where this node has used its share. Questions for the zone of another entry node have IDs of their own.

--- a/crates/core/src/carried_requests.rs
+++ b/crates/core/src/carried_requests.rs
@@ -1,51 +1,65 @@
 //! Which requests a connection has carried, and which answers on it belong to the one in progress.
+//!
+//! An upstream may send an answer too many at any later time: also the copy of a refusal, which states that a request has not
+//! run. It bears the ID of the request that it once answered. So an answer tells which request it belongs to only while a
+//! connection carries each ID once.
 
 use std::{
     collections::HashSet,
     hash::{DefaultHasher, Hash, Hasher},
 };
 
-/// Requests whose IDs are remembered for one connection, which bounds the memory of their hashes to some 20 KB.
-const MAX_REMEMBERED_REQUESTS: usize = 1_024;
+/// Requests that a connection carries at most, which bounds the memory of their hashes to some 20 KB.
+pub const MAX_CARRIED_REQUESTS: usize = 1_024;
 
-/// The requests of one connection, known by hashes of their IDs.
+/// The requests of one connection, known by hashes of their IDs. Two IDs with the same hash count as one.
 ///
 /// ```
 /// use daisysill_core::carried_requests::CarriedRequests;
 /// let mut carried = CarriedRequests::default();
-/// assert!(!carried.begin(Some("r1")));
+/// assert!(carried.begin(Some("r1")).is_ok());
 /// assert!(carried.is_answer(Some("r1")) && !carried.is_answer(Some("r0")));
-/// assert!(carried.begin(Some("r1")));
-/// assert_eq!(carried.count(), 2);
+/// assert!(carried.admits(Some("r2")) && !carried.admits(Some("r1")));
+/// assert!(carried.begin(Some("r1")).is_err());
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct CarriedRequests {
     hashes: HashSet<u64>,
-    count: u64,
     /// The ID of the request whose answer is due; `None` also if it has none.
     in_progress: Option<String>,
 }
 
+/// The request may not be sent on the connection: an answer to it could not be told from a copy of an earlier one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NotAdmitted;
+
 impl CarriedRequests {
-    /// Returns the number of requests that were sent.
-    pub const fn count(&self) -> u64 {
-        self.count
+    /// Returns whether a request may be sent on the connection. Requests without an ID count as one request.
+    pub fn admits(&self, request_id: Option<&str>) -> bool {
+        !self.is_full() && !self.hashes.contains(&hash(request_id))
     }
 
-    /// Returns whether a request was sent before.
-    pub fn has_carried(&self, request_id: Option<&str>) -> bool {
-        self.hashes.contains(&hash(request_id))
+    /// Returns whether the connection carries no further request.
+    pub fn is_full(&self) -> bool {
+        self.hashes.len() >= MAX_CARRIED_REQUESTS
     }
 
-    /// Records that a request is about to be sent; returns whether it was sent before.
-    pub fn begin(&mut self, request_id: Option<&str>) -> bool {
-        let was_carried = self.has_carried(request_id);
-        self.count += 1;
-        self.in_progress = request_id.map(str::to_owned);
-        if self.hashes.len() < MAX_REMEMBERED_REQUESTS {
-            self.hashes.insert(hash(request_id));
+    /// Returns the number of requests that were sent.
+    pub fn count(&self) -> usize {
+        self.hashes.len()
+    }
+
+    /// Records that a request is about to be sent.
+    ///
+    /// # Errors
+    /// Fails unless the connection [admits](Self::admits) it.
+    pub fn begin(&mut self, request_id: Option<&str>) -> Result<(), NotAdmitted> {
+        if !self.admits(request_id) {
+            return Err(NotAdmitted);
         }
-        was_carried
+        self.hashes.insert(hash(request_id));
+        self.in_progress = request_id.map(str::to_owned);
+        Ok(())
     }
 
     /// Returns whether an answer with this ID belongs to the request in progress; otherwise it is one too many.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -144,9 +144,6 @@
         };
         self.metrics.record_attempt(outcome);
         let used = signals.trace.connection_use.get();
-        if used.is_some_and(|used| used.is_repeat) {
-            self.metrics.repeats_on_connections.inc();
-        }
         if result.is_err() {
             tracing::info!(
                 event = "attempt_failed",
@@ -156,7 +153,6 @@
                 outcome,
                 connection = used.map(|used| used.connection),
                 connection_requests = used.map(|used| used.requests),
-                is_repeat_on_connection = used.map(|used| used.is_repeat),
                 after_ms = millis(started.elapsed()),
                 estimate_ms = chosen.estimate_ms,
                 candidates = chosen.candidates,
--- a/crates/gateway/src/attempt_trace.rs
+++ b/crates/gateway/src/attempt_trace.rs
@@ -12,20 +12,13 @@
     /// Its number in the logs of this process.
     pub(crate) connection: u64,
     /// How many requests it has carried, with that of the attempt.
-    pub(crate) requests: u64,
-    /// Whether it carried the same request before.
-    pub(crate) is_repeat: bool,
+    pub(crate) requests: usize,
 }
 
 impl ConnectionUse {
-    /// Describes a connection right before a request with this ID is sent on it.
-    pub(crate) fn before_sending(connection: &UpstreamConnection, request_id: Option<&str>) -> Self {
-        let carried = connection.carried();
-        Self {
-            connection: connection.number(),
-            requests: carried.count() + 1,
-            is_repeat: carried.has_carried(request_id),
-        }
+    /// Describes a connection right before a request is sent on it.
+    pub(crate) fn before_sending(connection: &UpstreamConnection) -> Self {
+        Self { connection: connection.number(), requests: connection.carried().count() + 1 }
     }
 }
 
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -144,10 +144,12 @@
     }
 
     /// Returns whether the connection can carry another request: the last response was read to its end, no bytes
-    /// followed it, and the upstream has not closed the connection.
+    /// followed it, the upstream has not closed the connection, and it has not carried too many. Which requests those may be,
+    /// [`Self::carried`] tells.
     pub fn is_reusable(&mut self) -> bool {
         let exchange_complete = self.request_written
             && self.keeps_open
+            && !self.carried.is_full()
             && matches!(self.body, BodyState::Idle | BodyState::Complete);
         if !exchange_complete || !self.input.is_empty() {
             return false;
@@ -183,14 +185,15 @@
     /// then not reused.
     ///
     /// # Errors
-    /// Fails with the number of bytes written; with 0, the request has certainly not run.
+    /// Fails with the number of bytes written; with 0, the request has certainly not run. Nothing is written if the connection
+    /// has carried a request with this ID before.
     pub async fn write_request(
         &mut self,
         request_id: Option<&str>,
         head: &[u8],
         body: &Bytes,
     ) -> Result<(), (usize, io::ErrorKind)> {
-        self.carried.begin(request_id);
+        self.carried.begin(request_id).map_err(|_| (0, io::ErrorKind::AlreadyExists))?;
         self.request_written = false;
         self.body = BodyState::Idle;
         let mut request = Buf::chain(head, body.clone());
--- a/crates/gateway/src/entry_peers.rs
+++ b/crates/gateway/src/entry_peers.rs
@@ -62,7 +62,7 @@
             zones: RefCell::default(),
             in_flight: Rc::default(),
             avoided: RefCell::default(),
-            pool: Pool::new(metrics.peer_connections.clone(), None, memory),
+            pool: Pool::new(metrics.of_pool(&metrics.peer_connections), None, memory),
             is_known,
         }
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -20,7 +20,7 @@
     http_head::ResponseHead,
     metrics::GatewayMetrics,
     permits::SendPermit,
-    pool::{CheckoutError, Pool, PooledConnection},
+    pool::{CheckoutError, Pool, PooledConnection, RequestIdentity},
     upstreams::{InFlight, Upstream},
 };
 
@@ -183,7 +183,8 @@
     )
     .with_work(outgoing.expected_work)
     .with_place(outgoing.held_place.take());
-    let checkout = context.pool.checkout(address, outgoing.max_connections, outgoing.at_most_once);
+    let request = RequestIdentity { id: outgoing.request_id, at_most_once: outgoing.at_most_once };
+    let checkout = context.pool.checkout(address, outgoing.max_connections, request);
     let pooled = match timeout_at(end, checkout).await {
         Ok(Ok(pooled)) => pooled,
         Ok(Err(CheckoutError::LimitReached)) => return Err(AttemptError::NoConnectionLeft),
@@ -200,8 +201,8 @@
 
 /// What the headers of a response state about it, without borrowing from them.
 struct AnswerHeaders {
-    /// Whether it answers the request that was sent.
-    is_ours: bool,
+    /// The ID of the request that it answers.
+    request_id: Option<String>,
     not_executed: bool,
     sealed: bool,
     weight_version: Option<WeightVersion>,
@@ -209,9 +210,9 @@
 }
 
 impl AnswerHeaders {
-    fn new(headers: &ResponseHeaders<'_>, request_id: Option<&str>) -> Self {
+    fn new(headers: &ResponseHeaders<'_>) -> Self {
         Self {
-            is_ours: headers.request_id == request_id,
+            request_id: headers.request_id.map(str::to_owned),
             not_executed: headers.not_executed,
             sealed: headers.sealed,
             weight_version: headers.weight_version,
@@ -239,17 +240,17 @@
     }
     let connection = pooled.get().map_err(|_| AttemptError::NotSent)?;
     let sent_at = Instant::now();
-    trace.connection_use.set(Some(ConnectionUse::before_sending(connection, outgoing.request_id)));
+    trace.connection_use.set(Some(ConnectionUse::before_sending(connection)));
     if let Err((sent, _)) = connection.write_request(outgoing.request_id, head, outgoing.body).await {
         return Err(if sent == 0 { AttemptError::NotSent } else { AttemptError::Broken });
     }
     for _ in 0..=MAX_FOREIGN_RESPONSES {
         let read = connection.read_head(outgoing.method, |headers| {
-            AnswerHeaders::new(&context.header_codec.0.decode_response(headers), outgoing.request_id)
+            AnswerHeaders::new(&context.header_codec.0.decode_response(headers))
         });
         let (head, answer) = read.await.map_err(|_| AttemptError::Broken)?;
         in_flight.upstream.record_activity();
-        if !answer.is_ours {
+        if !connection.carried().is_answer(answer.request_id.as_deref()) {
             // A late duplicate of a response to an earlier request, whatever it states; ours follows.
             let discarded = DiscardedAnswer::new(head.status, answer.not_executed);
             context.metrics.record_discarded_answer(discarded);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -146,7 +146,11 @@
             bounds,
             routing: RoutingState::default(),
             upstreams,
-            pool: Pool::new(metrics.connections_opened.clone(), Some(Rc::clone(&contact)), memory.clone()),
+            pool: Pool::new(
+                metrics.of_pool(&metrics.connections_opened),
+                Some(Rc::clone(&contact)),
+                memory.clone(),
+            ),
             peers: EntryPeers::new(peer_port, &metrics, contact.peers_flag(), memory.clone()),
             regions,
             contact,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     attempt_trace::DiscardedAnswer, body_buffer::BufferError, callers::ConnectionMetrics, http_head::Framing,
-    logging,
+    logging, pool::PoolMetrics,
 };
 
 /// Labels of a finished request.
@@ -101,8 +101,8 @@
     pub attempts: Family<AttemptLabels, Counter>,
     /// Answers on connections to upstreams that belong to no request in progress.
     pub discarded_answers: Family<DiscardedAnswerLabels, Counter>,
-    /// Attempts whose connection had carried the same request before.
-    pub repeats_on_connections: Counter,
+    /// Idle connections, to upstreams and other entry nodes, that were not used for a request since they had carried it before.
+    pub repeats_avoided: Counter,
     /// Bodies of streams that ended as their framing says, by where they ended.
     pub stream_bodies: Family<StreamBodyLabels, Counter>,
     /// Streams that ended at their callers.
@@ -182,10 +182,10 @@
             requests: registered(all, "requests", "Requests finished"),
             attempts: registered(all, "attempts", "Attempts at upstreams"),
             discarded_answers: registered(all, "discarded_answers", "Answers of upstreams too many"),
-            repeats_on_connections: registered(
+            repeats_avoided: registered(
                 all,
-                "repeats_on_connections",
-                "Attempts on connections that carried the request before",
+                "repeats_avoided",
+                "Connections not used since they had carried the request",
             ),
             stream_bodies: registered(all, "stream_bodies", "Stream bodies read to their end"),
             stream_ends: registered(all, "stream_ends", "Streams ended"),
@@ -266,6 +266,11 @@
         self.attempts.get_or_create(&AttemptLabels { outcome }).inc();
     }
 
+    /// Returns the counts of a pool whose new connections `opened` counts.
+    pub(crate) fn of_pool(&self, opened: &Counter) -> PoolMetrics {
+        PoolMetrics { opened: opened.clone(), repeats_avoided: self.repeats_avoided.clone() }
+    }
+
     /// Counts an answer that belongs to no request in progress.
     pub(crate) fn record_discarded_answer(&self, answer: DiscardedAnswer) {
         self.discarded_answers.get_or_create(&DiscardedAnswerLabels { kind: answer.name() }).inc();
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -19,7 +19,7 @@
     open_streams::{COMPLETE, OpenStream},
     peer_headers::{PassedOn, UNABLE, is_peer_header},
     peer_zones,
-    pool::PooledConnection,
+    pool::{PooledConnection, RequestIdentity},
     refusal::Refusal,
     refusal_rules::deadline_refusal,
     relay::StreamBroken,
@@ -223,7 +223,9 @@
     peer: ChosenPeer,
 ) -> PeerOutcome {
     let pool = gateway.peers.pool();
-    let checkout = pool.checkout(peer.address, EntryPeers::max_connections(), request.at_most_once());
+    let request_id = request.headers.request_id.as_deref();
+    let identity = RequestIdentity { id: request_id, at_most_once: request.at_most_once() };
+    let checkout = pool.checkout(peer.address, EntryPeers::max_connections(), identity);
     let Ok(mut pooled) = checkout.await else { return PeerOutcome::Unable };
     let Ok(connection) = pooled.get() else { return PeerOutcome::Unable };
     if !peer_zones::admits(gateway, request, peer.address, connection).await {
@@ -236,7 +238,6 @@
         config_version: request.config_version,
     };
     let head = encode_peer_head(http, &request.body, passed_on);
-    let request_id = request.headers.request_id.as_deref();
     if let Err((sent, _)) = connection.write_request(request_id, &head, &request.body).await {
         return if sent == 0 { PeerOutcome::Unable } else { PeerOutcome::Broken };
     }
--- a/crates/gateway/src/peer_zones.rs
+++ b/crates/gateway/src/peer_zones.rs
@@ -4,7 +4,12 @@
 //! connection that the body is about to be sent on: another machine may have got the address meanwhile. A node of an earlier build
 //! refuses the question, and its zone stays unknown.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 use actix_web::{HttpRequest, HttpResponse};
 use bytes::Bytes;
@@ -18,11 +23,15 @@
     entry_peers::EntryPeers,
     forward::Gateway,
     peer_headers::{ZONE, ZONE_QUESTION},
+    pool::RequestIdentity,
 };
 
 /// Time for an entry node to state its zone.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The number of the next question of this process: a connection carries each request ID once.
+static NEXT_QUESTION: AtomicU64 = AtomicU64::new(0);
+
 /// Answers the question of another entry node for the zone of this one; `None` if the request is another one.
 pub(crate) fn answer(gateway: &Gateway, http: &HttpRequest) -> Option<HttpResponse> {
     http.headers().get(ZONE_QUESTION)?;
@@ -47,7 +56,8 @@
 /// Asks an entry node for its zone; `None` if it does not state one.
 async fn ask(peers: &EntryPeers, address: SocketAddr) -> Option<ZoneName> {
     let pool = peers.pool();
-    let mut pooled = pool.checkout(address, EntryPeers::max_connections(), false).await.ok()?;
+    let question = RequestIdentity { id: None, at_most_once: false };
+    let mut pooled = pool.checkout(address, EntryPeers::max_connections(), question).await.ok()?;
     let zone = ask_on(pooled.get().ok()?).await?;
     pooled.release();
     Some(zone)
@@ -56,8 +66,9 @@
 /// Asks the entry node at the other end of a connection for its zone; `None` if it does not state one, after which the connection
 /// can't be used.
 async fn ask_on(connection: &mut UpstreamConnection) -> Option<ZoneName> {
+    let id = format!("zone-question-{}", NEXT_QUESTION.fetch_add(1, Ordering::Relaxed));
     let head = format!("GET / HTTP/1.1\r\nHost: entry-node\r\n{ZONE_QUESTION}: 1\r\n\r\n");
-    connection.write_request(None, head.as_bytes(), &Bytes::new()).await.ok()?;
+    connection.write_request(Some(&id), head.as_bytes(), &Bytes::new()).await.ok()?;
     let zone_of = |headers: &[httparse::Header<'_>]| {
         let zone = headers.iter().find(|header| header.name.eq_ignore_ascii_case(ZONE))?;
         std::str::from_utf8(zone.value).ok().map(ZoneName::from)
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -24,6 +24,15 @@
     ConnectFailed,
 }
 
+/// What decides which connections may carry a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RequestIdentity<'a> {
+    /// Its ID, which answers repeat.
+    pub(crate) id: Option<&'a str>,
+    /// Whether it must not run twice.
+    pub(crate) at_most_once: bool,
+}
+
 /// Connections to one address.
 #[derive(Debug, Default)]
 struct AddressPool {
@@ -32,17 +41,38 @@
     open: usize,
 }
 
+impl AddressPool {
+    /// Closes the connection that has been idle for longest; `false` if none is idle.
+    fn close_idle(&mut self) -> bool {
+        let has_idle = !self.idle.is_empty();
+        if has_idle {
+            self.idle.remove(0);
+            self.open -= 1;
+        }
+        has_idle
+    }
+}
+
 /// Connections by the address of the upstream.
 #[derive(Debug, Default)]
 struct AddressPools {
     pools: HashMap<SocketAddr, AddressPool>,
 }
 
+/// Counts of a pool.
+#[derive(Clone, Debug)]
+pub(crate) struct PoolMetrics {
+    /// Connections that were begun, also if they failed.
+    pub(crate) opened: Counter,
+    /// Idle connections that were not used for a request, since they had carried it before.
+    pub(crate) repeats_avoided: Counter,
+}
+
 /// Connections of this node to all upstreams.
 #[derive(Clone, Debug)]
 pub struct Pool {
     addresses: Rc<RefCell<AddressPools>>,
-    opened: Counter,
+    metrics: PoolMetrics,
     /// How this node reaches the upstreams; `None` for connections to other nodes.
     contact: Option<Rc<Contact>>,
     /// For the bytes that connections have received.
@@ -50,19 +80,20 @@
 }
 
 impl Pool {
-    /// Creates an empty pool; `opened` counts the connections it opens.
-    pub(crate) fn new(opened: Counter, contact: Option<Rc<Contact>>, memory: MemoryBudget) -> Self {
-        Self { addresses: Rc::default(), opened, contact, memory }
+    /// Creates an empty pool.
+    pub(crate) fn new(metrics: PoolMetrics, contact: Option<Rc<Contact>>, memory: MemoryBudget) -> Self {
+        Self { addresses: Rc::default(), metrics, contact, memory }
     }
 
-    /// Takes an idle connection, or opens one if fewer than `max_open` are open to the address.
+    /// Takes an idle connection that may carry the request, or opens one if fewer than `max_open` are open to the address or
+    /// an idle one can be closed for it.
     pub(crate) async fn checkout(
         &self,
         address: SocketAddr,
         max_open: usize,
-        at_most_once: bool,
+        request: RequestIdentity<'_>,
     ) -> Result<PooledConnection, CheckoutError> {
-        if let Some(connection) = self.take_idle(address, at_most_once) {
+        if let Some(connection) = self.take_idle(address, request) {
             return Ok(PooledConnection {
                 connection: Some(connection),
                 address,
@@ -75,7 +106,7 @@
         {
             let mut addresses = self.addresses.borrow_mut();
             let pool = addresses.pools.entry(address).or_default();
-            if pool.open >= max_open {
+            if pool.open >= max_open && !pool.close_idle() {
                 return Err(CheckoutError::LimitReached);
             }
             pool.open += 1;
@@ -83,7 +114,7 @@
         // Dropping `pooled`, also while connecting, decrements `open` again.
         let mut pooled =
             PooledConnection { connection: None, address, addresses: Rc::clone(&self.addresses) };
-        self.opened.inc();
+        self.metrics.opened.inc();
         match UpstreamConnection::connect(address, CONNECT_TIMEOUT).await {
             Ok(connection) => {
                 pooled.connection = Some(connection.with_memory(self.memory.reservation()));
@@ -99,15 +130,21 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr, at_most_once: bool) -> Option<UpstreamConnection> {
+    fn take_idle(&self, address: SocketAddr, request: RequestIdentity<'_>) -> Option<UpstreamConnection> {
         let mut addresses = self.addresses.borrow_mut();
         let pool = addresses.pools.get_mut(&address)?;
-        while let Some(mut connection) = pool.idle.pop() {
-            let fresh = !at_most_once || connection.idle_for() < MAX_FRESH_IDLE;
-            if fresh && !connection.is_expired(DEFAULT_IDLE_TIMEOUT) && connection.is_reusable() {
-                return Some(connection);
+        // The last ones were used most recently.
+        for at in (0..pool.idle.len()).rev() {
+            let connection = &mut pool.idle[at];
+            let fresh = !request.at_most_once || connection.idle_for() < MAX_FRESH_IDLE;
+            if !fresh || connection.is_expired(DEFAULT_IDLE_TIMEOUT) || !connection.is_reusable() {
+                pool.idle.remove(at);
+                pool.open -= 1;
+            } else if connection.carried().admits(request.id) {
+                return Some(pool.idle.remove(at));
+            } else {
+                self.metrics.repeats_avoided.inc();
             }
-            pool.open -= 1;
         }
         None
     }
