Relay no status that promises "not run" without the upstream's statement

Callers saw 408, 429 or 503 for a request that must run once and that an upstream had run: these statuses promise that it has not run and never will, so a caller sends it again.

Cause: an answer without X-Not-Executed was relayed with the upstream's status, whatever that was. Only X-Not-Executed, or 421, states that an upstream did not run a request.

It is decided where an answer becomes final, which all kinds of requests pass that must run once, also those that another entry node passed on. Requests that may be repeated are answered as by the upstream: for them the status promises nothing that a second run could break. Refusal::status uses the same list of statuses; it knew 503 only, though no code with another one was used for a request that may have run.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -94,6 +94,16 @@
     pub(crate) in_flight: InFlight,
 }
 
+impl UpstreamResponse {
+    /// Drops the response; its connection is kept if the rest of the body arrives at once.
+    pub(crate) async fn discard(mut self) {
+        let Ok(connection) = self.pooled.get() else { return };
+        if discard_body(connection).await {
+            self.pooled.release();
+        }
+    }
+}
+
 /// A request with the limits of one attempt.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct OutgoingRequest<'a> {
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -9,6 +9,24 @@
 /// Header that carries the number of the result code.
 const RESULT_CODE_HEADER: &str = "x-daisysill-result-code";
 
+/// Returns whether a status promises that the request has not run and will not run.
+///
+/// ```
+/// use actix_web::http::StatusCode;
+/// use daisysill_gateway::refusal::promises_not_run;
+/// assert!(promises_not_run(StatusCode::TOO_MANY_REQUESTS));
+/// assert!(!promises_not_run(StatusCode::BAD_GATEWAY));
+/// ```
+pub const fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// A request that the gateway refuses or has failed to forward.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -46,15 +64,13 @@
         Self::not_run(code, reason, retry_after_ms)
     }
 
-    /// Returns the HTTP status. 503 guarantees that the request has not run; otherwise it becomes 502.
+    /// Returns the HTTP status. One that promises that the request has not run becomes 502 if it may have run.
     pub fn status(&self) -> StatusCode {
         let own = StatusCode::from_u16(self.code.http_status()).unwrap_or(StatusCode::BAD_GATEWAY);
         match (self.run_state, self.code) {
             (RunState::NotRun, ResultCode::RequestBlocked) => StatusCode::SERVICE_UNAVAILABLE,
             (RunState::MayHaveRun | RunState::Run, ResultCode::RequestBlocked) => StatusCode::BAD_GATEWAY,
-            (RunState::MayHaveRun | RunState::Run, _) if own == StatusCode::SERVICE_UNAVAILABLE => {
-                StatusCode::BAD_GATEWAY
-            }
+            (RunState::MayHaveRun | RunState::Run, _) if promises_not_run(own) => StatusCode::BAD_GATEWAY,
             _ => own,
         }
     }
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -29,7 +29,7 @@
     fresh_config::Arrival,
     peer_headers::{PassedOn, UNABLE},
     placement::ChosenUpstream,
-    refusal::Refusal,
+    refusal::{Refusal, promises_not_run},
     refusal_rules::{STALE_RETRY_MS, cut_off_refusal, deadline_refusal},
     relay::relay,
     silence::log_failed_answer,
@@ -271,6 +271,9 @@
             }
             gateway.metrics.answer_seconds.observe(request.arrived.elapsed().as_secs_f64());
             self.log_response(&request, history, &response);
+            if request.at_most_once() && promises_not_run(response.head.status) {
+                return Err(unconfirmed_refusal(response, history).await);
+            }
             let streams =
                 matches!(request.route.kind, CallKind::Stream { .. }) && response.head.status.is_success();
             if streams {
@@ -380,6 +383,15 @@
     Refusal::after_attempts(may_have_run, ResultCode::ShuttingDown, reason, STOP_RETRY_MS)
 }
 
+/// Returns the answer in place of an upstream's own, whose status promises "not run" although nothing in it states that the upstream
+/// did not execute the request. It bears no proof of origin, which belongs to the upstream's status.
+async fn unconfirmed_refusal(response: UpstreamResponse, history: &mut AttemptHistory) -> Refusal {
+    *history = history.after_leaving(&response.in_flight.upstream.entry.id);
+    let reason = format!("the upstream answered {} and may have run the request", response.head.status);
+    response.discard().await;
+    Refusal::new(ResultCode::UpstreamFailed, reason)
+}
+
 pub(crate) fn may_retry(request: &CallerRequest) -> bool {
     matches!(request.route.kind, CallKind::Idempotent | CallKind::Stream { resumable: true })
 }
