Match answers of other entry nodes with the request

A request that an entry node passed on took whichever answer came next on the connection between the nodes. An answer too many was given to the next caller: a copied refusal stated "not run" for a request that ran, and each answer after it went to the wrong caller.

The answer must now bear the ID of the request in progress, by the invariant of CarriedRequests that connections to upstreams use. Refusals of an entry node repeat the ID since before requests were passed on, and relayed answers bear that of the upstream, so older builds are matched too. The answer to the question for the zone bears no ID and is never taken for that to a request.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -25,7 +25,7 @@
 };
 
 /// Responses to other requests that are skipped on one connection.
-const MAX_FOREIGN_RESPONSES: usize = 2;
+pub(crate) const MAX_FOREIGN_RESPONSES: usize = 2;
 /// Maximum size of a body that is read only to keep its connection; a larger one costs more than a new connection.
 const MAX_DISCARDED_BYTES: usize = 64 * 1_024;
 /// Time for such a body to arrive. Short, since the next attempt waits for it.
@@ -300,7 +300,7 @@
 }
 
 /// Reads a body that nobody needs; returns whether it was read to its end, so that its connection can be used again.
-async fn discard_body(connection: &mut UpstreamConnection) -> bool {
+pub(crate) async fn discard_body(connection: &mut UpstreamConnection) -> bool {
     let read_to_end = async {
         let mut discarded_bytes = 0;
         while let Some(bytes) = connection.read_body().await? {
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -2,22 +2,29 @@
 
 use std::{rc::Rc, time::Duration};
 
-use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder, body::BodyStream, http::header::HeaderName};
+use actix_web::{
+    HttpRequest, HttpResponse, HttpResponseBuilder,
+    body::BodyStream,
+    http::{StatusCode, header::HeaderName},
+};
 use bytes::Bytes;
 use daisysill_core::{result_code::ResultCode, upstream_contact::Reach};
 use futures::stream::{Stream, unfold};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    attempt_trace::DiscardedAnswer,
     body_buffer::{BodyBuffer, BodyInPieces},
     buffered::MAX_BUFFERED_RESPONSE_BYTES,
     caller_request::{AttemptHistory, CallerRequest, encode_peer_head},
+    connection::UpstreamConnection,
     entry_node::EntryState,
     entry_peers::{ChosenPeer, EntryPeers},
-    forward::Gateway,
+    exchange::{MAX_FOREIGN_RESPONSES, discard_body},
+    forward::{Gateway, SharedCodec},
     http_head::{Framing, ResponseHead},
     open_streams::{COMPLETE, OpenStream},
-    peer_headers::{PassedOn, UNABLE, is_peer_header},
+    peer_headers::{PassedOn, UNABLE, ZONE, is_peer_header},
     peer_zones,
     pool::{PooledConnection, RequestIdentity},
     refusal::Refusal,
@@ -241,13 +248,61 @@
     if let Err((sent, _)) = connection.write_request(request_id, &head, &request.body).await {
         return if sent == 0 { PeerOutcome::Unable } else { PeerOutcome::Broken };
     }
-    let is_unable = |headers: &[httparse::Header<'_>]| {
-        headers.iter().any(|header| header.name.eq_ignore_ascii_case(UNABLE))
-    };
-    match connection.read_head(&request.method, is_unable).await {
-        Ok((_, true)) => PeerOutcome::Unable,
-        Ok((head, false)) => PeerOutcome::Answered(Box::new(PeerResponse { head, pooled, peer })),
-        Err(_) => PeerOutcome::Broken,
+    match read_answer(gateway, request, connection).await {
+        Some((_, true)) => PeerOutcome::Unable,
+        Some((head, false)) => PeerOutcome::Answered(Box::new(PeerResponse { head, pooled, peer })),
+        None => PeerOutcome::Broken,
+    }
+}
+
+/// Reads the head of the answer to a request that was passed on, and whether the other node states that it could not serve it.
+/// `None` if the connection broke or brought too many answers to other requests.
+async fn read_answer(
+    gateway: &Gateway,
+    request: &CallerRequest,
+    connection: &mut UpstreamConnection,
+) -> Option<(ResponseHead, bool)> {
+    for _ in 0..=MAX_FOREIGN_RESPONSES {
+        let headers =
+            |headers: &[httparse::Header<'_>]| PeerAnswerHeaders::new(&gateway.header_codec, headers);
+        let (head, answer) = connection.read_head(&request.method, headers).await.ok()?;
+        if !answer.is_zone && connection.carried().is_answer(answer.request_id.as_deref()) {
+            return Some((head, answer.is_unable));
+        }
+        let is_refusal = answer.is_unable || head.status == StatusCode::SERVICE_UNAVAILABLE;
+        let discarded = DiscardedAnswer::new(head.status, is_refusal);
+        gateway.metrics.record_discarded_answer(discarded);
+        tracing::info!(
+            event = "answer_discarded",
+            request_id = request.headers.request_id.as_deref(),
+            connection = connection.number(),
+            kind = discarded.name(),
+            status = head.status.as_u16(),
+        );
+        if !discard_body(connection).await {
+            return None;
+        }
+    }
+    None
+}
+
+/// What the headers of another entry node's answer state about it.
+struct PeerAnswerHeaders {
+    /// The ID of the request that it answers.
+    request_id: Option<String>,
+    is_unable: bool,
+    /// Whether it answers the question for the zone. Like answers to requests without an ID, it bears none.
+    is_zone: bool,
+}
+
+impl PeerAnswerHeaders {
+    fn new(codec: &SharedCodec, headers: &[httparse::Header<'_>]) -> Self {
+        let has = |name: &str| headers.iter().any(|header| header.name.eq_ignore_ascii_case(name));
+        Self {
+            request_id: codec.0.decode_response(headers).request_id.map(str::to_owned),
+            is_unable: has(UNABLE),
+            is_zone: has(ZONE),
+        }
     }
 }
 
