Send no call with an effect on a kept connection of the own interface

An order, an export, an import, a cancellation or a deletion counted as refused, or as done, by an answer that an engine or a store had written once more.

Cause: the requests went through the pool of the polls. The pool drops a connection only if the bytes too many have arrived when it is used again; an answer that arrives after the next request is taken for its answer, and neither bears an ID of its own.

Why this fix works: the client for these calls can only make requests that close their connection, so the first answer on a connection is the only one that is read.

--- a/crates/node/src/engine_client.rs
+++ b/crates/node/src/engine_client.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     connection::SendGate,
-    http,
+    http::{self, UnpooledClient},
     sse::{DONE, EventSplitter},
     upstream_api::{AttemptError, AttemptResult, Engine, EngineStream, Store},
 };
@@ -28,27 +28,28 @@
 /// HTTP client for engines and stores.
 #[derive(Clone)]
 pub struct HttpEngine {
-    client: Client,
-    /// Opens a connection for each request, so that none is sent on a pooled connection that went silent.
-    unpooled: Client,
+    /// For polls; keeps connections.
+    polls: Client,
+    /// For requests with an effect, and for a poll whose connection failed or went silent.
+    unpooled: UnpooledClient,
     /// As `unpooled`, for generation only.
-    generation: Client,
+    generation: UnpooledClient,
     /// For events that are not complete yet.
     memory: MemoryBudget,
 }
 
 impl HttpEngine {
-    /// Uses `client` and its pool for all requests but generation and the retry of a load poll.
-    pub fn new(client: Client) -> Self {
-        let unpooled = http::client();
+    /// Uses `polls` and its pool for polls; each other request opens a connection.
+    pub fn new(polls: Client) -> Self {
+        let unpooled = UnpooledClient::new();
         let generation = unpooled.clone();
-        Self { client, unpooled, generation, memory: MemoryBudget::unlimited() }
+        Self { polls, unpooled, generation, memory: MemoryBudget::unlimited() }
     }
 
     /// Asks `gate` before each generation, on the open connection, whether it may still be sent.
     #[must_use]
     pub fn with_gate(self, gate: SendGate) -> Self {
-        Self { generation: http::gated_client(gate), ..self }
+        Self { generation: UnpooledClient::with_gate(gate), ..self }
     }
 
     /// Reserves the memory of incomplete events in `memory`; a stream that finds no room fails.
@@ -63,7 +64,7 @@
         request: &EngineRequest,
         traceparent: &str,
     ) -> AttemptResult<EngineStream> {
-        let mut post = self.generation.post(format!("{url}{GENERATION_PATH}")).force_close();
+        let mut post = self.generation.post(&format!("{url}{GENERATION_PATH}"));
         if !traceparent.is_empty() {
             post = post.insert_header(("traceparent", traceparent));
         }
@@ -87,16 +88,17 @@
     }
 
     fn cancel<'a>(&'a self, url: &'a str, id: &'a str) -> LocalBoxFuture<'a, AttemptResult<()>> {
-        async move { http::delete(&self.client, &format!("{url}/v1/requests/{id}")).await }.boxed_local()
+        async move { http::delete(self.unpooled.delete(&format!("{url}/v1/requests/{id}"))).await }
+            .boxed_local()
     }
 
     fn load<'a>(&'a self, url: &'a str) -> LocalBoxFuture<'a, AttemptResult<EngineLoad>> {
         async move {
             let url = format!("{url}/v1/load");
-            match http::get_json(&self.client, &url).await {
+            match http::get_json(self.polls.get(&url)).await {
                 // The pooled connection may be dead; only a new one shows whether the engine is.
                 Err(AttemptError::Failed(_) | AttemptError::Silent) => {
-                    http::get_json(&self.unpooled, &url).await
+                    http::get_json(self.unpooled.get(&url)).await
                 }
                 other => other,
             }
@@ -109,7 +111,7 @@
         url: &'a str,
         after: u64,
     ) -> LocalBoxFuture<'a, AttemptResult<CacheEvents>> {
-        async move { http::get_json(&self.client, &format!("{url}/v1/cache-events?after={after}")).await }
+        async move { http::get_json(self.polls.get(format!("{url}/v1/cache-events?after={after}"))).await }
             .boxed_local()
     }
 
@@ -120,7 +122,7 @@
     ) -> LocalBoxFuture<'a, AttemptResult<ExportReply>> {
         async move {
             let url = format!("{url}/v1/kv/export");
-            http::post_json(&self.client, &url, request, TRANSFER_TIMEOUT).await
+            http::post_json(self.unpooled.post(&url), request, TRANSFER_TIMEOUT).await
         }
         .boxed_local()
     }
@@ -132,7 +134,7 @@
     ) -> LocalBoxFuture<'a, AttemptResult<ImportReply>> {
         async move {
             let url = format!("{url}/v1/kv/import");
-            http::post_json(&self.client, &url, request, TRANSFER_TIMEOUT).await
+            http::post_json(self.unpooled.post(&url), request, TRANSFER_TIMEOUT).await
         }
         .boxed_local()
     }
@@ -140,7 +142,8 @@
     fn order<'a>(&'a self, url: &'a str, order: &'a EngineOrder) -> LocalBoxFuture<'a, AttemptResult<()>> {
         async move {
             let url = format!("{url}/v1/orders");
-            http::post_json::<_, serde_json::Value>(&self.client, &url, order, ORDER_TIMEOUT).await.map(drop)
+            let request = self.unpooled.post(&url);
+            http::post_json::<_, serde_json::Value>(request, order, ORDER_TIMEOUT).await.map(drop)
         }
         .boxed_local()
     }
@@ -148,7 +151,7 @@
 
 impl Store for HttpEngine {
     fn usage<'a>(&'a self, url: &'a str) -> LocalBoxFuture<'a, AttemptResult<StoreUsage>> {
-        async move { http::get_json(&self.client, &format!("{url}/v1/usage")).await }.boxed_local()
+        async move { http::get_json(self.polls.get(format!("{url}/v1/usage"))).await }.boxed_local()
     }
 
     fn free<'a>(
@@ -157,7 +160,7 @@
         name: &'a str,
         generation: u64,
     ) -> LocalBoxFuture<'a, AttemptResult<()>> {
-        async move { http::delete(&self.client, &format!("{url}/v1/blocks/{name}/{generation}")).await }
+        async move { http::delete(self.unpooled.delete(&format!("{url}/v1/blocks/{name}/{generation}"))).await }
             .boxed_local()
     }
 }
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -4,7 +4,7 @@
 
 use actix_web::web::Bytes;
 use awc::{
-    Client, ClientResponse,
+    Client, ClientRequest, ClientResponse,
     error::{ConnectError, PayloadError, SendRequestError},
     http::{StatusCode, Uri},
 };
@@ -38,13 +38,48 @@
 const MAX_CONTROL_BODY_BYTES: usize = 16_777_216;
 
 /// Creates a client with a connection pool; it cannot be sent to another thread.
+///
+/// On a kept connection an answer too many may be taken for the answer to a later request. So the client is for polls only, whose
+/// answers are replaced by those of the next poll; other requests go through an [`UnpooledClient`].
 pub fn client() -> Client {
     client_with(UpstreamConnector::default())
 }
 
-/// Creates a client whose requests `gate` may refuse once their connection is open.
-pub fn gated_client(gate: SendGate) -> Client {
-    client_with(UpstreamConnector::with_gate(gate))
+/// A client that opens a connection for each request and closes it after the answer, which is the first one on it.
+#[derive(Clone)]
+pub struct UnpooledClient(Client);
+
+impl UnpooledClient {
+    /// Creates a client; it cannot be sent to another thread.
+    pub fn new() -> Self {
+        Self(client())
+    }
+
+    /// Creates a client whose requests `gate` may refuse once their connection is open.
+    pub fn with_gate(gate: SendGate) -> Self {
+        Self(client_with(UpstreamConnector::with_gate(gate)))
+    }
+
+    /// Starts a GET request.
+    pub fn get(&self, url: &str) -> ClientRequest {
+        self.0.get(url).force_close()
+    }
+
+    /// Starts a POST request.
+    pub fn post(&self, url: &str) -> ClientRequest {
+        self.0.post(url).force_close()
+    }
+
+    /// Starts a DELETE request.
+    pub fn delete(&self, url: &str) -> ClientRequest {
+        self.0.delete(url).force_close()
+    }
+}
+
+impl Default for UnpooledClient {
+    fn default() -> Self {
+        Self::new()
+    }
 }
 
 fn client_with(connector: UpstreamConnector) -> Client {
@@ -122,13 +157,13 @@
     }
 }
 
-/// Sends GET and parses the JSON response.
+/// Sends a GET request and parses the JSON response.
 ///
 /// # Errors
 /// Classifies failures by whether the upstream may have executed the request.
-pub async fn get_json<T: DeserializeOwned>(client: &Client, url: &str) -> AttemptResult<T> {
+pub async fn get_json<T: DeserializeOwned>(request: ClientRequest) -> AttemptResult<T> {
     let exchange = async {
-        let response = client.get(url).timeout(CONTROL_TIMEOUT).send().await;
+        let response = request.timeout(CONTROL_TIMEOUT).send().await;
         read_json(response.map_err(|e| classify_send_error(&e))?).await
     };
     within(CONTROL_BODY_TIMEOUT, exchange).await
@@ -156,29 +191,28 @@
     within(CONTROL_BODY_TIMEOUT, exchange).await
 }
 
-/// Sends JSON with POST and parses the JSON response.
+/// Sends a POST request with a JSON body and parses the JSON response.
 ///
 /// # Errors
 /// Classifies failures by whether the upstream may have executed the request.
 pub async fn post_json<B: Serialize, T: DeserializeOwned>(
-    client: &Client,
-    url: &str,
+    request: ClientRequest,
     body: &B,
     timeout: Duration,
 ) -> AttemptResult<T> {
     let exchange = async {
-        let response = client.post(url).timeout(timeout).send_json(body).await;
+        let response = request.timeout(timeout).send_json(body).await;
         read_json(response.map_err(|e| classify_send_error(&e))?).await
     };
     within(timeout, exchange).await
 }
 
-/// Sends DELETE and ignores the body of the response; status 404 counts as success.
+/// Sends a DELETE request and ignores the body of the response; status 404 counts as success.
 ///
 /// # Errors
 /// Classifies failures by whether the upstream may have executed the request.
-pub async fn delete(client: &Client, url: &str) -> AttemptResult<()> {
-    let response = client.delete(url).timeout(CONTROL_TIMEOUT).send().await;
+pub async fn delete(request: ClientRequest) -> AttemptResult<()> {
+    let response = request.timeout(CONTROL_TIMEOUT).send().await;
     let response = response.map_err(|e| classify_send_error(&e))?;
     // The object may already be gone, for instance after the upstream restarted.
     let done = response.status().is_success() || response.status() == StatusCode::NOT_FOUND;
