Send each request of the connection test with an ID of its own

Change: the two requests of a connection have IDs. What the test checks is unchanged.

Result: failed before (connection.rs:50, Err((0, AlreadyExists))), passes now.

--- a/crates/gateway/tests/connection.rs
+++ b/crates/gateway/tests/connection.rs
@@ -45,9 +45,9 @@
     }
 }
 
-/// Sends a request; returns whether the head of an answer was read.
-async fn reads_head(connection: &mut UpstreamConnection) -> bool {
-    connection.write_request(None, REQUEST, &Bytes::from_static(b"go")).await.unwrap();
+/// Sends a request with an ID that the connection has not carried; returns whether the head of an answer was read.
+async fn reads_head(connection: &mut UpstreamConnection, id: &str) -> bool {
+    connection.write_request(Some(id), REQUEST, &Bytes::from_static(b"go")).await.unwrap();
     connection.read_head("POST", |_| ()).await.is_ok()
 }
 
@@ -68,10 +68,10 @@
                     let stream = TcpStream::connect(address).await.unwrap();
                     let mut connection = UpstreamConnection::over(stream);
                     if is_used {
-                        assert!(reads_head(&mut connection).await);
+                        assert!(reads_head(&mut connection, "r0").await);
                         while connection.read_body().await.unwrap().is_some() {}
                     }
-                    reads_head(&mut connection).await
+                    reads_head(&mut connection, "r1").await
                 };
                 let (is_read, ()) = tokio::join!(ask, answer(&listener, answers, end));
                 let case = format!("{:?}, {end:?}, used: {is_used}", &head[..sent]);
