Test that a connection writes no request twice

The check in write_request, behind the choice of the connection, had no test that uses a connection.

--- a/crates/gateway/tests/connection.rs
+++ b/crates/gateway/tests/connection.rs
@@ -1,8 +1,8 @@
-//! Answers whose connection ends before they do.
+//! Answers whose connection ends before they do, and requests that come again on their connection.
 
 #![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
-use std::time::Duration;
+use std::{io::ErrorKind, time::Duration};
 
 use bytes::Bytes;
 use daisysill_gateway::connection::UpstreamConnection;
@@ -84,3 +84,25 @@
         }
     }
 }
+
+/// Guards against a request that is written on a connection that has carried it: its answer could not be told from a copy of the
+/// earlier one.
+#[tokio::test]
+async fn request_is_not_written_again_on_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let ask = async {
+        let mut connection = UpstreamConnection::over(TcpStream::connect(address).await.unwrap());
+        assert!(reads_head(&mut connection, "r1").await);
+        while connection.read_body().await.unwrap().is_some() {}
+        connection.write_request(Some("r1"), REQUEST, &Bytes::from_static(b"go")).await
+    };
+    let serve = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream.read_exact(&mut [0; REQUEST.len() + 2]).await.unwrap();
+        stream.write_all(EARLIER_ANSWER.as_bytes()).await.unwrap();
+        stream.read(&mut [0; 1]).await.unwrap()
+    };
+    let (written, received) = tokio::join!(ask, serve);
+    assert_eq!((written, received), (Err((0, ErrorKind::AlreadyExists)), 0));
+}
