Write a request to its end after an answer to an earlier one

What callers would see: a request with a large body gets 504 at its deadline, though its upstream is sound.

Cause: a write stops when bytes arrive, since an upstream may answer early. If they are an answer to an earlier request, that one is discarded, but the rest of the request was never written: the upstream waits for it and the node for the answer.

Change: the rest is written after each answer that is discarded.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -89,6 +89,8 @@
     /// The memory that `input` occupies; `None` if only its own limits bound it.
     memory: Option<MemoryReservation>,
     body: BodyState,
+    /// Number of bytes of the present request that were written.
+    sent_bytes: usize,
     /// Whether the whole request was written.
     request_written: bool,
     /// Whether the upstream keeps the connection open after the response.
@@ -119,6 +121,7 @@
             input: BytesMut::new(),
             memory: None,
             body: BodyState::Idle,
+            sent_bytes: 0,
             request_written: true,
             keeps_open: true,
             idle_timeout: None,
@@ -182,7 +185,7 @@
     }
 
     /// Writes a request with this ID. Stops early if response bytes arrive before the whole request is written; the connection is
-    /// then not reused.
+    /// then not reused unless [`Self::write_rest`] writes the rest.
     ///
     /// # Errors
     /// Fails with the number of bytes written; with 0, the request has certainly not run. Nothing is written if the connection
@@ -194,23 +197,37 @@
         body: &Bytes,
     ) -> Result<(), (usize, io::ErrorKind)> {
         self.carried.begin(request_id).map_err(|_| (0, io::ErrorKind::AlreadyExists))?;
+        self.sent_bytes = 0;
         self.request_written = false;
         self.body = BodyState::Idle;
+        self.write_rest(head, body).await
+    }
+
+    /// Writes what is left of the present request, of which `head` and `body` are the whole. To be called after an answer to an
+    /// earlier request was read, which may have stopped the write. Stops early in the same way.
+    ///
+    /// # Errors
+    /// Fails with the number of bytes of the request that were written in total.
+    pub async fn write_rest(&mut self, head: &[u8], body: &Bytes) -> Result<(), (usize, io::ErrorKind)> {
         let mut request = Buf::chain(head, body.clone());
-        let mut sent = 0;
+        request.advance(self.sent_bytes);
         while request.has_remaining() {
+            if !self.input.is_empty() {
+                return Ok(());
+            }
             let mut slices = [IoSlice::new(&[]); 2];
             let count = request.chunks_vectored(&mut slices);
             match self.stream.try_write_vectored(&slices[..count]) {
-                Ok(0) => return Err((sent, io::ErrorKind::WriteZero)),
+                Ok(0) => return Err((self.sent_bytes, io::ErrorKind::WriteZero)),
                 Ok(written) => {
-                    sent += written;
+                    self.sent_bytes += written;
                     request.advance(written);
                     continue;
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Err((sent, error.kind())),
+                Err(error) => return Err((self.sent_bytes, error.kind())),
             }
+            let sent = self.sent_bytes;
             tokio::select! {
                 biased;
                 ready = self.stream.writable() => ready.map_err(|error| (sent, error.kind()))?,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -225,7 +225,7 @@
     context: AttemptContext<'_>,
     mut pooled: PooledConnection,
     mut in_flight: InFlight,
-    head: &[u8],
+    request_head: &[u8],
     outgoing: &OutgoingRequest<'_>,
     trace: &AttemptTrace,
 ) -> Result<UpstreamResponse, AttemptError> {
@@ -241,7 +241,7 @@
     let connection = pooled.get().map_err(|_| AttemptError::NotSent)?;
     let sent_at = Instant::now();
     trace.connection_use.set(Some(ConnectionUse::before_sending(connection)));
-    if let Err((sent, _)) = connection.write_request(outgoing.request_id, head, outgoing.body).await {
+    if let Err((sent, _)) = connection.write_request(outgoing.request_id, request_head, outgoing.body).await {
         return Err(if sent == 0 { AttemptError::NotSent } else { AttemptError::Broken });
     }
     for _ in 0..=MAX_FOREIGN_RESPONSES {
@@ -265,6 +265,9 @@
             if !discard_body(connection).await {
                 return Err(AttemptError::Broken);
             }
+            // Its arrival may have stopped the write; ours may come only after the whole request.
+            let rest = connection.write_rest(request_head, outgoing.body).await;
+            rest.map_err(|_| AttemptError::Broken)?;
             continue;
         }
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
