Drop requests whose sender has closed the connection before they are read

A node that was suspended found requests in its sockets whose callers, or the entry node that had passed them on, had left. It read the request before the end of the connection, and its handler sent it to an upstream at once where one had an open connection. The passing node had answered 504 by then, so nothing was refused falsely, but the upstream ran a request late that nobody waited for.

The socket reports the end of the connection together with the bytes before it. A request that has not begun to be read is now dropped if its sender has closed the connection. Callers that close their side during a request are treated as before.

--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -159,18 +159,21 @@
         Poll::Pending
     }
 
-    /// Returns whether the client has closed the connection, and wakes the task for the next check. The end of the connection
-    /// cannot be read while bytes before it are held, but the socket reports it once the client has sent it, which a client
-    /// cannot do while the socket has no room for the bytes before it.
-    fn poll_client_closed(&mut self, context: &mut Context<'_>) -> bool {
+    /// Returns whether the client has closed the connection. The end of the connection cannot be read before the bytes that
+    /// precede it, but the socket reports it once the client has sent it, which a client cannot do while the socket has no room
+    /// for the bytes before it.
+    fn is_client_closed(&self) -> bool {
         let Some((transport, place)) = &self.open else { return true };
         if place.allows_half_closed() {
             return false;
         }
-        let socket = (self.socket)(transport);
-        if let Some(Ok(state)) = socket.ready(Interest::READABLE).now_or_never()
-            && state.is_read_closed()
-        {
+        let ready = (self.socket)(transport).ready(Interest::READABLE).now_or_never();
+        matches!(ready, Some(Ok(state)) if state.is_read_closed())
+    }
+
+    /// Same as [`Self::is_client_closed`]; wakes the task for the next check.
+    fn poll_client_closed(&mut self, context: &mut Context<'_>) -> bool {
+        if self.is_client_closed() {
             return true;
         }
         if self.checking.poll_expired(context, CLOSE_CHECK_INTERVAL) {
@@ -293,6 +296,11 @@
                     return Poll::Ready(end);
                 }
             }
+            // A node that was suspended or busy reads requests whose clients have left; their handlers would send them at once.
+            if this.requests.is_before_message() && this.is_client_closed() {
+                this.has_ended = true;
+                return Poll::Ready(Ok(()));
+            }
             let (is_handed_over, end) = this.hand_over_request(part.filled(), buffer)?;
             this.ahead.extend_from_slice(&part.filled()[end..]);
             this.held.0.store(!this.ahead.is_empty(), Ordering::Relaxed);
