Simulate claims that are sent twice and given up

A claim whose proposal fails with 'not leader' or 'not appended' is refused to the caller as not run, and one that may have been committed is given up, so that the key can be claimed again. The simulation of the protocol proposed each claim once and ended none, so neither ground was checked under faults. Claims are now proposed again at another replica and ended in random order; no claim that failed for certain each time may be committed, and at most one attempt that has not ended may be granted a claim.

Trials on a changed work tree, each restored: with appended proposals failing as 'not appended' the first test fails ('attempt-7 was refused, but its claim is committed'); with the outcome of another attempt ending a claim ('acknowledged claim key-9 is lost'); with an overdue claim granted again ('claim key-9 granted to two attempts'). Without the memory of ended attempts it passes; agreed_state::a_late_copy_of_a_claim_does_not_hold_the_key fails then.

--- a/crates/control/tests/protocol/checks.rs
+++ b/crates/control/tests/protocol/checks.rs
@@ -1,8 +1,12 @@
 //! What a simulated cluster must keep to: checked with each reply, after each step, and after all faults have ended.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
-use daisysill_control::{ProposalFailure, ReplicaStatus, Role, command::Reply};
+use daisysill_control::{
+    ProposalFailure, ReplicaStatus, Role,
+    command::{Command, Reply},
+    entry::Payload,
+};
 use daisysill_core::ids::InstanceId;
 
 use crate::sim::Sim;
@@ -24,7 +28,11 @@
             let first = self.acknowledged.entry(change.clone()).or_insert(version.0);
             assert_eq!(*first, version.0, "a change took effect twice");
         }
-        if let (Ok(Reply::Claimed), Some((key, attempt))) = (&result, self.claims.get(&proposal_id)) {
+        let claim = self.claims.get(&proposal_id);
+        let granted = claim.filter(|(_, attempt)| {
+            matches!(result, Ok(Reply::Claimed)) && !self.ended_attempts.contains(attempt)
+        });
+        if let Some((key, attempt)) = granted {
             let attempts = self.granted_attempts.entry(key.clone()).or_default();
             attempts.insert(attempt.clone());
             assert_eq!(attempts.len(), 1, "claim {key} granted to two attempts");
@@ -69,6 +77,28 @@
         assert!(lease_ends.filter(|until| *until > self.now_ms).count() <= 1, "two leader leases at a time");
     }
 
+    /// Checks that no claim took effect whose proposal failed for certain each time. Its caller is told that the request was not
+    /// run and that no majority has committed it.
+    fn check_refused_claims(&self) {
+        let mut unclear = BTreeSet::new();
+        let mut refused = BTreeSet::new();
+        for (proposal_id, (_, attempt)) in &self.claims {
+            match self.replies.get(proposal_id) {
+                Some(Err(ProposalFailure::NotLeader(_) | ProposalFailure::NotAppended)) => {
+                    refused.insert(attempt.as_str());
+                }
+                // A crashed node gives no reply.
+                Some(_) | None => drop(unclear.insert(attempt.as_str())),
+            }
+        }
+        for entry in self.committed.values() {
+            let Payload::Command(Command::Claim(claim)) = &entry.payload else { continue };
+            let attempt = claim.attempt.as_str();
+            let is_refused = refused.contains(attempt) && !unclear.contains(attempt);
+            assert!(!is_refused, "{attempt} was refused, but its claim is committed");
+        }
+    }
+
     fn describe(&self) -> String {
         let statuses = self.nodes.values().filter_map(|node| Some(node.replica.as_ref()?.status()));
         format!("{:#?}", statuses.collect::<Vec<_>>())
@@ -100,10 +130,12 @@
                 "acknowledged change {change} is lost"
             );
         }
+        self.check_refused_claims();
         for (key, attempts) in &self.granted_attempts {
+            let Some(attempt) = attempts.first() else { continue };
             let kept = state.claims.iter().find(|(claim, _)| claim.key == *key).map(|(_, record)| record);
-            let attempt = kept.map(|record| record.attempt.as_str());
-            assert_eq!(attempt, attempts.first().map(String::as_str), "acknowledged claim {key} is lost");
+            let kept = kept.map(|record| record.attempt.as_str());
+            assert_eq!(kept, Some(attempt.as_str()), "acknowledged claim {key} is lost");
         }
         for member in replica.status().voters.members() {
             let Some(other) = self.nodes[member].replica.as_ref() else { continue };
--- a/crates/control/tests/protocol/faults.rs
+++ b/crates/control/tests/protocol/faults.rs
@@ -29,6 +29,10 @@
     Loss(u64),
     Drain(usize, u8),
     Claim(usize, u8),
+    /// Proposes the newest claim of a key once more.
+    RepeatClaim(usize, u8),
+    /// Ends the attempt of the newest claim of a key.
+    EndAttempt(usize, u8),
     AddLearner(usize),
     Promote(usize),
     Remove(usize),
@@ -50,6 +54,8 @@
         1 => (0_u64..30).prop_map(Event::Loss),
         10 => (node(), any::<u8>()).prop_map(|(node, change)| Event::Drain(node, change)),
         4 => (node(), 0_u8..20).prop_map(|(node, key)| Event::Claim(node, key)),
+        3 => (node(), 0_u8..20).prop_map(|(node, key)| Event::RepeatClaim(node, key)),
+        3 => (node(), 0_u8..20).prop_map(|(node, key)| Event::EndAttempt(node, key)),
         2 => node().prop_map(Event::AddLearner),
         2 => node().prop_map(Event::Promote),
         2 => node().prop_map(Event::Remove),
@@ -63,6 +69,11 @@
     }
 }
 
+fn newest_claim(sim: &Sim, key: u8) -> Option<u64> {
+    let key = format!("key-{key}");
+    sim.claims.iter().rfind(|(_, (claimed, _))| *claimed == key).map(|(proposal_id, _)| *proposal_id)
+}
+
 fn apply(sim: &mut Sim, event: &Event) {
     let name = |node: &usize| NAMES[*node].into();
     let leader = sim.leader();
@@ -95,6 +106,18 @@
             let to = if key % 4 == 0 { name(node) } else { leader.unwrap_or_else(|| name(node)) };
             sim.propose_claim(&to, &format!("key-{key}"));
         }
+        Event::RepeatClaim(node, key) => {
+            let to = leader.unwrap_or_else(|| name(node));
+            if let Some(proposal_id) = newest_claim(sim, *key) {
+                sim.repeat_claim(&to, proposal_id);
+            }
+        }
+        Event::EndAttempt(node, key) => {
+            let to = leader.unwrap_or_else(|| name(node));
+            if let Some(proposal_id) = newest_claim(sim, *key) {
+                sim.end_attempt(&to, proposal_id);
+            }
+        }
         Event::AddLearner(node) => change(sim, VoterChange::AddLearner(name(node))),
         Event::Promote(node) => change(sim, VoterChange::Promote(name(node))),
         Event::Remove(node) => change(sim, VoterChange::Remove(name(node))),
@@ -120,7 +143,8 @@
     }
 }
 
-/// Guards against lost acknowledged entries, two leaders in a term, diverging logs, a commit index or configuration
+/// Guards against lost acknowledged entries, refused claims that are committed, two leaders in a term, diverging logs, a commit
+/// index or configuration
 /// version that goes back, a claim granted to two attempts, and a cluster that does not recover.
 #[test]
 fn faults_lose_nothing() {
--- a/crates/control/tests/protocol/sim.rs
+++ b/crates/control/tests/protocol/sim.rs
@@ -7,7 +7,7 @@
 
 use daisysill_control::{
     Input, Output, ProposalFailure, Replica, ReplicaConfig, Role, VoterChange, WriteBatch,
-    command::{Claim, ClaimKey, Command, Reply, SetDrain},
+    command::{Claim, ClaimKey, ClaimOutcome, Command, FinishClaim, Reply, SetDrain},
     entry::Entry,
 };
 use daisysill_core::{
@@ -50,10 +50,12 @@
     pub(crate) acknowledged: BTreeMap<String, u64>,
     /// Changes by proposal.
     pub(crate) proposed: BTreeMap<u64, String>,
-    /// Attempts granted a claim, by key.
+    /// Attempts that were granted a claim and have not ended, by key.
     pub(crate) granted_attempts: BTreeMap<String, BTreeSet<String>>,
     /// Keys and attempts by proposal.
     pub(crate) claims: BTreeMap<u64, (String, String)>,
+    /// Attempts that ended without running their request; a later grant has no effect.
+    pub(crate) ended_attempts: BTreeSet<String>,
     pub(crate) snapshot_entries: u64,
     pub(crate) message_bytes: usize,
     /// Nodes whose disk the operator trusts.
@@ -82,6 +84,7 @@
             proposed: BTreeMap::new(),
             granted_attempts: BTreeMap::new(),
             claims: BTreeMap::new(),
+            ended_attempts: BTreeSet::new(),
             snapshot_entries: 20,
             // One entry per message, so that a message boundary falls between any two entries.
             message_bytes: 300,
@@ -315,14 +318,25 @@
         proposal_id
     }
 
+    /// Proposes the claim of a new attempt.
     pub(crate) fn propose_claim(&mut self, to: &InstanceId, key: &str) -> u64 {
+        let attempt = format!("attempt-{}", self.next_proposal_id);
+        self.propose_claim_of(to, key, attempt)
+    }
+
+    /// Proposes a claim once more, as after a lost reply.
+    pub(crate) fn repeat_claim(&mut self, to: &InstanceId, proposal_id: u64) {
+        let (key, attempt) = self.claims[&proposal_id].clone();
+        self.propose_claim_of(to, &key, attempt);
+    }
+
+    fn propose_claim_of(&mut self, to: &InstanceId, key: &str, attempt: String) -> u64 {
         let proposal_id = self.proposal_id();
-        let attempt = format!("attempt-{proposal_id}");
         self.claims.insert(proposal_id, (key.to_owned(), attempt.clone()));
         let claim = Claim {
-            key: ClaimKey { customer: "c".into(), service: "s".into(), key: key.into() },
+            key: claim_key(key),
             body_digest: "d".into(),
-            attempt: attempt.as_str().into(),
+            attempt: attempt.into(),
             holder: to.clone(),
             outcome_timeout_ms: 1_500,
             retention_ms: u64::MAX,
@@ -331,6 +345,17 @@
         proposal_id
     }
 
+    /// Ends the attempt of a claim without running its request, whether the claim was granted or not.
+    pub(crate) fn end_attempt(&mut self, to: &InstanceId, proposal_id: u64) {
+        let (key, attempt) = self.claims[&proposal_id].clone();
+        self.granted_attempts.entry(key.clone()).or_default().remove(&attempt);
+        self.ended_attempts.insert(attempt.clone());
+        let finish =
+            FinishClaim { key: claim_key(&key), attempt: attempt.into(), outcome: ClaimOutcome::NotRun };
+        let proposal_id = self.proposal_id();
+        self.step(to, Input::Propose { proposal_id, command: Command::FinishClaim(finish) });
+    }
+
     pub(crate) fn change_voters(&mut self, to: &InstanceId, change: VoterChange) -> u64 {
         let proposal_id = self.proposal_id();
         self.step(to, Input::ChangeVoters { proposal_id, change });
@@ -382,3 +407,7 @@
         }
     }
 }
+
+fn claim_key(key: &str) -> ClaimKey {
+    ClaimKey { customer: "c".into(), service: "s".into(), key: key.into() }
+}
