Do not pass on the result code of an upstream

What callers would see: a call that ran, answered with the header x-daisysill-result-code of a refusal that says 'not run'.

Cause: the node passed on all end-to-end headers of a plain service. A service that itself calls a node, and relays the refusal of its call, so repeats that node's statement about another request.

Evidence: the_result_code_of_an_upstream_is_not_passed_on failed before: the header was among those passed on.

Why this fix works: the header is dropped where answers of plain services are read, the only ones that are relayed with headers.

--- a/crates/node/src/plain_client.rs
+++ b/crates/node/src/plain_client.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     http,
+    refusal::RESULT_CODE_HEADER,
     upstream_api::{
         AttemptError, AttemptResult, PlainRequest, PlainResponse, PlainService, SendChecks, ZONE_EVACUATED,
     },
@@ -48,6 +49,12 @@
     !UNFORWARDED_HEADERS.contains(&name.to_ascii_lowercase().as_str())
 }
 
+/// Returns whether a header of an upstream's answer is passed on to the caller. A result code is not: it is the statement of a node
+/// about the request that it answers, and an upstream may repeat the one of a request that it made itself.
+fn is_relayed_header(name: &str) -> bool {
+    is_end_to_end(name) && !name.eq_ignore_ascii_case(RESULT_CODE_HEADER)
+}
+
 /// Limit on the time from the start of an idempotent request to its first byte.
 const IDEMPOTENT_SEND_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -100,7 +107,7 @@
         let body = read_body(&mut connection, &head, &self.memory).await?;
         let headers = head.headers.iter().filter_map(|(name, value)| {
             let (name, value) = (std::str::from_utf8(name).ok()?, std::str::from_utf8(value).ok()?);
-            is_end_to_end(name).then(|| (name.to_owned(), value.to_owned()))
+            is_relayed_header(name).then(|| (name.to_owned(), value.to_owned()))
         });
         Ok(PlainResponse { status: head.status.as_u16(), headers: headers.collect(), body })
     }
--- a/crates/node/tests/upstream_errors.rs
+++ b/crates/node/tests/upstream_errors.rs
@@ -146,6 +146,18 @@
     assert!(error.is_not_run(), "{error}");
 }
 
+/// Guards against a request that ran and whose caller is told that it did not: a service that itself calls a node may pass on
+/// the header with which that node refused its call.
+#[actix_rt::test]
+async fn the_result_code_of_an_upstream_is_not_passed_on() {
+    let (url, _bytes) = responding_upstream(
+        "HTTP/1.1 503 Busy\r\nX-Daisysill-Result-Code: 1304\r\nx-other: 1\r\ncontent-length: 0\r\n\r\n",
+    );
+    let response = HttpPlainService::default().send(&url, &request(), "").await.unwrap();
+    let names: Vec<&str> = response.headers.iter().map(|(name, _)| name.as_str()).collect();
+    assert_eq!(names, ["x-other"]);
+}
+
 /// Guards against a truncated response that is returned as complete because the connection ended early.
 #[actix_rt::test]
 async fn a_truncated_response_is_an_error() {
