--- a/crates/node/tests/support/fakes.rs
+++ b/crates/node/tests/support/fakes.rs
@@ -27,7 +27,7 @@
 };
 use futures::{
     FutureExt, StreamExt,
-    future::{BoxFuture, LocalBoxFuture},
+    future::{BoxFuture, LocalBoxFuture, pending},
     stream,
 };
 use tokio::time::Instant;
@@ -45,6 +45,8 @@
     None,
     /// The command is committed, but its reply is lost.
     ReplyLost,
+    /// The command is committed, but no reply arrives.
+    NoReply,
     /// The command is not committed.
     NotCommitted,
     /// The process is suspended for this long before it sees the reply.
@@ -66,6 +68,7 @@
             };
             match fault {
                 Fault::ReplyLost => Err(ProposeError::Uncertain),
+                Fault::NoReply => pending().await,
                 Fault::Suspended(time) => {
                     tokio::time::advance(time).await;
                     Ok(reply)
--- a/crates/node/tests/upstream_errors.rs
+++ b/crates/node/tests/upstream_errors.rs
@@ -74,6 +74,23 @@
     assert!(!error.is_not_run(), "{error}");
 }
 
+/// Guards against `not_run` for a request of which only a part was written: an upstream may run what it has received.
+#[actix_rt::test]
+async fn a_partly_written_request_may_have_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let _ = stream.read(&mut [0; 4_096]);
+        // Gives the client time to fill the buffers of the connection.
+        thread::sleep(Duration::from_millis(50));
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+    });
+    let request = PlainRequest { body: Bytes::from(vec![0; 64 << 20]), ..request() };
+    let error = HttpPlainService::default().send(&url, &request, "").await.unwrap_err();
+    assert!(matches!(error, AttemptError::Failed(_)), "{error:?}");
+}
+
 /// Guards against a first byte after the dispatch deadline, which passes while the connection is opened.
 #[actix_rt::test]
 async fn no_byte_is_sent_after_the_dispatch_deadline() {
