--- a/crates/gateway/src/node_share.rs
+++ b/crates/gateway/src/node_share.rs
@@ -74,8 +74,5 @@
 /// Returns the refusal of a request that needs a retry when the budget is exhausted.
 pub(crate) fn retry_budget_refusal(history: &AttemptHistory) -> Refusal {
     let reason = format!("retry budget exhausted after {} sends", history.sends.sent());
-    if history.may_have_run > 0 {
-        return Refusal::new(ResultCode::RetryBudgetExhausted, reason);
-    }
-    Refusal::not_run(ResultCode::RetryBudgetExhausted, reason, BUSY_RETRY_MS)
+    history.refusal(ResultCode::RetryBudgetExhausted, reason, BUSY_RETRY_MS)
 }
