Resend calls that run once through several nodes under overlapping faults

The tests of P5 and P6 with real processes have one fault at a time. claim_soak suspends, kills, stops and cuts off nodes in overlapping series while upstreams refuse, break off or hang, and callers resend each request through all nodes; the order follows a seed.

--- a/crates/testkit/tests/promises/main.rs
+++ b/crates/testkit/tests/promises/main.rs
@@ -4,6 +4,7 @@
 
 mod at_most_once;
 mod blocks;
+mod claim_soak;
 mod crashes;
 mod durable_state;
 mod orders;
