Test that a command with a lost reply is not reported as not committed

A claim that is reported as not committed is refused as not run, and nothing ends its attempt. So a command that was sent once must stay uncertain whatever later attempts report. No test covered this for forwarded commands: with a trial in which a later 'not sent' made the end certain, proposals_during_elections_have_their_reported_outcome passed. The new test fails with that trial (NotCommitted instead of Uncertain, although the command is committed) and passes with the present code. No fault was found.

--- a/crates/cluster/tests/cluster/replicas.rs
+++ b/crates/cluster/tests/cluster/replicas.rs
@@ -141,6 +141,23 @@
     }
 }
 
+/// Guards against a command that is committed although it is reported as not committed, because its reply was lost and no
+/// later attempt reached a leader. The caller of a non-idempotent request would be told that it has not run.
+#[tokio::test]
+async fn a_command_with_a_lost_reply_is_uncertain() {
+    let cluster = TestCluster::started(THREE, &["o1/z1"]).await;
+    cluster.drain("o1", "before").await;
+    // Longer than all attempts together. Connections that are opened meanwhile do not get through their handshake.
+    cluster.delay_responses(Duration::from_secs(10));
+    assert_eq!(cluster.try_drain("o1", "unclear").await, Err(ProposeError::Uncertain));
+    cluster.delay_responses(Duration::ZERO);
+    let is_committed = |cluster: &TestCluster| {
+        let view = cluster.node("a").view();
+        view.borrow().draining.contains(&"unclear".into())
+    };
+    cluster.wait("the command is committed", is_committed).await;
+}
+
 /// Guards against callers that hang or get an uncertain outcome while no leader exists.
 #[tokio::test]
 async fn without_a_majority_a_proposal_is_refused_in_time() {
