Refuse heads that hold the start of another answer, and bound the memory of carried requests

What callers would see: 503 (not run) for a request that runs, where an upstream breaks off a refusal inside a header and writes the whole answer to the next request behind it; both are read as one head. With the first ID of such a head counting, one case was left: a refusal that breaks off before its ID.

Cause: a header value may hold the status line of another answer. Such a head is malformed now, so the request may have run.

Also, from a review: a connection is chosen for 896 requests (a table of 1,024 places, 9 KB) and writes one that was chosen before; the question for a zone is sent with the ID by which its connection was chosen; answer_discarded names the request that the answer belongs to; the property test tells answers of two attempts apart; the stand-ins use names that are no traits.

--- a/crates/core/src/carried_requests.rs
+++ b/crates/core/src/carried_requests.rs
@@ -9,8 +9,8 @@
     hash::{DefaultHasher, Hash, Hasher},
 };
 
-/// Requests that a connection carries at most, which bounds the memory of their hashes to some 20 KB.
-pub const MAX_CARRIED_REQUESTS: usize = 1_024;
+/// Requests after which a connection is not chosen any more. Their hashes fill a table of 1,024 places, some 9 KB.
+pub const MAX_CARRIED_REQUESTS: usize = 896;
 
 /// The requests of one connection, known by hashes of their IDs. Two IDs with the same hash count as one.
 ///
@@ -31,15 +31,15 @@
 
 /// The request may not be sent on the connection: an answer to it could not be told from a copy of an earlier one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NotAdmitted;
+pub struct AlreadyCarried;
 
 impl CarriedRequests {
-    /// Returns whether a request may be sent on the connection. Requests without an ID count as one request.
+    /// Returns whether the connection may be chosen for a request. Requests without an ID count as one request.
     pub fn admits(&self, request_id: Option<&str>) -> bool {
         !self.is_full() && !self.hashes.contains(&hash(request_id))
     }
 
-    /// Returns whether the connection carries no further request.
+    /// Returns whether the connection is chosen for no further request. One that was chosen before may still be sent.
     pub fn is_full(&self) -> bool {
         self.hashes.len() >= MAX_CARRIED_REQUESTS
     }
@@ -52,12 +52,11 @@
     /// Records that a request is about to be sent.
     ///
     /// # Errors
-    /// Fails unless the connection [admits](Self::admits) it.
-    pub fn begin(&mut self, request_id: Option<&str>) -> Result<(), NotAdmitted> {
-        if !self.admits(request_id) {
-            return Err(NotAdmitted);
+    /// Fails if it was sent before.
+    pub fn begin(&mut self, request_id: Option<&str>) -> Result<(), AlreadyCarried> {
+        if !self.hashes.insert(hash(request_id)) {
+            return Err(AlreadyCarried);
         }
-        self.hashes.insert(hash(request_id));
         self.in_progress = request_id.map(str::to_owned);
         Ok(())
     }
--- a/crates/core/tests/carried_requests.rs
+++ b/crates/core/tests/carried_requests.rs
@@ -14,8 +14,8 @@
     /// A request is sent to an address. The upstream refuses it, or runs it. Another ID of the upstream at that address makes
     /// no difference, since connections are known by their address.
     Send { request: usize, address: usize, is_refused: bool },
-    /// A copy of an earlier answer is written on a connection; it arrives where the next answer is due.
-    Copy { connection: usize, answer: usize },
+    /// An earlier answer is written once more on a connection; it arrives where the next answer is due.
+    Repeat { connection: usize, answer: usize },
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -26,7 +26,7 @@
             is_refused
         }),
         (any::<prop::sample::Index>(), any::<prop::sample::Index>()).prop_map(|(connection, answer)| {
-            Step::Copy { connection: connection.index(64), answer: answer.index(64) }
+            Step::Repeat { connection: connection.index(64), answer: answer.index(64) }
         }),
     ]
 }
@@ -34,6 +34,8 @@
 /// An answer on the wire.
 #[derive(Clone, Debug, PartialEq)]
 struct Answer {
+    /// The number of the attempt that it answers, which is not on the wire.
+    attempt: usize,
     request_id: String,
     is_refusal: bool,
 }
@@ -62,7 +64,7 @@
         &mut idle[at]
     }
 
-    fn copy(&mut self, connection: usize, answer: usize) {
+    fn repeat(&mut self, connection: usize, answer: usize) {
         let count = self.0.iter().flatten().count().max(1);
         let Some(connection) = self.0.iter_mut().flatten().nth(connection % count) else { return };
         if !connection.written.is_empty() {
@@ -93,14 +95,14 @@
     #[test]
     fn each_attempt_gets_its_own_answer(steps in prop::collection::vec(step(), 1..60)) {
         let mut pool = Pool(Default::default());
-        for step in steps {
+        for (attempt, step) in steps.into_iter().enumerate() {
             match step {
                 Step::Send { request, address, is_refused } => {
-                    let answer = Answer { request_id: format!("r{request}"), is_refusal: is_refused };
+                    let answer = Answer { attempt, request_id: format!("r{request}"), is_refusal: is_refused };
                     let read = pool.checkout(address, &answer.request_id).exchange(&answer);
                     prop_assert_eq!(read, answer);
                 }
-                Step::Copy { connection, answer } => pool.copy(connection, answer),
+                Step::Repeat { connection, answer } => pool.repeat(connection, answer),
             }
         }
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -271,6 +271,7 @@
                 connection = connection.number(),
                 kind = discarded.name(),
                 status = head.status.as_u16(),
+                answered_id = answer.request_id,
             );
             if !discard_body(connection).await {
                 return Err(AttemptError::Broken);
--- a/crates/gateway/src/http_head.rs
+++ b/crates/gateway/src/http_head.rs
@@ -96,6 +96,8 @@
     Malformed,
     /// The framing of the body is invalid, contradictory or unsupported.
     BadFraming,
+    /// A header breaks off, and the head of another response follows in its value.
+    TwoHeads,
 }
 
 /// Interprets the parsed head of a response to a request with the method `method`.
@@ -112,6 +114,9 @@
     let mut idle_timeout = None;
     let mut forwarded = Vec::with_capacity(headers.len());
     for header in headers {
+        if holds_status_line(header.value) {
+            return Err(HeadError::TwoHeads);
+        }
         let value = std::str::from_utf8(header.value).unwrap_or("").trim();
         match header.name.to_ascii_lowercase().as_str() {
             "content-length" => {
@@ -145,6 +150,16 @@
     Ok(ResponseHead { status, headers: forwarded, framing, keeps_open, idle_timeout })
 }
 
+/// Returns whether a value ends with a status line, `HTTP/1.1 200 OK`. What the response states would be that of two.
+fn holds_status_line(value: &[u8]) -> bool {
+    const VERSION: &[u8] = b"HTTP/1.";
+    let starts = value.windows(VERSION.len()).enumerate().filter(|(_, window)| *window == VERSION);
+    starts.map(|(at, _)| &value[at + VERSION.len()..]).any(|rest| {
+        matches!(rest, [b'0' | b'1', b' ', status @ ..]
+            if status.len() >= 3 && status[..3].iter().all(u8::is_ascii_digit))
+    })
+}
+
 fn parse_idle_timeout(value: &str) -> Option<Duration> {
     let mut parts = value.split(',').filter_map(|part| part.trim().strip_prefix("timeout="));
     parts.next()?.trim().parse().ok().map(Duration::from_secs)
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -278,6 +278,7 @@
             connection = connection.number(),
             kind = discarded.name(),
             status = head.status.as_u16(),
+            answered_id = answer.request_id,
         );
         if !discard_body(connection).await {
             return None;
--- a/crates/gateway/src/peer_zones.rs
+++ b/crates/gateway/src/peer_zones.rs
@@ -53,22 +53,26 @@
     gateway.peers.record_zones(zones);
 }
 
+fn next_question_id() -> String {
+    format!("zone-question-{}", NEXT_QUESTION.fetch_add(1, Ordering::Relaxed))
+}
+
 /// Asks an entry node for its zone; `None` if it does not state one.
 async fn ask(peers: &EntryPeers, address: SocketAddr) -> Option<ZoneName> {
     let pool = peers.pool();
-    let question = RequestIdentity { id: None, at_most_once: false };
+    let id = next_question_id();
+    let question = RequestIdentity { id: Some(&id), at_most_once: false };
     let mut pooled = pool.checkout(address, EntryPeers::max_connections(), question).await.ok()?;
-    let zone = ask_on(pooled.get().ok()?).await?;
+    let zone = ask_on(pooled.get().ok()?, &id).await?;
     pooled.release();
     Some(zone)
 }
 
 /// Asks the entry node at the other end of a connection for its zone; `None` if it does not state one, after which the connection
 /// can't be used.
-async fn ask_on(connection: &mut UpstreamConnection) -> Option<ZoneName> {
-    let id = format!("zone-question-{}", NEXT_QUESTION.fetch_add(1, Ordering::Relaxed));
+async fn ask_on(connection: &mut UpstreamConnection, id: &str) -> Option<ZoneName> {
     let head = format!("GET / HTTP/1.1\r\nHost: entry-node\r\n{ZONE_QUESTION}: 1\r\n\r\n");
-    connection.write_request(Some(&id), head.as_bytes(), &Bytes::new()).await.ok()?;
+    connection.write_request(Some(id), head.as_bytes(), &Bytes::new()).await.ok()?;
     let zone_of = |headers: &[httparse::Header<'_>]| {
         let zone = headers.iter().find(|header| header.name.eq_ignore_ascii_case(ZONE))?;
         std::str::from_utf8(zone.value).ok().map(ZoneName::from)
@@ -88,7 +92,7 @@
     if !gateway.regions.zones.depends_on_zone(&request.region_limit()) {
         return true;
     }
-    let asked = timeout(QUESTION_TIMEOUT, ask_on(connection)).await;
+    let asked = timeout(QUESTION_TIMEOUT, ask_on(connection, &next_question_id())).await;
     let Some(zone) = asked.ok().flatten() else { return false };
     let is_admitted = gateway.may_pass_to(request, Some(&zone));
     gateway.peers.record_zones([(address, zone)].into());
