Split the body reader, the exchange with entry nodes and the reading of an answer

The body reader is connection/body.rs, the exchange with another entry node peer_exchange.rs, and read_answer a function of its own, without a change of behaviour.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,5 +1,7 @@
 //! An HTTP/1.1 connection to an upstream that carries one request at a time.
 
+mod body;
+
 use std::{
     io::{self, IoSlice},
     net::SocketAddr,
@@ -16,18 +18,15 @@
     time::{Instant, timeout},
 };
 
+use self::body::BodyState;
 use crate::http_head::{Framing, HeadError, ResponseHead, read_head};
 
 /// Maximum size of the head of a response.
 const MAX_HEAD_BYTES: usize = 32 * 1_024;
 /// Maximum number of headers of a response.
 const MAX_HEADERS: usize = 64;
-/// Maximum size of a chunk-size line, of the line after a chunk and of a trailer line.
-const MAX_CHUNK_LINE_BYTES: usize = 256;
 /// Maximum number of informational heads before that of the response.
 const MAX_INFORMATIONAL_HEADS: usize = 8;
-/// Maximum number of trailer lines after a chunked body.
-const MAX_TRAILER_LINES: usize = 64;
 /// Space reserved for each read.
 const READ_BYTES: usize = 8 * 1_024;
 /// `TCP_USER_TIMEOUT`: the kernel closes the connection when sent bytes stay unacknowledged for this time.
@@ -57,26 +56,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum BodyState {
-    /// No head of a response was read yet.
-    Idle,
-    /// Remaining bytes of a body with `content-length`.
-    Length(u64),
-    /// At a chunk-size line.
-    ChunkStart,
-    /// Remaining bytes of the chunk.
-    ChunkData(u64),
-    /// At the line end that follows the data of a chunk.
-    ChunkEnd,
-    /// After the last chunk and this number of trailer lines, at another one or the final empty line.
-    Trailers(usize),
-    /// The body ends when the upstream closes the connection.
-    UntilClose,
-    /// The body was read to its end.
-    Complete,
-}
-
 /// A connection to an upstream, reusable after a complete exchange.
 #[derive(Debug)]
 pub struct UpstreamConnection {
@@ -264,12 +243,7 @@
                 }
                 self.keeps_open = head.keeps_open && head.framing != Framing::UntilClose;
                 self.idle_timeout = head.idle_timeout;
-                self.body = match head.framing {
-                    Framing::Length(0) => BodyState::Complete,
-                    Framing::Length(length) => BodyState::Length(length),
-                    Framing::Chunked => BodyState::ChunkStart,
-                    Framing::UntilClose => BodyState::UntilClose,
-                };
+                self.body = BodyState::at_start(head.framing);
                 return Ok((head, inspected));
             }
             if self.input.len() > MAX_HEAD_BYTES {
@@ -303,94 +277,6 @@
         Ok(Some((head, inspected)))
     }
 
-    /// Reads the next bytes of the body; `None` once it is complete.
-    ///
-    /// # Errors
-    /// Fails if the connection ends before the body is complete, or its chunks are malformed.
-    pub async fn read_body(&mut self) -> Result<Option<Bytes>, ReadError> {
-        loop {
-            match self.body {
-                BodyState::Complete | BodyState::Idle => return Ok(None),
-                BodyState::Length(left) => {
-                    if let Some(bytes) = self.take(left) {
-                        let left = left - bytes.len() as u64;
-                        self.body = if left == 0 { BodyState::Complete } else { BodyState::Length(left) };
-                        return Ok(Some(bytes));
-                    }
-                    self.fill().await?;
-                }
-                BodyState::ChunkData(left) => {
-                    if let Some(bytes) = self.take(left) {
-                        let left = left - bytes.len() as u64;
-                        self.body = if left == 0 { BodyState::ChunkEnd } else { BodyState::ChunkData(left) };
-                        return Ok(Some(bytes));
-                    }
-                    self.fill().await?;
-                }
-                BodyState::UntilClose => {
-                    if let Some(bytes) = self.take(u64::MAX) {
-                        return Ok(Some(bytes));
-                    }
-                    if self.read_more().await? == 0 {
-                        self.body = BodyState::Complete;
-                    }
-                }
-                BodyState::ChunkStart => {
-                    let line = self.read_line().await?;
-                    let size = chunk_size(&line).ok_or(ReadError::Malformed)?;
-                    self.body = if size == 0 { BodyState::Trailers(0) } else { BodyState::ChunkData(size) };
-                }
-                BodyState::ChunkEnd => {
-                    if !self.read_line().await?.is_empty() {
-                        return Err(ReadError::Malformed);
-                    }
-                    self.body = BodyState::ChunkStart;
-                }
-                BodyState::Trailers(lines) => {
-                    if self.read_line().await?.is_empty() {
-                        self.body = BodyState::Complete;
-                    } else if lines >= MAX_TRAILER_LINES {
-                        return Err(ReadError::Malformed);
-                    } else {
-                        self.body = BodyState::Trailers(lines + 1);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Returns whether the body was read to its end.
-    pub(crate) fn is_complete(&self) -> bool {
-        self.body == BodyState::Complete
-    }
-
-    /// Takes up to `max_bytes` received bytes; `None` if there are none.
-    fn take(&mut self, max_bytes: u64) -> Option<Bytes> {
-        if self.input.is_empty() {
-            return None;
-        }
-        let count = usize::try_from(max_bytes).unwrap_or(usize::MAX).min(self.input.len());
-        Some(self.input.split_to(count).freeze())
-    }
-
-    /// Reads a line of the chunked framing, without its line end.
-    async fn read_line(&mut self) -> Result<Bytes, ReadError> {
-        loop {
-            if let Some(end) = self.input.iter().position(|byte| *byte == b'\n') {
-                let mut line = self.input.split_to(end + 1);
-                line.truncate(end);
-                if line.last() == Some(&b'\r') {
-                    line.truncate(end - 1);
-                }
-                return Ok(line.freeze());
-            }
-            if self.input.len() > MAX_CHUNK_LINE_BYTES {
-                return Err(ReadError::Malformed);
-            }
-            self.fill().await?;
-        }
-    }
-
     /// Receives more bytes; the end of the connection is an error.
     async fn fill(&mut self) -> Result<(), ReadError> {
         if self.read_more().await? == 0 {
@@ -410,13 +296,3 @@
         self.stream.read_buf(&mut self.input).await
     }
 }
-
-/// Parses a chunk-size line, ignoring extensions; `None` unless it has 1 to 8 hexadecimal digits.
-fn chunk_size(line: &[u8]) -> Option<u64> {
-    let text = std::str::from_utf8(line).ok()?;
-    let digits = text.split(';').next()?.trim();
-    if digits.is_empty() || digits.len() > 8 || !digits.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-        return None;
-    }
-    u64::from_str_radix(digits, 16).ok()
-}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -254,61 +254,73 @@
     if let Err((sent, _)) = connection.write_request(outgoing.request_id, request_head, outgoing.body).await {
         return Err(if sent == 0 { AttemptError::NotSent } else { AttemptError::Broken });
     }
+    let (head, answer) =
+        read_answer(context, connection, &in_flight.upstream, request_head, outgoing).await?;
+    let upstream = Rc::clone(&in_flight.upstream);
+    let (hints, id) = (upstream.hints(), upstream.entry.id.as_str());
+    let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    let is_forged = head.status.is_success() && !answer.sealed;
+    if !misdirected && !is_forged {
+        hints.record(id, &answer.hints, sent_at);
+    }
+    if head.status == StatusCode::SERVICE_UNAVAILABLE {
+        hints.record_unavailable(id, answer.hints.retry_after);
+    }
+    let refused = answer.not_executed && !head.status.is_success();
+    if refused && !misdirected {
+        hints.rejections.record_rejection(outgoing.entry_nodes);
+        in_flight.mark_rejected();
+    }
+    if misdirected || refused {
+        if discard_body(connection).await {
+            pooled.release();
+        }
+        return Err(if misdirected { AttemptError::Misdirected } else { AttemptError::Refused });
+    }
+    in_flight.mark_run();
+    // A failed request may be faster or slower than the others.
+    if !head.status.is_server_error() {
+        in_flight.mark_served();
+    }
+    let AnswerHeaders { weight_version, sealed, .. } = answer;
+    Ok(UpstreamResponse { head, weight_version, sealed, pooled, in_flight })
+}
+
+/// Reads the head of the answer to the request in progress. Answers to earlier requests that arrive before it are discarded, whatever
+/// they state.
+async fn read_answer(
+    context: AttemptContext<'_>,
+    connection: &mut UpstreamConnection,
+    upstream: &Upstream,
+    request_head: &[u8],
+    outgoing: &OutgoingRequest<'_>,
+) -> Result<(ResponseHead, AnswerHeaders), AttemptError> {
     for _ in 0..=MAX_FOREIGN_RESPONSES {
         let read = connection.read_head(outgoing.method, |headers| {
             AnswerHeaders::new(&context.header_codec.0.decode_response(headers))
         });
         let (head, answer) = read.await.map_err(|_| AttemptError::Broken)?;
-        in_flight.upstream.record_activity();
-        if !connection.carried().is_answer(answer.request_id.as_deref()) {
-            // A late duplicate of a response to an earlier request, whatever it states; ours follows.
-            let discarded = DiscardedAnswer::new(head.status, answer.not_executed);
-            context.metrics.record_discarded_answer(discarded);
-            tracing::info!(
-                event = "answer_discarded",
-                request_id = outgoing.request_id,
-                upstream = in_flight.upstream.entry.id.as_str(),
-                connection = connection.number(),
-                kind = discarded.name(),
-                status = head.status.as_u16(),
-                answered_id = answer.request_id,
-            );
-            if !discard_body(connection).await {
-                return Err(AttemptError::Broken);
-            }
-            // Its arrival may have stopped the write; ours may come only after the whole request.
-            let rest = connection.write_rest(request_head, outgoing.body).await;
-            rest.map_err(|_| AttemptError::Broken)?;
-            continue;
-        }
-        let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
-        let is_forged = head.status.is_success() && !answer.sealed;
-        let upstream = Rc::clone(&in_flight.upstream);
-        let hints = upstream.hints();
-        if !misdirected && !is_forged {
-            hints.record(in_flight.upstream.entry.id.as_str(), &answer.hints, sent_at);
-        }
-        if head.status == StatusCode::SERVICE_UNAVAILABLE {
-            hints.record_unavailable(in_flight.upstream.entry.id.as_str(), answer.hints.retry_after);
-        }
-        let refused = answer.not_executed && !head.status.is_success();
-        if refused && !misdirected {
-            hints.rejections.record_rejection(outgoing.entry_nodes);
-            in_flight.mark_rejected();
-        }
-        if misdirected || refused {
-            if discard_body(connection).await {
-                pooled.release();
-            }
-            return Err(if misdirected { AttemptError::Misdirected } else { AttemptError::Refused });
+        upstream.record_activity();
+        if connection.carried().is_answer(answer.request_id.as_deref()) {
+            return Ok((head, answer));
         }
-        in_flight.mark_run();
-        // A failed request may be faster or slower than the others.
-        if !head.status.is_server_error() {
-            in_flight.mark_served();
+        let discarded = DiscardedAnswer::new(head.status, answer.not_executed);
+        context.metrics.record_discarded_answer(discarded);
+        tracing::info!(
+            event = "answer_discarded",
+            request_id = outgoing.request_id,
+            upstream = upstream.entry.id.as_str(),
+            connection = connection.number(),
+            kind = discarded.name(),
+            status = head.status.as_u16(),
+            answered_id = answer.request_id,
+        );
+        if !discard_body(connection).await {
+            return Err(AttemptError::Broken);
         }
-        let AnswerHeaders { weight_version, sealed, .. } = answer;
-        return Ok(UpstreamResponse { head, weight_version, sealed, pooled, in_flight });
+        // Its arrival may have stopped the write; the answer may come only after the whole request.
+        let rest = connection.write_rest(request_head, outgoing.body).await;
+        rest.map_err(|_| AttemptError::Broken)?;
     }
     Err(AttemptError::Broken)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod pass_on;
 mod passing;
 pub mod pause;
+mod peer_exchange;
 pub mod peer_headers;
 mod peer_zones;
 pub mod permits;
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -2,31 +2,22 @@
 
 use std::{rc::Rc, time::Duration};
 
-use actix_web::{
-    HttpRequest, HttpResponse, HttpResponseBuilder,
-    body::BodyStream,
-    http::{StatusCode, header::HeaderName},
-};
+use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder, body::BodyStream, http::header::HeaderName};
 use bytes::Bytes;
 use daisysill_core::{result_code::ResultCode, upstream_contact::Reach};
 use futures::stream::{Stream, unfold};
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    attempt_trace::DiscardedAnswer,
     body_buffer::{BodyBuffer, BodyInPieces},
     buffered::MAX_BUFFERED_RESPONSE_BYTES,
-    caller_request::{AttemptHistory, CallerRequest, encode_peer_head},
-    connection::UpstreamConnection,
+    caller_request::{AttemptHistory, CallerRequest},
     entry_node::EntryState,
-    entry_peers::{ChosenPeer, EntryPeers},
-    exchange::{MAX_FOREIGN_RESPONSES, discard_body},
-    forward::{Gateway, SharedCodec},
+    forward::Gateway,
     http_head::{Framing, ResponseHead},
     open_streams::{COMPLETE, OpenStream},
-    peer_headers::{PassedOn, UNABLE, ZONE, is_peer_header},
-    peer_zones,
-    pool::{PooledConnection, RequestIdentity},
+    peer_exchange::{PeerOutcome, PeerResponse, exchange},
+    peer_headers::is_peer_header,
     refusal::Refusal,
     refusal_rules::deadline_refusal,
     relay::StreamBroken,
@@ -36,31 +27,6 @@
 /// Entry nodes that are asked to serve one request.
 const MAX_PEERS: usize = 3;
 
-/// What became of a request at another entry node.
-enum PeerOutcome {
-    /// The response, whose body is yet to be read.
-    Answered(Box<PeerResponse>),
-    /// The node could not be reached, or could not serve the request either; nothing has run there.
-    Unable,
-    /// The connection broke; the request may have run.
-    Broken,
-}
-
-/// A response of another entry node.
-struct PeerResponse {
-    head: ResponseHead,
-    pooled: PooledConnection,
-    peer: ChosenPeer,
-}
-
-impl PeerResponse {
-    /// Reads the next bytes of the body, the inner `None` at its end; the outer one if it broke or the deadline passed.
-    async fn read_body(&mut self, deadline: Instant) -> Option<Option<Bytes>> {
-        let connection = self.pooled.get().ok()?;
-        timeout_at(deadline, connection.read_body()).await.ok()?.ok()
-    }
-}
-
 impl Gateway {
     /// Returns whether requests may be passed on now: this node does not reach the upstreams, and knows another entry node.
     pub(crate) fn passes_on(&self, request: &CallerRequest) -> bool {
@@ -221,92 +187,6 @@
     }
 }
 
-/// Sends a request to another entry node and reads the head of the response.
-async fn exchange(
-    gateway: &Gateway,
-    http: &HttpRequest,
-    request: &CallerRequest,
-    history: &AttemptHistory,
-    peer: ChosenPeer,
-) -> PeerOutcome {
-    let pool = gateway.peers.pool();
-    let request_id = request.headers.request_id.as_deref();
-    let identity = RequestIdentity { id: request_id, at_most_once: request.at_most_once() };
-    let checkout = pool.checkout(peer.address, EntryPeers::max_connections(), identity);
-    let Ok(mut pooled) = checkout.await else { return PeerOutcome::Unable };
-    let Ok(connection) = pooled.get() else { return PeerOutcome::Unable };
-    if !peer_zones::admits(gateway, request, peer.address, connection).await {
-        return PeerOutcome::Unable;
-    }
-    // After the question, which takes some of the time that is left.
-    let passed_on = PassedOn {
-        deadline_ms: u64::try_from(request.time_left().as_millis()).unwrap_or(u64::MAX),
-        attempts: history.may_have_run,
-        config_version: request.config_version,
-    };
-    let head = encode_peer_head(http, &request.body, passed_on);
-    if let Err((sent, _)) = connection.write_request(request_id, &head, &request.body).await {
-        return if sent == 0 { PeerOutcome::Unable } else { PeerOutcome::Broken };
-    }
-    match read_answer(gateway, request, connection).await {
-        Some((_, true)) => PeerOutcome::Unable,
-        Some((head, false)) => PeerOutcome::Answered(Box::new(PeerResponse { head, pooled, peer })),
-        None => PeerOutcome::Broken,
-    }
-}
-
-/// Reads the head of the answer to a request that was passed on, and whether the other node states that it could not serve it.
-/// `None` if the connection broke or brought too many answers to other requests.
-async fn read_answer(
-    gateway: &Gateway,
-    request: &CallerRequest,
-    connection: &mut UpstreamConnection,
-) -> Option<(ResponseHead, bool)> {
-    for _ in 0..=MAX_FOREIGN_RESPONSES {
-        let headers =
-            |headers: &[httparse::Header<'_>]| PeerAnswerHeaders::new(&gateway.header_codec, headers);
-        let (head, answer) = connection.read_head(&request.method, headers).await.ok()?;
-        if !answer.is_zone && connection.carried().is_answer(answer.request_id.as_deref()) {
-            return Some((head, answer.is_unable));
-        }
-        let is_refusal = answer.is_unable || head.status == StatusCode::SERVICE_UNAVAILABLE;
-        let discarded = DiscardedAnswer::new(head.status, is_refusal);
-        gateway.metrics.record_discarded_answer(discarded);
-        tracing::info!(
-            event = "answer_discarded",
-            request_id = request.headers.request_id.as_deref(),
-            connection = connection.number(),
-            kind = discarded.name(),
-            status = head.status.as_u16(),
-            answered_id = answer.request_id,
-        );
-        if !discard_body(connection).await {
-            return None;
-        }
-    }
-    None
-}
-
-/// What the headers of another entry node's answer state about it.
-struct PeerAnswerHeaders {
-    /// The ID of the request that it answers.
-    request_id: Option<String>,
-    is_unable: bool,
-    /// Whether it answers the question for the zone. Like answers to requests without an ID, it bears none.
-    is_zone: bool,
-}
-
-impl PeerAnswerHeaders {
-    fn new(codec: &SharedCodec, headers: &[httparse::Header<'_>]) -> Self {
-        let has = |name: &str| headers.iter().any(|header| header.name.eq_ignore_ascii_case(name));
-        Self {
-            request_id: codec.0.decode_response(headers).request_id.map(str::to_owned),
-            is_unable: has(UNABLE),
-            is_zone: has(ZONE),
-        }
-    }
-}
-
 /// The body of another entry node's response, which is sent to the caller as it arrives.
 struct PeerBody {
     gateway: Rc<Gateway>,
