--- a/crates/core/src/carried_requests.rs
+++ b/crates/core/src/carried_requests.rs
@@ -1,8 +1,8 @@
 //! Which requests a connection has carried, and which answers on it belong to the one in progress.
 //!
-//! An upstream may send an answer too many at any later time: also the copy of a refusal, which states that a request has not
-//! run. It bears the ID of the request that it once answered. So an answer tells which request it belongs to only while a
-//! connection carries each ID once.
+//! An upstream may send a copy of an answer at any later time, also of a refusal, which states that a request has not run. The copy
+//! bears the ID of the request that it once answered. So the ID tells which request an answer belongs to only while a connection
+//! carries each ID once.
 
 use std::{
     collections::HashSet,
@@ -61,7 +61,7 @@
         Ok(())
     }
 
-    /// Returns whether an answer with this ID belongs to the request in progress; otherwise it is one too many.
+    /// Returns whether an answer with this ID belongs to the request in progress; otherwise it is to be discarded.
     pub fn is_answer(&self, answered_id: Option<&str>) -> bool {
         self.in_progress.as_deref() == answered_id
     }
