--- a/crates/core/src/carried_requests.rs
+++ b/crates/core/src/carried_requests.rs
@@ -1,8 +1,8 @@
 //! Which requests a connection has carried, and which answers on it belong to the one in progress.
 //!
 //! An upstream may send a copy of an answer at any later time, also of a refusal, which states that a request has not run. The copy
-//! bears the ID of the request that it once answered. So the ID tells which request an answer belongs to only while a connection
-//! carries each ID once.
+//! has the ID of the request that was answered. So the ID identifies the request of an answer only while a connection carries each ID
+//! once.
 
 use std::{
     collections::HashSet,
@@ -29,7 +29,7 @@
     in_progress: Option<String>,
 }
 
-/// The request may not be sent on the connection: an answer to it could not be told from a copy of an earlier one.
+/// The request must not be sent on the connection: its answer could not be distinguished from a copy of an earlier one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AlreadyCarried;
 
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -126,8 +126,8 @@
     }
 
     /// Returns whether the connection can carry another request: the last response was read to its end, no bytes
-    /// followed it, the upstream has not closed the connection, and it has not carried too many. Which requests those may be,
-    /// [`Self::carried`] tells.
+    /// followed it, the upstream has not closed the connection, and it has not carried too many. [`Self::carried`]
+    /// decides which requests it may carry.
     pub fn is_reusable(&mut self) -> bool {
         let exchange_complete = self.request_written
             && self.keeps_open
--- a/crates/gateway/src/peer_exchange.rs
+++ b/crates/gateway/src/peer_exchange.rs
@@ -60,7 +60,7 @@
     if !peer_zones::admits(gateway, request, peer.address, connection).await {
         return PeerOutcome::Unable;
     }
-    // After the question, which takes some of the time that is left.
+    // Computed after the request for the zone, which takes some of the time that is left.
     let passed_on = PassedOn {
         deadline_ms: u64::try_from(request.time_left().as_millis()).unwrap_or(u64::MAX),
         attempts: history.may_have_run,
@@ -114,7 +114,7 @@
     /// The ID of the request that it answers.
     request_id: Option<String>,
     is_unable: bool,
-    /// Whether it answers the question for the zone. Like answers to requests without an ID, it bears none.
+    /// Whether it answers a request for the zone. Like answers to requests without an ID, it has none.
     is_zone: bool,
 }
 
--- a/crates/gateway/src/peer_zones.rs
+++ b/crates/gateway/src/peer_zones.rs
@@ -29,8 +29,8 @@
 /// Time for an entry node to state its zone.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The number of the next question of this process: a connection carries each request ID once.
-static NEXT_QUESTION: AtomicU64 = AtomicU64::new(0);
+/// The number of the next request for a zone by this process: a connection carries each request ID once.
+static NEXT_REQUEST: AtomicU64 = AtomicU64::new(0);
 
 /// Answers the question of another entry node for the zone of this one; `None` if the request is another one.
 pub(crate) fn answer(gateway: &Gateway, http: &HttpRequest) -> Option<HttpResponse> {
@@ -53,16 +53,16 @@
     gateway.peers.record_zones(zones);
 }
 
-fn next_question_id() -> String {
-    format!("zone-question-{}", NEXT_QUESTION.fetch_add(1, Ordering::Relaxed))
+fn next_request_id() -> String {
+    format!("zone-request-{}", NEXT_REQUEST.fetch_add(1, Ordering::Relaxed))
 }
 
 /// Asks an entry node for its zone; `None` if it does not state one.
 async fn ask(peers: &EntryPeers, address: SocketAddr) -> Option<ZoneName> {
     let pool = peers.pool();
-    let id = next_question_id();
-    let question = RequestIdentity { id: Some(&id), at_most_once: false };
-    let mut pooled = pool.checkout(address, EntryPeers::max_connections(), question).await.ok()?;
+    let id = next_request_id();
+    let identity = RequestIdentity { id: Some(&id), at_most_once: false };
+    let mut pooled = pool.checkout(address, EntryPeers::max_connections(), identity).await.ok()?;
     let zone = ask_on(pooled.get().ok()?, &id).await?;
     pooled.release();
     Some(zone)
@@ -92,7 +92,7 @@
     if !gateway.regions.zones.depends_on_zone(&request.region_limit()) {
         return true;
     }
-    let asked = timeout(QUESTION_TIMEOUT, ask_on(connection, &next_question_id())).await;
+    let asked = timeout(QUESTION_TIMEOUT, ask_on(connection, &next_request_id())).await;
     let Some(zone) = asked.ok().flatten() else { return false };
     let is_admitted = gateway.may_pass_to(request, Some(&zone));
     gateway.peers.record_zones([(address, zone)].into());
