--- a/crates/gateway/src/refusal_rules.rs
+++ b/crates/gateway/src/refusal_rules.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     caller_request::{AttemptHistory, CallerRequest, SoftwareRequirement},
-    exchange::AttemptError,
+    exchange::{AttemptError, UpstreamResponse},
     forward::Gateway,
     refusal::Refusal,
     stream_origin::version_gone,
@@ -26,6 +26,8 @@
 pub(crate) const BUSY_RETRY_MS: u64 = 250;
 /// Retry-after of a node whose configuration is too old to validate keys or to rule out a route.
 pub(crate) const STALE_RETRY_MS: u64 = 600;
+/// Retry-after of a node that stops. Short, since the caller's next connection leads to another node.
+const STOP_RETRY_MS: u64 = 20;
 
 impl Gateway {
     /// Returns the refusal that ends the request after this error; `None` if another attempt is allowed.
@@ -111,3 +113,19 @@
     }
     Refusal::not_run(ResultCode::DeadlineUnreachable, "the deadline passed before a send", BUSY_RETRY_MS)
 }
+
+/// Returns the refusal of a request that this node cannot finish before it exits.
+pub(crate) fn shutdown_refusal(history: &AttemptHistory) -> Refusal {
+    let may_have_run = history.may_have_run > 0 || history.is_attempt_open;
+    let reason = "the node is shutting down";
+    Refusal::after_attempts(may_have_run, ResultCode::ShuttingDown, reason, STOP_RETRY_MS)
+}
+
+/// Returns the answer in place of an upstream's own, whose status promises "not run" although nothing in it states that the upstream
+/// did not execute the request. It has no proof of origin, which belongs to the upstream's status.
+pub(crate) async fn unconfirmed_refusal(response: UpstreamResponse, history: &mut AttemptHistory) -> Refusal {
+    *history = history.after_leaving(&response.in_flight.upstream.entry.id);
+    let reason = format!("the upstream answered {} and may have run the request", response.head.status);
+    response.discard().await;
+    Refusal::new(ResultCode::UpstreamFailed, reason)
+}
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -30,7 +30,9 @@
     peer_headers::{PassedOn, UNABLE},
     placement::ChosenUpstream,
     refusal::{Refusal, promises_not_run},
-    refusal_rules::{STALE_RETRY_MS, cut_off_refusal, deadline_refusal},
+    refusal_rules::{
+        STALE_RETRY_MS, cut_off_refusal, deadline_refusal, shutdown_refusal, unconfirmed_refusal,
+    },
     relay::relay,
     silence::log_failed_answer,
     unanswered::{UnansweredRequest, refuse_on_panic},
@@ -41,8 +43,6 @@
 /// Requests that arrive later than this after the signal to stop are refused: they might not finish before the process
 /// is killed.
 const REFUSE_AFTER: Duration = Duration::from_millis(2_600);
-/// Short, since the caller's next connection leads to another node.
-const STOP_RETRY_MS: u64 = 20;
 
 /// Time for requests in progress to end and give their memory back.
 const NO_MEMORY_RETRY_MS: u64 = 500;
@@ -376,22 +376,6 @@
     }
 }
 
-/// Returns the refusal of a request that this node cannot finish before it exits.
-fn shutdown_refusal(history: &AttemptHistory) -> Refusal {
-    let may_have_run = history.may_have_run > 0 || history.is_attempt_open;
-    let reason = "the node is shutting down";
-    Refusal::after_attempts(may_have_run, ResultCode::ShuttingDown, reason, STOP_RETRY_MS)
-}
-
-/// Returns the answer in place of an upstream's own, whose status promises "not run" although nothing in it states that the upstream
-/// did not execute the request. It bears no proof of origin, which belongs to the upstream's status.
-async fn unconfirmed_refusal(response: UpstreamResponse, history: &mut AttemptHistory) -> Refusal {
-    *history = history.after_leaving(&response.in_flight.upstream.entry.id);
-    let reason = format!("the upstream answered {} and may have run the request", response.head.status);
-    response.discard().await;
-    Refusal::new(ResultCode::UpstreamFailed, reason)
-}
-
 pub(crate) fn may_retry(request: &CallerRequest) -> bool {
     matches!(request.route.kind, CallKind::Idempotent | CallKind::Stream { resumable: true })
 }
