Evaluate a crash in time although an entry came shortly before

Callers saw: a sound prompt that ran beside a prompt that crashes engines was refused as blocked (1307) for up to a second longer than the 1.5 s in which reports of the crash arrive.

Cause: the leader appends the entry that advances log time only a second after the last entry. An entry that comes within the second before the evaluation is due delays it by up to that second.

Change: the entry that makes an evaluation, or the end of a block, due is appended at the next heartbeat. At most one such entry is appended for each of them. Steps of a second still bound the entries that wait for outcomes of claims.

--- a/crates/control/src/replication.rs
+++ b/crates/control/src/replication.rs
@@ -148,7 +148,10 @@
         let last_ms = self.log.last_time_ms().max(self.state.now_ms);
         let time_ms = self.log_time_ms();
         let all_committed = self.log.last().index == self.commit_index;
-        if all_committed && time_ms >= last_ms + LOG_TIME_STEP_MS && self.state.needs_log_time(time_ms) {
+        let is_step_over = time_ms >= last_ms + LOG_TIME_STEP_MS;
+        // The entry that makes a change due is appended at once: a recent one must not delay it by a step.
+        let makes_change_due = self.state.changes_between(last_ms, time_ms);
+        if all_committed && (makes_change_due || is_step_over && self.state.needs_log_time(time_ms)) {
             self.append(Payload::Command(Command::Noop));
         }
     }
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -211,6 +211,11 @@
             || self.next_crash_change_ms().is_some_and(|due_ms| due_ms <= time_ms)
     }
 
+    /// Returns whether a crash has to be evaluated or a block ends after `from_ms`, and at `to_ms` at the latest.
+    pub(crate) fn changes_between(&self, from_ms: u64, to_ms: u64) -> bool {
+        self.next_crash_change_ms().is_some_and(|due_ms| from_ms < due_ms && due_ms <= to_ms)
+    }
+
     fn publish_rules(&mut self, publish: &PublishRules) -> Reply {
         let digest = content_digest(publish.files.iter().flat_map(|f| [f.name.as_str(), f.text.as_str()]));
         if let Some(reply) = self.resent_reply(&publish.change, &digest) {
