Clear a request of crashes when it completes, and let the evidence expire

Cause: the leader counted crashed processes under the fingerprint of the requests that ran there, and nothing took one off. Equal requests run at every upstream, so each crash counts against them. The map also grew without a bound.

Change: core::crashing_requests keeps this evidence as it is kept for parts of prompts: a completed first attempt clears the request, evidence expires ten minutes after the last crash, and its memory is bounded. Completions are reported with the message for parts, so no message changes.

--- a/crates/cluster/src/outcome_queue.rs
+++ b/crates/cluster/src/outcome_queue.rs
@@ -28,9 +28,9 @@
 }
 
 impl TimedOutcome {
-    /// A request with these parts completed.
-    pub(crate) fn completed(parts: Vec<u64>) -> Self {
-        Self { parts, broken: None }
+    /// A request with this fingerprint or these parts completed.
+    pub(crate) fn completed(keys: Vec<u64>) -> Self {
+        Self { parts: keys, broken: None }
     }
 
     /// A request with these parts broke when its upstream crashed.
--- a/crates/cluster/src/published_upstreams.rs
+++ b/crates/cluster/src/published_upstreams.rs
@@ -7,7 +7,8 @@
 };
 
 use daisysill_core::{
-    crashing_parts::{CRASHES_TO_BLOCK, CrashingParts, EVIDENCE_TIMEOUT},
+    crashing_parts::{CRASHES_TO_BLOCK, CrashedProcess, CrashingParts, EVIDENCE_TIMEOUT},
+    crashing_requests::CrashingRequests,
     ids::InstanceId,
 };
 use daisysill_wire::peer::{PublishedUpstreams, UpstreamCrash, UpstreamEntry};
@@ -40,8 +41,8 @@
 struct Inner {
     current_at: Option<BootInstant>,
     last_polls: BTreeMap<InstanceId, BootInstant>,
-    /// Crashed processes, as upstream and start time, by request fingerprint.
-    crashes: BTreeMap<u64, BTreeSet<(InstanceId, u64)>>,
+    /// Evidence against requests.
+    crashing_requests: CrashingRequests,
     /// Evidence against parts of prompts.
     crashing_parts: CrashingParts,
     /// Parts of prompts that this node blocks, as last logged.
@@ -131,16 +132,18 @@
         if crashes.is_empty() {
             return;
         }
+        let now_ms = self.now_ms();
         let mut inner = self.lock();
         for crash in crashes {
-            let upstreams = inner.crashes.entry(crash.fingerprint).or_default();
-            upstreams.insert((crash.upstream.clone(), crash.started_unix_ms));
+            let process =
+                CrashedProcess { upstream: crash.upstream.clone(), started_unix_ms: crash.started_unix_ms };
+            inner.crashing_requests.record_crash(crash.fingerprint, process, now_ms);
         }
         drop(inner);
         self.schedule_publication();
     }
 
-    /// Records outcomes of prompts that nodes report to this node as the leader, and publishes what follows soon.
+    /// Records outcomes of requests that nodes report to this node as the leader, and publishes what follows soon.
     pub(crate) fn record_outcomes(self: &Arc<Self>, outcomes: &[TimedOutcome]) {
         let mut inner = self.lock();
         for outcome in outcomes {
@@ -165,8 +168,7 @@
 
     /// Publishes the number of crashes by request fingerprint and by part of a prompt.
     fn publish_crashes(&self) {
-        let now_ms = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX);
-        let counts = self.lock().crash_counts(now_ms);
+        let counts = self.lock().crash_counts(self.now_ms());
         self.change(false, |published| published.crash_counts = counts);
     }
 
@@ -190,6 +192,11 @@
         });
     }
 
+    /// Returns the time on the clock of the evidence.
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -214,10 +221,14 @@
         }
     }
 
-    fn record_completion(&mut self, parts: &[u64]) {
-        self.crashing_parts.record_completion(parts);
+    /// Clears what a completed request is known by: its fingerprint and the parts of its prompt.
+    fn record_completion(&mut self, keys: &[u64]) {
+        self.crashing_parts.record_completion(keys);
+        for key in keys {
+            self.crashing_requests.record_completion(*key);
+        }
         if let Some((blocked, _)) = &mut self.inherited {
-            blocked.retain(|part, _| !parts.contains(part));
+            blocked.retain(|key, _| !keys.contains(key));
         }
     }
 
@@ -234,11 +245,9 @@
 
     /// Returns the crashes by fingerprint and by part of a prompt, those with the most only.
     fn crash_counts(&mut self, now_ms: u64) -> BTreeMap<u64, u32> {
-        let requests = self.crashes.iter().map(|(fingerprint, upstreams)| {
-            (*fingerprint, u32::try_from(upstreams.len()).unwrap_or(u32::MAX))
-        });
-        let mut by_key: BTreeMap<u64, u32> = requests.collect();
+        self.crashing_requests.expire(now_ms);
         self.crashing_parts.expire(now_ms);
+        let mut by_key: BTreeMap<u64, u32> = self.crashing_requests.counts().collect();
         let by_part = self.crashing_parts.counts();
         self.log_blocked_parts(&by_part);
         by_key.extend(by_part);
--- a/crates/cluster/src/soft_state_handle.rs
+++ b/crates/cluster/src/soft_state_handle.rs
@@ -157,9 +157,9 @@
         self.report_outcome(TimedOutcome::broken(parts, crash, sent_at, broke_at));
     }
 
-    /// Reports that a request with these parts of its prompt has completed.
-    pub fn report_completed_prompt(&self, parts: Vec<u64>) {
-        self.report_outcome(TimedOutcome::completed(parts));
+    /// Reports that a request has completed which is known by these keys: its fingerprint and the parts of its prompt.
+    pub fn report_completion(&self, keys: Vec<u64>) {
+        self.report_outcome(TimedOutcome::completed(keys));
     }
 
     fn report_outcome(&self, outcome: TimedOutcome) {
--- a/crates/cluster/tests/observer.rs
+++ b/crates/cluster/tests/observer.rs
@@ -11,6 +11,7 @@
 use daisysill_control::command::{Command, PublishDocument, Reply, SetTargetVersion};
 use daisysill_core::{
     crashing_parts::CRASHES_TO_BLOCK,
+    crashing_requests,
     ids::{InstanceId, WeightVersion},
 };
 use daisysill_wire::peer::{
@@ -277,7 +278,7 @@
         entry.report_broken_prompt(vec![SOUND, BAD], crash, sent_at, BootInstant::now());
         let last = &nodes.entries[2];
         wait("the sound part is suspected", || count(last, SOUND).is_some()).await;
-        last.report_completed_prompt(vec![SOUND]);
+        last.report_completion(vec![SOUND]);
         wait("the sound part is cleared", || count(last, SOUND).is_none()).await;
     }
     for entry in &nodes.entries {
@@ -285,6 +286,32 @@
     }
 }
 
+/// Guards against a request that stays blocked at every node although equal ones complete: nothing but the end of the leader's
+/// process took it off.
+#[tokio::test]
+async fn request_that_completes_is_not_blocked_for_crashes_beside_it() {
+    const REQUEST: u64 = 7;
+    let nodes = start(13, 2).await;
+    wait("a leader", || nodes.control.is_leader()).await;
+    nodes.control.publish_upstreams(vec![upstream("i-1")], BootInstant::now());
+    let entry = &nodes.entries[0];
+    let count = || entry.published_upstreams().borrow().crash_counts.get(&REQUEST).copied();
+    let report_crash = |started_unix_ms| {
+        let crash = UpstreamCrash { fingerprint: REQUEST, upstream: "i-1".into(), started_unix_ms };
+        nodes.entries[1].report_crash(crash);
+    };
+    for start in 0..u64::from(crashing_requests::CRASHES_TO_BLOCK) {
+        report_crash(start);
+        wait("the crash", || count() == Some(1)).await;
+        entry.report_completion(vec![REQUEST]);
+        wait("the completion", || count().is_none()).await;
+    }
+    for start in 10..10 + crashing_requests::CRASHES_TO_BLOCK {
+        report_crash(start.into());
+    }
+    wait("the block", || count() == Some(crashing_requests::CRASHES_TO_BLOCK)).await;
+}
+
 /// Guards against upstreams that an entry node uses before it knows which software they run, and against the software of
 /// an earlier start under the same id.
 #[tokio::test]
--- a/crates/core/src/crashing_parts.rs
+++ b/crates/core/src/crashing_parts.rs
@@ -208,7 +208,8 @@
     }
 }
 
-fn expiry_ms(last_broke_ms: u64) -> u64 {
+/// Returns when evidence expires whose last crash was at `last_broke_ms`.
+pub(crate) fn expiry_ms(last_broke_ms: u64) -> u64 {
     let timeout_ms = u64::try_from(EVIDENCE_TIMEOUT.as_millis()).unwrap_or(u64::MAX);
     last_broke_ms.saturating_add(timeout_ms)
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod carried_requests;
 pub mod connection_table;
 pub mod crashing_parts;
+pub mod crashing_requests;
 pub mod evacuation;
 pub mod event_tracker;
 pub mod fetch_backoff;
--- a/crates/gateway/src/outcomes.rs
+++ b/crates/gateway/src/outcomes.rs
@@ -188,17 +188,18 @@
         });
     }
 
-    /// Reports that the request completed if crashes were seen under a part of its prompt, which this clears. A request
-    /// that broke before clears nothing: resumed near its end, it may complete just before the upstream crashes.
+    /// Reports that the request completed if crashes were seen under it or a part of its prompt, which this clears. A
+    /// request that broke before clears nothing: resumed near its end, it may complete just before the upstream crashes.
     pub(crate) fn record_completion(&self, request: &CallerRequest, history: &AttemptHistory) {
-        if request.part_keys.is_empty() || history.may_have_run > 0 {
+        if history.may_have_run > 0 {
             return;
         }
         let published = self.cluster.published_upstreams();
-        let is_suspected = |part: &u64| published.borrow().crash_counts.contains_key(part);
-        let parts: Vec<u64> = request.part_keys.iter().copied().filter(is_suspected).collect();
-        if !parts.is_empty() {
-            self.cluster.report_completed_prompt(parts);
+        let is_suspected = |key: &u64| published.borrow().crash_counts.contains_key(key);
+        let keys = request.part_keys.iter().chain([&request.fingerprint]);
+        let suspected: Vec<u64> = keys.copied().filter(is_suspected).collect();
+        if !suspected.is_empty() {
+            self.cluster.report_completion(suspected);
         }
     }
 
--- a/crates/gateway/src/refusal_rules.rs
+++ b/crates/gateway/src/refusal_rules.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use daisysill_core::{crashing_parts, result_code::ResultCode};
+use daisysill_core::{crashing_parts, crashing_requests, result_code::ResultCode};
 
 use crate::{
     caller_request::{AttemptHistory, CallerRequest, SoftwareRequirement},
@@ -16,8 +16,6 @@
 const MAX_REFUSALS: u32 = 2;
 /// Unreachable upstreams that are skipped for a request; after one more, the request is refused.
 const MAX_UNREACHABLE: u32 = 4;
-/// Crashed upstreams after which a request is blocked.
-const CRASHES_TO_BLOCK: u32 = 3;
 /// Retry-after of a blocked request and where no upstream accepts requests.
 const NO_UPSTREAM_RETRY_MS: u64 = 400;
 /// Retry-after where a part of the prompt is blocked; a part that is cleared is served again before.
@@ -86,7 +84,7 @@
         let published = published.borrow();
         let crashes_of = |key: &u64| published.crash_counts.get(key).copied().unwrap_or(0);
         let crashes = crashes_of(&request.fingerprint);
-        if crashes >= CRASHES_TO_BLOCK {
+        if crashes >= crashing_requests::CRASHES_TO_BLOCK {
             let reason = format!("crashed {crashes} upstreams");
             return Some(history.refusal(ResultCode::RequestBlocked, reason, NO_UPSTREAM_RETRY_MS));
         }
--- a/crates/wire/src/soft_state.rs
+++ b/crates/wire/src/soft_state.rs
@@ -175,7 +175,7 @@
 
     /// What the run of a request showed about the shared parts of its prompt.
     pub struct PromptOutcome {
-        /// Hashes of the parts, each with its model.
+        /// Hashes of the parts, each with its model; of a completed request also its fingerprint.
         pub parts: Vec<u64>,
         /// The run that a crash broke; `None` if the request completed.
         pub broken: Option<BrokenPrompt>,
