State "not run" of a stream of unknown origin only if it has not run

Cause: the refusal 1311 of a stream whose origin no node knows did not ask the history of the request. A node that had sent such a request to an upstream, where it broke, may pass it on; if the other node doesn't learn the origin, it answered 503 with "not run". Only requests that may be repeated are passed on then. Found by reading, with the list of grounds.

Change: such a request is answered 502 (1401), as when no other upstream is left. Others are answered as before.

--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -246,7 +246,7 @@
                 if gateway.passes_on(&request) { self.pass_on(http, &request, history).await } else { None };
             return answer.unwrap_or_else(|| Err(cut_off_refusal(history)));
         }
-        let software = gateway.software_requirement(&request).await?;
+        let software = gateway.software_requirement(&request, history).await?;
         let resumed_at = request.takes_up_stream().then_some(request.arrived);
         history.software = software;
         history.resumed_at = resumed_at;
--- a/crates/gateway/src/stream_origin.rs
+++ b/crates/gateway/src/stream_origin.rs
@@ -23,6 +23,7 @@
     pub(crate) async fn software_requirement(
         &self,
         request: &CallerRequest,
+        history: &AttemptHistory,
     ) -> Result<SoftwareRequirement, Refusal> {
         if !request.takes_up_stream() {
             return Ok(SoftwareRequirement::Any);
@@ -34,7 +35,12 @@
         let Some(software) = timeout_at(request.deadline, question).await.ok().flatten() else {
             let first = first.unwrap_or("without an ID");
             let reason = format!("no node in reach knows where the stream of request {first} began");
-            return Err(not_resumable(reason));
+            // The entry node that passed the request on may have sent it to an upstream.
+            return Err(if history.may_have_run > 0 {
+                Refusal::new(ResultCode::UpstreamFailed, reason)
+            } else {
+                not_resumable(reason)
+            });
         };
         Ok(SoftwareRequirement::Same(Some(software)))
     }
