Bound the connections between entry nodes, and state which requests were not read

Callers saw: 502 ("may have run") for requests that another entry node never read, while their own node was cut off from its upstreams and passed them on.

Cause: a node opened up to 256 connections to another one, which accepts an eighth of `max_connections` from one address. Beyond that it closed idle connections for new ones, among them those on which a request had just been written. A request that was written may have run, so the passing node could not send it again.

Change: - A node opens three quarters of the connections that one with its settings accepts from one address. Further requests go to another node or wait until 100 ms before their deadline. Before, none waited beyond 256. - A node that closes a connection of another entry node for want of a place or memory first writes a response with `x-daisysill-peer-unread`, and reads and drops what still comes, so that no reset overtakes it. The connection table decides under one lock whether the place is lost or the request has begun. Nodes of earlier builds discard the statement; theirs close without one, and requests on them count as before. - A request that was stated to be unread is sent again, over no more connections than were left.

--- a/crates/gateway/src/callers/connections.rs
+++ b/crates/gateway/src/callers/connections.rs
@@ -26,7 +26,7 @@
 };
 use tokio::net::TcpStream;
 
-use super::{ended_log::EndedLog, stream::CallerStream};
+use super::{ended_log::EndedLog, stream::CallerStream, unread_statement::UnreadStatement};
 
 /// Memory that a connection with a request in progress reserves: what is read ahead (8 KiB) and a part of the server's buffers.
 const BUSY_CONNECTION_BYTES: usize = 16 * 1_024;
@@ -147,6 +147,7 @@
     shared: Arc<Shared>,
     log: fn(&EndedConnections),
     allows_half_closed: bool,
+    unread_statement: Option<UnreadStatement>,
 }
 
 #[derive(Debug)]
@@ -184,7 +185,7 @@
         let table = ConnectionTable::new(connections);
         let state = Mutex::new(State { table, closings: HashMap::new(), log: EndedLog::default() });
         let shared = Arc::new(Shared { listener, limits, memory, metrics, state });
-        Self { shared, log: EndedConnections::trace, allows_half_closed: false }
+        Self { shared, log: EndedConnections::trace, allows_half_closed: false, unread_statement: None }
     }
 
     /// Serves clients that have closed their side and wait for responses. Otherwise such a client counts as disconnected, so that
@@ -199,6 +200,17 @@
         self.allows_half_closed
     }
 
+    /// Sends `statement` before it closes a connection of which it has read nothing since the last response.
+    #[must_use]
+    pub fn with_unread_statement(mut self, statement: UnreadStatement) -> Self {
+        self.unread_statement = Some(statement);
+        self
+    }
+
+    pub(super) fn unread_statement(&self) -> Option<&UnreadStatement> {
+        self.unread_statement.as_ref()
+    }
+
     /// Logs ended connections with `log` instead of as trace events.
     #[must_use]
     pub fn with_log(mut self, log: fn(&EndedConnections)) -> Self {
@@ -217,8 +229,15 @@
     /// Fails if there is no place for it; it is then closed.
     pub fn accept(&self, stream: TcpStream) -> io::Result<(CallerStream<TcpStream>, Option<SocketAddr>)> {
         let peer = stream.peer_addr()?;
-        let place = self.open(peer.ip())?;
-        Ok((CallerStream::new(stream, place, |socket| socket), Some(peer)))
+        match self.open(peer.ip()) {
+            Ok(place) => Ok((CallerStream::new(stream, place, |socket| socket), Some(peer))),
+            Err(error) => {
+                if let Some(statement) = &self.unread_statement {
+                    statement.send(stream, None);
+                }
+                Err(error)
+            }
+        }
     }
 
     /// Opens a connection from an address.
@@ -299,13 +318,15 @@
     /// Notes that a request has begun.
     ///
     /// # Errors
-    /// Fails if there is no memory for it.
-    pub(super) fn begin_request(&mut self) -> io::Result<()> {
+    /// Fails if there is no memory for it, or another connection got the place meanwhile.
+    pub(super) fn begin_request(&mut self) -> Result<(), EndReason> {
         if self.is_idle {
             if !self.memory.try_resize(BUSY_CONNECTION_BYTES) {
-                return Err(self.end(EndReason::NoMemory));
+                return Err(EndReason::NoMemory);
+            }
+            if !self.set_idle(false) {
+                return Err(EndReason::Replaced);
             }
-            self.set_idle(false);
         }
         Ok(())
     }
@@ -321,11 +342,18 @@
         self.connections.record_end(self.client, reason)
     }
 
-    fn set_idle(&mut self, is_idle: bool) {
+    pub(super) fn unread_statement(&self) -> Option<UnreadStatement> {
+        self.connections.unread_statement().cloned()
+    }
+
+    /// Returns whether the connection still has its place.
+    fn set_idle(&mut self, is_idle: bool) -> bool {
+        let mut state = self.connections.state();
         if self.is_idle != is_idle {
             self.is_idle = is_idle;
-            self.connections.state().table.set_idle(self.id, is_idle);
+            state.table.set_idle(self.id, is_idle);
         }
+        state.closings.contains_key(&self.id)
     }
 }
 
--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -15,14 +15,14 @@
 use daisysill_core::message_framing::{Direction, FramingError, MessageFraming};
 use futures::FutureExt;
 use tokio::{
-    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Interest, ReadBuf},
+    io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
     net::TcpStream,
     runtime::Handle,
-    time::timeout,
 };
 
 use super::{
     connections::{EndReason, Place},
+    drain::{DRAIN_BYTES, DRAIN_TIME, drain},
     progress_timer::ProgressTimer,
 };
 
@@ -39,10 +39,6 @@
 
 /// Bytes that are read from the socket at once, which bounds those of later requests that are held.
 const READ_BYTES: usize = 8 * 1_024;
-/// Bytes of a request that are read and dropped after it was answered early, so that the client can read the answer.
-const DRAIN_BYTES: usize = 256 * 1_024;
-/// Time for that.
-const DRAIN_TIME: Duration = Duration::from_secs(1);
 
 /// Interval at which a connection that is not read is checked for a client that has closed it. A request that waits for a place
 /// at an upstream does so for some 100 ms, and the requests of clients that are gone have to end within that time.
@@ -120,7 +116,7 @@
         if self.requests.is_before_message()
             && let Some((_, place)) = &mut self.open
         {
-            place.begin_request()?;
+            place.begin_request().map_err(|reason| self.end_unread(reason))?;
         }
         let taken = self.requests.take(offered);
         buffer.put_slice(&offered[..taken]);
@@ -249,6 +245,18 @@
         }
     }
 
+    /// Same as [`Self::end`], while the server has received nothing since the last response, which the client may be told.
+    fn end_unread(&mut self, reason: EndReason) -> io::Error {
+        let error = self.end(reason);
+        let statement = self.open.as_ref().and_then(|(_, place)| place.unread_statement());
+        if let Some(statement) = statement
+            && let Some((transport, place)) = self.open.take()
+        {
+            statement.send(transport, Some(place));
+        }
+        error
+    }
+
     /// Ends the connection; returns the error for the server.
     fn end(&mut self, reason: EndReason) -> io::Error {
         self.has_ended = true;
@@ -271,7 +279,7 @@
             return Poll::Ready(Ok(()));
         }
         if place.is_lost(context.waker()) {
-            let _ = this.end(EndReason::Replaced);
+            let _ = this.end_unread(EndReason::Replaced);
             return Poll::Ready(Ok(()));
         }
         if !this.ahead.is_empty() {
@@ -360,32 +368,18 @@
 }
 
 impl<T: AsyncRead + AsyncWrite + Unpin + Send + 'static> Drop for CallerStream<T> {
-    /// Reads what the client still sends for a while. A socket that is closed with unread bytes sends a reset, upon which the
-    /// client loses a response that it has not read.
+    /// Reads what the client still sends for a while, so that it can read the response.
     fn drop(&mut self) {
         let is_between_requests = self.requests.is_before_message() && self.ahead.is_empty();
         if self.has_ended || is_between_requests || self.responses.is_before_message() {
             return;
         }
         if let (Some((transport, place)), Ok(runtime)) = (self.open.take(), Handle::try_current()) {
-            runtime.spawn(drain(transport, place, DRAIN_BYTES.saturating_sub(self.late_bytes)));
+            let max_bytes = DRAIN_BYTES.saturating_sub(self.late_bytes);
+            runtime.spawn(async move {
+                let _place = place;
+                drain(transport, max_bytes).await;
+            });
         }
     }
 }
-
-/// Closes the own side, then reads until the client closes its side, or the limits are reached.
-async fn drain<T: AsyncRead + AsyncWrite + Unpin>(mut transport: T, _place: Place, limit: usize) {
-    let read = async {
-        transport.shutdown().await?;
-        let mut buffer = [0; READ_BYTES];
-        let mut dropped = 0;
-        while dropped < limit {
-            match transport.read(&mut buffer).await? {
-                0 => break,
-                count => dropped += count,
-            }
-        }
-        io::Result::Ok(())
-    };
-    let _ = timeout(DRAIN_TIME, read).await;
-}
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -5,6 +5,7 @@
 use daisysill_cluster::ClusterConfig;
 use daisysill_core::{
     cold_start::ColdBounds,
+    connection_table::ConnectionLimits,
     ids::{InstanceId, ZoneName},
     regions::ZoneRegions,
     retry_budget::RetryBudgetPolicy,
@@ -57,6 +58,16 @@
     pub stream_limits: StreamLimits,
 }
 
+/// One part in this many of the connections of callers is allowed to other entry nodes in addition.
+const PASSED_ON_FRACTION: usize = 4;
+
+impl Bounds {
+    /// Returns the limits on the connections of other entry nodes, of which each of them uses its part only.
+    pub(crate) fn entry_node_connections(&self) -> ConnectionLimits {
+        ConnectionLimits::new((self.max_connections / PASSED_ON_FRACTION).max(1))
+    }
+}
+
 /// Settings of a process.
 #[derive(Clone, Debug)]
 pub struct GatewayConfig {
--- a/crates/gateway/src/entry_node.rs
+++ b/crates/gateway/src/entry_node.rs
@@ -14,13 +14,14 @@
 use tokio::time::{Instant, sleep};
 
 use crate::{
-    callers::{self, CallerConnections, ListenerConfig},
+    callers::{self, CallerConnections, ListenerConfig, UnreadStatement},
     config::{GatewayConfig, Role},
     discovery::{Discovery, DocumentFormat},
     entry_tasks::{spawn_contact_log, spawn_tasks},
     forward::Gateway,
     header_codec::HeaderCodec,
     metrics::GatewayMetrics,
+    peer_headers::UNREAD_RESPONSE,
     peer_zones,
     regions::Regions,
     request_handler::Origin,
@@ -32,8 +33,9 @@
 const CALLER_KEEP_ALIVE: Duration = Duration::from_secs(75);
 /// Time for a caller to send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
-/// One part in this many of the connections of callers is allowed to other entry nodes in addition.
-const PASSED_ON_FRACTION: usize = 4;
+/// Connections of other entry nodes that may be in the course of being closed for want of a place, as a multiple of the places:
+/// several nodes that lose their upstreams at once open more than there are places.
+const CLOSING_FACTOR: usize = 2;
 /// Connections of readiness checks and scrapes.
 const MONITOR_CONNECTIONS: usize = 64;
 /// Length of the queue of connections to be accepted.
@@ -184,14 +186,16 @@
             let metrics = gateway.metrics.connections.clone();
             CallerConnections::new(listener, limits, bounds.stream_limits, memory, metrics)
         };
-        let entry_nodes = (bounds.max_connections / PASSED_ON_FRACTION).max(1);
+        let entry_nodes = bounds.entry_node_connections();
+        let unread = UnreadStatement::new(UNREAD_RESPONSE, entry_nodes.total * CLOSING_FACTOR);
         Self {
             callers: connections(
                 "callers",
                 ConnectionLimits::new(bounds.max_connections),
                 gateway.memory.clone(),
             ),
-            entry_nodes: connections("passed_on", ConnectionLimits::new(entry_nodes), gateway.memory.clone()),
+            entry_nodes: connections("passed_on", entry_nodes, gateway.memory.clone())
+                .with_unread_statement(unread),
             // They are few, and a node that has no memory for requests still answers them.
             monitors: connections(
                 "monitors",
--- a/crates/gateway/src/entry_peers.rs
+++ b/crates/gateway/src/entry_peers.rs
@@ -9,13 +9,17 @@
 };
 
 use daisysill_core::{
+    connection_table::ConnectionLimits,
     ids::{InstanceId, ZoneName},
     memory_budget::MemoryBudget,
     upstream_contact::Reach,
 };
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep, timeout_at},
+};
 
-use crate::{forward::Gateway, metrics::GatewayMetrics, peer_zones, pool::Pool};
+use crate::{forward::Gateway, metrics::GatewayMetrics, peer_limits::PeerLimits, peer_zones, pool::Pool};
 
 /// Interval at which this node checks whether it has to ask for the other entry nodes.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -29,8 +33,8 @@
 const ZONE_INTERVAL: Duration = Duration::from_secs(5);
 /// Time for which a node is not turned to after it could not serve a request, unless no other is left.
 const AVOID_TIME: Duration = Duration::from_secs(1);
-/// Maximum number of this node's requests in progress at one other entry node.
-const MAX_REQUESTS_PER_NODE: usize = 256;
+/// Interval at which a request that waits for room at an entry node looks again, since limits are raised without an event.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The other entry nodes as last listed, with what this node's requests showed of them.
 #[derive(Debug)]
@@ -44,14 +48,19 @@
     in_flight: Rc<RefCell<HashMap<SocketAddr, usize>>>,
     /// Until when each is not turned to.
     avoided: RefCell<HashMap<SocketAddr, Instant>>,
+    limits: PeerLimits,
+    /// Notified whenever a request of this node has ended at one.
+    request_ended: Rc<Notify>,
     pool: Pool,
     is_known: Rc<Cell<bool>>,
 }
 
 impl EntryPeers {
-    /// Starts without other entry nodes; `is_known` tells whether there are any.
+    /// Starts without other entry nodes; `is_known` tells whether there are any. `accepted` are the connections that an entry
+    /// node with the same settings accepts of others.
     pub(crate) fn new(
         port: Option<u16>,
+        accepted: ConnectionLimits,
         metrics: &GatewayMetrics,
         is_known: Rc<Cell<bool>>,
         memory: MemoryBudget,
@@ -62,6 +71,8 @@
             zones: RefCell::default(),
             in_flight: Rc::default(),
             avoided: RefCell::default(),
+            limits: PeerLimits::new(accepted),
+            request_ended: Rc::default(),
             pool: Pool::new(metrics.of_pool(&metrics.peer_connections), None, memory),
             is_known,
         }
@@ -72,9 +83,42 @@
         &self.pool
     }
 
-    /// Returns the maximum number of connections to one other entry node.
-    pub(crate) const fn max_connections() -> usize {
-        MAX_REQUESTS_PER_NODE
+    /// Returns the maximum number of connections to another entry node.
+    pub(crate) fn max_connections(&self, address: SocketAddr) -> usize {
+        self.limits.max_connections(address)
+    }
+
+    /// Records that an entry node had no place for a connection, which is closed.
+    pub(crate) fn record_no_room(&self, address: SocketAddr) {
+        self.limits.record_closed(address, self.pool.open_connections(address));
+    }
+
+    /// Same as [`Self::choose`], but waits until `until` while all nodes that could be chosen have as many requests of this node
+    /// as they have places for.
+    pub(crate) async fn choose_with_room(
+        &self,
+        tried: &[SocketAddr],
+        is_allowed: impl Fn(Option<&ZoneName>) -> bool,
+        until: Instant,
+    ) -> Option<ChosenPeer> {
+        loop {
+            let request_ended = self.request_ended.notified();
+            if let Some(peer) = self.choose(tried, &is_allowed) {
+                return Some(peer);
+            }
+            let now = Instant::now();
+            if now >= until || !self.has_untried(tried, &is_allowed) {
+                return None;
+            }
+            let _ = timeout_at(until.min(now + ROOM_CHECK_INTERVAL), request_ended).await;
+        }
+    }
+
+    fn has_untried(&self, tried: &[SocketAddr], is_allowed: impl Fn(Option<&ZoneName>) -> bool) -> bool {
+        let zones = self.zones.borrow();
+        let zone_of = |address: &SocketAddr| zones.get(address).map(|(zone, _)| zone);
+        let addresses = self.addresses.borrow();
+        addresses.iter().any(|address| !tried.contains(address) && is_allowed(zone_of(address)))
     }
 
     /// Returns the entry nodes whose zone is not known or was stated long ago.
@@ -102,7 +146,7 @@
 
     /// Chooses an entry node that was not tried and whose zone, `None` if it is unknown, is allowed: one that could serve
     /// requests lately before one that could not, then the one with the fewest requests of this node.
-    pub(crate) fn choose(
+    fn choose(
         &self,
         tried: &[SocketAddr],
         is_allowed: impl Fn(Option<&ZoneName>) -> bool,
@@ -116,15 +160,16 @@
         let untried =
             addresses.iter().filter(|address| !tried.contains(address) && is_allowed(zone_of(address)));
         let load_of = |address: &SocketAddr| in_flight.get(address).copied().unwrap_or(0);
-        let chosen =
-            untried.filter(|address| load_of(address) < MAX_REQUESTS_PER_NODE).min_by_key(|address| {
-                let is_avoided = avoided.get(address).is_some_and(|until| now < *until);
-                (is_avoided, load_of(address), rand::random::<u32>())
-            });
+        let has_room = |address: &&SocketAddr| load_of(address) < self.limits.max_connections(**address);
+        let chosen = untried.filter(has_room).min_by_key(|address| {
+            let is_avoided = avoided.get(address).is_some_and(|until| now < *until);
+            (is_avoided, load_of(address), rand::random::<u32>())
+        });
         let address = *chosen?;
         drop(in_flight);
         *self.in_flight.borrow_mut().entry(address).or_default() += 1;
-        Some(ChosenPeer { address, in_flight: Rc::clone(&self.in_flight) })
+        let (in_flight, request_ended) = (Rc::clone(&self.in_flight), Rc::clone(&self.request_ended));
+        Some(ChosenPeer { address, in_flight, request_ended })
     }
 
     /// Records that an entry node could not serve a request of this node.
@@ -143,6 +188,7 @@
         let listed: HashSet<SocketAddr> = addresses.iter().copied().collect();
         self.avoided.borrow_mut().retain(|address, _| listed.contains(address));
         self.zones.borrow_mut().retain(|address, _| listed.contains(address));
+        self.limits.retain(|address| listed.contains(address));
         self.is_known.set(true);
         *self.addresses.borrow_mut() = addresses;
     }
@@ -153,6 +199,7 @@
 pub(crate) struct ChosenPeer {
     pub(crate) address: SocketAddr,
     in_flight: Rc<RefCell<HashMap<SocketAddr, usize>>>,
+    request_ended: Rc<Notify>,
 }
 
 impl Drop for ChosenPeer {
@@ -163,6 +210,7 @@
         if *count == 0 {
             in_flight.remove(&self.address);
         }
+        self.request_ended.notify_waiters();
     }
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -139,6 +139,7 @@
         metrics: GatewayMetrics,
     ) -> Self {
         let contact = Rc::new(Contact::default());
+        let entry_node_connections = bounds.entry_node_connections();
         let memory = MemoryBudget::new(bounds.memory_bytes / REQUEST_MEMORY_FRACTION);
         Self {
             header_codec: SharedCodec(header_codec),
@@ -151,7 +152,13 @@
                 Some(Rc::clone(&contact)),
                 memory.clone(),
             ),
-            peers: EntryPeers::new(peer_port, &metrics, contact.peers_flag(), memory.clone()),
+            peers: EntryPeers::new(
+                peer_port,
+                entry_node_connections,
+                &metrics,
+                contact.peers_flag(),
+                memory.clone(),
+            ),
             regions,
             contact,
             metrics,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod pause;
 mod peer_exchange;
 pub mod peer_headers;
+mod peer_limits;
 mod peer_zones;
 pub mod permits;
 mod placement;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -51,7 +51,8 @@
 /// Labels of a request that was passed on to another entry node.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct PassedOnLabels {
-    /// `answered`, `unable` for each node that could not serve it either, `broken`, `timed_out` or `caller_left`.
+    /// `answered`, `unable` for each node that could not serve it either, `no_room` for each that did not read it, `broken`,
+    /// `timed_out` or `caller_left`.
     pub outcome: &'static str,
 }
 
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -4,9 +4,9 @@
 
 use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder, body::BodyStream, http::header::HeaderName};
 use bytes::Bytes;
-use daisysill_core::{result_code::ResultCode, upstream_contact::Reach};
+use daisysill_core::{ids::ZoneName, result_code::ResultCode, upstream_contact::Reach};
 use futures::stream::{Stream, unfold};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::{
     body_buffer::{BodyBuffer, BodyInPieces},
@@ -26,6 +26,10 @@
 
 /// Entry nodes that are asked to serve one request.
 const MAX_PEERS: usize = 3;
+/// Time before its deadline at which a request is refused that waits while all entry nodes have as many as they have places for.
+const ROOM_MARGIN: Duration = Duration::from_millis(100);
+/// Time after which a request is passed on again that an entry node had no place for.
+const NO_ROOM_PAUSE: Duration = Duration::from_millis(20);
 
 impl Gateway {
     /// Returns whether requests may be passed on now: this node does not reach the upstreams, and knows another entry node.
@@ -88,8 +92,10 @@
         let gateway = &self.gateway;
         let mut tried = Vec::new();
         let mut may_have_run = false;
+        let room_until = request.deadline.checked_sub(ROOM_MARGIN).unwrap_or(request.deadline);
         while tried.len() < MAX_PEERS {
-            let Some(peer) = gateway.peers.choose(&tried, |zone| gateway.may_pass_to(request, zone)) else {
+            let is_allowed = |zone: Option<&ZoneName>| gateway.may_pass_to(request, zone);
+            let Some(peer) = gateway.peers.choose_with_room(&tried, is_allowed, room_until).await else {
                 break;
             };
             let address = peer.address;
@@ -112,6 +118,17 @@
                     gateway.peers.avoid(address);
                     continue;
                 }
+                PeerOutcome::NoRoom => {
+                    history.is_attempt_open = false;
+                    gateway.metrics.record_passed_on("no_room");
+                    gateway.peers.record_no_room(address);
+                    if Instant::now() >= room_until {
+                        break;
+                    }
+                    tried.pop();
+                    sleep(NO_ROOM_PAUSE).await;
+                    continue;
+                }
                 PeerOutcome::Broken => {
                     gateway.metrics.record_passed_on("broken");
                     gateway.peers.avoid(address);
--- a/crates/gateway/src/peer_exchange.rs
+++ b/crates/gateway/src/peer_exchange.rs
@@ -8,13 +8,13 @@
     attempt_trace::DiscardedAnswer,
     caller_request::{AttemptHistory, CallerRequest, encode_peer_head},
     connection::UpstreamConnection,
-    entry_peers::{ChosenPeer, EntryPeers},
+    entry_peers::ChosenPeer,
     exchange::{MAX_FOREIGN_RESPONSES, discard_body},
     forward::{Gateway, SharedCodec},
     http_head::ResponseHead,
-    peer_headers::{PassedOn, UNABLE, ZONE},
+    peer_headers::{PassedOn, UNABLE, UNREAD, ZONE},
     peer_zones,
-    pool::{PooledConnection, RequestIdentity},
+    pool::{CheckoutError, PooledConnection, RequestIdentity},
 };
 
 /// What became of a request at another entry node.
@@ -23,6 +23,8 @@
     Answered(Box<PeerResponse>),
     /// The node could not be reached, or could not serve the request either; nothing has run there.
     Unable,
+    /// The node had no place for the connection; it has not read the request.
+    NoRoom,
     /// The connection broke; the request may have run.
     Broken,
 }
@@ -54,8 +56,12 @@
     let pool = gateway.peers.pool();
     let request_id = request.headers.request_id.as_deref();
     let identity = RequestIdentity { id: request_id, at_most_once: request.at_most_once() };
-    let checkout = pool.checkout(peer.address, EntryPeers::max_connections(), identity);
-    let Ok(mut pooled) = checkout.await else { return PeerOutcome::Unable };
+    let max_connections = gateway.peers.max_connections(peer.address);
+    let mut pooled = match pool.checkout(peer.address, max_connections, identity).await {
+        Ok(pooled) => pooled,
+        Err(CheckoutError::LimitReached) => return PeerOutcome::NoRoom,
+        Err(CheckoutError::ConnectFailed) => return PeerOutcome::Unable,
+    };
     let Ok(connection) = pooled.get() else { return PeerOutcome::Unable };
     if !peer_zones::admits(gateway, request, peer.address, connection).await {
         return PeerOutcome::Unable;
@@ -71,25 +77,44 @@
         return if sent == 0 { PeerOutcome::Unable } else { PeerOutcome::Broken };
     }
     match read_answer(gateway, request, connection).await {
-        Some((_, true)) => PeerOutcome::Unable,
-        Some((head, false)) => PeerOutcome::Answered(Box::new(PeerResponse { head, pooled, peer })),
+        Some((_, PeerAnswer::Unread)) => PeerOutcome::NoRoom,
+        Some((_, PeerAnswer::Unable)) => PeerOutcome::Unable,
+        Some((head, PeerAnswer::Served)) => {
+            PeerOutcome::Answered(Box::new(PeerResponse { head, pooled, peer }))
+        }
         None => PeerOutcome::Broken,
     }
 }
 
-/// Reads the head of the answer to a request that was passed on, and whether the other node states that it could not serve it.
+/// What another entry node states about a request that was passed on to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PeerAnswer {
+    /// It has closed the connection without reading the request.
+    Unread,
+    /// It could not serve the request.
+    Unable,
+    /// Neither: the answer is for the caller.
+    Served,
+}
+
+/// Reads the head of the answer to a request that was passed on, and what it states.
 /// `None` if the connection broke or brought too many answers to other requests.
 async fn read_answer(
     gateway: &Gateway,
     request: &CallerRequest,
     connection: &mut UpstreamConnection,
-) -> Option<(ResponseHead, bool)> {
+) -> Option<(ResponseHead, PeerAnswer)> {
     for _ in 0..=MAX_FOREIGN_RESPONSES {
         let headers =
             |headers: &[httparse::Header<'_>]| PeerAnswerHeaders::new(&gateway.header_codec, headers);
         let (head, answer) = connection.read_head(&request.method, headers).await.ok()?;
+        // The connection carries one request at a time, so the one in progress is the one that was not read.
+        if answer.is_unread {
+            return Some((head, PeerAnswer::Unread));
+        }
         if !answer.is_zone && connection.carried().is_answer(answer.request_id.as_deref()) {
-            return Some((head, answer.is_unable));
+            let stated = if answer.is_unable { PeerAnswer::Unable } else { PeerAnswer::Served };
+            return Some((head, stated));
         }
         let is_refusal = answer.is_unable || head.status == StatusCode::SERVICE_UNAVAILABLE;
         let discarded = DiscardedAnswer::new(head.status, is_refusal);
@@ -114,6 +139,8 @@
     /// The ID of the request that it answers.
     request_id: Option<String>,
     is_unable: bool,
+    /// Whether it states that nothing was read that followed the last answer.
+    is_unread: bool,
     /// Whether it answers a request for the zone. Like answers to requests without an ID, it has none.
     is_zone: bool,
 }
@@ -124,6 +151,7 @@
         Self {
             request_id: codec.0.decode_response(headers).request_id.map(str::to_owned),
             is_unable: has(UNABLE),
+            is_unread: has(UNREAD),
             is_zone: has(ZONE),
         }
     }
--- a/crates/gateway/src/peer_headers.rs
+++ b/crates/gateway/src/peer_headers.rs
@@ -17,6 +17,13 @@
 /// In a response: the node could not serve the request, and another may.
 pub(crate) const UNABLE: &str = "x-daisysill-peer-unable";
 
+/// In a response: the connection is closed, and nothing was read that followed the last response on it.
+pub(crate) const UNREAD: &str = "x-daisysill-peer-unread";
+/// The response that states so. It names no request; a build that does not know the statement discards it, or, for a request
+/// without an ID, reads that this node could not serve it.
+pub(crate) const UNREAD_RESPONSE: &str = "HTTP/1.1 503 Service Unavailable\r\nx-daisysill-peer-unable: 1\r\n\
+     x-daisysill-peer-unread: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// In a request: the other node is asked for its zone.
 pub(crate) const ZONE_QUESTION: &str = "x-daisysill-peer-zone-question";
 /// In the response to that: the zone.
--- a/crates/gateway/src/peer_zones.rs
+++ b/crates/gateway/src/peer_zones.rs
@@ -62,7 +62,7 @@
     let pool = peers.pool();
     let id = next_request_id();
     let identity = RequestIdentity { id: Some(&id), at_most_once: false };
-    let mut pooled = pool.checkout(address, EntryPeers::max_connections(), identity).await.ok()?;
+    let mut pooled = pool.checkout(address, peers.max_connections(address), identity).await.ok()?;
     let zone = ask_on(pooled.get().ok()?, &id).await?;
     pooled.release();
     Some(zone)
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Returns the number of open connections to an address, idle ones and those in use.
+    pub(crate) fn open_connections(&self, address: SocketAddr) -> usize {
+        self.addresses.borrow().pools.get(&address).map_or(0, |pool| pool.open)
+    }
+
     fn take_idle(&self, address: SocketAddr, request: RequestIdentity<'_>) -> Option<UpstreamConnection> {
         let mut addresses = self.addresses.borrow_mut();
         let pool = addresses.pools.get_mut(&address)?;
