Send what precedes the failure of a stream

What callers saw: a stream that broke off lacked events that the node had received, or its connection closed without a byte of a response. Beside load, broken_heads::stream_whose_rest_breaks_off_inside_the_head_is_not_complete got one event in place of two, or no response at all.

Cause: the server encodes the items of a body into its write buffer until the body is pending, and only then writes to the socket. When the body fails it drops the connection with that buffer. A busy node reads events together with what breaks the stream, and a resume that finds no retry left fails at once, so that nothing was pending in between. Class: an error that overtakes data before it.

Change: the body of a relayed or passed-on stream is pending once before it fails, which lets the server write to the socket. Bytes that the socket does not take at that moment, since the caller reads slowly, are still dropped.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -62,6 +62,7 @@
 mod silence;
 mod stop;
 mod store_manager;
+mod stream_body;
 mod stream_origin;
 pub mod unanswered;
 mod untried;
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder, body::BodyStream, http::header::HeaderName};
+use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder, http::header::HeaderName};
 use bytes::Bytes;
 use daisysill_core::{result_code::ResultCode, upstream_contact::Reach};
 use futures::stream::{Stream, unfold};
@@ -22,6 +22,7 @@
     refusal_rules::deadline_refusal,
     relay::StreamBroken,
     request_handler::may_retry,
+    stream_body::stream_body,
 };
 
 /// Entry nodes that are asked to serve one request.
@@ -146,7 +147,7 @@
         match response.head.framing {
             Framing::Chunked => {
                 let body = PeerBody::new(&self.gateway, request, response);
-                Some(builder.body(BodyStream::new(Box::pin(body.into_stream()))))
+                Some(builder.body(stream_body(body.into_stream())))
             }
             Framing::Length(_) => {
                 let body = self.read_whole(request, response).await?;
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -5,7 +5,6 @@
 
 use actix_web::{
     HttpRequest, HttpResponse,
-    body::BodyStream,
     http::{
         ConnectionType,
         header::{HeaderName, HeaderValue},
@@ -35,6 +34,7 @@
     },
     relay::relay,
     silence::log_failed_answer,
+    stream_body::stream_body,
     unanswered::{UnansweredRequest, refuse_on_panic},
 };
 
@@ -341,7 +341,7 @@
     ) -> HttpResponse {
         let mut builder = Self::response_head(&response);
         let body = relay(Rc::clone(&self.gateway), request, response, history);
-        builder.body(BodyStream::new(Box::pin(body)))
+        builder.body(stream_body(body))
     }
 
     /// Buffers the whole response and relays it, unless it is incomplete, too large or past the deadline.
