Decide requests by the configuration that the confirmation is for

Cause: the age of the configuration was read from the view, which the polling thread installs and confirms at once. Requests were admitted by the routing table, which a task on the thread of the callers replaces later. In between, the old table admitted requests under the confirmation of the new view. The check before a send read the same age, and kept the customer that the old table gave.

Change: the view and its confirmation are read as one value, and a confirmation names its version. The newest view is put in force by whoever needs it first, a request or the task, and the routing table comes with the confirmation of its own view. So no request waits or is refused for the newer table. A document that cannot be read confirms nothing. Before each send the key is looked up again if a newer table is in force: 401 if the request has not run, 502 if it may have. The zones of the newest view are evacuated before each choice and each send, since the same task put them in force.

--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -332,7 +332,7 @@
             Role::Candidate | Role::Learner | Role::Halted => false,
         };
         if is_confirmed {
-            self.views.confirm(BootInstant::now());
+            self.views.confirm(self.replica.state().config.version, BootInstant::now());
         }
         self.status.send_if_modified(|view| {
             let Some(old) = &view.status else {
--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -17,7 +17,7 @@
     link::{CallError, Link, Links},
     members::Members,
     propose::LeaderHint,
-    view_store::ViewStore,
+    view_store::{ViewStore, version_of},
 };
 
 /// How long a source holds a poll without a change. Shorter than a partition that must be detected.
@@ -97,7 +97,7 @@
             if self.views.install_update(&reply.update)
                 && let Some(at) = BootInstant::now().checked_sub(age)
             {
-                self.views.confirm(at);
+                self.views.confirm(version_of(&reply.update), at);
             }
             if reply.leader.is_some() {
                 self.leader.set(reply.leader.clone());
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -50,3 +50,4 @@
 pub use place_metrics::PlaceMetrics;
 pub use places::{HeldPlace, PlaceOutcome};
 pub use status::{ClusterStatus, MemberState, PeerReport, ProposeError, Role};
+pub use view_store::ConfirmedView;
--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -30,7 +30,7 @@
     propose::LeaderHint,
     published_upstreams::PublishedStore,
     soft_state::SoftState,
-    view_store::ViewStore,
+    view_store::{ConfirmedView, ViewStore, version_of},
 };
 
 /// How long a source holds a poll without a change. Adds to the age of what the node knows, so it is a fraction of the
@@ -188,7 +188,7 @@
     /// Learns the ages of target versions before they are put in force, so that this node never takes one for newer than it
     /// is. If that fails, those that this node has just learned of count from the time at which they were not set yet.
     async fn learn_target_ages(&self, source: &InstanceId, update: &ConfigUpdate) {
-        let present = self.views.view();
+        let ConfirmedView { view: present, confirmed_at } = self.views.confirmed_view();
         let targets = targets_after(update, &present.target_versions);
         let is_unknown = |(model, version): &(&String, &WeightVersion)| {
             self.views.target_ages.set_at(model, **version).is_none()
@@ -197,7 +197,7 @@
             return;
         }
         self.refresh_target_ages(source).await;
-        let Some(confirmed_at) = self.views.confirmed_at() else { return };
+        let Some(confirmed_at) = confirmed_at else { return };
         for (model, version) in targets.iter().filter(is_unknown) {
             if present.target_versions.get(model) != Some(version) {
                 self.views.target_ages.record_not_before(model, *version, confirmed_at);
@@ -310,11 +310,7 @@
         let at = |age_ms: u64| requested_at.checked_sub(Duration::from_millis(age_ms.saturating_add(1)));
         let current = |age_ms: Option<u64>| age_ms.is_some_and(|age_ms| age_ms < MAX_SOURCE_AGE_MS);
         let receives_log = self.receives_log();
-        let newest = match &reply.update {
-            ConfigUpdate::Unchanged(version) | ConfigUpdate::Deferred(version) => *version,
-            ConfigUpdate::Delta(delta) => delta.version,
-            ConfigUpdate::Snapshot(view) => view.version,
-        };
+        let newest = version_of(&reply.update);
         let installed = match (&reply.update, receives_log) {
             // The entry arrives shortly.
             (_, true) => self.reaches_version(newest).await,
@@ -322,7 +318,7 @@
             (update, false) => self.views.install_update(update),
         };
         if installed && let Some(at) = reply.age_ms.and_then(at) {
-            self.views.confirm(at);
+            self.views.confirm(newest, at);
         }
         if let Some(at) = reply.published_age_ms.and_then(at) {
             self.published.adopt(reply.published_upstreams.clone(), at);
--- a/crates/cluster/src/soft_state_handle.rs
+++ b/crates/cluster/src/soft_state_handle.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     clock::BootInstant, cold::ColdReading, handle::ClusterHandle, outcome_queue::TimedOutcome,
-    software::start_of,
+    software::start_of, view_store::ConfirmedView,
 };
 
 impl ClusterHandle {
@@ -181,8 +181,14 @@
         self.inner.gossip.views.target_ages.outdated_since(model, version)
     }
 
+    /// Returns the configuration in force on this node with its confirmation. What is decided by data that was taken from a
+    /// configuration is as recent as the confirmation that came with that configuration, not as [`Self::config_age`].
+    pub fn confirmed_view(&self) -> ConfirmedView {
+        self.inner.gossip.views.confirmed_view()
+    }
+
     /// Returns the time, suspended time included, since this node's configuration was known to be the newest that a
-    /// majority agreed on; `None` if it never was.
+    /// majority agreed on; `None` if it never was. For logs and reports; see [`Self::confirmed_view`].
     pub fn config_age(&self) -> Option<Duration> {
         self.inner.gossip.views.confirmed_at().map(BootInstant::elapsed)
     }
--- a/crates/cluster/src/view_store.rs
+++ b/crates/cluster/src/view_store.rs
@@ -33,6 +33,15 @@
     inner: Mutex<Inner>,
 }
 
+/// A configuration, and when it was last known to be the newest that a majority agreed on.
+#[derive(Clone, Debug)]
+pub struct ConfirmedView {
+    /// The configuration.
+    pub view: Arc<ConfigView>,
+    /// `None` if it was never confirmed.
+    pub confirmed_at: Option<BootInstant>,
+}
+
 #[derive(Debug)]
 struct Inner {
     recent: VecDeque<Arc<ConfigView>>,
@@ -68,6 +77,13 @@
         Arc::clone(&self.sender.borrow())
     }
 
+    /// Returns the configuration in force with its confirmation, read together: a confirmation must not be taken for one of an
+    /// older configuration that a reader still holds.
+    pub(crate) fn confirmed_view(&self) -> ConfirmedView {
+        let inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        ConfirmedView { view: self.view(), confirmed_at: inner.confirmed_at }
+    }
+
     /// Returns the version of the configuration in force.
     pub(crate) fn version(&self) -> ConfigVersion {
         self.sender.borrow().version
@@ -124,9 +140,12 @@
         ConfigUpdate::Snapshot(Box::new(view.as_ref().clone()))
     }
 
-    /// Records that the configuration was the newest that a majority agreed on at `at`.
-    pub(crate) fn confirm(&self, at: BootInstant) {
+    /// Records that `version` was the newest that a majority agreed on at `at`, unless the configuration in force is older.
+    pub(crate) fn confirm(&self, version: ConfigVersion, at: BootInstant) {
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        if self.version() < version {
+            return;
+        }
         inner.confirmed_at = inner.confirmed_at.max(Some(at));
     }
 
@@ -141,6 +160,15 @@
     }
 }
 
+/// Returns the version that an update leads to.
+pub(crate) const fn version_of(update: &ConfigUpdate) -> ConfigVersion {
+    match update {
+        ConfigUpdate::Unchanged(version) | ConfigUpdate::Deferred(version) => *version,
+        ConfigUpdate::Delta(delta) => delta.version,
+        ConfigUpdate::Snapshot(view) => view.version,
+    }
+}
+
 /// Returns the approximate size of a configuration as a message.
 fn snapshot_bytes(view: &ConfigView) -> usize {
     let document = view.document.as_ref().map_or(0, |document| document.body.len());
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,10 +8,7 @@
 use crate::{
     caller_request::{AttemptHistory, CallerRequest, urgency},
     duration::millis,
-    exchange::{
-        AttemptContext, AttemptError, AttemptSignals, AttemptTarget, OutgoingRequest, UpstreamResponse,
-        attempt,
-    },
+    exchange::{AttemptError, AttemptSignals, AttemptTarget, OutgoingRequest, UpstreamResponse, attempt},
     forward::Gateway,
     header_codec::AttemptHeaders,
     placement::ChosenUpstream,
@@ -129,10 +126,8 @@
             send_permit: &chosen.send_permit,
         };
         let started = Instant::now();
-        let context =
-            AttemptContext { pool: &self.pool, header_codec: &self.header_codec, metrics: &self.metrics };
         let upstream = AttemptTarget { upstream: &chosen.upstream, ended: &self.request_ended };
-        let result = attempt(context, upstream, &headers, &outgoing, signals).await;
+        let result = attempt(self, upstream, &headers, &outgoing, signals).await;
         if let Some(transfers) = &chosen.transfers {
             self.release_links(transfers);
         }
--- a/crates/gateway/src/entry_node.rs
+++ b/crates/gateway/src/entry_node.rs
@@ -24,6 +24,7 @@
     peer_zones,
     regions::Regions,
     request_handler::Origin,
+    routing_state::RoutingState,
     stop::{BALANCER_NOTICE, KILL_MARGIN, PlannedStop, stop_requested},
     upstreams::Upstreams,
 };
@@ -97,14 +98,14 @@
             let regions = Regions { zones: config.zones.clone(), own_zone: config.zone.clone() };
             let gateway = Rc::new(Gateway::new(
                 Arc::clone(&header_codec),
-                cluster.clone(),
+                RoutingState::new(cluster.clone(), Arc::clone(&format)),
                 config.bounds.clone(),
                 upstreams,
                 regions,
                 passed_on.map(|address| address.port()),
                 metrics.clone(),
             ));
-            spawn_tasks(&gateway, Arc::clone(&format), discovery.clone());
+            spawn_tasks(&gateway, discovery.clone());
             let streams = Rc::clone(&gateway);
             actix_rt::spawn(stop.clone().record_cut_streams(move || streams.end_open_streams()));
             Rc::new(EntryState::new(gateway, stop.clone()))
--- a/crates/gateway/src/entry_tasks.rs
+++ b/crates/gateway/src/entry_tasks.rs
@@ -9,7 +9,7 @@
 use crate::{
     cold_list::follow_cold_upstreams,
     contact::watch_contact,
-    discovery::{Discovery, DocumentFormat, ListedUpstream},
+    discovery::{Discovery, ListedUpstream},
     entry_peers::follow_entry_peers,
     forward::Gateway,
     permits::follow_permit_needs,
@@ -45,14 +45,10 @@
 }
 
 /// Starts the background tasks on the thread that serves callers.
-pub(crate) fn spawn_tasks<D: Discovery>(
-    gateway: &Rc<Gateway>,
-    format: Arc<dyn DocumentFormat>,
-    discovery: D,
-) {
+pub(crate) fn spawn_tasks<D: Discovery>(gateway: &Rc<Gateway>, discovery: D) {
     let installer = Rc::clone(gateway);
     let install_rest = move |view: &ConfigView| installer.install_evacuations(&view.draining);
-    actix_rt::spawn(gateway.routing.clone().follow(gateway.cluster.clone(), format, install_rest));
+    actix_rt::spawn(gateway.routing.clone().follow(install_rest));
     actix_rt::spawn(follow_published_upstreams(Rc::clone(gateway)));
     actix_rt::spawn(poll_list_fallback(Rc::clone(gateway), discovery));
     actix_rt::spawn(report_loads(Rc::clone(gateway)));
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,12 +15,11 @@
     attempt_trace::{AttemptTrace, ConnectionUse, DiscardedAnswer},
     connection::{ReadError, UpstreamConnection},
     expected_work::AttemptExpectation,
-    forward::SharedCodec,
+    forward::Gateway,
     header_codec::{AttemptHeaders, ResponseHeaders, ResponseHints},
     http_head::ResponseHead,
-    metrics::GatewayMetrics,
     permits::SendPermit,
-    pool::{CheckoutError, Pool, PooledConnection, RequestIdentity},
+    pool::{CheckoutError, PooledConnection, RequestIdentity},
     upstreams::{InFlight, Upstream},
 };
 
@@ -153,17 +152,9 @@
     pub(crate) trace: AttemptTrace,
 }
 
-/// What attempts use of their gateway.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct AttemptContext<'a> {
-    pub(crate) pool: &'a Pool,
-    pub(crate) header_codec: &'a SharedCodec,
-    pub(crate) metrics: &'a GatewayMetrics,
-}
-
 /// Sends a request to an upstream and reads the head of the response, unless the request leaves the upstream before.
 pub(crate) async fn attempt(
-    context: AttemptContext<'_>,
+    gateway: &Gateway,
     target: AttemptTarget<'_>,
     headers: &AttemptHeaders<'_>,
     outgoing: &OutgoingRequest<'_>,
@@ -171,13 +162,13 @@
 ) -> Result<UpstreamResponse, AttemptError> {
     tokio::select! {
         biased;
-        result = connect_and_send(context, target, headers, outgoing, signals) => result,
+        result = connect_and_send(gateway, target, headers, outgoing, signals) => result,
         () = signals.left.notified() => Err(AttemptError::TimedOut),
     }
 }
 
 async fn connect_and_send(
-    context: AttemptContext<'_>,
+    gateway: &Gateway,
     target: AttemptTarget<'_>,
     headers: &AttemptHeaders<'_>,
     outgoing: &OutgoingRequest<'_>,
@@ -194,7 +185,7 @@
     .with_work(outgoing.expected_work)
     .with_place(outgoing.held_place.take());
     let request = RequestIdentity { id: outgoing.request_id, at_most_once: outgoing.at_most_once };
-    let checkout = context.pool.checkout(address, outgoing.max_connections, request);
+    let checkout = gateway.pool.checkout(address, outgoing.max_connections, request);
     let pooled = match timeout_at(end, checkout).await {
         Ok(Ok(pooled)) => pooled,
         Ok(Err(CheckoutError::LimitReached)) => return Err(AttemptError::NoConnectionLeft),
@@ -203,9 +194,9 @@
     signals.connected.notify_one();
     let mut head = Vec::with_capacity(outgoing.head.len() + 256);
     head.extend_from_slice(outgoing.head);
-    context.header_codec.0.encode_attempt(headers, &mut head);
+    gateway.header_codec.0.encode_attempt(headers, &mut head);
     head.extend_from_slice(b"\r\n");
-    let exchange = send_and_read(context, pooled, in_flight, &head, outgoing, &signals.trace);
+    let exchange = send_and_read(gateway, pooled, in_flight, &head, outgoing, &signals.trace);
     timeout_at(end, exchange).await.unwrap_or(Err(AttemptError::TimedOut))
 }
 
@@ -232,13 +223,15 @@
 }
 
 async fn send_and_read(
-    context: AttemptContext<'_>,
+    gateway: &Gateway,
     mut pooled: PooledConnection,
     mut in_flight: InFlight,
     request_head: &[u8],
     outgoing: &OutgoingRequest<'_>,
     trace: &AttemptTrace,
 ) -> Result<UpstreamResponse, AttemptError> {
+    // The zone of the upstream may have been evacuated, and the configuration that says so not be in force on this thread yet.
+    gateway.update_config();
     if !in_flight.upstream.accepts_requests() || in_flight.upstream.hints().pause.is_on() {
         pooled.release();
         return Err(AttemptError::Withdrawn);
@@ -255,7 +248,7 @@
         return Err(if sent == 0 { AttemptError::NotSent } else { AttemptError::Broken });
     }
     let (head, answer) =
-        read_answer(context, connection, &in_flight.upstream, request_head, outgoing).await?;
+        read_answer(gateway, connection, &in_flight.upstream, request_head, outgoing).await?;
     let upstream = Rc::clone(&in_flight.upstream);
     let (hints, id) = (upstream.hints(), upstream.entry.id.as_str());
     let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
@@ -289,7 +282,7 @@
 /// Reads the head of the answer to the request in progress. Answers to earlier requests that arrive before it are discarded, whatever
 /// they state.
 async fn read_answer(
-    context: AttemptContext<'_>,
+    gateway: &Gateway,
     connection: &mut UpstreamConnection,
     upstream: &Upstream,
     request_head: &[u8],
@@ -297,7 +290,7 @@
 ) -> Result<(ResponseHead, AnswerHeaders), AttemptError> {
     for _ in 0..=MAX_FOREIGN_RESPONSES {
         let read = connection.read_head(outgoing.method, |headers| {
-            AnswerHeaders::new(&context.header_codec.0.decode_response(headers))
+            AnswerHeaders::new(&gateway.header_codec.0.decode_response(headers))
         });
         let (head, answer) = read.await.map_err(|_| AttemptError::Broken)?;
         upstream.record_activity();
@@ -305,7 +298,7 @@
             return Ok((head, answer));
         }
         let discarded = DiscardedAnswer::new(head.status, answer.not_executed);
-        context.metrics.record_discarded_answer(discarded);
+        gateway.metrics.record_discarded_answer(discarded);
         tracing::info!(
             event = "answer_discarded",
             request_id = outgoing.request_id,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,19 +9,9 @@
 
 use daisysill_cluster::ClusterHandle;
 use daisysill_core::{
-    fetch_backoff::FetchBackoff,
-    ids::ServiceName,
-    kv_memory_share::KvMemoryShare,
-    link_booking::LinkBookings,
-    memory_budget::MemoryBudget,
-    overload::Overload,
-    place_use::PlaceUse,
-    result_code::ResultCode,
-    retry_budget::RetryBudget,
-    routing::{Customer, Route, RoutingTable},
-    slot_share::SlotShare,
-    upstream_contact::Reach,
-    wait_queue::WaitQueue,
+    fetch_backoff::FetchBackoff, ids::ServiceName, kv_memory_share::KvMemoryShare,
+    link_booking::LinkBookings, memory_budget::MemoryBudget, overload::Overload, place_use::PlaceUse,
+    retry_budget::RetryBudget, slot_share::SlotShare, upstream_contact::Reach, wait_queue::WaitQueue,
     zone_reachability::ZoneReachability,
 };
 use tokio::{
@@ -46,7 +36,6 @@
     placement::{ChosenUpstream, Placement},
     pool::Pool,
     refusal::Refusal,
-    refusal_rules::STALE_RETRY_MS,
     regions::Regions,
     routing_state::RoutingState,
     upstreams::Upstreams,
@@ -127,11 +116,11 @@
 }
 
 impl Gateway {
-    /// Starts without a configuration; `upstreams` is normally still empty. On `peer_port` entry nodes take requests of
+    /// Starts with the configuration of `routing`; `upstreams` is normally still empty. On `peer_port` entry nodes take requests of
     /// each other.
     pub fn new(
         header_codec: Arc<dyn HeaderCodec>,
-        cluster: ClusterHandle,
+        routing: RoutingState,
         bounds: Bounds,
         upstreams: Upstreams,
         regions: Regions,
@@ -142,9 +131,9 @@
         let memory = MemoryBudget::new(bounds.memory_bytes / REQUEST_MEMORY_FRACTION);
         Self {
             header_codec: SharedCodec(header_codec),
-            cluster,
+            cluster: routing.cluster().clone(),
             bounds,
-            routing: RoutingState::default(),
+            routing,
             upstreams,
             pool: Pool::new(
                 metrics.of_pool(&metrics.connections_opened),
@@ -177,47 +166,6 @@
         }
     }
 
-    /// Finds the route and the customer of a request; routes that need no key have no customer.
-    ///
-    /// # Errors
-    /// Refuses requests that the configuration does not allow, and those for which it is too old to decide.
-    pub fn admit(
-        &self,
-        table: &RoutingTable,
-        host: &str,
-        path: &str,
-        key: Option<&str>,
-    ) -> Result<(Arc<Route>, Option<Arc<Customer>>), Refusal> {
-        let fresh = self.is_fresh();
-        let stale = || {
-            let age_ms = self.cluster.config_age().map(|age| age.as_millis());
-            let reason = format!("configuration of age {age_ms:?} ms is too old to decide");
-            Refusal::not_run(ResultCode::NoQuorum, reason, STALE_RETRY_MS)
-        };
-        let Some(route) = table.route(host, path) else {
-            // A newer configuration may contain the route.
-            let unknown = Refusal::new(ResultCode::RouteUnknown, format!("version {}", table.version()));
-            return Err(if fresh { unknown } else { stale() });
-        };
-        // A key identifies its customer even where none is required: one that was taken away must not be accepted.
-        if route.public || (key.is_none() && !table.requires_keys()) {
-            return Ok((Arc::clone(route), None));
-        }
-        if !fresh {
-            return Err(stale());
-        }
-        let Some(key) = key else { return Err(Refusal::new(ResultCode::TokenMissing, "no key")) };
-        let Some(customer) = table.customer(key) else {
-            return Err(Refusal::new(ResultCode::TokenUnknown, format!("version {}", table.version())));
-        };
-        Ok((Arc::clone(route), Some(Arc::clone(customer))))
-    }
-
-    /// Returns whether this node's configuration is recent enough to accept a key.
-    pub fn is_fresh(&self) -> bool {
-        self.cluster.config_age().is_some_and(|age| age < self.bounds.max_config_age)
-    }
-
     /// Sends a request until an upstream responds or no further attempt is allowed; `begun` is the first
     /// attempt, if one is in progress already. A stream resumes after the event `resume_after`.
     pub(crate) async fn send(
@@ -257,6 +205,7 @@
         loop {
             // Before all checks, since it may wait.
             let place = self.acquire_place(request, history).await?;
+            self.update_config();
             if let Some(refusal) = self.block_refusal(request, history) {
                 return Err(refusal);
             }
@@ -289,9 +238,8 @@
                 return Err(retry_budget_refusal(history));
             }
             // Checked again right before each send, since the process may have been suspended after admission.
-            if request.customer.is_some() && !self.is_fresh() {
-                let reason = "configuration went stale before the request was sent";
-                return Err(history.refusal(ResultCode::NoQuorum, reason, STALE_RETRY_MS));
+            if let Some(refusal) = self.key_refusal(request, history) {
+                return Err(refusal);
             }
             return Ok(chosen);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! The traits of [`header_codec`] and [`discovery`] hide the names and formats of the deployment's platform.
 
+pub mod admission;
 mod attempt;
 mod attempt_trace;
 pub mod body_buffer;
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -20,6 +20,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
+    admission::Admitted,
     body_buffer::{BodyBuffer, BodyInPieces, BufferError},
     buffered::NoBody,
     caller_request::{AttemptHistory, CallerRequest, encode_head, fingerprint, part_keys},
@@ -177,14 +178,13 @@
         let host = http.headers().get("host").and_then(|host| host.to_str().ok()).unwrap_or("");
         let host = host.split(':').next().unwrap_or("");
         let path = http.uri().path();
-        let (table, route, customer) = if passed_on.is_some() {
+        let key = headers.key.as_deref();
+        let Admitted { route, customer, config_version } = if passed_on.is_some() {
             // Another entry node may serve it at once.
-            let (route, customer) = gateway.admit(&table, host, path, headers.key.as_deref())?;
-            (table, route, customer)
+            gateway.admit(host, path, key)?
         } else {
-            let (key, deadline_ms) = (headers.key.as_deref(), headers.deadline_ms);
-            let arrival = Arrival { arrived, host, path, key, deadline_ms };
-            gateway.admit_when_fresh(table, &arrival).await?
+            let arrival = Arrival { arrived, host, path, key, deadline_ms: headers.deadline_ms };
+            gateway.admit_when_fresh(&arrival).await?
         };
         let Some(service) = route.pick_service(rand::random()).cloned() else {
             return Err(Refusal::new(ResultCode::RouteUnknown, "the route has no target"));
@@ -205,7 +205,7 @@
             route,
             service,
             customer,
-            config_version: table.version(),
+            config_version,
             passed_on,
             arrived,
         })
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -95,9 +95,8 @@
     /// Runs the tasks until this node no longer leads.
     async fn lead(&self, order_lease: &LeaseHolder, store_lease: LeaseHolder) {
         let mut stores = StoreManager::new(self.stores.clone(), self.cluster.clone(), Rc::new(store_lease));
-        let routing = RoutingState::default();
-        let follow_routing = routing.clone().follow(self.cluster.clone(), Arc::clone(&self.format), |_| ());
-        let follow_task = actix_rt::spawn(follow_routing);
+        let routing = RoutingState::new(self.cluster.clone(), Arc::clone(&self.format));
+        let follow_task = actix_rt::spawn(routing.clone().follow(|_| ()));
         let mut state = LeaderState::default();
         let mut permit_lease = PermitLease::default();
         let mut list_due = Instant::now();
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -222,7 +222,7 @@
             && request.time_left() > Duration::ZERO
             && self.block_refusal(request, history).is_none()
             && !self.passes_on(request)
-            && (request.customer.is_none() || self.is_fresh())
+            && self.may_send(request)
             && self.is_retry_left(&request.service);
         if !may_go_on {
             return None;
--- a/crates/gateway/src/waiting.rs
+++ b/crates/gateway/src/waiting.rs
@@ -71,7 +71,8 @@
 
     /// Returns the routing table. Waits for it if this node has just started; `None` if none arrives in time.
     pub(crate) async fn first_table(&self, arrived: Instant) -> Option<Rc<RoutingTable>> {
-        wait_for_first(arrived + START_TIMEOUT, || self.routing.table()).await
+        let table = || self.confirmed_table().map(|confirmed| confirmed.table);
+        wait_for_first(arrived + START_TIMEOUT, table).await
     }
 
     /// Waits until a permit is granted, or the share or the pause of an upstream admits a request of this node again; `false` if the
