Read the age of a configuration before the configuration in follow

Callers could see: a node of the own interface that takes an older configuration for one that was just confirmed, if a newer one is put in force and confirmed while its control node writes the response.

Cause: `follow` read the configuration first and its age later. `observe` has the right order.

Change: the age is read first. Without a test of its own, since the gap holds no wait; the tests of the cluster pass.

--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -180,8 +180,9 @@
             let newer = changes.wait_for(|view| view.version > after).map(|_| ());
             let _ = timeout(Duration::from_millis(wait_ms.min(MAX_POLL_MS)), newer).await;
         }
-        let update = state.views.update_since(after);
+        // The age is read before the configuration, so that it never makes an older one look newer than it is.
         let age = state.views.confirmed_at().map(BootInstant::elapsed);
+        let update = state.views.update_since(after);
         let replica: ReplicaView = state.proposer.replica.borrow().clone();
         FollowReply {
             update,
