--- a/crates/control/tests/protocol/main.rs
+++ b/crates/control/tests/protocol/main.rs
@@ -7,6 +7,7 @@
 mod first_election;
 mod full_disks;
 mod leadership;
+mod log_time;
 mod removed_voters;
 mod silent_leaders;
 mod sim;
