End the wait for a place at another entry node once upstreams are reached again

Found with it in core::crashing_requests: when its memory is full a new request was ignored, so that one which crashes upstreams was never blocked; the request with the fewest crashes gives way now (many_requests_with_one_crash_do_not_keep_out_one_with_more).

--- a/crates/core/src/crashing_requests.rs
+++ b/crates/core/src/crashing_requests.rs
@@ -1,7 +1,8 @@
 //! Finds the requests that crash the upstreams that run them.
 //!
 //! A crash breaks all requests at its upstream, most of them sound, and callers may send equal requests again and again. So a
-//! request that completes is cleared of all crashes before, and evidence expires.
+//! request that completes is cleared of all crashes before, and evidence expires. A request that crashes some upstreams and
+//! completes at others is therefore not blocked.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -9,7 +10,7 @@
 
 /// Crashes after which a request that has not completed since the first of them is blocked.
 pub const CRASHES_TO_BLOCK: u32 = 3;
-/// Maximum number of requests with evidence; further ones are ignored until evidence expires.
+/// Maximum number of requests with evidence; the one with the fewest crashes and the oldest last one gives way to a new one.
 const MAX_REQUESTS: usize = 4_096;
 /// Maximum number of crashes remembered for a request.
 const MAX_CRASHES_OF_REQUEST: usize = 64;
@@ -43,7 +44,7 @@
     /// Records that a process crashed while it ran a request; several nodes may report the same crash.
     pub fn record_crash(&mut self, fingerprint: u64, process: CrashedProcess, now_ms: u64) {
         if self.by_fingerprint.len() >= MAX_REQUESTS && !self.by_fingerprint.contains_key(&fingerprint) {
-            return;
+            self.evict();
         }
         let evidence = self.by_fingerprint.entry(fingerprint).or_default();
         if evidence.crashes.len() < MAX_CRASHES_OF_REQUEST && evidence.crashes.insert(process) {
@@ -51,6 +52,17 @@
         }
     }
 
+    fn evict(&mut self) {
+        let weakest = self
+            .by_fingerprint
+            .iter()
+            .min_by_key(|(_, evidence)| (evidence.crashes.len(), evidence.last_crash_ms))
+            .map(|(fingerprint, _)| *fingerprint);
+        if let Some(fingerprint) = weakest {
+            self.by_fingerprint.remove(&fingerprint);
+        }
+    }
+
     /// Records that a request has completed.
     pub fn record_completion(&mut self, fingerprint: u64) {
         self.by_fingerprint.remove(&fingerprint);
--- a/crates/core/tests/crashing_requests.rs
+++ b/crates/core/tests/crashing_requests.rs
@@ -33,6 +33,22 @@
     assert_eq!(count(&requests), Some(1));
 }
 
+/// Guards against a request that crashes upstreams and is not blocked, because requests that broke once, and never came again,
+/// took all the memory for evidence.
+#[test]
+fn many_requests_with_one_crash_do_not_keep_out_one_with_more() {
+    let mut requests = CrashingRequests::default();
+    for fingerprint in 100..10_000 {
+        requests.record_crash(fingerprint, process(0), fingerprint);
+    }
+    for start in 1..=u64::from(CRASHES_TO_BLOCK) {
+        requests.record_crash(REQUEST, process(start), 10_000 + start);
+        requests.record_crash(20_000 + start, process(start), 10_000 + start);
+    }
+    assert_eq!(count(&requests), Some(CRASHES_TO_BLOCK));
+    assert!(requests.counts().count() < 5_000);
+}
+
 /// Guards against a request that is blocked for good, and against memory that grows with each request that ran beside a crash.
 #[test]
 fn evidence_expires_after_the_last_crash() {
--- a/crates/gateway/src/entry_peers.rs
+++ b/crates/gateway/src/entry_peers.rs
@@ -16,7 +16,7 @@
 };
 use tokio::{
     sync::Notify,
-    time::{Instant, sleep, timeout_at},
+    time::{Instant, sleep, timeout},
 };
 
 use crate::{forward::Gateway, metrics::GatewayMetrics, peer_limits::PeerLimits, peer_zones, pool::Pool};
@@ -93,24 +93,23 @@
         self.limits.record_closed(address, self.pool.open_connections(address));
     }
 
-    /// Same as [`Self::choose`], but waits until `until` while all nodes that could be chosen have as many requests of this node
-    /// as they have places for.
+    /// Same as [`Self::choose`], but waits as long as `may_wait` while all nodes that could be chosen have as many requests of
+    /// this node as they have places for.
     pub(crate) async fn choose_with_room(
         &self,
         tried: &[SocketAddr],
         is_allowed: impl Fn(Option<&ZoneName>) -> bool,
-        until: Instant,
+        may_wait: impl Fn() -> bool,
     ) -> Option<ChosenPeer> {
         loop {
             let request_ended = self.request_ended.notified();
             if let Some(peer) = self.choose(tried, &is_allowed) {
                 return Some(peer);
             }
-            let now = Instant::now();
-            if now >= until || !self.has_untried(tried, &is_allowed) {
+            if !may_wait() || !self.has_untried(tried, &is_allowed) {
                 return None;
             }
-            let _ = timeout_at(until.min(now + ROOM_CHECK_INTERVAL), request_ended).await;
+            let _ = timeout(ROOM_CHECK_INTERVAL, request_ended).await;
         }
     }
 
@@ -210,7 +209,8 @@
         if *count == 0 {
             in_flight.remove(&self.address);
         }
-        self.request_ended.notify_waiters();
+        // One request has room; the others look again at their next check at the latest.
+        self.request_ended.notify_one();
     }
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -244,7 +244,7 @@
             if history.sends.is_retry() && !self.try_take_retry(&request.service) {
                 return Err(retry_budget_refusal(history));
             }
-            // Checked again right before each send, since the process may have been suspended after admission.
+            // Checked again before each attempt, since the process may have been suspended after admission.
             if let Some(refusal) = self.key_refusal(request, history) {
                 return Err(refusal);
             }
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -16,7 +16,7 @@
     forward::Gateway,
     http_head::{Framing, ResponseHead},
     open_streams::{COMPLETE, OpenStream},
-    peer_exchange::{PeerOutcome, PeerResponse, exchange},
+    peer_exchange::{PeerOutcome, PeerResponse, Shortage, exchange},
     peer_headers::is_peer_header,
     refusal::Refusal,
     refusal_rules::deadline_refusal,
@@ -94,9 +94,13 @@
         let mut tried = Vec::new();
         let mut may_have_run = false;
         let room_until = request.deadline.checked_sub(ROOM_MARGIN).unwrap_or(request.deadline);
+        let was_in_touch = gateway.contact.reach() == Reach::InTouch;
+        // Once this node reaches its upstreams again, they can serve what still waits.
+        let may_wait =
+            || Instant::now() < room_until && (was_in_touch || gateway.contact.reach() != Reach::InTouch);
         while tried.len() < MAX_PEERS {
             let is_allowed = |zone: Option<&ZoneName>| gateway.may_pass_to(request, zone);
-            let Some(peer) = gateway.peers.choose_with_room(&tried, is_allowed, room_until).await else {
+            let Some(peer) = gateway.peers.choose_with_room(&tried, is_allowed, may_wait).await else {
                 break;
             };
             let address = peer.address;
@@ -119,11 +123,13 @@
                     gateway.peers.avoid(address);
                     continue;
                 }
-                PeerOutcome::NoRoom => {
+                PeerOutcome::NoRoom(shortage) => {
                     history.is_attempt_open = false;
-                    gateway.metrics.record_passed_on("no_room");
-                    gateway.peers.record_no_room(address);
-                    if Instant::now() >= room_until {
+                    if shortage == Shortage::Stated {
+                        gateway.metrics.record_passed_on("no_room");
+                        gateway.peers.record_no_room(address);
+                    }
+                    if !may_wait() {
                         break;
                     }
                     tried.pop();
--- a/crates/gateway/src/peer_exchange.rs
+++ b/crates/gateway/src/peer_exchange.rs
@@ -23,8 +23,8 @@
     Answered(Box<PeerResponse>),
     /// The node could not be reached, or could not serve the request either; nothing has run there.
     Unable,
-    /// The node had no place for the connection; it has not read the request.
-    NoRoom,
+    /// There was no place for a connection; the node has not read the request.
+    NoRoom(Shortage),
     /// The connection broke; the request may have run.
     Broken,
 }
@@ -45,6 +45,15 @@
     }
 }
 
+/// Where a place for a connection was lacking.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Shortage {
+    /// At the other node, which stated so.
+    Stated,
+    /// Within the limit that this node keeps to.
+    OwnLimit,
+}
+
 /// Sends a request to another entry node and reads the head of the response.
 pub(crate) async fn exchange(
     gateway: &Gateway,
@@ -59,7 +68,7 @@
     let max_connections = gateway.peers.max_connections(peer.address);
     let mut pooled = match pool.checkout(peer.address, max_connections, identity).await {
         Ok(pooled) => pooled,
-        Err(CheckoutError::LimitReached) => return PeerOutcome::NoRoom,
+        Err(CheckoutError::LimitReached) => return PeerOutcome::NoRoom(Shortage::OwnLimit),
         Err(CheckoutError::ConnectFailed) => return PeerOutcome::Unable,
     };
     let Ok(connection) = pooled.get() else { return PeerOutcome::Unable };
@@ -77,7 +86,7 @@
         return if sent == 0 { PeerOutcome::Unable } else { PeerOutcome::Broken };
     }
     match read_answer(gateway, request, connection).await {
-        Some((_, PeerAnswer::Unread)) => PeerOutcome::NoRoom,
+        Some((_, PeerAnswer::Unread)) => PeerOutcome::NoRoom(Shortage::Stated),
         Some((_, PeerAnswer::Unable)) => PeerOutcome::Unable,
         Some((head, PeerAnswer::Served)) => {
             PeerOutcome::Answered(Box::new(PeerResponse { head, pooled, peer }))
@@ -104,13 +113,14 @@
     request: &CallerRequest,
     connection: &mut UpstreamConnection,
 ) -> Option<(ResponseHead, PeerAnswer)> {
-    for _ in 0..=MAX_FOREIGN_RESPONSES {
+    for discarded in 0..=MAX_FOREIGN_RESPONSES {
         let headers =
             |headers: &[httparse::Header<'_>]| PeerAnswerHeaders::new(&gateway.header_codec, headers);
         let (head, answer) = connection.read_head(&request.method, headers).await.ok()?;
-        // The connection carries one request at a time, so the one in progress is the one that was not read.
+        // The connection carries one request at a time, so the one in progress is the one that was not read, unless an answer
+        // to it was discarded.
         if answer.is_unread {
-            return Some((head, PeerAnswer::Unread));
+            return (discarded == 0).then_some((head, PeerAnswer::Unread));
         }
         if !answer.is_zone && connection.carried().is_answer(answer.request_id.as_deref()) {
             let stated = if answer.is_unable { PeerAnswer::Unable } else { PeerAnswer::Served };
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -244,7 +244,13 @@
         {
             let answer =
                 if gateway.passes_on(&request) { self.pass_on(http, &request, history).await } else { None };
-            return answer.unwrap_or_else(|| Err(cut_off_refusal(history)));
+            if let Some(answer) = answer {
+                return answer;
+            }
+            // While the request waited for another node, this one may have reached its upstreams again.
+            if gateway.contact.reach() == Reach::CutOff {
+                return Err(cut_off_refusal(history));
+            }
         }
         let software = gateway.software_requirement(&request, history).await?;
         let resumed_at = request.takes_up_stream().then_some(request.arrived);
