--- a/crates/cluster/src/soft_state_handle.rs
+++ b/crates/cluster/src/soft_state_handle.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     clock::BootInstant, cold::ColdReading, handle::ClusterHandle, outcome_queue::TimedOutcome,
-    software::start_of,
+    software::start_of, view_store::ConfirmedView,
 };
 
 impl ClusterHandle {
@@ -157,9 +157,9 @@
         self.report_outcome(TimedOutcome::broken(parts, crash, sent_at, broke_at));
     }
 
-    /// Reports that a request with these parts of its prompt has completed.
-    pub fn report_completed_prompt(&self, parts: Vec<u64>) {
-        self.report_outcome(TimedOutcome::completed(parts));
+    /// Reports that a request has completed which is known by these keys: its fingerprint and the parts of its prompt.
+    pub fn report_completion(&self, keys: Vec<u64>) {
+        self.report_outcome(TimedOutcome::completed(keys));
     }
 
     fn report_outcome(&self, outcome: TimedOutcome) {
@@ -181,8 +181,14 @@
         self.inner.gossip.views.target_ages.outdated_since(model, version)
     }
 
+    /// Returns the configuration in force on this node with its confirmation. What is decided by data that was taken from a
+    /// configuration is as recent as the confirmation that came with that configuration, not as [`Self::config_age`].
+    pub fn confirmed_view(&self) -> ConfirmedView {
+        self.inner.gossip.views.confirmed_view()
+    }
+
     /// Returns the time, suspended time included, since this node's configuration was known to be the newest that a
-    /// majority agreed on; `None` if it never was.
+    /// majority agreed on; `None` if it never was. For logs and reports; see [`Self::confirmed_view`].
     pub fn config_age(&self) -> Option<Duration> {
         self.inner.gossip.views.confirmed_at().map(BootInstant::elapsed)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! The traits of [`header_codec`] and [`discovery`] hide the names and formats of the deployment's platform.
 
+pub mod admission;
 mod attempt;
 mod attempt_trace;
 pub mod body_buffer;
@@ -43,6 +44,7 @@
 pub mod pause;
 mod peer_exchange;
 pub mod peer_headers;
+mod peer_limits;
 mod peer_zones;
 pub mod permits;
 mod placement;
@@ -62,6 +64,7 @@
 mod silence;
 mod stop;
 mod store_manager;
+mod stream_body;
 mod stream_origin;
 pub mod unanswered;
 mod untried;
