--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -245,7 +245,8 @@
         }
     }
 
-    /// Same as [`Self::end`], while the server has received nothing since the last response, which the client may be told.
+    /// Same as [`Self::end`], while the server has received nothing since the last response. Sends the unread statement if the
+    /// listener has one.
     fn end_unread(&mut self, reason: EndReason) -> io::Error {
         let error = self.end(reason);
         let statement = self.open.as_ref().and_then(|(_, place)| place.unread_statement());
--- a/crates/gateway/src/entry_peers.rs
+++ b/crates/gateway/src/entry_peers.rs
@@ -56,8 +56,8 @@
 }
 
 impl EntryPeers {
-    /// Starts without other entry nodes; `is_known` tells whether there are any. `accepted` are the connections that an entry
-    /// node with the same settings accepts of others.
+    /// Starts without other entry nodes; `is_known` is set once the list of entry nodes was read. `accepted` are the connections
+    /// that an entry node with the same settings accepts from others.
     pub(crate) fn new(
         port: Option<u16>,
         accepted: ConnectionLimits,
