--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -5,10 +5,12 @@
 
 #![allow(dead_code)]
 
+mod first_start;
 mod heads;
 mod http;
 mod nodes;
 mod record;
+mod upgrade;
 
 use std::{env, path::PathBuf, process::exit};
 
@@ -16,7 +18,9 @@
     let arguments: Vec<String> = env::args().collect();
     let folder = PathBuf::from(arguments.get(2).map_or(".", String::as_str));
     let code = match arguments.get(1).map(String::as_str) {
+        Some("first-start") => first_start::run(&folder),
         Some("heads") => heads::run(&folder),
+        Some("upgrade") => upgrade::run(&folder),
         other => {
             eprintln!("no case {other:?}");
             2
--- a/review/stand-in-2/nodes.rs
+++ b/review/stand-in-2/nodes.rs
@@ -87,6 +87,9 @@
     pub control: Vec<Node>,
     pub edge: Vec<Node>,
     pub list: Arc<Mutex<String>>,
+    /// Settings of a control node, with its address left out.
+    core_settings: String,
+    net: (u8, u8),
     /// Address at which workers of the case listen.
     pub workers_ip: Ipv4Addr,
     pub folder: PathBuf,
@@ -165,7 +168,25 @@
         let control: Vec<Node> = control.collect();
         let edge = (0..edges).zip(zones());
         let edge = edge.map(|(number, zone)| begin(100 + number as u8, "edge", zone, "edge")).collect();
-        Self { control, edge, list, workers_ip: ip(201), folder }
+        let core_settings = settings("NAME", Ipv4Addr::UNSPECIFIED, "control", "ZONE");
+        Self { control, edge, list, core_settings, net, workers_ip: ip(201), folder }
+    }
+
+    /// Adds a control node with an empty disk at a new address, as the platform does once the system runs. Its seeds are the
+    /// control nodes of the operator's list.
+    pub fn add_control(&mut self, number: u8, seeds: &[SocketAddr], record: &Record) {
+        let (ip, zone) = (Ipv4Addr::new(127, self.net.0, self.net.1, number), zone(usize::from(number) - 1));
+        let name = format!("core-{zone}-{number}");
+        let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
+        let lines = self.core_settings.lines().map(|line| {
+            if line.starts_with("seeds=") { format!("seeds={}", seeds.join(",")) } else { line.to_owned() }
+        });
+        let text = lines.collect::<Vec<_>>().join("\n").replace("NAME", &name).replace("ZONE", zone);
+        let text = text.replace("0.0.0.0", &ip.to_string()).replace("bootstrap=true", "bootstrap=false");
+        let path = self.folder.join(format!("{name}.conf"));
+        fs::write(&path, text + "\n").unwrap();
+        record.line(&format!("start {name} at {ip}, with an empty disk"));
+        self.control.push(Node { name, ip, child: start(&path), settings: path });
     }
 
     /// Sends a change as an operator until a control node confirms it: at once the same again at another node after a 5xx or no
