review: case 9 restarts the core in turn instead of all at once

Of 12 or more streams that clients take up again, the share that goes on must not be under half of the share of new streams that begin.

At fault: an entry node reports the origin of a stream once, and not again to control nodes that have restarted with nothing, and control nodes do not hand theirs on.

--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -5,6 +5,7 @@
 
 #![allow(dead_code)]
 
+mod alike;
 mod first_start;
 mod heads;
 mod http;
@@ -19,6 +20,7 @@
     let arguments: Vec<String> = env::args().collect();
     let folder = PathBuf::from(arguments.get(2).map_or(".", String::as_str));
     let code = match arguments.get(1).map(String::as_str) {
+        Some("alike") => alike::run(&folder),
         Some("first-start") => first_start::run(&folder),
         Some("heads") => heads::run(&folder),
         Some("taken-up") => taken_up::run(&folder),
--- a/review/stand-in-2/taken_up.rs
+++ b/review/stand-in-2/taken_up.rs
@@ -1,5 +1,5 @@
-//! All processes of the core are killed at the same moment and are back within a second. Seconds later an entry node is killed, and its
-//! clients take their streams up at another one, while workers of two software versions serve.
+//! The machines of the core are stopped and started in turn, as planned work. Seconds later an entry node is killed, and its clients take
+//! their streams up at another one, while workers of two software versions serve.
 
 use std::{
     io,
@@ -22,15 +22,17 @@
 /// Two workers of each software version.
 const SOFTWARE: [&str; 4] = ["v1", "v1", "v2", "v2"];
 const STREAMS: usize = 30;
-const EVENTS: u32 = 60;
+const EVENTS: u32 = 70;
 const EVENT_GAP: Duration = Duration::from_millis(200);
 /// Time budget of a client.
 const BUDGET: Duration = Duration::from_secs(15);
-/// Times after the streams have begun.
-const CORE_KILLED_AT: Duration = Duration::from_millis(1_500);
-const CORE_BACK_AT: Duration = Duration::from_millis(2_000);
-/// More than `contact_ms` (3 s) after the core is back.
-const ENTRY_KILLED_AT: Duration = Duration::from_millis(6_500);
+/// Time after the streams have begun at which the first machine of the core gets SIGTERM, and the time between two of them (`roll_term`).
+const ROLL_AT: Duration = Duration::from_millis(500);
+const ROLL_GAP: Duration = Duration::from_secs(2);
+/// Time from SIGTERM to SIGKILL (`grace_s`).
+const GRACE: Duration = Duration::from_secs(8);
+/// More than `contact_ms` (3 s) after the last machine of the core has started again.
+const ENTRY_KILLED_AT: Duration = Duration::from_millis(8_500);
 /// Tries of a client to take up its stream.
 const TRIES: usize = 3;
 
@@ -188,19 +190,18 @@
         }));
     }
     if has_trouble() {
-        thread::sleep(CORE_KILLED_AT.saturating_sub(start.elapsed()));
-        for node in &mut nodes.control {
-            node.signal("KILL");
-        }
-        for node in &mut nodes.control {
-            node.wait_or_kill(Duration::from_millis(300));
-        }
-        record.line("all processes of the core are killed");
-        thread::sleep(CORE_BACK_AT.saturating_sub(start.elapsed()));
-        for node in &mut nodes.control {
+        for (turn, node) in nodes.control.iter_mut().enumerate() {
+            thread::sleep((ROLL_AT + ROLL_GAP * turn as u32).saturating_sub(start.elapsed()));
+            record.line(&format!("{} gets SIGTERM", node.name));
+            node.signal("TERM");
+            node.wait_or_kill(GRACE);
             node.restart();
+            record.line(&format!("{} has ended and is started again", node.name));
         }
-        record.line("all processes of the core are back");
+    }
+    if start.elapsed() + Duration::from_secs(3) > ENTRY_KILLED_AT {
+        record.line("the core took too long to restart");
+        return 2;
     }
     thread::sleep(ENTRY_KILLED_AT.saturating_sub(start.elapsed()));
     let ready = nodes.edge[1].is_ready();
