review: case 10, a blocked request crashes workers again after a restart of the core

Rule: BUDGET. A request that crashes workers must not reach workers in more than three retries later than contact_ms after the third crash.

Seen: all control processes are killed and are back within a second.

At fault: the leader keeps its evidence in memory, and entry nodes adopt an empty list of blocked requests from a leader that has restarted with nothing (published_upstreams.rs).

--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -10,6 +10,7 @@
 mod heads;
 mod http;
 mod nodes;
+mod poison;
 mod record;
 mod taken_up;
 mod upgrade;
@@ -23,6 +24,7 @@
         Some("alike") => alike::run(&folder),
         Some("first-start") => first_start::run(&folder),
         Some("heads") => heads::run(&folder),
+        Some("poison") => poison::run(&folder),
         Some("taken-up") => taken_up::run(&folder),
         Some("upgrade") => upgrade::run(&folder),
         other => {
