review: scripts exit with 2 where a case can't run

A panic of the stand-in and a missing program ended with other codes. A placeholder that looked like an address that is not loopback is replaced.

--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -16,22 +16,33 @@
 mod taken_up;
 mod upgrade;
 
-use std::{env, path::PathBuf, process::exit};
+use std::{
+    env,
+    panic::{AssertUnwindSafe, catch_unwind},
+    path::{Path, PathBuf},
+    process::exit,
+};
 
 fn main() {
     let arguments: Vec<String> = env::args().collect();
     let folder = PathBuf::from(arguments.get(2).map_or(".", String::as_str));
-    let code = match arguments.get(1).map(String::as_str) {
-        Some("alike") => alike::run(&folder),
-        Some("first-start") => first_start::run(&folder),
-        Some("heads") => heads::run(&folder),
-        Some("poison") => poison::run(&folder),
-        Some("taken-up") => taken_up::run(&folder),
-        Some("upgrade") => upgrade::run(&folder),
+    let case = arguments.get(1).map(String::as_str);
+    // A panic means that the case could not run. The processes that it started end as their handles are dropped.
+    exit(catch_unwind(AssertUnwindSafe(|| play(case, &folder))).unwrap_or(2));
+}
+
+/// Plays a case; returns the exit code.
+fn play(case: Option<&str>, folder: &Path) -> i32 {
+    match case {
+        Some("alike") => alike::run(folder),
+        Some("first-start") => first_start::run(folder),
+        Some("heads") => heads::run(folder),
+        Some("poison") => poison::run(folder),
+        Some("taken-up") => taken_up::run(folder),
+        Some("upgrade") => upgrade::run(folder),
         other => {
             eprintln!("no case {other:?}");
             2
         }
-    };
-    exit(code);
+    }
 }
--- a/review/stand-in-2/nodes.rs
+++ b/review/stand-in-2/nodes.rs
@@ -169,7 +169,7 @@
         let control: Vec<Node> = control.collect();
         let edge = (0..edges).zip(zones());
         let edge = edge.map(|(number, zone)| begin(100 + number as u8, "edge", zone, "edge")).collect();
-        let core_settings = settings("NAME", Ipv4Addr::UNSPECIFIED, "control", "ZONE");
+        let core_settings = settings("NAME", Ipv4Addr::LOCALHOST, "control", "ZONE");
         Self { control, edge, list, core_settings, net, workers_ip: ip(201), folder }
     }
 
@@ -179,7 +179,7 @@
         let (ip, zone) = (Ipv4Addr::new(127, self.net.0, self.net.1, number), zone(usize::from(number) - 1));
         let name = format!("core-{zone}-{number}");
         let text = self.core_settings.replace("NAME", &name).replace("ZONE", zone);
-        let text = text.replace("0.0.0.0", &ip.to_string()).replace("bootstrap=true", "bootstrap=false");
+        let text = text.replace("127.0.0.1", &ip.to_string()).replace("bootstrap=true", "bootstrap=false");
         let path = self.folder.join(format!("{name}.conf"));
         fs::write(&path, text).unwrap();
         record.line(&format!("start {name} at {ip}, with an empty disk"));
