--- a/review/stand-in-3/deployment.rs
+++ b/review/stand-in-3/deployment.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     http::{Answer, call},
+    names::{PUT_CONFIG, SETTINGS_VARIABLE},
     record::Record,
 };
 
@@ -49,7 +50,7 @@
             File::options().create(true).append(true).open(self.settings.with_extension("log")).unwrap();
         let child = Command::new("target/release/daisysilld")
             .arg("--platform")
-            .env("DAISYSILL_NODE_FILE", &self.settings)
+            .env(SETTINGS_VARIABLE, &self.settings)
             .stdin(Stdio::null())
             .stderr(log.try_clone().unwrap())
             .stdout(log)
@@ -60,16 +61,6 @@
         self.record.line(&format!("{} ({}) starts", self.name, self.ip));
     }
 
-    /// Sends SIGKILL and waits for the end.
-    pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-            forget(&child);
-            self.record.line(&format!("{} is killed", self.name));
-        }
-    }
-
     /// Sends SIGTERM and waits for the end; SIGKILL follows after `grace_s`. Returns whether the process ended by itself.
     pub fn terminate(&mut self) -> bool {
         let Some(mut child) = self.child.take() else { return false };
@@ -91,13 +82,6 @@
         false
     }
 
-    /// Starts the process again; only the first start has `bootstrap=true`.
-    pub fn restart(&mut self) {
-        let text = fs::read_to_string(&self.settings).unwrap();
-        fs::write(&self.settings, text.replace("bootstrap=true", "bootstrap=false")).unwrap();
-        self.start();
-    }
-
     pub fn callers(&self) -> SocketAddr {
         (self.ip, CALLERS_PORT).into()
     }
@@ -112,7 +96,6 @@
             "GET /readyz HTTP/1.1\r\nHost: x\r\n",
             "",
             Duration::from_secs(1),
-            |_| (),
         );
         answer.status == 200
     }
@@ -243,8 +226,8 @@
     for number in 0.. {
         let address = nodes[number % nodes.len()];
         let head =
-            format!("POST /config/put HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n");
-        let answer = call(address, &head, config, Duration::from_secs(4), |_| ());
+            format!("POST {PUT_CONFIG} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n");
+        let answer = call(address, &head, config, Duration::from_secs(4));
         if answer.status == 200 {
             record.line(&format!("{address} acknowledges the config"));
             return Some(start.elapsed());
@@ -268,13 +251,12 @@
     id: &str,
     headers: &str,
     deadline_ms: u64,
-    on_bytes: impl FnMut(&[u8]),
 ) -> Answer {
     let head = format!(
         "{method} {target} HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n\
          Authorization: Bearer key-1\r\n{headers}"
     );
-    call(entry, &head, "", Duration::from_millis(deadline_ms + 1_000), on_bytes)
+    call(entry, &head, "", Duration::from_millis(deadline_ms + 1_000))
 }
 
 /// Waits until a condition holds.
--- a/review/stand-in-3/http.rs
+++ b/review/stand-in-3/http.rs
@@ -60,9 +60,8 @@
     /// 0 if the connection ended without a head.
     pub status: u16,
     pub headers: Vec<(String, String)>,
+    /// Empty if it didn't come whole.
     pub body: Vec<u8>,
-    /// Whether the body came whole.
-    pub is_whole: bool,
 }
 
 impl Answer {
@@ -74,14 +73,8 @@
     }
 }
 
-/// Sends one request on a new connection and reads the answer; `on_bytes` sees the body as it arrives.
-pub fn call(
-    address: SocketAddr,
-    head: &str,
-    body: &str,
-    limit: Duration,
-    mut on_bytes: impl FnMut(&[u8]),
-) -> Answer {
+/// Sends one request on a new connection and reads the answer, whose length is stated.
+pub fn call(address: SocketAddr, head: &str, body: &str, limit: Duration) -> Answer {
     let mut answer = Answer::default();
     let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else { return answer };
     let _ = stream.set_read_timeout(Some(limit));
@@ -94,30 +87,10 @@
     let Some((first, headers)) = read_head(&mut reader) else { return answer };
     answer.status = first.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0);
     answer.headers = headers;
-    let is_chunked =
-        answer.header("transfer-encoding").is_some_and(|value| value.eq_ignore_ascii_case("chunked"));
     let length: Option<usize> = answer.header("content-length").and_then(|value| value.parse().ok());
-    if is_chunked {
-        loop {
-            let mut line = String::new();
-            if !reader.read_line(&mut line).is_ok_and(|count| count > 0) {
-                return answer;
-            }
-            let Ok(size) = usize::from_str_radix(line.trim(), 16) else { return answer };
-            let mut chunk = vec![0; size + 2];
-            if reader.read_exact(&mut chunk).is_err() {
-                return answer;
-            }
-            if size == 0 {
-                answer.is_whole = true;
-                return answer;
-            }
-            on_bytes(&chunk[..size]);
-            answer.body.extend_from_slice(&chunk[..size]);
-        }
-    }
     let mut body = vec![0; length.unwrap_or(0)];
-    answer.is_whole = reader.read_exact(&mut body).is_ok();
-    answer.body = body;
+    if reader.read_exact(&mut body).is_ok() {
+        answer.body = body;
+    }
     answer
 }
--- a/review/stand-in-3/main.rs
+++ b/review/stand-in-3/main.rs
@@ -1,12 +1,13 @@
 //! Stand-ins for the cases of the second review: the platform's list, workers, clients and the operator, and the processes of a
 //! small deployment, which it starts with the commands of the deploy file.
 //!
-//! Usage: `stand-in-3 CASE RECORD`, from the root of the repository; `TROUBLE=0` leaves out the disruption. It exits with 1 if the
-//! rule was broken, 0 if it held and 2 if the case couldn't run.
+//! Usage: `stand-in-3 CASE FOLDER`, from the root of the repository; writes `record.txt` in the folder. `TROUBLE=0` leaves out the
+//! disruption. It exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 
 mod cases;
 mod deployment;
 mod http;
+mod names;
 mod record;
 mod worker;
 
@@ -17,12 +18,12 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, path] = arguments.as_slice() else {
-        eprintln!("usage: stand-in-3 CASE RECORD");
+    let [_, case, folder] = arguments.as_slice() else {
+        eprintln!("usage: stand-in-3 CASE FOLDER");
         exit(2);
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let record = record::Record::create(path);
+    let record = record::Record::create(&format!("{folder}/record.txt"));
     let late = record.clone();
     thread::spawn(move || {
         thread::sleep(LIMIT);
--- a/review/stand-in-3/record.rs
+++ b/review/stand-in-3/record.rs
@@ -12,27 +12,12 @@
 pub struct Record {
     file: Arc<Mutex<File>>,
     start: Instant,
-    /// One in this many runs of workers is written.
-    every: usize,
 }
 
 impl Record {
     pub fn create(path: &str) -> Self {
         let file = File::create(path).expect("the record can be created");
-        Self { file: Arc::new(Mutex::new(file)), start: Instant::now(), every: 1 }
-    }
-
-    /// Returns a record for many runs of workers, of which one in `every` is written.
-    pub fn sampled(&self, every: usize) -> Self {
-        self.line(&format!("one in {every} of the runs is written"));
-        Self { every, ..self.clone() }
-    }
-
-    /// Writes the run with this number, unless it is left out.
-    pub fn run(&self, number: usize, text: &str) {
-        if number % self.every == 0 {
-            self.line(text);
-        }
+        Self { file: Arc::new(Mutex::new(file)), start: Instant::now() }
     }
 
     pub fn line(&self, text: &str) {
