Read responses of all connections through one crate, and count what is refused

Cause: the gateway parsed heads and bodies in two of its own modules, so that nothing else could read responses by the same rules, and a malformed response left no reason in the logs and no count. Change: crates/http holds the parser of heads and the state machine of bodies, without I/O. The gateway's connections, and with them those between entry nodes and those of plain services, use it. What they refuse is logged as response_refused with its reason, peer and request, and counted in refused_responses of both interfaces.

--- a/crates/core/src/carried_requests.rs
+++ b/crates/core/src/carried_requests.rs
@@ -61,6 +61,11 @@
         Ok(())
     }
 
+    /// Returns the ID of the request whose answer is due; `None` also if it has none.
+    pub fn in_progress(&self) -> Option<&str> {
+        self.in_progress.as_deref()
+    }
+
     /// Returns whether an answer with this ID belongs to the request in progress; otherwise it is to be discarded.
     pub fn is_answer(&self, answered_id: Option<&str>) -> bool {
         self.in_progress.as_deref() == answered_id
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -11,6 +11,9 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use daisysill_core::{carried_requests::CarriedRequests, memory_budget::MemoryReservation};
+use daisysill_http::{
+    BodyReader, Framing, MAX_INFORMATIONAL_HEADS, ResponseFault, headers, parse_head, record_refusal,
+};
 use socket2::SockRef;
 use tokio::{
     io::AsyncReadExt,
@@ -18,15 +21,10 @@
     time::{Instant, timeout},
 };
 
-use self::body::BodyState;
-use crate::http_head::{Framing, HeadError, ResponseHead, read_head};
+use crate::http_head::ResponseHead;
 
 /// Maximum size of the head of a response.
 const MAX_HEAD_BYTES: usize = 32 * 1_024;
-/// Maximum number of headers of a response.
-const MAX_HEADERS: usize = 64;
-/// Maximum number of informational heads before that of the response.
-const MAX_INFORMATIONAL_HEADS: usize = 8;
 /// Space reserved for each read.
 const READ_BYTES: usize = 8 * 1_024;
 /// `TCP_USER_TIMEOUT`: the kernel closes the connection when sent bytes stay unacknowledged for this time.
@@ -41,7 +39,7 @@
     /// The connection failed, or ended before the response was complete.
     Broken(io::ErrorKind),
     /// The bytes are not a valid HTTP/1.1 response, or exceed a limit.
-    Malformed,
+    Malformed(ResponseFault),
 }
 
 impl From<io::Error> for ReadError {
@@ -50,9 +48,9 @@
     }
 }
 
-impl From<HeadError> for ReadError {
-    fn from(_: HeadError) -> Self {
-        Self::Malformed
+impl From<ResponseFault> for ReadError {
+    fn from(fault: ResponseFault) -> Self {
+        Self::Malformed(fault)
     }
 }
 
@@ -67,7 +65,8 @@
     input: BytesMut,
     /// The memory that `input` occupies; `None` if only its own limits bound it.
     memory: Option<MemoryReservation>,
-    body: BodyState,
+    /// `None` while no head of a response was read.
+    body: Option<BodyReader>,
     /// Number of bytes of the present request that were written.
     sent_bytes: usize,
     /// Whether the whole request was written.
@@ -99,7 +98,7 @@
             carried: CarriedRequests::default(),
             input: BytesMut::new(),
             memory: None,
-            body: BodyState::Idle,
+            body: None,
             sent_bytes: 0,
             request_written: true,
             keeps_open: true,
@@ -132,7 +131,7 @@
         let exchange_complete = self.request_written
             && self.keeps_open
             && !self.carried.is_full()
-            && matches!(self.body, BodyState::Idle | BodyState::Complete);
+            && self.body.is_none_or(|body| body.is_complete());
         if !exchange_complete || !self.input.is_empty() {
             return false;
         }
@@ -178,7 +177,7 @@
         self.carried.begin(request_id).map_err(|_| (0, io::ErrorKind::AlreadyExists))?;
         self.sent_bytes = 0;
         self.request_written = false;
-        self.body = BodyState::Idle;
+        self.body = None;
         self.write_rest(head, body).await
     }
 
@@ -225,8 +224,20 @@
     }
 
     /// Reads the head of the next response, skipping informational ones; also returns what `inspect` makes of all its
-    /// headers, hop-by-hop headers included.
+    /// headers, hop-by-hop headers included. A response that is malformed is counted and logged.
+    ///
+    /// # Errors
+    /// Fails if the connection ends before the head is complete, or the head is malformed.
     pub async fn read_head<T>(
+        &mut self,
+        method: &str,
+        inspect: impl FnMut(&[httparse::Header<'_>]) -> T,
+    ) -> Result<(ResponseHead, T), ReadError> {
+        let read = self.read_final_head(method, inspect).await;
+        read.inspect_err(|error| self.record_malformed(error))
+    }
+
+    async fn read_final_head<T>(
         &mut self,
         method: &str,
         mut inspect: impl FnMut(&[httparse::Header<'_>]) -> T,
@@ -237,17 +248,17 @@
                 if head.status.is_informational() {
                     informational_heads += 1;
                     if informational_heads > MAX_INFORMATIONAL_HEADS {
-                        return Err(ReadError::Malformed);
+                        return Err(ResponseFault::TooLarge.into());
                     }
                     continue;
                 }
                 self.keeps_open = head.keeps_open && head.framing != Framing::UntilClose;
                 self.idle_timeout = head.idle_timeout;
-                self.body = BodyState::at_start(head.framing);
+                self.body = Some(BodyReader::new(head.framing));
                 return Ok((head, inspected));
             }
             if self.input.len() > MAX_HEAD_BYTES {
-                return Err(ReadError::Malformed);
+                return Err(ResponseFault::TooLarge.into());
             }
             self.fill().await?;
         }
@@ -257,26 +268,24 @@
         &mut self,
         method: &str,
         inspect: &mut impl FnMut(&[httparse::Header<'_>]) -> T,
-    ) -> Result<Option<(ResponseHead, T)>, ReadError> {
-        if self.input.is_empty() {
-            return Ok(None);
-        }
-        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut response = httparse::Response::new(&mut headers);
-        let consumed = match response.parse(&self.input) {
-            Ok(httparse::Status::Complete(consumed)) => consumed,
-            Ok(httparse::Status::Partial) => return Ok(None),
-            Err(_) => return Err(ReadError::Malformed),
-        };
-        let (Some(code), Some(minor)) = (response.code, response.version) else {
-            return Err(ReadError::Malformed);
-        };
-        let head = read_head(method, code, minor, response.headers)?;
-        let inspected = inspect(response.headers);
-        self.input.advance(consumed);
+    ) -> Result<Option<(ResponseHead, T)>, ResponseFault> {
+        let mut space = headers();
+        let Some(parsed) = parse_head(&self.input, &mut space, method == "HEAD")? else { return Ok(None) };
+        let head = ResponseHead::new(&parsed)?;
+        let inspected = inspect(parsed.headers);
+        let head_bytes = parsed.head_bytes;
+        self.input.advance(head_bytes);
         Ok(Some((head, inspected)))
     }
 
+    /// Counts and logs a response that is malformed.
+    fn record_malformed(&self, error: &ReadError) {
+        if let ReadError::Malformed(fault) = error {
+            let peer = self.stream.peer_addr().map_or_else(|_| "-".to_owned(), |address| address.to_string());
+            record_refusal(*fault, peer, self.carried.in_progress());
+        }
+    }
+
     /// Receives more bytes; the end of the connection is an error.
     async fn fill(&mut self) -> Result<(), ReadError> {
         if self.read_more().await? == 0 {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use daisysill_cluster::HeldPlace;
 use daisysill_core::ids::WeightVersion;
+use daisysill_http::ResponseFault;
 use tokio::{
     sync::Notify,
     time::{Instant, timeout, timeout_at},
@@ -325,7 +326,7 @@
         while let Some(bytes) = connection.read_body().await? {
             discarded_bytes += bytes.len();
             if discarded_bytes > MAX_DISCARDED_BYTES {
-                return Err(ReadError::Malformed);
+                return Err(ReadError::from(ResponseFault::TooLarge));
             }
         }
         Ok(())
--- a/crates/gateway/src/http_head.rs
+++ b/crates/gateway/src/http_head.rs
@@ -1,36 +1,29 @@
-//! Interprets the head of an upstream's response: the headers to forward, the framing of the body and keep-alive.
+//! The head of an upstream's response as it is kept: the headers to forward, the framing of the body and keep-alive.
 
 use std::time::Duration;
 
 use actix_web::http::StatusCode;
 use bytes::Bytes;
 use daisysill_core::event_tracker::EventTracker;
-
+use daisysill_http::{ResponseFault, decimal, trim};
+
+pub use daisysill_http::Framing;
+
+const KEEP_ALIVE: &str = "keep-alive";
+/// Fields that concern the connection only and are not forwarded.
+const HOP_BY_HOP: [&str; 8] = [
+    "connection",
+    "content-length",
+    KEEP_ALIVE,
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
 /// The content type of server-sent events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
-/// How the end of a body is determined.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Framing {
-    /// By its length in bytes; 0 for responses that have no body.
-    Length(u64),
-    /// By the chunked transfer encoding.
-    Chunked,
-    /// By the end of the connection.
-    UntilClose,
-}
-
-impl Framing {
-    /// Returns the `framing` label used in logs and metrics.
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Length(_) => "length",
-            Self::Chunked => "chunked",
-            Self::UntilClose => "until_close",
-        }
-    }
-}
-
 /// The head of a response, without hop-by-hop headers.
 #[derive(Clone, Debug)]
 pub struct ResponseHead {
@@ -89,78 +82,33 @@
     content_type.get(..EVENT_STREAM.len()).is_some_and(|start| start.eq_ignore_ascii_case(EVENT_STREAM))
 }
 
-/// Why a head cannot be used.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HeadError {
-    /// The status is out of range.
-    Malformed,
-    /// The framing of the body is invalid, contradictory or unsupported.
-    BadFraming,
-    /// A header breaks off, and the head of another response follows in its value.
-    TwoHeads,
+impl ResponseHead {
+    /// Keeps what a parsed head states for the connection and for the caller.
+    pub(crate) fn new(parsed: &daisysill_http::ResponseHead<'_, '_>) -> Result<Self, ResponseFault> {
+        let status = StatusCode::from_u16(parsed.status).map_err(|_| ResponseFault::Status)?;
+        let forwarded = parsed.headers.iter().filter(|header| !is_hop_by_hop(header.name));
+        let keep_alive = parsed.headers.iter().rfind(|header| header.name.eq_ignore_ascii_case(KEEP_ALIVE));
+        Ok(Self {
+            status,
+            headers: forwarded.map(owned).collect(),
+            framing: parsed.framing,
+            keeps_open: parsed.keeps_open,
+            idle_timeout: keep_alive.and_then(|header| parse_idle_timeout(header.value)),
+        })
+    }
 }
 
-/// Interprets the parsed head of a response to a request with the method `method`.
-pub(crate) fn read_head(
-    method: &str,
-    code: u16,
-    minor_version: u8,
-    headers: &[httparse::Header<'_>],
-) -> Result<ResponseHead, HeadError> {
-    let status = StatusCode::from_u16(code).map_err(|_| HeadError::Malformed)?;
-    let mut length = None;
-    let mut chunked = false;
-    let mut keeps_open = minor_version >= 1;
-    let mut idle_timeout = None;
-    let mut forwarded = Vec::with_capacity(headers.len());
-    for header in headers {
-        if holds_status_line(header.value) {
-            return Err(HeadError::TwoHeads);
-        }
-        let value = std::str::from_utf8(header.value).unwrap_or("").trim();
-        match header.name.to_ascii_lowercase().as_str() {
-            "content-length" => {
-                let parsed: u64 = value.parse().map_err(|_| HeadError::BadFraming)?;
-                if length.is_some_and(|known| known != parsed) {
-                    return Err(HeadError::BadFraming);
-                }
-                length = Some(parsed);
-            }
-            "transfer-encoding" if value.eq_ignore_ascii_case("chunked") => chunked = true,
-            "transfer-encoding" => return Err(HeadError::BadFraming),
-            "connection" => {
-                keeps_open &= !value.split(',').any(|token| token.trim().eq_ignore_ascii_case("close"));
-            }
-            "keep-alive" => idle_timeout = parse_idle_timeout(value),
-            "proxy-connection" | "trailer" | "upgrade" | "te" => {}
-            name => {
-                forwarded
-                    .push((Bytes::copy_from_slice(name.as_bytes()), Bytes::copy_from_slice(header.value)));
-            }
-        }
-    }
-    let without_body = method == "HEAD" || code == 204 || code == 304;
-    let framing = match (without_body, chunked, length) {
-        (true, ..) => Framing::Length(0),
-        (false, true, None) => Framing::Chunked,
-        (false, true, Some(_)) => return Err(HeadError::BadFraming),
-        (false, false, Some(length)) => Framing::Length(length),
-        (false, false, None) => Framing::UntilClose,
-    };
-    Ok(ResponseHead { status, headers: forwarded, framing, keeps_open, idle_timeout })
+fn is_hop_by_hop(name: &str) -> bool {
+    HOP_BY_HOP.iter().any(|known| name.eq_ignore_ascii_case(known))
 }
 
-/// Returns whether a value ends with a status line, `HTTP/1.1 200 OK`. What the response states would be that of two.
-fn holds_status_line(value: &[u8]) -> bool {
-    const VERSION: &[u8] = b"HTTP/1.";
-    let starts = value.windows(VERSION.len()).enumerate().filter(|(_, window)| *window == VERSION);
-    starts.map(|(at, _)| &value[at + VERSION.len()..]).any(|rest| {
-        matches!(rest, [b'0' | b'1', b' ', status @ ..]
-            if status.len() >= 3 && status[..3].iter().all(u8::is_ascii_digit))
-    })
+fn owned(header: &httparse::Header<'_>) -> (Bytes, Bytes) {
+    (Bytes::from(header.name.to_ascii_lowercase()), Bytes::copy_from_slice(header.value))
 }
 
-fn parse_idle_timeout(value: &str) -> Option<Duration> {
-    let mut parts = value.split(',').filter_map(|part| part.trim().strip_prefix("timeout="));
-    parts.next()?.trim().parse().ok().map(Duration::from_secs)
+/// Parses the value of `keep-alive`, such as `timeout=5, max=100`.
+fn parse_idle_timeout(value: &[u8]) -> Option<Duration> {
+    let mut parameters = value.split(|byte| *byte == b',').map(trim);
+    let seconds = parameters.find_map(|parameter| parameter.strip_prefix(b"timeout="))?;
+    decimal(trim(seconds)).map(Duration::from_secs)
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use daisysill_cluster::ClusterMetrics;
+use daisysill_http::refused_responses;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -178,6 +179,7 @@
         let connections = ConnectionMetrics::default();
         connections.register(&mut registry);
         cluster.register(&mut registry);
+        registry.register("refused_responses", "Responses refused as malformed", refused_responses());
         let all = &mut registry;
         Self {
             requests: registered(all, "requests", "Requests finished"),
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use daisysill_cluster::ClusterMetrics;
 use daisysill_gateway::callers::ConnectionMetrics;
+use daisysill_http::refused_responses;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -169,6 +170,7 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("requests", "Requests finished", self.requests.clone());
+        registry.register("refused_responses", "Responses refused as malformed", refused_responses());
         registry.register("attempts", "Attempts sent to upstreams", self.attempts.clone());
         registry.register(
             "failed_attempts",
