Take only digits for the length of a body

Callers got a complete 200 whose body was cut, buffered and streamed, on kept connections and through a second entry node: a signed Content-Length, one beside a blank that is not ASCII, and one that stands in two lines were taken for lengths. Cause: the value was trimmed of all white space of Unicode and read as a Rust integer, which may have a sign. Change: a length is one field of decimal digits, between blanks and tabs only.

--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -2,7 +2,10 @@
 
 use httparse::{EMPTY_HEADER, Error, Header, Response, Status};
 
-use crate::{fault::ResponseFault, field::trim};
+use crate::{
+    fault::ResponseFault,
+    field::{decimal, trim},
+};
 
 /// Maximum number of fields of a head.
 pub const MAX_HEADERS: usize = 64;
@@ -77,8 +80,8 @@
 /// let mut space = headers();
 /// let head = parse_head(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ncue7", &mut space, false);
 /// assert_eq!(head.unwrap().unwrap().framing, Framing::Length(4));
-/// let odd = parse_head(b"HTTP/1.1 200 OK\r\nContent-Length: four\r\n\r\ncue7", &mut space, false);
-/// assert_eq!(odd.unwrap_err(), ResponseFault::Length);
+/// let signed = parse_head(b"HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\ncue7", &mut space, false);
+/// assert_eq!(signed.unwrap_err(), ResponseFault::Length);
 /// ```
 pub fn parse_head<'h, 'b>(
     input: &'b [u8],
@@ -144,10 +147,10 @@
         Ok(fields)
     }
 
+    /// A length that is stated twice may be that of two responses.
     fn read_length(&mut self, value: &[u8]) -> Result<(), ResponseFault> {
-        let text = std::str::from_utf8(value).unwrap_or("").trim();
-        let length = text.parse().map_err(|_| ResponseFault::Length)?;
-        if self.length.replace(length).is_some_and(|known| known != length) {
+        let length = decimal(value).ok_or(ResponseFault::Length)?;
+        if self.length.replace(length).is_some() {
             return Err(ResponseFault::Length);
         }
         Ok(())
@@ -176,7 +179,7 @@
 }
 
 /// Returns whether a text holds a status line, `HTTP/1.1 200 OK`. What the response states would be that of two.
-pub(crate) fn holds_status_line(text: &[u8]) -> bool {
+fn holds_status_line(text: &[u8]) -> bool {
     const VERSION: &[u8] = b"HTTP/1.";
     let starts = text.windows(VERSION.len()).enumerate().filter(|(_, window)| *window == VERSION);
     starts.map(|(at, _)| &text[at + VERSION.len()..]).any(|rest| {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod engine_transfer;
 pub mod environment;
 pub mod full_disk;
+pub mod malformed_responses;
 pub mod measure_checks;
 pub mod measure_config;
 pub mod measure_load;
--- /dev/null
+++ b/crates/testkit/src/malformed_responses.rs
@@ -0,0 +1,170 @@
+//! Responses that the grammar of HTTP/1.1 does not allow, and sound ones, for the tests of all clients.
+//!
+//! The body of each is [`BODY`], two events of [`EVENT_BYTES`] each. A client that reads a malformed response by looser rules
+//! takes it for a whole one, mostly with the first event only.
+
+/// The body of all responses.
+pub const BODY: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+/// Length of each of its events.
+pub const EVENT_BYTES: usize = BODY.len() / 2;
+
+/// Stands for the fields that a server sends in each response.
+const FIELDS: &str = "{fields}";
+
+/// A response with the reason for which it is refused.
+#[derive(Clone, Debug)]
+pub struct MalformedResponse {
+    /// What is wrong with it.
+    pub name: &'static str,
+    /// The name of the fault.
+    pub reason: &'static str,
+    bytes: Vec<u8>,
+}
+
+impl MalformedResponse {
+    /// Returns the bytes with these fields, each of which ends with a line end, in the head.
+    pub fn bytes(&self, fields: &str) -> Vec<u8> {
+        with_fields(&self.bytes, fields)
+    }
+}
+
+/// A response that is allowed.
+#[derive(Clone, Debug)]
+pub struct SoundResponse {
+    /// What is special about it.
+    pub name: &'static str,
+    /// Whether its body ends with the connection.
+    pub closes: bool,
+    bytes: Vec<u8>,
+}
+
+impl SoundResponse {
+    /// Returns the bytes with these fields, each of which ends with a line end, in the head.
+    pub fn bytes(&self, fields: &str) -> Vec<u8> {
+        with_fields(&self.bytes, fields)
+    }
+}
+
+fn with_fields(bytes: &[u8], fields: &str) -> Vec<u8> {
+    let at = bytes.windows(FIELDS.len()).position(|window| window == FIELDS.as_bytes());
+    let Some(at) = at else { return bytes.to_vec() };
+    [&bytes[..at], fields.as_bytes(), &bytes[at + FIELDS.len()..]].concat()
+}
+
+/// A name and the bytes of a response.
+type Named = (&'static str, Vec<u8>);
+
+/// Returns all malformed responses.
+pub fn malformed_responses() -> Vec<MalformedResponse> {
+    let groups: [(&'static str, Vec<Named>); 1] = [("length", lengths())];
+    let of_group = |(reason, responses): (&'static str, Vec<Named>)| {
+        responses.into_iter().map(move |(name, bytes)| MalformedResponse { name, reason, bytes })
+    };
+    groups.into_iter().flat_map(of_group).collect()
+}
+
+const OK: &str = "HTTP/1.1 200 OK";
+const CHUNKED: &[u8] = b"Transfer-Encoding: chunked\r\n";
+
+/// Returns a response with a status line, further lines of the head, each with its line end, and what follows the head.
+fn response(status_line: &str, lines: &[u8], rest: &[u8]) -> Vec<u8> {
+    [status_line.as_bytes(), b"\r\n", FIELDS.as_bytes(), lines, b"\r\n", rest].concat()
+}
+
+/// Returns a response with the length of [`BODY`] and this status line.
+fn with_status_line(status_line: &str) -> Vec<u8> {
+    let length = format!("Content-Length: {}\r\n", BODY.len());
+    response(status_line, length.as_bytes(), BODY.as_bytes())
+}
+
+/// Returns a success whose head has these further lines, each with its line end.
+fn with_lines(lines: &[u8]) -> Vec<u8> {
+    response(OK, lines, BODY.as_bytes())
+}
+
+/// Returns a success in chunks with this transfer coding.
+fn with_coding(status_line: &str, lines: &[u8]) -> Vec<u8> {
+    let rest = format!("1e\r\n{BODY}\r\n0\r\n\r\n");
+    response(status_line, lines, rest.as_bytes())
+}
+
+/// Lengths that are not one decimal number.
+fn lengths() -> Vec<Named> {
+    vec![
+        ("signed length", with_lines(b"Content-Length: +15\r\n")),
+        ("negative length", with_lines(b"Content-Length: -15\r\n")),
+        ("length behind a no-break space", with_lines(b"Content-Length: \xc2\xa015\r\n")),
+        ("length before a no-break space", with_lines(b"Content-Length: 15\xc2\xa0\r\n")),
+        ("length behind a blank of Unicode", with_lines("Content-Length: \u{2003}15\r\n".as_bytes())),
+        ("length behind a line separator", with_lines("Content-Length: \u{2028}15\r\n".as_bytes())),
+        ("length behind a byte of Latin-1", with_lines(b"Content-Length: \xa015\r\n")),
+        ("digits of another script", with_lines("Content-Length: \u{661}\u{665}\r\n".as_bytes())),
+        ("two lengths in two lines", with_lines(b"Content-Length: 15\r\nContent-Length: 30\r\n")),
+        ("a length in two lines", with_lines(b"Content-Length: 15\r\ncontent-length: 15\r\n")),
+        ("two lengths in a line", with_lines(b"Content-Length: 15, 30\r\n")),
+        ("a length twice in a line", with_lines(b"Content-Length: 15, 15\r\n")),
+        ("length with a unit", with_lines(b"Content-Length: 15 bytes\r\n")),
+        ("length with a separator", with_lines(b"Content-Length: 1_5\r\n")),
+        ("length with a fraction", with_lines(b"Content-Length: 15.0\r\n")),
+        ("length with an exponent", with_lines(b"Content-Length: 15e0\r\n")),
+        ("hexadecimal length", with_lines(b"Content-Length: 0xf\r\n")),
+        ("quoted length", with_lines(b"Content-Length: \"15\"\r\n")),
+        ("empty length", with_lines(b"Content-Length:\r\n")),
+        ("length beyond 64 bits", with_lines(b"Content-Length: 18446744073709551631\r\n")),
+    ]
+}
+
+/// Returns sound responses in each framing, some in spellings that are rare.
+pub fn sound_responses() -> Vec<SoundResponse> {
+    let (first, second) = BODY.split_at(EVENT_BYTES);
+    let in_chunks = |first_line: &str, second_line: &str, end: &str| {
+        let rest = format!("{first_line}\r\n{first}\r\n{second_line}\r\n{second}\r\n{end}\r\n");
+        response(OK, CHUNKED, rest.as_bytes())
+    };
+    let kept = [
+        ("length", with_lines(b"Content-Length: 30\r\n")),
+        ("length without blanks", with_lines(b"content-length:30\r\n")),
+        ("length between blanks and tabs", with_lines(b"CONTENT-LENGTH: \t 30 \t\r\n")),
+        ("length with zeros before it", with_lines(b"Content-Length: 0030\r\n")),
+        ("no reason phrase", with_status_line("HTTP/1.1 200 ")),
+        ("long reason phrase", with_status_line("HTTP/1.1 200 All is well, \tHTTP/1.1 it is")),
+        ("reason phrase in Latin-1", response_of_bytes(b"HTTP/1.1 200 d\xe9j\xe0 vu")),
+        ("lines that end with line feeds", bare_line_feeds()),
+        ("names of all token characters", with_lines(b"!#$%&'*+-.^_`|~09aZ: 1\r\nContent-Length: 30\r\n")),
+        ("empty value", with_lines(b"X-Sum:\r\nContent-Length: 30\r\n")),
+        (
+            "value in UTF-8",
+            with_lines("X-Sum: \u{a0}d\u{e9}j\u{e0}\tvu\r\nContent-Length: 30\r\n".as_bytes()),
+        ),
+        (
+            "value that names the protocol",
+            with_lines(b"Via: HTTP/1.1 proxy, 1.1 b\r\nContent-Length: 30\r\n"),
+        ),
+        ("informational heads", informational()),
+        ("chunks", in_chunks("f", "F", "0\r\n")),
+        ("chunk sizes with zeros before them", in_chunks("000f", "000000000000f", "000\r\n")),
+        ("coding in upper case", with_coding(OK, b"Transfer-Encoding: \tCHUNKED \r\n")),
+        ("extensions", in_chunks("f;a;b=c", "f ; a = \"b;\\\"\tc\" ;d", "0;e=f\r\n")),
+        ("trailers", in_chunks("f", "f", "0\r\nX-Sum: 1\r\nX-Empty:\r\nX-Text: \td\u{e9}j\u{e0} vu \r\n")),
+    ];
+    let closed = [
+        ("no length", with_lines(b"")),
+        ("no length, HTTP/1.0", response("HTTP/1.0 200 OK", b"", BODY.as_bytes())),
+    ];
+    let of = |closes| move |(name, bytes): Named| SoundResponse { name, closes, bytes };
+    kept.into_iter().map(of(false)).chain(closed.into_iter().map(of(true))).collect()
+}
+
+fn response_of_bytes(status_line: &[u8]) -> Vec<u8> {
+    let rest = format!("\r\n{FIELDS}Content-Length: 30\r\n\r\n{BODY}");
+    [status_line, rest.as_bytes()].concat()
+}
+
+fn bare_line_feeds() -> Vec<u8> {
+    format!("HTTP/1.1 200 OK\n{FIELDS}Content-Length: 30\n\n{BODY}").into_bytes()
+}
+
+fn informational() -> Vec<u8> {
+    let hints = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\n";
+    [hints.as_slice(), &with_status_line(OK)].concat()
+}
