Take only fields and the empty line for what follows the last chunk

Callers got a complete 200 whose body was cut: a chunk size of 0 in the middle of a body, and what followed counted as trailers. Cause: lines after the last chunk were passed over unread, up to the next empty one. Change: each is parsed as a field with the parser of heads; anything else is refused with the reason trailer.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -2,7 +2,7 @@
 
 mod chunk;
 
-use self::chunk::chunk_size;
+use self::chunk::{check_trailer, chunk_size};
 use crate::{fault::ResponseFault, head::Framing};
 
 /// Maximum size of the line before a chunk, with its line end.
@@ -146,6 +146,7 @@
         } else if fields == MAX_TRAILERS {
             return Err(ResponseFault::TooLarge);
         } else {
+            check_trailer(line)?;
             self.state = State::Trailers { fields: fields + 1, bytes: bytes + line.len() };
         }
         Ok(BodyStep::Framing(line.len()))
--- a/crates/testkit/src/malformed_responses.rs
+++ b/crates/testkit/src/malformed_responses.rs
@@ -56,7 +56,7 @@
 
 /// Returns all malformed responses.
 pub fn malformed_responses() -> Vec<MalformedResponse> {
-    let groups: [(&'static str, Vec<Named>); 1] = [("length", lengths())];
+    let groups: [(&'static str, Vec<Named>); 2] = [("length", lengths()), ("trailer", trailers())];
     let of_group = |(reason, responses): (&'static str, Vec<Named>)| {
         responses.into_iter().map(move |(name, bytes)| MalformedResponse { name, reason, bytes })
     };
@@ -82,6 +82,13 @@
     response(OK, lines, BODY.as_bytes())
 }
 
+/// Returns a success in chunks whose first event seems to be the last one, and what follows as trailers.
+fn with_trailers(lines: &[u8]) -> Vec<u8> {
+    let (first, second) = BODY.split_at(EVENT_BYTES);
+    let rest = format!("f\r\n{first}\r\n0\r\n");
+    response(OK, CHUNKED, &[rest.as_bytes(), lines, second.as_bytes(), b"\r\n0\r\n\r\n"].concat())
+}
+
 /// Returns a success in chunks with this transfer coding.
 fn with_coding(status_line: &str, lines: &[u8]) -> Vec<u8> {
     let rest = format!("1e\r\n{BODY}\r\n0\r\n\r\n");
@@ -114,6 +121,22 @@
     ]
 }
 
+/// Lines after the last chunk that are neither fields nor empty.
+fn trailers() -> Vec<Named> {
+    vec![
+        ("trailer without a colon", with_trailers(b"f\r\n")),
+        ("trailer without a name", with_trailers(b": f\r\n")),
+        ("trailer with a blank in its name", with_trailers(b"X Sum: f\r\n")),
+        ("trailer with a blank behind its name", with_trailers(b"X-Sum : f\r\n")),
+        ("trailer with a control byte in its name", with_trailers(b"X-\x01Sum: f\r\n")),
+        ("trailer with a control byte in its value", with_trailers(b"X-Sum: \x01f\r\n")),
+        ("trailer with a carriage return in its value", with_trailers(b"X-Sum: \rf\r\n")),
+        ("folded trailer", with_trailers(b"X-Sum: 1\r\n f\r\n")),
+        ("trailer of blanks", with_trailers(b"  \r\n")),
+        ("status line as a trailer", with_trailers(b"HTTP/1.1 200 OK\r\n")),
+    ]
+}
+
 /// Returns sound responses in each framing, some in spellings that are rare.
 pub fn sound_responses() -> Vec<SoundResponse> {
     let (first, second) = BODY.split_at(EVENT_BYTES);
