Take only statuses from 100 to 599, and no switch of the protocol

Callers got answers with status 600 and 999. A 101, which nobody asked for, was skipped as an informational head, and what the upstream sent behind it in another protocol was read as its answer. Cause: the range of the status was that of the type, which is 100 to 999; 101 has the class of informational statuses. Change: other statuses, and 101, are refused with the reason status. 000 and 099 were refused before.

--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -11,7 +11,9 @@
 pub const MAX_HEADERS: usize = 64;
 /// Maximum number of informational heads before the one that counts.
 pub const MAX_INFORMATIONAL_HEADS: usize = 8;
-const STATUSES: std::ops::RangeInclusive<u16> = 100..=999;
+/// Statuses with a class that RFC 9110 defines.
+const STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
+const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// Space for the fields of a head.
 pub type Headers<'b> = [Header<'b>; MAX_HEADERS];
@@ -50,7 +52,7 @@
 /// The head of a response.
 #[derive(Clone, Copy, Debug)]
 pub struct ResponseHead<'h, 'b> {
-    /// From 100 to 999.
+    /// From 100 to 599.
     pub status: u16,
     /// All fields, those of the connection included.
     pub headers: &'h [Header<'b>],
@@ -97,7 +99,7 @@
     let (Some(status), Some(minor_version)) = (response.code, response.version) else {
         return Err(ResponseFault::StatusLine);
     };
-    if !STATUSES.contains(&status) {
+    if !STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
         return Err(ResponseFault::Status);
     }
     let headers: &[Header<'_>] = response.headers;
--- a/crates/testkit/src/malformed_responses.rs
+++ b/crates/testkit/src/malformed_responses.rs
@@ -56,7 +56,8 @@
 
 /// Returns all malformed responses.
 pub fn malformed_responses() -> Vec<MalformedResponse> {
-    let groups: [(&'static str, Vec<Named>); 2] = [("length", lengths()), ("trailer", trailers())];
+    let groups: [(&'static str, Vec<Named>); 3] =
+        [("length", lengths()), ("trailer", trailers()), ("status", statuses())];
     let of_group = |(reason, responses): (&'static str, Vec<Named>)| {
         responses.into_iter().map(move |(name, bytes)| MalformedResponse { name, reason, bytes })
     };
@@ -137,6 +138,21 @@
     ]
 }
 
+/// Statuses that are not from 100 to 599, or switch the protocol.
+fn statuses() -> Vec<Named> {
+    vec![
+        ("status 600", with_status_line("HTTP/1.1 600 Odd")),
+        ("status 999", with_status_line("HTTP/1.1 999 Odd")),
+        ("status 000", with_status_line("HTTP/1.1 000 Odd")),
+        ("status 099", with_status_line("HTTP/1.1 099 Odd")),
+        (
+            "switch to another protocol",
+            [b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n".as_slice(), &with_status_line(OK)]
+                .concat(),
+        ),
+    ]
+}
+
 /// Returns sound responses in each framing, some in spellings that are rare.
 pub fn sound_responses() -> Vec<SoundResponse> {
     let (first, second) = BODY.split_at(EVENT_BYTES);
