--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -14,6 +14,8 @@
 /// Statuses with a class that RFC 9110 defines.
 const STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
 const SWITCHING_PROTOCOLS: u16 = 101;
+/// Length of the version and the status in a status line, `HTTP/1.1 200`, which a blank follows.
+const VERSION_AND_STATUS_BYTES: usize = 12;
 
 /// Space for the fields of a head.
 pub type Headers<'b> = [Header<'b>; MAX_HEADERS];
@@ -96,6 +98,7 @@
         Ok(Status::Partial) => return Ok(None),
         Err(error) => return Err(fault_of(error)),
     };
+    check_status_line(input)?;
     let (Some(status), Some(minor_version)) = (response.code, response.version) else {
         return Err(ResponseFault::StatusLine);
     };
@@ -118,6 +121,15 @@
     }
 }
 
+/// Checks what the parser lets pass: a reason phrase that breaks off where the head of another response begins.
+fn check_status_line(input: &[u8]) -> Result<(), ResponseFault> {
+    let line = input.split(|byte| *byte == b'\n').next().unwrap_or_default();
+    match line.get(VERSION_AND_STATUS_BYTES..) {
+        Some([b' ', reason @ ..]) if holds_status_line(reason) => Err(ResponseFault::TwoHeads),
+        _ => Ok(()),
+    }
+}
+
 /// What the fields of a head state about its connection and the framing of its body.
 #[derive(Clone, Copy, Debug, Default)]
 struct ConnectionFields {
@@ -181,7 +193,7 @@
 }
 
 /// Returns whether a text holds a status line, `HTTP/1.1 200 OK`. What the response states would be that of two.
-fn holds_status_line(text: &[u8]) -> bool {
+pub(crate) fn holds_status_line(text: &[u8]) -> bool {
     const VERSION: &[u8] = b"HTTP/1.";
     let starts = text.windows(VERSION.len()).enumerate().filter(|(_, window)| *window == VERSION);
     starts.map(|(at, _)| &text[at + VERSION.len()..]).any(|rest| {
--- a/crates/testkit/src/malformed_responses.rs
+++ b/crates/testkit/src/malformed_responses.rs
@@ -56,8 +56,12 @@
 
 /// Returns all malformed responses.
 pub fn malformed_responses() -> Vec<MalformedResponse> {
-    let groups: [(&'static str, Vec<Named>); 3] =
-        [("length", lengths()), ("trailer", trailers()), ("status", statuses())];
+    let groups: [(&'static str, Vec<Named>); 4] = [
+        ("length", lengths()),
+        ("trailer", trailers()),
+        ("status", statuses()),
+        ("two_heads", joined_heads()),
+    ];
     let of_group = |(reason, responses): (&'static str, Vec<Named>)| {
         responses.into_iter().map(move |(name, bytes)| MalformedResponse { name, reason, bytes })
     };
@@ -153,6 +157,19 @@
     ]
 }
 
+/// Heads that break off where that of another response begins.
+fn joined_heads() -> Vec<Named> {
+    let second = [b"X-Sum: HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n", BODY.as_bytes()].concat();
+    vec![
+        ("status line in a reason phrase", with_status_line("HTTP/1.1 500 InternaHTTP/1.1 200 OK")),
+        ("status line as a reason phrase", with_status_line("HTTP/1.1 500 HTTP/1.1 200 OK")),
+        ("success behind a reason phrase", with_status_line("HTTP/1.1 200 OKHTTP/1.0 200 OK")),
+        ("status line as a value", with_lines(b"X-Sum: HTTP/1.1 200 OK\r\nContent-Length: 15\r\n")),
+        ("status line in a value", with_lines(b"X-Sum: abcHTTP/1.0 404 None\r\nContent-Length: 15\r\n")),
+        ("status line as the value of a trailer", response(OK, CHUNKED, &[b"0\r\n", &second[..]].concat())),
+    ]
+}
+
 /// Returns sound responses in each framing, some in spellings that are rare.
 pub fn sound_responses() -> Vec<SoundResponse> {
     let (first, second) = BODY.split_at(EVENT_BYTES);
