Take the chunked transfer coding only where it is allowed

A body in chunks counted as sound in a response of HTTP/1.0, if the coding was applied twice, and if its name stood beside a blank that is not ASCII: where such a body ends is uncertain by RFC 9112, 6.1 and 7. Cause: neither the version nor an earlier line was looked at, and the value was trimmed of all white space of Unicode. Change: these are refused with the reason transfer_coding. Codings other than chunked, and one beside a length, were refused before.

--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -106,7 +106,7 @@
         return Err(ResponseFault::Status);
     }
     let headers: &[Header<'_>] = response.headers;
-    let fields = ConnectionFields::read(headers)?;
+    let fields = ConnectionFields::read(headers, minor_version)?;
     let has_no_body = answers_head_request || matches!(status, 100..=199 | 204 | 304);
     let framing = if has_no_body { Framing::Length(0) } else { fields.framing() };
     let keeps_open = minor_version >= 1 && !fields.closes;
@@ -140,7 +140,7 @@
 }
 
 impl ConnectionFields {
-    fn read(headers: &[Header<'_>]) -> Result<Self, ResponseFault> {
+    fn read(headers: &[Header<'_>], minor_version: u8) -> Result<Self, ResponseFault> {
         let mut fields = Self::default();
         for header in headers {
             let value = trim(header.value);
@@ -150,7 +150,7 @@
             if header.name.eq_ignore_ascii_case("content-length") {
                 fields.read_length(value)?;
             } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
-                fields.read_transfer_coding(value)?;
+                fields.read_transfer_coding(value, minor_version)?;
             } else if header.name.eq_ignore_ascii_case("connection") {
                 fields.closes |= value.split(|byte| *byte == b',').any(is_close);
             }
@@ -170,9 +170,9 @@
         Ok(())
     }
 
-    fn read_transfer_coding(&mut self, value: &[u8]) -> Result<(), ResponseFault> {
-        let text = std::str::from_utf8(value).unwrap_or("").trim();
-        if !text.eq_ignore_ascii_case("chunked") {
+    /// HTTP/1.0 has no transfer codings, and no sender applies the chunked one twice.
+    fn read_transfer_coding(&mut self, value: &[u8], minor_version: u8) -> Result<(), ResponseFault> {
+        if self.is_chunked || minor_version == 0 || !value.eq_ignore_ascii_case(b"chunked") {
             return Err(ResponseFault::TransferCoding);
         }
         self.is_chunked = true;
--- a/crates/testkit/src/malformed_responses.rs
+++ b/crates/testkit/src/malformed_responses.rs
@@ -56,11 +56,12 @@
 
 /// Returns all malformed responses.
 pub fn malformed_responses() -> Vec<MalformedResponse> {
-    let groups: [(&'static str, Vec<Named>); 4] = [
+    let groups: [(&'static str, Vec<Named>); 5] = [
         ("length", lengths()),
         ("trailer", trailers()),
         ("status", statuses()),
         ("two_heads", joined_heads()),
+        ("transfer_coding", transfer_codings()),
     ];
     let of_group = |(reason, responses): (&'static str, Vec<Named>)| {
         responses.into_iter().map(move |(name, bytes)| MalformedResponse { name, reason, bytes })
@@ -170,6 +171,23 @@
     ]
 }
 
+/// Transfer codings other than the chunked one, or where it is not allowed.
+fn transfer_codings() -> Vec<Named> {
+    vec![
+        ("coding of HTTP/1.0", with_coding("HTTP/1.0 200 OK", CHUNKED)),
+        ("coding in two lines", with_coding(OK, &[CHUNKED, CHUNKED].concat())),
+        ("coding twice in a line", with_coding(OK, b"Transfer-Encoding: chunked, chunked\r\n")),
+        ("coding behind a no-break space", with_coding(OK, b"Transfer-Encoding: \xc2\xa0chunked\r\n")),
+        ("coding before a no-break space", with_coding(OK, b"Transfer-Encoding: chunked\xc2\xa0\r\n")),
+        ("coding with a length", with_coding(OK, b"Content-Length: 15\r\nTransfer-Encoding: chunked\r\n")),
+        ("length with a coding", with_coding(OK, b"Transfer-Encoding: chunked\r\nContent-Length: 15\r\n")),
+        ("further coding", with_coding(OK, b"Transfer-Encoding: gzip, chunked\r\n")),
+        ("unknown coding", with_coding(OK, b"Transfer-Encoding: chunke\r\n")),
+        ("identity coding", with_lines(b"Transfer-Encoding: identity\r\n")),
+        ("empty coding", with_lines(b"Transfer-Encoding:\r\n")),
+    ]
+}
+
 /// Returns sound responses in each framing, some in spellings that are rare.
 pub fn sound_responses() -> Vec<SoundResponse> {
     let (first, second) = BODY.split_at(EVENT_BYTES);
