--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -11,6 +11,7 @@
 const MAX_TRAILER_BYTES: usize = 16 * 1_024;
 /// Maximum number of fields after the last chunk.
 const MAX_TRAILERS: usize = 64;
+const LINE_END: &[u8] = b"\r\n";
 
 /// How far a body was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -123,7 +124,8 @@
 
     fn read_chunk_start(&mut self, input: &[u8]) -> Result<BodyStep, ResponseFault> {
         let Some(line) = line(input, MAX_CHUNK_LINE_BYTES)? else { return Ok(BodyStep::NeedsMore) };
-        self.state = match chunk_size(line).ok_or(ResponseFault::Chunk)? {
+        let text = line.strip_suffix(LINE_END).ok_or(ResponseFault::Chunk)?;
+        self.state = match chunk_size(text).ok_or(ResponseFault::Chunk)? {
             0 => State::Trailers { fields: 0, bytes: 0 },
             size => State::ChunkData(size),
         };
@@ -131,12 +133,15 @@
     }
 
     fn read_chunk_end(&mut self, input: &[u8]) -> Result<BodyStep, ResponseFault> {
-        let Some(line) = line(input, MAX_CHUNK_LINE_BYTES)? else { return Ok(BodyStep::NeedsMore) };
-        if !matches!(line, b"\r\n" | b"\n") {
+        let start = &input[..input.len().min(LINE_END.len())];
+        if !LINE_END.starts_with(start) {
             return Err(ResponseFault::Chunk);
         }
+        if start.len() < LINE_END.len() {
+            return Ok(BodyStep::NeedsMore);
+        }
         self.state = State::ChunkStart;
-        Ok(BodyStep::Framing(line.len()))
+        Ok(BodyStep::Framing(LINE_END.len()))
     }
 
     fn read_trailer(&mut self, input: &[u8], fields: usize, bytes: usize) -> Result<BodyStep, ResponseFault> {
--- a/crates/testkit/src/malformed_responses.rs
+++ b/crates/testkit/src/malformed_responses.rs
@@ -56,12 +56,13 @@
 
 /// Returns all malformed responses.
 pub fn malformed_responses() -> Vec<MalformedResponse> {
-    let groups: [(&'static str, Vec<Named>); 5] = [
+    let groups: [(&'static str, Vec<Named>); 6] = [
         ("length", lengths()),
         ("trailer", trailers()),
         ("status", statuses()),
         ("two_heads", joined_heads()),
         ("transfer_coding", transfer_codings()),
+        ("chunk", chunks()),
     ];
     let of_group = |(reason, responses): (&'static str, Vec<Named>)| {
         responses.into_iter().map(move |(name, bytes)| MalformedResponse { name, reason, bytes })
@@ -88,6 +89,13 @@
     response(OK, lines, BODY.as_bytes())
 }
 
+/// Returns a success in chunks, one for each event, with this line before the first one.
+fn with_chunk_line(line: &[u8]) -> Vec<u8> {
+    let (first, second) = BODY.split_at(EVENT_BYTES);
+    let rest = format!("{first}\r\nf\r\n{second}\r\n0\r\n\r\n");
+    response(OK, CHUNKED, &[line, rest.as_bytes()].concat())
+}
+
 /// Returns a success in chunks whose first event seems to be the last one, and what follows as trailers.
 fn with_trailers(lines: &[u8]) -> Vec<u8> {
     let (first, second) = BODY.split_at(EVENT_BYTES);
@@ -188,6 +196,34 @@
     ]
 }
 
+/// Invalid framing of chunks.
+fn chunks() -> Vec<Named> {
+    let (first, second) = BODY.split_at(EVENT_BYTES);
+    let two_chunks = |end: &str| format!("f\r\n{first}{end}f\r\n{second}{end}0\r\n\r\n").into_bytes();
+    vec![
+        ("signed chunk size", with_chunk_line(b"+f\r\n")),
+        ("blank before a chunk size", with_chunk_line(b" f\r\n")),
+        ("blank behind a chunk size", with_chunk_line(b"f \r\n")),
+        ("no-break space behind a chunk size", with_chunk_line(b"f\xc2\xa0\r\n")),
+        ("control byte behind a chunk size", with_chunk_line(b"f\x0b\r\n")),
+        ("carriage return behind a chunk size", with_chunk_line(b"f\r\r\n")),
+        ("chunk size with a prefix", with_chunk_line(b"0xf\r\n")),
+        ("chunk size that is no number", with_chunk_line(b"fifteen\r\n")),
+        ("chunk size beyond 64 bits", with_chunk_line(b"1000000000000000f\r\n")),
+        ("no chunk size", with_chunk_line(b"\r\n")),
+        ("no chunk size before an extension", with_chunk_line(b";a=b\r\n")),
+        ("extension without a name", with_chunk_line(b"f;=b\r\n")),
+        ("extension without a value", with_chunk_line(b"f;a=\r\n")),
+        ("extension that is no token", with_chunk_line(b"f;a=b/c\r\n")),
+        ("extension with an open quote", with_chunk_line(b"f;a=\"b\r\n")),
+        ("status line in an extension", with_chunk_line(b"f;a=HTTP/1.1 200 OK\r\n")),
+        ("chunk size that ends with a line feed", with_chunk_line(b"f\n")),
+        ("chunk that ends with a line feed", response(OK, CHUNKED, &two_chunks("\n"))),
+        ("chunk that is longer than its size", response(OK, CHUNKED, &two_chunks("\n\r\n"))),
+        ("chunk without an end", response(OK, CHUNKED, &two_chunks(""))),
+    ]
+}
+
 /// Returns sound responses in each framing, some in spellings that are rare.
 pub fn sound_responses() -> Vec<SoundResponse> {
     let (first, second) = BODY.split_at(EVENT_BYTES);
