Read the status line by its grammar

A response without the blank behind its status, or with an empty line before its status line, was taken for an answer. The line end may be a part of the answer before it: only servers may skip empty lines. Cause: the parser of heads allows both. Change: both are refused with the reason status_line.

--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -92,6 +92,10 @@
     headers: &'h mut Headers<'b>,
     answers_head_request: bool,
 ) -> Result<Option<ResponseHead<'h, 'b>>, ResponseFault> {
+    // Only servers may skip empty lines before a message.
+    if matches!(input.first(), Some(b'\r' | b'\n')) {
+        return Err(ResponseFault::StatusLine);
+    }
     let mut response = Response::new(headers);
     let head_bytes = match response.parse(input) {
         Ok(Status::Complete(head_bytes)) => head_bytes,
@@ -121,12 +125,14 @@
     }
 }
 
-/// Checks what the parser lets pass: a reason phrase that breaks off where the head of another response begins.
+/// Checks what the parser lets pass: a status without a blank behind it, and a reason phrase that breaks off where the head of
+/// another response begins.
 fn check_status_line(input: &[u8]) -> Result<(), ResponseFault> {
     let line = input.split(|byte| *byte == b'\n').next().unwrap_or_default();
     match line.get(VERSION_AND_STATUS_BYTES..) {
         Some([b' ', reason @ ..]) if holds_status_line(reason) => Err(ResponseFault::TwoHeads),
-        _ => Ok(()),
+        Some([b' ', ..]) => Ok(()),
+        _ => Err(ResponseFault::StatusLine),
     }
 }
 
--- a/crates/testkit/src/malformed_responses.rs
+++ b/crates/testkit/src/malformed_responses.rs
@@ -56,13 +56,14 @@
 
 /// Returns all malformed responses.
 pub fn malformed_responses() -> Vec<MalformedResponse> {
-    let groups: [(&'static str, Vec<Named>); 6] = [
+    let groups: [(&'static str, Vec<Named>); 7] = [
         ("length", lengths()),
         ("trailer", trailers()),
         ("status", statuses()),
         ("two_heads", joined_heads()),
         ("transfer_coding", transfer_codings()),
         ("chunk", chunks()),
+        ("status_line", status_lines()),
     ];
     let of_group = |(reason, responses): (&'static str, Vec<Named>)| {
         responses.into_iter().map(move |(name, bytes)| MalformedResponse { name, reason, bytes })
@@ -224,6 +225,27 @@
     ]
 }
 
+/// Status lines that the grammar does not allow.
+fn status_lines() -> Vec<Named> {
+    vec![
+        ("status without a blank behind it", with_status_line("HTTP/1.1 200")),
+        ("empty line before the status line", with_status_line("\r\nHTTP/1.1 200 OK")),
+        ("line feed before the status line", with_status_line("\nHTTP/1.1 200 OK")),
+        ("status of two digits", with_status_line("HTTP/1.1 20 OK")),
+        ("status of four digits", with_status_line("HTTP/1.1 2000 OK")),
+        ("status with a letter", with_status_line("HTTP/1.1 2x0 OK")),
+        ("signed status", with_status_line("HTTP/1.1 +20 OK")),
+        ("two blanks before the status", with_status_line("HTTP/1.1  200 OK")),
+        ("tab before the status", with_status_line("HTTP/1.1\t200 OK")),
+        ("blank before the version", with_status_line(" HTTP/1.1 200 OK")),
+        ("version in lower case", with_status_line("http/1.1 200 OK")),
+        ("version 2.0", with_status_line("HTTP/2.0 200 OK")),
+        ("version of one digit", with_status_line("HTTP/1 200 OK")),
+        ("version of three digits", with_status_line("HTTP/1.10 200 OK")),
+        ("no version", with_status_line("200 OK")),
+    ]
+}
+
 /// Returns sound responses in each framing, some in spellings that are rare.
 pub fn sound_responses() -> Vec<SoundResponse> {
     let (first, second) = BODY.split_at(EVENT_BYTES);
