--- a/crates/testkit/src/malformed_responses.rs
+++ b/crates/testkit/src/malformed_responses.rs
@@ -56,7 +56,7 @@
 
 /// Returns all malformed responses.
 pub fn malformed_responses() -> Vec<MalformedResponse> {
-    let groups: [(&'static str, Vec<Named>); 7] = [
+    let groups: [(&'static str, Vec<Named>); 8] = [
         ("length", lengths()),
         ("trailer", trailers()),
         ("status", statuses()),
@@ -64,6 +64,7 @@
         ("transfer_coding", transfer_codings()),
         ("chunk", chunks()),
         ("status_line", status_lines()),
+        ("field", fields()),
     ];
     let of_group = |(reason, responses): (&'static str, Vec<Named>)| {
         responses.into_iter().map(move |(name, bytes)| MalformedResponse { name, reason, bytes })
@@ -246,6 +247,33 @@
     ]
 }
 
+/// Lines of a head that are no fields.
+fn fields() -> Vec<Named> {
+    vec![
+        ("line without a colon", with_lines(b"Content-Length 15\r\n")),
+        ("line of one word", with_lines(b"garbage\r\nContent-Length: 15\r\n")),
+        ("blank behind a name", with_lines(b"Content-Length : 15\r\n")),
+        ("tab behind a name", with_lines(b"Content-Length\t: 15\r\n")),
+        ("blank in a name", with_lines(b"X Sum: 1\r\nContent-Length: 15\r\n")),
+        ("control byte in a name", with_lines(b"X-\x01Sum: 1\r\nContent-Length: 15\r\n")),
+        ("delete byte in a name", with_lines(b"X-\x7fSum: 1\r\nContent-Length: 15\r\n")),
+        ("null byte in a name", with_lines(b"X-\0Sum: 1\r\nContent-Length: 15\r\n")),
+        ("separator in a name", with_lines(b"X(Sum): 1\r\nContent-Length: 15\r\n")),
+        (
+            "letter of another script in a name",
+            with_lines("X-S\u{fc}m: 1\r\nContent-Length: 15\r\n".as_bytes()),
+        ),
+        ("no name", with_lines(b": 1\r\nContent-Length: 15\r\n")),
+        ("folded line", with_lines(b"X-Sum: 1\r\n Content-Length: 15\r\n")),
+        ("line folded by a tab", with_lines(b"X-Sum: 1\r\n\tContent-Length: 15\r\n")),
+        ("control byte in a value", with_lines(b"X-Sum: 1\x012\r\nContent-Length: 15\r\n")),
+        ("delete byte in a value", with_lines(b"X-Sum: 1\x7f2\r\nContent-Length: 15\r\n")),
+        ("null byte in a value", with_lines(b"X-Sum: 1\x002\r\nContent-Length: 15\r\n")),
+        ("carriage return in a value", with_lines(b"X-Sum: 1\rContent-Length: 15\r\n")),
+        ("carriage return before a line end", with_lines(b"Content-Length: 15\r\r\n")),
+    ]
+}
+
 /// Returns sound responses in each framing, some in spellings that are rare.
 pub fn sound_responses() -> Vec<SoundResponse> {
     let (first, second) = BODY.split_at(EVENT_BYTES);
