Read responses of engines, stores and the list of the own interface by the strict reader

Calls of the own interface counted malformed responses as answers: trailers of any text, a blank between a name and its colon, a length beside a transfer coding, a head that breaks off in another one, and others; responses to deletions were not read to their end. And sound ones failed: those without a length, which end with their connection, and those behind informational heads. Cause: these calls used an HTTP library whose parser is looser than the grammar, and stricter elsewhere. Change: they use the gateway's connections, as the plain services do: http_client sends a request of the process itself and reads the whole response. Polls keep connections as before, other calls close them. Tests: eleven kinds of calls with each response of the tables, whole, byte by byte and as the second one on its connection; each call sends one request.

--- a/crates/gateway/src/http_head.rs
+++ b/crates/gateway/src/http_head.rs
@@ -72,7 +72,8 @@
         self.header(b"content-type")
     }
 
-    fn header(&self, name: &[u8]) -> Option<&[u8]> {
+    /// Returns the value of a header to forward, given its name in lower case.
+    pub fn header(&self, name: &[u8]) -> Option<&[u8]> {
         let header = self.headers.iter().find(|(known, _)| known.as_ref() == name);
         header.map(|(_, value)| value.as_ref())
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod fresh_config;
 pub mod header_codec;
 pub mod hints;
+pub mod http_client;
 pub mod http_head;
 mod load_orders;
 pub mod logging;
--- a/crates/http/src/body/chunk.rs
+++ b/crates/http/src/body/chunk.rs
@@ -7,7 +7,7 @@
 /// Parses the line before a chunk, without its line end; `None` if it is not a hexadecimal number, followed by extensions if
 /// there are any.
 pub(super) fn chunk_size(line: &[u8]) -> Option<u64> {
-    let (digits, extensions) = split(line, u8::is_ascii_hexdigit);
+    let (digits, extensions) = split(line, |byte| byte.is_ascii_hexdigit());
     let size = u64::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()?;
     are_extensions(extensions).then_some(size)
 }
@@ -64,8 +64,8 @@
 }
 
 /// Splits a text before the first byte that does not belong to its start.
-fn split(text: &[u8], belongs: impl Fn(&u8) -> bool) -> (&[u8], &[u8]) {
-    text.split_at(text.iter().position(|byte| !belongs(byte)).unwrap_or(text.len()))
+fn split(text: &[u8], belongs: impl Fn(u8) -> bool) -> (&[u8], &[u8]) {
+    text.split_at(text.iter().position(|byte| !belongs(*byte)).unwrap_or(text.len()))
 }
 
 /// Returns what follows a separator, which whitespace may precede.
@@ -74,11 +74,11 @@
 }
 
 fn trim_start(text: &[u8]) -> &[u8] {
-    split(text, |byte| trim(&[*byte]).is_empty()).1
+    split(text, |byte| trim(&[byte]).is_empty()).1
 }
 
-fn is_token_byte(byte: &u8) -> bool {
-    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(byte)
+fn is_token_byte(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
 }
 
 fn is_text_byte(byte: u8) -> bool {
--- a/crates/http/tests/mutations.rs
+++ b/crates/http/tests/mutations.rs
@@ -100,7 +100,9 @@
     let sound = prop::sample::select(sound_responses());
     (sound, prop::collection::vec(edit(), 0..4)).prop_map(|(sound, edits)| {
         let mut bytes = sound.bytes(FIELDS, &Body::events());
-        edits.iter().for_each(|edit| edit.apply(&mut bytes));
+        for edit in &edits {
+            edit.apply(&mut bytes);
+        }
         bytes
     })
 }
--- a/crates/http/tests/support/grammar.rs
+++ b/crates/http/tests/support/grammar.rs
@@ -13,7 +13,7 @@
         let fields: Vec<(String, &[u8])> = fields.iter().map(|line| field(line)).collect::<Option<_>>()?;
         let is_chunked = is_chunked(&fields, is_http_1_0)?;
         let length = length(&fields)?;
-        if is_chunked && length.is_some() {
+        if is_chunked && matches!(length, Length::Stated(_)) {
             return None;
         }
         if status < 200 {
@@ -23,8 +23,8 @@
         let body = match (status, length) {
             (204 | 304, _) => behind.is_empty().then(Vec::new),
             _ if is_chunked => chunked(behind),
-            (_, Some(length)) => (behind.len() == length).then(|| behind.to_vec()),
-            (_, None) => Some(behind.to_vec()),
+            (_, Length::Stated(length)) => (behind.len() == length).then(|| behind.to_vec()),
+            (_, Length::Unstated) => Some(behind.to_vec()),
         };
         return Some((status, body?));
     }
@@ -72,12 +72,17 @@
     fields.iter().filter(|(known, _)| known == name).map(|(_, value)| *value).collect()
 }
 
-/// Returns the stated length, if there is one; `None` if it is invalid.
-fn length(fields: &[(String, &[u8])]) -> Option<Option<usize>> {
+enum Length {
+    Unstated,
+    Stated(usize),
+}
+
+/// Returns the stated length; `None` if it is invalid.
+fn length(fields: &[(String, &[u8])]) -> Option<Length> {
     match values(fields, "content-length")[..] {
-        [] => Some(None),
+        [] => Some(Length::Unstated),
         [value] if !value.is_empty() && value.iter().all(u8::is_ascii_digit) => {
-            std::str::from_utf8(value).ok()?.parse().ok().map(Some)
+            std::str::from_utf8(value).ok()?.parse().ok().map(Length::Stated)
         }
         _ => None,
     }
--- a/crates/node/src/engine_client.rs
+++ b/crates/node/src/engine_client.rs
@@ -2,7 +2,6 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use awc::Client;
 use daisysill_core::memory_budget::{MemoryBudget, MemoryReservation};
 use daisysill_wire::http_types::{
     CacheEvents, EngineEvent, EngineLoad, EngineOrder, EngineRequest, ExportReply, ExportRequest,
@@ -11,8 +10,7 @@
 use futures::{FutureExt, Stream, StreamExt, future::LocalBoxFuture, stream};
 
 use crate::{
-    connection::SendGate,
-    http::{self, UnpooledClient},
+    http::{self, PollClient, SendGate, UnpooledClient},
     sse::{DONE, EventSplitter},
     upstream_api::{AttemptError, AttemptResult, Engine, EngineStream, Store},
 };
@@ -29,7 +27,7 @@
 #[derive(Clone)]
 pub struct HttpEngine {
     /// For polls; keeps connections.
-    polls: Client,
+    polls: PollClient,
     /// For requests with an effect, and for a poll whose connection failed or went silent.
     unpooled: UnpooledClient,
     /// As `unpooled`, for generation only.
@@ -40,9 +38,8 @@
 
 impl HttpEngine {
     /// Uses `polls` and its pool for polls; each other request opens a connection.
-    pub fn new(polls: Client) -> Self {
-        let unpooled = UnpooledClient::new();
-        let generation = unpooled.clone();
+    pub fn new(polls: PollClient) -> Self {
+        let (unpooled, generation) = (UnpooledClient::default(), UnpooledClient::default());
         Self { polls, unpooled, generation, memory: MemoryBudget::unlimited() }
     }
 
@@ -64,15 +61,9 @@
         request: &EngineRequest,
         traceparent: &str,
     ) -> AttemptResult<EngineStream> {
-        let mut post = self.generation.post(&format!("{url}{GENERATION_PATH}"));
-        if !traceparent.is_empty() {
-            post = post.insert_header(("traceparent", traceparent));
-        }
-        let response = post.send_json(request).await.map_err(|e| http::classify_send_error(&e))?;
-        if !response.status().is_success() {
-            return Err(http::classify_error_status(&response));
-        }
-        let bytes = response.map(|chunk| chunk.map_err(|e| AttemptError::Failed(e.to_string())));
+        let url = format!("{url}{GENERATION_PATH}");
+        let bytes = http::post_for_stream(&self.generation, &url, request, traceparent).await?;
+        let bytes = bytes.boxed_local();
         Ok(events(bytes, self.memory.reservation()).boxed_local())
     }
 }
@@ -88,17 +79,16 @@
     }
 
     fn cancel<'a>(&'a self, url: &'a str, id: &'a str) -> LocalBoxFuture<'a, AttemptResult<()>> {
-        async move { http::delete(self.unpooled.delete(&format!("{url}/v1/requests/{id}"))).await }
-            .boxed_local()
+        async move { http::delete(&self.unpooled, &format!("{url}/v1/requests/{id}")).await }.boxed_local()
     }
 
     fn load<'a>(&'a self, url: &'a str) -> LocalBoxFuture<'a, AttemptResult<EngineLoad>> {
         async move {
             let url = format!("{url}/v1/load");
-            match http::get_json(self.polls.get(&url)).await {
+            match http::poll_json(&self.polls, &url).await {
                 // The pooled connection may be dead; only a new one shows whether the engine is.
                 Err(AttemptError::Failed(_) | AttemptError::Silent) => {
-                    http::get_json(self.unpooled.get(&url)).await
+                    http::get_json(&self.unpooled, &url).await
                 }
                 other => other,
             }
@@ -111,7 +101,7 @@
         url: &'a str,
         after: u64,
     ) -> LocalBoxFuture<'a, AttemptResult<CacheEvents>> {
-        async move { http::get_json(self.polls.get(format!("{url}/v1/cache-events?after={after}"))).await }
+        async move { http::poll_json(&self.polls, &format!("{url}/v1/cache-events?after={after}")).await }
             .boxed_local()
     }
 
@@ -122,7 +112,7 @@
     ) -> LocalBoxFuture<'a, AttemptResult<ExportReply>> {
         async move {
             let url = format!("{url}/v1/kv/export");
-            http::post_json(self.unpooled.post(&url), request, TRANSFER_TIMEOUT).await
+            http::post_json(&self.unpooled, &url, request, TRANSFER_TIMEOUT).await
         }
         .boxed_local()
     }
@@ -134,7 +124,7 @@
     ) -> LocalBoxFuture<'a, AttemptResult<ImportReply>> {
         async move {
             let url = format!("{url}/v1/kv/import");
-            http::post_json(self.unpooled.post(&url), request, TRANSFER_TIMEOUT).await
+            http::post_json(&self.unpooled, &url, request, TRANSFER_TIMEOUT).await
         }
         .boxed_local()
     }
@@ -142,8 +132,9 @@
     fn order<'a>(&'a self, url: &'a str, order: &'a EngineOrder) -> LocalBoxFuture<'a, AttemptResult<()>> {
         async move {
             let url = format!("{url}/v1/orders");
-            let request = self.unpooled.post(&url);
-            http::post_json::<_, serde_json::Value>(request, order, ORDER_TIMEOUT).await.map(drop)
+            http::post_json::<_, serde_json::Value>(&self.unpooled, &url, order, ORDER_TIMEOUT)
+                .await
+                .map(drop)
         }
         .boxed_local()
     }
@@ -151,7 +142,7 @@
 
 impl Store for HttpEngine {
     fn usage<'a>(&'a self, url: &'a str) -> LocalBoxFuture<'a, AttemptResult<StoreUsage>> {
-        async move { http::get_json(self.polls.get(format!("{url}/v1/usage"))).await }.boxed_local()
+        async move { http::poll_json(&self.polls, &format!("{url}/v1/usage")).await }.boxed_local()
     }
 
     fn free<'a>(
@@ -160,7 +151,7 @@
         name: &'a str,
         generation: u64,
     ) -> LocalBoxFuture<'a, AttemptResult<()>> {
-        async move { http::delete(self.unpooled.delete(&format!("{url}/v1/blocks/{name}/{generation}"))).await }
+        async move { http::delete(&self.unpooled, &format!("{url}/v1/blocks/{name}/{generation}")).await }
             .boxed_local()
     }
 }
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -1,14 +1,18 @@
 //! HTTP client functions that all upstream clients share.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use actix_web::web::Bytes;
-use awc::{
-    Client, ClientRequest, ClientResponse,
-    error::{ConnectError, PayloadError, SendRequestError},
+use actix_web::{
     http::{StatusCode, Uri},
+    web::Bytes,
 };
-use futures::Stream;
+use daisysill_gateway::{
+    connection::UpstreamConnection,
+    http_client::{CallError, Request, read_body, send},
+    http_head::ResponseHead,
+};
+use daisysill_http::decimal;
+use futures::{Stream, stream};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
     net::{TcpStream, lookup_host},
@@ -16,8 +20,8 @@
 };
 
 use crate::{
-    connection::{SendGate, UpstreamConnector, set_options},
-    upstream_api::{AttemptError, AttemptResult},
+    connection::set_options,
+    upstream_api::{AttemptError, AttemptResult, ZONE_EVACUATED},
 };
 
 /// Response header that states that the upstream did not execute the request.
@@ -37,72 +41,128 @@
 /// Largest body of a JSON response.
 const MAX_CONTROL_BODY_BYTES: usize = 16_777_216;
 
-/// Creates a client with a connection pool; it cannot be sent to another thread.
+/// Returns whether a request to a URI may be sent on a connection that has just been opened for it.
+pub type SendGate = Rc<dyn Fn(&Uri) -> bool>;
+
+/// Connections that are open and idle, by the address of the upstream.
+type IdleConnections = Rc<RefCell<HashMap<SocketAddr, Vec<UpstreamConnection>>>>;
+
+/// A client that keeps connections; clones share them. It cannot be sent to another thread.
 ///
 /// On a kept connection an answer too many may be taken for the answer to a later request. So the client is for polls only, whose
 /// answers are replaced by those of the next poll; other requests go through an [`UnpooledClient`].
-pub fn client() -> Client {
-    client_with(UpstreamConnector::default())
+#[derive(Clone, Default)]
+pub struct PollClient {
+    idle: IdleConnections,
 }
 
-/// A client that opens a connection for each request and closes it after the answer, which is the first one on it.
-#[derive(Clone)]
-pub struct UnpooledClient(Client);
+impl PollClient {
+    async fn open(&self, address: SocketAddr) -> AttemptResult<UpstreamConnection> {
+        match self.take_idle(address) {
+            Some(connection) => Ok(connection),
+            None => open(address).await,
+        }
+    }
 
-impl UnpooledClient {
-    /// Creates a client; it cannot be sent to another thread.
-    pub fn new() -> Self {
-        Self(client())
+    fn take_idle(&self, address: SocketAddr) -> Option<UpstreamConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&address)?;
+        connections.retain_mut(|connection| !connection.is_expired(IDLE_TIMEOUT) && connection.is_reusable());
+        connections.pop()
+    }
+
+    fn keep(&self, address: SocketAddr, mut connection: UpstreamConnection) {
+        let mut idle = self.idle.borrow_mut();
+        for connections in idle.values_mut() {
+            connections.retain(|connection| !connection.is_expired(IDLE_TIMEOUT));
+        }
+        idle.retain(|_, connections| !connections.is_empty());
+        if connection.is_reusable() {
+            connection.set_idle();
+            idle.entry(address).or_default().push(connection);
+        }
     }
+}
 
+/// Creates a client for polls.
+pub fn client() -> PollClient {
+    PollClient::default()
+}
+
+/// A client that opens a connection for each request and closes it after the answer, which is the first one on it.
+#[derive(Clone, Default)]
+pub struct UnpooledClient {
+    gate: Option<SendGate>,
+}
+
+impl UnpooledClient {
     /// Creates a client whose requests `gate` may refuse once their connection is open.
     pub fn with_gate(gate: SendGate) -> Self {
-        Self(client_with(UpstreamConnector::with_gate(gate)))
+        Self { gate: Some(gate) }
     }
 
-    /// Starts a GET request.
-    pub fn get(&self, url: &str) -> ClientRequest {
-        self.0.get(url).force_close()
+    async fn open(&self, target: &Target) -> AttemptResult<UpstreamConnection> {
+        let connection = open(target.address).await?;
+        if self.gate.as_ref().is_some_and(|gate| !gate(&target.uri)) {
+            return Err(AttemptError::NotSent(ZONE_EVACUATED.to_owned()));
+        }
+        Ok(connection)
     }
+}
 
-    /// Starts a POST request.
-    pub fn post(&self, url: &str) -> ClientRequest {
-        self.0.post(url).force_close()
+/// Where a request goes.
+struct Target {
+    uri: Uri,
+    address: SocketAddr,
+    /// Host and port, as a request's `host` header names them.
+    authority: String,
+}
+
+impl Target {
+    async fn resolve(url: &str) -> AttemptResult<Self> {
+        let uri = url.parse::<Uri>().map_err(|error| AttemptError::NotSent(error.to_string()))?;
+        let (address, authority) = resolve(url).await?;
+        Ok(Self { uri, address, authority })
     }
 
-    /// Starts a DELETE request.
-    pub fn delete(&self, url: &str) -> ClientRequest {
-        self.0.delete(url).force_close()
+    fn path(&self) -> &str {
+        self.uri.path_and_query().map_or("/", |path| path.as_str())
     }
-}
 
-impl Default for UnpooledClient {
-    fn default() -> Self {
-        Self::new()
+    fn request<'a>(&'a self, method: &'a str) -> Request<'a> {
+        Request { method, ..Request::get(&self.authority, self.path()) }
+    }
+
+    fn post<'a>(&'a self, body: &impl Serialize) -> AttemptResult<Request<'a>> {
+        let body = serde_json::to_vec(body).map_err(|error| AttemptError::NotSent(error.to_string()))?;
+        Ok(Request::post_json(&self.authority, self.path(), body))
     }
 }
 
-fn client_with(connector: UpstreamConnector) -> Client {
-    let connector = awc::Connector::new().connector(connector);
-    let connector = connector.timeout(CONNECT_TIMEOUT).limit(0).conn_keep_alive(IDLE_TIMEOUT);
-    Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
+async fn open(address: SocketAddr) -> AttemptResult<UpstreamConnection> {
+    let connected = connect(address).await;
+    connected.map(UpstreamConnection::over).map_err(|error| AttemptError::NotSent(error.to_string()))
 }
 
-/// Classifies a send error by whether the upstream may have received the request.
-pub fn classify_send_error(error: &SendRequestError) -> AttemptError {
+/// Classifies a failed call by whether the upstream may have received the request.
+fn classify_call_error(error: CallError) -> AttemptError {
     match error {
-        // The client also reports `Disconnected` when the upstream closes after the request was sent.
-        SendRequestError::Connect(ConnectError::Disconnected | ConnectError::H2(_)) => {
-            AttemptError::Failed("the upstream closed the connection without an answer".to_owned())
+        CallError::NotSent(error) => AttemptError::NotSent(error.to_string()),
+        CallError::TimedOut => AttemptError::Silent,
+        CallError::Broken(_) | CallError::Malformed(_) | CallError::TooLarge => {
+            AttemptError::Failed(error.to_string())
         }
-        SendRequestError::Url(_) | SendRequestError::Connect(_) => AttemptError::NotSent(error.to_string()),
-        _ => AttemptError::Failed(error.to_string()),
     }
 }
 
+/// Sends a request that closes its connection after the response.
+async fn send_last(connection: &mut UpstreamConnection, request: Request<'_>) -> AttemptResult<ResponseHead> {
+    send(connection, &request.with_header("connection", "close")).await.map_err(classify_call_error)
+}
+
 /// Classifies an error response: a refusal if it has [`NOT_RUN_HEADER`], else a failure.
-pub fn classify_error_status<S>(response: &ClientResponse<S>) -> AttemptError {
-    classify_error(response.status().as_u16(), |name| response.headers().get(name)?.to_str().ok())
+fn classify_error_head(head: &ResponseHead) -> AttemptError {
+    classify_error(head.status.as_u16(), |name| std::str::from_utf8(head.header(name.as_bytes())?).ok())
 }
 
 /// Classifies an error response by its status and its headers.
@@ -111,7 +171,7 @@
     if header(NOT_RUN_HEADER).is_none() {
         return AttemptError::Failed(message);
     }
-    let retry_after_s = header("retry-after").and_then(|value| value.parse::<u64>().ok());
+    let retry_after_s = header("retry-after").and_then(|value| decimal(value.as_bytes()));
     AttemptError::Refused {
         message,
         leaving: header(LEAVING_HEADER).is_some(),
@@ -122,9 +182,12 @@
 /// Resolves the host and port of a URL; returns the address, and both as a request's `host` header names them.
 ///
 /// # Errors
-/// Fails if the URL is not valid or its host has no address.
+/// Fails if the URL is not a valid one of the scheme `http`, or its host has no address.
 pub async fn resolve(url: &str) -> AttemptResult<(SocketAddr, String)> {
     let uri = url.parse::<Uri>().map_err(|error| AttemptError::NotSent(error.to_string()))?;
+    if uri.scheme_str() != Some("http") {
+        return Err(AttemptError::NotSent(format!("{url} is not an http URL")));
+    }
     let host = uri.host().unwrap_or_default();
     let authority = uri.authority().map_or_else(String::new, ToString::to_string);
     let mut addresses = lookup_host((host, uri.port_u16().unwrap_or(DEFAULT_PORT)))
@@ -157,36 +220,42 @@
     }
 }
 
-/// Sends a GET request and parses the JSON response.
+/// Sends a poll and parses the JSON response.
 ///
 /// # Errors
 /// Classifies failures by whether the upstream may have executed the request.
-pub async fn get_json<T: DeserializeOwned>(request: ClientRequest) -> AttemptResult<T> {
+pub async fn poll_json<T: DeserializeOwned>(client: &PollClient, url: &str) -> AttemptResult<T> {
+    parse_json(&poll(client, url).await?)
+}
+
+/// Sends a poll and returns the body of the response.
+///
+/// # Errors
+/// Classifies failures by whether the upstream may have executed the request.
+pub async fn poll(client: &PollClient, url: &str) -> AttemptResult<Bytes> {
     let exchange = async {
-        let response = request.timeout(CONTROL_TIMEOUT).send().await;
-        read_json(response.map_err(|e| classify_send_error(&e))?).await
+        let target = Target::resolve(url).await?;
+        let mut connection = client.open(target.address).await?;
+        let request = target.request("GET");
+        let sent = within_control_timeout(send(&mut connection, &request)).await?;
+        let body = read_success(&mut connection, &sent).await?;
+        client.keep(target.address, connection);
+        Ok(body)
     };
     within(CONTROL_BODY_TIMEOUT, exchange).await
 }
 
-/// Limits the time of an exchange to the end of its body, which the client's own limit does not.
-async fn within<T>(limit: Duration, exchange: impl Future<Output = AttemptResult<T>>) -> AttemptResult<T> {
-    timeout(limit, exchange).await.unwrap_or(Err(AttemptError::Silent))
-}
-
-/// Sends GET and returns the body of the response.
+/// Sends a GET request on a connection of its own and parses the JSON response.
 ///
 /// # Errors
 /// Classifies failures by whether the upstream may have executed the request.
-pub async fn get_body(client: &Client, url: &str) -> AttemptResult<Bytes> {
+pub async fn get_json<T: DeserializeOwned>(client: &UnpooledClient, url: &str) -> AttemptResult<T> {
     let exchange = async {
-        let response = client.get(url).timeout(CONTROL_TIMEOUT).send().await;
-        let mut response = response.map_err(|e| classify_send_error(&e))?;
-        if !response.status().is_success() {
-            return Err(classify_error_status(&response));
-        }
-        let body = response.body().limit(MAX_CONTROL_BODY_BYTES);
-        body.await.map_err(|error| AttemptError::Failed(error.to_string()))
+        let target = Target::resolve(url).await?;
+        let mut connection = client.open(&target).await?;
+        let request = target.request("GET").with_header("connection", "close");
+        let head = within_control_timeout(send(&mut connection, &request)).await?;
+        parse_json(&read_success(&mut connection, &head).await?)
     };
     within(CONTROL_BODY_TIMEOUT, exchange).await
 }
@@ -196,37 +265,91 @@
 /// # Errors
 /// Classifies failures by whether the upstream may have executed the request.
 pub async fn post_json<B: Serialize, T: DeserializeOwned>(
-    request: ClientRequest,
+    client: &UnpooledClient,
+    url: &str,
     body: &B,
-    timeout: Duration,
+    limit: Duration,
 ) -> AttemptResult<T> {
     let exchange = async {
-        let response = request.timeout(timeout).send_json(body).await;
-        read_json(response.map_err(|e| classify_send_error(&e))?).await
+        let target = Target::resolve(url).await?;
+        let mut connection = client.open(&target).await?;
+        let head = send_last(&mut connection, target.post(body)?).await?;
+        parse_json(&read_success(&mut connection, &head).await?)
     };
-    within(timeout, exchange).await
+    within(limit, exchange).await
+}
+
+/// Sends a POST request with a JSON body and returns the body of the response as it arrives. The time is not limited.
+///
+/// # Errors
+/// Classifies failures by whether the upstream may have executed the request.
+pub async fn post_for_stream<B: Serialize>(
+    client: &UnpooledClient,
+    url: &str,
+    body: &B,
+    traceparent: &str,
+) -> AttemptResult<impl Stream<Item = AttemptResult<Bytes>> + use<B>> {
+    let target = Target::resolve(url).await?;
+    let mut connection = client.open(&target).await?;
+    let mut request = target.post(body)?;
+    if !traceparent.is_empty() {
+        request = request.with_header("traceparent", traceparent);
+    }
+    let head = send_last(&mut connection, request).await?;
+    if !head.status.is_success() {
+        return Err(classify_error_head(&head));
+    }
+    Ok(stream::unfold(Some(connection), |connection| async {
+        let mut connection = connection?;
+        match connection.read_body().await {
+            Ok(Some(bytes)) => Some((Ok(bytes), Some(connection))),
+            Ok(None) => None,
+            Err(error) => Some((Err(classify_call_error(error.into())), None)),
+        }
+    }))
 }
 
-/// Sends a DELETE request and ignores the body of the response; status 404 counts as success.
+/// Sends a DELETE request; status 404 counts as success.
 ///
 /// # Errors
 /// Classifies failures by whether the upstream may have executed the request.
-pub async fn delete(request: ClientRequest) -> AttemptResult<()> {
-    let response = request.timeout(CONTROL_TIMEOUT).send().await;
-    let response = response.map_err(|e| classify_send_error(&e))?;
-    // The object may already be gone, for instance after the upstream restarted.
-    let done = response.status().is_success() || response.status() == StatusCode::NOT_FOUND;
-    if done { Ok(()) } else { Err(classify_error_status(&response)) }
-}
-
-async fn read_json<T, S>(mut response: ClientResponse<S>) -> AttemptResult<T>
-where
-    T: DeserializeOwned,
-    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
-{
-    if response.status() == StatusCode::NO_CONTENT || !response.status().is_success() {
-        return Err(classify_error_status(&response));
-    }
-    let body = response.json::<T>().limit(MAX_CONTROL_BODY_BYTES);
-    body.await.map_err(|error| AttemptError::Failed(format!("answer is not the expected JSON: {error}")))
+pub async fn delete(client: &UnpooledClient, url: &str) -> AttemptResult<()> {
+    let exchange = async {
+        let target = Target::resolve(url).await?;
+        let mut connection = client.open(&target).await?;
+        let head = send_last(&mut connection, target.request("DELETE")).await?;
+        // The object may already be gone, for instance after the upstream restarted.
+        let is_done = head.status.is_success() || head.status == StatusCode::NOT_FOUND;
+        if !is_done {
+            return Err(classify_error_head(&head));
+        }
+        let body = read_body(&mut connection, MAX_CONTROL_BODY_BYTES).await;
+        body.map(drop).map_err(classify_call_error)
+    };
+    within(CONTROL_TIMEOUT, exchange).await
+}
+
+/// Limits the time of an exchange.
+async fn within<T>(limit: Duration, exchange: impl Future<Output = AttemptResult<T>>) -> AttemptResult<T> {
+    timeout(limit, exchange).await.unwrap_or(Err(AttemptError::Silent))
+}
+
+/// Limits the time until the head of the response to a control request.
+async fn within_control_timeout(
+    sent: impl Future<Output = Result<ResponseHead, CallError>>,
+) -> AttemptResult<ResponseHead> {
+    within(CONTROL_TIMEOUT, async { sent.await.map_err(classify_call_error) }).await
+}
+
+/// Reads the body of a success; any other response is an error.
+async fn read_success(connection: &mut UpstreamConnection, head: &ResponseHead) -> AttemptResult<Bytes> {
+    if head.status == StatusCode::NO_CONTENT || !head.status.is_success() {
+        return Err(classify_error_head(head));
+    }
+    read_body(connection, MAX_CONTROL_BODY_BYTES).await.map_err(classify_call_error)
+}
+
+fn parse_json<T: DeserializeOwned>(body: &[u8]) -> AttemptResult<T> {
+    serde_json::from_slice(body)
+        .map_err(|error| AttemptError::Failed(format!("answer is not the expected JSON: {error}")))
 }
--- a/crates/node/src/platform_client.rs
+++ b/crates/node/src/platform_client.rs
@@ -1,6 +1,6 @@
 //! HTTP client of the platform's list of instances.
 
-use awc::{Client, http::Uri};
+use actix_web::http::Uri;
 use daisysill_wire::{
     http_types::{PlatformInstance, PlatformList},
     list_items::{ListItem, parse},
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 
 use crate::{
-    http,
+    http::{self, PollClient},
     upstream_api::{AttemptError, AttemptResult, Platform},
 };
 
@@ -23,17 +23,17 @@
 /// Reads the platform's list of instances over HTTP.
 #[derive(Clone)]
 pub struct HttpPlatform {
-    client: Client,
+    client: PollClient,
 }
 
 impl HttpPlatform {
     /// Creates a client of the platform that sends its requests through `client`.
-    pub fn new(client: Client) -> Self {
+    pub fn new(client: PollClient) -> Self {
         Self { client }
     }
 
     async fn read(&self, url: &str) -> AttemptResult<PlatformList> {
-        let body = http::get_body(&self.client, &format!("{url}/v1/instances")).await?;
+        let body = http::poll(&self.client, &format!("{url}/v1/instances")).await?;
         let list: ListBody = parse(&body).map_err(|error| {
             AttemptError::Failed(format!("the list of instances is not the expected JSON: {error}"))
         })?;
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod platform;
 pub mod proxy;
 mod proxy_relay;
+pub mod response_server;
 pub mod server;
 pub mod slots;
 pub mod store;
--- a/crates/testkit/src/malformed_responses.rs
+++ b/crates/testkit/src/malformed_responses.rs
@@ -20,6 +20,12 @@
         Self { first: text.to_owned(), second: " ".repeat(text.len()) }
     }
 
+    /// Returns two texts, the shorter one with blanks before it.
+    pub fn of_parts(first: &str, second: &str) -> Self {
+        let part_bytes = first.len().max(second.len());
+        Self { first: format!("{first:>part_bytes$}"), second: format!("{second:>part_bytes$}") }
+    }
+
     /// Returns the whole body.
     pub fn text(&self) -> String {
         format!("{}{}", self.first, self.second)
@@ -77,16 +83,12 @@
     let mut filled = Vec::new();
     let mut rest = template;
     while let Some(byte) = rest.first() {
-        let value = values.iter().find(|(name, _)| rest.starts_with(name.as_bytes()));
-        match value {
-            Some((name, value)) => {
-                filled.extend_from_slice(value.as_bytes());
-                rest = &rest[name.len()..];
-            }
-            None => {
-                filled.push(*byte);
-                rest = &rest[1..];
-            }
+        if let Some((name, value)) = values.iter().find(|(name, _)| rest.starts_with(name.as_bytes())) {
+            filled.extend_from_slice(value.as_bytes());
+            rest = &rest[name.len()..];
+        } else {
+            filled.push(*byte);
+            rest = &rest[1..];
         }
     }
     filled
