--- a/crates/node/tests/upstream_errors.rs
+++ b/crates/node/tests/upstream_errors.rs
@@ -87,6 +87,26 @@
     assert!(matches!(error, AttemptError::Failed(_)), "{error:?}");
 }
 
+/// Guards against a part of an answer without a length that counts as whole, because its upstream reset the connection while the
+/// upload was still being written.
+#[actix_rt::test]
+async fn an_answer_that_is_reset_during_the_upload_is_an_error() {
+    for delay_ms in [0, 1, 5, 30] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let url = format!("http://{}", listener.local_addr().unwrap());
+        thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            let _ = stream.read(&mut [0; 4_096]);
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n\r\na part");
+            thread::sleep(Duration::from_millis(delay_ms));
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        });
+        let request = PlainRequest { body: Bytes::from(vec![0; 64 << 20]), ..request() };
+        let error = HttpPlainService::default().send(&url, &request, "").await.unwrap_err();
+        assert!(matches!(error, AttemptError::Failed(_)), "{delay_ms} ms: {error:?}");
+    }
+}
+
 /// Guards against a first byte after the dispatch deadline, which passes while the connection is opened.
 #[actix_rt::test]
 async fn no_byte_is_sent_after_the_dispatch_deadline() {
