Hold the parsers of header values in one place

Measured: clippy is clean; the tests of crates/core and crates/http pass, and lists, headers and malformed_calls of the platform.

--- a/crates/http/src/field.rs
+++ b/crates/core/src/field_value.rs
@@ -1,10 +1,10 @@
-//! The values of fields.
+//! The values of HTTP fields.
 
 /// Removes the optional whitespace around a value: blanks and horizontal tabs, and nothing else.
 ///
 /// ```
-/// assert_eq!(daisysill_http::trim(b" \t5 "), b"5");
-/// assert_eq!(daisysill_http::trim(b"\xc2\xa05"), b"\xc2\xa05");
+/// assert_eq!(daisysill_core::field_value::trim(b" \t5 "), b"5");
+/// assert_eq!(daisysill_core::field_value::trim(b"\xc2\xa05"), b"\xc2\xa05");
 /// ```
 pub fn trim(value: &[u8]) -> &[u8] {
     let is_text = |byte: &u8| !matches!(byte, b' ' | b'\t');
@@ -16,7 +16,7 @@
 /// Parses a number of decimal digits and nothing else.
 ///
 /// ```
-/// use daisysill_http::decimal;
+/// use daisysill_core::field_value::decimal;
 /// assert_eq!(decimal(b"150"), Some(150));
 /// assert_eq!([&b"+150"[..], b"", b" 1", b"18446744073709551616"].map(decimal), [None; 4]);
 /// ```
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod cold_start;
 mod concurrency;
 pub mod config_wait;
+pub mod field_value;
 mod fill;
 mod link_queue;
 mod num;
--- a/crates/core/src/message_framing/head.rs
+++ b/crates/core/src/message_framing/head.rs
@@ -1,6 +1,7 @@
 //! What a head says about the framing of its message.
 
 use super::Direction;
+use crate::field_value::decimal;
 
 /// What the lines of a head say so far.
 #[derive(Clone, Debug, Default)]
@@ -76,9 +77,3 @@
         }
     }
 }
-
-/// Parses a number of decimal digits and nothing else.
-fn decimal(text: &[u8]) -> Option<u64> {
-    let is_digits = !text.is_empty() && text.iter().all(u8::is_ascii_digit);
-    is_digits.then(|| std::str::from_utf8(text).ok()?.parse().ok()).flatten()
-}
--- a/crates/gateway/src/http_head.rs
+++ b/crates/gateway/src/http_head.rs
@@ -4,8 +4,11 @@
 
 use actix_web::http::StatusCode;
 use bytes::Bytes;
-use daisysill_core::event_tracker::EventTracker;
-use daisysill_http::{ResponseFault, decimal, trim};
+use daisysill_core::{
+    event_tracker::EventTracker,
+    field_value::{decimal, trim},
+};
+use daisysill_http::ResponseFault;
 
 pub use daisysill_http::Framing;
 
--- a/crates/http/src/body/chunk.rs
+++ b/crates/http/src/body/chunk.rs
@@ -1,8 +1,9 @@
 //! The lines of the chunked transfer coding.
 
+use daisysill_core::field_value::trim;
 use httparse::{EMPTY_HEADER, Status, parse_headers};
 
-use crate::{fault::ResponseFault, field::trim, head::holds_status_line};
+use crate::{fault::ResponseFault, head::holds_status_line};
 
 /// Parses the line before a chunk, without its line end; `None` if it is not a hexadecimal number, followed by extensions if
 /// there are any.
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -1,11 +1,9 @@
 //! Parses the head of a response.
 
+use daisysill_core::field_value::{decimal, trim};
 use httparse::{EMPTY_HEADER, Error, Header, Response, Status};
 
-use crate::{
-    fault::ResponseFault,
-    field::{decimal, trim},
-};
+use crate::fault::ResponseFault;
 
 /// Maximum number of fields of a head.
 pub const MAX_HEADERS: usize = 64;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,14 +6,12 @@
 
 mod body;
 mod fault;
-mod field;
 mod head;
 mod refusals;
 
 pub use self::{
     body::{BodyReader, BodyStep},
     fault::ResponseFault,
-    field::{decimal, trim},
     head::{Framing, Headers, MAX_HEADERS, MAX_INFORMATIONAL_HEADS, ResponseHead, headers, parse_head},
     refusals::{FaultLabels, record_refusal, refused_responses},
 };
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -6,12 +6,12 @@
     http::{StatusCode, Uri},
     web::Bytes,
 };
+use daisysill_core::field_value::decimal;
 use daisysill_gateway::{
     connection::UpstreamConnection,
     http_client::{CallError, Request, read_body, send},
     http_head::ResponseHead,
 };
-use daisysill_http::decimal;
 use futures::{Stream, stream};
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{
