Resolve URLs with IPv6 addresses

Cause: a host in brackets was looked up as a name. Change: the brackets are removed before the lookup. Before: the new test failed, as no address was found. After: it passes.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -188,7 +188,8 @@
     if uri.scheme_str() != Some("http") {
         return Err(AttemptError::NotSent(format!("{url} is not an http URL")));
     }
-    let host = uri.host().unwrap_or_default();
+    // An IPv6 address stands in brackets.
+    let host = uri.host().unwrap_or_default().trim_matches(['[', ']']);
     let authority = uri.authority().map_or_else(String::new, ToString::to_string);
     let mut addresses = lookup_host((host, uri.port_u16().unwrap_or(DEFAULT_PORT)))
         .await
@@ -237,8 +238,8 @@
         let target = Target::resolve(url).await?;
         let mut connection = client.open(target.address).await?;
         let request = target.request("GET");
-        let sent = within_control_timeout(send(&mut connection, &request)).await?;
-        let body = read_success(&mut connection, &sent).await?;
+        let head = within_control_timeout(send(&mut connection, &request)).await?;
+        let body = read_success(&mut connection, &head).await?;
         client.keep(target.address, connection);
         Ok(body)
     };
--- a/crates/node/tests/upstream_errors.rs
+++ b/crates/node/tests/upstream_errors.rs
@@ -167,6 +167,13 @@
     assert_eq!(bytes.recv().unwrap(), 0);
 }
 
+/// Guards against a URL with an IPv6 address, which stands in brackets there, that names no address.
+#[actix_rt::test]
+async fn a_url_with_an_ipv6_address_is_resolved() {
+    let (address, authority) = http::resolve("http://[::1]:8080/v1").await.unwrap();
+    assert_eq!((address.to_string(), authority), ("[::1]:8080".to_owned(), "[::1]:8080".to_owned()));
+}
+
 /// Guards against a request to a URL of another scheme that is sent as plain text.
 #[actix_rt::test]
 async fn nothing_is_sent_to_a_url_of_another_scheme() {
