--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,6 +1,6 @@
 //! Strict reading of HTTP/1.1 responses by the grammar of RFC 9110 and RFC 9112.
 //!
-//! Every client of daisysill reads responses through this crate: connections to upstreams and to other nodes parse them with
+//! All nodes read responses through this crate: connections to upstreams and to other nodes parse them with
 //! [`parse_head`] and [`BodyReader`]. What the grammar does not allow is refused with a [`ResponseFault`]: a lenient reading
 //! could take a part of a response, or parts of two, for a whole one.
 
