--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -30,7 +30,7 @@
     pub path: &'a str,
     /// Further headers.
     pub headers: Vec<(&'a str, String)>,
-    /// Its length is stated if the method has a body.
+    /// Its length is stated unless the method is `GET`.
     pub body: Bytes,
 }
 
@@ -47,6 +47,12 @@
     }
 
     /// Adds a header.
+    ///
+    /// ```
+    /// use daisysill_gateway::http_client::Request;
+    /// let request = Request::get("10.0.0.1:8080", "/report").with_header("wait-ms", 250);
+    /// assert_eq!(request.headers, [("wait-ms", "250".to_owned())]);
+    /// ```
     #[must_use]
     pub fn with_header(mut self, name: &'a str, value: impl fmt::Display) -> Self {
         self.headers.push((name, value.to_string()));
@@ -176,6 +182,21 @@
 ///
 /// # Errors
 /// Fails if there is no whole and sound response in time.
+///
+/// ```
+/// use std::{io, net::TcpListener, time::Duration};
+///
+/// use daisysill_gateway::http_client::{CallError, Request, call};
+///
+/// # actix_rt::System::new().block_on(async {
+/// let closed = TcpListener::bind("127.0.0.1:0")?.local_addr()?.to_string();
+/// let request = Request::get(&closed, "/instances");
+/// let error = call(&request, Duration::from_secs(1), 1_024).await.unwrap_err();
+/// assert_eq!(error, CallError::NotSent(io::ErrorKind::ConnectionRefused));
+/// # io::Result::Ok(())
+/// # })?;
+/// # io::Result::Ok(())
+/// ```
 pub async fn call(
     request: &Request<'_>,
     time_limit: Duration,
--- a/crates/http/src/head.rs
+++ b/crates/http/src/head.rs
@@ -66,6 +66,13 @@
 
 impl ResponseHead<'_, '_> {
     /// Returns whether another head follows for the same request.
+    ///
+    /// ```
+    /// use daisysill_http::{headers, parse_head};
+    /// let mut space = headers();
+    /// let head = parse_head(b"HTTP/1.1 103 Early Hints\r\n\r\n", &mut space, false).unwrap().unwrap();
+    /// assert!(head.is_informational());
+    /// ```
     pub const fn is_informational(&self) -> bool {
         self.status < 200
     }
