Send no request whose head could hold further lines

Cause: the token of the next page of the list goes into a request line. The HTTP library that sent these requests refused a token with a line end; http_client, which replaced it, did not. Change: http_client sends only paths of visible ASCII characters and header values without control characters.

--- a/crates/gateway/src/http_client.rs
+++ b/crates/gateway/src/http_client.rs
@@ -59,6 +59,14 @@
         self
     }
 
+    /// Returns whether no text of the head could end its line: parts of the path come from other processes.
+    fn is_valid(&self) -> bool {
+        let is_value = |value: &str| value.bytes().all(|byte| byte == b' ' || byte.is_ascii_graphic());
+        self.path.bytes().all(|byte| byte.is_ascii_graphic())
+            && is_value(self.authority)
+            && self.headers.iter().all(|(_, value)| is_value(value))
+    }
+
     fn encode_head(&self) -> Vec<u8> {
         let Self { method, authority, path, headers, body } = self;
         let mut head = format!("{method} {path} HTTP/1.1\r\nhost: {authority}\r\n");
@@ -134,11 +142,14 @@
 /// Sends a request and reads the head of the response.
 ///
 /// # Errors
-/// Fails if the connection breaks or the head is malformed.
+/// Fails if the request is invalid, the connection breaks or the head is malformed.
 pub async fn send(
     connection: &mut UpstreamConnection,
     request: &Request<'_>,
 ) -> Result<ResponseHead, CallError> {
+    if !request.is_valid() {
+        return Err(CallError::NotSent(io::ErrorKind::InvalidInput));
+    }
     let id = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed).to_string();
     let written = connection.write_request(Some(&id), &request.encode_head(), &request.body).await;
     written.map_err(|(sent_bytes, error)| match sent_bytes {
