--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -70,7 +70,7 @@
         self.state == State::Complete
     }
 
-    /// Determines what the start of `input` is, and goes on behind it: the caller takes these bytes.
+    /// Determines what the start of `input` is and advances past it; the caller takes these bytes.
     ///
     /// # Errors
     /// Fails if the framing is invalid.
--- a/crates/http/src/body/chunk.rs
+++ b/crates/http/src/body/chunk.rs
@@ -1,6 +1,5 @@
 //! The lines of the chunked transfer coding.
 
-use daisysill_core::field_value::trim;
 use httparse::{EMPTY_HEADER, Status, parse_headers};
 
 use crate::{fault::ResponseFault, head::holds_status_line};
@@ -29,13 +28,13 @@
 /// Returns whether a text is a list of extensions, `;name`, `;name=token` or `;name="text"`.
 fn are_extensions(mut text: &[u8]) -> bool {
     while !text.is_empty() {
-        let Some(rest) = without(b";", text) else { return false };
+        let Some(rest) = strip_separator(b";", text) else { return false };
         let (name, rest) = split(trim_start(rest), is_token_byte);
         if name.is_empty() {
             return false;
         }
-        text = match without(b"=", rest) {
-            Some(value) => match behind_value(trim_start(value)) {
+        text = match strip_separator(b"=", rest) {
+            Some(value) => match after_value(trim_start(value)) {
                 Some(rest) => rest,
                 None => return false,
             },
@@ -46,7 +45,7 @@
 }
 
 /// Returns what follows the value of an extension.
-fn behind_value(text: &[u8]) -> Option<&[u8]> {
+fn after_value(text: &[u8]) -> Option<&[u8]> {
     let Some(quoted) = text.strip_prefix(b"\"") else {
         let (token, rest) = split(text, is_token_byte);
         return (!token.is_empty()).then_some(rest);
@@ -70,12 +69,12 @@
 }
 
 /// Returns what follows a separator, which whitespace may precede.
-fn without<'a>(separator: &[u8], text: &'a [u8]) -> Option<&'a [u8]> {
+fn strip_separator<'a>(separator: &[u8], text: &'a [u8]) -> Option<&'a [u8]> {
     trim_start(text).strip_prefix(separator)
 }
 
 fn trim_start(text: &[u8]) -> &[u8] {
-    split(text, |byte| trim(&[byte]).is_empty()).1
+    split(text, |byte| matches!(byte, b' ' | b'\t')).1
 }
 
 fn is_token_byte(byte: u8) -> bool {
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -111,20 +111,16 @@
 }
 
 /// Where a request goes.
-struct Target {
+#[derive(Clone, Debug)]
+pub struct Target {
     uri: Uri,
-    address: SocketAddr,
+    /// The address of the host.
+    pub address: SocketAddr,
     /// Host and port, as a request's `host` header names them.
-    authority: String,
+    pub authority: String,
 }
 
 impl Target {
-    async fn resolve(url: &str) -> AttemptResult<Self> {
-        let uri = url.parse::<Uri>().map_err(|error| AttemptError::NotSent(error.to_string()))?;
-        let (address, authority) = resolve(url).await?;
-        Ok(Self { uri, address, authority })
-    }
-
     fn path(&self) -> &str {
         self.uri.path_and_query().map_or("/", |path| path.as_str())
     }
@@ -179,23 +175,34 @@
     }
 }
 
-/// Resolves the host and port of a URL; returns the address, and both as a request's `host` header names them.
+/// Parses a URL and resolves its host.
 ///
 /// # Errors
 /// Fails if the URL is not a valid one of the scheme `http`, or its host has no address.
-pub async fn resolve(url: &str) -> AttemptResult<(SocketAddr, String)> {
+///
+/// ```
+/// # actix_rt::System::new().block_on(async {
+/// let target = daisysill_node::http::resolve("http://[::1]:8080/v1/load").await?;
+/// assert_eq!((target.address.port(), target.authority.as_str()), (8080, "[::1]:8080"));
+/// # Ok::<(), daisysill_node::upstream_api::AttemptError>(())
+/// # }).unwrap();
+/// ```
+pub async fn resolve(url: &str) -> AttemptResult<Target> {
     let uri = url.parse::<Uri>().map_err(|error| AttemptError::NotSent(error.to_string()))?;
     if uri.scheme_str() != Some("http") {
         return Err(AttemptError::NotSent(format!("{url} is not an http URL")));
     }
     // An IPv6 address stands in brackets.
     let host = uri.host().unwrap_or_default().trim_matches(['[', ']']);
+    let address = address_of(host, uri.port_u16().unwrap_or(DEFAULT_PORT)).await?;
     let authority = uri.authority().map_or_else(String::new, ToString::to_string);
-    let mut addresses = lookup_host((host, uri.port_u16().unwrap_or(DEFAULT_PORT)))
-        .await
-        .map_err(|error| AttemptError::NotSent(error.to_string()))?;
-    let address = addresses.next().ok_or_else(|| AttemptError::NotSent(format!("no address of {host}")))?;
-    Ok((address, authority))
+    Ok(Target { uri, address, authority })
+}
+
+async fn address_of(host: &str, port: u16) -> AttemptResult<SocketAddr> {
+    let found = lookup_host((host, port)).await;
+    let mut addresses = found.map_err(|error| AttemptError::NotSent(error.to_string()))?;
+    addresses.next().ok_or_else(|| AttemptError::NotSent(format!("no address of {host}")))
 }
 
 /// Opens a TCP connection with the options that detect dead peers.
@@ -213,8 +220,8 @@
 /// # Errors
 /// Fails if the URL is not valid, or the connection is refused or not open in time.
 pub async fn ping(url: &str) -> AttemptResult<()> {
-    let (address, _) = resolve(url).await?;
-    match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+    let target = resolve(url).await?;
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(target.address)).await {
         Ok(Ok(_)) => Ok(()),
         Ok(Err(error)) => Err(AttemptError::NotSent(error.to_string())),
         Err(_) => Err(AttemptError::Silent),
@@ -235,7 +242,7 @@
 /// Classifies failures by whether the upstream may have executed the request.
 pub async fn poll(client: &PollClient, url: &str) -> AttemptResult<Bytes> {
     let exchange = async {
-        let target = Target::resolve(url).await?;
+        let target = resolve(url).await?;
         let mut connection = client.open(target.address).await?;
         let request = target.request("GET");
         let head = within_control_timeout(send(&mut connection, &request)).await?;
@@ -252,7 +259,7 @@
 /// Classifies failures by whether the upstream may have executed the request.
 pub async fn get_json<T: DeserializeOwned>(client: &UnpooledClient, url: &str) -> AttemptResult<T> {
     let exchange = async {
-        let target = Target::resolve(url).await?;
+        let target = resolve(url).await?;
         let mut connection = client.open(&target).await?;
         let request = target.request("GET").with_header("connection", "close");
         let head = within_control_timeout(send(&mut connection, &request)).await?;
@@ -272,7 +279,7 @@
     limit: Duration,
 ) -> AttemptResult<T> {
     let exchange = async {
-        let target = Target::resolve(url).await?;
+        let target = resolve(url).await?;
         let mut connection = client.open(&target).await?;
         let head = send_last(&mut connection, target.post(body)?).await?;
         parse_json(&read_success(&mut connection, &head).await?)
@@ -290,7 +297,7 @@
     body: &B,
     traceparent: &str,
 ) -> AttemptResult<impl Stream<Item = AttemptResult<Bytes>> + use<B>> {
-    let target = Target::resolve(url).await?;
+    let target = resolve(url).await?;
     let mut connection = client.open(&target).await?;
     let mut request = target.post(body)?;
     if !traceparent.is_empty() {
@@ -316,7 +323,7 @@
 /// Classifies failures by whether the upstream may have executed the request.
 pub async fn delete(client: &UnpooledClient, url: &str) -> AttemptResult<()> {
     let exchange = async {
-        let target = Target::resolve(url).await?;
+        let target = resolve(url).await?;
         let mut connection = client.open(&target).await?;
         let head = send_last(&mut connection, target.request("DELETE")).await?;
         // The object may already be gone, for instance after the upstream restarted.
--- a/crates/node/src/plain_client.rs
+++ b/crates/node/src/plain_client.rs
@@ -79,11 +79,11 @@
         send_deadline: Instant,
         may_send: &dyn Fn() -> bool,
     ) -> AttemptResult<PlainResponse> {
-        let (address, authority) = http::resolve(url).await?;
-        let connected = http::connect(address).await;
+        let target = http::resolve(url).await?;
+        let connected = http::connect(target.address).await;
         let connected = connected.map_err(|error| AttemptError::NotSent(error.to_string()))?;
         let mut connection = UpstreamConnection::over(connected).with_memory(self.memory.reservation());
-        let head = request_head(&authority, request, traceparent)?;
+        let head = request_head(&target.authority, request, traceparent)?;
         // Checked right before the first byte, since the process may have been suspended while it connected.
         if Instant::now() >= send_deadline {
             return Err(AttemptError::TooLate);
