Report where streams began again to nodes that started anew

Cause: each origin was reported once and kept in memory by the receivers. A control node that started anew was told nothing of earlier streams, by entry nodes that still knew them or by other control nodes.

Change: a node keeps the origins of the last 30 s in order (core::origin_log). Each answer to a report names the process that took it; if it is another one than before, everything is reported again, in pages of 2,000. Control nodes report to all others, also to those that do not vote. Nodes report what is left before a planned end.

--- a/crates/cluster/src/entry_nodes.rs
+++ b/crates/cluster/src/entry_nodes.rs
@@ -15,7 +15,7 @@
 use rand::seq::SliceRandom;
 
 use crate::{
-    clock::BootInstant, handle::ClusterHandle, link::NewerCall, origins::OriginPeers,
+    clock::BootInstant, handle::ClusterHandle, link::NewerCall, origin_peers::OriginPeers,
     published_upstreams::PublishedStore,
 };
 
--- a/crates/cluster/src/handle.rs
+++ b/crates/cluster/src/handle.rs
@@ -37,7 +37,8 @@
     membership,
     metrics::ClusterMetrics,
     observer::{CrashQueue, Observer},
-    origins::OriginPeers,
+    origin_peers::OriginPeers,
+    origin_reports,
     outbox::Outbox,
     outcome_queue::OutcomeQueue,
     place_table::PlaceTable,
@@ -138,7 +139,8 @@
                 tasks.push(tokio::spawn(reporter.run()));
                 tasks.push(tokio::spawn(membership::run(proposer.clone(), replica.clone(), target_voters)));
             }
-            tasks.push(tokio::spawn(origin_peers.clone().run(Arc::clone(&soft_state))));
+            let reporting = origin_reports::run(origin_peers.clone(), Arc::clone(&soft_state));
+            tasks.push(tokio::spawn(reporting));
             tasks.push(tokio::spawn(observer.run()));
         } else {
             tasks.push(tokio::spawn(gossip.clone().run()));
--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -65,6 +65,7 @@
     ColdUpstreams,
     AcquirePlace,
     GrantPermits,
+    ReportOrigins,
 }
 
 /// Why an exchange has no response.
@@ -156,7 +157,7 @@
     where
         F: FnOnce(PeerClient, Context) -> BoxFuture<'static, Result<T, RpcError>>,
     {
-        if !self.with_backoff(call, |backoff, now_ms| backoff.admits(now_ms)) {
+        if !self.admits(call) {
             return Err(CallError::NotSent);
         }
         let result = self.exchange(limit, request).await;
@@ -168,6 +169,11 @@
         Ok(result?)
     }
 
+    /// Returns whether a call that the node may not know is made now.
+    pub(crate) fn admits(&self, call: NewerCall) -> bool {
+        self.with_backoff(call, |backoff, now_ms| backoff.admits(now_ms))
+    }
+
     /// Calls `act` with the backoff of a call and the current time in ms.
     fn with_backoff<T>(&self, call: NewerCall, act: impl FnOnce(&mut CallBackoff, u64) -> T) -> T {
         let now_ms = self.now_ms();
--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -61,7 +61,8 @@
             | PeerRequest::ColdUpstreams { .. }
             | PeerRequest::GrantPermits { .. }
             | PeerRequest::AcquirePlace { .. }
-            | PeerRequest::ReleasePlaces { .. } => Purpose::Follow,
+            | PeerRequest::ReleasePlaces { .. }
+            | PeerRequest::ReportOrigins { .. } => Purpose::Follow,
             PeerRequest::Heartbeat { .. } => Purpose::Heartbeat,
         }
     }
@@ -86,7 +87,8 @@
                 | PeerResponse::ColdUpstreams(..)
                 | PeerResponse::GrantPermits(..)
                 | PeerResponse::AcquirePlace(..)
-                | PeerResponse::ReleasePlaces(..),
+                | PeerResponse::ReleasePlaces(..)
+                | PeerResponse::ReportOrigins(..),
             ) => Purpose::Follow,
             Ok(PeerResponse::Heartbeat(..)) => Purpose::Heartbeat,
             Err(_) => Purpose::Connection,
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -10,12 +10,15 @@
     VoterChange,
     command::{Command, Reply},
 };
-use daisysill_core::ids::{ConfigVersion, InstanceId, ServiceName, SoftwareVersion, ZoneName};
+use daisysill_core::{
+    ids::{ConfigVersion, InstanceId, ServiceName, SoftwareVersion, ZoneName},
+    origin_log::ProcessId,
+};
 use daisysill_wire::peer::{
     ColdReply, ControlNode, EntryNodesQuestion, FollowReply, ForwardError, Heartbeat, ObserveReply,
     ObserveRequest, Peer, PeerRequest, PeerResponse, PermitGrants, PermitRequests, PlaceAnswer, PlaceRelease,
-    PlaceRequest, PromptOutcome, PublishedUpstreams, RelayReply, RelayReport, Spread, StreamOrigin,
-    TargetAge, UpstreamSoftware, UpstreamStart,
+    PlaceRequest, PromptOutcome, PublishedUpstreams, RelayReply, RelayReport, ReportedOrigin, Spread,
+    StreamOrigin, TargetAge, UpstreamSoftware, UpstreamStart,
 };
 use futures::{FutureExt, StreamExt};
 use tarpc::{
@@ -40,7 +43,7 @@
     members::Members,
     metrics::ClusterMetrics,
     observer::CrashQueue,
-    origins::OriginPeers,
+    origin_peers::OriginPeers,
     outcome_queue::{OutcomeQueue, TimedOutcome},
     place_table::PlaceTable,
     propose::{Proposal, Proposer},
@@ -325,6 +328,10 @@
     async fn release_places(self, _: Context, releases: Vec<PlaceRelease>) {
         self.state.places.release(&releases);
     }
+
+    async fn report_origins(self, _: Context, origins: Vec<ReportedOrigin>, spread: Spread) -> ProcessId {
+        self.state.soft_state.origins.record_reported(origins, spread)
+    }
 }
 
 fn millis(duration: Duration) -> u64 {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod memory_budget;
 pub mod memory_mark;
 pub mod message_framing;
+pub mod origin_log;
 pub mod overload;
 pub mod place_queue;
 pub mod place_use;
--- a/crates/gateway/src/control_node.rs
+++ b/crates/gateway/src/control_node.rs
@@ -25,7 +25,7 @@
     discovery::{Discovery, DocumentFormat, OrderSender, StoreClient},
     metrics::GatewayMetrics,
     rollout::LeaderTasks,
-    stop::{KILL_MARGIN, PlannedStop, stop_requested},
+    stop::{KILL_MARGIN, ORIGINS_TIMEOUT, PlannedStop, stop_requested},
 };
 
 /// Reads are refused if this node last knew longer ago than this that its configuration was the newest.
@@ -220,6 +220,7 @@
     stop.begin();
     cluster.leave().await;
     let all_served = stop.finish(&handle, stop_at.min(Instant::now() + OPERATOR_STOP_TIMEOUT)).await;
+    cluster.hand_over_origins(ORIGINS_TIMEOUT).await;
     tracing::info!(event = "stop", phase = "end", all_served);
     serving.abort();
     Ok(())
--- a/crates/gateway/src/entry_node.rs
+++ b/crates/gateway/src/entry_node.rs
@@ -26,7 +26,7 @@
     regions::Regions,
     request_handler::Origin,
     routing_state::RoutingState,
-    stop::{BALANCER_NOTICE, KILL_MARGIN, PlannedStop, stop_requested},
+    stop::{BALANCER_NOTICE, KILL_MARGIN, ORIGINS_TIMEOUT, PlannedStop, stop_requested},
     upstreams::Upstreams,
 };
 
@@ -145,6 +145,7 @@
     stop.begin();
     sleep(BALANCER_NOTICE).await;
     let all_served = stop.finish(&handle, stop_at).await;
+    cluster.hand_over_origins(ORIGINS_TIMEOUT).await;
     tracing::info!(event = "stop", phase = "end", all_served);
     serving.abort();
     Ok(())
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -15,6 +15,9 @@
 /// The process exits this long before the platform would kill it.
 pub(crate) const KILL_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time to report where the last streams began, before the process exits.
+pub(crate) const ORIGINS_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Time before the process exits at which requests in progress are answered. They need it to reach their callers.
 const FINAL_ANSWER_TIME: Duration = Duration::from_millis(300);
 /// Time for the streams that the end of the process cuts to be recorded.
--- a/crates/testkit/examples/capacity.rs
+++ b/crates/testkit/examples/capacity.rs
@@ -1,5 +1,5 @@
-//! Measures the memory and time that each further upstream, customer, claim, block, piece or rule file costs a node, at
-//! three sizes each. The figures in docs/CAPACITY.md are extrapolated from these slopes.
+//! Measures the memory and time that each further upstream, customer, claim, block, piece, origin of a stream or rule file costs
+//! a node, at three sizes each. The figures in docs/CAPACITY.md are extrapolated from these slopes.
 
 #![allow(clippy::unwrap_used)]
 
@@ -16,8 +16,10 @@
 };
 use daisysill_core::{
     block::{BlockDescriptor, BlockName},
-    ids::{ConfigVersion, InstanceId, WeightVersion},
+    ids::{ConfigVersion, InstanceId, SoftwareVersion, WeightVersion},
+    origin_log::{OriginLog, OriginSource},
     rules::RuleFile,
+    stream_origins::StreamOrigins,
     view::{ClusterView, UpstreamState, UpstreamView},
 };
 use daisysill_node::{config::Config, directory::BlockDirectory};
@@ -39,6 +41,7 @@
     series("pieces in the view", &[20_000, 100_000, 500_000], pieces);
     series("blocks in the directory", &[20_000, 100_000, 500_000], blocks);
     series("customers in the settings", &[56, 560, 5_600], customers);
+    series("origins of streams", &[20_000, 100_000, 400_000], origins);
     series("rule files published", &[5, 50, 200], rule_files);
     actix_rt::System::new().block_on(idle_nodes());
 }
@@ -138,6 +141,18 @@
     Config::parse("capacity.ini", &text).unwrap()
 }
 
+/// Origins as a node knows and reports them.
+fn origins(count: usize) -> (StreamOrigins, OriginLog) {
+    let software: SoftwareVersion = "v1.4.2".into();
+    let (mut known, mut log) = (StreamOrigins::default(), OriginLog::default());
+    for number in 0..count as u64 {
+        let stream = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        known.record(0, stream, &software);
+        log.record(0, stream, &software, 0, OriginSource::EntryNode);
+    }
+    (known, log)
+}
+
 fn rule_files(count: usize) -> AgreedState {
     let file = |number: usize| RuleFile {
         name: format!("service-{number}.ini"),
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -14,6 +14,7 @@
 };
 use daisysill_core::{
     ids::{ConfigVersion, InstanceId, ServiceName, SoftwareVersion, WeightVersion, ZoneName},
+    origin_log::ProcessId,
     rules::RuleFile,
     value_types,
 };
@@ -21,8 +22,8 @@
 pub use crate::places::{PlaceAnswer, PlaceRelease, PlaceRequest};
 pub use crate::soft_state::{
     BrokenPrompt, ColdReply, ColdUpstream, EntryNodesQuestion, PermitGrant, PermitGrants, PermitRequest,
-    PermitRequests, PromptOutcome, PublishedUpstreams, Spread, StoredPart, StoredPartsUpdate, StreamOrigin,
-    TargetAge, UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware, UpstreamStart,
+    PermitRequests, PromptOutcome, PublishedUpstreams, ReportedOrigin, Spread, StoredPart, StoredPartsUpdate,
+    StreamOrigin, TargetAge, UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware, UpstreamStart,
 };
 
 value_types! {
@@ -264,7 +265,7 @@
     async fn prompt_outcomes(outcomes: Vec<PromptOutcome>);
     /// Returns the software versions of those upstreams that the receiver knows.
     async fn software_of(upstreams: Vec<UpstreamStart>) -> Vec<UpstreamSoftware>;
-    /// Reports where streams began.
+    /// Reports where streams began, as builds without `report_origins` do.
     async fn stream_origins(origins: Vec<StreamOrigin>, spread: Spread);
     /// Returns the software version at which a stream of a service began; `None` if the receiver cannot tell.
     async fn stream_origin(stream: u64, service: ServiceName, spread: Spread) -> Option<SoftwareVersion>;
@@ -280,4 +281,6 @@
     async fn acquire_place(request: PlaceRequest) -> PlaceAnswer;
     /// Releases places that the receiver granted as the leader.
     async fn release_places(releases: Vec<PlaceRelease>);
+    /// Reports where streams began, possibly none; returns the process that recorded it.
+    async fn report_origins(origins: Vec<ReportedOrigin>, spread: Spread) -> ProcessId;
 }
--- a/crates/wire/src/soft_state.rs
+++ b/crates/wire/src/soft_state.rs
@@ -74,6 +74,14 @@
         pub software: SoftwareVersion,
     }
 
+    /// An origin as one node reports it to another, which may have started after the stream.
+    pub struct ReportedOrigin {
+        /// The origin.
+        pub origin: StreamOrigin,
+        /// Time since the stream began.
+        pub age_ms: u32,
+    }
+
     /// Whether the receiver of origins or of a question for one turns to the other control nodes.
     #[derive(Copy)]
     pub enum Spread {
--- a/crates/wire/tests/encoded.rs
+++ b/crates/wire/tests/encoded.rs
@@ -19,6 +19,7 @@
 use daisysill_core::{
     block::BlockDescriptor,
     ids::{ConfigVersion, WeightVersion},
+    origin_log::ProcessId,
     place_queue::{PlaceCandidate, PlaceEnd},
     rules::RuleFile,
 };
@@ -26,9 +27,9 @@
     BlockLocation, ColdReply, ColdUpstream, ConfigDelta, ConfigUpdate, ControlNode, DispatchCount,
     EntryNodesQuestion, FollowReply, ForwardError, Heartbeat, HeartbeatEntry, ObserveReply, ObserveRequest,
     PeerRequest, PeerResponse, PermitGrant, PermitGrants, PermitRequest, PermitRequests, PlaceAnswer,
-    PlaceRelease, PlaceRequest, PublishedUpstreams, RelayReply, RelayReport, ReportEntry, SoftReport, Spread,
-    StoredPart, StoredPartsUpdate, StreamOrigin, TargetAge, UpstreamCrash, UpstreamEntry, UpstreamLoad,
-    UpstreamSoftware, UpstreamStart,
+    PlaceRelease, PlaceRequest, PublishedUpstreams, RelayReply, RelayReport, ReportEntry, ReportedOrigin,
+    SoftReport, Spread, StoredPart, StoredPartsUpdate, StreamOrigin, TargetAge, UpstreamCrash, UpstreamEntry,
+    UpstreamLoad, UpstreamSoftware, UpstreamStart,
 };
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -414,6 +415,17 @@
     assert_message_encoded(&response, include_str!("encoded/grant_permits_response.hex"));
 }
 
+/// The same for reports of origins that name the process of the receiver, which later builds added.
+#[test]
+fn reports_of_origins_keep_their_encoding() {
+    let origin = StreamOrigin { stream: 112, software: "v1".into() };
+    let origins = vec![ReportedOrigin { origin, age_ms: 113 }];
+    let request = PeerRequest::ReportOrigins { origins, spread: Spread::None };
+    assert_message_encoded(&request, include_str!("encoded/report_origins_request.hex"));
+    let response = PeerResponse::ReportOrigins(ProcessId(114));
+    assert_message_encoded(&response, include_str!("encoded/report_origins_response.hex"));
+}
+
 /// The same for messages about places, which later builds added.
 #[test]
 fn messages_about_places_keep_their_encoding() {
