Hand the vote of a control node over before a planned stop

Cause: a planned stop ended the replica like a crash. The leader replaced a voter only after 2 s of silence, so the end of one more voter left a set of three with one that runs. The one voter left asked for pre-votes of two nodes that were gone.

Change: a voter that is to stop requests of the leader that its vote is handed over, and goes on voting until it is no voter, or nearly until its process is killed (control::leaving). The leader promotes a learner that holds the log and then removes the voter, one change at a time, itself last (core::voters). Without a successor a node stops at once, as before. A leader that stops notifies the voters of its last set, and knows them as nodes to ask for the next leader.

--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use daisysill_control::{
-    Input, Output, ProposalFailure, Recovered, Replica, ReplicaStatus, Role, VoterChange,
+    Handover, Input, Output, ProposalFailure, Recovered, Replica, ReplicaStatus, Role, VoterChange,
     command::{Command, Reply},
 };
 use daisysill_core::ids::InstanceId;
@@ -68,10 +68,12 @@
         /// Whether this voter starts an election at once.
         campaign: bool,
     },
-    /// Stops the replica once its proposals have results.
+    /// Stops the replica once its vote is handed over, if that is possible, and its proposals have results.
     Leave {
         /// Notified when the replica has stopped.
         stopped: oneshot::Sender<()>,
+        /// End of the time for the handover; `None` if the voters are not maintained automatically.
+        hand_over_until: Option<Instant>,
     },
 }
 
@@ -101,6 +103,30 @@
     pub(crate) trusts_leader_contact: bool,
 }
 
+/// A planned stop of the replica.
+#[derive(Debug)]
+struct Leaving {
+    /// Notified when the replica has stopped.
+    stopped: oneshot::Sender<()>,
+    phase: LeavingPhase,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum LeavingPhase {
+    /// The replica goes on until its vote is handed over, at the latest until this time.
+    HandingOver(Instant),
+    /// No further proposals are accepted; those in progress have until this time.
+    Settling(Instant),
+}
+
+impl LeavingPhase {
+    fn end(self) -> Instant {
+        match self {
+            Self::HandingOver(end) | Self::Settling(end) => end,
+        }
+    }
+}
+
 /// Runs the replica of a node.
 #[derive(Debug)]
 pub(crate) struct Driver {
@@ -120,8 +146,8 @@
     pending: BTreeMap<u64, oneshot::Sender<ProposalResult>>,
     last_proposal_id: u64,
     outputs: Vec<Output>,
-    /// Set once the node leaves: notified when the replica has stopped, and the deadline of its proposals.
-    leaving: Option<(oneshot::Sender<()>, Instant)>,
+    /// Set once the node leaves.
+    leaving: Option<Leaving>,
     /// Voters of the cluster that this node forms if its data folder is empty; empty on all nodes but one.
     bootstrap_voters: Vec<InstanceId>,
 }
@@ -174,7 +200,7 @@
             }
             let timer_ms = self.replica.next_timer_ms().saturating_sub(self.clock_offset_ms);
             let timer = self.start + Duration::from_millis(timer_ms);
-            let timer = self.leaving.as_ref().map_or(timer, |(_, limit)| timer.min(*limit));
+            let timer = self.leaving.as_ref().map_or(timer, |leaving| timer.min(leaving.phase.end()));
             tokio::select! {
                 biased;
                 event = storage_events.recv() => self.handle_storage(event),
@@ -222,12 +248,23 @@
             DriverInput::Propose { command, respond_to } => self.propose(command, respond_to),
             DriverInput::ChangeVoters { change, respond_to } => self.change_voters(change, respond_to),
             DriverInput::LeaderStopped { from, term, campaign } => self.leader_stopped(&from, term, campaign),
-            DriverInput::Leave { stopped } => self.leaving = Some((stopped, Instant::now() + SETTLE_TIMEOUT)),
+            DriverInput::Leave { stopped, hand_over_until } => self.leave(stopped, hand_over_until),
+        }
+    }
+
+    fn leave(&mut self, stopped: oneshot::Sender<()>, hand_over_until: Option<Instant>) {
+        let phase = match hand_over_until {
+            Some(until) => LeavingPhase::HandingOver(until),
+            None => LeavingPhase::Settling(Instant::now() + SETTLE_TIMEOUT),
+        };
+        self.leaving = Some(Leaving { stopped, phase });
+        if hand_over_until.is_some() {
+            self.step(Input::Leave);
         }
     }
 
     fn propose(&mut self, command: Command, respond_to: oneshot::Sender<ProposalResult>) {
-        if self.leaving.is_some() {
+        if matches!(&self.leaving, Some(Leaving { phase: LeavingPhase::Settling(_), .. })) {
             let _ = respond_to.send(Err(ForwardError::NotAppended));
             return;
         }
@@ -352,6 +389,8 @@
                 || old.voters != status.voters
                 || old.waits_for_peers != status.waits_for_peers
                 || old.disk_outdated != status.disk_outdated
+                || old.handover != status.handover
+                || old.has_leaving() != status.has_leaving()
                 || old.last_index != status.last_index
                 || old.commit_index != status.commit_index;
             view.status = Some(status);
@@ -359,9 +398,20 @@
         });
     }
 
-    /// Returns whether the node leaves and all proposals have results or the time for them is over.
-    fn has_settled(&self) -> bool {
-        self.leaving.as_ref().is_some_and(|(_, limit)| self.pending.is_empty() || Instant::now() >= *limit)
+    /// Returns whether the node leaves, its vote is handed over as far as possible, and all proposals have results or the time
+    /// for them is over.
+    fn has_settled(&mut self) -> bool {
+        let Some(leaving) = &mut self.leaving else { return false };
+        let now = Instant::now();
+        if let LeavingPhase::HandingOver(until) = leaving.phase {
+            let status = self.replica.status();
+            if status.handover == Handover::InProgress && now < until {
+                return false;
+            }
+            log::info!("leaves; handover of the vote: {:?}, voters: {:?}", status.handover, status.voters);
+            leaving.phase = LeavingPhase::Settling(now + SETTLE_TIMEOUT);
+        }
+        self.pending.is_empty() || now >= leaving.phase.end()
     }
 
     /// Stops the replica. The other voters then elect a leader as after a crash, but no proposal is in progress.
@@ -375,7 +425,7 @@
             );
             self.storage.detach();
         }
-        if let Some((stopped, _)) = self.leaving {
+        if let Some(Leaving { stopped, .. }) = self.leaving {
             let _ = stopped.send(());
         }
     }
--- a/crates/cluster/src/membership.rs
+++ b/crates/cluster/src/membership.rs
@@ -2,29 +2,38 @@
 
 use std::time::Duration;
 
-use daisysill_control::{ReplicaStatus, Role, VoterChange};
+use daisysill_control::{Handover, ReplicaStatus, Role, VoterChange};
 use daisysill_core::{
     ids::InstanceId,
-    voters::{Member, Membership, MembershipChange, next_change, should_request_join},
+    voters::{Membership, should_request_join},
+};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
 };
-use tokio::{sync::watch, time::sleep};
 
 use crate::{
     driver::ReplicaView,
     propose::{Proposal, Proposer},
 };
 
-/// Interval of the membership checks.
-const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two membership checks, beside [`LEAVING_INTERVAL`].
+const CHECK_INTERVAL: Duration = Duration::from_millis(230);
+/// Time between two checks while a member that is to stop waits for its vote to be handed over.
+const LEAVING_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Runs until the task is aborted; `target_voters` is the number of voters to maintain.
-pub(crate) async fn run(proposer: Proposer, replica: watch::Receiver<ReplicaView>, target_voters: usize) {
+pub(crate) async fn run(proposer: Proposer, mut replica: watch::Receiver<ReplicaView>, target_voters: usize) {
     loop {
-        sleep(CHECK_INTERVAL).await;
+        sleep(LEAVING_INTERVAL).await;
+        let has_leaving = |view: &ReplicaView| view.status.as_ref().is_some_and(ReplicaStatus::has_leaving);
+        let _ = timeout(CHECK_INTERVAL, replica.wait_for(has_leaving)).await;
         let status = replica.borrow().status.clone();
         let Some(status) = status else { continue };
         let change = match status.role {
-            Role::Leader => leader_change(&status, target_voters),
+            Role::Leader => status.due_change(&proposer.name, target_voters),
+            // A node that is to stop does not join again.
+            _ if status.handover != Handover::NotRequested => None,
             Role::Learner if status.voters.learners.contains(&proposer.name) => {
                 join_request(&status, &proposer.name, Membership::Learner)
             }
@@ -41,21 +50,6 @@
     }
 }
 
-fn leader_change(status: &ReplicaStatus, target_voters: usize) -> Option<VoterChange> {
-    let member = |peer: &daisysill_control::PeerStatus| Member {
-        name: peer.name.clone(),
-        votes: status.voters.voters.contains_key(&peer.name),
-        silent_ms: peer.silent_ms,
-        disk_mismatch: peer.disk_mismatch,
-        caught_up: peer.caught_up,
-    };
-    let others: Vec<Member> = status.peers.iter().map(member).collect();
-    Some(match next_change(&others, target_voters)? {
-        MembershipChange::Promote(name) => VoterChange::Promote(name),
-        MembershipChange::Remove(name) => VoterChange::Remove(name),
-    })
-}
-
 /// Returns the request of this node to become a learner, if it is due. Before the first cluster has formed, no leader can
 /// accept it.
 fn join_request(status: &ReplicaStatus, name: &InstanceId, own: Membership) -> Option<VoterChange> {
--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -111,6 +111,7 @@
         let mut refresh_due = start;
         let mut contact = Contact::default();
         loop {
+            self.learn_voters();
             if self.is_leader() {
                 let _ = timeout(Duration::from_millis(POLL_MS), self.replica.changed()).await;
                 continue;
@@ -142,6 +143,14 @@
         }
     }
 
+    /// Learns which nodes may answer polls from the own replica, which may stop while the nodes of the settings are gone.
+    fn learn_voters(&mut self) {
+        if let Some(status) = &self.replica.borrow().status {
+            let voters: Vec<InstanceId> = status.voters.voters.keys().cloned().collect();
+            self.sources.add_others(&voters);
+        }
+    }
+
     /// Asks a current source for what does not come with the polls, or was not learned with them.
     async fn refresh(&mut self, source: &InstanceId) {
         let published = self.published.get();
--- a/crates/cluster/tests/cluster/followers.rs
+++ b/crates/cluster/tests/cluster/followers.rs
@@ -167,7 +167,7 @@
     // In the election that this causes each voter must store its vote.
     cluster.suspend(&leader, Duration::from_secs(3));
     cluster.drain(others[1], "worker-1").await;
-    cluster.node(others[0]).leave().await;
+    cluster.node(others[0]).leave(None).await;
     // Answered by the tasks of the node that leaves, while its disk still hangs.
     let proposed = cluster.try_drain(others[0], "worker-2").await;
     // Lets the blocked write go on and fail, whatever the outcome.
@@ -196,7 +196,7 @@
     let proposals = tokio::spawn(futures::future::join_all(proposals.collect::<Vec<_>>()));
     sleep(Duration::from_millis(300)).await;
     let leaves_at = start.elapsed();
-    cluster.node(&leader).leave().await;
+    cluster.node(&leader).leave(None).await;
     let left_at = start.elapsed();
     assert_ne!(cluster.node(&leader).status().role, Role::Leader);
     let new_leader = cluster.node(&leader).status().leader.map(|name| name.to_string());
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -7,6 +7,7 @@
 use crate::{
     command::{Command, Reply},
     entry::{VoterSet, WriteBatch},
+    leaving::Handover,
     state::ConfigView,
 };
 
@@ -78,6 +79,9 @@
         /// The change to commit.
         change: VoterChange,
     },
+    /// The node is to stop: its vote is handed over to a learner, if there is one. The replica goes on until its node ends it;
+    /// see [`Handover`].
+    Leave,
     /// Forms a new cluster. Ignored unless the data folder is empty and this is the first voter by name.
     Bootstrap {
         /// The initial voters.
@@ -189,6 +193,8 @@
     pub disk_mismatch: bool,
     /// Whether it has synced every committed entry.
     pub caught_up: bool,
+    /// Whether it requested recently that its vote is handed over, since it is to stop.
+    pub leaving: bool,
 }
 
 /// Status of a replica.
@@ -221,4 +227,6 @@
     pub disk_outdated: bool,
     /// Whether the voter waits for its peers' replies in the start check; until then it does not vote.
     pub waits_for_peers: bool,
+    /// How far the handover of its vote is, if it is to stop.
+    pub handover: Handover,
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod election;
 pub mod entry;
 mod first_election;
+pub mod leaving;
 mod log;
 mod log_files;
 mod membership;
@@ -29,5 +30,6 @@
     Input, Output, PeerStatus, ProposalFailure, ReplicaConfig, ReplicaStatus, Role, VoterChange, VoterRefusal,
 };
 pub use entry::{DiskId, Position, Recovered, VoterSet, WriteBatch};
+pub use leaving::Handover;
 pub use replica::Replica;
 pub use storage::{Storage, StorageError};
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -44,6 +44,11 @@
         /// message and its reply drop them.
         LeaderQuery { query_id: u64 },
         LeaderReply { query_id: u64, reply: LeaderReply },
+        /// The sender is to stop, and requests of the leader to hand its vote over. Replicas of builds without this message and its
+        /// reply drop them.
+        LeaveRequest,
+        /// Whether a member could take the vote over.
+        LeaveReply { has_successor: bool },
     }
 
     /// What a replica reports to a started voter about the leader and itself.
--- a/crates/control/src/progress.rs
+++ b/crates/control/src/progress.rs
@@ -23,6 +23,8 @@
     pub(crate) next_index: u64,
     /// Time at which the leader sent the newest message that the peer has replied to.
     pub(crate) contact_ms: u64,
+    /// Until then the peer counts as one that is to stop; 0 if it never requested to leave.
+    pub(crate) leaving_until_ms: u64,
     in_flight: u32,
     /// Whether the peer's position is unknown; then one append is sent at a time.
     probing: bool,
@@ -37,6 +39,7 @@
             match_index: 0,
             next_index,
             contact_ms: now_ms,
+            leaving_until_ms: 0,
             in_flight: 0,
             probing: true,
             replied_since_heartbeat: true,
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -10,6 +10,7 @@
     api::{Input, Output, ProposalFailure, ReplicaConfig, ReplicaStatus, Role},
     entry::{DiskId, Position, Recovered, Snapshot, VoterSet},
     first_election::FirstElection,
+    leaving::Leaving,
     log::Log,
     membership::Bootstrap,
     message::{Envelope, Message},
@@ -66,6 +67,8 @@
     pub(crate) writes: Writes,
     pub(crate) start_check: StartCheck,
     pub(crate) first_election: FirstElection,
+    /// The planned stop of this replica's node, once it has begun.
+    pub(crate) leaving: Option<Leaving>,
     /// Highest position that each peer's disk has acknowledged to this replica as leader, for the start check.
     pub(crate) acknowledged: BTreeMap<InstanceId, (DiskId, Position)>,
     pub(crate) incoming: Option<IncomingSnapshot>,
@@ -121,6 +124,7 @@
             writes: Writes::new(last.index, !formatted),
             start_check: StartCheck::default(),
             first_election: FirstElection::new(now_ms),
+            leaving: None,
             acknowledged: BTreeMap::new(),
             incoming: None,
             bootstrap: None,
@@ -164,6 +168,7 @@
             Input::Propose { proposal_id, command } => self.propose(proposal_id, command),
             Input::ChangeVoters { proposal_id, change } => self.change_voters(proposal_id, &change),
             Input::Bootstrap { voters } => self.start_bootstrap(voters),
+            Input::Leave => self.begin_leaving(),
             Input::BatchSynced { batch_id } => self.batch_synced(batch_id),
             Input::BatchFailed { batch_id } => self.batch_failed(batch_id),
         }
@@ -183,7 +188,7 @@
             RoleState::Leader(leadership) => leadership.heartbeat_due_ms,
             RoleState::Follower | RoleState::Candidate { .. } => self.election_due_ms,
         };
-        due_ms.min(retry_ms).min(self.leader_query_due_ms())
+        due_ms.min(retry_ms).min(self.leader_query_due_ms()).min(self.leave_request_due_ms())
     }
 
     /// Returns the agreed state at the last entry that this replica has applied.
@@ -215,6 +220,7 @@
             waits_for_peers: self.is_voter() && !self.start_check.passed,
             disk_outdated: self.start_check.outdated
                 && self.synced_position() < self.start_check.min_position,
+            handover: self.handover(),
         }
     }
 
@@ -222,6 +228,7 @@
         self.tick_start_check();
         self.tick_bootstrap();
         self.tick_first_election();
+        self.tick_leaving();
         match &self.role_state {
             RoleState::Leader(_) => self.tick_leader(),
             RoleState::Follower | RoleState::Candidate { .. } => self.tick_election(),
@@ -268,6 +275,11 @@
             Message::NotAVoter { committed } => self.on_not_a_voter(committed),
             Message::LeaderQuery { query_id } => self.on_leader_query(from, query_id),
             Message::LeaderReply { query_id, reply } => self.on_leader_reply(from, disk, query_id, reply),
+            Message::LeaveRequest => {
+                self.notify_if_not_a_voter(from, disk);
+                self.on_leave_request(from);
+            }
+            Message::LeaveReply { has_successor } => self.on_leave_reply(from, has_successor),
         }
     }
 
--- a/crates/control/src/replication.rs
+++ b/crates/control/src/replication.rs
@@ -235,6 +235,7 @@
                 (Some(admitted), Some(reported)) if *admitted != reported
             ),
             caught_up: progress.match_index >= self.commit_index,
+            leaving: self.now_ms < progress.leaving_until_ms,
         };
         leadership.peers.iter().map(status).collect()
     }
--- a/crates/control/tests/protocol/full_disks.rs
+++ b/crates/control/tests/protocol/full_disks.rs
@@ -1,10 +1,7 @@
 //! Disks that refuse writes for seconds, one after another, with voters that are kept by the rules of automatic membership.
 
 use daisysill_control::{Input, ReplicaStatus, Role, VoterChange};
-use daisysill_core::{
-    ids::InstanceId,
-    voters::{Member, MembershipChange, next_change},
-};
+use daisysill_core::ids::InstanceId;
 
 use crate::sim::Sim;
 
@@ -36,21 +33,6 @@
     sim.nodes[&name.into()].replica.as_ref().unwrap().status()
 }
 
-fn change_of_leader(status: &ReplicaStatus) -> Option<VoterChange> {
-    let member = |peer: &daisysill_control::PeerStatus| Member {
-        name: peer.name.clone(),
-        votes: status.voters.voters.contains_key(&peer.name),
-        silent_ms: peer.silent_ms,
-        disk_mismatch: peer.disk_mismatch,
-        caught_up: peer.caught_up,
-    };
-    let others: Vec<Member> = status.peers.iter().map(member).collect();
-    Some(match next_change(&others, 3)? {
-        MembershipChange::Promote(name) => VoterChange::Promote(name),
-        MembershipChange::Remove(name) => VoterChange::Remove(name),
-    })
-}
-
 /// Does what each node does at a check of the membership.
 fn check_membership(sim: &mut Sim) {
     let Some(leader) = sim.leader() else { return };
@@ -58,7 +40,7 @@
     for name in names {
         let status = status(sim, name.as_str());
         let change = match status.role {
-            Role::Leader => change_of_leader(&status),
+            Role::Leader => status.due_change(&name, 3),
             Role::Learner if !status.voters.learners.contains(&name) => {
                 Some(VoterChange::AddLearner(name.clone()))
             }
--- a/crates/control/tests/protocol/main.rs
+++ b/crates/control/tests/protocol/main.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod first_election;
 mod full_disks;
+mod handover;
 mod leadership;
 mod log_time;
 mod removed_voters;
--- a/crates/gateway/src/control_node.rs
+++ b/crates/gateway/src/control_node.rs
@@ -218,7 +218,7 @@
     tracing::info!(event = "stop", phase = "begin");
     let stop_at = Instant::now() + config.bounds.shutdown_timeout.saturating_sub(KILL_MARGIN);
     stop.begin();
-    cluster.leave().await;
+    cluster.leave(Some(stop_at)).await;
     let all_served = stop.finish(&handle, stop_at.min(Instant::now() + OPERATOR_STOP_TIMEOUT)).await;
     cluster.hand_over_origins(ORIGINS_TIMEOUT).await;
     tracing::info!(event = "stop", phase = "end", all_served);
--- a/crates/node/src/app.rs
+++ b/crates/node/src/app.rs
@@ -223,7 +223,7 @@
         self.callers.pause().await;
         let end = Instant::now() + Duration::from_secs(self.shared.config.node.stop_timeout_s);
         self.finish_requests(end).await;
-        self.shared.cluster.leave().await;
+        self.shared.cluster.leave(None).await;
         self.admin.stop(false).await;
         self.shared.tracing.flush().await;
         self.shared.lifecycle_event("finished");
