Confirm a configuration as of the step that shows it

A control node that was frozen could hand out an older configuration as just confirmed, so that a request with a key that was taken away could run.

Cause: the driver looked at the lease, or at the contact with the leader, and read the clock again for the confirmation. A freeze between the two lasted into the confirmation.

Change: the clock is read once, for the step of the replica; a leader confirms as of that step, a follower as of its last contact with the leader (cluster::confirmation).

--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     clock::BootInstant,
+    confirmation::{ReplicaStep, confirmed_at},
     metrics::ClusterMetrics,
     outbox::Outbox,
     storage_thread::{StorageEvent, StorageThread},
@@ -133,6 +134,7 @@
     replica: Replica,
     start: Instant,
     boot_started_at: BootInstant,
+    last_step: ReplicaStep,
     /// Added to the replica's clock; see `leader_stopped`.
     clock_offset_ms: u64,
     config: DriverConfig,
@@ -163,10 +165,12 @@
         metrics: ClusterMetrics,
         status: watch::Sender<ReplicaView>,
     ) -> Self {
+        let now = BootInstant::now();
         Self {
             replica,
             start: Instant::now(),
-            boot_started_at: BootInstant::now(),
+            boot_started_at: now,
+            last_step: ReplicaStep { now_ms: 0, at: now },
             clock_offset_ms: 0,
             config,
             storage,
@@ -227,15 +231,16 @@
         }
     }
 
-    fn now_ms(&self) -> u64 {
-        u64::try_from(self.boot_started_at.elapsed().as_millis())
-            .unwrap_or(u64::MAX)
-            .saturating_add(self.clock_offset_ms)
+    /// Reads the clock for a step of the replica.
+    fn begin_step(&self) -> ReplicaStep {
+        let at = BootInstant::now();
+        let elapsed_ms = u64::try_from(at.since(self.boot_started_at).as_millis()).unwrap_or(u64::MAX);
+        ReplicaStep { now_ms: elapsed_ms.saturating_add(self.clock_offset_ms), at }
     }
 
     fn step(&mut self, input: Input) {
-        let now_ms = self.now_ms();
-        self.replica.step(now_ms, input, &mut self.outputs);
+        self.last_step = self.begin_step();
+        self.replica.step(self.last_step.now_ms, input, &mut self.outputs);
     }
 
     fn handle(&mut self, input: DriverInput) {
@@ -319,7 +324,7 @@
     /// Continues from the data folder as after a restart of the process.
     fn restart_replica(&mut self, recovered: Recovered) {
         let entries = recovered.entries.len();
-        self.replica = self.replica.restarted(recovered, self.now_ms(), rand::random());
+        self.replica = self.replica.restarted(recovered, self.begin_step().now_ms, rand::random());
         let last_index = self.replica.status().last_index;
         log::info!(
             "the data folder can be written again; this voter resumes with {entries} entries up to {last_index}"
@@ -359,17 +364,8 @@
 
     fn publish_status(&mut self) {
         let status = self.replica.status();
-        let now_ms = self.now_ms();
-        let is_confirmed = match status.role {
-            Role::Leader => status.leader_until_ms.is_some_and(|until_ms| now_ms < until_ms),
-            Role::Follower => {
-                let applied = status.applied_index == status.commit_index;
-                self.config.trusts_leader_contact && status.leader.is_some() && applied
-            }
-            Role::Candidate | Role::Learner | Role::Halted => false,
-        };
-        if is_confirmed {
-            self.views.confirm(self.replica.state().config.version, BootInstant::now());
+        if let Some(at) = confirmed_at(&status, self.last_step, self.config.trusts_leader_contact) {
+            self.views.confirm(self.replica.state().config.version, at);
         }
         self.status.send_if_modified(|view| {
             let Some(old) = &view.status else {
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 pub mod cold;
 pub mod config;
+pub mod confirmation;
 mod delta;
 mod driver;
 mod entry_nodes;
@@ -45,6 +46,7 @@
 pub use clock::BootInstant;
 pub use cold::ColdReading;
 pub use config::{ClusterConfig, PeerAddress};
+pub use confirmation::{ReplicaStep, confirmed_at};
 pub use handle::{Cluster, ClusterHandle};
 pub use lease::{LeaseConfig, LeaseHolder};
 pub use metrics::ClusterMetrics;
