Count the age in a response to a poll from when it can have been made

A node of the own interface that was frozen while a response was under way took its configuration for more recent than it was, by the length of the freeze, and said so in its state.

Cause: the age in the response was subtracted from the time at which the node read the response, not from the time at which it was made.

Change: a source says how long it held the poll (poll_config), and the age counts from the sending of the poll plus that time. Sources of builds without this call do not say it; then the age counts from the poll.

--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use daisysill_core::ids::{ConfigVersion, InstanceId, ZoneName};
-use daisysill_wire::peer::{ConfigUpdate, FollowReply, PeerClient};
+use daisysill_wire::peer::{ConfigUpdate, FollowReply, HeldReply, PeerClient};
 use futures::FutureExt;
 use tokio::{
     sync::watch,
@@ -14,7 +14,7 @@
     clock::BootInstant,
     driver::ReplicaView,
     gossip::hash_index,
-    link::{CallError, Link, Links},
+    link::{CallError, Link, Links, NewerCall},
     members::Members,
     propose::LeaderHint,
     view_store::{ViewStore, version_of},
@@ -40,6 +40,13 @@
 /// After this many failures in a row, every second attempt polls a random node, of this node's zone if it has others.
 const FAILURES_BEFORE_ANY_NODE: usize = 3;
 
+/// A response, with the earliest time at which its source may have made it. The node may have been suspended while it was under
+/// way, so the ages in it do not count from its arrival.
+struct TimedReply {
+    reply: FollowReply,
+    made_at: BootInstant,
+}
+
 /// Follows the configuration of other nodes.
 #[derive(Clone, Debug)]
 pub(crate) struct Follower {
@@ -89,13 +96,14 @@
 
     /// Applies a response; returns whether to stay with the source. A source without contact to the voters is left
     /// for another.
-    async fn apply(&self, reply: &FollowReply) -> bool {
+    async fn apply(&self, TimedReply { reply, made_at }: &TimedReply) -> bool {
         if let Some(age_ms) = reply.age_ms
             && !matches!(reply.update, ConfigUpdate::Deferred(_))
         {
-            let age = Duration::from_millis(age_ms);
+            // It is less than a millisecond more than the response says.
+            let age = Duration::from_millis(age_ms.saturating_add(1));
             if self.views.install_update(&reply.update)
-                && let Some(at) = BootInstant::now().checked_sub(age)
+                && let Some(at) = made_at.checked_sub(age)
             {
                 self.views.confirm(version_of(&reply.update), at);
             }
@@ -118,11 +126,20 @@
         after: ConfigVersion,
         wait_ms: u64,
         grace: Duration,
-    ) -> Result<FollowReply, CallError> {
+    ) -> Result<TimedReply, CallError> {
+        let sent_at = BootInstant::now();
+        let limit = Duration::from_millis(wait_ms) + grace;
+        if link.admits(NewerCall::PollConfig) {
+            let call = move |client: PeerClient, context| {
+                async move { client.poll_config(context, after, wait_ms).await }.boxed()
+            };
+            let HeldReply { reply, held_ms } = link.call_newer(NewerCall::PollConfig, limit, call).await?;
+            return Ok(TimedReply { reply, made_at: sent_at + Duration::from_millis(held_ms) });
+        }
         let call = move |client: PeerClient, context| {
             async move { client.follow(context, after, wait_ms).await }.boxed()
         };
-        link.call(Duration::from_millis(wait_ms) + grace, call).await
+        Ok(TimedReply { reply: link.call(limit, call).await?, made_at: sent_at })
     }
 
     /// Polls all nodes of the zone and all voters for their versions, then fetches the newest configuration. The
@@ -134,9 +151,9 @@
             let sources = self.links.iter().filter(|l| l.zone == self.zone || voters.contains(&l.name));
             let calls = sources.map(|link| async move {
                 let newest = ConfigVersion(u64::MAX);
-                let reply = self.poll(link, newest, 0, CATCH_UP_POLL_TIMEOUT).await.ok()?;
-                let ConfigUpdate::Unchanged(version) = reply.update else { return None };
-                Some((version, Arc::clone(link), reply))
+                let timed = self.poll(link, newest, 0, CATCH_UP_POLL_TIMEOUT).await.ok()?;
+                let ConfigUpdate::Unchanged(version) = timed.reply.update else { return None };
+                Some((version, Arc::clone(link), timed.reply))
             });
             let mut responses: Vec<_> =
                 futures::future::join_all(calls).await.into_iter().flatten().collect();
--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -66,6 +66,7 @@
     AcquirePlace,
     GrantPermits,
     ReportOrigins,
+    PollConfig,
 }
 
 /// Why an exchange has no response.
--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -62,7 +62,8 @@
             | PeerRequest::GrantPermits { .. }
             | PeerRequest::AcquirePlace { .. }
             | PeerRequest::ReleasePlaces { .. }
-            | PeerRequest::ReportOrigins { .. } => Purpose::Follow,
+            | PeerRequest::ReportOrigins { .. }
+            | PeerRequest::PollConfig { .. } => Purpose::Follow,
             PeerRequest::Heartbeat { .. } => Purpose::Heartbeat,
         }
     }
@@ -88,7 +89,8 @@
                 | PeerResponse::GrantPermits(..)
                 | PeerResponse::AcquirePlace(..)
                 | PeerResponse::ReleasePlaces(..)
-                | PeerResponse::ReportOrigins(..),
+                | PeerResponse::ReportOrigins(..)
+                | PeerResponse::PollConfig(..),
             ) => Purpose::Follow,
             Ok(PeerResponse::Heartbeat(..)) => Purpose::Heartbeat,
             Err(_) => Purpose::Connection,
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -15,10 +15,10 @@
     origin_log::ProcessId,
 };
 use daisysill_wire::peer::{
-    ColdReply, ControlNode, EntryNodesQuestion, FollowReply, ForwardError, Heartbeat, ObserveReply,
-    ObserveRequest, Peer, PeerRequest, PeerResponse, PermitGrants, PermitRequests, PlaceAnswer, PlaceRelease,
-    PlaceRequest, PromptOutcome, PublishedUpstreams, RelayReply, RelayReport, ReportedOrigin, Spread,
-    StreamOrigin, TargetAge, UpstreamSoftware, UpstreamStart,
+    ColdReply, ControlNode, EntryNodesQuestion, FollowReply, ForwardError, Heartbeat, HeldReply,
+    ObserveReply, ObserveRequest, Peer, PeerRequest, PeerResponse, PermitGrants, PermitRequests, PlaceAnswer,
+    PlaceRelease, PlaceRequest, PromptOutcome, PublishedUpstreams, RelayReply, RelayReport, ReportedOrigin,
+    Spread, StreamOrigin, TargetAge, UpstreamSoftware, UpstreamStart,
 };
 use futures::{FutureExt, StreamExt};
 use tarpc::{
@@ -329,6 +329,12 @@
         self.state.places.release(&releases);
     }
 
+    async fn poll_config(self, context: Context, after: ConfigVersion, wait_ms: u64) -> HeldReply {
+        let received_at = BootInstant::now();
+        let reply = self.follow(context, after, wait_ms).await;
+        HeldReply { reply, held_ms: millis(received_at.elapsed()) }
+    }
+
     async fn report_origins(self, _: Context, origins: Vec<ReportedOrigin>, spread: Spread) -> ProcessId {
         self.state.soft_state.origins.record_reported(origins, spread)
     }
--- a/crates/cluster/tests/cluster/followers.rs
+++ b/crates/cluster/tests/cluster/followers.rs
@@ -108,6 +108,33 @@
     cluster.wait("both are current again", current).await;
 }
 
+/// Guards against a configuration that looks recent because the response that confirms it lay in the socket while the node was frozen:
+/// its age was counted from its arrival.
+#[tokio::test]
+async fn a_response_from_before_a_freeze_confirms_nothing_later() {
+    const FREEZE: Duration = Duration::from_secs(4);
+    /// The voters hold a poll for up to a second.
+    const MAX_POLL: Duration = Duration::from_millis(1_500);
+    let cluster = TestCluster::started(THREE, &["o1/z1"]).await;
+    let handle = cluster.node("o1").clone();
+    cluster.drain("o1", "worker-1").await;
+    cluster.suspend("o1", FREEZE);
+    let frozen_at = Instant::now();
+    // The response to the poll in progress arrives in the socket; nothing reaches the node after that.
+    sleep(MAX_POLL).await;
+    cluster.silence("o1", &["a", "b", "c"]);
+    while frozen_at.elapsed() < FREEZE + Duration::from_secs(1) {
+        let age = handle.config_age().unwrap();
+        let youngest = frozen_at.elapsed().saturating_sub(MAX_POLL);
+        assert!(
+            age >= youngest,
+            "the configuration looks {age:?} old, {:?} after the freeze began",
+            frozen_at.elapsed()
+        );
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// Guards against a restarted node that reports itself as current before it has the newest version in its zone.
 #[tokio::test]
 async fn a_restarted_follower_is_current_only_with_the_newest_version() {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -114,6 +114,15 @@
         pub leader: Option<InstanceId>,
     }
 
+    /// A [`FollowReply`] with the time that it took to answer.
+    pub struct HeldReply {
+        /// The response.
+        pub reply: FollowReply,
+        /// Time for which the source held the poll, suspended time included; the response was made no earlier than this after
+        /// the poll was sent.
+        pub held_ms: u64,
+    }
+
     /// The configuration relative to the version that a follower has.
     pub enum ConfigUpdate {
         /// The follower has the source's version, given here, or a newer one.
@@ -248,7 +257,7 @@
     async fn propose(command: Command) -> Result<Reply, ForwardError>;
     /// Proposes a change of the voters to the leader.
     async fn change_voters(change: VoterChange) -> Result<Reply, ForwardError>;
-    /// Polls for a configuration newer than `after`; returns `Unchanged` after `wait_ms`.
+    /// Polls for a configuration newer than `after`, as builds without `poll_config` do; returns `Unchanged` after `wait_ms`.
     async fn follow(after: ConfigVersion, wait_ms: u64) -> FollowReply;
     /// Polls for a new configuration or newly published upstreams; returns after `wait_ms` at the latest.
     async fn observe(request: ObserveRequest, wait_ms: u64) -> ObserveReply;
@@ -283,4 +292,6 @@
     async fn release_places(releases: Vec<PlaceRelease>);
     /// Reports where streams began, possibly none; returns the process that recorded it.
     async fn report_origins(origins: Vec<ReportedOrigin>, spread: Spread) -> ProcessId;
+    /// Polls for a configuration newer than `after`; returns `Unchanged` after `wait_ms`.
+    async fn poll_config(after: ConfigVersion, wait_ms: u64) -> HeldReply;
 }
--- a/crates/wire/tests/encoded.rs
+++ b/crates/wire/tests/encoded.rs
@@ -25,11 +25,11 @@
 };
 use daisysill_wire::peer::{
     BlockLocation, ColdReply, ColdUpstream, ConfigDelta, ConfigUpdate, ControlNode, DispatchCount,
-    EntryNodesQuestion, FollowReply, ForwardError, Heartbeat, HeartbeatEntry, ObserveReply, ObserveRequest,
-    PeerRequest, PeerResponse, PermitGrant, PermitGrants, PermitRequest, PermitRequests, PlaceAnswer,
-    PlaceRelease, PlaceRequest, PublishedUpstreams, RelayReply, RelayReport, ReportEntry, ReportedOrigin,
-    SoftReport, Spread, StoredPart, StoredPartsUpdate, StreamOrigin, TargetAge, UpstreamCrash, UpstreamEntry,
-    UpstreamLoad, UpstreamSoftware, UpstreamStart,
+    EntryNodesQuestion, FollowReply, ForwardError, Heartbeat, HeartbeatEntry, HeldReply, ObserveReply,
+    ObserveRequest, PeerRequest, PeerResponse, PermitGrant, PermitGrants, PermitRequest, PermitRequests,
+    PlaceAnswer, PlaceRelease, PlaceRequest, PublishedUpstreams, RelayReply, RelayReport, ReportEntry,
+    ReportedOrigin, SoftReport, Spread, StoredPart, StoredPartsUpdate, StreamOrigin, TargetAge,
+    UpstreamCrash, UpstreamEntry, UpstreamLoad, UpstreamSoftware, UpstreamStart,
 };
 use serde::{Serialize, de::DeserializeOwned};
 
@@ -426,6 +426,17 @@
     assert_message_encoded(&response, include_str!("encoded/report_origins_response.hex"));
 }
 
+/// The same for polls whose response tells how long they were held, which later builds added.
+#[test]
+fn polls_of_the_configuration_keep_their_encoding() {
+    let request = PeerRequest::PollConfig { after: ConfigVersion(115), wait_ms: 116 };
+    assert_message_encoded(&request, include_str!("encoded/poll_config_request.hex"));
+    let update = ConfigUpdate::Unchanged(ConfigVersion(117));
+    let reply = FollowReply { update, age_ms: Some(118), leader: Some("n1".into()) };
+    let response = PeerResponse::PollConfig(HeldReply { reply, held_ms: 119 });
+    assert_message_encoded(&response, include_str!("encoded/poll_config_response.hex"));
+}
+
 /// The same for messages about places, which later builds added.
 #[test]
 fn messages_about_places_keep_their_encoding() {
