--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use daisysill_control::{
-    Handover, Input, Output, ProposalFailure, Recovered, Replica, ReplicaStatus, Role, VoterChange,
+    Handover, Input, Output, ProposalFailure, Recovered, Replica, Role, VoterChange,
     command::{Command, Reply},
 };
 use daisysill_core::ids::InstanceId;
@@ -16,6 +16,7 @@
 use crate::{
     clock::BootInstant,
     confirmation::{ReplicaStep, confirmed_at},
+    driver_input::{DriverInput, Leaving, LeavingPhase, ProposalResult, ReplicaView},
     metrics::ClusterMetrics,
     outbox::Outbox,
     storage_thread::{StorageEvent, StorageThread},
@@ -36,65 +37,6 @@
 pub(crate) const OPEN_ERROR: &str = "the data folder cannot be used; if a file in it is damaged, keep a copy of the folder, \
     start this voter with an empty folder, and replace it in the voter set before another voter is lost";
 
-/// The result of a proposal.
-pub(crate) type ProposalResult = Result<Reply, ForwardError>;
-
-/// An input of the driver.
-#[derive(Debug)]
-pub(crate) enum DriverInput {
-    /// Protocol messages of another replica arrived.
-    Receive {
-        /// The authenticated sender.
-        from: InstanceId,
-        messages: Vec<Vec<u8>>,
-    },
-    /// Commits a command.
-    Propose {
-        command: Command,
-        /// Receives the result; dropped without one if the outcome is uncertain.
-        respond_to: oneshot::Sender<ProposalResult>,
-    },
-    /// Changes the voters.
-    ChangeVoters {
-        change: VoterChange,
-        /// Receives the result, as for a command.
-        respond_to: oneshot::Sender<ProposalResult>,
-    },
-    /// A leader announces that it has stopped.
-    LeaderStopped {
-        /// The authenticated sender; the input is ignored unless it is the leader.
-        from: InstanceId,
-        /// The term that it led; an input for another term is ignored.
-        term: u64,
-        /// Whether this voter starts an election at once.
-        campaign: bool,
-    },
-    /// Stops the replica once its vote is handed over, if that is possible, and its proposals have results.
-    Leave {
-        /// Notified when the replica has stopped.
-        stopped: oneshot::Sender<()>,
-        /// End of the time for the handover; `None` if the voters are not maintained automatically.
-        hand_over_until: Option<Instant>,
-    },
-}
-
-/// The replica as seen by the rest of the node.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct ReplicaView {
-    /// The status; `None` on a node without a replica and after the replica has stopped.
-    pub(crate) status: Option<ReplicaStatus>,
-}
-
-impl ReplicaView {
-    /// Returns whether the replica leads, or is a voter that knows a leader; then it confirms the configuration. A learner
-    /// does not: it may still lack most of the log.
-    pub(crate) fn has_leader(&self) -> bool {
-        self.status
-            .as_ref()
-            .is_some_and(|s| s.leader.is_some() && matches!(s.role, Role::Leader | Role::Follower))
-    }
-}
-
 /// Settings of a driver.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct DriverConfig {
@@ -104,30 +46,6 @@
     pub(crate) trusts_leader_contact: bool,
 }
 
-/// A planned stop of the replica.
-#[derive(Debug)]
-struct Leaving {
-    /// Notified when the replica has stopped.
-    stopped: oneshot::Sender<()>,
-    phase: LeavingPhase,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum LeavingPhase {
-    /// The replica goes on until its vote is handed over, at the latest until this time.
-    HandingOver(Instant),
-    /// No further proposals are accepted; those in progress have until this time.
-    Settling(Instant),
-}
-
-impl LeavingPhase {
-    fn end(self) -> Instant {
-        match self {
-            Self::HandingOver(end) | Self::Settling(end) => end,
-        }
-    }
-}
-
 /// Runs the replica of a node.
 #[derive(Debug)]
 pub(crate) struct Driver {
--- a/crates/cluster/src/follow.rs
+++ b/crates/cluster/src/follow.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     clock::BootInstant,
-    driver::ReplicaView,
+    driver_input::ReplicaView,
     gossip::hash_index,
     link::{CallError, Link, Links, NewerCall},
     members::Members,
--- a/crates/cluster/src/handle.rs
+++ b/crates/cluster/src/handle.rs
@@ -27,7 +27,8 @@
 use crate::{
     clock::BootInstant,
     config::ClusterConfig,
-    driver::{Driver, DriverConfig, DriverInput, INPUT_QUEUE_LEN, OPEN_ERROR, ReplicaView},
+    driver::{Driver, DriverConfig, INPUT_QUEUE_LEN, OPEN_ERROR},
+    driver_input::{DriverInput, ReplicaView},
     entry_nodes::CutOffNodes,
     follow::Follower,
     gossip::Gossip,
--- a/crates/cluster/src/leave.rs
+++ b/crates/cluster/src/leave.rs
@@ -11,7 +11,7 @@
     time::{Instant, sleep, timeout_at},
 };
 
-use crate::{driver::DriverInput, handle::ClusterHandle, link::Link};
+use crate::{driver_input::DriverInput, handle::ClusterHandle, link::Link};
 
 /// Timeout for the replica to stop after the handover, and then for another node to become leader.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(3);
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod confirmation;
 mod delta;
 mod driver;
+mod driver_input;
 mod entry_nodes;
 mod follow;
 mod framing;
--- a/crates/cluster/src/membership.rs
+++ b/crates/cluster/src/membership.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    driver::ReplicaView,
+    driver_input::ReplicaView,
     propose::{Proposal, Proposer},
 };
 
--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     clock::BootInstant,
-    driver::ReplicaView,
+    driver_input::ReplicaView,
     link::{CallError, Link, Links, NewerCall},
     outcome_queue::OutcomeQueue,
     propose::LeaderHint,
--- a/crates/cluster/src/origin_peers.rs
+++ b/crates/cluster/src/origin_peers.rs
@@ -1,5 +1,4 @@
-//! The nodes that a node asks for origins and reports them to: entry nodes turn to a control node, which turns to the others.
-//! So an origin outlives the entry nodes and any one control node.
+//! The nodes that a node asks for origins and reports them to: entry nodes call a control node, which calls the others. So an origin outlives the entry nodes and any one control node.
 
 use std::{
     sync::{Arc, Mutex, PoisonError},
@@ -12,18 +11,18 @@
 use tokio::sync::watch;
 
 use crate::{
-    driver::ReplicaView,
+    driver_input::ReplicaView,
     link::{CallError, Links},
 };
 
-/// Timeout of a question for what a control node knows itself; the caller waits for the answer.
+/// Timeout of a lookup in what a control node knows itself; the caller waits for the answer.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(250);
-/// Timeout of the questions that a control node asks the others.
+/// Timeout of the lookups at the other control nodes.
 const SPREAD_TIMEOUT: Duration = Duration::from_millis(150);
-/// Timeout of a question that a control node may answer after the next reading of the list only.
+/// Timeout of a lookup that a control node may answer after the next reading of the list only.
 const SEARCH_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The nodes to which a node turns with origins, and with questions for them.
+/// The nodes to which a node reports origins, and which it asks for them.
 #[derive(Clone, Debug)]
 pub(crate) struct OriginPeers {
     pub(crate) name: InstanceId,
@@ -32,7 +31,7 @@
     replica: watch::Receiver<ReplicaView>,
     /// The control node that an entry node polls.
     source: watch::Receiver<Option<InstanceId>>,
-    /// The other control nodes as this node's replica last named them: a control node that leaves goes on reporting after its
+    /// The other control nodes as this node's replica last named them: a control node that leaves still reports after its
     /// replica has stopped. Empty on entry nodes.
     control_nodes: Arc<Mutex<Vec<InstanceId>>>,
 }
@@ -54,7 +53,7 @@
         }
     }
 
-    /// Asks for the software version at which a stream of a service began; `None` if nobody can tell.
+    /// Asks for the software version at which a stream of a service began; `None` if no node knows it.
     pub(crate) async fn ask(&self, stream: u64, service: &ServiceName) -> Option<SoftwareVersion> {
         let answers = self.targets().into_iter().map(|target| self.ask_one(target, stream, service));
         let mut answers: FuturesUnordered<_> = answers.collect();
--- a/crates/cluster/src/origin_reports.rs
+++ b/crates/cluster/src/origin_reports.rs
@@ -1,7 +1,7 @@
 //! Reports origins to other nodes until each of them has all that it may lack, also if it starts anew.
 //!
-//! A receiver is told new origins at once, and asked for its process from time to time while there is something that it could
-//! have lost. One that has started anew is told everything again, page by page.
+//! A receiver is sent new origins at once, and asked for its process from time to time while there is something that it could
+//! have lost. One that has started anew is sent everything again, page by page.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
--- a/crates/cluster/src/propose.rs
+++ b/crates/cluster/src/propose.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     config::ClusterConfig,
-    driver::{DriverInput, ReplicaView},
+    driver_input::{DriverInput, ReplicaView},
     link::{CallError, Links},
     status::ProposeError,
 };
--- a/crates/cluster/src/relays.rs
+++ b/crates/cluster/src/relays.rs
@@ -15,7 +15,7 @@
 use tokio::{sync::watch, time::sleep};
 
 use crate::{
-    clock::BootInstant, driver::ReplicaView, link::Links, observer::Observer, propose::LeaderHint,
+    clock::BootInstant, driver_input::ReplicaView, link::Links, observer::Observer, propose::LeaderHint,
     published_upstreams::PublishedStore, soft_state::SoftState,
 };
 
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -35,7 +35,7 @@
 
 use crate::{
     clock::BootInstant,
-    driver::{DriverInput, ReplicaView},
+    driver_input::{DriverInput, ReplicaView},
     entry_nodes::{self, CutOffNodes},
     framing::AuthenticatedTransport,
     handshake::{self, SharedKey},
--- a/crates/control/src/leaving.rs
+++ b/crates/control/src/leaving.rs
@@ -1,8 +1,8 @@
 //! Planned stops: a voter that is to stop hands its vote over to a learner first.
 //!
 //! It requests this of the leader until it is no voter anymore, and goes on voting meanwhile. The leader keeps the request for a
-//! short time only, so a new leader learns of it with the next one, and a node that has started again is not taken for one
-//! that stops. Which change is due is decided by `daisysill_core::voters`; the leader's node proposes it.
+//! short time only, so a new leader learns of it with the next one, and a node that has started again does not count as
+//! one that stops. Which change is due is decided by `daisysill_core::voters`; the leader's node proposes it.
 
 use daisysill_core::{
     ids::InstanceId,
@@ -71,7 +71,7 @@
     pub(crate) fn on_leave_request(&mut self, from: &InstanceId) {
         let leaving_until_ms = self.now_ms + REQUEST_LIFETIME_HEARTBEATS * self.config.heartbeat_ms;
         let RoleState::Leader(leadership) = &mut self.role_state else { return };
-        // One that is no member anymore is told so by `notify_if_not_a_voter`.
+        // `notify_if_not_a_voter` answers one that is no member anymore.
         let Some(progress) = leadership.peers.get_mut(from) else { return };
         progress.leaving_until_ms = leaving_until_ms;
         let has_successor = self.has_successor();
--- a/crates/core/src/origin_log.rs
+++ b/crates/core/src/origin_log.rs
@@ -15,7 +15,7 @@
 
 /// Origins in the log; bounds the memory. The oldest are dropped.
 const MAX_LOGGED: usize = 400_000;
-/// Receivers whose position is kept; an entry node turns to few control nodes.
+/// Receivers whose position is kept; an entry node reports to few control nodes.
 const MAX_RECEIVERS: usize = 32;
 
 /// Identifies one start of a process; drawn at random.
@@ -125,7 +125,7 @@
     }
 
     /// Records that a receiver took the batch that ends at `end`, and which process it is. Returns whether it is another one
-    /// than before, which is then told everything again.
+    /// than before, which is then sent everything again.
     pub fn record_answer(&mut self, receiver: &InstanceId, process: ProcessId, end: u64) -> bool {
         let log_end = self.end();
         if let Some(known) = self.receivers.get_mut(receiver) {
@@ -139,7 +139,7 @@
             return has_restarted;
         }
         if self.receivers.len() >= MAX_RECEIVERS {
-            // It is told everything again if this node turns to it once more.
+            // It is sent everything again if this node reports to it once more.
             self.receivers.pop_first();
         }
         self.receivers.insert(receiver.clone(), Receiver { process, next: end, all_before: log_end });
@@ -161,7 +161,7 @@
     }
 
     /// Drops the origins whose streams nobody takes up anymore. They are ordered by the time of recording, so one that a
-    /// restarted node was told late may stay until those before it are outdated.
+    /// restarted node received late may stay until those before it are outdated.
     fn discard_outdated(&mut self, now_ms: u64) {
         while let Some(first) = self.origins.front() {
             if now_ms.saturating_sub(first.began_ms) < ORIGIN_LIFETIME_MS {
