Measure how long a poll was held before the age in its response

A source of the own interface that was frozen between the reading of the age and the end of the call would have stated the freeze as time for which it held the poll, so that its follower took the configuration for more recent.

Change: the time is read before the age. No test injects a freeze between the two; the test of the follower's freeze passes.

--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -176,22 +176,8 @@
     }
 
     async fn follow(self, _: Context, after: ConfigVersion, wait_ms: u64) -> FollowReply {
-        let state = &self.state;
-        let mut changes = state.views.subscribe();
-        if wait_ms > 0 {
-            let _follower = FollowerCount::new(&state.metrics);
-            let newer = changes.wait_for(|view| view.version > after).map(|_| ());
-            let _ = timeout(Duration::from_millis(wait_ms.min(MAX_POLL_MS)), newer).await;
-        }
-        // The age is read before the configuration, so that it never makes an older one look newer than it is.
-        let age = state.views.confirmed_at().map(BootInstant::elapsed);
-        let update = state.views.update_since(after);
-        let replica: ReplicaView = state.proposer.replica.borrow().clone();
-        FollowReply {
-            update,
-            age_ms: age.map(millis),
-            leader: replica.status.and_then(|status| status.leader).or_else(|| state.proposer.leader.get()),
-        }
+        self.state.hold_poll(after, wait_ms).await;
+        self.state.follow_reply(after)
     }
 
     async fn observe(self, _: Context, request: ObserveRequest, wait_ms: u64) -> ObserveReply {
@@ -329,10 +315,12 @@
         self.state.places.release(&releases);
     }
 
-    async fn poll_config(self, context: Context, after: ConfigVersion, wait_ms: u64) -> HeldReply {
+    async fn poll_config(self, _: Context, after: ConfigVersion, wait_ms: u64) -> HeldReply {
         let received_at = BootInstant::now();
-        let reply = self.follow(context, after, wait_ms).await;
-        HeldReply { reply, held_ms: millis(received_at.elapsed()) }
+        self.state.hold_poll(after, wait_ms).await;
+        // Before the age is read: a suspension between the two makes the configuration look older, not newer.
+        let held_ms = millis(received_at.elapsed());
+        HeldReply { reply: self.state.follow_reply(after), held_ms }
     }
 
     async fn report_origins(self, _: Context, origins: Vec<ReportedOrigin>, spread: Spread) -> ProcessId {
@@ -356,6 +344,29 @@
         (status.leader.as_ref() == Some(&self.name)).then_some(status.term)
     }
 
+    /// Waits until the configuration is newer than `after`, or until the time of the poll is over.
+    async fn hold_poll(&self, after: ConfigVersion, wait_ms: u64) {
+        if wait_ms == 0 {
+            return;
+        }
+        let mut changes = self.views.subscribe();
+        let _follower = FollowerCount::new(&self.metrics);
+        let newer = changes.wait_for(|view| view.version > after).map(|_| ());
+        let _ = timeout(Duration::from_millis(wait_ms.min(MAX_POLL_MS)), newer).await;
+    }
+
+    fn follow_reply(&self, after: ConfigVersion) -> FollowReply {
+        // The age is read before the configuration, so that it never makes an older one look newer than it is.
+        let age = self.views.confirmed_at().map(BootInstant::elapsed);
+        let update = self.views.update_since(after);
+        let status = self.proposer.replica.borrow().status.clone();
+        FollowReply {
+            update,
+            age_ms: age.map(millis),
+            leader: status.and_then(|status| status.leader).or_else(|| self.proposer.leader.get()),
+        }
+    }
+
     fn as_control_node(&self) -> ControlNode {
         ControlNode { name: self.name.clone(), zone: self.zone.clone() }
     }
