--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod place_metrics;
 mod place_table;
 pub mod places;
+mod polls;
 mod propose;
 mod published_upstreams;
 mod relays;
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -20,7 +20,7 @@
     PlaceRelease, PlaceRequest, PromptOutcome, PublishedUpstreams, RelayReply, RelayReport, ReportedOrigin,
     Spread, StreamOrigin, TargetAge, UpstreamSoftware, UpstreamStart,
 };
-use futures::{FutureExt, StreamExt};
+use futures::StreamExt;
 use tarpc::{
     ClientMessage, Response,
     context::Context,
@@ -46,6 +46,7 @@
     origin_peers::OriginPeers,
     outcome_queue::{OutcomeQueue, TimedOutcome},
     place_table::PlaceTable,
+    polls::{FollowerCount, MAX_POLL_MS, millis},
     propose::{Proposal, Proposer},
     published_upstreams::PublishedStore,
     relays::Relays,
@@ -61,8 +62,6 @@
 const MAX_CONCURRENT_REQUESTS: usize = 1_024;
 /// A connection without a received frame for this time is closed. Clients close idle connections earlier.
 const RECEIVE_TIMEOUT: Duration = Duration::from_mins(1);
-/// Maximum time that a poll is held.
-const MAX_POLL_MS: u64 = 2_000;
 /// Timeout of a forwarded proposal; the forwarding node waits a little less.
 const PROPOSE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -328,10 +327,6 @@
     }
 }
 
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 impl ServerState {
     fn is_leader(&self) -> bool {
         self.leading_term().is_some()
@@ -344,29 +339,6 @@
         (status.leader.as_ref() == Some(&self.name)).then_some(status.term)
     }
 
-    /// Waits until the configuration is newer than `after`, or until the time of the poll is over.
-    async fn hold_poll(&self, after: ConfigVersion, wait_ms: u64) {
-        if wait_ms == 0 {
-            return;
-        }
-        let mut changes = self.views.subscribe();
-        let _follower = FollowerCount::new(&self.metrics);
-        let newer = changes.wait_for(|view| view.version > after).map(|_| ());
-        let _ = timeout(Duration::from_millis(wait_ms.min(MAX_POLL_MS)), newer).await;
-    }
-
-    fn follow_reply(&self, after: ConfigVersion) -> FollowReply {
-        // The age is read before the configuration, so that it never makes an older one look newer than it is.
-        let age = self.views.confirmed_at().map(BootInstant::elapsed);
-        let update = self.views.update_since(after);
-        let status = self.proposer.replica.borrow().status.clone();
-        FollowReply {
-            update,
-            age_ms: age.map(millis),
-            leader: status.and_then(|status| status.leader).or_else(|| self.proposer.leader.get()),
-        }
-    }
-
     fn as_control_node(&self) -> ControlNode {
         ControlNode { name: self.name.clone(), zone: self.zone.clone() }
     }
@@ -391,19 +363,3 @@
         }
     }
 }
-
-/// Counts a follower while its poll is held.
-struct FollowerCount<'a>(&'a ClusterMetrics);
-
-impl<'a> FollowerCount<'a> {
-    fn new(metrics: &'a ClusterMetrics) -> Self {
-        metrics.followers.inc();
-        Self(metrics)
-    }
-}
-
-impl Drop for FollowerCount<'_> {
-    fn drop(&mut self) {
-        self.0.followers.dec();
-    }
-}
