--- a/crates/cluster/src/driver_input.rs
+++ b/crates/cluster/src/driver_input.rs
@@ -78,7 +78,7 @@
 /// How far a planned stop is.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum LeavingPhase {
-    /// The replica goes on until its vote is handed over, at the latest until this time.
+    /// The replica continues until its vote is handed over, at the latest until this time.
     HandingOver(Instant),
     /// No further proposals are accepted; those in progress have until this time.
     Settling(Instant),
--- a/crates/cluster/src/origin_reports.rs
+++ b/crates/cluster/src/origin_reports.rs
@@ -33,7 +33,7 @@
 const PAGE_PAUSE: Duration = Duration::from_millis(10);
 /// Interval at which the receivers are looked up.
 const TARGETS_INTERVAL: Duration = Duration::from_millis(100);
-/// What receivers of builds without `report_origins` are taken for; their starts cannot be told apart.
+/// The process of receivers of builds without `report_origins`, whose starts cannot be distinguished.
 const OLD_BUILD: ProcessId = ProcessId(0);
 
 /// Reports the origins of a node to all its receivers until the task is aborted.
--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -82,7 +82,7 @@
         /// The change to commit.
         change: VoterChange,
     },
-    /// The node is to stop: its vote is handed over to a learner, if there is one. The replica goes on until its node ends it;
+    /// The node is to stop: its vote is handed over to a learner, if there is one. The replica continues until its node ends it;
     /// see [`Handover`].
     Leave,
     /// Forms a new cluster. Ignored unless the data folder is empty and this is the first voter by name.
--- a/crates/control/src/leaving.rs
+++ b/crates/control/src/leaving.rs
@@ -1,6 +1,6 @@
 //! Planned stops: a voter that is to stop hands its vote over to a learner first.
 //!
-//! It requests this of the leader until it is no voter anymore, and goes on voting meanwhile. The leader keeps the request for a
+//! It requests this of the leader until it is no voter anymore, and votes meanwhile. The leader keeps the request for a
 //! short time only, so a new leader learns of it with the next one, and a node that has started again does not count as
 //! one that stops. Which change is due is decided by `daisysill_core::voters`; the leader's node proposes it.
 
--- a/crates/core/src/voters.rs
+++ b/crates/core/src/voters.rs
@@ -27,9 +27,9 @@
 /// Whether the node of a member is to stop as planned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Presence {
-    /// It goes on.
+    /// It stays.
     Stays,
-    /// It goes on only until its vote is handed over.
+    /// It stays only until its vote is handed over.
     Leaves,
 }
 
