Log each retry with its share of the budget, and polls that brought nothing

Adds the event retry, the counter retries, the histogram admitted_config_age_seconds and a line for each poll that was not current. No decision changes.

--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -121,7 +121,16 @@
                 sleep(RETRY_DELAY).await;
                 continue;
             };
+            let begun_at = Instant::now();
             let outcome = self.poll_once(&source).await;
+            if outcome != PollOutcome::Current {
+                log::info!(
+                    "poll of {source}: {outcome:?} after {} ms, configuration {} of age {:?}",
+                    elapsed_ms(begun_at),
+                    self.views.version().0,
+                    self.views.confirmed_at().map(BootInstant::elapsed),
+                );
+            }
             self.sources.record(&source, outcome, elapsed_ms(start));
             let is_current = outcome == PollOutcome::Current;
             if is_current {
--- a/crates/core/src/retry_budget.rs
+++ b/crates/core/src/retry_budget.rs
@@ -16,6 +16,15 @@
     pub slack: f64,
 }
 
+/// What one node has sent for a service in the present window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WindowCounts {
+    /// Requests that were sent for the first time.
+    pub first_sends: u32,
+    /// Retries.
+    pub retries: u32,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
     /// Time divided by the bucket's length.
@@ -67,18 +76,32 @@
     /// assert!(budget.is_left(0, 1) && budget.try_take(0, 1) && !budget.is_left(0, 1));
     /// ```
     pub fn is_left(&mut self, now_ms: u64, nodes: u32) -> bool {
+        let counts = self.counts(now_ms);
+        let allowed =
+            self.policy.ratio * f64::from(counts.first_sends) + self.policy.slack / f64::from(nodes.max(1));
+        f64::from(counts.retries + 1) <= allowed
+    }
+
+    /// Returns what was sent in the window that ends now.
+    ///
+    /// ```
+    /// use daisysill_core::retry_budget::{RetryBudgetPolicy, RetryBudget, WindowCounts};
+    /// let policy = RetryBudgetPolicy { ratio: 0.2, window_ms: 10_000, slack: 1.0 };
+    /// let mut budget = RetryBudget::new(policy);
+    /// budget.record_first_send(0);
+    /// assert_eq!(budget.counts(0), WindowCounts { first_sends: 1, retries: 0 });
+    /// ```
+    pub fn counts(&mut self, now_ms: u64) -> WindowCounts {
         let number = self.current_bucket(now_ms).number;
         // The oldest bucket lies partly outside the window: its retries count, its first sends do not.
-        let first_sends: u32 = self
+        let first_sends = self
             .buckets
             .iter()
             .filter(|bucket| bucket.number + WINDOW_BUCKETS > number)
             .map(|bucket| bucket.first_sends)
             .sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let allowed =
-            self.policy.ratio * f64::from(first_sends) + self.policy.slack / f64::from(nodes.max(1));
-        f64::from(retries + 1) <= allowed
+        let retries = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        WindowCounts { first_sends, retries }
     }
 
     /// Returns the current bucket, and drops those that have left the window.
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -62,6 +62,9 @@
         let Some(confirmed) = self.confirmed_table() else {
             return Err(Refusal::not_run(ResultCode::NoQuorum, "no configuration yet", STALE_RETRY_MS));
         };
+        if let Some(age) = confirmed.age() {
+            self.metrics.admitted_config_age_seconds.observe(age.as_secs_f64());
+        }
         let (table, fresh) = (&confirmed.table, self.is_fresh(&confirmed));
         let config_version = table.version();
         let stale = || {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -241,7 +241,7 @@
                     return Err(self.no_upstream_refusal(request, history, last_error));
                 }
             };
-            if history.sends.is_retry() && !self.try_take_retry(&request.service) {
+            if history.sends.is_retry() && !self.try_take_retry(request) {
                 return Err(retry_budget_refusal(history));
             }
             // Checked again before each attempt, since the process may have been suspended after admission.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -57,6 +57,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of a further attempt of a request.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct RetryLabels {
+    /// `taken` from the retry budget of its service, or `exhausted` if none was left.
+    pub outcome: &'static str,
+}
+
 /// Labels of a request for a place.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct PlaceLabels {
@@ -101,6 +108,10 @@
     pub requests: Family<ResultLabels, Counter>,
     /// Attempts that got a response head or failed.
     pub attempts: Family<AttemptLabels, Counter>,
+    /// Further attempts of requests.
+    pub retries: Family<RetryLabels, Counter>,
+    /// Age of the configuration by which requests were admitted.
+    pub admitted_config_age_seconds: Histogram,
     /// Answers on connections to upstreams that belong to no request in progress.
     pub discarded_answers: Family<DiscardedAnswerLabels, Counter>,
     /// Idle connections, to upstreams and other entry nodes, that were not used for a request since they had carried it before.
@@ -176,6 +187,14 @@
         let answer_seconds = Histogram::new(exponential_buckets(0.002, 2.0, 14));
         let time = "Time from arrival to the head of the answer";
         registry.register_with_unit("answer", time, Unit::Seconds, answer_seconds.clone());
+        let admitted_config_age_seconds = Histogram::new(exponential_buckets(0.0625, 2.0, 8));
+        let age = "Age of the configuration by which requests were admitted";
+        registry.register_with_unit(
+            "admitted_config_age",
+            age,
+            Unit::Seconds,
+            admitted_config_age_seconds.clone(),
+        );
         let connections = ConnectionMetrics::default();
         connections.register(&mut registry);
         cluster.register(&mut registry);
@@ -184,6 +203,8 @@
         Self {
             requests: registered(all, "requests", "Requests finished"),
             attempts: registered(all, "attempts", "Attempts at upstreams"),
+            retries: registered(all, "retries", "Further attempts of requests"),
+            admitted_config_age_seconds,
             discarded_answers: registered(all, "discarded_answers", "Answers of upstreams too many"),
             repeats_avoided: registered(
                 all,
@@ -269,6 +290,12 @@
         self.attempts.get_or_create(&AttemptLabels { outcome }).inc();
     }
 
+    /// Counts a further attempt, which took a retry from the budget or found none left.
+    pub(crate) fn record_retry(&self, is_taken: bool) {
+        let outcome = if is_taken { "taken" } else { "exhausted" };
+        self.retries.get_or_create(&RetryLabels { outcome }).inc();
+    }
+
     /// Returns the counts of a pool whose new connections `opened` counts.
     pub(crate) fn of_pool(&self, opened: &Counter) -> PoolMetrics {
         PoolMetrics { opened: opened.clone(), repeats_avoided: self.repeats_avoided.clone() }
--- a/crates/gateway/src/node_share.rs
+++ b/crates/gateway/src/node_share.rs
@@ -7,7 +7,10 @@
 use tokio::time::Instant;
 
 use crate::{
-    caller_request::AttemptHistory, forward::Gateway, refusal::Refusal, refusal_rules::BUSY_RETRY_MS,
+    caller_request::{AttemptHistory, CallerRequest},
+    forward::Gateway,
+    refusal::Refusal,
+    refusal_rules::BUSY_RETRY_MS,
 };
 
 /// Time for which the highest number of entry nodes counts; longer than the window of the retry budget and than the span
@@ -46,10 +49,22 @@
         share.max(2)
     }
 
-    /// Takes one retry from the service's budget; `false` if it is exhausted.
-    pub(crate) fn try_take_retry(&self, service: &ServiceName) -> bool {
-        let nodes = self.peak_entry_nodes();
-        self.with_budget(service, |budget, now_ms| budget.try_take(now_ms, nodes))
+    /// Takes one retry from the budget of the request's service; `false` if it is exhausted.
+    pub(crate) fn try_take_retry(&self, request: &CallerRequest) -> bool {
+        let (service, nodes) = (&request.service, self.peak_entry_nodes());
+        let (is_taken, counts) = self
+            .with_budget(service, |budget, now_ms| (budget.try_take(now_ms, nodes), budget.counts(now_ms)));
+        self.metrics.record_retry(is_taken);
+        tracing::info!(
+            event = "retry",
+            request_id = request.headers.request_id.as_deref(),
+            service = service.as_str(),
+            is_taken,
+            nodes,
+            first_sends = counts.first_sends,
+            retries = counts.retries,
+        );
+        is_taken
     }
 
     /// Returns whether the service's budget holds a retry.
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -228,7 +228,7 @@
             return None;
         }
         match self.place(request, history) {
-            Placement::At(chosen) => self.try_take_retry(&request.service).then_some(chosen),
+            Placement::At(chosen) => self.try_take_retry(request).then_some(chosen),
             Placement::NoCapacity | Placement::RateLimited(_) | Placement::NoneAccepting => None,
         }
     }
