Process clock: a module of its own, named for what it is

The clock of cold upstreams includes suspended time and notices interruptions of the process; permits use it too, and retry budgets will. No behaviour changes.

--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -4,54 +4,24 @@
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
-use daisysill_cluster::BootInstant;
 use daisysill_core::{
-    cold_start::{COLD_PERMIT_LIFETIME_MS, ClockGaps, ColdStart, ColdState},
+    cold_start::{COLD_PERMIT_LIFETIME_MS, ColdStart, ColdState},
     rate_permits::RateDivision,
     rate_share::{Permit, RateShare},
 };
 
 use tokio::time::Instant;
 
-use crate::{duration::millis, upstreams::Upstream};
+use crate::{process_clock::ProcessClock, upstreams::Upstream};
 
 /// Upstreams that are not listed and were marked as unknown are remembered for this time. The marks of services without cold upstreams
 /// are never cleared by a list.
 const UNKNOWN_RETENTION: Duration = Duration::from_secs(30);
 
-/// A clock that includes suspended time and notices interruptions of the process.
-#[derive(Debug)]
-pub struct ColdClock {
-    origin: BootInstant,
-    gaps: Cell<ClockGaps>,
-}
-
-impl Default for ColdClock {
-    fn default() -> Self {
-        Self { origin: BootInstant::now(), gaps: Cell::default() }
-    }
-}
-
-impl ColdClock {
-    /// Returns the time since the start.
-    pub fn now_ms(&self) -> u64 {
-        let now_ms = millis(self.origin.elapsed());
-        let mut gaps = self.gaps.get();
-        gaps.record(now_ms);
-        self.gaps.set(gaps);
-        now_ms
-    }
-
-    /// Returns the time of `at`; 0 if it was before the start.
-    pub fn at_ms(&self, at: BootInstant) -> u64 {
-        millis(at.since(self.origin))
-    }
-}
-
 /// The limit of one service's cold upstreams.
 #[derive(Clone, Debug)]
 pub struct ColdRules {
-    pub(crate) clock: Rc<ColdClock>,
+    pub(crate) clock: Rc<ProcessClock>,
     /// Entry nodes that share the rate.
     pub(crate) nodes: u32,
     /// What is granted of the rate, and what the shares of all nodes add up to.
@@ -86,7 +56,7 @@
 
 impl ColdLimiter {
     /// Records what a list read at `read_ms` says, see [`ColdStart::record_list`].
-    pub(crate) fn record_list(&self, clock: &ColdClock, read_ms: u64, left_ms: u64) {
+    pub(crate) fn record_list(&self, clock: &ProcessClock, read_ms: u64, left_ms: u64) {
         self.change(clock, |start| start.record_list(read_ms, left_ms));
     }
 
@@ -97,7 +67,7 @@
     }
 
     /// Records that the upstream may have become cold.
-    pub(crate) fn mark_unknown(&self, clock: &ColdClock) {
+    pub(crate) fn mark_unknown(&self, clock: &ProcessClock) {
         let now_ms = clock.now_ms();
         self.marked_at.set(Some(Instant::now()));
         self.change(clock, |start| start.mark_unknown(now_ms));
@@ -116,9 +86,9 @@
     }
 
     /// Applies a change; an interruption of the process has made the state unknown before.
-    fn change(&self, clock: &ColdClock, change: impl FnOnce(&mut ColdStart)) -> ColdStart {
+    fn change(&self, clock: &ProcessClock, change: impl FnOnce(&mut ColdStart)) -> ColdStart {
         let mut start = self.start.get().unwrap_or_else(|| ColdStart::new(clock.now_ms()));
-        if let Some(interrupted_ms) = clock.gaps.get().interrupted_ms() {
+        if let Some(interrupted_ms) = clock.interrupted_ms() {
             start.mark_unknown(interrupted_ms);
         }
         change(&mut start);
--- a/crates/gateway/src/cold_list.rs
+++ b/crates/gateway/src/cold_list.rs
@@ -9,10 +9,11 @@
 use tokio::time::{Instant, timeout};
 
 use crate::{
-    cold::{ColdClock, ColdRules},
+    cold::ColdRules,
     duration::millis,
     forward::Gateway,
     placement::Placement,
+    process_clock::ProcessClock,
     upstreams::{Upstream, Upstreams},
 };
 
@@ -29,7 +30,7 @@
         let table = self.routing.table()?;
         let limit = table.service(service)?.cold?;
         Some(ColdRules {
-            clock: Rc::clone(&self.cold_clock),
+            clock: Rc::clone(&self.process_clock),
             nodes: self.cold_share_nodes(),
             division: self.bounds.cold.divide(limit.per_1000_s as f64 / 1_000.0),
             cold_start_ms: limit.start_ms,
@@ -60,21 +61,21 @@
 
     /// Records that an upstream may have restarted, and be cold.
     pub(crate) fn mark_possibly_cold(&self, upstream: &Upstream) {
-        upstream.hints().cold.mark_unknown(&self.cold_clock);
+        upstream.hints().cold.mark_unknown(&self.process_clock);
     }
 
     /// Tells the listed upstreams what the newest reading of the list says, logs which have become cold or warm, and updates
     /// the gauge.
     pub(crate) fn apply_cold_reading(&self) {
         let reading = Arc::clone(&self.cluster.cold_readings().borrow());
-        let read_ms = reading.read_at.map(|at| self.cold_clock.at_ms(at));
+        let read_ms = reading.read_at.map(|at| self.process_clock.at_ms(at));
         let (mut limited, mut is_unknown) = (0, false);
         for (service, upstreams) in self.upstreams.by_service.borrow().iter() {
             let Some(rules) = self.cold_rules(service) else { continue };
             for upstream in upstreams {
                 let gate = &upstream.hints().cold;
                 if let (Some(read_ms), Some(left)) = (read_ms, reading.left(&upstream.entry)) {
-                    gate.record_list(&self.cold_clock, read_ms, millis(left));
+                    gate.record_list(&self.process_clock, read_ms, millis(left));
                 }
                 let state = gate.state(&rules);
                 if gate.changed_state(&rules).is_some() {
@@ -104,7 +105,7 @@
 
 impl Upstreams {
     /// Records that all upstreams of a zone may be cold, as after an evacuation.
-    pub fn mark_zone_unknown(&self, zone: &ZoneName, clock: &ColdClock) {
+    pub fn mark_zone_unknown(&self, zone: &ZoneName, clock: &ProcessClock) {
         let by_service = self.by_service.borrow();
         let in_zone = by_service.values().flatten().filter(|upstream| upstream.entry.zone == *zone);
         in_zone.for_each(|upstream| upstream.hints().cold.mark_unknown(clock));
--- a/crates/gateway/src/entry_tasks.rs
+++ b/crates/gateway/src/entry_tasks.rs
@@ -75,7 +75,7 @@
     loop {
         let has_ended = timeout_at(report_due, gateway.request_ended.notified()).await.is_ok();
         gateway.wake_waiting();
-        gateway.cold_clock.now_ms();
+        gateway.process_clock.now_ms();
         if !has_ended {
             gateway.cluster.set_loads(gateway.load_report());
             report_due = Instant::now() + REPORT_INTERVAL;
--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -90,7 +90,7 @@
     fn end_evacuation(&self, zone: &ZoneName) {
         let (upstreams, in_flight) = self.load_in(zone);
         tracing::info!(event = "evacuation_ended", zone = zone.as_str(), upstreams, in_flight);
-        self.upstreams.mark_zone_unknown(zone, &self.cold_clock);
+        self.upstreams.mark_zone_unknown(zone, &self.process_clock);
         self.metrics.evacuated_in_flight.remove(&ZoneLabels { zone: zone.to_string() });
         self.wake_waiting();
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -22,7 +22,6 @@
 use crate::{
     attempt::Attempt,
     caller_request::{AttemptHistory, CallerRequest},
-    cold::ColdClock,
     config::Bounds,
     contact::Contact,
     duration::millis,
@@ -35,6 +34,7 @@
     permits::PermitDemand,
     placement::{ChosenUpstream, Placement},
     pool::Pool,
+    process_clock::ProcessClock,
     refusal::Refusal,
     regions::Regions,
     routing_state::RoutingState,
@@ -91,8 +91,8 @@
     pub(crate) overloads: RefCell<HashMap<ServiceName, Overload>>,
     /// The highest recent number of entry nodes, and when it was seen.
     pub(crate) entry_node_peak: Cell<(u32, Instant)>,
-    /// The clock of the shares of cold upstreams.
-    pub(crate) cold_clock: Rc<ColdClock>,
+    /// The clock by which shares, permits and budgets count.
+    pub(crate) process_clock: Rc<ProcessClock>,
     /// Permits that this node needs of the leader.
     pub(crate) permits: PermitDemand,
     /// From when on the leader's number of entry nodes is complete; `None` before the first list.
@@ -163,7 +163,7 @@
             place_uses: RefCell::default(),
             overloads: RefCell::default(),
             entry_node_peak: Cell::new((0, Instant::now())),
-            cold_clock: Rc::default(),
+            process_clock: Rc::default(),
             permits: PermitDemand::default(),
             node_count_known_at: Cell::default(),
             open_streams: OpenStreams::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,6 +51,7 @@
 mod placement;
 mod places;
 pub mod pool;
+pub mod process_clock;
 mod prompt_parts;
 pub mod rate_limit;
 pub mod refusal;
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -17,8 +17,9 @@
 };
 
 use crate::{
-    cold::{ColdClock, ColdPermit, ColdRules, cold_wait, is_limited},
+    cold::{ColdPermit, ColdRules, cold_wait, is_limited},
     forward::Gateway,
+    process_clock::ProcessClock,
     upstreams::Upstream,
 };
 
@@ -126,14 +127,14 @@
 struct TakenGrant {
     upstream: Rc<Upstream>,
     rules: Option<ColdRules>,
-    clock: Rc<ColdClock>,
+    clock: Rc<ProcessClock>,
     grant: Cell<Option<Grant>>,
 }
 
 impl SendPermit {
     /// Takes a permit if the upstream has a limit; `None` if none is due.
     pub(crate) fn take(
-        clock: &Rc<ColdClock>,
+        clock: &Rc<ProcessClock>,
         rules: Option<&ColdRules>,
         upstream: &Rc<Upstream>,
         nodes: u32,
@@ -176,7 +177,7 @@
 
 impl UpstreamPermits {
     /// Drops expired grants; returns their number.
-    pub(crate) fn remove_expired(&self, clock: &ColdClock) -> usize {
+    pub(crate) fn remove_expired(&self, clock: &ProcessClock) -> usize {
         self.grants.borrow_mut().remove_expired(clock.now_ms())
     }
 
@@ -195,7 +196,7 @@
         if !has_limit(rules, upstream) {
             return LimitWait::fixed(pause);
         }
-        let now_ms = self.cold_clock.now_ms();
+        let now_ms = self.process_clock.now_ms();
         if hints.permits.grants.borrow().has_valid(now_ms) {
             return LimitWait::fixed(pause);
         }
@@ -252,7 +253,7 @@
     /// Asks the leader for permits that are needed and may be asked for; returns when to go on, `None` if none is needed.
     async fn ask_for_permits(&self) -> Option<Duration> {
         let demand = &self.permits;
-        let now_ms = self.cold_clock.now_ms();
+        let now_ms = self.process_clock.now_ms();
         let pause_ms = demand.pause_ms(now_ms);
         if pause_ms > 0 {
             return Some(Duration::from_millis(pause_ms));
@@ -291,7 +292,7 @@
         let demand = &self.permits;
         let number = demand.last_number.get() + 1;
         demand.last_number.set(number);
-        let asked_ms = self.cold_clock.now_ms();
+        let asked_ms = self.process_clock.now_ms();
         let upstreams = needed.iter().map(|(upstream, need)| {
             upstream.hints().permits.grants.borrow_mut().record_ask(asked_ms, number);
             let (id, started_unix_ms) = (upstream.entry.id.clone(), upstream.entry.started_unix_ms);
@@ -302,7 +303,7 @@
         });
         let requests = PermitRequests { number, upstreams: upstreams.collect() };
         let answer = self.cluster.ask_permits(requests).await;
-        let now_ms = self.cold_clock.now_ms();
+        let now_ms = self.process_clock.now_ms();
         let Some(answer) = answer else {
             let pause_ms = FAILURE_PAUSE_MS << demand.failures.get().min(MAX_PAUSE_STEPS);
             demand.failures.set(demand.failures.get().saturating_add(1));
@@ -331,7 +332,7 @@
     /// Counts and drops grants that have expired.
     pub(crate) fn drop_expired_permits(&self) {
         let expired: usize = (self.upstreams.by_service.borrow().values().flatten())
-            .map(|upstream| upstream.hints().permits.remove_expired(&self.cold_clock))
+            .map(|upstream| upstream.hints().permits.remove_expired(&self.process_clock))
             .sum();
         self.metrics.permits_expired.inc_by(expired as u64);
     }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -202,7 +202,7 @@
             return Placement::NoCapacity;
         }
         let chosen = eligible.swap_remove(choice.index);
-        let Some(send_permit) = SendPermit::take(&self.cold_clock, cold, &chosen.upstream, nodes) else {
+        let Some(send_permit) = SendPermit::take(&self.process_clock, cold, &chosen.upstream, nodes) else {
             return Placement::NoCapacity;
         };
         chosen.upstream.hints().rejections.take();
--- a/crates/gateway/tests/upstreams.rs
+++ b/crates/gateway/tests/upstreams.rs
@@ -6,8 +6,8 @@
 
 use daisysill_core::ids::WeightVersion;
 use daisysill_gateway::{
-    cold::ColdClock,
     header_codec::ResponseHints,
+    process_clock::ProcessClock,
     upstreams::{Upstream, Upstreams},
 };
 use daisysill_wire::peer::{UpstreamEntry, UpstreamLoad};
@@ -101,7 +101,7 @@
     let (upstreams, _) = start();
     let is_doubted = || upstreams.accepting(&"lyric-llm".into())[0].hints().restrict_requests();
     assert!(!is_doubted());
-    upstreams.mark_zone_unknown(&"bkk-bangna".into(), &ColdClock::default());
+    upstreams.mark_zone_unknown(&"bkk-bangna".into(), &ProcessClock::default());
     upstreams.replace(&[]);
     upstreams.replace(&[entry(1)]);
     assert!(is_doubted());
