Retry budget: keep to the bound in every window over all lives of all nodes

Cause: each process kept to ratio x its own first sends of the last 10 s + a share of the slack. Without any restart, each node takes them at its own best moment.

Change: every window that ends with a retry, of any length, holds at most half of the ratio for each request of it and of the window before; half of the share of the slack grows with the window. A request counts once, when its caller's node admits it. A retry that is not sent goes back, one that was taken a while ago (as before a suspension) is taken again right before its first byte. A node that was suspended counts as started anew. The number of nodes is the highest of ten minutes instead of 20 s, and the slack stays unused until it is known.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,7 +2,6 @@
 
 use std::{future::Future, pin::Pin, rc::Rc};
 
-use daisysill_core::retry_budget::RetryBudget;
 use tokio::time::{Instant, timeout_at};
 
 use crate::{
@@ -76,9 +75,7 @@
         resume_after: Option<&'a str>,
     ) -> Attempt<'a> {
         history.is_attempt_open = true;
-        if history.sends.begin() {
-            self.with_budget(&request.service, RetryBudget::record_first_send);
-        }
+        history.sends.begin();
         let silence_limit = self.silence_limit(request, history);
         let urgency = place.scope.as_ref().map(|_| urgency(request, history));
         let (place, signals) = (Rc::<ChosenUpstream>::from(place), Rc::<AttemptSignals>::default());
@@ -124,6 +121,7 @@
             entry_nodes: self.peak_entry_nodes(),
             held_place: &chosen.held_place,
             send_permit: &chosen.send_permit,
+            retry_permit: &chosen.retry_permit,
         };
         let started = Instant::now();
         let upstream = AttemptTarget { upstream: &chosen.upstream, ended: &self.request_ended };
--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -134,12 +134,8 @@
     /// Returns the history of a request that may have been tried before it was passed on to this node.
     pub(crate) fn after_passing(passed_on: Option<PassedOn>) -> Self {
         let passed_attempts = passed_on.map_or(0, |passed_on| passed_on.attempts);
-        let mut history = Self { passed_attempts, ..Self::default() };
-        for _ in 0..passed_attempts {
-            history.may_have_run += 1;
-            history.sends.begin();
-        }
-        history
+        let sends = SendCount::after(passed_attempts);
+        Self { may_have_run: passed_attempts, passed_attempts, sends, ..Self::default() }
     }
 
     /// Returns the history once the request has left an upstream that may have run it.
--- a/crates/gateway/src/cold_list.rs
+++ b/crates/gateway/src/cold_list.rs
@@ -41,8 +41,13 @@
     /// Returns the number of entry nodes that share the rate of a cold upstream. With too low a number, as a node or the
     /// leader may have right after its start, the nodes together would exceed the rate.
     fn cold_share_nodes(&self) -> u32 {
-        let is_counted = self.node_count_known_at.get().is_some_and(|at| Instant::now() >= at);
-        if is_counted { self.peak_entry_nodes() } else { self.peak_entry_nodes().max(MAX_ENTRY_NODES) }
+        let known = self.peak_entry_nodes();
+        if self.is_node_count_known() { known } else { known.max(MAX_ENTRY_NODES) }
+    }
+
+    /// Returns whether the leader has published a list a while ago, so that its number of entry nodes is complete.
+    pub(crate) fn is_node_count_known(&self) -> bool {
+        self.node_count_known_at.get().is_some_and(|at| Instant::now() >= at)
     }
 
     /// Records that the leader has published a list, with the number of entry nodes.
--- a/crates/gateway/src/entry_tasks.rs
+++ b/crates/gateway/src/entry_tasks.rs
@@ -76,6 +76,7 @@
         let has_ended = timeout_at(report_due, gateway.request_ended.notified()).await.is_ok();
         gateway.wake_waiting();
         gateway.process_clock.now_ms();
+        gateway.retry_node_peak.record(gateway.entry_nodes());
         if !has_ended {
             gateway.cluster.set_loads(gateway.load_report());
             report_due = Instant::now() + REPORT_INTERVAL;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -21,6 +21,7 @@
     http_head::ResponseHead,
     permits::SendPermit,
     pool::{CheckoutError, PooledConnection, RequestIdentity},
+    retry_budgets::RetryPermit,
     upstreams::{InFlight, Upstream},
 };
 
@@ -38,8 +39,8 @@
     NotSent,
     /// This node has used its share of the upstream's connections.
     NoConnectionLeft,
-    /// The upstream stated that it takes no more requests while a connection was opened, or this node's permit for the cold
-    /// upstream expired; nothing was written.
+    /// The upstream stated that it takes no more requests while a connection was opened, or a permit of this node expired;
+    /// nothing was written.
     Withdrawn,
     /// The upstream states that it did not run the request.
     Refused,
@@ -131,6 +132,8 @@
     pub(crate) entry_nodes: u32,
     /// The permission to send to the upstream, should it be cold or name a limit.
     pub(crate) send_permit: &'a SendPermit,
+    /// The permission to send the request once more, should it be a retry.
+    pub(crate) retry_permit: &'a RetryPermit,
     /// The place at the upstream, if the leader granted one.
     pub(crate) held_place: &'a RefCell<Option<HeldPlace>>,
 }
@@ -238,7 +241,7 @@
         return Err(AttemptError::Withdrawn);
     }
     // Checked again right before the first byte: the process may have been suspended since the choice.
-    if !outgoing.send_permit.try_use() {
+    if !outgoing.send_permit.try_use() || !outgoing.retry_permit.try_use() {
         pooled.release();
         return Err(AttemptError::Withdrawn);
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -11,7 +11,7 @@
 use daisysill_core::{
     fetch_backoff::FetchBackoff, ids::ServiceName, kv_memory_share::KvMemoryShare,
     link_booking::LinkBookings, memory_budget::MemoryBudget, overload::Overload, place_use::PlaceUse,
-    retry_budget::RetryBudget, slot_share::SlotShare, upstream_contact::Reach, wait_queue::WaitQueue,
+    slot_share::SlotShare, upstream_contact::Reach, wait_queue::WaitQueue,
     zone_reachability::ZoneReachability,
 };
 use tokio::{
@@ -29,14 +29,16 @@
     exchange::{AttemptError, UpstreamResponse},
     header_codec::HeaderCodec,
     metrics::GatewayMetrics,
-    node_share::retry_budget_refusal,
+    node_share::{NODE_PEAK_RETENTION, RETRY_NODE_PEAK_RETENTION, retry_budget_refusal},
     open_streams::OpenStreams,
+    peak_count::PeakCount,
     permits::PermitDemand,
     placement::{ChosenUpstream, Placement},
     pool::Pool,
     process_clock::ProcessClock,
     refusal::Refusal,
     regions::Regions,
+    retry_budgets::RetryBudgets,
     routing_state::RoutingState,
     upstreams::Upstreams,
     waiting::rate_limit_refusal,
@@ -62,7 +64,7 @@
     pub pool: Pool,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
-    pub(crate) budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    pub(crate) retries: Rc<RetryBudgets>,
     /// Requests that wait for capacity at an upstream, by service.
     pub(crate) waiting: RefCell<HashMap<ServiceName, WaitQueue<oneshot::Sender<()>>>>,
     /// Availability zones that are unreachable from this node.
@@ -89,8 +91,10 @@
     pub(crate) place_uses: RefCell<HashMap<ServiceName, PlaceUse>>,
     /// How long each service has lacked capacity.
     pub(crate) overloads: RefCell<HashMap<ServiceName, Overload>>,
-    /// The highest recent number of entry nodes, and when it was seen.
-    pub(crate) entry_node_peak: Cell<(u32, Instant)>,
+    /// The highest recent number of entry nodes.
+    pub(crate) entry_node_peak: PeakCount,
+    /// The highest number of entry nodes in a longer time, by which they divide the slack of the retry budget.
+    pub(crate) retry_node_peak: PeakCount,
     /// The clock by which shares, permits and budgets count.
     pub(crate) process_clock: Rc<ProcessClock>,
     /// Permits that this node needs of the leader.
@@ -129,6 +133,7 @@
     ) -> Self {
         let contact = Rc::new(Contact::default());
         let entry_node_connections = bounds.entry_node_connections();
+        let (policy, process_clock) = (bounds.retry_budget, Rc::<ProcessClock>::default());
         let memory = MemoryBudget::new(bounds.memory_bytes / REQUEST_MEMORY_FRACTION);
         Self {
             header_codec: SharedCodec(header_codec),
@@ -151,7 +156,7 @@
             regions,
             contact,
             metrics,
-            budgets: RefCell::default(),
+            retries: Rc::new(RetryBudgets::new(policy, Rc::clone(&process_clock))),
             waiting: RefCell::default(),
             zone_reachability: RefCell::default(),
             request_ended: Rc::default(),
@@ -162,8 +167,9 @@
             kv_memory_shares: RefCell::default(),
             place_uses: RefCell::default(),
             overloads: RefCell::default(),
-            entry_node_peak: Cell::new((0, Instant::now())),
-            process_clock: Rc::default(),
+            entry_node_peak: PeakCount::new(NODE_PEAK_RETENTION),
+            retry_node_peak: PeakCount::new(RETRY_NODE_PEAK_RETENTION),
+            process_clock,
             permits: PermitDemand::default(),
             node_count_known_at: Cell::default(),
             open_streams: OpenStreams::default(),
@@ -223,7 +229,7 @@
                 Some(place) => self.place_at(request, history, place),
                 None => self.place(request, history),
             };
-            let chosen = match placement {
+            let mut chosen = match placement {
                 Placement::At(chosen) => chosen,
                 Placement::NoCapacity if self.passes_on(request) => {
                     return Err(self.no_capacity_refusal(request, history));
@@ -241,8 +247,11 @@
                     return Err(self.no_upstream_refusal(request, history, last_error));
                 }
             };
-            if history.sends.is_retry() && !self.try_take_retry(request) {
-                return Err(retry_budget_refusal(history));
+            if history.sends.is_retry() {
+                let Some(permit) = self.try_take_retry(request) else {
+                    return Err(retry_budget_refusal(history));
+                };
+                chosen.retry_permit = permit;
             }
             // Checked again before each attempt, since the process may have been suspended after admission.
             if let Some(refusal) = self.key_refusal(request, history) {
--- a/crates/gateway/src/node_share.rs
+++ b/crates/gateway/src/node_share.rs
@@ -3,19 +3,22 @@
 
 use std::time::Duration;
 
-use daisysill_core::{ids::ServiceName, result_code::ResultCode, retry_budget::RetryBudget};
-use tokio::time::Instant;
+use daisysill_core::{ids::ServiceName, result_code::ResultCode};
 
 use crate::{
     caller_request::{AttemptHistory, CallerRequest},
     forward::Gateway,
     refusal::Refusal,
     refusal_rules::BUSY_RETRY_MS,
+    retry_budgets::RetryPermit,
 };
 
-/// Time for which the highest number of entry nodes counts; longer than the window of the retry budget and than the span
-/// in which upstreams count requests against their rate limits.
-const NODE_PEAK_WINDOW: Duration = Duration::from_secs(20);
+/// Time for which the highest number of entry nodes counts; longer than the span in which upstreams count requests against their
+/// rate limits.
+pub(crate) const NODE_PEAK_RETENTION: Duration = Duration::from_secs(20);
+/// The same for the retry budget, longer than cuts of a zone and elections usually last: the nodes that are cut off go on to use
+/// their shares.
+pub(crate) const RETRY_NODE_PEAK_RETENTION: Duration = Duration::from_mins(10);
 /// Share of the configured connections that the entry nodes use; the rest is left to other clients.
 const CONNECTION_SHARE: f64 = 0.9;
 
@@ -28,13 +31,12 @@
     /// Returns the highest recent number of entry nodes. A new leader knows only few at first, and with its number each
     /// entry node would take more than its share.
     pub(crate) fn peak_entry_nodes(&self) -> u32 {
-        let (known, at) = self.entry_node_peak.get();
-        let present = self.entry_nodes();
-        if present >= known || at.elapsed() >= NODE_PEAK_WINDOW {
-            self.entry_node_peak.set((present, Instant::now()));
-            return present;
-        }
-        known
+        self.entry_node_peak.record(self.entry_nodes())
+    }
+
+    /// Returns the number of entry nodes that share the slack of the retry budget; `None` while it is unknown.
+    fn retry_nodes(&self) -> Option<u32> {
+        self.is_node_count_known().then(|| self.retry_node_peak.record(self.entry_nodes()))
     }
 
     /// Returns this node's share of the connections that an upstream of the service accepts; at least 2.
@@ -49,40 +51,27 @@
         share.max(2)
     }
 
-    /// Takes one retry from the budget of the request's service; `false` if it is exhausted.
-    pub(crate) fn try_take_retry(&self, request: &CallerRequest) -> bool {
-        let (service, nodes) = (&request.service, self.peak_entry_nodes());
-        let (is_taken, counts) = self
-            .with_budget(service, |budget, now_ms| (budget.try_take(now_ms, nodes), budget.counts(now_ms)));
-        self.metrics.record_retry(is_taken);
+    /// Takes one retry from the budget of the request's service; `None` if it is exhausted.
+    pub(crate) fn try_take_retry(&self, request: &CallerRequest) -> Option<RetryPermit> {
+        let (service, nodes) = (&request.service, self.retry_nodes());
+        let permit = self.retries.try_take(service, nodes);
+        let counts = self.retries.counts(service);
+        self.metrics.record_retry(permit.is_some());
         tracing::info!(
             event = "retry",
             request_id = request.headers.request_id.as_deref(),
             service = service.as_str(),
-            is_taken,
+            is_taken = permit.is_some(),
             nodes,
-            first_sends = counts.first_sends,
+            requests = counts.requests,
             retries = counts.retries,
         );
-        is_taken
+        permit
     }
 
     /// Returns whether the service's budget holds a retry.
     pub(crate) fn is_retry_left(&self, service: &ServiceName) -> bool {
-        let nodes = self.peak_entry_nodes();
-        self.with_budget(service, |budget, now_ms| budget.is_left(now_ms, nodes))
-    }
-
-    /// Calls `act` with the retry budget of a service and the current time in ms.
-    pub(crate) fn with_budget<T>(
-        &self,
-        service: &ServiceName,
-        act: impl FnOnce(&mut RetryBudget, u64) -> T,
-    ) -> T {
-        let now_ms = self.now_ms();
-        let mut budgets = self.budgets.borrow_mut();
-        let policy = self.bounds.retry_budget;
-        act(budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(policy)), now_ms)
+        self.retries.is_left(service, self.retry_nodes())
     }
 }
 
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -20,6 +20,7 @@
     outdated::OutdatedWeights,
     permits::{LimitWait, SendPermit},
     prompt_parts::SharedParts,
+    retry_budgets::RetryPermit,
     upstreams::{PrefixKey, Upstream},
 };
 
@@ -62,6 +63,8 @@
     pub(crate) expected_work: AttemptExpectation,
     /// The permission to send to it, should it be cold or name a limit.
     pub(crate) send_permit: SendPermit,
+    /// The permission to send the request once more, should it be a retry.
+    pub(crate) retry_permit: RetryPermit,
     /// The place that the leader granted there; taken when the attempt begins.
     pub(crate) held_place: RefCell<Option<HeldPlace>>,
 }
@@ -342,6 +345,7 @@
             fetch_ms: candidate.fetch_ms,
             expected_work: AttemptExpectation::default(),
             send_permit: SendPermit::default(),
+            retry_permit: RetryPermit::default(),
             held_place: RefCell::default(),
         }
     }
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -93,6 +93,9 @@
         let answer = async {
             let request = self.read_request(http, payload, arrived, origin).await?;
             history = AttemptHistory::after_passing(request.passed_on);
+            if request.passed_on.is_none() {
+                self.gateway.retries.record_request(&request.service);
+            }
             self.forward(http, Rc::new(request), &mut history).await
         };
         let result = tokio::select! {
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -228,7 +228,10 @@
             return None;
         }
         match self.place(request, history) {
-            Placement::At(chosen) => self.try_take_retry(request).then_some(chosen),
+            Placement::At(mut chosen) => {
+                chosen.retry_permit = self.try_take_retry(request)?;
+                Some(chosen)
+            }
             Placement::NoCapacity | Placement::RateLimited(_) | Placement::NoneAccepting => None,
         }
     }
