Retry budget: state the sends of a request that is passed on

A request that was sent and refused at a node that then lost its upstreams arrived once more at the next node as if for the first time: uncharged there, and its sends by a node that was unable in the end were in nobody's history.

Cause: nodes stated the attempts that may have run, not those that arrived. Change: x-daisysill-peer-sends, in a request that is passed on and in the statement that the node was unable; a connection that broke counts as one send. Without the header, from an older build, the attempts count as before.

--- a/crates/gateway/src/caller_request.rs
+++ b/crates/gateway/src/caller_request.rs
@@ -134,7 +134,7 @@
     /// Returns the history of a request that may have been tried before it was passed on to this node.
     pub(crate) fn after_passing(passed_on: Option<PassedOn>) -> Self {
         let passed_attempts = passed_on.map_or(0, |passed_on| passed_on.attempts);
-        let sends = SendCount::after(passed_attempts);
+        let sends = SendCount::after(passed_on.map_or(0, |passed_on| passed_on.sends));
         Self { may_have_run: passed_attempts, passed_attempts, sends, ..Self::default() }
     }
 
--- a/crates/gateway/src/pass_on.rs
+++ b/crates/gateway/src/pass_on.rs
@@ -117,7 +117,8 @@
                     Some(answer) => return Some(Ok(answer)),
                     None => gateway.metrics.record_passed_on("broken"),
                 },
-                PeerOutcome::Unable => {
+                PeerOutcome::Unable(sends) => {
+                    history.sends.raise_to(sends.unwrap_or(0));
                     history.is_attempt_open = false;
                     gateway.metrics.record_passed_on("unable");
                     gateway.peers.avoid(address);
@@ -144,6 +145,7 @@
             may_have_run = true;
             history.is_attempt_open = false;
             history.may_have_run += 1;
+            history.sends.begin();
             if !may_retry(request) || history.may_have_run >= request.route.max_attempts {
                 break;
             }
--- a/crates/gateway/src/peer_exchange.rs
+++ b/crates/gateway/src/peer_exchange.rs
@@ -12,7 +12,7 @@
     exchange::{MAX_FOREIGN_RESPONSES, discard_body},
     forward::{Gateway, SharedCodec},
     http_head::ResponseHead,
-    peer_headers::{PassedOn, UNABLE, UNREAD, ZONE},
+    peer_headers::{PassedOn, SENDS, UNABLE, UNREAD, ZONE},
     peer_zones,
     pool::{CheckoutError, PooledConnection, RequestIdentity},
 };
@@ -21,8 +21,9 @@
 pub(crate) enum PeerOutcome {
     /// The response, whose body is yet to be read.
     Answered(Box<PeerResponse>),
-    /// The node could not be reached, or could not serve the request either; nothing has run there.
-    Unable,
+    /// The node could not be reached, or could not serve the request either; nothing has run there. With the number of sends
+    /// so far that may have reached an upstream, if the node states it.
+    Unable(Option<u32>),
     /// There was no place for a connection; the node has not read the request.
     NoRoom(Shortage),
     /// The connection broke; the request may have run.
@@ -69,25 +70,26 @@
     let mut pooled = match pool.checkout(peer.address, max_connections, identity).await {
         Ok(pooled) => pooled,
         Err(CheckoutError::LimitReached) => return PeerOutcome::NoRoom(Shortage::OwnLimit),
-        Err(CheckoutError::ConnectFailed) => return PeerOutcome::Unable,
+        Err(CheckoutError::ConnectFailed) => return PeerOutcome::Unable(None),
     };
-    let Ok(connection) = pooled.get() else { return PeerOutcome::Unable };
+    let Ok(connection) = pooled.get() else { return PeerOutcome::Unable(None) };
     if !peer_zones::admits(gateway, request, peer.address, connection).await {
-        return PeerOutcome::Unable;
+        return PeerOutcome::Unable(None);
     }
     // Computed after the request for the zone, which takes some of the time that is left.
     let passed_on = PassedOn {
         deadline_ms: u64::try_from(request.time_left().as_millis()).unwrap_or(u64::MAX),
         attempts: history.may_have_run,
+        sends: history.sends.sent(),
         config_version: request.config_version,
     };
     let head = encode_peer_head(http, &request.body, passed_on);
     if let Err((sent, _)) = connection.write_request(request_id, &head, &request.body).await {
-        return if sent == 0 { PeerOutcome::Unable } else { PeerOutcome::Broken };
+        return if sent == 0 { PeerOutcome::Unable(None) } else { PeerOutcome::Broken };
     }
     match read_answer(gateway, request, connection).await {
         Some((_, PeerAnswer::Unread)) => PeerOutcome::NoRoom(Shortage::Stated),
-        Some((_, PeerAnswer::Unable)) => PeerOutcome::Unable,
+        Some((_, PeerAnswer::Unable(sends))) => PeerOutcome::Unable(sends),
         Some((head, PeerAnswer::Served)) => {
             PeerOutcome::Answered(Box::new(PeerResponse { head, pooled, peer }))
         }
@@ -100,8 +102,8 @@
 enum PeerAnswer {
     /// It has closed the connection without reading the request.
     Unread,
-    /// It could not serve the request.
-    Unable,
+    /// It could not serve the request; with the number of sends that may have reached an upstream.
+    Unable(Option<u32>),
     /// Neither: the answer is for the caller.
     Served,
 }
@@ -123,7 +125,7 @@
             return (discarded == 0).then_some((head, PeerAnswer::Unread));
         }
         if !answer.is_zone && connection.carried().is_answer(answer.request_id.as_deref()) {
-            let stated = if answer.is_unable { PeerAnswer::Unable } else { PeerAnswer::Served };
+            let stated = if answer.is_unable { PeerAnswer::Unable(answer.sends) } else { PeerAnswer::Served };
             return Some((head, stated));
         }
         let is_refusal = answer.is_unable || head.status == StatusCode::SERVICE_UNAVAILABLE;
@@ -149,6 +151,7 @@
     /// The ID of the request that it answers.
     request_id: Option<String>,
     is_unable: bool,
+    sends: Option<u32>,
     /// Whether it states that nothing was read that followed the last answer.
     is_unread: bool,
     /// Whether it answers a request for the zone. Like answers to requests without an ID, it has none.
@@ -158,9 +161,14 @@
 impl PeerAnswerHeaders {
     fn new(codec: &SharedCodec, headers: &[httparse::Header<'_>]) -> Self {
         let has = |name: &str| headers.iter().any(|header| header.name.eq_ignore_ascii_case(name));
+        let number = |name: &str| {
+            let header = headers.iter().find(|header| header.name.eq_ignore_ascii_case(name))?;
+            std::str::from_utf8(header.value).ok()?.parse().ok()
+        };
         Self {
             request_id: codec.0.decode_response(headers).request_id.map(str::to_owned),
             is_unable: has(UNABLE),
+            sends: number(SENDS),
             is_unread: has(UNREAD),
             is_zone: has(ZONE),
         }
--- a/crates/gateway/src/peer_headers.rs
+++ b/crates/gateway/src/peer_headers.rs
@@ -12,6 +12,9 @@
 const DEADLINE_MS: &str = "x-daisysill-peer-deadline-ms";
 /// Number of upstreams that may have run the request.
 const ATTEMPTS: &str = "x-daisysill-peer-attempts";
+/// Number of sends of the request that may have reached an upstream, whether it ran or not. Also in a response that states that
+/// the node could not serve the request.
+pub(crate) const SENDS: &str = "x-daisysill-peer-sends";
 /// Version of the routing document by which the request was admitted.
 const CONFIG_VERSION: &str = "x-daisysill-peer-config-version";
 /// In a response: the node could not serve the request, and another may.
@@ -36,6 +39,8 @@
     pub deadline_ms: u64,
     /// Number of upstreams that may have run it.
     pub attempts: u32,
+    /// Number of its sends that may have reached an upstream; all further ones are retries.
+    pub sends: u32,
     /// Version of the routing document by which it was admitted; a node with an older one must not serve it.
     pub config_version: u64,
 }
@@ -44,9 +49,13 @@
     /// Reads the headers; `None` if they are missing or invalid.
     pub(crate) fn decode(headers: &HeaderMap) -> Option<Self> {
         let text = |name: &str| headers.get(name)?.to_str().ok();
+        let attempts = text(ATTEMPTS)?.parse().ok()?;
+        // Older builds state only the sends that may have run.
+        let sends = text(SENDS).map_or(Some(attempts), |sends| sends.parse().ok())?;
         Some(Self {
             deadline_ms: text(DEADLINE_MS)?.parse().ok()?,
-            attempts: text(ATTEMPTS)?.parse().ok()?,
+            attempts,
+            sends,
             config_version: text(CONFIG_VERSION)?.parse().ok()?,
         })
     }
@@ -56,8 +65,8 @@
         // Writing to a vector cannot fail.
         let _ = write!(
             out,
-            "{DEADLINE_MS}: {}\r\n{ATTEMPTS}: {}\r\n{CONFIG_VERSION}: {}\r\n",
-            self.deadline_ms, self.attempts, self.config_version
+            "{DEADLINE_MS}: {}\r\n{ATTEMPTS}: {}\r\n{SENDS}: {}\r\n{CONFIG_VERSION}: {}\r\n",
+            self.deadline_ms, self.attempts, self.sends, self.config_version
         );
     }
 }
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -27,7 +27,7 @@
     entry_node::EntryState,
     exchange::UpstreamResponse,
     fresh_config::Arrival,
-    peer_headers::{PassedOn, UNABLE},
+    peer_headers::{PassedOn, SENDS, UNABLE},
     placement::ChosenUpstream,
     refusal::{Refusal, promises_not_run},
     refusal_rules::{
@@ -126,9 +126,9 @@
                 );
                 let mut response = refusal.response(request_id);
                 if origin == Origin::EntryNode && self.is_unable(&refusal) && !history.may_have_run_here() {
-                    response
-                        .headers_mut()
-                        .insert(HeaderName::from_static(UNABLE), HeaderValue::from_static("1"));
+                    let headers = response.headers_mut();
+                    headers.insert(HeaderName::from_static(UNABLE), HeaderValue::from_static("1"));
+                    headers.insert(HeaderName::from_static(SENDS), history.sends.sent().into());
                 }
                 response
             }
