Count each entry node once, whichever control nodes it has polled

Cause: the leader added up how many entry nodes polled each control node in the last 4 s; one that turns to another counts at both. A control node that ended counted as an entry node once its report was outdated.

--- a/crates/cluster/src/link.rs
+++ b/crates/cluster/src/link.rs
@@ -67,6 +67,7 @@
     GrantPermits,
     ReportOrigins,
     PollConfig,
+    NameEntryNodes,
 }
 
 /// Why an exchange has no response.
--- a/crates/cluster/src/metrics.rs
+++ b/crates/cluster/src/metrics.rs
@@ -63,7 +63,8 @@
             | PeerRequest::AcquirePlace { .. }
             | PeerRequest::ReleasePlaces { .. }
             | PeerRequest::ReportOrigins { .. }
-            | PeerRequest::PollConfig { .. } => Purpose::Follow,
+            | PeerRequest::PollConfig { .. }
+            | PeerRequest::NameEntryNodes { .. } => Purpose::Follow,
             PeerRequest::Heartbeat { .. } => Purpose::Heartbeat,
         }
     }
@@ -90,7 +91,8 @@
                 | PeerResponse::AcquirePlace(..)
                 | PeerResponse::ReleasePlaces(..)
                 | PeerResponse::ReportOrigins(..)
-                | PeerResponse::PollConfig(..),
+                | PeerResponse::PollConfig(..)
+                | PeerResponse::NameEntryNodes(..),
             ) => Purpose::Follow,
             Ok(PeerResponse::Heartbeat(..)) => Purpose::Heartbeat,
             Err(_) => Purpose::Connection,
--- a/crates/cluster/src/published_upstreams.rs
+++ b/crates/cluster/src/published_upstreams.rs
@@ -100,7 +100,7 @@
 
     /// Publishes upstreams that the platform listed at `at`; with `is_renewed` as a new state even if they have not changed.
     pub(crate) fn publish(&self, upstreams: Vec<UpstreamEntry>, at: BootInstant, is_renewed: bool) {
-        let entry_nodes = self.polling_entry_nodes().saturating_add(self.relays.entry_nodes());
+        let entry_nodes = self.relays.count_entry_nodes(&self.polling_names());
         self.change(is_renewed, |published| {
             published.upstreams = upstreams;
             published.entry_nodes = entry_nodes;
--- a/crates/cluster/src/server.rs
+++ b/crates/cluster/src/server.rs
@@ -242,6 +242,10 @@
         }
     }
 
+    async fn name_entry_nodes(self, _: Context, nodes: Vec<InstanceId>) {
+        self.state.relays.record_names(&self.peer, nodes);
+    }
+
     async fn prompt_outcomes(self, _: Context, outcomes: Vec<PromptOutcome>) {
         let outcomes = outcomes.into_iter().map(TimedOutcome::received);
         if self.state.is_leader() {
--- a/crates/cluster/tests/relays.rs
+++ b/crates/cluster/tests/relays.rs
@@ -94,6 +94,23 @@
     assert!(contact, "all are in contact with another control node");
 }
 
+/// Guards against entry nodes that count at each control node they have polled lately: every node then takes less than its
+/// share of what all of them share.
+#[tokio::test]
+async fn entry_nodes_that_turn_to_another_control_node_count_once() {
+    let nodes = TestNodes::start(14).await;
+    nodes.settle().await;
+    nodes.controls[nodes.other_zones()[0]].stop().await;
+    let mut highest = 0;
+    for _ in 0..250 {
+        sleep(Duration::from_millis(20)).await;
+        let leader = nodes.leader();
+        leader.publish_upstreams(Vec::new(), BootInstant::now());
+        highest = highest.max(leader.published_upstreams().borrow().entry_nodes);
+    }
+    assert!(highest <= ENTRY_NODES, "{highest} counted of {ENTRY_NODES}");
+}
+
 /// Guards against a new leader that sends the whole catalog of stored parts to every node, and against parts that are
 /// not fetched meanwhile.
 #[tokio::test]
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -294,4 +294,6 @@
     async fn report_origins(origins: Vec<ReportedOrigin>, spread: Spread) -> ProcessId;
     /// Polls for a configuration newer than `after`; returns `Unchanged` after `wait_ms`.
     async fn poll_config(after: ConfigVersion, wait_ms: u64) -> HeldReply;
+    /// Names the entry nodes that poll the caller to the leader.
+    async fn name_entry_nodes(nodes: Vec<InstanceId>);
 }
--- a/crates/wire/tests/encoded.rs
+++ b/crates/wire/tests/encoded.rs
@@ -437,6 +437,15 @@
     assert_message_encoded(&response, include_str!("encoded/poll_config_response.hex"));
 }
 
+/// The same for the names of entry nodes, which later builds added.
+#[test]
+fn names_of_entry_nodes_keep_their_encoding() {
+    let request = PeerRequest::NameEntryNodes { nodes: vec!["e1".into(), "e2".into()] };
+    assert_message_encoded(&request, include_str!("encoded/name_entry_nodes_request.hex"));
+    let response = PeerResponse::NameEntryNodes(());
+    assert_message_encoded(&response, include_str!("encoded/name_entry_nodes_response.hex"));
+}
+
 /// The same for messages about places, which later builds added.
 #[test]
 fn messages_about_places_keep_their_encoding() {
