--- a/crates/cluster/tests/slow_link.rs
+++ b/crates/cluster/tests/slow_link.rs
@@ -1,6 +1,6 @@
 //! An entry node whose link to its control node is slow, as one that is almost full.
 
-#![allow(clippy::unwrap_used, clippy::expect_used, clippy::panic)]
+#![allow(unreachable_pub, clippy::unwrap_used, clippy::expect_used, clippy::panic)]
 
 #[allow(dead_code)]
 #[path = "cluster/forwarder.rs"]
