--- a/crates/core/src/retry_budget.rs
+++ b/crates/core/src/retry_budget.rs
@@ -62,6 +62,8 @@
 pub struct RetryBudget {
     policy: RetryBudgetPolicy,
     started_ms: u64,
+    /// Whether an earlier process of the node may have used its share of the slack before the start.
+    has_predecessor: bool,
     /// From when on requests are counted.
     earns_from_ms: u64,
     /// By number modulo the length.
@@ -72,7 +74,18 @@
     /// Starts with nothing counted, on a node whose process started at `started_ms`.
     pub fn new(policy: RetryBudgetPolicy, started_ms: u64) -> Self {
         let intervals = vec![Interval::default(); KEPT_INTERVALS];
-        Self { policy, started_ms, earns_from_ms: started_ms, intervals }
+        Self { policy, started_ms, has_predecessor: true, earns_from_ms: started_ms, intervals }
+    }
+
+    /// The same on a node that starts for the first time, so that part of its share is there at once.
+    ///
+    /// ```
+    /// use daisysill_core::retry_budget::{RetryBudgetPolicy, RetryBudget};
+    /// let policy = RetryBudgetPolicy { ratio: 0.2, window_ms: 10_000, slack: 2.0 };
+    /// assert!(RetryBudget::first(policy, 0).is_left(0, Some(1)) && !RetryBudget::new(policy, 0).is_left(0, Some(1)));
+    /// ```
+    pub fn first(policy: RetryBudgetPolicy, started_ms: u64) -> Self {
+        Self { has_predecessor: false, ..Self::new(policy, started_ms) }
     }
 
     /// Begins anew if the process was interrupted since the start.
@@ -167,13 +180,13 @@
     }
 
     /// Returns the part of the node's share of the slack that may be used in a window from within the interval `first` until
-    /// now. Windows in which the process started hold retries of the process before it.
+    /// now. Windows in which the process started hold retries of its predecessor.
     fn share_part(&self, first: u64, now_ms: u64) -> f64 {
         let has_started = first > self.number(self.started_ms);
         let begun_ms = if has_started { (first + 1) * self.policy.interval_ms() } else { self.started_ms };
         let age = now_ms.saturating_sub(begun_ms) as f64 / self.policy.window_ms.max(1) as f64;
         let grown = (1.0 - BURST_PART) * age.min(1.0);
-        if has_started { BURST_PART + grown } else { grown }
+        if has_started || !self.has_predecessor { BURST_PART + grown } else { grown }
     }
 
     /// Returns what was counted in the window that ends now.
--- a/crates/gateway/src/entry_node.rs
+++ b/crates/gateway/src/entry_node.rs
@@ -107,6 +107,9 @@
                 passed_on.map(|address| address.port()),
                 metrics.clone(),
             ));
+            if config.bootstrap {
+                gateway.retries.record_first_start();
+            }
             spawn_tasks(&gateway, discovery.clone());
             let streams = Rc::clone(&gateway);
             actix_rt::spawn(stop.clone().record_cut_streams(move || streams.end_open_streams()));
--- a/crates/gateway/src/node_share.rs
+++ b/crates/gateway/src/node_share.rs
@@ -36,7 +36,9 @@
 
     /// Returns the number of entry nodes that share the slack of the retry budget; `None` while it is unknown.
     fn retry_nodes(&self) -> Option<u32> {
-        self.is_node_count_known().then(|| self.retry_node_peak.record(self.entry_nodes()))
+        let is_first_list = self.retries.is_first_start() && self.node_count_known_at.get().is_some();
+        let is_known = is_first_list || self.is_node_count_known();
+        is_known.then(|| self.retry_node_peak.record(self.entry_nodes()))
     }
 
     /// Returns this node's share of the connections that an upstream of the service accepts; at least 2.
--- a/crates/gateway/src/retry_budgets.rs
+++ b/crates/gateway/src/retry_budgets.rs
@@ -14,13 +14,23 @@
 pub struct RetryBudgets {
     policy: RetryBudgetPolicy,
     clock: Rc<ProcessClock>,
+    is_first_start: Cell<bool>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
 }
 
 impl RetryBudgets {
     /// Starts with nothing counted.
     pub fn new(policy: RetryBudgetPolicy, clock: Rc<ProcessClock>) -> Self {
-        Self { policy, clock, budgets: RefCell::default() }
+        Self { policy, clock, is_first_start: Cell::default(), budgets: RefCell::default() }
+    }
+
+    /// Records that the whole system starts for the first time: no earlier process of this node has taken retries.
+    pub fn record_first_start(&self) {
+        self.is_first_start.set(true);
+    }
+
+    pub(crate) fn is_first_start(&self) -> bool {
+        self.is_first_start.get()
     }
 
     /// Counts a request of a caller of this node.
@@ -75,7 +85,8 @@
     fn with<T>(&self, service: &ServiceName, act: impl FnOnce(&mut RetryBudget, u64) -> T) -> T {
         let now_ms = self.clock.now_ms();
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(self.policy, 0));
+        let start = if self.is_first_start.get() { RetryBudget::first } else { RetryBudget::new };
+        let budget = budgets.entry(service.clone()).or_insert_with(|| start(self.policy, 0));
         if let Some(interrupted_ms) = self.clock.interrupted_ms() {
             budget.restart(interrupted_ms);
         }
