--- a/crates/cluster/src/relays.rs
+++ b/crates/cluster/src/relays.rs
@@ -203,16 +203,16 @@
 
     /// Names the entry nodes that poll this node to the leader.
     async fn name_entry_nodes(&self) {
-        let mut told: Option<(InstanceId, Vec<InstanceId>, BootInstant)> = None;
+        let mut reported: Option<(InstanceId, Vec<InstanceId>, BootInstant)> = None;
         loop {
             sleep(NAMES_INTERVAL).await;
             let Some(leader) = self.leader() else { continue };
             let names = self.published.polling_names();
-            let is_known = told.as_ref().is_some_and(|(to, known, at)| {
+            let is_known = reported.as_ref().is_some_and(|(to, known, at)| {
                 *to == leader && *known == names && at.elapsed() < NAMES_REPEAT_INTERVAL
             });
             if !is_known && self.report_names(&leader, names.clone()).await {
-                told = Some((leader, names, BootInstant::now()));
+                reported = Some((leader, names, BootInstant::now()));
             }
         }
     }
--- a/crates/core/src/retry_budget.rs
+++ b/crates/core/src/retry_budget.rs
@@ -162,7 +162,7 @@
         let present = self.number(now_ms);
         let share = nodes.map_or(0.0, |nodes| self.policy.slack / f64::from(nodes.max(1)));
         let mut retries = 1;
-        // A window begins within an interval, so the oldest one of the window before lies partly outside.
+        // A window begins within an interval, so only a part of the oldest one belongs to the window before it.
         let mut requests: u32 = (0..WINDOW_INTERVALS).map(|age| self.aged(present, age).requests).sum();
         for age in 0..=WINDOW_INTERVALS {
             let Some(first) = present.checked_sub(age) else { break };
--- a/crates/gateway/src/retry_budgets.rs
+++ b/crates/gateway/src/retry_budgets.rs
@@ -1,6 +1,10 @@
 //! The retry budgets of this node, one for each service, and the permission to send a request once more.
 
-use std::{cell::Cell, cell::RefCell, collections::HashMap, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+};
 
 use daisysill_core::{
     ids::ServiceName,
